Add the project skeleton and the contracts between packages

Cause: the work is built by several people at once, so the interfaces between packages come first: ids, sealed results, timers, duties, dispatch, admission, placement, membership and platform contracts, and the wire protocols. Ruled out: one module (the stand-ins must not reach the product's binary).

--- /dev/null
+++ b/amaranthstream/src/main/java/org/amaranthstream/config/Pool.java
@@ -0,0 +1,15 @@
+package org.amaranthstream.config;
+
+import java.util.Optional;
+import org.amaranthstream.ids.ModelId;
+import org.amaranthstream.ids.PoolId;
+
+/**
+ * A pool of backend servers.
+ *
+ * @param id the name
+ * @param kind what the servers are
+ * @param model the model whose weight versions the servers load, empty for plain services
+ * @param checksFencing true if the servers refuse an order with an old fencing number
+ */
+public record Pool(PoolId id, PoolKind kind, Optional<ModelId> model, boolean checksFencing) {}
--- /dev/null
+++ b/amaranthstream/src/main/java/org/amaranthstream/dispatch/ZoneForwarder.java
@@ -0,0 +1,17 @@
+package org.amaranthstream.dispatch;
+
+import org.amaranthstream.ids.AvailabilityZoneId;
+import org.amaranthstream.ids.RequestId;
+
+/** Forwards work to an entry VM of another availability zone. Called on the decision thread. */
+public interface ZoneForwarder {
+
+  /**
+   * Forwards {@code work}; the listener is called on the decision thread. A {@link Outcome.NotRun}
+   * is given only if nothing was handed to a peer link or the peer said that it did not run it.
+   */
+  void forward(AvailabilityZoneId zone, Work work, WorkListener listener);
+
+  /** Cancels forwarded work; unknown ids are ignored. */
+  void cancel(RequestId id);
+}
