Add stand-ins for the platform, backend servers and trainers

The daemons have nobody to talk to yet. Each stand-in is one role behind a shared HTTP server with its control port, a ledger that judges what ran, and the faults that all share (crash, restart, freeze, silence, slowness). They are embeddable and separate processes of one binary.

The text of an answer is a function of prompt and seed, so a trainer can tell a whole answer from one with a gap or of another request without asking the system.

--- /dev/null
+++ b/amaranthstream-standins/src/main/java/org/amaranthstream/standins/engine/EngineRole.java
@@ -0,0 +1,261 @@
+package org.amaranthstream.standins.engine;
+
+import io.vertx.ext.web.Router;
+import io.vertx.ext.web.RoutingContext;
+import java.io.IOException;
+import java.util.List;
+import java.util.Optional;
+import java.util.UUID;
+import java.util.concurrent.TimeUnit;
+import org.amaranthstream.standins.server.FaultSwitches;
+import org.amaranthstream.standins.server.Json;
+import org.amaranthstream.standins.server.Role;
+import org.amaranthstream.standins.server.RunLedger;
+import org.amaranthstream.standins.server.RunState;
+import org.amaranthstream.standins.server.StandinServer;
+import org.jspecify.annotations.Nullable;
+
+/** A model engine: one decode step of the whole batch at a time. */
+final class EngineRole implements Role {
+  private static final int CACHE_HIT_SPEEDUP = 4;
+  private static final String MARK_CANCELLED = "tokens_cancelled";
+
+  private final EngineOptions<?> options;
+  private final EngineSwitches switches = new EngineSwitches();
+  private final RunLedger ledger = new RunLedger();
+  private final EngineBatch batch;
+  private final PrefixCache cache;
+  private final EngineWeights weights;
+  private String incarnation = newIncarnation();
+  private boolean ticking;
+  private @Nullable LoadAnswer report;
+  private long reportNanos;
+  private StandinServer server;
+
+  EngineRole(EngineOptions<?> options) {
+    this.options = options;
+    this.batch = new EngineBatch(options.slots, options.queue);
+    this.cache = new PrefixCache(options.cacheEntries);
+    this.weights = new EngineWeights(options, switches, ledger);
+  }
+
+  @Override
+  public String name() {
+    return "engine";
+  }
+
+  @Override
+  public FaultSwitches switches() {
+    return switches;
+  }
+
+  @Override
+  public RunLedger ledger() {
+    return ledger;
+  }
+
+  @Override
+  public void addRoutes(Router router, StandinServer standin) {
+    server = standin;
+    router.post("/v1/generate").handler(this::generate);
+    router.post("/v1/cancel").handler(this::cancel);
+    router.get("/v1/load").handler(ctx -> server.send(ctx, 200, load()));
+    router.get("/v1/cache-events").handler(this::cacheEvents);
+    router.post("/v1/orders").handler(ctx -> weights.order(ctx, server));
+    if (options.reportLagMs > 0) {
+      takeReport();
+      server.vertx().setPeriodic(options.reportLagMs, id -> takeReport());
+    }
+  }
+
+  @Override
+  public void reset() {
+    batch.clear();
+    cache.clear();
+    weights.reset();
+    incarnation = newIncarnation();
+    ticking = false;
+  }
+
+  private void generate(RoutingContext ctx) {
+    Optional<GenerateRequest> request = readRequest(ctx);
+    if (request.isEmpty()) {
+      server.send(ctx, 400, new Refusal(true, false, "request is not valid"));
+      return;
+    }
+    if (switches.drain) {
+      refuse(ctx, true, "draining");
+      return;
+    }
+    Sequence sequence = new Sequence(request.get(), new AnswerStream(server, ctx, switches));
+    if (!sequence.isResumedRightly()) {
+      ledger.count("resumes_wrong", 1);
+      server.send(ctx, 400, new Refusal(true, false, "resumed text is of another answer"));
+      return;
+    }
+    if (!batch.add(sequence)) {
+      refuse(ctx, false, "queue is full");
+      return;
+    }
+    ctx.response().closeHandler(closed -> abandon(sequence));
+    startWaiting();
+  }
+
+  private void refuse(RoutingContext ctx, boolean draining, String reason) {
+    ledger.count("refused_not_run", 1);
+    server.send(ctx, 503, new Refusal(true, draining, reason));
+  }
+
+  private static Optional<GenerateRequest> readRequest(RoutingContext ctx) {
+    try {
+      GenerateRequest request = Json.read(ctx.body().buffer(), GenerateRequest.class);
+      return Optional.of(request).filter(GenerateRequest::isValid);
+    } catch (IOException | RuntimeException e) {
+      return Optional.empty();
+    }
+  }
+
+  private void startWaiting() {
+    Optional<Sequence> next = batch.startNext();
+    while (next.isPresent()) {
+      begin(next.get());
+      next = batch.startNext();
+    }
+    if (!ticking && batch.runningCount() > 0) {
+      scheduleTick();
+    }
+  }
+
+  private void begin(Sequence sequence) {
+    String prompt = String.valueOf(sequence.request.prompt());
+    sequence.run = ledger.start(sequence.attempt(), sequence.key, incarnation);
+    boolean hit = cache.touch(prompt, weights.version());
+    ledger.count(hit ? "cache_hits" : "cache_misses", 1);
+    int prefillMs = hit ? options.prefillMs / CACHE_HIT_SPEEDUP : options.prefillMs;
+    sequence.readyNanos = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(prefillMs);
+    String marker = switches.poisonMarker;
+    if (marker != null && prompt.contains(marker)) {
+      ledger.count("poisoned", 1);
+      server.vertx().runOnContext(ignored -> server.crash());
+    }
+  }
+
+  private void scheduleTick() {
+    ticking = true;
+    double overload = Math.max(1.0, (double) batch.runningCount() / options.maxBatch);
+    double ms = options.tokenIntervalMs * options.tokensPerChunk * overload * switches.slowFactor;
+    String mine = incarnation;
+    server.vertx().setTimer(Math.max(1, Math.round(ms)), id -> tick(mine));
+  }
+
+  private void tick(String ofIncarnation) {
+    if (!ofIncarnation.equals(incarnation)) {
+      return;
+    }
+    ticking = false;
+    boolean paused = switches.stall || weights.isSwapping();
+    if (!paused) {
+      long now = System.nanoTime();
+      batch.running().stream()
+          .filter(sequence -> sequence.readyNanos - now <= 0)
+          .forEach(this::decode);
+    }
+    startWaiting();
+  }
+
+  private void decode(Sequence sequence) {
+    int tokens = (int) Math.min(options.tokensPerChunk, sequence.length - sequence.position);
+    boolean sent = true;
+    if (tokens > 0) {
+      sent = sequence.stream.send(sequence, tokens, weights.version(), incarnation);
+      sequence.run.add(sequence.position, tokens, weights.version());
+      ledger.count("tokens", tokens);
+      sequence.position += tokens;
+    }
+    if (!sent) {
+      end(sequence, RunState.FAILED);
+    } else if (sequence.position >= sequence.length) {
+      end(sequence, RunState.FINISHED);
+      sequence.stream.end(sequence);
+    }
+  }
+
+  private void end(Sequence sequence, RunState state) {
+    batch.remove(sequence);
+    if (sequence.run != null) {
+      sequence.run.end(state);
+    }
+  }
+
+  private void abandon(Sequence sequence) {
+    if (sequence.run == null || sequence.run.state() == RunState.RUNNING) {
+      stop(sequence);
+      startWaiting();
+    }
+  }
+
+  private void cancel(RoutingContext ctx) {
+    try {
+      Cancel request = Json.read(ctx.body().buffer(), Cancel.class);
+      List<Sequence> cancelled = batch.cancel(String.valueOf(request.attempt()));
+      cancelled.forEach(this::stop);
+      server.send(ctx, 200, new Cancelled(cancelled.size()));
+      startWaiting();
+    } catch (IOException e) {
+      server.send(ctx, 400, new Refusal(true, false, "request is not valid"));
+    }
+  }
+
+  private void stop(Sequence sequence) {
+    ledger.count(MARK_CANCELLED, sequence.position - sequence.request.resumeOffset());
+    end(sequence, RunState.CANCELLED);
+    sequence.stream.cutOff();
+  }
+
+  private void cacheEvents(RoutingContext ctx) {
+    long after = Long.parseLong(ctx.request().getParam("after", "0"));
+    server.send(ctx, 200, new CacheEvents(cache.eventsAfter(after)));
+  }
+
+  private LoadAnswer load() {
+    LoadAnswer taken = report;
+    if (taken == null) {
+      return present(0);
+    }
+    long ageMs = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - reportNanos);
+    return new LoadAnswer(
+        taken.incarnation(),
+        taken.version(),
+        taken.running(),
+        taken.queued(),
+        taken.slots(),
+        taken.draining(),
+        ageMs);
+  }
+
+  private void takeReport() {
+    report = present(0);
+    reportNanos = System.nanoTime();
+  }
+
+  private LoadAnswer present(long ageMs) {
+    return new LoadAnswer(
+        incarnation,
+        weights.version(),
+        batch.runningCount(),
+        batch.queuedCount(),
+        options.slots,
+        switches.drain,
+        ageMs);
+  }
+
+  private static String newIncarnation() {
+    return UUID.randomUUID().toString();
+  }
+
+  record Cancel(@Nullable String attempt) {}
+
+  record Cancelled(int cancelled) {}
+
+  record CacheEvents(List<CacheEvent> events) {}
+}
--- /dev/null
+++ b/amaranthstream-standins/src/main/java/org/amaranthstream/standins/engine/EngineStandin.java
@@ -0,0 +1,39 @@
+package org.amaranthstream.standins.engine;
+
+import org.amaranthstream.standins.server.Standin;
+import org.amaranthstream.standins.server.StandinServer;
+
+/**
+ * A model engine that streams tokens.
+ *
+ * <pre>{@code
+ * try (EngineStandin engine = EngineStandin.builder().slots(8).tokenIntervalMs(2).start()) {
+ *   engine.control("{\"poisonMarker\": \"POISON\", \"restartAfterMs\": 500}");
+ * }
+ * }</pre>
+ */
+public final class EngineStandin extends Standin {
+  private EngineStandin(StandinServer server) {
+    super(server);
+  }
+
+  /** Returns a builder. */
+  public static Builder builder() {
+    return new Builder();
+  }
+
+  /** Builds a model engine. */
+  public static final class Builder extends EngineOptions<Builder> {
+    private Builder() {}
+
+    @Override
+    protected Builder self() {
+      return this;
+    }
+
+    /** Starts it. */
+    public EngineStandin start() {
+      return new EngineStandin(start(new EngineRole(this)));
+    }
+  }
+}
--- /dev/null
+++ b/amaranthstream-standins/src/main/java/org/amaranthstream/standins/kv/KvState.java
@@ -0,0 +1,114 @@
+package org.amaranthstream.standins.kv;
+
+import io.vertx.core.buffer.Buffer;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Objects;
+import java.util.TreeMap;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import org.jspecify.annotations.Nullable;
+
+/** Entries and leases of the key-value service. One thread; time is given to each call. */
+final class KvState {
+  /** Answer of a write that took effect is its revision; of another one is negative. */
+  static final long NO_LEASE = Long.MIN_VALUE;
+
+  private final TreeMap<String, Entry> entries = new TreeMap<>();
+  private final Map<String, Lease> leases = new HashMap<>();
+  private final Consumer<String> onChange;
+  private long revision;
+  private long leaseSequence;
+
+  /** Creates an empty state that tells {@code onChange} each key that changes. */
+  KvState(Consumer<String> onChange) {
+    this.onChange = onChange;
+  }
+
+  @Nullable Entry get(String key) {
+    return entries.get(key);
+  }
+
+  Map<String, Entry> list(String prefix) {
+    return new TreeMap<>(entries.subMap(prefix, true, prefix + Character.MAX_VALUE, false));
+  }
+
+  Map<String, Entry> copy() {
+    return new TreeMap<>(entries);
+  }
+
+  long revisionOf(String key) {
+    Entry entry = entries.get(key);
+    return entry == null ? 0 : entry.revision();
+  }
+
+  /** Writes if the revision is as expected; returns the new revision, or 0 on a conflict. */
+  long put(String key, long expected, Buffer value, @Nullable String lease) {
+    if (revisionOf(key) != expected) {
+      return 0;
+    }
+    if (lease != null && !leases.containsKey(lease)) {
+      return NO_LEASE;
+    }
+    revision++;
+    entries.put(key, new Entry(value, revision, lease));
+    onChange.accept(key);
+    return revision;
+  }
+
+  boolean delete(String key, long expected) {
+    if (revisionOf(key) != expected || expected == 0) {
+      return false;
+    }
+    remove(key);
+    return true;
+  }
+
+  String grant(long ttlMs, long nowNanos) {
+    leaseSequence++;
+    String id = "lease-" + leaseSequence;
+    long ttlNanos = TimeUnit.MILLISECONDS.toNanos(ttlMs);
+    leases.put(id, new Lease(ttlNanos, nowNanos + ttlNanos));
+    return id;
+  }
+
+  boolean renew(String id, long nowNanos) {
+    Lease lease = leases.get(id);
+    if (lease == null) {
+      return false;
+    }
+    leases.put(id, new Lease(lease.ttlNanos(), nowNanos + lease.ttlNanos()));
+    return true;
+  }
+
+  void revoke(String id) {
+    leases.remove(id);
+    List<String> keys =
+        entries.entrySet().stream()
+            .filter(entry -> Objects.equals(entry.getValue().lease(), id))
+            .map(Map.Entry::getKey)
+            .toList();
+    keys.forEach(this::remove);
+  }
+
+  /** Ends the leases whose time is over. */
+  void expire(long nowNanos) {
+    List<String> over =
+        leases.entrySet().stream()
+            .filter(lease -> lease.getValue().endNanos() - nowNanos <= 0)
+            .map(Map.Entry::getKey)
+            .toList();
+    over.forEach(this::revoke);
+  }
+
+  private void remove(String key) {
+    entries.remove(key);
+    revision++;
+    onChange.accept(key);
+  }
+
+  record Entry(Buffer value, long revision, @Nullable String lease) {}
+
+  private record Lease(long ttlNanos, long endNanos) {}
+}
--- /dev/null
+++ b/amaranthstream-standins/src/main/java/org/amaranthstream/standins/weights/WeightStoreRole.java
@@ -0,0 +1,121 @@
+package org.amaranthstream.standins.weights;
+
+import io.vertx.core.buffer.Buffer;
+import io.vertx.core.http.HttpServerResponse;
+import io.vertx.ext.web.Router;
+import io.vertx.ext.web.RoutingContext;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.Map;
+import org.amaranthstream.standins.server.FaultSwitches;
+import org.amaranthstream.standins.server.Role;
+import org.amaranthstream.standins.server.RunLedger;
+import org.amaranthstream.standins.server.StandinServer;
+
+/** The weight store: versions by model, and content at a rate that all transfers share. */
+final class WeightStoreRole implements Role {
+  private static final int BITS_PER_BYTE = 8;
+  private static final int CHUNK_BYTES = 16 * 1024;
+  private static final String VERSION_PATH = "/v1/models/:model/versions/:version";
+
+  private final WeightStoreStandin.Builder options;
+  private final FaultSwitches switches = new FaultSwitches();
+  private final RunLedger ledger = new RunLedger();
+  private final Map<String, Long> latest = new HashMap<>();
+  private final Deque<Transfer> transfers = new ArrayDeque<>();
+  private boolean sending;
+  private StandinServer server;
+
+  WeightStoreRole(WeightStoreStandin.Builder options) {
+    this.options = options;
+  }
+
+  @Override
+  public String name() {
+    return "weights";
+  }
+
+  @Override
+  public FaultSwitches switches() {
+    return switches;
+  }
+
+  @Override
+  public RunLedger ledger() {
+    return ledger;
+  }
+
+  @Override
+  public void addRoutes(Router router, StandinServer standin) {
+    server = standin;
+    router.get("/v1/models/:model/latest").handler(this::readLatest);
+    router.put(VERSION_PATH).handler(this::publish);
+    router.get(VERSION_PATH + "/content").handler(this::content);
+  }
+
+  /** The store is durable: only its transfers are lost. */
+  @Override
+  public void reset() {
+    transfers.clear();
+  }
+
+  private void readLatest(RoutingContext ctx) {
+    Long version = latest.get(ctx.pathParam("model"));
+    if (version == null) {
+      ctx.response().setStatusCode(404).end();
+    } else {
+      server.send(ctx, 200, new Latest(version));
+    }
+  }
+
+  private void publish(RoutingContext ctx) {
+    long version = Long.parseLong(ctx.pathParam("version"));
+    latest.merge(ctx.pathParam("model"), version, Math::max);
+    ledger.count("published", 1);
+    server.send(ctx, 200, new Latest(version));
+  }
+
+  private void content(RoutingContext ctx) {
+    long version = Long.parseLong(ctx.pathParam("version"));
+    if (version > latest.getOrDefault(ctx.pathParam("model"), 0L)) {
+      ctx.response().setStatusCode(404).end();
+      return;
+    }
+    ctx.response().putHeader("Content-Length", Long.toString(options.sizeBytes));
+    transfers.addLast(new Transfer(ctx, options.sizeBytes));
+    sendNext();
+  }
+
+  private void sendNext() {
+    if (sending || transfers.isEmpty()) {
+      return;
+    }
+    sending = true;
+    Transfer transfer = transfers.removeFirst();
+    int bytes = (int) Math.min(CHUNK_BYTES, transfer.leftBytes());
+    double ms = bytes * BITS_PER_BYTE / (options.megabitsPerSecond * 1000);
+    server.vertx().setTimer(Math.max(1, Math.round(ms)), id -> send(transfer, bytes));
+  }
+
+  private void send(Transfer transfer, int bytes) {
+    sending = false;
+    HttpServerResponse response = transfer.ctx().response();
+    if (!response.closed() && !server.isSilent(transfer.ctx().request().connection())) {
+      ledger.count("bytes", bytes);
+      Buffer chunk = Buffer.buffer(new byte[bytes]);
+      long left = transfer.leftBytes() - bytes;
+      if (left > 0) {
+        response.write(chunk);
+        transfers.addLast(new Transfer(transfer.ctx(), left));
+      } else {
+        response.end(chunk);
+      }
+    }
+    sendNext();
+  }
+
+  private record Transfer(RoutingContext ctx, long leftBytes) {}
+
+  record Latest(long version) {}
+}
--- /dev/null
+++ b/amaranthstream-standins/src/test/java/org/amaranthstream/standins/Calls.java
@@ -0,0 +1,48 @@
+package org.amaranthstream.standins;
+
+import io.vertx.core.http.HttpMethod;
+import java.io.IOException;
+import java.time.Duration;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import org.amaranthstream.standins.server.BlockingHttp;
+import org.amaranthstream.standins.server.HttpReply;
+
+/** HTTP calls of tests. */
+public final class Calls implements AutoCloseable {
+  private static final Duration TIMEOUT = Duration.ofSeconds(10);
+
+  private final BlockingHttp http = new BlockingHttp(Optional.empty());
+
+  /** Makes a GET and waits for its answer. */
+  public HttpReply get(String url) throws IOException {
+    return http.call(HttpMethod.GET, url, "", TIMEOUT);
+  }
+
+  /** Makes a POST and waits for its answer. */
+  public HttpReply post(String url, String body) throws IOException {
+    return http.call(HttpMethod.POST, url, body, TIMEOUT);
+  }
+
+  /** Makes a PUT and waits for its answer. */
+  public HttpReply put(String url, String body) throws IOException {
+    return http.call(HttpMethod.PUT, url, body, TIMEOUT);
+  }
+
+  /** Starts a call and gives its answer later. */
+  public CompletableFuture<HttpReply> later(HttpMethod method, String url, String body) {
+    return CompletableFuture.supplyAsync(
+        () -> {
+          try {
+            return http.call(method, url, body, TIMEOUT);
+          } catch (IOException e) {
+            throw new IllegalStateException(e);
+          }
+        });
+  }
+
+  @Override
+  public void close() {
+    http.close();
+  }
+}
