--- a/amaranthstream-standins/src/main/java/org/amaranthstream/standins/engine/EngineRole.java
+++ b/amaranthstream-standins/src/main/java/org/amaranthstream/standins/engine/EngineRole.java
@@ -7,22 +7,17 @@
 import java.util.Optional;
 import java.util.UUID;
 import java.util.concurrent.TimeUnit;
-import org.amaranthstream.standins.server.FaultSwitches;
 import org.amaranthstream.standins.server.Json;
 import org.amaranthstream.standins.server.Role;
-import org.amaranthstream.standins.server.RunLedger;
 import org.amaranthstream.standins.server.RunState;
-import org.amaranthstream.standins.server.StandinServer;
 import org.jspecify.annotations.Nullable;
 
 /** A model engine: one decode step of the whole batch at a time. */
-final class EngineRole implements Role {
+final class EngineRole extends Role<EngineSwitches> {
   private static final int CACHE_HIT_SPEEDUP = 4;
   private static final String MARK_CANCELLED = "tokens_cancelled";
 
   private final EngineOptions<?> options;
-  private final EngineSwitches switches = new EngineSwitches();
-  private final RunLedger ledger = new RunLedger();
   private final EngineBatch batch;
   private final PrefixCache cache;
   private final EngineWeights weights;
@@ -30,46 +25,30 @@
   private boolean ticking;
   private @Nullable LoadAnswer report;
   private long reportNanos;
-  private StandinServer server;
 
   EngineRole(EngineOptions<?> options) {
+    super("engine", new EngineSwitches());
     this.options = options;
     this.batch = new EngineBatch(options.slots, options.queue);
     this.cache = new PrefixCache(options.cacheEntries);
-    this.weights = new EngineWeights(options, switches, ledger);
+    this.weights = new EngineWeights(options, switches(), ledger());
   }
 
   @Override
-  public String name() {
-    return "engine";
-  }
-
-  @Override
-  public FaultSwitches switches() {
-    return switches;
-  }
-
-  @Override
-  public RunLedger ledger() {
-    return ledger;
-  }
-
-  @Override
-  public void addRoutes(Router router, StandinServer standin) {
-    server = standin;
+  protected void addRoutes(Router router) {
     router.post("/v1/generate").handler(this::generate);
     router.post("/v1/cancel").handler(this::cancel);
-    router.get("/v1/load").handler(ctx -> server.send(ctx, 200, load()));
+    router.get("/v1/load").handler(ctx -> server().send(ctx, 200, load()));
     router.get("/v1/cache-events").handler(this::cacheEvents);
-    router.post("/v1/orders").handler(ctx -> weights.order(ctx, server));
+    router.post("/v1/orders").handler(ctx -> weights.order(ctx, server()));
     if (options.reportLagMs > 0) {
       takeReport();
-      server.vertx().setPeriodic(options.reportLagMs, id -> takeReport());
+      server().vertx().setPeriodic(options.reportLagMs, id -> takeReport());
     }
   }
 
   @Override
-  public void reset() {
+  protected void reset() {
     batch.clear();
     cache.clear();
     weights.reset();
@@ -80,17 +59,17 @@
   private void generate(RoutingContext ctx) {
     Optional<GenerateRequest> request = readRequest(ctx);
     if (request.isEmpty()) {
-      server.send(ctx, 400, new Refusal(true, false, "request is not valid"));
+      server().send(ctx, 400, new Refusal(true, false, "request is not valid"));
       return;
     }
-    if (switches.drain) {
+    if (switches().drain) {
       refuse(ctx, true, "draining");
       return;
     }
-    Sequence sequence = new Sequence(request.get(), new AnswerStream(server, ctx, switches));
+    Sequence sequence = new Sequence(request.get(), new AnswerStream(server(), ctx, switches()));
     if (!sequence.isResumedRightly()) {
-      ledger.count("resumes_wrong", 1);
-      server.send(ctx, 400, new Refusal(true, false, "resumed text is of another answer"));
+      ledger().count("resumes_wrong", 1);
+      server().send(ctx, 400, new Refusal(true, false, "resumed text is of another answer"));
       return;
     }
     if (!batch.add(sequence)) {
@@ -102,8 +81,8 @@
   }
 
   private void refuse(RoutingContext ctx, boolean draining, String reason) {
-    ledger.count("refused_not_run", 1);
-    server.send(ctx, 503, new Refusal(true, draining, reason));
+    ledger().count("refused_not_run", 1);
+    server().send(ctx, 503, new Refusal(true, draining, reason));
   }
 
   private static Optional<GenerateRequest> readRequest(RoutingContext ctx) {
@@ -128,24 +107,24 @@
 
   private void begin(Sequence sequence) {
     String prompt = String.valueOf(sequence.request.prompt());
-    sequence.run = ledger.start(sequence.attempt(), sequence.key, incarnation);
+    sequence.run = ledger().start(sequence.attempt(), sequence.key, incarnation);
     boolean hit = cache.touch(prompt, weights.version());
-    ledger.count(hit ? "cache_hits" : "cache_misses", 1);
+    ledger().count(hit ? "cache_hits" : "cache_misses", 1);
     int prefillMs = hit ? options.prefillMs / CACHE_HIT_SPEEDUP : options.prefillMs;
     sequence.readyNanos = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(prefillMs);
-    String marker = switches.poisonMarker;
+    String marker = switches().poisonMarker;
     if (marker != null && prompt.contains(marker)) {
-      ledger.count("poisoned", 1);
-      server.vertx().runOnContext(ignored -> server.crash());
+      ledger().count("poisoned", 1);
+      server().vertx().runOnContext(ignored -> server().crash());
     }
   }
 
   private void scheduleTick() {
     ticking = true;
     double overload = Math.max(1.0, (double) batch.runningCount() / options.maxBatch);
-    double ms = options.tokenIntervalMs * options.tokensPerChunk * overload * switches.slowFactor;
+    double ms = options.tokenIntervalMs * options.tokensPerChunk * overload * switches().slowFactor;
     String mine = incarnation;
-    server.vertx().setTimer(Math.max(1, Math.round(ms)), id -> tick(mine));
+    server().vertx().setTimer(Math.max(1, Math.round(ms)), id -> tick(mine));
   }
 
   private void tick(String ofIncarnation) {
@@ -153,7 +132,7 @@
       return;
     }
     ticking = false;
-    boolean paused = switches.stall || weights.isSwapping();
+    boolean paused = switches().stall || weights.isSwapping();
     if (!paused) {
       long now = System.nanoTime();
       batch.running().stream()
@@ -169,7 +148,7 @@
     if (tokens > 0) {
       sent = sequence.stream.send(sequence, tokens, weights.version(), incarnation);
       sequence.run.add(sequence.position, tokens, weights.version());
-      ledger.count("tokens", tokens);
+      ledger().count("tokens", tokens);
       sequence.position += tokens;
     }
     if (!sent) {
@@ -199,22 +178,22 @@
       Cancel request = Json.read(ctx.body().buffer(), Cancel.class);
       List<Sequence> cancelled = batch.cancel(String.valueOf(request.attempt()));
       cancelled.forEach(this::stop);
-      server.send(ctx, 200, new Cancelled(cancelled.size()));
+      server().send(ctx, 200, new Cancelled(cancelled.size()));
       startWaiting();
     } catch (IOException e) {
-      server.send(ctx, 400, new Refusal(true, false, "request is not valid"));
+      server().send(ctx, 400, new Refusal(true, false, "request is not valid"));
     }
   }
 
   private void stop(Sequence sequence) {
-    ledger.count(MARK_CANCELLED, sequence.position - sequence.request.resumeOffset());
+    ledger().count(MARK_CANCELLED, sequence.position - sequence.request.resumeOffset());
     end(sequence, RunState.CANCELLED);
     sequence.stream.cutOff();
   }
 
   private void cacheEvents(RoutingContext ctx) {
     long after = Long.parseLong(ctx.request().getParam("after", "0"));
-    server.send(ctx, 200, new CacheEvents(cache.eventsAfter(after)));
+    server().send(ctx, 200, new CacheEvents(cache.eventsAfter(after)));
   }
 
   private LoadAnswer load() {
@@ -245,7 +224,7 @@
         batch.runningCount(),
         batch.queuedCount(),
         options.slots,
-        switches.drain,
+        switches().drain,
         ageMs);
   }
 
--- a/amaranthstream-standins/src/main/java/org/amaranthstream/standins/kv/KvRole.java
+++ b/amaranthstream-standins/src/main/java/org/amaranthstream/standins/kv/KvRole.java
@@ -11,49 +11,31 @@
 import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
-import org.amaranthstream.standins.server.FaultSwitches;
 import org.amaranthstream.standins.server.Json;
 import org.amaranthstream.standins.server.Role;
-import org.amaranthstream.standins.server.RunLedger;
 import org.amaranthstream.standins.server.RunState;
-import org.amaranthstream.standins.server.StandinServer;
 import org.jspecify.annotations.Nullable;
 
 /** The key-value service and the list of VMs, on one event loop. */
-final class KvRole implements Role {
+final class KvRole extends Role<KvSwitches> {
   private static final int EXPIRY_PERIOD_MS = 50;
   private static final int MAX_VALUE_BYTES = 1 << 20;
   private static final String KEY_PATH = "/v1/kv/";
 
-  private final KvSwitches switches = new KvSwitches();
-  private final RunLedger ledger = new RunLedger();
   private final VmHistory vms = new VmHistory();
   private final RateLimit reads = new RateLimit();
   private final RateLimit writes = new RateLimit();
   private final KvState state = new KvState(this::notifyWatches);
   private final Map<String, List<Watch>> watches = new HashMap<>();
   private @Nullable Map<String, KvState.Entry> staleEntries;
-  private StandinServer server;
 
-  @Override
-  public String name() {
-    return "kv";
-  }
-
-  @Override
-  public FaultSwitches switches() {
-    return switches;
-  }
-
-  @Override
-  public RunLedger ledger() {
-    return ledger;
+  KvRole() {
+    super("kv", new KvSwitches());
   }
 
   @Override
-  public void addRoutes(Router router, StandinServer standin) {
-    server = standin;
-    standin.vertx().setPeriodic(EXPIRY_PERIOD_MS, id -> state.expire(System.nanoTime()));
+  protected void addRoutes(Router router) {
+    server().vertx().setPeriodic(EXPIRY_PERIOD_MS, id -> state.expire(System.nanoTime()));
     router.route("/v1/*").handler(this::admit);
     router.get("/v1/kv").handler(this::list);
     router.get(KEY_PATH + "*").handler(this::get);
@@ -66,13 +48,13 @@
   }
 
   @Override
-  public void onSwitches() {
-    List<Vm> list = switches.vms;
+  protected void onSwitches() {
+    List<Vm> list = switches().vms;
     if (list != null) {
       vms.set(list, System.nanoTime());
-      switches.vms = null;
+      switches().vms = null;
     }
-    if (!switches.staleReads) {
+    if (!switches().staleReads) {
       staleEntries = null;
     } else if (staleEntries == null) {
       staleEntries = state.copy();
@@ -81,14 +63,14 @@
 
   /** The service's state is durable: only its watches are lost. */
   @Override
-  public void reset() {
+  protected void reset() {
     watches.clear();
   }
 
   private void admit(RoutingContext ctx) {
     boolean read = ctx.request().method().equals(HttpMethod.GET);
-    ledger.count(read ? "reads" : "writes", 1);
-    if (switches.outage) {
+    ledger().count(read ? "reads" : "writes", 1);
+    if (switches().outage) {
       ctx.response().setStatusCode(503).end();
     } else if (!isWithinRate(read)) {
       ctx.response().setStatusCode(429).putHeader("Retry-After", "1").end();
@@ -100,8 +82,8 @@
   private boolean isWithinRate(boolean read) {
     long now = System.nanoTime();
     return read
-        ? reads.take(switches.readsPerSecond, now)
-        : writes.take(switches.writesPerSecond, now);
+        ? reads.take(switches().readsPerSecond, now)
+        : writes.take(switches().writesPerSecond, now);
   }
 
   private void get(RoutingContext ctx) {
@@ -126,9 +108,9 @@
   }
 
   private void watch(RoutingContext ctx, String key) {
-    ledger.count("watches", 1);
+    ledger().count("watches", 1);
     long waitMs = Math.max(1, Long.parseLong(ctx.request().getParam("waitMs", "1000")));
-    long timer = server.vertx().setTimer(waitMs, id -> endWatch(ctx, key));
+    long timer = server().vertx().setTimer(waitMs, id -> endWatch(ctx, key));
     watches.computeIfAbsent(key, k -> new ArrayList<>()).add(new Watch(ctx, timer));
   }
 
@@ -145,7 +127,7 @@
       return;
     }
     for (Watch watch : waiting) {
-      server.vertx().cancelTimer(watch.timer());
+      server().vertx().cancelTimer(watch.timer());
       if (isWatchAnswered(watch.ctx())) {
         answer(watch.ctx(), state.get(key));
       }
@@ -153,7 +135,7 @@
   }
 
   private boolean isWatchAnswered(RoutingContext ctx) {
-    boolean silent = switches.silentWatch || server.isSilent(ctx.request().connection());
+    boolean silent = switches().silentWatch || server().isSilent(ctx.request().connection());
     return !silent && !ctx.response().closed() && !ctx.response().ended();
   }
 
@@ -177,7 +159,7 @@
     }
     List<ListedEntry> entries = new ArrayList<>();
     found.forEach((key, entry) -> entries.add(ListedEntry.of(key, entry)));
-    server.send(ctx, 200, new Listing(entries));
+    server().send(ctx, 200, new Listing(entries));
   }
 
   private void put(RoutingContext ctx) {
@@ -205,13 +187,13 @@
   }
 
   private void answerWrite(RoutingContext ctx, String key, boolean written, long revision) {
-    ledger.count(written ? "writes_applied" : "writes_in_conflict", 1);
+    ledger().count(written ? "writes_applied" : "writes_in_conflict", 1);
     if (written) {
-      ledger.start("", key, "kv").end(RunState.FINISHED);
+      ledger().start("", key, "kv").end(RunState.FINISHED);
     }
-    if (switches.loseAnswers > 0) {
-      switches.loseAnswers--;
-      ledger.count("answers_lost", 1);
+    if (switches().loseAnswers > 0) {
+      switches().loseAnswers--;
+      ledger().count("answers_lost", 1);
       ctx.request().connection().close();
       return;
     }
@@ -225,7 +207,7 @@
   private void grant(RoutingContext ctx) {
     try {
       LeaseRequest request = Json.read(ctx.body().buffer(), LeaseRequest.class);
-      server.send(ctx, 201, new LeaseAnswer(state.grant(request.ttlMs(), System.nanoTime())));
+      server().send(ctx, 201, new LeaseAnswer(state.grant(request.ttlMs(), System.nanoTime())));
     } catch (IOException e) {
       ctx.response().setStatusCode(400).end();
     }
@@ -242,7 +224,7 @@
   }
 
   private void readVms(RoutingContext ctx) {
-    server.send(ctx, 200, new VmListing(vms.read(System.nanoTime(), switches.vmListLagMs)));
+    server().send(ctx, 200, new VmListing(vms.read(System.nanoTime(), switches().vmListLagMs)));
   }
 
   private static String key(RoutingContext ctx) {
--- a/amaranthstream-standins/src/main/java/org/amaranthstream/standins/server/StandinBuilder.java
+++ b/amaranthstream-standins/src/main/java/org/amaranthstream/standins/server/StandinBuilder.java
@@ -40,7 +40,7 @@
   }
 
   /** Starts a server with {@code role}. */
-  protected StandinServer start(Role role) {
+  protected StandinServer start(Role<?> role) {
     return StandinServer.start(role, host, port, crashMode);
   }
 }
--- a/amaranthstream-standins/src/main/java/org/amaranthstream/standins/server/StandinServer.java
+++ b/amaranthstream-standins/src/main/java/org/amaranthstream/standins/server/StandinServer.java
@@ -49,14 +49,14 @@
   private final Context context = vertx.getOrCreateContext();
   private final Set<HttpConnection> open = new HashSet<>();
   private final Set<HttpConnection> silent = new HashSet<>();
-  private final Role role;
+  private final Role<?> role;
   private final String host;
   private final CrashMode crashMode;
   private final Router router;
   private HttpServer server;
   private volatile int port;
 
-  private StandinServer(Role role, String host, int port, CrashMode crashMode) {
+  private StandinServer(Role<?> role, String host, int port, CrashMode crashMode) {
     this.role = role;
     this.host = host;
     this.port = port;
@@ -66,7 +66,7 @@
   }
 
   /** Starts a server; port 0 takes a free one. */
-  public static StandinServer start(Role role, String host, int port, CrashMode crashMode) {
+  public static StandinServer start(Role<?> role, String host, int port, CrashMode crashMode) {
     StandinServer standin = new StandinServer(role, host, port, crashMode);
     standin.await(standin.onLoop(standin::addRoutesAndListen));
     logger.atInfo().log("event=started role=%s port=%d", role.name(), standin.port());
@@ -146,7 +146,7 @@
     router.post(CONTROL_PATH).handler(this::handleControl);
     router.get(LEDGER_PATH).handler(this::handleLedger);
     router.get("/healthz").handler(ctx -> ctx.response().end("ok\n"));
-    role.addRoutes(router, this);
+    role.attach(this, router);
     listen().onComplete(done);
   }
 
--- a/amaranthstream-standins/src/main/java/org/amaranthstream/standins/service/ScorerRole.java
+++ b/amaranthstream-standins/src/main/java/org/amaranthstream/standins/service/ScorerRole.java
@@ -7,46 +7,28 @@
 import org.amaranthstream.standins.server.FaultSwitches;
 import org.amaranthstream.standins.server.Json;
 import org.amaranthstream.standins.server.Role;
-import org.amaranthstream.standins.server.RunLedger;
-import org.amaranthstream.standins.server.StandinServer;
 
 /** A service that scores samples: a function of the text between 0 and 1. */
-final class ScorerRole implements Role {
+final class ScorerRole extends Role<FaultSwitches> {
   private static final int SCORE_STEPS = 1000;
 
-  private final FaultSwitches switches = new FaultSwitches();
-  private final RunLedger ledger = new RunLedger();
-  private StandinServer server;
-
-  @Override
-  public String name() {
-    return "scorer";
-  }
-
-  @Override
-  public FaultSwitches switches() {
-    return switches;
-  }
-
-  @Override
-  public RunLedger ledger() {
-    return ledger;
+  ScorerRole() {
+    super("scorer", new FaultSwitches());
   }
 
   @Override
-  public void addRoutes(Router router, StandinServer standin) {
-    server = standin;
+  protected void addRoutes(Router router) {
     router.post("/v1/score").handler(this::score);
   }
 
   @Override
-  public void reset() {}
+  protected void reset() {}
 
   private void score(RoutingContext ctx) {
     try {
       ScoreRequest request = Json.read(ctx.body().buffer(), ScoreRequest.class);
-      ledger.count("samples", request.samples().size());
-      server.send(ctx, 200, new Scores(request.samples().stream().map(Score::of).toList()));
+      ledger().count("samples", request.samples().size());
+      server().send(ctx, 200, new Scores(request.samples().stream().map(Score::of).toList()));
     } catch (IOException e) {
       ctx.response().setStatusCode(400).end();
     }
--- a/amaranthstream-standins/src/main/java/org/amaranthstream/standins/service/ServiceRole.java
+++ b/amaranthstream-standins/src/main/java/org/amaranthstream/standins/service/ServiceRole.java
@@ -9,52 +9,31 @@
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.UUID;
-import org.amaranthstream.standins.server.FaultSwitches;
 import org.amaranthstream.standins.server.Json;
 import org.amaranthstream.standins.server.Role;
 import org.amaranthstream.standins.server.Run;
-import org.amaranthstream.standins.server.RunLedger;
 import org.amaranthstream.standins.server.RunState;
-import org.amaranthstream.standins.server.StandinServer;
 
 /** A plain service whose ledger counts how often each body ran. */
-final class ServiceRole implements Role {
+final class ServiceRole extends Role<ServiceSwitches> {
   private final ServiceStandin.Builder options;
-  private final ServiceSwitches switches = new ServiceSwitches();
-  private final RunLedger ledger = new RunLedger();
   private final Deque<RoutingContext> queued = new ArrayDeque<>();
   private String incarnation = newIncarnation();
   private int running;
-  private StandinServer server;
 
   ServiceRole(ServiceStandin.Builder options) {
+    super("service", new ServiceSwitches());
     this.options = options;
   }
 
   @Override
-  public String name() {
-    return "service";
-  }
-
-  @Override
-  public FaultSwitches switches() {
-    return switches;
-  }
-
-  @Override
-  public RunLedger ledger() {
-    return ledger;
-  }
-
-  @Override
-  public void addRoutes(Router router, StandinServer standin) {
-    server = standin;
+  protected void addRoutes(Router router) {
     router.post("/v1/call").handler(this::call);
-    router.get("/v1/load").handler(ctx -> server.send(ctx, 200, load()));
+    router.get("/v1/load").handler(ctx -> server().send(ctx, 200, load()));
   }
 
   @Override
-  public void reset() {
+  protected void reset() {
     queued.clear();
     running = 0;
     incarnation = newIncarnation();
@@ -62,8 +41,8 @@
 
   private void call(RoutingContext ctx) {
     boolean full = running >= options.slots && queued.size() >= options.queue;
-    if (switches.drain || full) {
-      ledger.count("refused_not_run", 1);
+    if (switches().drain || full) {
+      ledger().count("refused_not_run", 1);
       ctx.response().setStatusCode(503).putHeader("Not-Run", "true").end();
       return;
     }
@@ -80,14 +59,14 @@
   private void begin(RoutingContext ctx) {
     running++;
     String body = body(ctx).toString(StandardCharsets.UTF_8);
-    Run run = ledger.start(attempt(ctx), digest(body), incarnation);
-    String marker = switches.poisonMarker;
+    Run run = ledger().start(attempt(ctx), digest(body), incarnation);
+    String marker = switches().poisonMarker;
     if (marker != null && body.contains(marker)) {
-      server.vertx().runOnContext(ignored -> server.crash());
+      server().vertx().runOnContext(ignored -> server().crash());
     }
     String mine = incarnation;
-    long ms = Math.round(options.serviceMs * switches.slowFactor);
-    server.vertx().setTimer(Math.max(1, ms), id -> finish(ctx, run, mine));
+    long ms = Math.round(options.serviceMs * switches().slowFactor);
+    server().vertx().setTimer(Math.max(1, ms), id -> finish(ctx, run, mine));
   }
 
   private void finish(RoutingContext ctx, Run run, String ofIncarnation) {
@@ -102,14 +81,14 @@
 
   private void answer(RoutingContext ctx) {
     HttpServerResponse response = ctx.response();
-    if (server.isSilent(ctx.request().connection()) || response.closed()) {
+    if (server().isSilent(ctx.request().connection()) || response.closed()) {
       return;
     }
-    if (switches.loseAnswers > 0) {
-      switches.loseAnswers--;
+    if (switches().loseAnswers > 0) {
+      switches().loseAnswers--;
       ctx.request().connection().close();
-    } else if (switches.failNext > 0) {
-      switches.failNext--;
+    } else if (switches().failNext > 0) {
+      switches().failNext--;
       response.setStatusCode(500).end();
     } else {
       sendWhole(ctx, response);
@@ -120,8 +99,8 @@
     String digest = digest(body(ctx).toString(StandardCharsets.UTF_8));
     Buffer answer = Buffer.buffer(Json.text(new Served(digest)));
     response.putHeader("Attempt", echo(ctx)).putHeader("Content-Type", "application/json");
-    if (switches.truncateNext > 0) {
-      switches.truncateNext--;
+    if (switches().truncateNext > 0) {
+      switches().truncateNext--;
       response.putHeader("Content-Length", Integer.toString(answer.length() * 2));
       response.write(answer).onComplete(written -> ctx.request().connection().close());
     } else {
@@ -130,15 +109,15 @@
   }
 
   private String echo(RoutingContext ctx) {
-    if (switches.wrongEchoNext > 0) {
-      switches.wrongEchoNext--;
+    if (switches().wrongEchoNext > 0) {
+      switches().wrongEchoNext--;
       return "other-attempt";
     }
     return attempt(ctx);
   }
 
   private ServiceLoad load() {
-    return new ServiceLoad(incarnation, running, queued.size(), options.slots, switches.drain, 0);
+    return new ServiceLoad(incarnation, running, queued.size(), options.slots, switches().drain, 0);
   }
 
   private static Buffer body(RoutingContext ctx) {
--- a/amaranthstream-standins/src/main/java/org/amaranthstream/standins/weights/WeightStoreRole.java
+++ b/amaranthstream-standins/src/main/java/org/amaranthstream/standins/weights/WeightStoreRole.java
@@ -10,45 +10,25 @@
 import java.util.Map;
 import org.amaranthstream.standins.server.FaultSwitches;
 import org.amaranthstream.standins.server.Role;
-import org.amaranthstream.standins.server.RunLedger;
-import org.amaranthstream.standins.server.StandinServer;
 
 /** The weight store: versions by model, and content at a rate that all transfers share. */
-final class WeightStoreRole implements Role {
+final class WeightStoreRole extends Role<FaultSwitches> {
   private static final int BITS_PER_BYTE = 8;
   private static final int CHUNK_BYTES = 16 * 1024;
   private static final String VERSION_PATH = "/v1/models/:model/versions/:version";
 
   private final WeightStoreStandin.Builder options;
-  private final FaultSwitches switches = new FaultSwitches();
-  private final RunLedger ledger = new RunLedger();
   private final Map<String, Long> latest = new HashMap<>();
   private final Deque<Transfer> transfers = new ArrayDeque<>();
   private boolean sending;
-  private StandinServer server;
 
   WeightStoreRole(WeightStoreStandin.Builder options) {
+    super("weights", new FaultSwitches());
     this.options = options;
   }
 
   @Override
-  public String name() {
-    return "weights";
-  }
-
-  @Override
-  public FaultSwitches switches() {
-    return switches;
-  }
-
-  @Override
-  public RunLedger ledger() {
-    return ledger;
-  }
-
-  @Override
-  public void addRoutes(Router router, StandinServer standin) {
-    server = standin;
+  protected void addRoutes(Router router) {
     router.get("/v1/models/:model/latest").handler(this::readLatest);
     router.put(VERSION_PATH).handler(this::publish);
     router.get(VERSION_PATH + "/content").handler(this::content);
@@ -56,7 +36,7 @@
 
   /** The store is durable: only its transfers are lost. */
   @Override
-  public void reset() {
+  protected void reset() {
     transfers.clear();
   }
 
@@ -65,15 +45,15 @@
     if (version == null) {
       ctx.response().setStatusCode(404).end();
     } else {
-      server.send(ctx, 200, new Latest(version));
+      server().send(ctx, 200, new Latest(version));
     }
   }
 
   private void publish(RoutingContext ctx) {
     long version = Long.parseLong(ctx.pathParam("version"));
     latest.merge(ctx.pathParam("model"), version, Math::max);
-    ledger.count("published", 1);
-    server.send(ctx, 200, new Latest(version));
+    ledger().count("published", 1);
+    server().send(ctx, 200, new Latest(version));
   }
 
   private void content(RoutingContext ctx) {
@@ -95,14 +75,14 @@
     Transfer transfer = transfers.removeFirst();
     int bytes = (int) Math.min(CHUNK_BYTES, transfer.leftBytes());
     double ms = bytes * BITS_PER_BYTE / (options.megabitsPerSecond * 1000);
-    server.vertx().setTimer(Math.max(1, Math.round(ms)), id -> send(transfer, bytes));
+    server().vertx().setTimer(Math.max(1, Math.round(ms)), id -> send(transfer, bytes));
   }
 
   private void send(Transfer transfer, int bytes) {
     sending = false;
     HttpServerResponse response = transfer.ctx().response();
-    if (!response.closed() && !server.isSilent(transfer.ctx().request().connection())) {
-      ledger.count("bytes", bytes);
+    if (!response.closed() && !server().isSilent(transfer.ctx().request().connection())) {
+      ledger().count("bytes", bytes);
       Buffer chunk = Buffer.buffer(new byte[bytes]);
       long left = transfer.leftBytes() - bytes;
       if (left > 0) {
