--- a/amaranthstream/src/main/java/org/amaranthstream/admission/Priority.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/admission/Priority.java
@@ -1,9 +1,20 @@
 package org.amaranthstream.admission;
 
-/** Priority of a request at the backend server; lower ordinals go first. */
+/** Priority of a request at the backend server. */
 public enum Priority {
   /** A person waits for the answer. */
-  INTERACTIVE,
+  INTERACTIVE(0),
   /** A trainer waits for the sample. */
-  TRAINING
+  TRAINING(1);
+
+  private final int rank;
+
+  Priority(int rank) {
+    this.rank = rank;
+  }
+
+  /** Returns the rank that backend servers understand; lower ranks go first. */
+  public int rank() {
+    return rank;
+  }
 }
--- /dev/null
+++ b/amaranthstream/src/main/java/org/amaranthstream/dispatch/http/CallAttempt.java
@@ -0,0 +1,76 @@
+package org.amaranthstream.dispatch.http;
+
+import io.vertx.core.AsyncResult;
+import io.vertx.core.buffer.Buffer;
+import io.vertx.core.http.HttpClientRequest;
+import io.vertx.core.http.HttpClientResponse;
+import java.nio.charset.StandardCharsets;
+import java.util.Optional;
+import org.amaranthstream.dispatch.Answer;
+import org.amaranthstream.dispatch.AttemptEnd;
+import org.amaranthstream.dispatch.Chunk;
+import org.amaranthstream.dispatch.Payload;
+import org.amaranthstream.ids.AttemptId;
+import org.amaranthstream.ids.BackendServerId;
+
+/**
+ * An attempt that makes one call to a plain service. The bytes of the answer's body are handed on
+ * as the ISO 8859-1 characters of one chunk.
+ */
+final class CallAttempt extends HttpAttempt {
+  private static final String ATTEMPT_HEADER = "Attempt";
+  private static final String DEFAULT_TYPE = "application/octet-stream";
+
+  private final AttemptId id;
+  private final Payload.Call call;
+
+  CallAttempt(BackendServerId server, AttemptId id, Payload.Call call, AttemptEvents events) {
+    super(server, events);
+    this.id = id;
+    this.call = call;
+  }
+
+  @Override
+  String path() {
+    return call.path();
+  }
+
+  @Override
+  Buffer prepare(HttpClientRequest request) {
+    request.putHeader("Content-Type", call.contentType());
+    request.putHeader(ATTEMPT_HEADER, id.value());
+    return Buffer.buffer(call.body());
+  }
+
+  @Override
+  void onAnswer(HttpClientResponse response) {
+    if (!id.value().equals(response.getHeader(ATTEMPT_HEADER))) {
+      endInvalid("answer echoes attempt " + response.getHeader(ATTEMPT_HEADER));
+      return;
+    }
+    response.body().onComplete(body -> onBody(response, body));
+  }
+
+  private void onBody(HttpClientResponse response, AsyncResult<Buffer> body) {
+    if (body.failed()) {
+      onLost(body.cause());
+      return;
+    }
+    String text = body.result().toString(StandardCharsets.ISO_8859_1);
+    events().chunk(new Chunk(0, 0, text, Optional.empty(), Optional.empty()));
+    String type = response.getHeader("Content-Type");
+    end(
+        new AttemptEnd.Finished(
+            new Answer(
+                server(), response.statusCode(), type == null ? DEFAULT_TYPE : type, 0, "whole")));
+  }
+
+  @Override
+  AttemptEnd refusalOf(HttpClientResponse response, Buffer body) {
+    if (isUnavailable(response) && "true".equals(response.getHeader("Not-Run"))) {
+      boolean draining = "true".equals(response.getHeader("Draining"));
+      return new AttemptEnd.Rejected("not run by " + server(), draining, retryAfter(response));
+    }
+    return new AttemptEnd.Failed(server() + " answered HTTP " + response.statusCode());
+  }
+}
--- /dev/null
+++ b/amaranthstream/src/main/java/org/amaranthstream/dispatch/http/CancelBody.java
@@ -0,0 +1,16 @@
+package org.amaranthstream.dispatch.http;
+
+import io.vertx.core.buffer.Buffer;
+import org.amaranthstream.ids.AttemptId;
+
+/** Body of a cancel call to a model engine. */
+record CancelBody(String attempt) {
+
+  static CancelBody of(AttemptId id) {
+    return new CancelBody(id.value());
+  }
+
+  Buffer toBuffer() {
+    return WireJson.write(this);
+  }
+}
--- /dev/null
+++ b/amaranthstream/src/main/java/org/amaranthstream/dispatch/http/GenerateAttempt.java
@@ -0,0 +1,129 @@
+package org.amaranthstream.dispatch.http;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import io.vertx.core.buffer.Buffer;
+import io.vertx.core.http.HttpClientRequest;
+import io.vertx.core.http.HttpClientResponse;
+import io.vertx.core.parsetools.RecordParser;
+import java.io.IOException;
+import java.util.Optional;
+import org.amaranthstream.dispatch.Answer;
+import org.amaranthstream.dispatch.AttemptEnd;
+import org.amaranthstream.dispatch.Chunk;
+import org.amaranthstream.ids.AttemptId;
+import org.amaranthstream.ids.BackendServerId;
+import org.amaranthstream.ids.Incarnation;
+import org.amaranthstream.ids.WeightVersion;
+
+/** An attempt that reads a stream of tokens from a model engine. */
+final class GenerateAttempt extends HttpAttempt {
+  private static final int MAX_LINE_BYTES = 64 * 1024;
+  private static final int HTTP_OK = 200;
+  private static final String STREAM_TYPE = "application/x-ndjson";
+
+  private final AttemptId id;
+  private final GenerateBody body;
+  private final Runnable stopServer;
+  private long nextOffset;
+
+  GenerateAttempt(
+      BackendServerId server,
+      AttemptId id,
+      GenerateBody body,
+      long offset,
+      AttemptEvents events,
+      Runnable stopServer) {
+    super(server, events);
+    this.id = id;
+    this.body = body;
+    this.nextOffset = offset;
+    this.stopServer = stopServer;
+  }
+
+  @Override
+  String path() {
+    return "/v1/generate";
+  }
+
+  @Override
+  Buffer prepare(HttpClientRequest request) {
+    request.putHeader("Content-Type", "application/json");
+    return WireJson.write(body);
+  }
+
+  @Override
+  void onAnswer(HttpClientResponse response) {
+    RecordParser lines = RecordParser.newDelimited("\n", response);
+    lines.maxRecordSize(MAX_LINE_BYTES);
+    lines.exceptionHandler(cause -> endInvalid("stream line not readable: " + cause.getMessage()));
+    lines.endHandler(unused -> onStreamEnd());
+    lines.handler(line -> onLine(response, line));
+  }
+
+  private void onLine(HttpClientResponse response, Buffer line) {
+    if (events().isEnded() || line.length() == 0) {
+      return;
+    }
+    try {
+      onStreamLine(WireJson.read(line, StreamLine.class));
+    } catch (JsonProcessingException e) {
+      endInvalid("stream line is not JSON of the protocol: " + e.getOriginalMessage());
+    } catch (IOException | IllegalArgumentException e) {
+      endInvalid("stream line not readable: " + e.getMessage());
+    }
+    retryWhileBlocked(response);
+  }
+
+  private void onStreamLine(StreamLine line) {
+    if (!id.value().equals(line.attempt())) {
+      endInvalid("stream echoes attempt " + line.attempt() + ", expected " + id);
+    } else if (line.end()) {
+      onEndMarker(line);
+    } else if (line.offset() != nextOffset) {
+      endInvalid("stream continues at token " + line.offset() + ", expected " + nextOffset);
+    } else if (line.tokens() < 0) {
+      endInvalid("stream part has " + line.tokens() + " tokens");
+    } else {
+      nextOffset += line.tokens();
+      events().chunk(chunkOf(line));
+    }
+  }
+
+  private void onEndMarker(StreamLine line) {
+    if (line.tokens() != nextOffset) {
+      endInvalid("stream ends after token " + nextOffset + " of " + line.tokens());
+      return;
+    }
+    String reason = line.finishReason() == null ? "" : line.finishReason();
+    end(new AttemptEnd.Finished(new Answer(server(), HTTP_OK, STREAM_TYPE, nextOffset, reason)));
+  }
+
+  private static Chunk chunkOf(StreamLine line) {
+    return new Chunk(
+        line.offset(),
+        line.tokens(),
+        line.text() == null ? "" : line.text(),
+        Optional.ofNullable(line.version()).map(WeightVersion::of),
+        Optional.ofNullable(line.incarnation()).map(Incarnation::of));
+  }
+
+  private void onStreamEnd() {
+    end(new AttemptEnd.Broken("stream of " + server() + " ended without its end marker"));
+  }
+
+  @Override
+  AttemptEnd refusalOf(HttpClientResponse response, Buffer refusal) {
+    if (isUnavailable(response)) {
+      RefusalBody parsed = RefusalBody.parse(refusal);
+      if (parsed.notRun()) {
+        return new AttemptEnd.Rejected(parsed.reason(), parsed.draining(), retryAfter(response));
+      }
+    }
+    return new AttemptEnd.Failed(server() + " answered HTTP " + response.statusCode());
+  }
+
+  @Override
+  void afterCancel() {
+    stopServer.run();
+  }
+}
--- /dev/null
+++ b/amaranthstream/src/main/java/org/amaranthstream/dispatch/http/HttpAttempt.java
@@ -0,0 +1,189 @@
+package org.amaranthstream.dispatch.http;
+
+import io.vertx.core.AsyncResult;
+import io.vertx.core.Context;
+import io.vertx.core.Vertx;
+import io.vertx.core.buffer.Buffer;
+import io.vertx.core.http.HttpClientRequest;
+import io.vertx.core.http.HttpClientResponse;
+import java.time.Duration;
+import java.util.Optional;
+import org.amaranthstream.dispatch.AttemptEnd;
+import org.amaranthstream.dispatch.BackendTransport;
+import org.amaranthstream.ids.BackendServerId;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * One HTTP exchange with a backend server. State is confined to the event loop of its connection;
+ * {@link #cancel} may be called from any thread.
+ */
+abstract class HttpAttempt implements BackendTransport.Attempt {
+  private static final long RING_RETRY_MILLIS = 1;
+  private static final int HTTP_UNAVAILABLE = 503;
+  private static final int HTTP_OK = 200;
+
+  private final BackendServerId server;
+  private final AttemptEvents events;
+  private volatile boolean cancelled;
+  private volatile @Nullable Context context;
+  private @Nullable HttpClientRequest request;
+
+  HttpAttempt(BackendServerId server, AttemptEvents events) {
+    this.server = server;
+    this.events = events;
+  }
+
+  /** Returns the path of the call. */
+  abstract String path();
+
+  /** Sets the headers and returns the body. */
+  abstract Buffer prepare(HttpClientRequest request);
+
+  /** Reads a response of status 200. */
+  abstract void onAnswer(HttpClientResponse response);
+
+  /** Returns the end that a response of another status than 200 means. */
+  abstract AttemptEnd refusalOf(HttpClientResponse response, Buffer body);
+
+  /** Runs after the connection of a cancelled attempt was closed. */
+  void afterCancel() {}
+
+  final BackendServerId server() {
+    return server;
+  }
+
+  final AttemptEvents events() {
+    return events;
+  }
+
+  final void onConnected(AsyncResult<HttpClientRequest> connected) {
+    context = Vertx.currentContext();
+    if (cancelled) {
+      events.mute();
+      if (connected.succeeded()) {
+        connected.result().reset();
+      }
+      return;
+    }
+    if (connected.failed()) {
+      end(new AttemptEnd.NotSent("no connection to " + server + ": " + reason(connected.cause())));
+      return;
+    }
+    request = connected.result();
+    send(request);
+  }
+
+  private void send(HttpClientRequest req) {
+    req.exceptionHandler(this::onLost);
+    req.response().onComplete(this::onResponse);
+    final Buffer body = prepare(req);
+    events.sending();
+    req.end(body);
+  }
+
+  private void onResponse(AsyncResult<HttpClientResponse> result) {
+    if (result.failed()) {
+      onLost(result.cause());
+      return;
+    }
+    HttpClientResponse response = result.result();
+    response.exceptionHandler(this::onLost);
+    if (response.statusCode() == HTTP_OK) {
+      onAnswer(response);
+    } else {
+      response.body().onComplete(body -> onRefusal(response, body));
+    }
+  }
+
+  private void onRefusal(HttpClientResponse response, AsyncResult<Buffer> body) {
+    if (body.failed()) {
+      onLost(body.cause());
+    } else {
+      end(refusalOf(response, body.result()));
+    }
+  }
+
+  /** Ends the attempt because its connection was lost after bytes may have left. */
+  final void onLost(Throwable cause) {
+    end(new AttemptEnd.Broken("connection to " + server + " lost: " + reason(cause)));
+  }
+
+  /** Ends the attempt because the answer breaks the protocol, and closes the connection. */
+  final void endInvalid(String reason) {
+    end(new AttemptEnd.Invalid(reason));
+    closeConnection();
+  }
+
+  final void end(AttemptEnd end) {
+    events.end(end);
+    retryWhileBlocked(null);
+  }
+
+  /** Stops reading {@code response} until the decision duty has taken the events that wait. */
+  final void retryWhileBlocked(@Nullable HttpClientResponse response) {
+    if (!events.isBlocked()) {
+      return;
+    }
+    if (response != null) {
+      response.pause();
+    }
+    Context ctx = context;
+    if (ctx != null) {
+      ctx.owner().setTimer(RING_RETRY_MILLIS, timer -> retry(response));
+    }
+  }
+
+  private void retry(@Nullable HttpClientResponse response) {
+    events.flush();
+    if (events.isBlocked()) {
+      retryWhileBlocked(response);
+    } else if (response != null) {
+      response.resume();
+    }
+  }
+
+  @Override
+  public final void cancel() {
+    cancelled = true;
+    Context ctx = context;
+    if (ctx != null) {
+      ctx.runOnContext(unused -> cancelOnContext());
+    }
+  }
+
+  private void cancelOnContext() {
+    boolean running = !events.isEnded();
+    events.mute();
+    if (running) {
+      closeConnection();
+      afterCancel();
+    }
+  }
+
+  private void closeConnection() {
+    if (request != null) {
+      request.connection().close();
+    }
+  }
+
+  /** Returns true if the response has the status with which a server says that it did not run. */
+  static boolean isUnavailable(HttpClientResponse response) {
+    return response.statusCode() == HTTP_UNAVAILABLE;
+  }
+
+  /** Returns the time after which the server asks to come back. */
+  static Optional<Duration> retryAfter(HttpClientResponse response) {
+    String header = response.getHeader("Retry-After");
+    if (header == null || !header.chars().allMatch(Character::isDigit) || header.length() > 6) {
+      return Optional.empty();
+    }
+    return header.isEmpty()
+        ? Optional.empty()
+        : Optional.of(Duration.ofSeconds(Integer.parseInt(header)));
+  }
+
+  private static String reason(Throwable cause) {
+    String message = cause.getMessage();
+    return message == null ? cause.getClass().getSimpleName() : message;
+  }
+}
--- /dev/null
+++ b/amaranthstream/src/main/java/org/amaranthstream/dispatch/http/HttpBackendTransport.java
@@ -0,0 +1,98 @@
+package org.amaranthstream.dispatch.http;
+
+import static com.google.common.base.Preconditions.checkNotNull;
+
+import io.vertx.core.Vertx;
+import io.vertx.core.http.HttpClient;
+import io.vertx.core.http.HttpClientOptions;
+import io.vertx.core.http.HttpMethod;
+import io.vertx.core.http.PoolOptions;
+import io.vertx.core.http.RequestOptions;
+import java.time.Duration;
+import org.amaranthstream.dispatch.AttemptListener;
+import org.amaranthstream.dispatch.BackendTransport;
+import org.amaranthstream.dispatch.Payload;
+import org.amaranthstream.dispatch.Work;
+import org.amaranthstream.ids.AttemptId;
+import org.amaranthstream.membership.BackendServer;
+import org.amaranthstream.ring.Duty;
+
+/**
+ * Runs attempts over HTTP, as {@code docs/PROTOCOLS.md} describes.
+ *
+ * <p>A connection is obtained first and the request is written after it, so that a failure to
+ * connect is known to have sent nothing. Thread safe; listeners are called on the decision duty.
+ */
+public final class HttpBackendTransport implements BackendTransport, AutoCloseable {
+  private static final int CONNECTIONS_PER_SERVER = 512;
+  private static final Duration CONNECT_TIMEOUT = Duration.ofSeconds(1);
+  private static final int KEEP_ALIVE_SECONDS = 30;
+
+  private final HttpClient client;
+  private final Duty decisions;
+
+  private HttpBackendTransport(Vertx vertx, Duty decisions) {
+    this.decisions = checkNotNull(decisions, "decisions");
+    this.client =
+        vertx.createHttpClient(
+            new HttpClientOptions()
+                .setConnectTimeout((int) CONNECT_TIMEOUT.toMillis())
+                .setKeepAliveTimeout(KEEP_ALIVE_SECONDS)
+                .setTcpNoDelay(true),
+            new PoolOptions().setHttp1MaxSize(CONNECTIONS_PER_SERVER));
+  }
+
+  /** Returns a transport whose listeners are called on {@code decisions}. */
+  public static HttpBackendTransport create(Vertx vertx, Duty decisions) {
+    return new HttpBackendTransport(vertx, decisions);
+  }
+
+  @Override
+  public Attempt start(
+      BackendServer server,
+      AttemptId id,
+      Work work,
+      long offset,
+      String prefix,
+      AttemptListener listener) {
+    AttemptEvents events = new AttemptEvents(decisions, listener);
+    HttpAttempt attempt = newAttempt(server, id, work, offset, prefix, events);
+    client.request(options(server, attempt.path())).onComplete(attempt::onConnected);
+    return attempt;
+  }
+
+  private HttpAttempt newAttempt(
+      BackendServer server,
+      AttemptId id,
+      Work work,
+      long offset,
+      String prefix,
+      AttemptEvents events) {
+    Runnable stop = () -> sendCancel(server, id);
+    if (work.payload() instanceof Payload.Generate generate) {
+      GenerateBody body = GenerateBody.of(id, work, generate, offset, prefix);
+      return new GenerateAttempt(server.id(), id, body, offset, events, stop);
+    }
+    return new CallAttempt(server.id(), id, (Payload.Call) work.payload(), events);
+  }
+
+  private void sendCancel(BackendServer server, AttemptId id) {
+    client
+        .request(options(server, "/v1/cancel"))
+        .onSuccess(request -> request.send(CancelBody.of(id).toBuffer()));
+  }
+
+  private static RequestOptions options(BackendServer server, String path) {
+    return new RequestOptions()
+        .setMethod(HttpMethod.POST)
+        .setHost(server.host())
+        .setPort(server.port())
+        .setURI(path);
+  }
+
+  /** Closes all connections. */
+  @Override
+  public void close() {
+    client.close();
+  }
+}
--- /dev/null
+++ b/amaranthstream/src/main/java/org/amaranthstream/ingress/DirectCallRunner.java
@@ -0,0 +1,27 @@
+package org.amaranthstream.ingress;
+
+import static com.google.common.base.Preconditions.checkNotNull;
+
+import java.util.Optional;
+import org.amaranthstream.dispatch.Work;
+import org.amaranthstream.dispatch.WorkListener;
+import org.amaranthstream.dispatch.WorkRunner;
+
+/** Runs calls without claiming their keys, for classes whose calls are idempotent. */
+public final class DirectCallRunner implements CallRunner {
+  private final WorkRunner runner;
+
+  private DirectCallRunner(WorkRunner runner) {
+    this.runner = checkNotNull(runner, "runner");
+  }
+
+  /** Returns a call runner on {@code runner}. */
+  public static DirectCallRunner of(WorkRunner runner) {
+    return new DirectCallRunner(runner);
+  }
+
+  @Override
+  public void run(Optional<String> idempotencyKey, Work work, WorkListener listener) {
+    runner.submit(work, listener);
+  }
+}
--- /dev/null
+++ b/amaranthstream/src/main/java/org/amaranthstream/ingress/Outcomes.java
@@ -0,0 +1,35 @@
+package org.amaranthstream.ingress;
+
+import io.vertx.core.http.HttpServerResponse;
+import java.time.Duration;
+import java.util.Optional;
+import org.amaranthstream.dispatch.Outcome;
+import org.amaranthstream.ids.RequestId;
+import org.amaranthstream.result.ErrorDetail;
+
+/** Errors of outcomes that are no whole answers. */
+final class Outcomes {
+  private Outcomes() {}
+
+  static void writeError(HttpServerResponse response, RequestId id, Outcome outcome) {
+    HttpAnswers.error(response, errorOf(outcome), Optional.of(id), retryAfterOf(outcome));
+  }
+
+  static ErrorBody errorBody(RequestId id, Outcome outcome) {
+    return HttpAnswers.errorBody(errorOf(outcome), Optional.of(id), retryAfterOf(outcome));
+  }
+
+  private static ErrorDetail errorOf(Outcome outcome) {
+    if (outcome instanceof Outcome.NotRun notRun) {
+      return notRun.error();
+    }
+    if (outcome instanceof Outcome.OutcomeUnknown unknown) {
+      return unknown.error();
+    }
+    throw new IllegalArgumentException("not an error: " + outcome);
+  }
+
+  private static Optional<Duration> retryAfterOf(Outcome outcome) {
+    return outcome instanceof Outcome.NotRun notRun ? notRun.retryAfter() : Optional.empty();
+  }
+}
