Test the HTTP transport against scripted servers

Cause: the test of a connection that closes in mid-stream failed: the record parser had taken over the response's exception handler, so a lost connection was reported as an answer that breaks the protocol. Ruled out: keeping the parser on the stream and telling causes apart by class. Conclusion: the parser is fed by the attempt, which keeps the stream's handlers.

--- a/amaranthstream/src/main/java/org/amaranthstream/dispatch/http/GenerateAttempt.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/dispatch/http/GenerateAttempt.java
@@ -53,11 +53,12 @@
 
   @Override
   void onAnswer(HttpClientResponse response) {
-    RecordParser lines = RecordParser.newDelimited("\n", response);
+    RecordParser lines = RecordParser.newDelimited("\n");
     lines.maxRecordSize(MAX_LINE_BYTES);
     lines.exceptionHandler(cause -> endInvalid("stream line not readable: " + cause.getMessage()));
-    lines.endHandler(unused -> onStreamEnd());
     lines.handler(line -> onLine(response, line));
+    response.handler(lines);
+    response.endHandler(unused -> onStreamEnd());
   }
 
   private void onLine(HttpClientResponse response, Buffer line) {
--- a/amaranthstream/src/main/java/org/amaranthstream/ingress/Json.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/ingress/Json.java
@@ -4,6 +4,7 @@
 import com.fasterxml.jackson.databind.ObjectMapper;
 import com.fasterxml.jackson.databind.json.JsonMapper;
 import io.vertx.core.buffer.Buffer;
+import io.vertx.ext.web.RoutingContext;
 import java.io.IOException;
 import org.amaranthstream.result.Result;
 import org.amaranthstream.result.ResultCode;
@@ -28,6 +29,12 @@
     }
   }
 
+  /** Returns the object that the body of a call holds, or an {@code INVALID_REQUEST} error. */
+  static <T> Result<T> readBody(RoutingContext routing, Class<T> type) {
+    Buffer body = routing.body().buffer();
+    return read(body == null ? Buffer.buffer() : body, type);
+  }
+
   static Buffer write(Object value) {
     try {
       return Buffer.buffer(MAPPER.writeValueAsBytes(value));
--- /dev/null
+++ b/amaranthstream/src/main/java/org/amaranthstream/ingress/StepPath.java
@@ -0,0 +1,23 @@
+package org.amaranthstream.ingress;
+
+import io.vertx.ext.web.RoutingContext;
+import org.amaranthstream.ids.StepId;
+import org.amaranthstream.ids.StepNumber;
+import org.amaranthstream.ids.TrainerId;
+import org.amaranthstream.result.Result;
+import org.amaranthstream.result.ResultCode;
+
+/** The step that the path of a trainer's call names. */
+final class StepPath {
+  private StepPath() {}
+
+  static Result<StepId> read(RoutingContext routing) {
+    try {
+      TrainerId trainer = TrainerId.of(routing.pathParam("trainer"));
+      long number = Long.parseLong(routing.pathParam("step"));
+      return Result.success(new StepId(trainer, StepNumber.of(number)));
+    } catch (IllegalArgumentException e) {
+      return Result.failure(ResultCode.INVALID_REQUEST, "path: " + e.getMessage());
+    }
+  }
+}
--- /dev/null
+++ b/amaranthstream/src/test/java/org/amaranthstream/dispatch/http/HttpBackendTransportTest.java
@@ -0,0 +1,270 @@
+package org.amaranthstream.dispatch.http;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import io.vertx.core.Vertx;
+import io.vertx.core.net.NetSocket;
+import java.time.Duration;
+import java.util.Optional;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.function.BiConsumer;
+import org.amaranthstream.admission.Priority;
+import org.amaranthstream.dispatch.AttemptEnd;
+import org.amaranthstream.dispatch.Payload;
+import org.amaranthstream.dispatch.Work;
+import org.amaranthstream.ids.AttemptId;
+import org.amaranthstream.ids.EntryVmId;
+import org.amaranthstream.ids.Incarnation;
+import org.amaranthstream.ids.PoolId;
+import org.amaranthstream.ids.RequestId;
+import org.amaranthstream.ids.WorkClassId;
+import org.amaranthstream.membership.BackendServer;
+import org.amaranthstream.ring.Duty;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+class HttpBackendTransportTest {
+  private static final AttemptId ATTEMPT = AttemptId.of("a-1");
+  private static final Duty DIRECT =
+      task -> {
+        task.run();
+        return true;
+      };
+
+  private Vertx vertx;
+
+  @BeforeEach
+  void startVertx() {
+    vertx = Vertx.vertx();
+  }
+
+  @AfterEach
+  void closeVertx() {
+    ScriptedServer.await(vertx.close());
+  }
+
+  @Nested
+  class Connecting {
+    @Test
+    void reportsNothingSentWhenTheServerRefusesConnections() {
+      int freePort;
+      try (ScriptedServer gone = ScriptedServer.start(vertx, (socket, request) -> {})) {
+        freePort = gone.address().port();
+      }
+      RecordingListener listener = run(ScriptedServer.address(freePort), DIRECT, generate());
+      assertThat(listener.awaitEnd()).isInstanceOf(AttemptEnd.NotSent.class);
+      assertThat(listener.events()).containsExactly("end");
+    }
+  }
+
+  @Nested
+  class GenerateStreams {
+    @Test
+    void handsOverPartsInOrderAndFinishesAtTheEndMarker() {
+      RecordingListener listener =
+          runScript(
+              stream(
+                  line("a-1", 0, 2, "one two"), line("a-1", 2, 1, " three"), endMarker("a-1", 3)));
+      AttemptEnd end = listener.awaitEnd();
+      assertThat(end).isInstanceOf(AttemptEnd.Finished.class);
+      assertThat(((AttemptEnd.Finished) end).answer().tokens()).isEqualTo(3);
+      assertThat(listener.events())
+          .containsExactly("sending", "0:one two", "2: three", "end")
+          .inOrder();
+    }
+
+    @Test
+    void isBrokenWhenTheStreamEndsWithoutEndMarker() {
+      RecordingListener listener = runScript(stream(line("a-1", 0, 2, "one two")));
+      assertThat(listener.awaitEnd()).isInstanceOf(AttemptEnd.Broken.class);
+    }
+
+    @Test
+    void isBrokenWhenTheConnectionClosesInMidStream() {
+      RecordingListener listener =
+          runScript(
+              (socket, request) -> {
+                ScriptedServer.write(socket, chunkedHead() + chunk(line("a-1", 0, 1, "one")));
+                socket.close();
+              });
+      assertThat(listener.awaitEnd()).isInstanceOf(AttemptEnd.Broken.class);
+    }
+
+    @Test
+    void isInvalidWhenTheEchoNamesAnotherAttempt() {
+      RecordingListener listener = runScript(stream(line("a-0", 0, 2, "one two")));
+      assertThat(listener.awaitEnd()).isInstanceOf(AttemptEnd.Invalid.class);
+      assertThat(listener.events()).containsExactly("sending", "end");
+    }
+
+    @Test
+    void isInvalidWhenTokensAreMissing() {
+      RecordingListener listener =
+          runScript(stream(line("a-1", 0, 1, "one"), line("a-1", 2, 1, "three")));
+      assertThat(listener.awaitEnd()).isInstanceOf(AttemptEnd.Invalid.class);
+    }
+
+    @Test
+    void isInvalidWhenTokensAreRepeated() {
+      RecordingListener listener =
+          runScript(stream(line("a-1", 0, 1, "one"), line("a-1", 0, 1, "one")));
+      assertThat(listener.awaitEnd()).isInstanceOf(AttemptEnd.Invalid.class);
+    }
+
+    @Test
+    void isInvalidWhenTheEndMarkerCountsMoreTokensThanCame() {
+      RecordingListener listener = runScript(stream(line("a-1", 0, 1, "one"), endMarker("a-1", 2)));
+      assertThat(listener.awaitEnd()).isInstanceOf(AttemptEnd.Invalid.class);
+    }
+
+    @Test
+    void isInvalidWhenLineIsNotJson() {
+      RecordingListener listener = runScript(stream("garbage\n"));
+      assertThat(listener.awaitEnd()).isInstanceOf(AttemptEnd.Invalid.class);
+    }
+  }
+
+  @Nested
+  class Refusals {
+    @Test
+    void isRejectedOnlyWhenTheServerSaysThatItDidNotRun() {
+      RecordingListener listener =
+          runScript(answer("503 Service Unavailable", "{\"notRun\":true,\"draining\":true}"));
+      AttemptEnd end = listener.awaitEnd();
+      assertThat(end).isEqualTo(new AttemptEnd.Rejected("no reason given", true, Optional.empty()));
+    }
+
+    @Test
+    void isFailedWhenAnUnavailableServerDoesNotSaySo() {
+      RecordingListener listener = runScript(answer("503 Service Unavailable", "oops"));
+      assertThat(listener.awaitEnd()).isInstanceOf(AttemptEnd.Failed.class);
+    }
+  }
+
+  @Nested
+  class Calls {
+    @Test
+    void passesTheBodyOnWhenTheEchoMatches() {
+      RecordingListener listener =
+          runCall(
+              (socket, request) ->
+                  ScriptedServer.write(
+                      socket, "HTTP/1.1 200 OK\r\nAttempt: a-1\r\nContent-Length: 2\r\n\r\nok"));
+      assertThat(listener.awaitEnd()).isInstanceOf(AttemptEnd.Finished.class);
+      assertThat(listener.events()).containsExactly("sending", "0:ok", "end").inOrder();
+    }
+
+    @Test
+    void isInvalidWithoutTheEcho() {
+      RecordingListener listener = runCall(answer("200 OK", "ok"));
+      assertThat(listener.awaitEnd()).isInstanceOf(AttemptEnd.Invalid.class);
+    }
+
+    @Test
+    void isBrokenWhenTheBodyIsShorterThanDeclared() {
+      RecordingListener listener =
+          runCall(
+              (socket, request) -> {
+                ScriptedServer.write(
+                    socket, "HTTP/1.1 200 OK\r\nAttempt: a-1\r\nContent-Length: 9\r\n\r\nok");
+                socket.close();
+              });
+      assertThat(listener.awaitEnd()).isInstanceOf(AttemptEnd.Broken.class);
+    }
+  }
+
+  @Nested
+  class FullRing {
+    @Test
+    void losesNoEventAndKeepsTheirOrder() {
+      AtomicInteger offers = new AtomicInteger();
+      Duty mostlyFull = task -> offers.incrementAndGet() % 3 == 0 && DIRECT.offer(task);
+      try (ScriptedServer server =
+          ScriptedServer.start(
+              vertx, stream(line("a-1", 0, 1, "a"), line("a-1", 1, 1, "b"), endMarker("a-1", 2)))) {
+        RecordingListener listener = run(server.address(), mostlyFull, generate());
+        listener.awaitEnd();
+        assertThat(listener.events()).containsExactly("sending", "0:a", "1:b", "end").inOrder();
+      }
+    }
+  }
+
+  private RecordingListener runScript(BiConsumer<NetSocket, String> script) {
+    try (ScriptedServer server = ScriptedServer.start(vertx, script)) {
+      RecordingListener listener = run(server.address(), DIRECT, generate());
+      listener.awaitEnd();
+      return listener;
+    }
+  }
+
+  private RecordingListener runCall(BiConsumer<NetSocket, String> script) {
+    Payload call = new Payload.Call("/v1/call", "text/plain", new byte[] {1});
+    try (ScriptedServer server = ScriptedServer.start(vertx, script)) {
+      RecordingListener listener = run(server.address(), DIRECT, call);
+      listener.awaitEnd();
+      return listener;
+    }
+  }
+
+  private RecordingListener run(BackendServer server, Duty duty, Payload payload) {
+    RecordingListener listener = new RecordingListener();
+    HttpBackendTransport transport = HttpBackendTransport.create(vertx, duty);
+    transport.start(server, ATTEMPT, work(payload), 0, "", listener);
+    return listener;
+  }
+
+  private static Payload generate() {
+    return new Payload.Generate("prompt", 8, 1);
+  }
+
+  private static Work work(Payload payload) {
+    return Work.builder()
+        .id(RequestId.of(EntryVmId.of("vm"), Incarnation.of("i"), 1))
+        .workClass(WorkClassId.of("lookup"))
+        .pool(PoolId.of("coding"))
+        .priority(Priority.INTERACTIVE)
+        .payload(payload)
+        .deadlineNanos(Duration.ofSeconds(5).toNanos())
+        .build();
+  }
+
+  private static BiConsumer<NetSocket, String> stream(String... lines) {
+    return (socket, request) -> {
+      StringBuilder answer = new StringBuilder(chunkedHead());
+      for (String line : lines) {
+        answer.append(chunk(line));
+      }
+      ScriptedServer.write(socket, answer + "0\r\n\r\n");
+    };
+  }
+
+  private static BiConsumer<NetSocket, String> answer(String status, String body) {
+    return (socket, request) ->
+        ScriptedServer.write(
+            socket,
+            "HTTP/1.1 " + status + "\r\nContent-Length: " + body.length() + "\r\n\r\n" + body);
+  }
+
+  private static String chunkedHead() {
+    return "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+  }
+
+  private static String chunk(String data) {
+    return Integer.toHexString(data.length()) + "\r\n" + data + "\r\n";
+  }
+
+  private static String line(String attempt, long offset, int tokens, String text) {
+    return String.format(
+        "{\"attempt\":\"%s\",\"offset\":%d,\"tokens\":%d,\"text\":\"%s\",\"version\":7,"
+            + "\"incarnation\":\"e1\"}%n",
+        attempt, offset, tokens, text);
+  }
+
+  private static String endMarker(String attempt, int tokens) {
+    return String.format(
+        "{\"attempt\":\"%s\",\"end\":true,\"tokens\":%d,\"finishReason\":\"stop\"}%n",
+        attempt, tokens);
+  }
+}
