Load settings from YAML strictly

Cause: a process needs checked settings before it starts; a loose reader lets a misspelt key pass and the process starts with a default.

Ruled out: Jackson data binding (its errors name classes, not keys, and it gives no line for a value that is out of range or a duplicate across items).

The yaml package builds a tree with lines from Jackson's tokens; settings reads it key by key, and the first error is the whole answer.

--- /dev/null
+++ b/amaranthstream/src/main/java/org/amaranthstream/settings/PlatformSettings.java
@@ -0,0 +1,13 @@
+package org.amaranthstream.settings;
+
+import java.net.URI;
+import java.util.Optional;
+import org.amaranthstream.auth.Secret;
+
+/**
+ * The platform's services.
+ *
+ * @param url the base URL of the key-value service and the VM list
+ * @param token the bearer token to show there
+ */
+public record PlatformSettings(URI url, Optional<Secret> token) {}
--- /dev/null
+++ b/amaranthstream/src/main/java/org/amaranthstream/yaml/SequenceNode.java
@@ -0,0 +1,17 @@
+package org.amaranthstream.yaml;
+
+import com.google.common.collect.ImmutableList;
+
+/**
+ * A YAML sequence.
+ *
+ * @param line the line on which it starts
+ * @param items its items in order
+ */
+record SequenceNode(int line, ImmutableList<YamlNode> items) implements YamlNode {
+
+  @Override
+  public String describe() {
+    return "a list of " + items.size();
+  }
+}
--- /dev/null
+++ b/amaranthstream/src/test/java/org/amaranthstream/auth/TokenVerifierTest.java
@@ -0,0 +1,50 @@
+package org.amaranthstream.auth;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import com.google.common.collect.ImmutableList;
+import org.amaranthstream.ids.CallerId;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+class TokenVerifierTest {
+  private static final Credential PORTAL =
+      new Credential(CallerId.of("portal"), Role.CALLER, Secret.of("portal-token-000001"));
+  private static final Credential SHIFT =
+      new Credential(CallerId.of("shift"), Role.OPERATOR, Secret.of("operator-token-0001"));
+
+  private final TokenVerifier verifier = TokenVerifier.of(ImmutableList.of(PORTAL, SHIFT));
+
+  @Nested
+  class Verify {
+    @Test
+    void findsTheCredentialOfKnownToken() {
+      assertThat(verifier.verify("Bearer operator-token-0001")).hasValue(SHIFT);
+      assertThat(verifier.verify("bearer portal-token-000001")).hasValue(PORTAL);
+    }
+
+    @Test
+    void refusesMissingAndUnknownTokens() {
+      assertThat(verifier.verify(null)).isEmpty();
+      assertThat(verifier.verify("")).isEmpty();
+      assertThat(verifier.verify("Bearer ")).isEmpty();
+      assertThat(verifier.verify("Bearer portal-token-00000")).isEmpty();
+      assertThat(verifier.verify("Bearer portal-token-0000011")).isEmpty();
+      assertThat(verifier.verify("Basic portal-token-000001")).isEmpty();
+    }
+
+    @Test
+    void refusesOverlongTokens() {
+      assertThat(verifier.verify("Bearer " + "x".repeat(TokenVerifier.MAX_TOKEN_CHARS + 1)))
+          .isEmpty();
+    }
+  }
+
+  @Nested
+  class SecretText {
+    @Test
+    void hidesItsContents() {
+      assertThat(PORTAL.toString()).doesNotContain("portal-token");
+    }
+  }
+}
