--- /dev/null
+++ b/amaranthstream/src/main/java/org/amaranthstream/membership/EntryVmTable.java
@@ -0,0 +1,123 @@
+package org.amaranthstream.membership;
+
+import com.google.common.collect.ImmutableList;
+import java.time.Duration;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Objects;
+import java.util.Optional;
+import java.util.TreeMap;
+import java.util.TreeSet;
+import org.amaranthstream.ids.AvailabilityZoneId;
+import org.amaranthstream.ids.EntryVmId;
+import org.amaranthstream.ids.PoolId;
+import org.amaranthstream.platform.VmEntry;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * The other entry VMs: which the list has and which are heard of.
+ *
+ * <p>Not thread safe.
+ */
+final class EntryVmTable {
+  private static final int MAX_UNLISTED = 1024;
+  private static final int UNLISTED_RETENTION_TIMEOUTS = 10;
+
+  private final LocalVm self;
+  private final MembershipSettings settings;
+  private final TreeMap<EntryVmId, VmEntry> listed = new TreeMap<>();
+  private final Map<EntryVmId, HeartbeatTracker> heard = new HashMap<>();
+
+  EntryVmTable(LocalVm self, MembershipSettings settings) {
+    this.self = self;
+    this.settings = settings;
+  }
+
+  void onList(Collection<VmEntry> vms) {
+    listed.clear();
+    for (VmEntry entry : vms) {
+      EntryVmId id = EntryVmId.of(entry.name());
+      if (!id.equals(self.id())) {
+        listed.put(id, entry);
+      }
+    }
+  }
+
+  void onHeartbeat(PeerHeartbeat heartbeat, long nowNanos) {
+    EntryVmId id = heartbeat.from().id();
+    if (id.equals(self.id())) {
+      return;
+    }
+    if (!heard.containsKey(id) && !listed.containsKey(id) && heard.size() >= MAX_UNLISTED) {
+      return;
+    }
+    heard
+        .computeIfAbsent(id, unused -> new HeartbeatTracker(settings))
+        .onHeartbeat(heartbeat, nowNanos);
+  }
+
+  void tick(long nowNanos) {
+    heard.values().forEach(tracker -> tracker.tick(nowNanos));
+    Duration retention = settings.unreachableAfter().multipliedBy(UNLISTED_RETENTION_TIMEOUTS);
+    heard
+        .entrySet()
+        .removeIf(
+            entry ->
+                !listed.containsKey(entry.getKey())
+                    && entry.getValue().age(nowNanos).compareTo(retention) > 0);
+  }
+
+  Optional<EntryVmView> view(EntryVmId id, long nowNanos) {
+    VmEntry entry = listed.get(id);
+    HeartbeatTracker tracker = heard.get(id);
+    if (entry == null && tracker == null) {
+      return Optional.empty();
+    }
+    return Optional.of(view(id, entry, tracker, nowNanos));
+  }
+
+  private static EntryVmView view(
+      EntryVmId id, @Nullable VmEntry entry, @Nullable HeartbeatTracker tracker, long nowNanos) {
+    boolean leavingInList = entry != null && entry.leaving();
+    boolean leaving = leavingInList || (tracker != null && tracker.phase() == VmPhase.LEAVING);
+    LocalVm identity = tracker == null ? null : tracker.identity();
+    return new EntryVmView(
+        id,
+        entry == null ? Objects.requireNonNull(identity).region() : entry.region(),
+        entry == null ? Objects.requireNonNull(identity).zone() : entry.zone(),
+        Optional.ofNullable(entry).map(VmEntry::host),
+        entry == null ? 0 : entry.port(),
+        entry != null,
+        tracker == null ? Reachability.UNKNOWN : tracker.reachability(),
+        tracker != null && tracker.hearsUs(),
+        leaving ? VmPhase.LEAVING : VmPhase.READY,
+        Optional.ofNullable(identity).map(LocalVm::incarnation),
+        tracker == null ? Optional.empty() : Optional.of(tracker.age(nowNanos)));
+  }
+
+  /** Returns all known other entry VMs in the order of their names. */
+  ImmutableList<EntryVmView> views(long nowNanos) {
+    TreeSet<EntryVmId> ids = new TreeSet<>(listed.keySet());
+    ids.addAll(heard.keySet());
+    return ids.stream()
+        .map(id -> view(id, listed.get(id), heard.get(id), nowNanos))
+        .collect(ImmutableList.toImmutableList());
+  }
+
+  /** Returns the known other entry VMs of {@code zone} in the order of their names. */
+  ImmutableList<EntryVmView> views(AvailabilityZoneId zone, long nowNanos) {
+    return views(nowNanos).stream()
+        .filter(view -> view.zone().equals(zone))
+        .collect(ImmutableList.toImmutableList());
+  }
+
+  /** Returns the requests for {@code pool} that wait in the reachable entry VMs of the zone. */
+  int waiting(PoolId pool) {
+    return heard.values().stream()
+        .filter(tracker -> tracker.identity().zone().equals(self.zone()))
+        .filter(tracker -> tracker.reachability() == Reachability.REACHABLE)
+        .mapToInt(tracker -> tracker.waiting(pool))
+        .sum();
+  }
+}
--- /dev/null
+++ b/amaranthstream/src/main/java/org/amaranthstream/membership/HeartbeatTracker.java
@@ -0,0 +1,122 @@
+package org.amaranthstream.membership;
+
+import com.google.common.collect.ImmutableMap;
+import java.time.Duration;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.Optional;
+import org.amaranthstream.ids.Incarnation;
+import org.amaranthstream.ids.PoolId;
+
+/**
+ * Reachability of one entry VM from its heartbeats. Hysteresis keeps a link that loses every other
+ * heartbeat from switching on each of them: an entry VM that was unreachable is back only after
+ * several timely heartbeats, a new incarnation at once.
+ *
+ * <p>Not thread safe.
+ */
+final class HeartbeatTracker {
+  private static final int MAX_SUPERSEDED = 8;
+
+  private final long suspectNanos;
+  private final long unreachableNanos;
+  private final int heartbeatsToReturn;
+  private final Deque<Incarnation> superseded = new ArrayDeque<>();
+  private LocalVm identity;
+  private long lastNanos;
+  private int timely;
+  private Reachability reachability = Reachability.UNKNOWN;
+  private VmPhase phase = VmPhase.READY;
+  private Optional<Duration> lastHeardAge = Optional.empty();
+  private ImmutableMap<PoolId, Integer> waiting = ImmutableMap.of();
+
+  HeartbeatTracker(MembershipSettings settings) {
+    this.suspectNanos = settings.suspectAfter().toNanos();
+    this.unreachableNanos = settings.unreachableAfter().toNanos();
+    this.heartbeatsToReturn = settings.heartbeatsToReturn();
+  }
+
+  void onHeartbeat(PeerHeartbeat heartbeat, long nowNanos) {
+    if (isSuperseded(heartbeat.from().incarnation(), nowNanos)) {
+      return;
+    }
+    boolean sameIncarnation = identity != null && isCurrent(heartbeat.from().incarnation());
+    if (identity != null && !sameIncarnation) {
+      supersede(identity.incarnation());
+    }
+    tick(nowNanos);
+    if (sameIncarnation) {
+      reachability = afterTimely(nowNanos - lastNanos);
+      phase = phase == VmPhase.LEAVING ? VmPhase.LEAVING : heartbeat.phase();
+    } else {
+      reachability = Reachability.REACHABLE;
+      phase = heartbeat.phase();
+    }
+    identity = heartbeat.from();
+    lastNanos = nowNanos;
+    lastHeardAge = heartbeat.lastHeardAge();
+    waiting = heartbeat.waiting();
+  }
+
+  private boolean isCurrent(Incarnation incarnation) {
+    return identity.incarnation().equals(incarnation);
+  }
+
+  private boolean isSuperseded(Incarnation incarnation, long nowNanos) {
+    return superseded.contains(incarnation) && nowNanos - lastNanos < unreachableNanos;
+  }
+
+  private void supersede(Incarnation incarnation) {
+    superseded.remove(incarnation);
+    superseded.addLast(incarnation);
+    if (superseded.size() > MAX_SUPERSEDED) {
+      superseded.removeFirst();
+    }
+  }
+
+  private Reachability afterTimely(long gapNanos) {
+    if (reachability != Reachability.UNREACHABLE) {
+      return Reachability.REACHABLE;
+    }
+    timely = gapNanos <= suspectNanos ? timely + 1 : 1;
+    return timely >= heartbeatsToReturn ? Reachability.REACHABLE : Reachability.UNREACHABLE;
+  }
+
+  void tick(long nowNanos) {
+    if (identity == null) {
+      return;
+    }
+    long age = nowNanos - lastNanos;
+    if (age >= unreachableNanos) {
+      reachability = Reachability.UNREACHABLE;
+      timely = 0;
+    } else if (age >= suspectNanos && reachability == Reachability.REACHABLE) {
+      reachability = Reachability.SUSPECT;
+    }
+  }
+
+  LocalVm identity() {
+    return identity;
+  }
+
+  Reachability reachability() {
+    return reachability;
+  }
+
+  VmPhase phase() {
+    return phase;
+  }
+
+  /** Returns true if the entry VM said that it heard of this process lately. */
+  boolean hearsUs() {
+    return lastHeardAge.isPresent() && lastHeardAge.get().toNanos() < unreachableNanos;
+  }
+
+  Duration age(long nowNanos) {
+    return Duration.ofNanos(Math.max(0, nowNanos - lastNanos));
+  }
+
+  int waiting(PoolId pool) {
+    return waiting.getOrDefault(pool, 0);
+  }
+}
--- /dev/null
+++ b/amaranthstream/src/main/java/org/amaranthstream/membership/LoadReportJson.java
@@ -0,0 +1,58 @@
+package org.amaranthstream.membership;
+
+import static com.google.common.base.Preconditions.checkArgument;
+
+import io.vertx.core.buffer.Buffer;
+import io.vertx.core.json.DecodeException;
+import io.vertx.core.json.JsonObject;
+import java.time.Duration;
+import java.util.Optional;
+import org.amaranthstream.ids.Incarnation;
+import org.amaranthstream.ids.WeightVersion;
+import org.amaranthstream.result.Result;
+import org.amaranthstream.result.ResultCode;
+
+/** Reads the body of a backend server's load answer. */
+final class LoadReportJson {
+  private static final int MAX_COUNT = 1_000_000;
+  private static final long MAX_AGE_MS = Duration.ofHours(1).toMillis();
+
+  private LoadReportJson() {}
+
+  /**
+   * Returns the report in {@code body}.
+   *
+   * @param askedNanos monotonic time when the server was asked; the report is no older than its
+   *     stated age before that
+   */
+  static Result<LoadReport> parse(Buffer body, long askedNanos) {
+    try {
+      return Result.success(read(new JsonObject(body), askedNanos));
+    } catch (DecodeException | ClassCastException | IllegalArgumentException e) {
+      return Result.failure(
+          ResultCode.BACKEND_ANSWER_INVALID, "load answer is invalid: " + e.getMessage());
+    }
+  }
+
+  private static LoadReport read(JsonObject json, long askedNanos) {
+    String incarnation = json.getString("incarnation");
+    checkArgument(incarnation != null, "no incarnation");
+    Long version = json.getLong("version");
+    long ageMs = Math.min(MAX_AGE_MS, Math.max(0, json.getLong("ageMs", 0L)));
+    return new LoadReport(
+        Incarnation.of(incarnation),
+        Optional.ofNullable(version).map(WeightVersion::of),
+        count(json, "running"),
+        count(json, "queued"),
+        count(json, "slots"),
+        Boolean.TRUE.equals(json.getBoolean("draining")),
+        askedNanos - Duration.ofMillis(ageMs).toNanos());
+  }
+
+  private static int count(JsonObject json, String key) {
+    Integer value = json.getInteger(key);
+    checkArgument(value != null, "no %s", key);
+    checkArgument(value >= 0 && value <= MAX_COUNT, "%s is out of range: %s", key, value);
+    return value;
+  }
+}
--- /dev/null
+++ b/amaranthstream/src/main/java/org/amaranthstream/membership/MembershipSettings.java
@@ -0,0 +1,215 @@
+package org.amaranthstream.membership;
+
+import static com.google.common.base.Preconditions.checkArgument;
+
+import com.google.errorprone.annotations.CanIgnoreReturnValue;
+import java.time.Duration;
+
+/**
+ * Timeouts and counts of the membership table.
+ *
+ * <p>Immutable and thread safe.
+ *
+ * <pre>{@code
+ * MembershipSettings settings =
+ *     MembershipSettings.builder().suspectAfter(Duration.ofSeconds(3)).build();
+ * }</pre>
+ */
+public final class MembershipSettings {
+  private final Duration suspectAfter;
+  private final Duration unreachableAfter;
+  private final int heartbeatsToReturn;
+  private final int crossZoneLinks;
+  private final int speakers;
+  private final Duration takeoverAfter;
+  private final Duration reportExpiry;
+  private final Duration aggregateExpiry;
+  private final Duration leavingRetention;
+  private final Duration listClearAfter;
+  private final Duration linkRetryAfter;
+
+  private MembershipSettings(Builder builder) {
+    this.suspectAfter = builder.suspectAfter;
+    this.unreachableAfter = builder.unreachableAfter;
+    this.heartbeatsToReturn = builder.heartbeatsToReturn;
+    this.crossZoneLinks = builder.crossZoneLinks;
+    this.speakers = builder.speakers;
+    this.takeoverAfter = builder.takeoverAfter;
+    this.reportExpiry = builder.reportExpiry;
+    this.aggregateExpiry = builder.aggregateExpiry;
+    this.leavingRetention = builder.leavingRetention;
+    this.listClearAfter = builder.listClearAfter;
+    this.linkRetryAfter = builder.linkRetryAfter;
+    checkArgument(
+        suspectAfter.compareTo(unreachableAfter) < 0,
+        "suspectAfter %s is not below unreachableAfter %s",
+        suspectAfter,
+        unreachableAfter);
+    checkArgument(heartbeatsToReturn >= 1, "heartbeatsToReturn is %s", heartbeatsToReturn);
+    checkArgument(crossZoneLinks >= 1, "crossZoneLinks is %s", crossZoneLinks);
+    checkArgument(speakers >= 1, "speakers is %s", speakers);
+  }
+
+  /** Returns a builder with the defaults. */
+  public static Builder builder() {
+    return new Builder();
+  }
+
+  /** Returns the time without a heartbeat after which an entry VM is suspect. */
+  public Duration suspectAfter() {
+    return suspectAfter;
+  }
+
+  /** Returns the time without a heartbeat after which an entry VM is unreachable. */
+  public Duration unreachableAfter() {
+    return unreachableAfter;
+  }
+
+  /** Returns the number of timely heartbeats after which an unreachable entry VM is back. */
+  public int heartbeatsToReturn() {
+    return heartbeatsToReturn;
+  }
+
+  /** Returns the number of links that a daemon keeps to each other availability zone. */
+  public int crossZoneLinks() {
+    return crossZoneLinks;
+  }
+
+  /** Returns the number of daemons of a zone that send its aggregates to other zones. */
+  public int speakers() {
+    return speakers;
+  }
+
+  /** Returns the age of a load report after which the next daemon in order polls as well. */
+  public Duration takeoverAfter() {
+    return takeoverAfter;
+  }
+
+  /** Returns the age after which a load report is not passed on. */
+  public Duration reportExpiry() {
+    return reportExpiry;
+  }
+
+  /** Returns the age after which the aggregate of another zone is not used. */
+  public Duration aggregateExpiry() {
+    return aggregateExpiry;
+  }
+
+  /** Returns the time for which a server that is gone from the list is known to have left. */
+  public Duration leavingRetention() {
+    return leavingRetention;
+  }
+
+  /** Returns the time that the list must deny an announced leaving before it is believed. */
+  public Duration listClearAfter() {
+    return listClearAfter;
+  }
+
+  /** Returns the time for which a cross-zone link that failed is not chosen again. */
+  public Duration linkRetryAfter() {
+    return linkRetryAfter;
+  }
+
+  /** Builder of {@link MembershipSettings}. */
+  public static final class Builder {
+    private Duration suspectAfter = Duration.ofSeconds(3);
+    private Duration unreachableAfter = Duration.ofSeconds(6);
+    private int heartbeatsToReturn = 3;
+    private int crossZoneLinks = 2;
+    private int speakers = 2;
+    private Duration takeoverAfter = Duration.ofSeconds(3);
+    private Duration reportExpiry = Duration.ofSeconds(10);
+    private Duration aggregateExpiry = Duration.ofSeconds(10);
+    private Duration leavingRetention = Duration.ofHours(1);
+    private Duration listClearAfter = Duration.ofSeconds(30);
+    private Duration linkRetryAfter = Duration.ofSeconds(30);
+
+    private Builder() {}
+
+    /** Sets the time without a heartbeat after which an entry VM is suspect. */
+    @CanIgnoreReturnValue
+    public Builder suspectAfter(Duration suspectAfter) {
+      this.suspectAfter = suspectAfter;
+      return this;
+    }
+
+    /** Sets the time without a heartbeat after which an entry VM is unreachable. */
+    @CanIgnoreReturnValue
+    public Builder unreachableAfter(Duration unreachableAfter) {
+      this.unreachableAfter = unreachableAfter;
+      return this;
+    }
+
+    /** Sets the number of timely heartbeats after which an unreachable entry VM is back. */
+    @CanIgnoreReturnValue
+    public Builder heartbeatsToReturn(int heartbeatsToReturn) {
+      this.heartbeatsToReturn = heartbeatsToReturn;
+      return this;
+    }
+
+    /** Sets the number of links to each other availability zone. */
+    @CanIgnoreReturnValue
+    public Builder crossZoneLinks(int crossZoneLinks) {
+      this.crossZoneLinks = crossZoneLinks;
+      return this;
+    }
+
+    /** Sets the number of daemons of a zone that send its aggregates to other zones. */
+    @CanIgnoreReturnValue
+    public Builder speakers(int speakers) {
+      this.speakers = speakers;
+      return this;
+    }
+
+    /** Sets the age of a load report after which the next daemon in order polls as well. */
+    @CanIgnoreReturnValue
+    public Builder takeoverAfter(Duration takeoverAfter) {
+      this.takeoverAfter = takeoverAfter;
+      return this;
+    }
+
+    /** Sets the age after which a load report is not passed on. */
+    @CanIgnoreReturnValue
+    public Builder reportExpiry(Duration reportExpiry) {
+      this.reportExpiry = reportExpiry;
+      return this;
+    }
+
+    /** Sets the age after which the aggregate of another zone is not used. */
+    @CanIgnoreReturnValue
+    public Builder aggregateExpiry(Duration aggregateExpiry) {
+      this.aggregateExpiry = aggregateExpiry;
+      return this;
+    }
+
+    /** Sets the time for which a server that is gone from the list is known to have left. */
+    @CanIgnoreReturnValue
+    public Builder leavingRetention(Duration leavingRetention) {
+      this.leavingRetention = leavingRetention;
+      return this;
+    }
+
+    /** Sets the time that the list must deny an announced leaving before it is believed. */
+    @CanIgnoreReturnValue
+    public Builder listClearAfter(Duration listClearAfter) {
+      this.listClearAfter = listClearAfter;
+      return this;
+    }
+
+    /** Sets the time for which a cross-zone link that failed is not chosen again. */
+    @CanIgnoreReturnValue
+    public Builder linkRetryAfter(Duration linkRetryAfter) {
+      this.linkRetryAfter = linkRetryAfter;
+      return this;
+    }
+
+    /**
+     * Returns the settings.
+     *
+     * @throws IllegalArgumentException if a timeout or a count is out of range
+     */
+    public MembershipSettings build() {
+      return new MembershipSettings(this);
+    }
+  }
+}
