--- a/amaranthstream-standins/src/main/java/org/amaranthstream/standins/cli/TrainerCommand.java
+++ b/amaranthstream-standins/src/main/java/org/amaranthstream/standins/cli/TrainerCommand.java
@@ -45,23 +45,24 @@
   }
 
   private static TrainerOptions options(Namespace args) {
-    return new TrainerOptions(
-        list(args, "daemons"),
-        Optional.ofNullable(args.getString("token")),
-        args.getString("name"),
-        args.getString("workClass"),
-        args.getString("model"),
-        Optional.ofNullable(args.getString("weight_store")),
-        list(args, "engines"),
-        args.getInt("steps"),
-        args.getInt("groups"),
-        args.getInt("samples_per_group"),
-        args.getInt("max_tokens"),
-        args.getInt("train_ms"),
-        args.getInt("horizon"),
-        args.getInt("staleness_bound"),
-        args.getInt("first_version"),
-        args.getInt("seconds") * 1000L);
+    return TrainerOptions.builder()
+        .daemons(list(args, "daemons"))
+        .token(Optional.ofNullable(args.getString("token")))
+        .trainer(args.getString("name"))
+        .workClass(args.getString("workClass"))
+        .model(args.getString("model"))
+        .weightStore(Optional.ofNullable(args.getString("weight_store")))
+        .engines(list(args, "engines"))
+        .steps(args.getInt("steps"))
+        .groups(args.getInt("groups"))
+        .samplesPerGroup(args.getInt("samples_per_group"))
+        .maxTokens(args.getInt("max_tokens"))
+        .trainMs(args.getInt("train_ms"))
+        .horizon(args.getInt("horizon"))
+        .stalenessBound(args.getInt("staleness_bound"))
+        .firstVersion(args.getInt("first_version"))
+        .timeLimitMs(args.getInt("seconds") * 1000L)
+        .build();
   }
 
   private static List<String> list(Namespace args, String key) {
--- a/amaranthstream-standins/src/main/java/org/amaranthstream/standins/kv/KvRole.java
+++ b/amaranthstream-standins/src/main/java/org/amaranthstream/standins/kv/KvRole.java
@@ -224,7 +224,10 @@
   }
 
   private void readVms(RoutingContext ctx) {
-    server().send(ctx, 200, new VmListing(vms.read(System.nanoTime(), switches().vmListLagMs)));
+    String reader = ctx.request().remoteAddress().hostAddress();
+    List<Vm> own = switches().vmsByReader.get(reader);
+    List<Vm> list = own == null ? vms.read(System.nanoTime(), switches().vmListLagMs) : own;
+    server().send(ctx, 200, new VmListing(list));
   }
 
   private static String key(RoutingContext ctx) {
--- a/amaranthstream-standins/src/main/java/org/amaranthstream/standins/kv/KvSwitches.java
+++ b/amaranthstream-standins/src/main/java/org/amaranthstream/standins/kv/KvSwitches.java
@@ -1,6 +1,7 @@
 package org.amaranthstream.standins.kv;
 
 import java.util.List;
+import java.util.Map;
 import org.amaranthstream.standins.server.FaultSwitches;
 import org.jspecify.annotations.Nullable;
 
@@ -29,4 +30,7 @@
 
   /** Once: the list of VMs from now on. */
   @Nullable List<Vm> vms;
+
+  /** Lists of VMs by the address of the reader, for readers that see other addresses. */
+  Map<String, List<Vm>> vmsByReader = Map.of();
 }
--- /dev/null
+++ b/amaranthstream-standins/src/test/java/org/amaranthstream/standins/link/LinkStandinTest.java
@@ -0,0 +1,56 @@
+package org.amaranthstream.standins.link;
+
+import static com.google.common.truth.Truth.assertThat;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+
+import io.vertx.core.Vertx;
+import io.vertx.core.http.HttpMethod;
+import java.io.IOException;
+import java.util.concurrent.CompletableFuture;
+import org.amaranthstream.standins.Calls;
+import org.amaranthstream.standins.engine.EngineStandin;
+import org.amaranthstream.standins.server.HttpReply;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+
+final class LinkStandinTest {
+  private final Vertx vertx = Vertx.vertx();
+  private final EngineStandin engine = EngineStandin.builder().start();
+  private final LinkStandin link =
+      LinkStandin.builder(vertx).target("127.0.0.1", engine.port()).latencyMs(2).start();
+  private final Calls calls = new Calls();
+  private final String url = "http://127.0.0.1:" + link.port() + "/v1/load";
+
+  @AfterEach
+  void close() {
+    calls.close();
+    link.close();
+    engine.close();
+    vertx.close().toCompletionStage().toCompletableFuture().join();
+  }
+
+  @Test
+  void carriesAndCountsBytes() throws IOException {
+    assertThat(calls.get(url).status()).isEqualTo(200);
+    assertThat(link.bytes()).isGreaterThan(100);
+  }
+
+  @Test
+  void refusesWhileClosed() {
+    link.set(LinkState.CLOSED);
+    assertThrows(IOException.class, () -> calls.get(url));
+  }
+
+  @Test
+  void dropsBytesWhileSilentAndKeepsConnectionsOpen() throws IOException {
+    calls.get(url);
+    final long before = link.bytes();
+    link.set(LinkState.SILENT);
+    CompletableFuture<HttpReply> lost = calls.later(HttpMethod.GET, url, "");
+    try (Calls direct = new Calls()) {
+      direct.get(engine.url() + "/v1/load");
+    }
+    assertThat(lost.isDone()).isFalse();
+    assertThat(link.bytes()).isEqualTo(before);
+  }
+}
--- /dev/null
+++ b/amaranthstream-standins/src/test/java/org/amaranthstream/standins/trainer/TrainerStandinTest.java
@@ -0,0 +1,68 @@
+package org.amaranthstream.standins.trainer;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.util.List;
+import org.amaranthstream.standins.engine.EngineStandin;
+import org.amaranthstream.standins.server.CrashMode;
+import org.amaranthstream.standins.server.StandinServer;
+import org.amaranthstream.standins.trainer.FakeDaemon.Defect;
+import org.junit.jupiter.api.Test;
+
+final class TrainerStandinTest {
+  private static final int SLOTS = 8;
+
+  @Test
+  void findsNothingWrongWithSoundSamples() {
+    TrainerReport report = train(Defect.NONE, List.of());
+    assertThat(report.delivered()).isEqualTo(SLOTS);
+    assertThat(report.isClean()).isTrue();
+  }
+
+  @Test
+  void countsDoubledSamples() {
+    assertThat(train(Defect.DOUBLED, List.of()).doubled()).isEqualTo(1);
+  }
+
+  @Test
+  void countsLostSamples() {
+    assertThat(train(Defect.LOST, List.of()).lost()).isEqualTo(1);
+  }
+
+  @Test
+  void countsBrokenSamples() {
+    assertThat(train(Defect.BROKEN, List.of()).broken()).isEqualTo(1);
+  }
+
+  @Test
+  void countsSamplesOlderThanTheBound() {
+    TrainerReport report = train(Defect.TOO_OLD, List.of());
+    assertThat(report.tooOld()).isEqualTo(1);
+    assertThat(report.stalenessMax()).isEqualTo(9);
+  }
+
+  @Test
+  void countsVersionsThatNoEngineProduced() {
+    try (EngineStandin engine = EngineStandin.builder().start()) {
+      assertThat(train(Defect.NONE, List.of(engine.url())).mislabelled()).isEqualTo(SLOTS);
+    }
+  }
+
+  private static TrainerReport train(Defect defect, List<String> engines) {
+    FakeDaemon role = new FakeDaemon(defect);
+    try (StandinServer daemon = StandinServer.start(role, "127.0.0.1", 0, CrashMode.CLOSE)) {
+      TrainerOptions options =
+          TrainerOptions.builder()
+              .daemons(List.of(daemon.url()))
+              .engines(engines)
+              .steps(1)
+              .groups(2)
+              .samplesPerGroup(SLOTS / 2)
+              .trainMs(1)
+              .horizon(0)
+              .firstVersion(10)
+              .build();
+      return new TrainerStandin(options).run();
+    }
+  }
+}
