--- /dev/null
+++ b/amaranthstream/src/main/java/org/amaranthstream/ingress/RequestKeyBody.java
@@ -0,0 +1,4 @@
+package org.amaranthstream.ingress;
+
+/** Answer with an issued idempotency key. */
+record RequestKeyBody(String key, String vm) {}
--- /dev/null
+++ b/amaranthstream/src/main/java/org/amaranthstream/ingress/RequestKeyHandler.java
@@ -0,0 +1,31 @@
+package org.amaranthstream.ingress;
+
+import static com.google.common.base.Preconditions.checkNotNull;
+
+import io.vertx.core.Handler;
+import io.vertx.ext.web.RoutingContext;
+import org.amaranthstream.ids.EntryVmId;
+
+/** Issues idempotency keys: {@code POST /v1/request-keys}. Thread safe. */
+public final class RequestKeyHandler implements Handler<RoutingContext> {
+  private static final int HTTP_CREATED = 201;
+
+  private final KeyIssuer issuer;
+  private final EntryVmId vm;
+
+  private RequestKeyHandler(KeyIssuer issuer, EntryVmId vm) {
+    this.issuer = checkNotNull(issuer, "issuer");
+    this.vm = checkNotNull(vm, "vm");
+  }
+
+  /** Returns a handler that issues keys of {@code vm}. */
+  public static RequestKeyHandler of(KeyIssuer issuer, EntryVmId vm) {
+    return new RequestKeyHandler(issuer, vm);
+  }
+
+  @Override
+  public void handle(RoutingContext routing) {
+    HttpAnswers.json(
+        routing.response(), HTTP_CREATED, new RequestKeyBody(issuer.issue(), vm.value()));
+  }
+}
