Add the dispatcher with admission, placement, limits, retries and poison registry

Cause: WorkRunner had no implementation, so nothing could run a request. The dispatcher is single threaded and takes time only from TimerService; each decision is an interface (admission, queue order, placement, limit, health, retry) with one implementation. Ruled out: counting an attempt as not run while it connects. The transport reports onSending through a ring, so a cancel can overtake it; once started, an attempt counts as not run only if it ends with NotSent before onSending or with the server's refusal.

--- /dev/null
+++ b/amaranthstream/src/main/java/org/amaranthstream/dispatch/AttemptEvents.java
@@ -0,0 +1,9 @@
+package org.amaranthstream.dispatch;
+
+/** Receiver of the events of all attempts on servers. */
+interface AttemptEvents {
+
+  void onChunk(ServerAttempt attempt, Chunk chunk);
+
+  void onEnd(ServerAttempt attempt, AttemptEnd end);
+}
--- /dev/null
+++ b/amaranthstream/src/main/java/org/amaranthstream/dispatch/CandidateFinder.java
@@ -0,0 +1,126 @@
+package org.amaranthstream.dispatch;
+
+import com.google.common.collect.ImmutableList;
+import java.util.List;
+import java.util.Optional;
+import org.amaranthstream.admission.Priority;
+import org.amaranthstream.ids.PoolId;
+import org.amaranthstream.ids.WeightVersion;
+import org.amaranthstream.membership.LoadReport;
+import org.amaranthstream.placement.Candidate;
+import org.amaranthstream.placement.ServerHealth.Verdict;
+
+/**
+ * Finds the places where a request may run.
+ *
+ * <p>A place that may run it, but not now, is a candidate without room. Used on the decision thread
+ * only.
+ */
+final class CandidateFinder {
+  /** Share of a server's limit that training leaves free for interactive requests. */
+  private static final double INTERACTIVE_RESERVE = 0.125;
+
+  private final ServerTable servers;
+  private final ZoneTable zones;
+  private final PoisonRegistry poison;
+  private final long reportMaxAgeNanos;
+
+  CandidateFinder(
+      ServerTable servers, ZoneTable zones, PoisonRegistry poison, long reportMaxAgeNanos) {
+    this.servers = servers;
+    this.zones = zones;
+    this.poison = poison;
+    this.reportMaxAgeNanos = reportMaxAgeNanos;
+  }
+
+  /** Returns the places that may run {@code request}. */
+  ImmutableList<Candidate> candidates(ActiveRequest request, long nowNanos) {
+    ImmutableList<ServerState> eligible = eligible(request);
+    ImmutableList.Builder<Candidate> candidates = ImmutableList.builder();
+    boolean suspect = poison.isSuspect(request.fingerprint, nowNanos);
+    boolean ignoresBench = isMostlyBenched(eligible, nowNanos);
+    boolean suspectRuns = suspect && isRunning(request.fingerprint, eligible);
+    for (ServerState state : eligible) {
+      boolean closed =
+          state.isBackingOff(nowNanos)
+              || suspectRuns
+              || (suspect && runsSuspect(state, nowNanos))
+              || (!ignoresBench && isClosedByHealth(state, nowNanos));
+      candidates.add(candidate(state, request.priority(), closed, nowNanos));
+    }
+    if (!suspect || eligible.isEmpty()) {
+      candidates.addAll(zones.candidates(request, nowNanos));
+    }
+    return candidates.build();
+  }
+
+  /** Returns the number of requests that the servers of a pool may hold. */
+  int slots(PoolId pool) {
+    return servers.servers(pool).stream()
+        .filter(state -> !state.isLeaving())
+        .mapToInt(state -> state.limit.limit())
+        .sum();
+  }
+
+  /** Returns the state of a server that {@link #candidates} named. */
+  ServerState state(Candidate.Server candidate, ActiveRequest request) {
+    for (ServerState state : servers.servers(request.work.pool())) {
+      if (state.server.id().equals(candidate.server())) {
+        return state;
+      }
+    }
+    throw new IllegalStateException("no server " + candidate.server());
+  }
+
+  /** Returns the servers that may run it, those that failed it only if there are no others. */
+  private ImmutableList<ServerState> eligible(ActiveRequest request) {
+    ImmutableList<ServerState> able =
+        servers.servers(request.work.pool()).stream()
+            .filter(state -> !state.isLeaving() && hasVersion(state, request.work))
+            .collect(ImmutableList.toImmutableList());
+    ImmutableList<ServerState> untried =
+        able.stream()
+            .filter(state -> !request.failedServers.contains(state.server.id()))
+            .collect(ImmutableList.toImmutableList());
+    return untried.isEmpty() ? able : untried;
+  }
+
+  private static boolean hasVersion(ServerState state, Work work) {
+    if (work.minimumVersion().isEmpty()) {
+      return true;
+    }
+    Optional<WeightVersion> reported = state.report().flatMap(LoadReport::version);
+    return reported.isPresent() && !work.minimumVersion().get().isAfter(reported.get());
+  }
+
+  private Candidate candidate(ServerState state, Priority priority, boolean closed, long nowNanos) {
+    int limit = state.limit.limit();
+    if (priority == Priority.TRAINING) {
+      limit = Math.max(1, limit - (int) Math.ceil(limit * INTERACTIVE_RESERVE));
+    }
+    int load = state.load(nowNanos, reportMaxAgeNanos);
+    return new Candidate.Server(state.server.id(), closed ? Math.max(load, limit) : load, limit);
+  }
+
+  private static boolean isMostlyBenched(List<ServerState> eligible, long nowNanos) {
+    long benched =
+        eligible.stream().filter(s -> s.health.verdict(nowNanos) == Verdict.BENCHED).count();
+    return 2 * benched > eligible.size();
+  }
+
+  private static boolean isClosedByHealth(ServerState state, long nowNanos) {
+    Verdict verdict = state.health.verdict(nowNanos);
+    return verdict == Verdict.BENCHED || (verdict == Verdict.TRIAL && !state.running.isEmpty());
+  }
+
+  private boolean runsSuspect(ServerState state, long nowNanos) {
+    return state.running.stream()
+        .anyMatch(attempt -> poison.isSuspect(attempt.request.fingerprint, nowNanos));
+  }
+
+  private static boolean isRunning(Fingerprint fingerprint, List<ServerState> states) {
+    return states.stream()
+        .flatMap(state -> state.running.stream())
+        .anyMatch(attempt -> attempt.request.fingerprint.equals(fingerprint));
+  }
+}
--- /dev/null
+++ b/amaranthstream/src/main/java/org/amaranthstream/dispatch/Dispatcher.java
@@ -0,0 +1,362 @@
+package org.amaranthstream.dispatch;
+
+import static com.google.common.base.Preconditions.checkState;
+
+import com.google.common.collect.ImmutableList;
+import java.time.Duration;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Optional;
+import org.amaranthstream.admission.AdmissionDecision;
+import org.amaranthstream.admission.AdmissionInput;
+import org.amaranthstream.admission.AdmissionPolicy;
+import org.amaranthstream.decisions.DecisionKind;
+import org.amaranthstream.ids.PoolId;
+import org.amaranthstream.ids.RequestId;
+import org.amaranthstream.placement.Candidate;
+import org.amaranthstream.result.ErrorDetail;
+import org.amaranthstream.result.ResultCode;
+import org.amaranthstream.time.Subscription;
+import org.amaranthstream.time.TimerService;
+
+/**
+ * Runs requests on backend servers: admits, queues, places, retries and resumes them, and gives
+ * each exactly one outcome.
+ *
+ * <p>All methods and all callbacks are called on the decision thread. Given the same events at the
+ * same times it takes the same decisions.
+ *
+ * <pre>{@code
+ * Dispatcher dispatcher =
+ *     Dispatcher.builder()
+ *         .timers(timers.forDuty(decisionThread))
+ *         .transport(transport)
+ *         .forwarder(forwarder)
+ *         .directory(directory)
+ *         .region(RegionId.of("lisboa"))
+ *         .incarnation(incarnation)
+ *         .build();
+ * dispatcher.submit(work, listener);
+ * }</pre>
+ */
+public final class Dispatcher implements WorkRunner, AutoCloseable {
+  private final TimerService timers;
+  private final AdmissionPolicy admission;
+  private final QueueOrder.Factory orders;
+  private final RetryPolicy retryPolicy;
+  private final RetryBudget retryBudget;
+  private final DispatchSettings settings;
+  private final Shared shared;
+  private final Recorder recorder;
+  private final ServerAttempts serverAttempts;
+  private final ForwardedAttempts forwardedAttempts;
+  private final QueuePump pump;
+  private final Map<PoolId, PoolQueue> queues = new HashMap<>();
+  private final Map<RequestId, ActiveRequest> active = new HashMap<>();
+  private final Subscription tick;
+  private long nextArrival;
+
+  Dispatcher(DispatcherParts parts) {
+    this.timers = parts.timers();
+    this.admission = parts.admission();
+    this.orders = parts.queueOrder();
+    this.retryPolicy = parts.retryPolicy();
+    this.retryBudget = parts.retryBudget();
+    this.settings = parts.settings();
+    this.shared = Shared.of(parts);
+    this.recorder = shared.recorder();
+    Lifecycle lifecycle = new RequestLifecycle();
+    this.serverAttempts = new ServerAttempts(parts, shared, lifecycle);
+    this.forwardedAttempts = new ForwardedAttempts(parts, shared, lifecycle);
+    this.pump = new QueuePump(timers, parts.placement(), shared, this::send);
+    this.tick = timers.every(settings.progressCheck(), this::onTick);
+  }
+
+  /** Returns a builder. */
+  public static DispatcherBuilder builder() {
+    return new DispatcherBuilder();
+  }
+
+  /** Returns what is known of poison requests, to tell other entry VMs and to hear from them. */
+  public PoisonRegistry poison() {
+    return shared.poison();
+  }
+
+  /** Returns the number of requests that wait, of all pools. */
+  public int queued() {
+    return queues.values().stream().mapToInt(PoolQueue::size).sum();
+  }
+
+  /** Returns the number of requests without an outcome. */
+  public int active() {
+    return active.size();
+  }
+
+  @Override
+  public void submit(Work work, WorkListener listener) {
+    checkState(!active.containsKey(work.id()), "request %s is active", work.id());
+    ActiveRequest request = new ActiveRequest(work, listener, nextArrival++);
+    Optional<Duration> quarantine =
+        shared.poison().quarantine(request.fingerprint, timers.nowNanos());
+    if (quarantine.isPresent()) {
+      refuseQuarantined(request, quarantine.get());
+      return;
+    }
+    AdmissionDecision decision = admission.decide(admissionInput(request));
+    if (decision instanceof AdmissionDecision.Refuse refuse) {
+      refuse(request, DecisionKind.REFUSE, refuse.error(), Optional.of(refuse.retryAfter()));
+      return;
+    }
+    long estimate = ((AdmissionDecision.Admit) decision).estimateNanos();
+    recorder.record(
+        request,
+        DecisionKind.ADMIT,
+        work.workClass().value(),
+        String.format(
+            "estimate %s, deadline in %s",
+            Millis.format(estimate), Millis.format(request.slackNanos(timers.nowNanos()))));
+    active.put(work.id(), request);
+    enqueue(request);
+    pump.run(work.pool(), queue(work.pool()));
+    if (request.state == ActiveRequest.State.QUEUED) {
+      recorder.record(
+          request, DecisionKind.QUEUE, work.pool().value(), queue(work.pool()).size() + " wait");
+    }
+  }
+
+  @Override
+  public void cancel(RequestId id) {
+    ActiveRequest request = active.get(id);
+    if (request == null) {
+      return;
+    }
+    PoolId pool = request.work.pool();
+    withdraw(request);
+    ResultCode code =
+        request.mayHaveRun ? ResultCode.OUTCOME_UNKNOWN_CANCELLED : ResultCode.NOT_RUN_CANCELLED;
+    finish(request, DecisionKind.CANCEL, ErrorDetail.of(code, "cancelled"), Optional.empty());
+    pump.run(pool, queue(pool));
+  }
+
+  /** Stops the timers; requests that wait or run get no outcome from here. */
+  @Override
+  public void close() {
+    tick.cancel();
+    active.values().forEach(ActiveRequest::disarm);
+  }
+
+  private void refuseQuarantined(ActiveRequest request, Duration left) {
+    ErrorDetail error =
+        ErrorDetail.of(
+            ResultCode.NOT_RUN_QUARANTINED,
+            "this content was in flight at two crashes of backend servers");
+    refuse(request, DecisionKind.QUARANTINE, error, Optional.of(left));
+  }
+
+  private void refuse(
+      ActiveRequest request, DecisionKind kind, ErrorDetail error, Optional<Duration> retryAfter) {
+    request.state = ActiveRequest.State.DONE;
+    recorder.record(request, kind, error.code().name(), error.message());
+    request.listener.onOutcome(new Outcome.NotRun(error, retryAfter));
+  }
+
+  private AdmissionInput admissionInput(ActiveRequest request) {
+    Work work = request.work;
+    long now = timers.nowNanos();
+    ImmutableList<Candidate> candidates = shared.finder().candidates(request, now);
+    PoolQueue queue = queue(work.pool());
+    return new AdmissionInput(
+        work.priority(),
+        request.slackNanos(now),
+        candidates.stream().mapToInt(Candidate::limit).sum(),
+        candidates.stream().mapToInt(c -> Math.min(c.load(), c.limit())).sum(),
+        queue.aheadOf(work.priority(), work.deadlineNanos()),
+        settings.queueCapacity(),
+        queue.size(),
+        shared.estimates().serviceNanos(work.workClass()),
+        shared.estimates().slotNanos(work.pool()));
+  }
+
+  private PoolQueue queue(PoolId pool) {
+    return queues.computeIfAbsent(pool, p -> new PoolQueue(orders.create()));
+  }
+
+  private void enqueue(ActiveRequest request) {
+    request.state = ActiveRequest.State.QUEUED;
+    request.running = null;
+    queue(request.work.pool()).add(request);
+    armExpiry(request);
+  }
+
+  /** Ends the wait when even a fast answer would be late. */
+  private void armExpiry(ActiveRequest request) {
+    long fast = shared.estimates().fastServiceNanos(request.work.workClass());
+    long wait = request.slackNanos(timers.nowNanos()) - fast;
+    request.arm(timers.after(Duration.ofNanos(Math.max(0, wait)), () -> expire(request)));
+  }
+
+  private void send(ActiveRequest request, Candidate candidate) {
+    long slack = request.slackNanos(timers.nowNanos());
+    request.arm(timers.after(Duration.ofNanos(Math.max(0, slack)), () -> expire(request)));
+    if (candidate instanceof Candidate.Server server) {
+      serverAttempts.start(request, shared.finder().state(server, request));
+    } else {
+      forwardedAttempts.start(request, (Candidate.Zone) candidate);
+    }
+  }
+
+  private void expire(ActiveRequest request) {
+    boolean waited = request.state == ActiveRequest.State.QUEUED;
+    String reason =
+        waited
+            ? "no server had room in time, " + queue(request.work.pool()).size() + " wait"
+            : "no whole answer from " + placeOf(request) + " before the deadline";
+    withdraw(request);
+    ResultCode code =
+        request.mayHaveRun ? ResultCode.OUTCOME_UNKNOWN_DEADLINE : ResultCode.NOT_RUN_DEADLINE;
+    finish(request, DecisionKind.DROP, ErrorDetail.of(code, reason), retryAfter(request));
+    pump.run(request.work.pool(), queue(request.work.pool()));
+  }
+
+  private static String placeOf(ActiveRequest request) {
+    return request.running == null ? "no server" : request.running.place();
+  }
+
+  /** Takes the request from the queue or stops what is at work on it. */
+  private void withdraw(ActiveRequest request) {
+    RunningAttempt running = request.running;
+    if (request.state == ActiveRequest.State.QUEUED) {
+      queue(request.work.pool()).remove(request);
+    } else if (running instanceof ServerAttempt attempt) {
+      request.mayHaveRun = true;
+      serverAttempts.stop(attempt);
+    } else if (running instanceof ForwardedAttempt attempt) {
+      request.mayHaveRun = true;
+      forwardedAttempts.stop(attempt);
+    }
+  }
+
+  private Optional<Duration> retryAfter(ActiveRequest request) {
+    long slot = shared.estimates().slotNanos(request.work.pool());
+    int slots = Math.max(1, shared.finder().slots(request.work.pool()));
+    long drain = queue(request.work.pool()).size() * slot / slots;
+    return Optional.of(Millis.atLeast(drain, settings.progressCheck()));
+  }
+
+  /** Gives the outcome; {@code error} is corrected if it does not fit what is known to have run. */
+  private void finish(
+      ActiveRequest request, DecisionKind kind, ErrorDetail error, Optional<Duration> retryAfter) {
+    request.state = ActiveRequest.State.DONE;
+    request.running = null;
+    request.disarm();
+    active.remove(request.work.id());
+    recorder.record(request, kind, error.code().name(), error.message());
+    request.listener.onOutcome(Outcomes.of(request.mayHaveRun, error, retryAfter));
+  }
+
+  private void onTick() {
+    serverAttempts.checkCrashes();
+    serverAttempts.checkProgress(this::mayMove);
+    for (Map.Entry<PoolId, PoolQueue> entry : queues.entrySet()) {
+      pump.run(entry.getKey(), entry.getValue());
+      shared.servers().forgetGone(entry.getKey());
+    }
+  }
+
+  private boolean mayMove(ActiveRequest request) {
+    return request.work.idempotent()
+        && retryBudget.isAvailable(request.work.workClass())
+        && retryPolicy.decide(retryInput(request, true, ResultCode.OUTCOME_UNKNOWN_BACKEND_LOST))
+            instanceof RetryPolicy.Decision.Retry;
+  }
+
+  private RetryPolicy.Input retryInput(ActiveRequest request, boolean ran, ResultCode failure) {
+    return new RetryPolicy.Input(
+        request.work.idempotent(),
+        ran,
+        request.partial.isResumable(),
+        request.attempts,
+        request.refusals,
+        settings.maxAttempts(),
+        request.slackNanos(timers.nowNanos()),
+        shared.estimates().fastServiceNanos(request.work.workClass()),
+        failure);
+  }
+
+  /** Decides what becomes of requests whose attempts ended. */
+  private final class RequestLifecycle implements Lifecycle {
+
+    @Override
+    public void onCompleted(ActiveRequest request, Answer answer) {
+      request.state = ActiveRequest.State.DONE;
+      request.running = null;
+      request.disarm();
+      active.remove(request.work.id());
+      retryBudget.onSuccess(request.work.workClass());
+      recorder.record(
+          request,
+          DecisionKind.COMPLETE,
+          answer.server().value(),
+          request.attempts + " attempts, " + answer.tokens() + " tokens");
+      request.partial.release();
+      request.listener.onOutcome(new Outcome.Completed(answer));
+      pump.run(request.work.pool(), queue(request.work.pool()));
+    }
+
+    @Override
+    public void onFailed(ActiveRequest request, AttemptFailure failure) {
+      note(request, failure);
+      RetryPolicy.Decision decision = decide(request, failure);
+      if (decision instanceof RetryPolicy.Decision.Retry retry) {
+        retry(request, failure, retry.reason());
+      } else {
+        RetryPolicy.Decision.GiveUp giveUp = (RetryPolicy.Decision.GiveUp) decision;
+        ErrorDetail error =
+            ErrorDetail.of(giveUp.code(), failure.error().message() + "; " + giveUp.reason());
+        Optional<Duration> retryAfter =
+            failure.retryAfter().isPresent() ? failure.retryAfter() : retryAfter(request);
+        finish(request, DecisionKind.FAIL, error, retryAfter);
+      }
+      pump.run(request.work.pool(), queue(request.work.pool()));
+    }
+
+    private void note(ActiveRequest request, AttemptFailure failure) {
+      if (failure.mayHaveRun()) {
+        request.mayHaveRun = true;
+        request.lastError = failure.error();
+      } else {
+        request.attempts--;
+        request.refusals++;
+      }
+    }
+
+    private RetryPolicy.Decision decide(ActiveRequest request, AttemptFailure failure) {
+      if (failure.error().code() == ResultCode.NOT_RUN_QUARANTINED
+          || shared.poison().quarantine(request.fingerprint, timers.nowNanos()).isPresent()) {
+        return new RetryPolicy.Decision.GiveUp(
+            ResultCode.NOT_RUN_QUARANTINED, "its content is quarantined");
+      }
+      ErrorDetail last = request.lastError == null ? failure.error() : request.lastError;
+      RetryPolicy.Decision decision =
+          retryPolicy.decide(retryInput(request, request.mayHaveRun, last.code()));
+      if (decision instanceof RetryPolicy.Decision.Retry retry
+          && failure.mayHaveRun()
+          && retry.chargesBudget()
+          && !retryBudget.tryTake(request.work.workClass())) {
+        return new RetryPolicy.Decision.GiveUp(
+            last.code(), "retry budget of " + request.work.workClass() + " is used up");
+      }
+      return decision;
+    }
+
+    private void retry(ActiveRequest request, AttemptFailure failure, String reason) {
+      long offset = request.partial.tokens();
+      recorder.record(
+          request,
+          offset > 0 ? DecisionKind.RESUME : DecisionKind.RETRY,
+          offset > 0 ? "offset " + offset : "from the start",
+          failure.error().message() + "; " + reason);
+      enqueue(request);
+    }
+  }
+}
--- /dev/null
+++ b/amaranthstream/src/main/java/org/amaranthstream/dispatch/ForwardedAttempt.java
@@ -0,0 +1,62 @@
+package org.amaranthstream.dispatch;
+
+import org.amaranthstream.ids.AvailabilityZoneId;
+
+/**
+ * A request at work in another availability zone. Events after its end are ignored. Used on the
+ * decision thread only.
+ */
+final class ForwardedAttempt implements WorkListener, RunningAttempt {
+  /** Receiver of the events of all forwarded requests. */
+  interface Events {
+    void onChunk(ForwardedAttempt attempt, Chunk chunk);
+
+    void onOutcome(ForwardedAttempt attempt, Outcome outcome);
+  }
+
+  final ActiveRequest request;
+  final AvailabilityZoneId zone;
+  final long startNanos;
+  private final ZoneForwarder forwarder;
+  private final Events events;
+  private boolean closed;
+
+  ForwardedAttempt(
+      ActiveRequest request,
+      AvailabilityZoneId zone,
+      long startNanos,
+      ZoneForwarder forwarder,
+      Events events) {
+    this.request = request;
+    this.zone = zone;
+    this.startNanos = startNanos;
+    this.forwarder = forwarder;
+    this.events = events;
+  }
+
+  @Override
+  public void onChunk(Chunk chunk) {
+    if (!closed) {
+      events.onChunk(this, chunk);
+    }
+  }
+
+  @Override
+  public void onOutcome(Outcome outcome) {
+    if (!closed) {
+      closed = true;
+      events.onOutcome(this, outcome);
+    }
+  }
+
+  @Override
+  public void cancel() {
+    closed = true;
+    forwarder.cancel(request.work.id());
+  }
+
+  @Override
+  public String place() {
+    return zone.value();
+  }
+}
--- /dev/null
+++ b/amaranthstream/src/main/java/org/amaranthstream/dispatch/PoisonRegistry.java
@@ -0,0 +1,132 @@
+package org.amaranthstream.dispatch;
+
+import static com.google.common.base.Preconditions.checkArgument;
+
+import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableSet;
+import java.time.Duration;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * Content that was in flight at crashes of backend servers.
+ *
+ * <p>Content of one crash is suspect: the dispatcher runs it alone among suspects. Content of two
+ * crashes of distinct incarnations is quarantined for a time. An answer clears it, and so does a
+ * sign that the server did not crash. Bounded; the oldest entries go first. Not thread safe.
+ */
+public final class PoisonRegistry {
+  private static final int CRASHES_TO_QUARANTINE = 2;
+  private static final int MAX_ENTRIES = 4096;
+
+  private final long quarantineNanos;
+  private final Map<Fingerprint, Entry> entries = new LinkedHashMap<>();
+
+  private PoisonRegistry(long quarantineNanos) {
+    this.quarantineNanos = quarantineNanos;
+  }
+
+  /** Returns an empty registry that quarantines for {@code quarantine}. */
+  public static PoisonRegistry create(Duration quarantine) {
+    checkArgument(!quarantine.isNegative(), "quarantine is negative: %s", quarantine);
+    return new PoisonRegistry(quarantine.toNanos());
+  }
+
+  /** Notes that {@code fingerprint} was in flight at {@code crash}. */
+  public void onCrash(Fingerprint fingerprint, Crash crash, long nowNanos) {
+    Entry entry = entries.remove(fingerprint);
+    if (entry == null) {
+      entry = new Entry();
+    }
+    if (!entry.cleared.contains(crash) && entry.crashes.add(crash)) {
+      entry.newestNanos = nowNanos;
+    }
+    entries.put(fingerprint, entry);
+    if (entries.size() > MAX_ENTRIES) {
+      entries.remove(entries.keySet().iterator().next());
+    }
+  }
+
+  /** Clears content that was answered. */
+  public void onAnswer(Fingerprint fingerprint) {
+    Entry entry = entries.get(fingerprint);
+    if (entry != null) {
+      entry.cleared.addAll(entry.crashes);
+      entry.crashes.clear();
+    }
+  }
+
+  /** Clears all content of a crash that turned out not to be one. */
+  public void onAlive(Crash crash) {
+    for (Entry entry : entries.values()) {
+      if (entry.crashes.remove(crash)) {
+        entry.cleared.add(crash);
+      }
+    }
+  }
+
+  /** Returns true if {@code fingerprint} was in flight at a crash and was not answered since. */
+  public boolean isSuspect(Fingerprint fingerprint, long nowNanos) {
+    return current(fingerprint, nowNanos) != null;
+  }
+
+  /** Returns the time for which {@code fingerprint} is still quarantined, empty if it is not. */
+  public Optional<Duration> quarantine(Fingerprint fingerprint, long nowNanos) {
+    Entry entry = current(fingerprint, nowNanos);
+    if (entry == null || entry.crashes.size() < CRASHES_TO_QUARANTINE) {
+      return Optional.empty();
+    }
+    return Optional.of(Duration.ofNanos(entry.newestNanos + quarantineNanos - nowNanos));
+  }
+
+  /** Returns what other entry VMs need to know, newest last. */
+  public ImmutableList<PoisonNotice> export(long nowNanos) {
+    expire(nowNanos);
+    ImmutableList.Builder<PoisonNotice> notices = ImmutableList.builder();
+    entries.forEach(
+        (fingerprint, entry) -> {
+          if (!entry.crashes.isEmpty()) {
+            Duration age = Duration.ofNanos(nowNanos - entry.newestNanos);
+            notices.add(new PoisonNotice(fingerprint, ImmutableSet.copyOf(entry.crashes), age));
+          }
+        });
+    return notices.build();
+  }
+
+  /** Joins what another entry VM knows with what is known here. */
+  public void join(PoisonNotice notice, long nowNanos) {
+    long seenNanos = nowNanos - notice.age().toNanos();
+    if (nowNanos - seenNanos >= quarantineNanos) {
+      return;
+    }
+    for (Crash crash : notice.crashes()) {
+      onCrash(notice.fingerprint(), crash, seenNanos);
+    }
+  }
+
+  private @Nullable Entry current(Fingerprint fingerprint, long nowNanos) {
+    Entry entry = entries.get(fingerprint);
+    if (entry == null || entry.crashes.isEmpty()) {
+      return null;
+    }
+    return isExpired(entry, nowNanos) ? null : entry;
+  }
+
+  private boolean isExpired(Entry entry, long nowNanos) {
+    return nowNanos - entry.newestNanos >= quarantineNanos;
+  }
+
+  private void expire(long nowNanos) {
+    entries.values().removeIf(entry -> isExpired(entry, nowNanos));
+  }
+
+  private static final class Entry {
+    private final Set<Crash> crashes = new HashSet<>();
+    private final Set<Crash> cleared = new HashSet<>();
+    private long newestNanos;
+  }
+}
--- /dev/null
+++ b/amaranthstream/src/main/java/org/amaranthstream/dispatch/PoolQueue.java
@@ -0,0 +1,87 @@
+package org.amaranthstream.dispatch;
+
+import com.google.common.collect.Iterables;
+import java.util.Comparator;
+import java.util.EnumMap;
+import java.util.Map;
+import java.util.Optional;
+import java.util.TreeSet;
+import java.util.function.IntSupplier;
+import org.amaranthstream.admission.Priority;
+
+/** The requests of one pool that wait for a server. Used on the decision thread only. */
+final class PoolQueue {
+  private final QueueOrder order;
+  private final Map<Priority, TreeSet<ActiveRequest>> waiting = new EnumMap<>(Priority.class);
+
+  PoolQueue(QueueOrder order) {
+    this.order = order;
+    Comparator<ActiveRequest> comparator =
+        (a, b) -> {
+          int byRank = Long.signum(order.rank(a) - order.rank(b));
+          return byRank != 0 ? byRank : Long.compare(a.arrival(), b.arrival());
+        };
+    for (Priority priority : Priority.values()) {
+      waiting.put(priority, new TreeSet<>(comparator));
+    }
+  }
+
+  void add(ActiveRequest request) {
+    waiting.get(request.priority()).add(request);
+  }
+
+  void remove(ActiveRequest request) {
+    waiting.get(request.priority()).remove(request);
+  }
+
+  int size() {
+    int size = 0;
+    for (TreeSet<ActiveRequest> requests : waiting.values()) {
+      size += requests.size();
+    }
+    return size;
+  }
+
+  int size(Priority priority) {
+    return waiting.get(priority).size();
+  }
+
+  /** Returns the number of waiting requests that a new one would wait for. */
+  int aheadOf(Priority priority, long deadlineNanos) {
+    int ahead = 0;
+    for (ActiveRequest request : waiting.get(priority)) {
+      if (request.deadlineNanos() - deadlineNanos > 0) {
+        break;
+      }
+      ahead++;
+    }
+    return priority == Priority.INTERACTIVE ? ahead : ahead + size(Priority.INTERACTIVE);
+  }
+
+  /** Returns what a choice between the priorities rests on, empty unless both wait. */
+  Optional<QueueOrder.Turn> turn(long slotNanos, IntSupplier slots, long nowNanos) {
+    TreeSet<ActiveRequest> training = waiting.get(Priority.TRAINING);
+    TreeSet<ActiveRequest> interactive = waiting.get(Priority.INTERACTIVE);
+    if (training.isEmpty() || interactive.isEmpty()) {
+      return Optional.empty();
+    }
+    long drain = (long) ((double) training.size() * slotNanos / Math.max(1, slots.getAsInt()));
+    return Optional.of(
+        new QueueOrder.Turn(
+            interactive.first(), training.first(), training.size(), drain, nowNanos));
+  }
+
+  /** Returns the waiting requests in the order to try them. */
+  Iterable<ActiveRequest> inOrder(Optional<QueueOrder.Turn> turn) {
+    boolean trainingFirst = turn.isPresent() && order.isTrainingNext(turn.get());
+    return Iterables.concat(
+        waiting.get(trainingFirst ? Priority.TRAINING : Priority.INTERACTIVE),
+        waiting.get(trainingFirst ? Priority.INTERACTIVE : Priority.TRAINING));
+  }
+
+  void onSent(Optional<QueueOrder.Turn> turn, ActiveRequest sent) {
+    if (turn.isPresent()) {
+      order.onSent(turn.get(), sent.priority() == Priority.TRAINING);
+    }
+  }
+}
--- /dev/null
+++ b/amaranthstream/src/main/java/org/amaranthstream/dispatch/ServerState.java
@@ -0,0 +1,129 @@
+package org.amaranthstream.dispatch;
+
+import java.util.LinkedHashSet;
+import java.util.Optional;
+import java.util.Set;
+import org.amaranthstream.ids.Incarnation;
+import org.amaranthstream.membership.BackendServer;
+import org.amaranthstream.membership.BackendView;
+import org.amaranthstream.membership.LoadReport;
+import org.amaranthstream.placement.ConcurrencyLimit;
+import org.amaranthstream.placement.ServerHealth;
+import org.jspecify.annotations.Nullable;
+
+/** What this process knows of one backend server. Used on the decision thread only. */
+final class ServerState {
+  final BackendServer server;
+  final ConcurrencyLimit limit;
+  final ServerHealth health;
+  final Set<ServerAttempt> running = new LinkedHashSet<>();
+  private final InFlightHistory history = new InFlightHistory();
+  private Optional<LoadReport> report = Optional.empty();
+  private boolean leaving;
+  private boolean saidDraining;
+  private Optional<Incarnation> drainingIncarnation = Optional.empty();
+  private boolean backingOff;
+  private long backoffEndNanos;
+  private @Nullable Crash suspectedCrash;
+  private long suspectedNanos;
+
+  ServerState(BackendServer server, ConcurrencyLimit limit, ServerHealth health) {
+    this.server = server;
+    this.limit = limit;
+    this.health = health;
+  }
+
+  void update(BackendView view) {
+    leaving = view.leaving();
+    report = view.report();
+    if (saidDraining && isNewIncarnation(drainingIncarnation)) {
+      saidDraining = false;
+    }
+  }
+
+  private boolean isNewIncarnation(Optional<Incarnation> than) {
+    return than.isPresent()
+        && report.isPresent()
+        && !report.get().draining()
+        && !report.get().incarnation().equals(than.get());
+  }
+
+  Optional<LoadReport> report() {
+    return report;
+  }
+
+  Optional<Incarnation> incarnation() {
+    return report.map(LoadReport::incarnation);
+  }
+
+  /** Returns true if the server leaves and gets no new work. */
+  boolean isLeaving() {
+    return leaving || saidDraining || report.map(LoadReport::draining).orElse(false);
+  }
+
+  void markDraining() {
+    saidDraining = true;
+    drainingIncarnation = incarnation();
+  }
+
+  boolean isBackingOff(long nowNanos) {
+    if (backingOff && nowNanos - backoffEndNanos >= 0) {
+      backingOff = false;
+    }
+    return backingOff;
+  }
+
+  void backOff(long untilNanos) {
+    if (!backingOff || untilNanos - backoffEndNanos > 0) {
+      backoffEndNanos = untilNanos;
+    }
+    backingOff = true;
+  }
+
+  void started(ServerAttempt attempt, long nowNanos) {
+    running.add(attempt);
+    history.add(nowNanos, running.size());
+  }
+
+  void ended(ServerAttempt attempt, long nowNanos) {
+    if (running.remove(attempt)) {
+      history.add(nowNanos, running.size());
+    }
+  }
+
+  /**
+   * Returns own requests in flight and an estimate of those of others: what the report showed
+   * beyond the own ones at its time, fading out until {@code maxAgeNanos}.
+   */
+  int load(long nowNanos, long maxAgeNanos) {
+    if (report.isEmpty()) {
+      return running.size();
+    }
+    LoadReport newest = report.get();
+    long age = Math.max(0, nowNanos - newest.takenNanos());
+    int own = history.at(newest.takenNanos());
+    int others = Math.max(0, newest.running() + newest.queued() - own);
+    double weight = Math.max(0, 1 - (double) age / maxAgeNanos);
+    return running.size() + (int) Math.round(others * weight);
+  }
+
+  void suspectCrash(Crash crash, long nowNanos) {
+    suspectedCrash = crash;
+    suspectedNanos = nowNanos;
+  }
+
+  /** Returns the suspected crash if a newer report shows that it was none, and forgets it. */
+  Optional<Crash> takeRefutedCrash() {
+    if (suspectedCrash == null || report.isEmpty() || suspectedCrash.incarnation().isEmpty()) {
+      return Optional.empty();
+    }
+    boolean newer = report.get().takenNanos() - suspectedNanos > 0;
+    boolean same = report.get().incarnation().equals(suspectedCrash.incarnation().get());
+    if (!newer || !same) {
+      return Optional.empty();
+    }
+    Optional<Crash> refuted = Optional.of(suspectedCrash);
+    suspectedCrash = null;
+    return refuted;
+  }
+}
--- /dev/null
+++ b/amaranthstream/src/main/java/org/amaranthstream/dispatch/SuccessShareBudget.java
@@ -0,0 +1,66 @@
+package org.amaranthstream.dispatch;
+
+import static com.google.common.base.Preconditions.checkArgument;
+
+import java.util.HashMap;
+import java.util.Map;
+import org.amaranthstream.ids.WorkClassId;
+
+/**
+ * Retries as a share of the successes of a class, with a reserve for the crash of a server.
+ *
+ * <p>Not thread safe.
+ */
+public final class SuccessShareBudget implements RetryBudget {
+  private static final double DEFAULT_SHARE = 0.1;
+  private static final int DEFAULT_RESERVE = 100;
+
+  private final double share;
+  private final int reserve;
+  private final Map<WorkClassId, Double> left = new HashMap<>();
+
+  private SuccessShareBudget(double share, int reserve) {
+    this.share = share;
+    this.reserve = reserve;
+  }
+
+  /** Returns a budget of a tenth of the successes and a reserve of 100 retries. */
+  public static SuccessShareBudget create() {
+    return of(DEFAULT_SHARE, DEFAULT_RESERVE);
+  }
+
+  /**
+   * Returns a budget.
+   *
+   * @param share retries for each success
+   * @param reserve retries that a class holds at the start and at most
+   */
+  public static SuccessShareBudget of(double share, int reserve) {
+    checkArgument(share >= 0 && share <= 1, "share is not between 0 and 1: %s", share);
+    checkArgument(reserve >= 0, "reserve is negative: %s", reserve);
+    return new SuccessShareBudget(share, reserve);
+  }
+
+  @Override
+  public boolean isAvailable(WorkClassId workClass) {
+    return left(workClass) >= 1;
+  }
+
+  @Override
+  public boolean tryTake(WorkClassId workClass) {
+    if (!isAvailable(workClass)) {
+      return false;
+    }
+    left.put(workClass, left(workClass) - 1);
+    return true;
+  }
+
+  @Override
+  public void onSuccess(WorkClassId workClass) {
+    left.put(workClass, Math.min(reserve, left(workClass) + share));
+  }
+
+  private double left(WorkClassId workClass) {
+    return left.getOrDefault(workClass, (double) reserve);
+  }
+}
--- /dev/null
+++ b/amaranthstream/src/main/java/org/amaranthstream/placement/LinkBudget.java
@@ -0,0 +1,24 @@
+package org.amaranthstream.placement;
+
+/** Bytes that may cross the link to other regions. Called on the decision thread. */
+public interface LinkBudget {
+
+  /** Returns true if {@code bytes} more may be sent now. */
+  boolean allows(long bytes, long nowNanos);
+
+  /** Counts bytes that were sent. */
+  void spend(long bytes, long nowNanos);
+
+  /** Returns a budget without a limit. */
+  static LinkBudget unlimited() {
+    return new LinkBudget() {
+      @Override
+      public boolean allows(long bytes, long nowNanos) {
+        return true;
+      }
+
+      @Override
+      public void spend(long bytes, long nowNanos) {}
+    };
+  }
+}
--- /dev/null
+++ b/amaranthstream/src/test/java/org/amaranthstream/dispatch/DispatcherTest.java
@@ -0,0 +1,355 @@
+package org.amaranthstream.dispatch;
+
+import static com.google.common.truth.Truth.assertThat;
+import static org.amaranthstream.dispatch.FakeTransport.text;
+
+import java.time.Duration;
+import java.util.Optional;
+import org.amaranthstream.admission.Priority;
+import org.amaranthstream.dispatch.FakeTransport.FakeAttempt;
+import org.amaranthstream.ids.AvailabilityZoneId;
+import org.amaranthstream.ids.RegionId;
+import org.amaranthstream.ids.WeightVersion;
+import org.amaranthstream.membership.ZoneView;
+import org.amaranthstream.result.ErrorDetail;
+import org.amaranthstream.result.ResultCode;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+class DispatcherTest {
+  private final Fixture fixture = new Fixture();
+
+  private void oneServer(int slots) {
+    fixture.directory.add("e1", slots, 7);
+  }
+
+  private void twoServers() {
+    oneServer(4);
+    fixture.directory.add("e2", 4, 7);
+  }
+
+  private static ResultCode notRun(RecordingWorkListener listener) {
+    assertThat(listener.outcome()).isInstanceOf(Outcome.NotRun.class);
+    return ((Outcome.NotRun) listener.outcome()).error().code();
+  }
+
+  private static ResultCode unknown(RecordingWorkListener listener) {
+    assertThat(listener.outcome()).isInstanceOf(Outcome.OutcomeUnknown.class);
+    return ((Outcome.OutcomeUnknown) listener.outcome()).error().code();
+  }
+
+  private static void assertWhole(RecordingWorkListener listener, long tokens) {
+    assertThat(listener.outcome()).isInstanceOf(Outcome.Completed.class);
+    assertThat(listener.text.toString()).isEqualTo(text(tokens));
+  }
+
+  @Nested
+  class Submit {
+    @Test
+    void passesTheAnswerOn() {
+      oneServer(4);
+      final RecordingWorkListener listener = fixture.submit();
+      FakeAttempt attempt = fixture.transport.last();
+      attempt.tokens(3, 7);
+      attempt.tokens(5, 8);
+      attempt.finish();
+
+      assertWhole(listener, 8);
+      assertThat(listener.chunks.get(1).version()).isEqualTo(Optional.of(WeightVersion.of(8)));
+      assertThat(fixture.dispatcher.active()).isEqualTo(0);
+    }
+
+    @Test
+    void refusesAtOnceWithoutServers() {
+      final RecordingWorkListener listener = fixture.submit();
+
+      assertThat(notRun(listener)).isEqualTo(ResultCode.NOT_RUN_NO_BACKEND);
+      assertThat(((Outcome.NotRun) listener.outcome()).retryAfter()).isPresent();
+    }
+
+    @Test
+    void waitsForRoomAndGoesOnWhenThereIsSome() {
+      oneServer(1);
+      fixture.submit();
+      final RecordingWorkListener second = fixture.submit();
+      assertThat(fixture.transport.attempts).hasSize(1);
+
+      fixture.transport.last().tokens(8, 7);
+      fixture.transport.last().finish();
+      assertThat(fixture.transport.attempts).hasSize(2);
+      fixture.transport.last().tokens(8, 7);
+      fixture.transport.last().finish();
+
+      assertWhole(second, 8);
+    }
+
+    @Test
+    void refusesAtOnceWhatTheEstimateCannotMeet() {
+      oneServer(1);
+      fixture.submit();
+      fixture.advanceMillis(4000);
+      fixture.transport.last().tokens(8, 7);
+      fixture.transport.last().finish();
+      fixture.submit();
+
+      RecordingWorkListener late =
+          fixture.submit(
+              fixture
+                  .work()
+                  .deadlineNanos(fixture.timers.nowNanos() + Duration.ofSeconds(5).toNanos())
+                  .build());
+
+      assertThat(notRun(late)).isEqualTo(ResultCode.NOT_RUN_OVERLOADED);
+    }
+
+    @Test
+    void choosesNoServerWithAnOlderVersion() {
+      twoServers();
+      fixture.directory.report("e2", "e2.0", 9, 0, 0);
+
+      fixture.submit(fixture.work().minimumVersion(WeightVersion.of(8)).build());
+
+      assertThat(fixture.transport.last().server.id().value()).isEqualTo("e2");
+    }
+
+    @Test
+    void choosesNoLeavingServer() {
+      twoServers();
+      fixture.directory.leave("e1");
+      for (int i = 0; i < 6; i++) {
+        fixture.submit();
+      }
+
+      assertThat(fixture.transport.openOn("e1")).isEmpty();
+      assertThat(fixture.transport.openOn("e2")).hasSize(4);
+    }
+
+    @Test
+    void sendsInteractiveBeforeTraining() {
+      oneServer(1);
+      fixture.submit();
+      fixture.submit(fixture.work().priority(Priority.TRAINING).build());
+      Work interactive = fixture.work().build();
+      fixture.submit(interactive);
+
+      fixture.transport.last().tokens(8, 7);
+      fixture.transport.last().finish();
+
+      assertThat(fixture.transport.last().work).isEqualTo(interactive);
+    }
+  }
+
+  @Nested
+  class Retry {
+    @Test
+    void resumesOnAnotherServerFromTheOffset() {
+      twoServers();
+      final RecordingWorkListener listener = fixture.submit();
+      FakeAttempt first = fixture.transport.last();
+      first.tokens(3, 7);
+      first.crash();
+      FakeAttempt second = fixture.transport.last();
+
+      assertThat(second.server.id()).isNotEqualTo(first.server.id());
+      assertThat(second.startOffset).isEqualTo(3);
+      assertThat(second.prefix).isEqualTo(text(3));
+      second.tokens(5, 8);
+      second.finish();
+      assertWhole(listener, 8);
+    }
+
+    @Test
+    void doesNotRepeatNonIdempotentWorkThatMayHaveRun() {
+      twoServers();
+      final RecordingWorkListener listener =
+          fixture.submit(fixture.call().idempotent(false).build());
+      fixture.transport.last().crash();
+
+      assertThat(unknown(listener)).isEqualTo(ResultCode.OUTCOME_UNKNOWN_BACKEND_LOST);
+      assertThat(fixture.transport.attempts).hasSize(1);
+    }
+
+    @Test
+    void repeatsNonIdempotentWorkThatTheServerRefused() {
+      twoServers();
+      final RecordingWorkListener listener =
+          fixture.submit(fixture.call().idempotent(false).build());
+      fixture.transport.last().reject(true);
+      assertThat(fixture.transport.attempts).hasSize(2);
+      assertThat(fixture.drainingServers).hasSize(1);
+      fixture.transport.last().finish();
+
+      assertThat(listener.outcome()).isInstanceOf(Outcome.Completed.class);
+    }
+
+    @Test
+    void treatsNotSentAfterSendingAsMaybeRun() {
+      twoServers();
+      final RecordingWorkListener listener =
+          fixture.submit(fixture.call().idempotent(false).build());
+      fixture.transport.last().send();
+      fixture.transport.last().end(new AttemptEnd.NotSent("closed"));
+
+      assertThat(unknown(listener)).isEqualTo(ResultCode.OUTCOME_UNKNOWN_BACKEND_LOST);
+    }
+
+    @Test
+    void cancelsAnAttemptWithWrongOffset() {
+      twoServers();
+      final RecordingWorkListener listener = fixture.submit();
+      FakeAttempt first = fixture.transport.last();
+      first.tokens(3, 7);
+      first.offset = 5;
+      first.tokens(1, 7);
+
+      assertThat(first.cancelled).isTrue();
+      FakeAttempt second = fixture.transport.last();
+      second.tokens(5, 7);
+      first.tokens(3, 7);
+      second.finish();
+      assertWhole(listener, 8);
+    }
+
+    @Test
+    void resumesElsewhereWithoutProgress() {
+      twoServers();
+      final RecordingWorkListener listener = fixture.submit();
+      FakeAttempt first = fixture.transport.last();
+      first.tokens(3, 7);
+      fixture.advanceMillis(2100);
+
+      assertThat(first.cancelled).isTrue();
+      fixture.transport.last().tokens(5, 7);
+      fixture.transport.last().finish();
+      assertWhole(listener, 8);
+    }
+  }
+
+  @Nested
+  class Deadline {
+    @Test
+    void endsTheWaitWithoutRun() {
+      oneServer(1);
+      fixture.submit();
+      RecordingWorkListener waiting =
+          fixture.submit(fixture.work().deadlineNanos(Duration.ofMillis(500).toNanos()).build());
+      fixture.advanceMillis(500);
+
+      assertThat(notRun(waiting)).isEqualTo(ResultCode.NOT_RUN_DEADLINE);
+    }
+
+    @Test
+    void stopsRunningAttempt() {
+      oneServer(1);
+      final RecordingWorkListener listener =
+          fixture.submit(fixture.call().idempotent(false).build());
+      fixture.advanceMillis(10_000);
+
+      assertThat(unknown(listener)).isEqualTo(ResultCode.OUTCOME_UNKNOWN_DEADLINE);
+      assertThat(fixture.transport.last().cancelled).isTrue();
+    }
+  }
+
+  @Nested
+  class Cancel {
+    @Test
+    void takesWaitingRequestOut() {
+      oneServer(1);
+      fixture.submit();
+      Work work = fixture.work().build();
+      RecordingWorkListener listener = fixture.submit(work);
+      fixture.dispatcher.cancel(work.id());
+
+      assertThat(notRun(listener)).isEqualTo(ResultCode.NOT_RUN_CANCELLED);
+    }
+
+    @Test
+    void stopsRunningAttempt() {
+      oneServer(1);
+      Work work = fixture.work().build();
+      RecordingWorkListener listener = fixture.submit(work);
+      fixture.dispatcher.cancel(work.id());
+      fixture.dispatcher.cancel(work.id());
+
+      assertThat(unknown(listener)).isEqualTo(ResultCode.OUTCOME_UNKNOWN_CANCELLED);
+      assertThat(fixture.transport.last().cancelled).isTrue();
+    }
+  }
+
+  @Nested
+  class Forward {
+    private void otherZone() {
+      fixture.directory.zones(
+          new ZoneView(
+              AvailabilityZoneId.of("lisboa-b"),
+              RegionId.of("lisboa"),
+              2,
+              0,
+              0,
+              8,
+              Optional.of(WeightVersion.of(7)),
+              0));
+    }
+
+    @Test
+    void goesToAnotherZoneWhenTheOwnIsFull() {
+      oneServer(1);
+      otherZone();
+      fixture.submit();
+      fixture.submit();
+
+      assertThat(fixture.forwarder.forwarded).hasSize(1);
+    }
+
+    @Test
+    void doesNotForwardAgain() {
+      otherZone();
+
+      RecordingWorkListener listener = fixture.submit(fixture.work().forwarded(true).build());
+
+      assertThat(notRun(listener)).isEqualTo(ResultCode.NOT_RUN_NO_BACKEND);
+    }
+
+    @Test
+    void waitsForTheOwnZoneWhenTheOtherDidNotRunIt() {
+      oneServer(1);
+      otherZone();
+      fixture.submit();
+      final RecordingWorkListener listener = fixture.submit();
+      fixture
+          .forwarder
+          .forwarded
+          .get(0)
+          .listener()
+          .onOutcome(
+              new Outcome.NotRun(
+                  ErrorDetail.of(ResultCode.NOT_RUN_ZONE_UNREACHABLE, "cut"), Optional.empty()));
+      fixture.transport.last().tokens(8, 7);
+      fixture.transport.last().finish();
+      fixture.transport.last().tokens(8, 7);
+      fixture.transport.last().finish();
+
+      assertWhole(listener, 8);
+    }
+  }
+
+  @Nested
+  class Poison {
+    @Test
+    void quarantinesContentOfTwoCrashes() {
+      for (int i = 1; i <= 4; i++) {
+        fixture.directory.add("e" + i, 4, 7);
+      }
+      Payload poison = new Payload.Generate("poison", 8, 0);
+      RecordingWorkListener first = fixture.submit(fixture.work().payload(poison).build());
+      fixture.transport.last().crash();
+      fixture.transport.last().crash();
+      assertThat(unknown(first)).isEqualTo(ResultCode.OUTCOME_UNKNOWN_BACKEND_LOST);
+
+      RecordingWorkListener again = fixture.submit(fixture.work().payload(poison).build());
+
+      assertThat(notRun(again)).isEqualTo(ResultCode.NOT_RUN_QUARANTINED);
+      assertThat(fixture.transport.attempts).hasSize(2);
+    }
+  }
+}
