Add training steps: delivery tokens, step owners and the rollout service

Cause: trainers need each sample exactly once although an owner may crash, two owners may work on one step, and pages may be lost or come late. No durable state of ours is wanted for steps.

The delivery token that travels with the trainer decides: a signed bitmap of the slots that it has. An owner sends only slots outside it and keeps a sample until a token shows it. Staleness is checked at delivery against the version that the pull names; versions come from the stream only.

Ruled out: replicated step state (a store of our own), an owner lease (unsafe under a pause), a check of the pull number at the owner (a trainer that goes back to its checkpoint reuses numbers, and the trainer's own check suffices).

--- /dev/null
+++ b/amaranthstream/src/main/java/org/amaranthstream/rollout/GenerateAheadInput.java
@@ -0,0 +1,19 @@
+package org.amaranthstream.rollout;
+
+import org.amaranthstream.config.TargetWeight;
+
+/**
+ * What the choice of the steps ahead rests on.
+ *
+ * @param stalenessBound greatest number of versions that a sample may be behind
+ * @param weighsMore which measure counts more
+ * @param versionsPerStep versions that the trainer makes with each step
+ * @param generation time to generate a step
+ * @param training time from the last page of a step to the first pull of the next
+ */
+public record GenerateAheadInput(
+    int stalenessBound,
+    TargetWeight weighsMore,
+    double versionsPerStep,
+    IntervalEstimate generation,
+    IntervalEstimate training) {}
--- /dev/null
+++ b/amaranthstream/src/main/java/org/amaranthstream/rollout/MeasuredGenerateAhead.java
@@ -0,0 +1,106 @@
+package org.amaranthstream.rollout;
+
+import java.util.Locale;
+import org.amaranthstream.config.TargetWeight;
+
+/**
+ * Takes a further step ahead while it lowers the trainer's expected idle share by more than a
+ * threshold, which is small where idle time weighs more and large where staleness does.
+ *
+ * <p>With no step ahead, a step lasts generation plus training time. With k steps ahead it lasts
+ * the expectation of the greater of the two, each averaged over k steps: the steps between absorb
+ * what varies, and cannot make up for a generation that is slower than training.
+ */
+public final class MeasuredGenerateAhead implements GenerateAhead {
+  private static final double IDLE_TIME_THRESHOLD = 0.005;
+  private static final double STALENESS_THRESHOLD = 0.10;
+  private static final long MIN_OBSERVATIONS = 2;
+  private static final double EPSILON_SECONDS = 1e-9;
+  private static final double LOGISTIC_SLOPE = 1.702;
+
+  private static final MeasuredGenerateAhead INSTANCE = new MeasuredGenerateAhead();
+
+  private MeasuredGenerateAhead() {}
+
+  /** Returns the policy. */
+  public static MeasuredGenerateAhead create() {
+    return INSTANCE;
+  }
+
+  @Override
+  public GenerateAheadDecision decide(GenerateAheadInput input) {
+    int max = GenerateAhead.maxStepsAhead(input);
+    if (!isMeasured(input)) {
+      int ahead = Math.min(max, input.weighsMore() == TargetWeight.IDLE_TIME ? 1 : 0);
+      return new GenerateAheadDecision(ahead, "generation and training time not measured yet");
+    }
+    double threshold = threshold(input.weighsMore());
+    int ahead = 0;
+    while (ahead < max && idleShare(input, ahead) - idleShare(input, ahead + 1) > threshold) {
+      ahead++;
+    }
+    return new GenerateAheadDecision(ahead, reason(input, ahead, max));
+  }
+
+  /** Returns the share of time that the trainer is expected to wait with {@code stepsAhead}. */
+  static double idleShare(GenerateAheadInput input, int stepsAhead) {
+    double training = input.training().meanSeconds();
+    double step = stepSeconds(input, stepsAhead);
+    return step < EPSILON_SECONDS ? 0 : (step - training) / step;
+  }
+
+  private static double stepSeconds(GenerateAheadInput input, int stepsAhead) {
+    double generation = input.generation().meanSeconds();
+    double training = input.training().meanSeconds();
+    if (stepsAhead == 0) {
+      return generation + training;
+    }
+    double deviation =
+        Math.hypot(input.generation().deviationSeconds(), input.training().deviationSeconds())
+            / Math.sqrt(stepsAhead);
+    return expectedMaximum(generation, training, deviation);
+  }
+
+  /** Returns the mean of the greater of two normal values whose difference has a deviation. */
+  private static double expectedMaximum(double a, double b, double deviation) {
+    if (deviation < EPSILON_SECONDS) {
+      return Math.max(a, b);
+    }
+    double ratio = (a - b) / deviation;
+    double below = normalDistribution(ratio);
+    return a * below + b * (1 - below) + deviation * normalDensity(ratio);
+  }
+
+  private static double normalDensity(double x) {
+    return Math.exp(-x * x / 2) / Math.sqrt(2 * Math.PI);
+  }
+
+  /** Returns the normal distribution function by the logistic approximation, within 0.01. */
+  private static double normalDistribution(double x) {
+    return 1 / (1 + Math.exp(-LOGISTIC_SLOPE * x));
+  }
+
+  private static double threshold(TargetWeight weighsMore) {
+    return weighsMore == TargetWeight.IDLE_TIME ? IDLE_TIME_THRESHOLD : STALENESS_THRESHOLD;
+  }
+
+  private static boolean isMeasured(GenerateAheadInput input) {
+    return input.generation().count() >= MIN_OBSERVATIONS
+        && input.training().count() >= MIN_OBSERVATIONS;
+  }
+
+  private static String reason(GenerateAheadInput input, int ahead, int max) {
+    return String.format(
+        Locale.ROOT,
+        "generation %.1f s (deviation %.1f), training %.1f s (deviation %.1f), expected idle share"
+            + " %.3f with %d steps ahead of at most %d, %s weighs more",
+        input.generation().meanSeconds(),
+        input.generation().deviationSeconds(),
+        input.training().meanSeconds(),
+        input.training().deviationSeconds(),
+        idleShare(input, ahead),
+        ahead,
+        max,
+        input.weighsMore());
+  }
+}
--- /dev/null
+++ b/amaranthstream/src/main/java/org/amaranthstream/rollout/PendingPull.java
@@ -0,0 +1,12 @@
+package org.amaranthstream.rollout;
+
+import java.util.function.Consumer;
+import org.amaranthstream.result.Result;
+import org.amaranthstream.time.Subscription;
+
+/** A pull that waits for its first sample. */
+record PendingPull(
+    PullRequest request,
+    DeliveryToken token,
+    Consumer<Result<Page>> consumer,
+    Subscription timeout) {}
--- /dev/null
+++ b/amaranthstream/src/main/java/org/amaranthstream/rollout/RolloutContext.java
@@ -0,0 +1,28 @@
+package org.amaranthstream.rollout;
+
+import java.util.function.Supplier;
+import org.amaranthstream.decisions.DecisionKind;
+import org.amaranthstream.decisions.DecisionLog;
+import org.amaranthstream.decisions.DecisionRecord;
+import org.amaranthstream.dispatch.WorkRunner;
+import org.amaranthstream.ids.EntryVmId;
+import org.amaranthstream.ids.RequestId;
+import org.amaranthstream.time.TimerService;
+
+/** What the steps of one entry VM share. Used on the decision thread only. */
+record RolloutContext(
+    EntryVmId self,
+    TimerService timers,
+    WorkRunner runner,
+    DeliveryTokenCodec codec,
+    ClassSource classes,
+    Supplier<RequestId> requestIds,
+    DecisionLog decisionLog,
+    RolloutLimits limits,
+    RolloutCounters counters,
+    HeldText heldText) {
+
+  void record(RequestId request, DecisionKind kind, String choice, String reason) {
+    decisionLog.record(new DecisionRecord(request, kind, choice, reason, timers.nowNanos()));
+  }
+}
--- /dev/null
+++ b/amaranthstream/src/main/java/org/amaranthstream/rollout/RolloutService.java
@@ -0,0 +1,317 @@
+package org.amaranthstream.rollout;
+
+import com.google.common.collect.ImmutableList;
+import com.google.common.flogger.FluentLogger;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import org.amaranthstream.config.ClassKind;
+import org.amaranthstream.config.WorkClass;
+import org.amaranthstream.ids.EntryVmId;
+import org.amaranthstream.ids.StepId;
+import org.amaranthstream.ids.TrainerId;
+import org.amaranthstream.result.Result;
+import org.amaranthstream.result.ResultCode;
+import org.amaranthstream.ring.Duty;
+
+/**
+ * Accepts training steps and answers the pulls of trainers.
+ *
+ * <p>The methods may be called from any thread; consumers are called on the decision thread, each
+ * exactly once, except for {@code NOT_RUN_QUEUE_FULL}, which is given on the calling thread.
+ *
+ * <pre>{@code
+ * RolloutService rollout = RolloutService.builder()...build();
+ * rollout.submit(StepId.of(trainer, 7), spec, result -> reply(result));
+ * rollout.pull(request, result -> reply(result));
+ * }</pre>
+ */
+public final class RolloutService {
+  private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+  private static final Duration SWEEP_PERIOD = Duration.ofSeconds(30);
+
+  private final Duty duty;
+  private final RolloutContext context;
+  private final OwnerLink ownerLink;
+  private final GenerateAhead generateAhead;
+  private final ForeseenVersion foreseenVersion;
+  private final Map<TrainerId, TrainerSteps> trainers = new HashMap<>();
+  private boolean draining;
+
+  RolloutService(RolloutServiceBuilder builder) {
+    this.duty = builder.decisionDuty();
+    this.context = builder.context();
+    this.ownerLink = builder.peerLink();
+    this.generateAhead = builder.stepsAheadPolicy();
+    this.foreseenVersion = builder.versionForecast();
+    context.timers().every(SWEEP_PERIOD, this::dropUnused);
+  }
+
+  /** Returns a builder. */
+  public static RolloutServiceBuilder builder() {
+    return new RolloutServiceBuilder();
+  }
+
+  /** Accepts a step, here or at the entry VM that owns the trainer's steps. */
+  public void submit(StepId step, StepSpec spec, Consumer<Result<StepAccepted>> consumer) {
+    offer(() -> submitAnywhere(step, spec, consumer), consumer);
+  }
+
+  /** Accepts a step that a peer forwarded. */
+  public void submitForwarded(StepId step, StepSpec spec, Consumer<Result<StepAccepted>> consumer) {
+    offer(() -> consumer.accept(submitHere(step, spec)), consumer);
+  }
+
+  /** Answers a pull, here or at the entry VM that its token names. */
+  public void pull(PullRequest request, Consumer<Result<Page>> consumer) {
+    offer(() -> pullAnywhere(request, consumer, true), consumer);
+  }
+
+  /** Answers a pull that a peer forwarded. */
+  public void pullForwarded(PullRequest request, Consumer<Result<Page>> consumer) {
+    offer(() -> pullAnywhere(request, consumer, false), consumer);
+  }
+
+  /** Gives the state of all steps, on the decision thread. */
+  public void describe(Consumer<Result<RolloutDescription>> consumer) {
+    offer(() -> consumer.accept(Result.success(describeHere())), consumer);
+  }
+
+  /** Starts no further slot, refuses steps, and hands out what runs and what is ready. */
+  public void drain() {
+    offer(this::drainHere, ignored -> {});
+  }
+
+  /** Tells, on the decision thread, whether a drained service has nothing left to hand out. */
+  public void isIdle(Consumer<Result<Boolean>> consumer) {
+    offer(
+        () -> consumer.accept(Result.success(owners().stream().allMatch(StepOwner::isIdle))),
+        consumer);
+  }
+
+  /** Cancels all that runs and tells waiting trainers to pull elsewhere. */
+  public void stop() {
+    offer(
+        () -> {
+          draining = true;
+          owners().forEach(StepOwner::stop);
+        },
+        ignored -> {});
+  }
+
+  /** Returns the counts of events. */
+  public RolloutCounters counters() {
+    return context.counters();
+  }
+
+  private <T> void offer(Runnable task, Consumer<Result<T>> consumer) {
+    if (!duty.offer(task)) {
+      consumer.accept(
+          Result.failure(ResultCode.NOT_RUN_QUEUE_FULL, "the decision thread's ring is full"));
+    }
+  }
+
+  private void submitAnywhere(StepId step, StepSpec spec, Consumer<Result<StepAccepted>> consumer) {
+    Optional<EntryVmId> owner =
+        ownerLink.preferredOwner(step.trainer()).filter(this::isReachablePeer);
+    if (owner.isEmpty()) {
+      consumer.accept(submitHere(step, spec));
+      return;
+    }
+    ownerLink.submit(
+        owner.get(),
+        step,
+        spec,
+        result -> consumer.accept(isPeerFailure(result) ? submitHere(step, spec) : result));
+  }
+
+  private Result<StepAccepted> submitHere(StepId step, StepSpec spec) {
+    if (draining) {
+      return Result.failure(
+          ResultCode.NOT_RUN_SHUTTING_DOWN, "entry VM " + context.self() + " is shutting down");
+    }
+    Optional<WorkClass> workClass = context.classes().find(spec.workClass());
+    if (workClass.isEmpty()) {
+      return Result.failure(
+          ResultCode.UNKNOWN_CLASS, "class " + spec.workClass() + " is not configured");
+    }
+    if (workClass.get().kind() != ClassKind.TRAINING) {
+      return invalid("class " + spec.workClass() + " is not for training");
+    }
+    if (spec.maxTokens() > workClass.get().maxTokens()) {
+      return invalid(
+          String.format(
+              "maxTokens is %d, class %s allows %d",
+              spec.maxTokens(), spec.workClass(), workClass.get().maxTokens()));
+    }
+    return accept(step, spec, workClass.get());
+  }
+
+  private Result<StepAccepted> accept(StepId step, StepSpec spec, WorkClass workClass) {
+    TrainerSteps trainer = trainers.get(step.trainer());
+    if (trainer == null) {
+      if (trainers.size() >= context.limits().maxTrainers()) {
+        return overloaded("steps of " + trainers.size() + " trainers are open here");
+      }
+      trainer = new TrainerSteps(step.trainer(), context, generateAhead, foreseenVersion);
+      trainers.put(step.trainer(), trainer);
+    }
+    Optional<StepOwner> known = trainer.find(step.number());
+    if (known.isPresent() && known.get().digest().equals(spec.digest())) {
+      return Result.success(known.get().accepted());
+    }
+    trainer.drop(step.number());
+    if (!trainer.makeRoom()) {
+      return overloaded("too many steps of trainer " + step.trainer() + " are open here");
+    }
+    StepOwner owner = new StepOwner(step, spec, workClass, context, trainer::onPageSent);
+    trainer.add(owner);
+    context.counters().increment(RolloutEvent.STEP_ACCEPTED);
+    logger.atInfo().log("event=step_accepted step=%s slots=%d", step, spec.slots());
+    return Result.success(owner.accepted());
+  }
+
+  private void pullAnywhere(
+      PullRequest request, Consumer<Result<Page>> consumer, boolean mayForward) {
+    Result<DeliveryToken> decoded = check(request, context.codec().decode(request.token()));
+    if (decoded instanceof Result.Failure<DeliveryToken> failure) {
+      context.counters().increment(RolloutEvent.TOKEN_REFUSED);
+      logger.atWarning().atMostEvery(1, TimeUnit.SECONDS).log(
+          "event=token_refused step=%s reason=\"%s\"", request.step(), failure.error().message());
+      consumer.accept(Result.failure(failure.error()));
+      return;
+    }
+    DeliveryToken token = ((Result.Success<DeliveryToken>) decoded).value();
+    Optional<EntryVmId> owner = token.owner().filter(this::isReachablePeer);
+    if (mayForward && owner.isPresent()) {
+      forwardPull(owner.get(), request, token, consumer);
+    } else {
+      pullHere(request, token, consumer);
+    }
+  }
+
+  /** Refuses a token of another step, or of a page that the trainer cannot have yet. */
+  private static Result<DeliveryToken> check(PullRequest request, Result<DeliveryToken> decoded) {
+    if (!(decoded instanceof Result.Success<DeliveryToken> success)) {
+      return decoded;
+    }
+    DeliveryToken token = success.value();
+    if (!token.step().equals(request.step())) {
+      return Result.failure(
+          ResultCode.INVALID_TOKEN,
+          "the token is of step " + token.step() + ", the pull of step " + request.step());
+    }
+    if (token.pull() >= request.pull()) {
+      return Result.failure(
+          ResultCode.INVALID_TOKEN,
+          "the token is of pull " + token.pull() + ", this is pull " + request.pull());
+    }
+    return decoded;
+  }
+
+  private void forwardPull(
+      EntryVmId owner, PullRequest request, DeliveryToken token, Consumer<Result<Page>> consumer) {
+    context.counters().increment(RolloutEvent.PULL_FORWARDED);
+    ownerLink.pull(
+        owner,
+        request,
+        result -> {
+          if (isPeerFailure(result)) {
+            pullHere(request, token, consumer);
+          } else {
+            dropCopy(request.step());
+            consumer.accept(result);
+          }
+        });
+  }
+
+  /** Drops the own copy of a step that another entry VM generates. */
+  private void dropCopy(StepId step) {
+    TrainerSteps trainer = trainers.get(step.trainer());
+    if (trainer != null) {
+      trainer.drop(step.number());
+    }
+  }
+
+  private void pullHere(PullRequest request, DeliveryToken token, Consumer<Result<Page>> consumer) {
+    TrainerSteps trainer = trainers.get(request.step().trainer());
+    Optional<StepOwner> owner =
+        Optional.ofNullable(trainer)
+            .flatMap(steps -> steps.find(request.step().number()))
+            .filter(step -> step.digest().equals(token.specification()));
+    if (owner.isEmpty() || (draining && owner.get().isIdle())) {
+      consumer.accept(
+          Result.failure(
+              ResultCode.UNKNOWN_STEP,
+              "step " + request.step() + " of this token is not open here; submit it again"));
+      return;
+    }
+    trainer.onPull(owner.get(), request.trainerVersion());
+    owner.get().pull(request, token, consumer);
+  }
+
+  private boolean isReachablePeer(EntryVmId vm) {
+    return !vm.equals(context.self()) && ownerLink.isReachable(vm);
+  }
+
+  /** Returns true if another entry VM cannot do it and this one can try. */
+  private static boolean isPeerFailure(Result<?> result) {
+    if (!(result instanceof Result.Failure<?> failure)) {
+      return false;
+    }
+    return switch (failure.error().code()) {
+      case PEER_UNREACHABLE,
+          UNKNOWN_STEP,
+          NOT_RUN_QUEUE_FULL,
+          NOT_RUN_OVERLOADED,
+          NOT_RUN_SHUTTING_DOWN ->
+          true;
+      default -> false;
+    };
+  }
+
+  private void drainHere() {
+    draining = true;
+    owners().forEach(StepOwner::drain);
+  }
+
+  private void dropUnused() {
+    for (TrainerSteps trainer : trainers.values()) {
+      int dropped = trainer.dropUnused(context.limits().stepRetention());
+      for (int i = 0; i < dropped; i++) {
+        context.counters().increment(RolloutEvent.STEP_EXPIRED);
+      }
+    }
+    trainers.values().removeIf(TrainerSteps::isEmpty);
+  }
+
+  private RolloutDescription describeHere() {
+    return new RolloutDescription(
+        owners().stream().map(StepOwner::describe).collect(ImmutableList.toImmutableList()),
+        trainers.values().stream()
+            .map(TrainerSteps::describe)
+            .collect(ImmutableList.toImmutableList()),
+        context.heldText().chars(),
+        draining,
+        context.counters().snapshot());
+  }
+
+  private List<StepOwner> owners() {
+    List<StepOwner> owners = new ArrayList<>();
+    trainers.values().forEach(trainer -> owners.addAll(trainer.owners()));
+    return owners;
+  }
+
+  private static <T> Result<T> invalid(String message) {
+    return Result.failure(ResultCode.INVALID_REQUEST, message);
+  }
+
+  private static <T> Result<T> overloaded(String message) {
+    return Result.failure(ResultCode.NOT_RUN_OVERLOADED, message);
+  }
+}
--- /dev/null
+++ b/amaranthstream/src/main/java/org/amaranthstream/rollout/SlotAttempt.java
@@ -0,0 +1,55 @@
+package org.amaranthstream.rollout;
+
+import java.util.function.BiConsumer;
+import org.amaranthstream.dispatch.Chunk;
+import org.amaranthstream.dispatch.Outcome;
+import org.amaranthstream.dispatch.WorkListener;
+import org.amaranthstream.ids.RequestId;
+
+/** One try to generate a slot. Used on the decision thread only. */
+final class SlotAttempt implements WorkListener {
+  private final int slot;
+  private final RequestId request;
+  private final SampleCollector collector;
+  private final BiConsumer<SlotAttempt, Outcome> onOutcome;
+  private boolean abandoned;
+
+  SlotAttempt(int slot, int group, RequestId request, BiConsumer<SlotAttempt, Outcome> onOutcome) {
+    this.slot = slot;
+    this.request = request;
+    this.collector = new SampleCollector(slot, group);
+    this.onOutcome = onOutcome;
+  }
+
+  int slot() {
+    return slot;
+  }
+
+  RequestId request() {
+    return request;
+  }
+
+  SampleCollector collector() {
+    return collector;
+  }
+
+  /** Makes the attempt ignore all that still comes. */
+  void abandon() {
+    abandoned = true;
+  }
+
+  @Override
+  public void onChunk(Chunk chunk) {
+    if (!abandoned) {
+      collector.add(chunk);
+    }
+  }
+
+  @Override
+  public void onOutcome(Outcome outcome) {
+    if (!abandoned) {
+      abandoned = true;
+      onOutcome.accept(this, outcome);
+    }
+  }
+}
--- /dev/null
+++ b/amaranthstream/src/main/java/org/amaranthstream/rollout/SpecDigest.java
@@ -0,0 +1,29 @@
+package org.amaranthstream.rollout;
+
+import static com.google.common.base.Preconditions.checkArgument;
+import static com.google.common.base.Preconditions.checkNotNull;
+
+/**
+ * Digest of a step's specification.
+ *
+ * @param value 32 hexadecimal digits
+ */
+public record SpecDigest(String value) {
+  static final int LENGTH_CHARS = 32;
+
+  /** Creates a digest. */
+  public SpecDigest {
+    checkNotNull(value, "value");
+    checkArgument(value.length() == LENGTH_CHARS, "digest has %s characters", value.length());
+  }
+
+  /** Returns the digest with the given text. */
+  public static SpecDigest of(String value) {
+    return new SpecDigest(value);
+  }
+
+  @Override
+  public String toString() {
+    return value;
+  }
+}
--- /dev/null
+++ b/amaranthstream/src/main/java/org/amaranthstream/rollout/StepGenerator.java
@@ -0,0 +1,397 @@
+package org.amaranthstream.rollout;
+
+import com.google.common.collect.ImmutableList;
+import com.google.common.flogger.FluentLogger;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.BitSet;
+import java.util.List;
+import java.util.Optional;
+import org.amaranthstream.admission.Priority;
+import org.amaranthstream.config.WorkClass;
+import org.amaranthstream.decisions.DecisionKind;
+import org.amaranthstream.dispatch.Answer;
+import org.amaranthstream.dispatch.Outcome;
+import org.amaranthstream.dispatch.Payload;
+import org.amaranthstream.dispatch.Work;
+import org.amaranthstream.ids.AffinityKey;
+import org.amaranthstream.ids.RequestId;
+import org.amaranthstream.ids.StepId;
+import org.amaranthstream.ids.WeightVersion;
+import org.amaranthstream.result.ResultCode;
+import org.amaranthstream.time.Subscription;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * Generates the slots of one step that its trainer does not have yet.
+ *
+ * <p>Used on the decision thread only.
+ */
+final class StepGenerator {
+  private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+  private static final int LATE_GRACE_DIVISOR = 4;
+
+  private final StepId id;
+  private final StepSpec spec;
+  private final RolloutContext context;
+  private final Runnable onSlotChange;
+  private final ImmutableList<AffinityKey> affinities;
+  private final SlotWindow window;
+  private final SlotState[] states;
+  private final @Nullable Sample[] samples;
+  private final @Nullable SlotAttempt[] attempts;
+  private final RetryPacing pacing;
+  private final BitSet waiting = new BitSet();
+  private WorkClass workClass;
+  private Optional<WeightVersion> arrivalVersion = Optional.empty();
+  private Optional<Long> startedNanos = Optional.empty();
+  private Optional<Duration> generationTime = Optional.empty();
+  private @Nullable Subscription retryTimer;
+  private boolean allowed;
+  private boolean current;
+  private boolean stopped;
+  private boolean pumping;
+  private boolean lateReported;
+  private int running;
+  private int ready;
+
+  StepGenerator(
+      StepId id,
+      StepSpec spec,
+      WorkClass workClass,
+      RolloutContext context,
+      Runnable onSlotChange) {
+    this.id = id;
+    this.spec = spec;
+    this.workClass = workClass;
+    this.context = context;
+    this.onSlotChange = onSlotChange;
+    this.affinities =
+        spec.groups().stream().map(PromptGroup::affinity).collect(ImmutableList.toImmutableList());
+    this.window = new SlotWindow(context.limits().windowSlots());
+    this.states = new SlotState[spec.slots()];
+    this.samples = new Sample[spec.slots()];
+    this.attempts = new SlotAttempt[spec.slots()];
+    this.pacing = new RetryPacing(spec.slots(), context.timers().nowNanos());
+    Arrays.fill(states, SlotState.WAITING);
+    waiting.set(0, spec.slots());
+  }
+
+  /** Lets slots start, or keeps new ones from starting. */
+  void setAllowed(boolean allowed, boolean current) {
+    this.allowed = allowed;
+    this.current = current;
+    pump();
+  }
+
+  /** Tells which version the trainer is foreseen to have when it takes the samples. */
+  void setArrivalVersion(WeightVersion version) {
+    if (arrivalVersion.equals(Optional.of(version))) {
+      return;
+    }
+    arrivalVersion = Optional.of(version);
+    for (int slot = 0; slot < states.length; slot++) {
+      dropIfTooOldOnArrival(slot);
+    }
+    pump();
+  }
+
+  /** Takes over what the trainer has: neither generates it again nor keeps it. */
+  void acknowledge(SlotSet delivered) {
+    for (int slot = 0; slot < states.length; slot++) {
+      if (delivered.contains(slot)) {
+        release(slot, SlotState.DELIVERED);
+      } else if (states[slot] == SlotState.DELIVERED) {
+        release(slot, SlotState.WAITING);
+      }
+    }
+    pump();
+  }
+
+  /**
+   * Returns samples that were not acknowledged and are not too old for {@code trainerVersion},
+   * within the limits of a page. Samples that are too old are dropped and generated again.
+   */
+  ImmutableList<Sample> takeReady(WeightVersion trainerVersion, int max) {
+    List<Sample> taken = new ArrayList<>();
+    int chars = 0;
+    int maxSamples = Math.min(max, context.limits().maxPageSamples());
+    for (int slot = 0; slot < states.length && taken.size() < maxSamples; slot++) {
+      if (states[slot] != SlotState.READY) {
+        continue;
+      }
+      Sample sample = samples[slot];
+      if (Staleness.isTooOld(sample.oldestVersion(), trainerVersion, stalenessBound())) {
+        dropStale(slot, sample, trainerVersion);
+        continue;
+      }
+      chars += sample.text().length();
+      if (!taken.isEmpty() && chars > context.limits().maxPageChars()) {
+        break;
+      }
+      taken.add(sample);
+    }
+    pump();
+    return ImmutableList.copyOf(taken);
+  }
+
+  /** Cancels all that runs and gives all samples free. */
+  void stop() {
+    stopped = true;
+    cancelRetryTimer();
+    for (int slot = 0; slot < states.length; slot++) {
+      release(slot, SlotState.WAITING);
+    }
+  }
+
+  int running() {
+    return running;
+  }
+
+  int ready() {
+    return ready;
+  }
+
+  int waiting() {
+    return waiting.cardinality();
+  }
+
+  boolean isAllowed() {
+    return allowed;
+  }
+
+  /** Returns the time from the first start to the last whole sample, once there is one. */
+  Optional<Duration> generationTime() {
+    return generationTime;
+  }
+
+  WorkClass workClass() {
+    workClass = context.classes().find(spec.workClass()).orElse(workClass);
+    return workClass;
+  }
+
+  private int stalenessBound() {
+    return workClass().stalenessBound();
+  }
+
+  private void release(int slot, SlotState next) {
+    SlotState state = states[slot];
+    if (state == next) {
+      return;
+    }
+    if (state == SlotState.RUNNING) {
+      SlotAttempt attempt = attempts[slot];
+      attempts[slot] = null;
+      running--;
+      attempt.abandon();
+      context.runner().cancel(attempt.request());
+    }
+    if (state == SlotState.READY) {
+      context.heldText().remove(samples[slot]);
+      samples[slot] = null;
+      ready--;
+    }
+    states[slot] = next;
+    waiting.set(slot, next == SlotState.WAITING);
+  }
+
+  private void dropIfTooOldOnArrival(int slot) {
+    WeightVersion arrival = arrivalVersion.orElseThrow();
+    if (states[slot] == SlotState.READY) {
+      Sample sample = samples[slot];
+      if (Staleness.isTooOld(sample.oldestVersion(), arrival, stalenessBound())) {
+        dropStale(slot, sample, arrival);
+      }
+    } else if (states[slot] == SlotState.RUNNING) {
+      SlotAttempt attempt = attempts[slot];
+      Optional<WeightVersion> oldest = attempt.collector().oldestVersion();
+      if (oldest.isPresent() && Staleness.isTooOld(oldest.get(), arrival, stalenessBound())) {
+        cancelStale(slot, attempt, oldest.get(), arrival);
+      }
+    }
+  }
+
+  private void dropStale(int slot, Sample sample, WeightVersion trainerVersion) {
+    context.counters().increment(RolloutEvent.SAMPLE_DROPPED_STALE);
+    logger.atInfo().log(
+        "event=sample_dropped_stale step=%s slot=%d version=%s trainer_version=%s",
+        id, slot, sample.oldestVersion(), trainerVersion);
+    release(slot, SlotState.WAITING);
+  }
+
+  private void cancelStale(
+      int slot, SlotAttempt attempt, WeightVersion oldest, WeightVersion arrival) {
+    context.counters().increment(RolloutEvent.SAMPLE_CANCELLED_STALE);
+    context.record(
+        attempt.request(),
+        DecisionKind.CANCEL,
+        "REGENERATE",
+        String.format(
+            "slot %d of step %s began at version %s, the trainer will be at %s, bound %d",
+            slot, id, oldest, arrival, stalenessBound()));
+    release(slot, SlotState.WAITING);
+  }
+
+  private void pump() {
+    if (pumping) {
+      return;
+    }
+    pumping = true;
+    try {
+      while (mayStart()) {
+        int slot = pacing.nextStartable(waiting, context.timers().nowNanos());
+        if (slot < 0) {
+          break;
+        }
+        start(slot);
+      }
+    } finally {
+      pumping = false;
+    }
+    scheduleRetry();
+  }
+
+  private boolean mayStart() {
+    return allowed
+        && !stopped
+        && running < window.size()
+        && (current || !context.heldText().isFull());
+  }
+
+  private void start(int slot) {
+    RequestId request = context.requestIds().get();
+    int group = spec.groupOf(slot);
+    SlotAttempt attempt = new SlotAttempt(slot, group, request, this::onOutcome);
+    states[slot] = SlotState.RUNNING;
+    waiting.clear(slot);
+    attempts[slot] = attempt;
+    running++;
+    context.runner().submit(toWork(slot, group, request), attempt);
+  }
+
+  private Work toWork(int slot, int group, RequestId request) {
+    Work.Builder work =
+        Work.builder()
+            .id(request)
+            .workClass(spec.workClass())
+            .pool(workClass().pool())
+            .priority(Priority.TRAINING)
+            .affinity(affinities.get(group))
+            .payload(
+                new Payload.Generate(
+                    spec.groups().get(group).prompt(), spec.maxTokens(), spec.seedOf(slot)))
+            .deadlineNanos(deadlineNanos());
+    arrivalVersion.ifPresent(
+        version -> work.minimumVersion(Staleness.oldestAllowed(version, stalenessBound())));
+    return work.build();
+  }
+
+  private long deadlineNanos() {
+    long now = context.timers().nowNanos();
+    if (startedNanos.isEmpty()) {
+      startedNanos = Optional.of(now);
+    }
+    long allowance = workClass().stepDeadline().toNanos();
+    long grace = allowance / LATE_GRACE_DIVISOR;
+    long deadline = startedNanos.get() + allowance;
+    if (deadline - now >= grace) {
+      return deadline;
+    }
+    reportLate(now - deadline);
+    return now + grace;
+  }
+
+  private void reportLate(long overrunNanos) {
+    if (!lateReported && overrunNanos >= 0) {
+      lateReported = true;
+      context.counters().increment(RolloutEvent.STEP_LATE);
+      logger.atWarning().log(
+          "event=step_late step=%s overrun_ms=%d ready=%d running=%d waiting=%d",
+          id, Duration.ofNanos(overrunNanos).toMillis(), ready, running, waiting());
+    }
+  }
+
+  private void onOutcome(SlotAttempt attempt, Outcome outcome) {
+    int slot = attempt.slot();
+    attempts[slot] = null;
+    running--;
+    if (outcome instanceof Outcome.Completed completed) {
+      onCompleted(attempt, completed.answer());
+    } else if (outcome instanceof Outcome.NotRun notRun) {
+      onNotRun(slot, notRun);
+    } else {
+      context.counters().increment(RolloutEvent.SLOT_LOST);
+      retryLater(slot, pacing.backoff(slot));
+    }
+    onSlotChange.run();
+    pump();
+  }
+
+  private void onCompleted(SlotAttempt attempt, Answer answer) {
+    int slot = attempt.slot();
+    Optional<Sample> sample = attempt.collector().toSample(answer.tokens());
+    if (sample.isEmpty()) {
+      context.counters().increment(RolloutEvent.SAMPLE_DROPPED_INVALID);
+      context.record(
+          attempt.request(),
+          DecisionKind.DROP,
+          "REGENERATE",
+          "the stream from " + answer.server() + " names no weight version or has a gap");
+      retryLater(slot, pacing.backoff(slot));
+      return;
+    }
+    states[slot] = SlotState.READY;
+    samples[slot] = sample.get();
+    pacing.onWhole(slot);
+    ready++;
+    context.heldText().add(sample.get());
+    window.onWhole();
+    noteWhole();
+    if (arrivalVersion.isPresent()) {
+      dropIfTooOldOnArrival(slot);
+    }
+  }
+
+  private void noteWhole() {
+    if (running == 0 && waiting.isEmpty() && generationTime.isEmpty()) {
+      long elapsed = context.timers().nowNanos() - startedNanos.orElseThrow();
+      generationTime = Optional.of(Duration.ofNanos(elapsed));
+    }
+  }
+
+  private void onNotRun(int slot, Outcome.NotRun notRun) {
+    context.counters().increment(RolloutEvent.SLOT_NOT_RUN);
+    ResultCode code = notRun.error().code();
+    if (code == ResultCode.NOT_RUN_OVERLOADED || code == ResultCode.NOT_RUN_QUEUE_FULL) {
+      window.onOverload();
+    }
+    Duration delay = notRun.retryAfter().orElse(pacing.backoff(slot));
+    retryLater(slot, delay);
+    if (code != ResultCode.NOT_RUN_QUARANTINED) {
+      pacing.pauseStep(delay, context.timers().nowNanos());
+    }
+  }
+
+  private void retryLater(int slot, Duration delay) {
+    pacing.delaySlot(slot, delay, context.timers().nowNanos());
+    states[slot] = SlotState.WAITING;
+    waiting.set(slot);
+  }
+
+  private void scheduleRetry() {
+    cancelRetryTimer();
+    if (!mayStart() || waiting.isEmpty()) {
+      return;
+    }
+    Duration delay = pacing.untilNext(waiting, context.timers().nowNanos());
+    retryTimer = context.timers().after(delay, this::pump);
+  }
+
+  private void cancelRetryTimer() {
+    if (retryTimer != null) {
+      retryTimer.cancel();
+      retryTimer = null;
+    }
+  }
+}
--- /dev/null
+++ b/amaranthstream/src/main/java/org/amaranthstream/rollout/StepOwner.java
@@ -0,0 +1,231 @@
+package org.amaranthstream.rollout;
+
+import com.google.common.collect.ImmutableList;
+import com.google.common.flogger.FluentLogger;
+import java.time.Duration;
+import java.util.Optional;
+import java.util.function.Consumer;
+import org.amaranthstream.config.WorkClass;
+import org.amaranthstream.ids.EntryVmId;
+import org.amaranthstream.ids.StepId;
+import org.amaranthstream.result.Result;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * Owner of one step: generates its slots and answers the pulls of its trainer.
+ *
+ * <p>It keeps a sample until a token shows that the trainer has it. Two owners of one step do no
+ * harm, since each sends only slots that the token of the pull does not have. Used on the decision
+ * thread only.
+ */
+final class StepOwner {
+  private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+
+  private final StepId id;
+  private final StepSpec spec;
+  private final SpecDigest digest;
+  private final RolloutContext context;
+  private final Consumer<StepOwner> onPageSent;
+  private final StepGenerator generator;
+  private @Nullable PendingPull pending;
+  private long lastUsedNanos;
+  private long lastPull;
+  private SlotSet sent;
+  private SlotSet kept;
+  private boolean draining;
+
+  StepOwner(
+      StepId id,
+      StepSpec spec,
+      WorkClass workClass,
+      RolloutContext context,
+      Consumer<StepOwner> onPageSent) {
+    this.id = id;
+    this.spec = spec;
+    this.digest = spec.digest();
+    this.context = context;
+    this.onPageSent = onPageSent;
+    this.sent = SlotSet.empty(spec.slots());
+    this.kept = sent;
+    this.generator = new StepGenerator(id, spec, workClass, context, this::onSlotChange);
+    touch();
+  }
+
+  StepId id() {
+    return id;
+  }
+
+  SpecDigest digest() {
+    return digest;
+  }
+
+  StepGenerator generator() {
+    return generator;
+  }
+
+  /** Returns the answer to the step's submission. */
+  StepAccepted accepted() {
+    touch();
+    DeliveryToken token = DeliveryToken.initial(id, spec, context.self());
+    return new StepAccepted(spec.slots(), context.codec().encode(token));
+  }
+
+  /** Answers a pull, at once or when the first sample is ready. */
+  void pull(PullRequest request, DeliveryToken token, Consumer<Result<Page>> consumer) {
+    touch();
+    supersedePending();
+    lastPull = request.pull();
+    kept = token.delivered();
+    generator.acknowledge(token.delivered());
+    ImmutableList<Sample> samples = take(request);
+    if (!samples.isEmpty() || isComplete(token) || request.maxWait().isZero() || isDrained()) {
+      answer(request, token, consumer, samples);
+      return;
+    }
+    pending =
+        new PendingPull(
+            request,
+            token,
+            consumer,
+            context.timers().after(request.maxWait(), this::answerPendingEmpty));
+  }
+
+  /** Lets slots start, or keeps new ones from starting. */
+  void setAllowed(boolean allowed, boolean current) {
+    generator.setAllowed(allowed && !draining, current);
+  }
+
+  /** Starts no further slot; pulls still get what runs and what is ready. */
+  void drain() {
+    draining = true;
+    generator.setAllowed(false, true);
+    if (isDrained()) {
+      answerPendingEmpty();
+    }
+  }
+
+  /** Cancels all that runs and answers a waiting pull. */
+  void stop() {
+    draining = true;
+    answerPendingEmpty();
+    generator.stop();
+  }
+
+  /** Returns true if nothing runs, nothing is ready and no pull waits. */
+  boolean isIdle() {
+    return generator.running() == 0 && generator.ready() == 0 && pending == null;
+  }
+
+  /** Returns true if every slot was put on a page or is known to be kept. */
+  boolean isWhollySent() {
+    for (int slot = 0; slot < spec.slots(); slot++) {
+      if (!sent.contains(slot) && !kept.contains(slot)) {
+        return false;
+      }
+    }
+    return true;
+  }
+
+  boolean isUnusedFor(Duration time) {
+    return pending == null && context.timers().nowNanos() - lastUsedNanos >= time.toNanos();
+  }
+
+  StepDescription describe() {
+    return new StepDescription(
+        id.toString(),
+        spec.workClass().value(),
+        spec.slots(),
+        kept.size(),
+        generator.ready(),
+        generator.running(),
+        generator.waiting(),
+        lastPull,
+        pending != null,
+        generator.isAllowed());
+  }
+
+  private boolean isDrained() {
+    return draining && generator.running() == 0;
+  }
+
+  private static boolean isComplete(DeliveryToken token) {
+    return token.delivered().size() == token.delivered().slots();
+  }
+
+  private void onSlotChange() {
+    if (pending == null) {
+      return;
+    }
+    ImmutableList<Sample> samples = take(pending.request());
+    if (!samples.isEmpty() || isDrained()) {
+      answerPending(samples);
+    }
+  }
+
+  private void answerPendingEmpty() {
+    answerPending(ImmutableList.of());
+  }
+
+  private void answerPending(ImmutableList<Sample> samples) {
+    PendingPull pull = pending;
+    if (pull == null) {
+      return;
+    }
+    pending = null;
+    pull.timeout().cancel();
+    touch();
+    answer(pull.request(), pull.token(), pull.consumer(), samples);
+  }
+
+  private void supersedePending() {
+    if (pending != null) {
+      context.counters().increment(RolloutEvent.PULL_SUPERSEDED);
+      answerPendingEmpty();
+    }
+  }
+
+  private ImmutableList<Sample> take(PullRequest request) {
+    return generator.takeReady(request.trainerVersion(), request.max());
+  }
+
+  private void answer(
+      PullRequest request,
+      DeliveryToken token,
+      Consumer<Result<Page>> consumer,
+      ImmutableList<Sample> samples) {
+    ImmutableList<Integer> slots =
+        samples.stream().map(Sample::slot).collect(ImmutableList.toImmutableList());
+    DeliveryToken next = token.next(request.pull(), ownerHint(slots.size()), slots);
+    int remaining = spec.slots() - next.delivered().size();
+    count(slots);
+    onPageSent.accept(this);
+    logger.atFine().log(
+        "event=page_sent step=%s pull=%d samples=%d remaining=%d",
+        id, request.pull(), slots.size(), remaining);
+    consumer.accept(
+        Result.success(
+            new Page(
+                request.pull(), context.codec().encode(next), samples, remaining, remaining == 0)));
+  }
+
+  private void count(ImmutableList<Integer> slots) {
+    context.counters().increment(RolloutEvent.PAGE_SENT);
+    for (int slot : slots) {
+      context
+          .counters()
+          .increment(
+              sent.contains(slot) ? RolloutEvent.SAMPLE_SENT_AGAIN : RolloutEvent.SAMPLE_SENT);
+    }
+    sent = sent.with(slots);
+  }
+
+  /** Returns this entry VM, or empty if it has nothing left to give after a page. */
+  private Optional<EntryVmId> ownerHint(int pageSamples) {
+    boolean exhausted = isDrained() && generator.ready() <= pageSamples;
+    return exhausted ? Optional.empty() : Optional.of(context.self());
+  }
+
+  private void touch() {
+    lastUsedNanos = context.timers().nowNanos();
+  }
+}
--- /dev/null
+++ b/amaranthstream/src/test/java/org/amaranthstream/rollout/DeliveryWorld.java
@@ -0,0 +1,232 @@
+package org.amaranthstream.rollout;
+
+import static com.google.common.truth.Truth.assertThat;
+import static com.google.common.truth.Truth.assertWithMessage;
+
+import com.google.common.collect.ImmutableList;
+import java.time.Duration;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.Optional;
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.function.Consumer;
+import java.util.stream.IntStream;
+import org.amaranthstream.config.ClassKind;
+import org.amaranthstream.config.TargetWeight;
+import org.amaranthstream.config.WorkClass;
+import org.amaranthstream.ids.EntryVmId;
+import org.amaranthstream.ids.Incarnation;
+import org.amaranthstream.ids.PoolId;
+import org.amaranthstream.ids.RequestId;
+import org.amaranthstream.ids.StepId;
+import org.amaranthstream.ids.TrainerId;
+import org.amaranthstream.ids.WorkClassId;
+import org.amaranthstream.result.Result;
+import org.amaranthstream.result.ResultCode;
+import org.amaranthstream.time.VirtualTimerService;
+
+/** Two entry VMs, their engines and a trainer, in virtual time. */
+final class DeliveryWorld {
+  static final int VMS = 2;
+  static final int STALENESS_BOUND = 2;
+  private static final int MAX_LATE_PAGES = 4;
+  private static final int MAX_FINAL_ROUNDS = 200;
+  private static final StepId STEP = StepId.of(TrainerId.of("coder"), 3);
+  private static final StepSpec SPEC =
+      new StepSpec(
+          WorkClassId.of("coding"),
+          ImmutableList.of(PromptGroup.of("steel bolts"), PromptGroup.of("copper wire")),
+          3,
+          8,
+          11);
+  private static final WorkClass WORK_CLASS =
+      new WorkClass(
+          SPEC.workClass(),
+          ClassKind.TRAINING,
+          PoolId.of("coders"),
+          Duration.ofSeconds(1),
+          Duration.ofMinutes(7),
+          STALENESS_BOUND,
+          TargetWeight.IDLE_TIME,
+          true,
+          64);
+
+  final VirtualTimerService timers = VirtualTimerService.create();
+  final FakeTrainer trainer = new FakeTrainer(STEP, SPEC, STALENESS_BOUND);
+  private final FakeEngines[] engines = new FakeEngines[VMS];
+  private final RolloutService[] services = new RolloutService[VMS];
+  private final AtomicLong sequence = new AtomicLong();
+  private final Deque<Page> pages = new ArrayDeque<>();
+  private final Deque<Page> latePages = new ArrayDeque<>();
+  private boolean linked = true;
+  private int trainerProcess;
+
+  DeliveryWorld() {
+    for (int vm = 0; vm < VMS; vm++) {
+      start(vm);
+    }
+    submit(0);
+  }
+
+  private static EntryVmId vmId(int vm) {
+    return EntryVmId.of("vm-" + vm);
+  }
+
+  private void start(int vm) {
+    engines[vm] = new FakeEngines();
+    engines[vm].setVersion(trainer.version());
+    services[vm] =
+        RolloutService.builder()
+            .self(vmId(vm))
+            .duty(
+                task -> {
+                  task.run();
+                  return true;
+                })
+            .timers(timers)
+            .runner(engines[vm])
+            .codec(TestTokens.codec("k1"))
+            .classes(id -> Optional.of(WORK_CLASS).filter(c -> c.id().equals(id)))
+            .requestIds(this::mint)
+            .ownerLink(new Link())
+            .limits(new RolloutLimits(4, 3, 1_000, 2, 2, 1_000, Duration.ofHours(1)))
+            .build();
+  }
+
+  private RequestId mint() {
+    return RequestId.of(vmId(0), Incarnation.of("i"), sequence.getAndIncrement());
+  }
+
+  FakeEngines engines(int vm) {
+    return engines[vm];
+  }
+
+  RolloutService service(int vm) {
+    return services[vm];
+  }
+
+  void submit(int vm) {
+    services[vm].submit(
+        STEP, SPEC, result -> trainer.onAccepted(((Result.Success<StepAccepted>) result).value()));
+  }
+
+  /** Sends the trainer's next pull; its answer waits in the network. */
+  void pull(int vm, int max) {
+    keepLate();
+    PullRequest request = trainer.nextPull(max, Duration.ofSeconds(1));
+    int process = trainerProcess;
+    services[vm].pull(
+        request,
+        result -> {
+          if (process == trainerProcess) {
+            onAnswer(vm, result);
+          }
+        });
+  }
+
+  void pullWithToken(int vm, String token, Consumer<Result<Page>> consumer) {
+    PullRequest own = trainer.nextPull(3, Duration.ZERO);
+    PullRequest request =
+        new PullRequest(STEP, token, own.pull(), own.trainerVersion(), 3, Duration.ZERO);
+    services[vm].pull(request, consumer);
+  }
+
+  private void onAnswer(int vm, Result<Page> result) {
+    if (result instanceof Result.Success<Page> page) {
+      pages.add(page.value());
+      return;
+    }
+    ResultCode code = ((Result.Failure<Page>) result).error().code();
+    assertThat(code).isEqualTo(ResultCode.UNKNOWN_STEP);
+    submit(vm);
+  }
+
+  /** Lets the answer of the newest pull arrive. */
+  void deliverPage() {
+    if (!pages.isEmpty()) {
+      trainer.onPage(pages.removeLast());
+    }
+  }
+
+  /** Lets an answer of an earlier pull arrive. */
+  void deliverLatePage() {
+    if (!latePages.isEmpty()) {
+      trainer.onPage(latePages.removeFirst());
+    }
+  }
+
+  /** Lets the trainer give up waiting for the answers that are still in the network. */
+  void keepLate() {
+    latePages.addAll(pages);
+    pages.clear();
+    while (latePages.size() > MAX_LATE_PAGES) {
+      latePages.removeFirst();
+    }
+  }
+
+  void crash(int vm) {
+    start(vm);
+  }
+
+  void setLinked(boolean linked) {
+    this.linked = linked;
+  }
+
+  /** Restarts the trainer from its checkpoint; its connections end with its process. */
+  void restartTrainer() {
+    trainerProcess++;
+    pages.clear();
+    latePages.clear();
+    trainer.restartFromCheckpoint();
+  }
+
+  void newVersion() {
+    trainer.train();
+    engines[0].setVersion(trainer.version());
+  }
+
+  /** Lets everything work until the trainer is done, and checks that it has each slot. */
+  void finish() {
+    setLinked(true);
+    for (int round = 0; round < MAX_FINAL_ROUNDS && !trainer.isDone(); round++) {
+      pull(round % VMS, 3);
+      for (FakeEngines each : engines) {
+        each.setRefusing(false);
+        each.setVersion(trainer.version());
+        each.finishAll();
+      }
+      timers.advance(Duration.ofSeconds(2));
+      deliverPage();
+    }
+    assertWithMessage("slots kept")
+        .that(trainer.keptSlots())
+        .isEqualTo(IntStream.range(0, SPEC.slots()).boxed().toList());
+  }
+
+  private final class Link implements OwnerLink {
+    @Override
+    public boolean isReachable(EntryVmId vm) {
+      return linked;
+    }
+
+    @Override
+    public Optional<EntryVmId> preferredOwner(TrainerId trainer) {
+      return Optional.empty();
+    }
+
+    @Override
+    public void submit(
+        EntryVmId vm, StepId step, StepSpec spec, Consumer<Result<StepAccepted>> consumer) {
+      serviceOf(vm).submitForwarded(step, spec, consumer);
+    }
+
+    @Override
+    public void pull(EntryVmId vm, PullRequest request, Consumer<Result<Page>> consumer) {
+      serviceOf(vm).pullForwarded(request, consumer);
+    }
+
+    private RolloutService serviceOf(EntryVmId vm) {
+      return services[vm.equals(vmId(0)) ? 0 : 1];
+    }
+  }
+}
