Add peer links: handshake, heartbeats, queries and forwarding

Netty connections with length-prefixed protobuf frames, bounded in frames and bytes; shared key or mutual TLS. Not sent and unknown stay different outcomes.

--- /dev/null
+++ b/amaranthstream/src/main/java/org/amaranthstream/peer/LinkByteCounters.java
@@ -0,0 +1,38 @@
+package org.amaranthstream.peer;
+
+import java.util.EnumMap;
+import java.util.Map;
+import java.util.concurrent.atomic.LongAdder;
+import org.amaranthstream.placement.Locality;
+
+/** Counters behind {@link LinkBytes}. Thread safe. */
+final class LinkByteCounters implements LinkBytes {
+  private final Map<Locality, LongAdder> sent = counters();
+  private final Map<Locality, LongAdder> received = counters();
+
+  private static Map<Locality, LongAdder> counters() {
+    Map<Locality, LongAdder> counters = new EnumMap<>(Locality.class);
+    for (Locality locality : Locality.values()) {
+      counters.put(locality, new LongAdder());
+    }
+    return counters;
+  }
+
+  void addSent(Locality locality, long bytes) {
+    sent.get(locality).add(bytes);
+  }
+
+  void addReceived(Locality locality, long bytes) {
+    received.get(locality).add(bytes);
+  }
+
+  @Override
+  public long sent(Locality locality) {
+    return sent.get(locality).sum();
+  }
+
+  @Override
+  public long received(Locality locality) {
+    return received.get(locality).sum();
+  }
+}
--- /dev/null
+++ b/amaranthstream/src/main/java/org/amaranthstream/peer/PeerNode.java
@@ -0,0 +1,328 @@
+package org.amaranthstream.peer;
+
+import static com.google.common.base.Preconditions.checkNotNull;
+
+import com.google.common.flogger.FluentLogger;
+import com.google.errorprone.annotations.CanIgnoreReturnValue;
+import java.time.Duration;
+import org.amaranthstream.dispatch.WorkRunner;
+import org.amaranthstream.dispatch.ZoneForwarder;
+import org.amaranthstream.membership.LocalVm;
+import org.amaranthstream.membership.MembershipTable;
+import org.amaranthstream.peer.wire.Frame;
+import org.amaranthstream.peer.wire.Ping;
+import org.amaranthstream.peer.wire.Pong;
+import org.amaranthstream.result.Result;
+import org.amaranthstream.ring.Duty;
+import org.amaranthstream.time.Subscription;
+import org.amaranthstream.time.TimerService;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * This process's part in the mesh of entry VMs: links, heartbeats, queries and forwarding. It also
+ * drives the timeouts of the membership table.
+ *
+ * <p>Created, started and stopped on one thread; {@link #queries} is thread safe; the forwarder and
+ * the snapshot are for the decision thread.
+ *
+ * <pre>{@code
+ * PeerNode node =
+ *     PeerNode.builder()
+ *         .self(self)
+ *         .settings(settings)
+ *         .table(table)
+ *         .timers(timers)
+ *         .decisions(decisionDuty)
+ *         .source(source)
+ *         .sink(sink)
+ *         .build();
+ * Dispatcher dispatcher = ... node.forwarder() ...;
+ * Result<Integer> port = node.start(dispatcher);
+ * }</pre>
+ */
+public final class PeerNode implements AutoCloseable {
+  private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+  private static final Duration TICK = Duration.ofMillis(250);
+
+  private final PeerSettings settings;
+  private final MembershipTable table;
+  private final TimerService timers;
+  private final Duty decisions;
+  private final LinkByteCounters counters = new LinkByteCounters();
+  private final OutboundBudget budget;
+  private final QueryHandlers handlers = new QueryHandlers();
+  private final LocalVm self;
+  private final Heartbeats heartbeats;
+  private final InboundLinks inbound;
+  private final PeerLinks links;
+  private final PeerQueries queries;
+  private final PeerForwarder forwarder;
+  private final QueryServer queryServer;
+  private final LateConnector connector = new LateConnector();
+  private @Nullable ForwardServer forwardServer;
+  private @Nullable PeerTransport transport;
+  private @Nullable Subscription tick;
+  private @Nullable Subscription beat;
+
+  private PeerNode(Builder builder) {
+    this.self = checkNotNull(builder.self, "self");
+    this.settings = checkNotNull(builder.settings, "settings");
+    this.table = checkNotNull(builder.table, "table");
+    this.timers = checkNotNull(builder.timers, "timers");
+    this.decisions = checkNotNull(builder.decisions, "decisions");
+    this.budget = new OutboundBudget(settings.maxTotalBytes());
+    HeartbeatSource source = checkNotNull(builder.source, "source");
+    HeartbeatSink sink = checkNotNull(builder.sink, "sink");
+    this.heartbeats = new Heartbeats(self, table, source, sink, timers);
+    this.inbound = new InboundLinks(settings, timers, decisions, new InboundFrames());
+    this.links = new PeerLinks(table, connector, settings, timers, decisions, new OutboundFrames());
+    this.queries = new PeerQueries(self, links, handlers, settings, timers, decisions);
+    this.queryServer = new QueryServer(handlers, decisions);
+    this.forwarder = new PeerForwarder(table, links, timers);
+  }
+
+  /** Returns a builder. */
+  public static Builder builder() {
+    return new Builder();
+  }
+
+  /**
+   * Starts to listen, to connect and to send heartbeats.
+   *
+   * @param runner runs the work that peers forward
+   * @return the port that is listened on, or why it cannot be
+   */
+  public Result<Integer> start(WorkRunner runner) {
+    Result<PeerTls> tls = PeerTls.of(settings.credentials());
+    if (tls instanceof Result.Failure<PeerTls> failure) {
+      return Result.failure(failure.error());
+    }
+    forwardServer = new ForwardServer(table, runner, timers);
+    transport = newTransport(((Result.Success<PeerTls>) tls).value());
+    connector.set(transport);
+    Result<Integer> port = transport.listen(inbound::newEvents);
+    if (port instanceof Result.Failure) {
+      transport.close();
+      return port;
+    }
+    tick = timers.every(TICK, this::onTick);
+    beat = timers.every(settings.heartbeatPeriod(), () -> heartbeats.send(links, inbound));
+    return port;
+  }
+
+  private PeerTransport newTransport(PeerTls tls) {
+    Authenticator authenticator =
+        settings.credentials() instanceof PeerCredentials.SharedKey key
+            ? new SharedKeyAuthenticator(key)
+            : new TlsAuthenticator();
+    Handshake handshake = new Handshake(self, authenticator, settings, budget, counters);
+    return new PeerTransport(handshake, tls, timers);
+  }
+
+  private void onTick() {
+    table.tick(timers.nowNanos());
+    links.tick();
+    inbound.tick();
+    queries.tick();
+    forwarder.tick();
+    if (transport != null) {
+      transport.tick();
+    }
+  }
+
+  /** Returns the questions to and from other entry VMs. */
+  public PeerQuery queries() {
+    return queries;
+  }
+
+  /** Returns what forwards work to other availability zones. */
+  public ZoneForwarder forwarder() {
+    return forwarder;
+  }
+
+  /** Returns the byte counters of the links. */
+  public LinkBytes bytes() {
+    return counters;
+  }
+
+  /** Returns the state of all links; called on the decision thread. */
+  public PeerSnapshot snapshot() {
+    return new PeerSnapshot(
+        links.views(),
+        inbound.views(),
+        queries.openCount(),
+        forwarder.openCount(),
+        budget.waitingBytes());
+  }
+
+  /** Sends a heartbeat at once, so that peers learn of a change of phase; decision thread. */
+  public void announce() {
+    heartbeats.send(links, inbound);
+  }
+
+  /** Stops timers and closes all links; called on the decision thread. */
+  @Override
+  public void close() {
+    if (tick != null) {
+      tick.cancel();
+    }
+    if (beat != null) {
+      beat.cancel();
+    }
+    links.close();
+    inbound.close();
+    if (transport != null) {
+      transport.close();
+    }
+  }
+
+  /** Takes what comes on links that this process opened. */
+  private final class OutboundFrames implements LinkObserver {
+    @Override
+    public void onLinkReady(PeerLink link) {
+      queries.onLinkReady(link);
+      SendResult unused = link.send(Frame.newBuilder().setPing(Ping.getDefaultInstance()).build());
+    }
+
+    @Override
+    public void onLinkFrame(PeerLink link, Frame frame) {
+      switch (frame.getBodyCase()) {
+        case PONG ->
+            table.onLinkAnswer(
+                link.target(),
+                HeartbeatCodec.decodePhase(frame.getPong().getPhase()),
+                timers.nowNanos());
+        case QUERY_REPLY -> queries.onReply(link, frame.getQueryReply());
+        case FORWARD_CHUNK -> forwarder.onChunk(link, frame.getForwardChunk());
+        case FORWARD_OUTCOME -> forwarder.onOutcome(link, frame.getForwardOutcome());
+        default ->
+            logger.atWarning().log(
+                "event=peer_frame_unexpected vm=%s kind=%s", link.target(), frame.getBodyCase());
+      }
+    }
+
+    @Override
+    public void onLinkLost(PeerLink link, String reason) {
+      queries.onLinkLost(link, reason);
+      forwarder.onLinkLost(link, reason);
+    }
+  }
+
+  /** Takes what comes on connections that other entry VMs opened. */
+  private final class InboundFrames implements InboundObserver {
+    @Override
+    public void onInboundFrame(InboundLink link, Frame frame) {
+      ForwardServer forwards = checkNotNull(forwardServer, "not started");
+      switch (frame.getBodyCase()) {
+        case PING -> pong(link, frame.getPing().getSequence());
+        case HEARTBEAT -> onHeartbeat(link, frame);
+        case QUERY -> queryServer.onQuery(link, frame.getQuery());
+        case FORWARD -> forwards.onForward(link, frame.getForward());
+        case FORWARD_CANCEL -> forwards.onCancel(link, frame.getForwardCancel().getId());
+        default -> {
+          logger.atWarning().log(
+              "event=peer_frame_unexpected vm=%s kind=%s", link.peer().id(), frame.getBodyCase());
+          link.close();
+        }
+      }
+    }
+
+    private void onHeartbeat(InboundLink link, Frame frame) {
+      try {
+        heartbeats.receive(link.peer(), frame.getHeartbeat());
+      } catch (IllegalArgumentException e) {
+        logger.atWarning().log(
+            "event=heartbeat_invalid vm=%s reason=\"%s\"", link.peer().id(), e.getMessage());
+        link.close();
+        return;
+      }
+      pong(link, frame.getHeartbeat().getSequence());
+    }
+
+    private void pong(InboundLink link, long sequence) {
+      Pong pong =
+          Pong.newBuilder()
+              .setSequence(sequence)
+              .setPhase(HeartbeatCodec.encodePhase(table.phase()))
+              .build();
+      // A full link drops the answer; a peer that reads nothing replaces the connection.
+      SendResult unused = link.send(Frame.newBuilder().setPong(pong).build());
+    }
+
+    @Override
+    public void onInboundClosed(InboundLink link) {
+      checkNotNull(forwardServer, "not started").onLinkClosed(link);
+    }
+  }
+
+  /** Builder of {@link PeerNode}; every part is mandatory. */
+  public static final class Builder {
+    private @Nullable LocalVm self;
+    private @Nullable PeerSettings settings;
+    private @Nullable MembershipTable table;
+    private @Nullable TimerService timers;
+    private @Nullable Duty decisions;
+    private @Nullable HeartbeatSource source;
+    private @Nullable HeartbeatSink sink;
+
+    private Builder() {}
+
+    /** Sets the own entry VM. */
+    @CanIgnoreReturnValue
+    public Builder self(LocalVm self) {
+      this.self = self;
+      return this;
+    }
+
+    /** Sets addresses, credentials, timeouts and bounds. */
+    @CanIgnoreReturnValue
+    public Builder settings(PeerSettings settings) {
+      this.settings = settings;
+      return this;
+    }
+
+    /** Sets the membership table, which the node drives from now on. */
+    @CanIgnoreReturnValue
+    public Builder table(MembershipTable table) {
+      this.table = table;
+      return this;
+    }
+
+    /** Sets the timers, whose tasks run on the decision thread. */
+    @CanIgnoreReturnValue
+    public Builder timers(TimerService timers) {
+      this.timers = timers;
+      return this;
+    }
+
+    /** Sets the decision thread. */
+    @CanIgnoreReturnValue
+    public Builder decisions(Duty decisions) {
+      this.decisions = decisions;
+      return this;
+    }
+
+    /** Sets what peers are told besides membership. */
+    @CanIgnoreReturnValue
+    public Builder source(HeartbeatSource source) {
+      this.source = source;
+      return this;
+    }
+
+    /** Sets who hears what peers tell besides membership. */
+    @CanIgnoreReturnValue
+    public Builder sink(HeartbeatSink sink) {
+      this.sink = sink;
+      return this;
+    }
+
+    /**
+     * Returns the node, not started.
+     *
+     * @throws NullPointerException if a part was not set
+     */
+    public PeerNode build() {
+      return new PeerNode(this);
+    }
+  }
+}
--- /dev/null
+++ b/amaranthstream/src/main/java/org/amaranthstream/peer/PeerQueries.java
@@ -0,0 +1,214 @@
+package org.amaranthstream.peer;
+
+import com.google.protobuf.ByteString;
+import java.time.Duration;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.function.Predicate;
+import org.amaranthstream.ids.EntryVmId;
+import org.amaranthstream.membership.LocalVm;
+import org.amaranthstream.peer.wire.Frame;
+import org.amaranthstream.peer.wire.Query;
+import org.amaranthstream.peer.wire.QueryReply;
+import org.amaranthstream.result.Result;
+import org.amaranthstream.result.ResultCode;
+import org.amaranthstream.ring.Duty;
+import org.amaranthstream.time.TimerService;
+
+/**
+ * The asking side of queries. A query waits a short time for its link to connect; once it is handed
+ * over, a lost link or a timeout makes its outcome unknown.
+ *
+ * <p>{@link #query} and {@link #register} are thread safe, the rest is for the decision thread.
+ */
+final class PeerQueries implements PeerQuery {
+  private static final int MAX_OPEN = 4096;
+
+  private final LocalVm self;
+  private final PeerLinks links;
+  private final QueryHandlers handlers;
+  private final PeerSettings settings;
+  private final TimerService timers;
+  private final Duty decisions;
+  private final Map<Long, OpenQuery> open = new HashMap<>();
+  private long nextId = 1;
+
+  PeerQueries(
+      LocalVm self,
+      PeerLinks links,
+      QueryHandlers handlers,
+      PeerSettings settings,
+      TimerService timers,
+      Duty decisions) {
+    this.self = self;
+    this.links = links;
+    this.handlers = handlers;
+    this.settings = settings;
+    this.timers = timers;
+    this.decisions = decisions;
+  }
+
+  @Override
+  public void register(QueryKind kind, QueryHandler handler) {
+    handlers.register(kind, handler);
+  }
+
+  @Override
+  public CompletableFuture<Result<byte[]>> query(
+      EntryVmId to, QueryKind kind, byte[] body, Duration timeout) {
+    OpenQuery query = new OpenQuery(to, kind, body, timeout, timers.nowNanos());
+    if (!decisions.offer(() -> start(query))) {
+      return CompletableFuture.completedFuture(
+          Result.failure(ResultCode.NOT_RUN_QUEUE_FULL, "the decision ring is full"));
+    }
+    return query.future;
+  }
+
+  private void start(OpenQuery query) {
+    if (query.to.equals(self.id())) {
+      askSelf(query);
+      return;
+    }
+    Optional<PeerLink> link = links.ensure(query.to);
+    if (link.isEmpty()) {
+      query.fail(ResultCode.PEER_UNREACHABLE, "no address of entry VM " + query.to);
+    } else if (open.size() >= MAX_OPEN) {
+      query.fail(ResultCode.NOT_RUN_QUEUE_FULL, "too many queries are open");
+    } else {
+      long id = nextId++;
+      open.put(id, query);
+      link.get().markUsed();
+      if (link.get().isReady()) {
+        send(id, query, link.get());
+      }
+    }
+  }
+
+  private void askSelf(OpenQuery query) {
+    handlers
+        .handle(query.kind.number(), self, query.body, query.timeout)
+        .thenAccept(
+            result -> {
+              if (!decisions.offer(() -> query.future.complete(result))) {
+                query.future.complete(result);
+              }
+            });
+  }
+
+  private void send(long id, OpenQuery query, PeerLink link) {
+    Query message =
+        Query.newBuilder()
+            .setId(id)
+            .setKind(query.kind.number())
+            .setBody(ByteString.copyFrom(query.body))
+            .setTimeoutMs(Ages.toMillis(query.timeout))
+            .build();
+    SendResult sent = link.send(Frame.newBuilder().setQuery(message).build());
+    if (sent == SendResult.SENT) {
+      query.sent = true;
+    } else if (sent == SendResult.FULL) {
+      open.remove(id);
+      query.fail(ResultCode.NOT_RUN_QUEUE_FULL, "the link to " + query.to + " is full");
+    } else if (sent == SendResult.TOO_LARGE) {
+      open.remove(id);
+      query.fail(ResultCode.PEER_UNREACHABLE, "the query is larger than a frame");
+    }
+  }
+
+  /** Sends the queries that waited for {@code link}. */
+  void onLinkReady(PeerLink link) {
+    for (Map.Entry<Long, OpenQuery> entry : List.copyOf(open.entrySet())) {
+      OpenQuery query = entry.getValue();
+      if (!query.sent && query.to.equals(link.target())) {
+        send(entry.getKey(), query, link);
+      }
+    }
+  }
+
+  /** Takes a reply; one that comes late or twice is ignored. */
+  void onReply(PeerLink link, QueryReply reply) {
+    OpenQuery query = open.get(reply.getId());
+    if (query == null || !query.sent || !query.to.equals(link.target())) {
+      return;
+    }
+    open.remove(reply.getId());
+    query.future.complete(decode(reply));
+  }
+
+  private static Result<byte[]> decode(QueryReply reply) {
+    return switch (reply.getOutcomeCase()) {
+      case BODY -> Result.success(reply.getBody().toByteArray());
+      case ERROR -> Result.failure(WireErrors.decode(reply.getError(), ResultCode.INTERNAL));
+      case OUTCOME_NOT_SET -> Result.failure(ResultCode.INTERNAL, "the reply has no outcome");
+    };
+  }
+
+  /** The link's connection is gone: what was sent on it has an unknown outcome. */
+  void onLinkLost(PeerLink link, String reason) {
+    failAll(
+        query -> query.sent && query.to.equals(link.target()),
+        ResultCode.OUTCOME_UNKNOWN_PEER_LOST,
+        "the link to " + link.target() + " was lost: " + reason);
+  }
+
+  /** Applies the timeouts. */
+  void tick() {
+    long now = timers.nowNanos();
+    long connectNanos = settings.connectTimeout().toNanos();
+    failAll(
+        query -> !query.sent && query.ageNanos(now) >= query.waitNanos(connectNanos),
+        ResultCode.PEER_UNREACHABLE,
+        "no connection in time");
+    failAll(
+        query -> query.sent && query.ageNanos(now) >= query.timeout.toNanos(),
+        ResultCode.OUTCOME_UNKNOWN_DEADLINE,
+        "no answer in time");
+  }
+
+  private void failAll(Predicate<OpenQuery> filter, ResultCode code, String message) {
+    for (Map.Entry<Long, OpenQuery> entry : List.copyOf(open.entrySet())) {
+      if (filter.test(entry.getValue())) {
+        open.remove(entry.getKey());
+        entry.getValue().fail(code, message);
+      }
+    }
+  }
+
+  int openCount() {
+    return open.size();
+  }
+
+  private static final class OpenQuery {
+    private final EntryVmId to;
+    private final QueryKind kind;
+    private final byte[] body;
+    private final Duration timeout;
+    private final long startNanos;
+    private final CompletableFuture<Result<byte[]>> future = new CompletableFuture<>();
+    private boolean sent;
+
+    private OpenQuery(
+        EntryVmId to, QueryKind kind, byte[] body, Duration timeout, long startNanos) {
+      this.to = to;
+      this.kind = kind;
+      this.body = body;
+      this.timeout = timeout;
+      this.startNanos = startNanos;
+    }
+
+    private long ageNanos(long nowNanos) {
+      return nowNanos - startNanos;
+    }
+
+    private long waitNanos(long connectNanos) {
+      return Math.min(connectNanos, timeout.toNanos());
+    }
+
+    private void fail(ResultCode code, String message) {
+      future.complete(Result.failure(code, message));
+    }
+  }
+}
