--- /dev/null
+++ b/amaranthstream-bench/src/main/java/org/amaranthstream/bench/experiment/CallTargets.java
@@ -0,0 +1,76 @@
+package org.amaranthstream.bench.experiment;
+
+import com.google.common.hash.Hashing;
+import java.nio.charset.StandardCharsets;
+import java.util.Optional;
+import java.util.Random;
+import java.util.UUID;
+import org.amaranthstream.standins.engine.GeneratedText;
+import org.amaranthstream.standins.server.Json;
+
+/** The classes of calls that the experiments make. */
+final class CallTargets {
+  private static final int DIGEST_CHARS = 16;
+  private static final long VERSION_7 = 0x7000L;
+  private static final long RANDOM_A_MASK = 0x0FFFL;
+  private static final long VARIANT = 0x8000000000000000L;
+  private static final long RANDOM_B_MASK = 0x3FFFFFFFFFFFFFFFL;
+
+  private CallTargets() {}
+
+  /** Returns lookups on a model: idempotent, prompts of which a few share a prefix. */
+  static CallTarget lookups(String run) {
+    return new CallTarget(
+        "/v1/classes/" + Workload.LOOKUP_CLASS + "/calls",
+        call -> Json.text(new Lookup(prompt(run, call), Workload.LOOKUP_MAX_TOKENS)),
+        call -> Optional.empty(),
+        (call, answer) -> lookupTokens(prompt(run, call), answer),
+        Workload.LOOKUP_DEADLINE_MS);
+  }
+
+  /** Returns orders to a plain service: not idempotent, each with a key of its own. */
+  static CallTarget orders(String run, long seed) {
+    Random random = new Random(seed);
+    return new CallTarget(
+        "/v1/classes/" + Workload.ORDER_CLASS + "/calls",
+        call -> orderBody(run, call),
+        call -> Optional.of(uuidVersion7(random)),
+        (call, answer) -> answer.contains(digest(orderBody(run, call))) ? 0 : -1,
+        Workload.ORDER_DEADLINE_MS);
+  }
+
+  /** Returns the digest under which a service's ledger has the body. */
+  static String digest(String body) {
+    return Hashing.sha256()
+        .hashString(body, StandardCharsets.UTF_8)
+        .toString()
+        .substring(0, DIGEST_CHARS);
+  }
+
+  static String orderBody(String run, long call) {
+    return "{\"order\": \"" + run + "-" + call + "\"}";
+  }
+
+  private static String prompt(String run, long call) {
+    return "code the product " + run + "-" + call;
+  }
+
+  /** Judges by the key of the text: daemons take the prompt's hash code as the seed of a call. */
+  private static long lookupTokens(String prompt, String answer) {
+    Answer parsed = Answer.parse(answer);
+    String key = GeneratedText.key(prompt, prompt.hashCode());
+    boolean own = GeneratedText.keyOf(parsed.text()).equals(key);
+    boolean whole =
+        GeneratedText.isWhole(parsed.text(), parsed.tokens(), Workload.LOOKUP_MAX_TOKENS);
+    return own && whole ? parsed.tokens() : -1;
+  }
+
+  private static String uuidVersion7(Random random) {
+    long millis = System.currentTimeMillis();
+    long high = millis << 16 | VERSION_7 | random.nextLong() & RANDOM_A_MASK;
+    long low = VARIANT | random.nextLong() & RANDOM_B_MASK;
+    return new UUID(high, low).toString();
+  }
+
+  record Lookup(String prompt, int maxTokens) {}
+}
--- /dev/null
+++ b/amaranthstream-bench/src/main/java/org/amaranthstream/bench/experiment/Cluster.java
@@ -0,0 +1,233 @@
+package org.amaranthstream.bench.experiment;
+
+import io.vertx.core.Vertx;
+import io.vertx.core.http.HttpMethod;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import org.amaranthstream.standins.kv.Vm;
+import org.amaranthstream.standins.server.BlockingHttp;
+import org.amaranthstream.standins.server.HttpReply;
+import org.amaranthstream.standins.server.Json;
+
+/**
+ * The daemons and stand-ins of one user as processes on loopback, zones joined by links.
+ *
+ * <p>Confined to the thread that starts it. Closing it kills its processes.
+ */
+final class Cluster implements AutoCloseable {
+  static final String HOST = "127.0.0.1";
+
+  private static final Duration TIMEOUT = Duration.ofSeconds(10);
+  private static final Duration READY_TIMEOUT = Duration.ofSeconds(60);
+  private static final Duration READY_PAUSE = Duration.ofMillis(100);
+
+  private final User user;
+  private final Path folder;
+  private final Vertx vertx = Vertx.vertx();
+  private final BlockingHttp http = new BlockingHttp(Optional.empty());
+  private final List<AutoCloseable> resources = new ArrayList<>();
+  private final List<BackendProcess> engines = new ArrayList<>();
+  private final List<BackendProcess> services = new ArrayList<>();
+  private final List<DaemonSpec> daemons = new ArrayList<>();
+  private final List<JavaProcess> daemonProcesses = new ArrayList<>();
+  private final ClusterLinks links;
+  private String kvUrl = "";
+
+  private Cluster(User user, Path folder) {
+    this.user = user;
+    this.folder = folder;
+    this.links = new ClusterLinks(user, vertx);
+  }
+
+  /** Starts the key-value service and the backend servers. */
+  static Cluster startBackends(User user, Path folder) throws IOException {
+    Files.createDirectories(folder);
+    Cluster cluster = new Cluster(user, folder);
+    JavaProcess kv = cluster.standin("kv", List.of("kv"));
+    for (ZoneShape zone : user.zones()) {
+      cluster.startBackends(zone);
+    }
+    cluster.kvUrl = "http://" + HOST + ":" + kv.startedPort();
+    return cluster;
+  }
+
+  /** Starts the daemons with a policy and gives them the operators' configuration. */
+  void startDaemons(Policy policy) throws IOException {
+    List<Integer> ports = FreePorts.take(2 * daemonCount());
+    int next = 0;
+    for (ZoneShape zone : user.zones()) {
+      for (int i = 0; i < zone.entryVms(); i++) {
+        String name = "entry-" + zone.zone() + "-" + i;
+        daemons.add(new DaemonSpec(name, zone, ports.get(next), ports.get(next + 1)));
+        next += 2;
+      }
+    }
+    links.open(daemons, kvUrl);
+    announceVms();
+    for (DaemonSpec daemon : daemons) {
+      startDaemon(daemon, policy);
+    }
+    awaitAll("/healthz");
+    putConfig();
+    awaitAll("/readyz");
+  }
+
+  List<String> daemonUrls() {
+    return daemons.stream().map(DaemonSpec::url).toList();
+  }
+
+  List<BackendProcess> engines() {
+    return engines;
+  }
+
+  List<BackendProcess> services() {
+    return services;
+  }
+
+  ClusterLinks links() {
+    return links;
+  }
+
+  String kvUrl() {
+    return kvUrl;
+  }
+
+  /** Returns the processor time that the daemons have used, in ms. */
+  long daemonProcessorMs() {
+    return daemonProcesses.stream().mapToLong(JavaProcess::processorMs).sum();
+  }
+
+  /** Sets switches of a stand-in. */
+  void control(String url, String switches) throws IOException {
+    HttpReply reply = http.call(HttpMethod.POST, url + "/v1/control", switches, TIMEOUT);
+    if (!reply.isSuccess()) {
+      throw new IOException("control of " + url + " answered " + reply.body());
+    }
+  }
+
+  /** Reads the ledger of a stand-in. */
+  Ledger ledger(String url) throws IOException {
+    HttpReply reply = http.call(HttpMethod.GET, url + "/v1/ledger", "", TIMEOUT);
+    return Json.read(reply.body(), Ledger.class);
+  }
+
+  @Override
+  public void close() {
+    daemonProcesses.forEach(JavaProcess::close);
+    for (AutoCloseable resource : resources) {
+      closeQuietly(resource);
+    }
+    links.close();
+    http.close();
+    vertx.close();
+  }
+
+  private static void closeQuietly(AutoCloseable resource) {
+    try {
+      resource.close();
+    } catch (Exception e) {
+      throw new IllegalStateException(e);
+    }
+  }
+
+  private int daemonCount() {
+    return user.zones().stream().mapToInt(ZoneShape::entryVms).sum();
+  }
+
+  private void startBackends(ZoneShape zone) throws IOException {
+    for (int i = 0; i < zone.engines(); i++) {
+      String name = "engine-" + zone.zone() + "-" + i;
+      JavaProcess process = standin(name, engineArguments());
+      engines.add(new BackendProcess(name, ClusterFiles.MODEL_POOL, zone, process));
+    }
+    for (int i = 0; i < zone.services(); i++) {
+      String name = "service-" + zone.zone() + "-" + i;
+      List<String> arguments = List.of("service", "--service-ms", "" + Workload.SERVICE_MS);
+      services.add(
+          new BackendProcess(name, ClusterFiles.SERVICE_POOL, zone, standin(name, arguments)));
+    }
+  }
+
+  private static List<String> engineArguments() {
+    return List.of(
+        "engine",
+        "--slots",
+        "" + Workload.ENGINE_SLOTS,
+        "--max-batch",
+        "" + Workload.ENGINE_SLOTS,
+        "--token-interval-ms",
+        "" + Workload.TOKEN_INTERVAL_MS,
+        "--tokens-per-chunk",
+        "" + Workload.TOKENS_PER_CHUNK,
+        "--prefill-ms",
+        "" + Workload.PREFILL_MS,
+        "--swap-ms",
+        "" + Workload.SWAP_MS,
+        "--report-lag-ms",
+        "" + Workload.REPORT_LAG_MS);
+  }
+
+  private JavaProcess standin(String name, List<String> arguments) throws IOException {
+    Path log = folder.resolve(name + ".log");
+    JavaProcess process =
+        JavaProcess.start(name, org.amaranthstream.standins.Main.class, arguments, log);
+    resources.add(process);
+    return process;
+  }
+
+  private void startDaemon(DaemonSpec daemon, Policy policy) throws IOException {
+    String platformUrl = links.platformUrl(daemon.zone());
+    Path settings = ClusterFiles.writeSettings(folder, daemon, platformUrl);
+    Path log = folder.resolve(daemon.name() + ".log");
+    List<String> arguments = List.of("serve", "--settings", settings.toString());
+    daemonProcesses.add(JavaProcess.start(daemon.name(), policy.main(), arguments, log));
+  }
+
+  /** Tells each zone the addresses under which it reaches the others. */
+  private void announceVms() throws IOException {
+    Map<String, List<Vm>> byReader = new HashMap<>();
+    for (ZoneShape reader : user.zones()) {
+      List<Vm> vms = new ArrayList<>();
+      engines.forEach(engine -> vms.add(engine.vm()));
+      services.forEach(service -> vms.add(service.vm()));
+      daemons.forEach(daemon -> vms.add(links.seenFrom(reader, daemon)));
+      byReader.put(links.sourceHost(reader), vms);
+    }
+    control(kvUrl, Json.text(new VmLists(byReader)));
+  }
+
+  private void putConfig() throws IOException {
+    String yaml = ClusterConfig.yaml(user);
+    AdminClient admin = new AdminClient(daemons.get(0).url());
+    admin.putConfig(yaml);
+  }
+
+  private void awaitAll(String path) throws IOException {
+    long endNanos = System.nanoTime() + READY_TIMEOUT.toNanos();
+    for (DaemonSpec daemon : daemons) {
+      while (!isAnswered(daemon.url() + path)) {
+        if (System.nanoTime() - endNanos > 0) {
+          throw new IOException(daemon.name() + " did not answer " + path + " with 200");
+        }
+        http.pause(READY_PAUSE);
+      }
+    }
+  }
+
+  private boolean isAnswered(String url) {
+    try {
+      return http.call(HttpMethod.GET, url, "", TIMEOUT).isSuccess();
+    } catch (IOException e) {
+      return false;
+    }
+  }
+
+  record VmLists(Map<String, List<Vm>> vmsByReader) {}
+}
--- /dev/null
+++ b/amaranthstream-bench/src/main/java/org/amaranthstream/bench/experiment/ClusterConfig.java
@@ -0,0 +1,53 @@
+package org.amaranthstream.bench.experiment;
+
+import java.util.Locale;
+
+/** The operators' configuration of the experiments. */
+final class ClusterConfig {
+  private static final String YAML =
+      """
+      pools:
+        engines: {kind: MODEL_ENGINE, model: %s, checksFencing: true}
+        services: {kind: PLAIN_SERVICE}
+      classes:
+        %s:
+          kind: INTERACTIVE
+          pool: engines
+          answerDeadlineMs: %d
+          stalenessBound: %d
+          maxTokens: %d
+        %s:
+          kind: INTERACTIVE
+          pool: services
+          answerDeadlineMs: %d
+          idempotent: false
+        %s:
+          kind: TRAINING
+          pool: engines
+          stepDeadlineMs: %d
+          stalenessBound: %d
+          weighsMore: %s
+          maxTokens: %d
+      """;
+
+  private ClusterConfig() {}
+
+  /** Returns the document for a user. */
+  static String yaml(User user) {
+    return String.format(
+        Locale.ROOT,
+        YAML,
+        Workload.MODEL,
+        Workload.LOOKUP_CLASS,
+        Workload.LOOKUP_DEADLINE_MS,
+        user.stalenessBound(),
+        Workload.LOOKUP_MAX_TOKENS,
+        Workload.ORDER_CLASS,
+        Workload.ORDER_DEADLINE_MS,
+        Workload.TRAINING_CLASS,
+        Workload.STEP_DEADLINE_MS,
+        user.stalenessBound(),
+        user.weighsMore(),
+        Workload.SAMPLE_MAX_TOKENS);
+  }
+}
--- /dev/null
+++ b/amaranthstream-bench/src/main/java/org/amaranthstream/bench/experiment/FaultInjector.java
@@ -0,0 +1,91 @@
+package org.amaranthstream.bench.experiment;
+
+import com.google.common.flogger.FluentLogger;
+import java.io.IOException;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+import org.amaranthstream.standins.link.LinkState;
+
+/** Brings the fault of a run about and takes it away again. */
+final class FaultInjector implements AutoCloseable {
+  /** Text that crashes the engine that runs a prompt with it. */
+  static final String POISON_MARKER = "POISON";
+
+  private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+  private static final int PARTS = 3;
+  private static final int RESTART_AFTER_MS = 3_000;
+
+  private final Cluster cluster;
+  private final Fault fault;
+  private final PoisonCaller poison;
+  private final ScheduledExecutorService executor = Executors.newSingleThreadScheduledExecutor();
+
+  FaultInjector(Cluster cluster, Fault fault) {
+    this.cluster = cluster;
+    this.fault = fault;
+    this.poison = new PoisonCaller(cluster.daemonUrls());
+  }
+
+  /** Schedules the fault within a run of the given length. */
+  void schedule(long durationMs) throws IOException {
+    for (BackendProcess engine : cluster.engines()) {
+      cluster.control(
+          engine.url(),
+          "{\"restartAfterMs\": %d, \"poisonMarker\": \"%s\"}"
+              .formatted(RESTART_AFTER_MS, POISON_MARKER));
+    }
+    executor.schedule(this::begin, durationMs / PARTS, TimeUnit.MILLISECONDS);
+    executor.schedule(this::end, 2 * durationMs / PARTS, TimeUnit.MILLISECONDS);
+  }
+
+  @Override
+  public void close() {
+    executor.shutdownNow();
+    poison.close();
+  }
+
+  private void begin() {
+    logger.atInfo().log("event=fault_begins fault=%s", fault.label());
+    try {
+      switch (fault) {
+        case NONE -> {}
+        case ENGINE_CRASH -> cluster.control(firstEngine(), "{\"crash\": true}");
+        case POISON ->
+            executor.scheduleAtFixedRate(poison::send, 0, 1, TimeUnit.SECONDS);
+        case FROZEN_CONNECTION -> cluster.control(firstEngine(), "{\"freeze\": true}");
+        case ZONE_CUT -> cluster.links().set(cutZone(), LinkState.SILENT);
+        case KV_OUTAGE -> cluster.control(cluster.kvUrl(), "{\"outage\": true}");
+        case SWAP_FAILURE -> failSwaps();
+      }
+    } catch (IOException e) {
+      logger.atSevere().withCause(e).log("event=fault_failed fault=%s", fault.label());
+    }
+  }
+
+  private void end() {
+    try {
+      switch (fault) {
+        case ZONE_CUT -> cluster.links().set(cutZone(), LinkState.UP);
+        case KV_OUTAGE -> cluster.control(cluster.kvUrl(), "{\"outage\": false}");
+        default -> {}
+      }
+    } catch (IOException e) {
+      logger.atSevere().withCause(e).log("event=fault_end_failed fault=%s", fault.label());
+    }
+  }
+
+  private void failSwaps() throws IOException {
+    for (BackendProcess engine : cluster.engines()) {
+      cluster.control(engine.url(), "{\"failSwaps\": 1}");
+    }
+  }
+
+  private String firstEngine() {
+    return cluster.engines().get(0).url();
+  }
+
+  private ZoneShape cutZone() {
+    return cluster.engines().get(cluster.engines().size() - 1).zone();
+  }
+}
--- /dev/null
+++ b/amaranthstream-bench/src/main/java/org/amaranthstream/bench/experiment/JavaProcess.java
@@ -0,0 +1,110 @@
+package org.amaranthstream.bench.experiment;
+
+import com.google.common.base.Splitter;
+import com.google.common.collect.ImmutableList;
+import java.io.BufferedReader;
+import java.io.IOException;
+import java.io.InputStreamReader;
+import java.io.File;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+
+/** A process of the bench's own classes with a small heap. Closing it kills it. Thread safe. */
+final class JavaProcess implements AutoCloseable {
+  private static final int START_SECONDS = 60;
+  private static final int EXIT_SECONDS = 10;
+  private static final ImmutableList<String> JVM_FLAGS =
+      ImmutableList.of(
+          "-XX:+UseSerialGC",
+          "-Xms16m",
+          "-Xmx64m",
+          "-XX:TieredStopAtLevel=1",
+          "-Xss512k",
+          "-XX:+ExitOnOutOfMemoryError");
+
+  private final String name;
+  private final Process process;
+  private final CompletableFuture<Map<String, String>> started = new CompletableFuture<>();
+
+  private JavaProcess(String name, Process process) {
+    this.name = name;
+    this.process = process;
+  }
+
+  /**
+   * Starts the main class with arguments; its log goes to {@code log}.
+   *
+   * @param name what to call it in messages
+   */
+  static JavaProcess start(String name, Class<?> main, List<String> arguments, Path log)
+      throws IOException {
+    ImmutableList<String> command =
+        ImmutableList.<String>builder()
+            .add(ProcessHandle.current().info().command().orElse("java"))
+            .addAll(JVM_FLAGS)
+            .add("-cp", System.getProperty("java.class.path"), main.getName())
+            .addAll(arguments)
+            .build();
+    Process process =
+        new ProcessBuilder(command).redirectError(log.toFile()).redirectInput(nullFile()).start();
+    JavaProcess started = new JavaProcess(name, process);
+    Thread reader = new Thread(started::readOutput, "output-" + name);
+    reader.setDaemon(true);
+    reader.start();
+    return started;
+  }
+
+  /** Returns a value of the line {@code event=started ...}, once it was printed. */
+  String startedValue(String key) {
+    Map<String, String> values =
+        started
+            .orTimeout(START_SECONDS, TimeUnit.SECONDS)
+            .exceptionally(
+                e -> {
+                  throw new IllegalStateException(name + " did not start", e);
+                })
+            .join();
+    return values.get(key);
+  }
+
+  int startedPort() {
+    return Integer.parseInt(startedValue("port"));
+  }
+
+  /** Returns the processor time it has used, in ms. */
+  long processorMs() {
+    return process.info().totalCpuDuration().map(Duration::toMillis).orElse(0L);
+  }
+
+  @Override
+  public void close() {
+    process.destroyForcibly();
+    process.onExit().orTimeout(EXIT_SECONDS, TimeUnit.SECONDS).join();
+  }
+
+  private void readOutput() {
+    try (BufferedReader lines =
+        new BufferedReader(
+            new InputStreamReader(process.getInputStream(), StandardCharsets.UTF_8))) {
+      String line = lines.readLine();
+      while (line != null) {
+        if (line.startsWith("event=started")) {
+          started.complete(Splitter.on(' ').withKeyValueSeparator('=').split(line));
+        }
+        line = lines.readLine();
+      }
+      started.completeExceptionally(new IOException("process ended"));
+    } catch (IOException e) {
+      started.completeExceptionally(e);
+    }
+  }
+
+  private static File nullFile() {
+    return new File("/dev/null");
+  }
+}
--- /dev/null
+++ b/amaranthstream-bench/src/main/java/org/amaranthstream/bench/experiment/User.java
@@ -0,0 +1,69 @@
+package org.amaranthstream.bench.experiment;
+
+import com.google.common.collect.ImmutableList;
+import java.util.Locale;
+
+/** The sizes and targets of the two users, with times scaled down for short runs. */
+enum User {
+  DIVISION(
+      "IDLE_TIME",
+      4,
+      2,
+      ImmutableList.of(
+          new ZoneShape("lisboa-a", "lisboa", 3, 3, 1),
+          new ZoneShape("lisboa-b", "lisboa", 2, 3, 1),
+          new ZoneShape("porto-a", "porto", 2, 2, 1))),
+  SHEKERLI(
+      "STALENESS",
+      2,
+      1,
+      ImmutableList.of(
+          new ZoneShape("almaty-a", "almaty", 2, 2, 1),
+          new ZoneShape("almaty-b", "almaty", 2, 2, 1),
+          new ZoneShape("astana-a", "astana", 2, 2, 1)));
+
+  /** One-way latency between regions. */
+  static final int REGION_LATENCY_MS = 8;
+
+  private final String weighsMore;
+  private final int stalenessBound;
+  private final int zoneLatencyMs;
+  private final ImmutableList<ZoneShape> zones;
+
+  User(
+      String weighsMore, int stalenessBound, int zoneLatencyMs, ImmutableList<ZoneShape> zones) {
+    this.weighsMore = weighsMore;
+    this.stalenessBound = stalenessBound;
+    this.zoneLatencyMs = zoneLatencyMs;
+    this.zones = zones;
+  }
+
+  /** Returns the user of that name, in lower case. */
+  static User of(String name) {
+    return valueOf(name.toUpperCase(Locale.ROOT));
+  }
+
+  String label() {
+    return name().toLowerCase(Locale.ROOT);
+  }
+
+  String weighsMore() {
+    return weighsMore;
+  }
+
+  int stalenessBound() {
+    return stalenessBound;
+  }
+
+  ImmutableList<ZoneShape> zones() {
+    return zones;
+  }
+
+  int latencyMs(ZoneShape from, ZoneShape to) {
+    return from.region().equals(to.region()) ? zoneLatencyMs : REGION_LATENCY_MS;
+  }
+
+  int engines() {
+    return zones.stream().mapToInt(ZoneShape::engines).sum();
+  }
+}
--- /dev/null
+++ b/amaranthstream-bench/src/main/java/org/amaranthstream/bench/experiment/ZoneShape.java
@@ -0,0 +1,12 @@
+package org.amaranthstream.bench.experiment;
+
+/**
+ * What stands in one availability zone.
+ *
+ * @param zone the zone
+ * @param region its region
+ * @param entryVms daemons in it
+ * @param engines model engines in it
+ * @param services plain services in it
+ */
+record ZoneShape(String zone, String region, int entryVms, int engines, int services) {}
--- a/amaranthstream-standins/src/main/java/org/amaranthstream/standins/server/BlockingHttp.java
+++ b/amaranthstream-standins/src/main/java/org/amaranthstream/standins/server/BlockingHttp.java
@@ -11,6 +11,7 @@
 import io.vertx.core.http.RequestOptions;
 import java.io.IOException;
 import java.time.Duration;
+import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
@@ -37,12 +38,23 @@
    */
   public HttpReply call(HttpMethod method, String url, String body, Duration timeout)
       throws IOException {
+    return call(method, url, body, timeout, Map.of());
+  }
+
+  /**
+   * Calls with headers and waits for the whole answer.
+   *
+   * @throws IOException if there is none within {@code timeout}
+   */
+  public HttpReply call(
+      HttpMethod method, String url, String body, Duration timeout, Map<String, String> headers)
+      throws IOException {
     RequestOptions options =
         new RequestOptions()
             .setMethod(method)
             .setAbsoluteURI(url)
             .setIdleTimeout(timeout.toMillis());
-    Future<HttpReply> reply = client.request(options).compose(request -> send(request, body));
+    Future<HttpReply> reply = client.request(options).compose(request -> send(request, body, headers));
     return await(reply, timeout);
   }
 
@@ -60,9 +72,11 @@
     vertx.close();
   }
 
-  private Future<HttpReply> send(HttpClientRequest request, String body) {
+  private Future<HttpReply> send(
+      HttpClientRequest request, String body, Map<String, String> headers) {
     bearerToken.ifPresent(token -> request.putHeader("Authorization", "Bearer " + token));
     request.putHeader("Content-Type", "application/json");
+    headers.forEach(request::putHeader);
     return request
         .send(Buffer.buffer(body))
         .compose(
