--- /dev/null
+++ b/amaranthstream/src/main/java/org/amaranthstream/decisions/DecisionHistory.java
@@ -0,0 +1,60 @@
+package org.amaranthstream.decisions;
+
+import static com.google.common.base.Preconditions.checkArgument;
+
+import com.google.common.collect.ImmutableList;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import org.amaranthstream.ids.RequestId;
+
+/**
+ * The newest decision records, found by request.
+ *
+ * <p>Thread safe. The oldest records make room for new ones.
+ */
+public final class DecisionHistory implements DecisionSink {
+  private final int capacity;
+  private final Deque<DecisionRecord> newest = new ArrayDeque<>();
+  private final Map<RequestId, List<DecisionRecord>> byRequest = new HashMap<>();
+
+  private DecisionHistory(int capacity) {
+    this.capacity = capacity;
+  }
+
+  /** Returns an empty history of at most {@code capacity} records. */
+  public static DecisionHistory withCapacity(int capacity) {
+    checkArgument(capacity > 0, "capacity is not positive: %s", capacity);
+    return new DecisionHistory(capacity);
+  }
+
+  @Override
+  public synchronized void accept(DecisionRecord decision) {
+    if (newest.size() == capacity) {
+      forget(newest.removeFirst());
+    }
+    newest.addLast(decision);
+    byRequest.computeIfAbsent(decision.request(), r -> new ArrayList<>(4)).add(decision);
+  }
+
+  /** Returns the records of a request that are left, oldest first. */
+  public synchronized ImmutableList<DecisionRecord> of(RequestId request) {
+    return ImmutableList.copyOf(byRequest.getOrDefault(request, List.of()));
+  }
+
+  /** Returns the number of records that are kept. */
+  public synchronized int size() {
+    return newest.size();
+  }
+
+  private void forget(DecisionRecord oldest) {
+    List<DecisionRecord> records = byRequest.get(oldest.request());
+    records.remove(0);
+    if (records.isEmpty()) {
+      byRequest.remove(oldest.request());
+    }
+  }
+}
