--- /dev/null
+++ b/amaranthstream/src/test/java/org/amaranthstream/peer/PeerForwardingTest.java
@@ -0,0 +1,153 @@
+package org.amaranthstream.peer;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import com.google.common.collect.Iterables;
+import java.time.Duration;
+import java.util.Optional;
+import org.amaranthstream.dispatch.Answer;
+import org.amaranthstream.dispatch.Chunk;
+import org.amaranthstream.dispatch.Outcome;
+import org.amaranthstream.dispatch.Work;
+import org.amaranthstream.ids.BackendServerId;
+import org.amaranthstream.ids.Incarnation;
+import org.amaranthstream.ids.WeightVersion;
+import org.amaranthstream.membership.VmPhase;
+import org.amaranthstream.result.ErrorDetail;
+import org.amaranthstream.result.ResultCode;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+class PeerForwardingTest {
+  private final TestMesh mesh = new TestMesh();
+  private final TestNode near = mesh.start("vm-a", "zone-a");
+  private final TestNode far = mesh.start("vm-b", "zone-b");
+  private final TestListener listener = new TestListener();
+
+  @AfterEach
+  void close() {
+    mesh.close();
+  }
+
+  private Work forward() {
+    Work work = mesh.work(near);
+    near.node.forwarder().forward(far.self.zone(), work, listener);
+    return work;
+  }
+
+  private Work forwardAndArrive() {
+    mesh.link(near, far);
+    int before = far.runner.submitted.size();
+    Work work = forward();
+    mesh.runUntil("arrival", () -> far.runner.submitted.size() > before);
+    return work;
+  }
+
+  private Outcome outcome() {
+    mesh.runUntil("outcome", () -> !listener.outcomes.isEmpty());
+    return Iterables.getOnlyElement(listener.outcomes);
+  }
+
+  private ResultCode unknownCode() {
+    return ((Outcome.OutcomeUnknown) outcome()).error().code();
+  }
+
+  @Nested
+  class Answered {
+    @Test
+    void carriesWorkAndWholeAnswer() {
+      Work work = forwardAndArrive();
+      Work arrived = far.runner.submitted.get(0);
+      assertThat(arrived.id()).isEqualTo(work.id());
+      assertThat(arrived.forwarded()).isTrue();
+      assertThat(arrived.idempotent()).isFalse();
+      assertThat(arrived.payload()).isEqualTo(work.payload());
+      Chunk chunk =
+          new Chunk(
+              0,
+              2,
+              "two words",
+              Optional.of(WeightVersion.of(7)),
+              Optional.of(Incarnation.of("engine-1")));
+      Outcome.Completed done =
+          new Outcome.Completed(
+              new Answer(BackendServerId.of("engine"), 200, "text/plain", 2, "stop"));
+      far.runner.listeners.get(work.id()).onChunk(chunk);
+      far.runner.listeners.get(work.id()).onOutcome(done);
+      assertThat(outcome()).isEqualTo(done);
+      assertThat(listener.chunks).containsExactly(chunk);
+    }
+
+    @Test
+    void passesOnThatPeerDidNotRunIt() {
+      Work work = forwardAndArrive();
+      Outcome.NotRun refused =
+          new Outcome.NotRun(
+              ErrorDetail.of(ResultCode.NOT_RUN_OVERLOADED, "queue is full"),
+              Optional.of(Duration.ofMillis(400)));
+      far.runner.listeners.get(work.id()).onOutcome(refused);
+      assertThat(outcome()).isEqualTo(refused);
+    }
+
+    @Test
+    void isNotRunByPeerThatLeaves() {
+      mesh.link(near, far);
+      far.table.setPhase(VmPhase.LEAVING);
+      forward();
+      assertThat(((Outcome.NotRun) outcome()).error().code())
+          .isEqualTo(ResultCode.NOT_RUN_SHUTTING_DOWN);
+      assertThat(far.runner.submitted).isEmpty();
+    }
+  }
+
+  @Nested
+  class Unanswered {
+    @Test
+    void isNotRunWithoutLink() {
+      forward();
+      assertThat(((Outcome.NotRun) outcome()).error().code())
+          .isEqualTo(ResultCode.NOT_RUN_ZONE_UNREACHABLE);
+    }
+
+    @Test
+    void isUnknownOnceSentAndLinkIsLost() {
+      forwardAndArrive();
+      far.node.close();
+      assertThat(unknownCode()).isEqualTo(ResultCode.OUTCOME_UNKNOWN_PEER_LOST);
+    }
+
+    @Test
+    void isUnknownAfterDeadline() {
+      final Work work = forwardAndArrive();
+      for (int second = 0; second < 62; second++) {
+        mesh.timers.advance(Duration.ofSeconds(1));
+        mesh.runUntil("heartbeat answered", () -> answerAge() == 0);
+      }
+      assertThat(unknownCode()).isEqualTo(ResultCode.OUTCOME_UNKNOWN_DEADLINE);
+      mesh.runUntil("cancel", () -> far.runner.cancelled.contains(work.id()));
+    }
+
+    private long answerAge() {
+      return near.linkTo(far).flatMap(LinkView::answerAge).orElseThrow().toMillis();
+    }
+  }
+
+  @Nested
+  class Cancelled {
+    @Test
+    void reachesThePeer() {
+      Work work = forwardAndArrive();
+      near.node.forwarder().cancel(work.id());
+      mesh.runUntil("cancel", () -> far.runner.cancelled.contains(work.id()));
+      assertThat(listener.outcomes).isEmpty();
+    }
+
+    @Test
+    void stopsWhenSenderIsGone() {
+      Work work = forwardAndArrive();
+      near.node.close();
+      mesh.runUntil("cancel", () -> far.runner.cancelled.contains(work.id()));
+    }
+  }
+}
--- /dev/null
+++ b/amaranthstream/src/test/java/org/amaranthstream/peer/TestNode.java
@@ -0,0 +1,128 @@
+package org.amaranthstream.peer;
+
+import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableMap;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import org.amaranthstream.ids.AvailabilityZoneId;
+import org.amaranthstream.ids.ConfigGeneration;
+import org.amaranthstream.ids.EntryVmId;
+import org.amaranthstream.ids.Incarnation;
+import org.amaranthstream.ids.ModelId;
+import org.amaranthstream.ids.PoolId;
+import org.amaranthstream.ids.RegionId;
+import org.amaranthstream.ids.WeightVersion;
+import org.amaranthstream.membership.LocalVm;
+import org.amaranthstream.membership.MembershipSettings;
+import org.amaranthstream.membership.MembershipTable;
+import org.amaranthstream.platform.VmEntry;
+import org.amaranthstream.platform.VmKind;
+import org.amaranthstream.result.Result;
+import org.amaranthstream.time.VirtualTimerService;
+
+/** One entry VM on loopback, with fakes for what it tells and runs. */
+final class TestNode implements HeartbeatSource, HeartbeatSink {
+  final LocalVm self;
+  final MembershipTable table;
+  final PeerNode node;
+  final TestRunner runner = new TestRunner();
+  final List<ConfigGeneration> generations = new ArrayList<>();
+  long generation = 1;
+  int port;
+
+  private TestNode(
+      LocalVm self, PeerSettings settings, VirtualTimerService timers, ManualDuty duty) {
+    this.self = self;
+    this.table =
+        MembershipTable.create(
+            self, MembershipSettings.builder().build(), List.of(), timers.nowNanos());
+    this.node =
+        PeerNode.builder()
+            .self(self)
+            .settings(settings)
+            .table(table)
+            .timers(timers)
+            .decisions(duty)
+            .source(this)
+            .sink(this)
+            .build();
+  }
+
+  /** Starts an entry VM; {@code zone} is in a region of its own. */
+  static TestNode start(
+      String name,
+      String zone,
+      PeerSettings settings,
+      VirtualTimerService timers,
+      ManualDuty duty) {
+    LocalVm self =
+        new LocalVm(
+            EntryVmId.of(name),
+            Incarnation.of(name + "-run-1"),
+            RegionId.of("region-" + zone),
+            AvailabilityZoneId.of(zone));
+    TestNode node = new TestNode(self, settings, timers, duty);
+    Result<Integer> port = node.node.start(node.runner);
+    node.port = ((Result.Success<Integer>) port).value();
+    return node;
+  }
+
+  VmEntry entry() {
+    return entry(port);
+  }
+
+  VmEntry entry(int reachedUnder) {
+    return new VmEntry(
+        self.id().value(),
+        VmKind.ENTRY,
+        self.region(),
+        self.zone(),
+        "127.0.0.1",
+        reachedUnder,
+        Optional.empty(),
+        false);
+  }
+
+  boolean isLinkedTo(TestNode other) {
+    return node.snapshot().outbound().stream()
+        .anyMatch(link -> link.vm().equals(other.self.id()) && link.phase() == LinkPhase.READY);
+  }
+
+  Optional<LinkView> linkTo(TestNode other) {
+    return node.snapshot().outbound().stream()
+        .filter(link -> link.vm().equals(other.self.id()))
+        .findFirst();
+  }
+
+  @Override
+  public ConfigGeneration configGeneration() {
+    return ConfigGeneration.of(generation);
+  }
+
+  @Override
+  public ImmutableMap<ModelId, WeightVersion> weightVersions() {
+    return ImmutableMap.of();
+  }
+
+  @Override
+  public ImmutableList<QuarantineNotice> quarantined() {
+    return ImmutableList.of();
+  }
+
+  @Override
+  public ImmutableMap<PoolId, Integer> waiting() {
+    return ImmutableMap.of();
+  }
+
+  @Override
+  public void onConfigGeneration(EntryVmId from, ConfigGeneration generation) {
+    generations.add(generation);
+  }
+
+  @Override
+  public void onWeightVersion(ModelId model, WeightVersion version) {}
+
+  @Override
+  public void onQuarantined(QuarantineNotice notice) {}
+}
