Bound the delay of passed-on load reports

Cause: a report that waits in a stalled connection looks younger than it is, so an old incarnation of a backend server could replace the one that leaves. Each heartbeat names the last answer its sender has, which bounds its time on the way by the receiver's own clock; reports that may be later than the relay skew are not used, and another incarnation is believed only if newer by more than it. Ruled out: remembering superseded incarnations, which a new daemon does not have.

--- a/amaranthstream/src/main/java/org/amaranthstream/membership/BackendTable.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/membership/BackendTable.java
@@ -26,7 +26,7 @@
   private static final int MAX_MARKED_SERVERS = 4096;
 
   private final AvailabilityZoneId zone;
-  private final long listClearNanos;
+  private final MembershipSettings settings;
   private final long reportExpiryNanos;
   private final long retentionNanos;
   private final TreeMap<BackendServerId, Row> rows = new TreeMap<>();
@@ -35,7 +35,7 @@
 
   BackendTable(AvailabilityZoneId zone, MembershipSettings settings) {
     this.zone = zone;
-    this.listClearNanos = settings.listClearAfter().toNanos();
+    this.settings = settings;
     this.reportExpiryNanos = settings.reportExpiry().toNanos();
     this.retentionNanos = settings.leavingRetention().toNanos();
   }
@@ -71,51 +71,47 @@
             entry.zone(),
             entry.host(),
             entry.port());
-    Row row = rows.computeIfAbsent(id, unused -> new Row(nowNanos));
+    Row row = rows.computeIfAbsent(id, unused -> new Row(settings, nowNanos));
     row.server = server;
     marksOf(id, nowNanos).onListed(entry.leaving(), row.reports.incarnation(), nowNanos);
   }
 
   void onPolled(BackendServerId id, LoadReport report, long nowNanos) {
     Row row = rows.get(id);
-    if (row == null) {
-      return;
+    if (row != null) {
+      mark(id, row, report, nowNanos);
+      row.reports.onPolled(report);
     }
-    Optional<Incarnation> before = Optional.ofNullable(row.reports.incarnation());
-    row.reports.onPolled(report);
-    onReport(id, report, before.isEmpty(), nowNanos);
   }
 
   void onRelayed(BackendServerId id, LoadReport report, long nowNanos) {
     Row row = rows.get(id);
-    if (row == null) {
-      return;
+    if (row != null) {
+      mark(id, row, report, nowNanos);
+      row.reports.onRelayed(report);
     }
-    boolean first = row.reports.current() == null;
-    row.reports.onRelayed(report, nowNanos, reportExpiryNanos);
-    onReport(id, report, first, nowNanos);
   }
 
-  private void onReport(BackendServerId id, LoadReport report, boolean first, long nowNanos) {
+  private void mark(BackendServerId id, Row row, LoadReport report, long nowNanos) {
     LeavingMarks mark = marksOf(id, nowNanos);
-    if (first) {
-      mark.onFirstIncarnation(report.incarnation());
+    if (row.reports.current() == null) {
+      mark.onFirstIncarnation(report.incarnation(), nowNanos);
     }
     if (report.draining()) {
-      mark.add(report.incarnation());
+      mark.add(report.incarnation(), report.takenNanos());
     }
     views = null;
   }
 
   void onLeaving(LeavingServer leaving, long nowNanos) {
     if (marks.containsKey(leaving.server()) || marks.size() < MAX_MARKED_SERVERS) {
-      marksOf(leaving.server(), nowNanos).add(leaving.incarnation());
+      marksOf(leaving.server(), nowNanos).add(leaving.incarnation(), nowNanos);
       views = null;
     }
   }
 
   private LeavingMarks marksOf(BackendServerId id, long nowNanos) {
-    return marks.computeIfAbsent(id, unused -> new LeavingMarks(nowNanos));
+    return marks.computeIfAbsent(id, unused -> new LeavingMarks(settings, nowNanos));
   }
 
   void tick(long nowNanos) {
@@ -142,8 +138,7 @@
     rows.forEach(
         (id, row) -> {
           LoadReport report = row.reports.current();
-          boolean leaving =
-              marksOf(id, nowNanos).isLeaving(row.reports.incarnation(), nowNanos, listClearNanos);
+          boolean leaving = marksOf(id, nowNanos).isLeaving(report, nowNanos);
           builder.put(
               row.server.pool(), new BackendView(row.server, Optional.ofNullable(report), leaving));
         });
@@ -177,24 +172,30 @@
     return builder.build();
   }
 
-  /** Returns the leaving incarnations of the servers that the list has. */
+  /**
+   * Returns the servers whose newest incarnation leaves. Others are not told of: only what the own
+   * reports confirm is passed on, so that two daemons do not keep an old notice alive.
+   */
   ImmutableList<LeavingServer> leaving() {
     ImmutableList.Builder<LeavingServer> builder = ImmutableList.builder();
-    for (BackendServerId id : rows.keySet()) {
-      LeavingMarks mark = marks.get(id);
-      if (mark != null) {
-        mark.incarnations().forEach(leaving -> builder.add(new LeavingServer(id, leaving)));
-      }
-    }
+    rows.forEach(
+        (id, row) -> {
+          Incarnation current = row.reports.incarnation();
+          LeavingMarks mark = marks.get(id);
+          if (current != null && mark != null && mark.contains(current)) {
+            builder.add(new LeavingServer(id, current));
+          }
+        });
     return builder.build();
   }
 
   private static final class Row {
     private final long knownSinceNanos;
-    private final ServerReports reports = new ServerReports();
+    private final ServerReports reports;
     private BackendServer server;
 
-    private Row(long knownSinceNanos) {
+    private Row(MembershipSettings settings, long knownSinceNanos) {
+      this.reports = new ServerReports(settings);
       this.knownSinceNanos = knownSinceNanos;
     }
   }
--- a/amaranthstream/src/main/java/org/amaranthstream/membership/LeavingMarks.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/membership/LeavingMarks.java
@@ -1,22 +1,27 @@
 package org.amaranthstream.membership;
 
 import java.util.Iterator;
-import java.util.LinkedHashSet;
-import java.util.Set;
+import java.util.LinkedHashMap;
+import java.util.Map;
 import org.amaranthstream.ids.Incarnation;
 import org.jspecify.annotations.Nullable;
 
 /**
- * What makes one backend server leaving: incarnations that leave, which stay so for good, and the
- * platform's list, which is believed at once when it announces a leaving and only after a time when
- * it denies it.
+ * What makes one backend server leaving: incarnations that were said to leave, and the platform's
+ * list, which is believed at once when it announces a leaving and only after a time when it denies
+ * it.
+ *
+ * <p>An incarnation that leaves stops counting only when another one has reported so much later
+ * that the delay of passed-on reports cannot explain it.
  *
  * <p>Not thread safe.
  */
 final class LeavingMarks {
   private static final int MAX_INCARNATIONS = 8;
 
-  private final Set<Incarnation> leaving = new LinkedHashSet<>();
+  private final long listClearNanos;
+  private final long skewNanos;
+  private final Map<Incarnation, Long> leavingAtNanos = new LinkedHashMap<>();
   private boolean listed;
   private boolean announced;
   private boolean announcedBeforeAnyReport;
@@ -24,15 +29,17 @@
   private long lastAnnouncedNanos;
   private long lastListedNanos;
 
-  LeavingMarks(long nowNanos) {
+  LeavingMarks(MembershipSettings settings, long nowNanos) {
+    this.listClearNanos = settings.listClearAfter().toNanos();
+    this.skewNanos = settings.relaySkew().toNanos();
     this.lastListedNanos = nowNanos;
   }
 
-  /** Marks {@code incarnation} as leaving for good. */
-  void add(Incarnation incarnation) {
-    leaving.add(incarnation);
-    if (leaving.size() > MAX_INCARNATIONS) {
-      Iterator<Incarnation> oldest = leaving.iterator();
+  /** Marks {@code incarnation} as leaving; it was alive at {@code atNanos}. */
+  void add(Incarnation incarnation, long atNanos) {
+    leavingAtNanos.merge(incarnation, atNanos, Math::max);
+    if (leavingAtNanos.size() > MAX_INCARNATIONS) {
+      Iterator<Incarnation> oldest = leavingAtNanos.keySet().iterator();
       oldest.next();
       oldest.remove();
     }
@@ -41,7 +48,7 @@
   /** Takes what one read of the platform's list says; {@code current} is the newest incarnation. */
   void onListed(boolean leavingInList, @Nullable Incarnation current, long nowNanos) {
     if (leavingInList && !announced) {
-      bindAnnouncement(current);
+      bindAnnouncement(current, nowNanos);
     }
     listed = true;
     announced = leavingInList;
@@ -52,11 +59,11 @@
     }
   }
 
-  private void bindAnnouncement(@Nullable Incarnation current) {
+  private void bindAnnouncement(@Nullable Incarnation current, long nowNanos) {
     if (current == null) {
       announcedBeforeAnyReport = true;
     } else {
-      add(current);
+      add(current, nowNanos);
     }
   }
 
@@ -68,28 +75,34 @@
   }
 
   /** The first incarnation of the server was seen; an earlier announcement is about it. */
-  void onFirstIncarnation(Incarnation incarnation) {
+  void onFirstIncarnation(Incarnation incarnation, long nowNanos) {
     if (announcedBeforeAnyReport) {
       announcedBeforeAnyReport = false;
-      add(incarnation);
+      add(incarnation, nowNanos);
     }
   }
 
-  boolean isLeaving(@Nullable Incarnation current, long nowNanos, long listClearNanos) {
-    if (announced || announcedBeforeAnyReport) {
-      return true;
-    }
-    if (everAnnounced && nowNanos - lastAnnouncedNanos < listClearNanos) {
+  boolean isLeaving(@Nullable LoadReport current, long nowNanos) {
+    boolean deniedTooShort = everAnnounced && nowNanos - lastAnnouncedNanos < listClearNanos;
+    if (announced || announcedBeforeAnyReport || deniedTooShort) {
       return true;
     }
-    return current != null && leaving.contains(current);
+    return leavingAtNanos.entrySet().stream()
+        .anyMatch(mark -> counts(mark.getKey(), mark.getValue(), current));
   }
 
-  boolean isExpired(long nowNanos, long retentionNanos) {
-    return !listed && nowNanos - lastListedNanos >= retentionNanos;
+  private boolean counts(Incarnation leaving, long atNanos, @Nullable LoadReport current) {
+    return current == null
+        || current.incarnation().equals(leaving)
+        || current.takenNanos() - atNanos <= skewNanos;
   }
 
-  Set<Incarnation> incarnations() {
-    return leaving;
+  /** Returns true if {@code incarnation} was said to leave. */
+  boolean contains(Incarnation incarnation) {
+    return leavingAtNanos.containsKey(incarnation);
+  }
+
+  boolean isExpired(long nowNanos, long retentionNanos) {
+    return !listed && nowNanos - lastListedNanos >= retentionNanos;
   }
 }
--- a/amaranthstream/src/main/java/org/amaranthstream/membership/MembershipSettings.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/membership/MembershipSettings.java
@@ -27,6 +27,7 @@
   private final Duration leavingRetention;
   private final Duration listClearAfter;
   private final Duration linkRetryAfter;
+  private final Duration relaySkew;
 
   private MembershipSettings(Builder builder) {
     this.suspectAfter = builder.suspectAfter;
@@ -40,6 +41,7 @@
     this.leavingRetention = builder.leavingRetention;
     this.listClearAfter = builder.listClearAfter;
     this.linkRetryAfter = builder.linkRetryAfter;
+    this.relaySkew = builder.relaySkew;
     checkArgument(
         suspectAfter.compareTo(unreachableAfter) < 0,
         "suspectAfter %s is not below unreachableAfter %s",
@@ -110,6 +112,11 @@
     return linkRetryAfter;
   }
 
+  /** Returns how much younger than the truth a passed-on load report may look. */
+  public Duration relaySkew() {
+    return relaySkew;
+  }
+
   /** Builder of {@link MembershipSettings}. */
   public static final class Builder {
     private Duration suspectAfter = Duration.ofSeconds(3);
@@ -123,6 +130,7 @@
     private Duration leavingRetention = Duration.ofHours(1);
     private Duration listClearAfter = Duration.ofSeconds(30);
     private Duration linkRetryAfter = Duration.ofSeconds(30);
+    private Duration relaySkew = Duration.ofSeconds(3);
 
     private Builder() {}
 
@@ -203,6 +211,13 @@
       return this;
     }
 
+    /** Sets how much younger than the truth a passed-on load report may look. */
+    @CanIgnoreReturnValue
+    public Builder relaySkew(Duration relaySkew) {
+      this.relaySkew = relaySkew;
+      return this;
+    }
+
     /**
      * Returns the settings.
      *
--- a/amaranthstream/src/main/java/org/amaranthstream/membership/MembershipTable.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/membership/MembershipTable.java
@@ -167,6 +167,11 @@
     return zones.views(pool, nowNanos);
   }
 
+  /** Returns how much younger than the truth a passed-on load report may look. */
+  public Duration relaySkew() {
+    return settings.relaySkew();
+  }
+
   /** Returns the own phase. */
   public VmPhase phase() {
     return phase;
--- a/amaranthstream/src/main/java/org/amaranthstream/membership/PeerHeartbeat.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/membership/PeerHeartbeat.java
@@ -12,7 +12,8 @@
  * @param from the sender, as its link authenticated it
  * @param phase whether the sender takes new work
  * @param lastHeardAge how old the sender's last heartbeat from this process is, empty if none
- * @param reports load reports that the sender polled
+ * @param reports load reports that the sender polled; none that may be delayed by more than the
+ *     relay skew
  * @param leaving incarnations of backend servers that the sender knows to leave
  * @param aggregates aggregates of the sender's zone, or of others that it heard of directly
  * @param waiting requests that wait in the sender, by pool
--- a/amaranthstream/src/main/java/org/amaranthstream/membership/ServerReports.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/membership/ServerReports.java
@@ -1,27 +1,25 @@
 package org.amaranthstream.membership;
 
-import java.time.Duration;
-import java.util.ArrayDeque;
-import java.util.Deque;
 import org.amaranthstream.ids.Incarnation;
 import org.jspecify.annotations.Nullable;
 
 /**
  * The newest load report of one backend server, among own polls and reports that peers passed on.
  *
- * <p>A passed-on report looks younger than it is by the time it spent on the way. So an incarnation
- * that was superseded comes back only by an own poll, or when the current one has gone quiet.
+ * <p>A passed-on report looks younger than it is by at most the relay skew. So another incarnation
+ * is believed only if its report is newer by more than that.
  *
  * <p>Not thread safe.
  */
 final class ServerReports {
-  private static final int MAX_SUPERSEDED = 8;
-  private static final long RELAY_SKEW_NANOS = Duration.ofSeconds(1).toNanos();
-
-  private final Deque<Incarnation> superseded = new ArrayDeque<>();
+  private final long skewNanos;
   private @Nullable LoadReport current;
   private boolean polledHere;
 
+  ServerReports(MembershipSettings settings) {
+    this.skewNanos = settings.relaySkew().toNanos();
+  }
+
   @Nullable LoadReport current() {
     return current;
   }
@@ -36,37 +34,24 @@
   }
 
   void onPolled(LoadReport report) {
-    adopt(report, true);
+    if (current == null || lead(report, current) >= -skewNanos) {
+      current = report;
+      polledHere = true;
+    }
   }
 
-  void onRelayed(LoadReport report, long nowNanos, long expiryNanos) {
-    if (current == null || isNewer(report, current, nowNanos, expiryNanos)) {
-      adopt(report, false);
+  void onRelayed(LoadReport report) {
+    if (current == null || lead(report, current) > requiredLead(report, current)) {
+      current = report;
+      polledHere = false;
     }
   }
 
-  private boolean isNewer(LoadReport report, LoadReport than, long nowNanos, long expiryNanos) {
-    long lead = report.takenNanos() - than.takenNanos();
-    if (report.incarnation().equals(than.incarnation())) {
-      return lead > 0;
-    }
-    boolean currentIsQuiet = nowNanos - than.takenNanos() >= expiryNanos;
-    if (superseded.contains(report.incarnation()) && !currentIsQuiet) {
-      return false;
-    }
-    return lead > RELAY_SKEW_NANOS;
+  private long requiredLead(LoadReport report, LoadReport than) {
+    return report.incarnation().equals(than.incarnation()) ? 0 : skewNanos;
   }
 
-  private void adopt(LoadReport report, boolean here) {
-    Incarnation previous = incarnation();
-    if (previous != null && !previous.equals(report.incarnation())) {
-      superseded.remove(report.incarnation());
-      superseded.addLast(previous);
-      if (superseded.size() > MAX_SUPERSEDED) {
-        superseded.removeFirst();
-      }
-    }
-    current = report;
-    polledHere = here;
+  private static long lead(LoadReport report, LoadReport than) {
+    return report.takenNanos() - than.takenNanos();
   }
 }
--- a/amaranthstream/src/main/java/org/amaranthstream/peer/Heartbeats.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/peer/Heartbeats.java
@@ -2,8 +2,8 @@
 
 import com.google.protobuf.ByteString;
 import java.util.Optional;
+import java.util.OptionalLong;
 import org.amaranthstream.ids.ConfigGeneration;
-import org.amaranthstream.ids.EntryVmId;
 import org.amaranthstream.ids.ModelId;
 import org.amaranthstream.ids.WeightVersion;
 import org.amaranthstream.membership.LocalVm;
@@ -57,13 +57,15 @@
       Optional<Heartbeat> body = sameZone ? Optional.of(inZone) : crossZone;
       // A full link drops the heartbeat; the next one carries the same and more.
       SendResult unused =
-          link.send(body.map(message -> address(message, link.target(), inbound)).orElse(ping));
+          link.send(body.map(message -> address(message, link, inbound)).orElse(ping));
     }
   }
 
-  private Frame address(Heartbeat body, EntryVmId to, InboundLinks inbound) {
-    Heartbeat.Builder builder = body.toBuilder();
-    inbound.heardAgeNanos(to).ifPresent(age -> builder.setLastHeardMs(Ages.nanosToMillis(age)));
+  private Frame address(Heartbeat body, PeerLink link, InboundLinks inbound) {
+    Heartbeat.Builder builder = body.toBuilder().setAckedSequence(link.ackedSequence());
+    inbound
+        .heardAgeNanos(link.target())
+        .ifPresent(age -> builder.setLastHeardMs(Ages.nanosToMillis(age)));
     return Frame.newBuilder().setHeartbeat(builder).build();
   }
 
@@ -126,8 +128,10 @@
    *
    * @throws IllegalArgumentException if a part is out of range; nothing was taken then
    */
-  void receive(LocalVm from, Heartbeat heartbeat) {
+  void receive(InboundLink link, Heartbeat received) {
     long now = timers.nowNanos();
+    Heartbeat heartbeat = withoutLateReports(link, received, now);
+    LocalVm from = link.peer();
     PeerHeartbeat membership = HeartbeatCodec.decode(from, heartbeat, now);
     ConfigGeneration generation = ConfigGeneration.of(heartbeat.getConfigGeneration());
     table.onHeartbeat(membership, now);
@@ -141,4 +145,11 @@
           new QuarantineNotice(fingerprint, Ages.ofMillis(quarantine.getRemainingMs())));
     }
   }
+
+  /** Reports whose true age is not known well enough could bring an old incarnation back. */
+  private Heartbeat withoutLateReports(InboundLink link, Heartbeat heartbeat, long now) {
+    OptionalLong transit = link.maxTransitNanos(heartbeat.getAckedSequence(), now);
+    boolean late = transit.isEmpty() || transit.getAsLong() > table.relaySkew().toNanos();
+    return late ? heartbeat.toBuilder().clearReport().clearAggregate().build() : heartbeat;
+  }
 }
--- a/amaranthstream/src/main/java/org/amaranthstream/peer/InboundLink.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/peer/InboundLink.java
@@ -2,16 +2,28 @@
 
 import java.time.Duration;
 import java.util.HashMap;
+import java.util.LinkedHashMap;
 import java.util.Map;
+import java.util.OptionalLong;
 import org.amaranthstream.ids.RequestId;
 import org.amaranthstream.membership.LocalVm;
 import org.amaranthstream.peer.wire.Frame;
 
 /** An accepted and authenticated connection. Used on the decision thread only, but for send. */
 final class InboundLink {
+  private static final int MAX_ANSWERS = 16;
+  private static final long NO_ANSWER = 0;
+
   private final LocalVm peer;
   private final FrameChannel channel;
   private final Map<Long, RequestId> forwards = new HashMap<>();
+  private final Map<Long, Long> answeredAtNanos =
+      new LinkedHashMap<>() {
+        @Override
+        protected boolean removeEldestEntry(Map.Entry<Long, Long> eldest) {
+          return size() > MAX_ANSWERS;
+        }
+      };
   private int openQueries;
   private long lastHeardNanos;
 
@@ -19,6 +31,7 @@
     this.peer = peer;
     this.channel = channel;
     this.lastHeardNanos = nowNanos;
+    this.answeredAtNanos.put(NO_ANSWER, nowNanos);
   }
 
   LocalVm peer() {
@@ -46,6 +59,22 @@
     return nowNanos - lastHeardNanos;
   }
 
+  /** Notes that the heartbeat or ping {@code sequence} is answered. */
+  void markAnswered(long sequence, long nowNanos) {
+    if (sequence != NO_ANSWER) {
+      answeredAtNanos.put(sequence, nowNanos);
+    }
+  }
+
+  /**
+   * Returns an upper bound on the time that a frame was on the way: its sender had the answer to
+   * {@code ackedSequence} before it sent the frame. Empty if that answer is forgotten.
+   */
+  OptionalLong maxTransitNanos(long ackedSequence, long nowNanos) {
+    Long answeredAt = answeredAtNanos.get(ackedSequence);
+    return answeredAt == null ? OptionalLong.empty() : OptionalLong.of(nowNanos - answeredAt);
+  }
+
   SendResult send(Frame frame) {
     return channel.send(frame);
   }
--- a/amaranthstream/src/main/java/org/amaranthstream/peer/InboundLinks.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/peer/InboundLinks.java
@@ -58,10 +58,18 @@
   }
 
   private void receive(InboundLink link, Frame frame) {
-    if (links.get(link.peer().id()) == link) {
-      link.markHeard(timers.nowNanos());
-      observer.onInboundFrame(link, frame);
+    if (links.get(link.peer().id()) != link) {
+      return;
     }
+    long now = timers.nowNanos();
+    if (link.heardAgeNanos(now) >= settings.silentAfter().toNanos()) {
+      // The other side has given this connection up: what is still in it comes too late.
+      link.close();
+      remove(link);
+      return;
+    }
+    link.markHeard(now);
+    observer.onInboundFrame(link, frame);
   }
 
   /** Closes connections on which nothing arrives, and forgets those that are closed. */
--- a/amaranthstream/src/main/java/org/amaranthstream/peer/PeerLink.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/peer/PeerLink.java
@@ -35,6 +35,7 @@
   private @Nullable LocalVm peer;
   private long connectingSinceNanos;
   private long lastAnswerNanos;
+  private long ackedSequence;
   private long lastUsedNanos;
   private long retryAtNanos;
   private int lostConnections;
@@ -79,6 +80,11 @@
     return connectionNumber;
   }
 
+  /** Returns the sequence that the other side answered last on this connection, 0 if none. */
+  long ackedSequence() {
+    return ackedSequence;
+  }
+
   Optional<LocalVm> peer() {
     return Optional.ofNullable(peer);
   }
@@ -196,6 +202,7 @@
     this.channel = channel;
     this.peer = peer;
     phase = LinkPhase.READY;
+    ackedSequence = 0;
     lastAnswerNanos = timers.nowNanos();
     backoff.reset();
     logger.atInfo().log(
@@ -207,6 +214,9 @@
   private void onFrame(int number, Frame frame) {
     if (number == connectionNumber && phase == LinkPhase.READY) {
       lastAnswerNanos = timers.nowNanos();
+      if (frame.hasPong()) {
+        ackedSequence = frame.getPong().getSequence();
+      }
       observer.onLinkFrame(this, frame);
     }
   }
--- a/amaranthstream/src/main/java/org/amaranthstream/peer/PeerNode.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/peer/PeerNode.java
@@ -229,7 +229,7 @@
 
     private void onHeartbeat(InboundLink link, Frame frame) {
       try {
-        heartbeats.receive(link.peer(), frame.getHeartbeat());
+        heartbeats.receive(link, frame.getHeartbeat());
       } catch (IllegalArgumentException e) {
         logger.atWarning().log(
             "event=heartbeat_invalid vm=%s reason=\"%s\"", link.peer().id(), e.getMessage());
@@ -245,6 +245,7 @@
               .setSequence(sequence)
               .setPhase(HeartbeatCodec.encodePhase(table.phase()))
               .build();
+      link.markAnswered(sequence, timers.nowNanos());
       // A full link drops the answer; a peer that reads nothing replaces the connection.
       SendResult unused = link.send(Frame.newBuilder().setPong(pong).build());
     }
--- a/amaranthstream/src/main/java/org/amaranthstream/peer/wire/Heartbeat.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/peer/wire/Heartbeat.java
@@ -369,6 +369,21 @@
     return queue_.get(index);
   }
 
+  public static final int ACKED_SEQUENCE_FIELD_NUMBER = 11;
+  private long ackedSequence_ = 0L;
+  /**
+   * <pre>
+   * Highest sequence that the receiver has answered on this connection; bounds the transit time.
+   * </pre>
+   *
+   * <code>uint64 acked_sequence = 11;</code>
+   * @return The ackedSequence.
+   */
+  @java.lang.Override
+  public long getAckedSequence() {
+    return ackedSequence_;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -413,6 +428,9 @@
     for (int i = 0; i < queue_.size(); i++) {
       output.writeMessage(10, queue_.get(i));
     }
+    if (ackedSequence_ != 0L) {
+      output.writeUInt64(11, ackedSequence_);
+    }
     getUnknownFields().writeTo(output);
   }
 
@@ -492,6 +510,10 @@
           }
           size += 1 * count;
         }
+    if (ackedSequence_ != 0L) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeUInt64Size(11, ackedSequence_);
+    }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -529,6 +551,8 @@
         .equals(other.getAggregateList())) return false;
     if (!getQueueList()
         .equals(other.getQueueList())) return false;
+    if (getAckedSequence()
+        != other.getAckedSequence()) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -576,6 +600,9 @@
       hash = (37 * hash) + QUEUE_FIELD_NUMBER;
       hash = (53 * hash) + getQueueList().hashCode();
     }
+    hash = (37 * hash) + ACKED_SEQUENCE_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+        getAckedSequence());
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -753,6 +780,7 @@
         queueBuilder_.clear();
       }
       bitField0_ = (bitField0_ & ~0x00000200);
+      ackedSequence_ = 0L;
       return this;
     }
 
@@ -858,6 +886,9 @@
         result.lastHeardMs_ = lastHeardMs_;
         to_bitField0_ |= 0x00000001;
       }
+      if (((from_bitField0_ & 0x00000400) != 0)) {
+        result.ackedSequence_ = ackedSequence_;
+      }
       result.bitField0_ |= to_bitField0_;
     }
 
@@ -1041,6 +1072,9 @@
           }
         }
       }
+      if (other.getAckedSequence() != 0L) {
+        setAckedSequence(other.getAckedSequence());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -1165,6 +1199,11 @@
               }
               break;
             } // case 82
+            case 88: {
+              ackedSequence_ = input.readUInt64();
+              bitField0_ |= 0x00000400;
+              break;
+            } // case 88
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -2794,6 +2833,50 @@
       return queueBuilder_;
     }
 
+    private long ackedSequence_ ;
+    /**
+     * <pre>
+     * Highest sequence that the receiver has answered on this connection; bounds the transit time.
+     * </pre>
+     *
+     * <code>uint64 acked_sequence = 11;</code>
+     * @return The ackedSequence.
+     */
+    @java.lang.Override
+    public long getAckedSequence() {
+      return ackedSequence_;
+    }
+    /**
+     * <pre>
+     * Highest sequence that the receiver has answered on this connection; bounds the transit time.
+     * </pre>
+     *
+     * <code>uint64 acked_sequence = 11;</code>
+     * @param value The ackedSequence to set.
+     * @return This builder for chaining.
+     */
+    public Builder setAckedSequence(long value) {
+
+      ackedSequence_ = value;
+      bitField0_ |= 0x00000400;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Highest sequence that the receiver has answered on this connection; bounds the transit time.
+     * </pre>
+     *
+     * <code>uint64 acked_sequence = 11;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearAckedSequence() {
+      bitField0_ = (bitField0_ & ~0x00000400);
+      ackedSequence_ = 0L;
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:amaranthstream.peer.Heartbeat)
   }
 
--- a/amaranthstream/src/main/java/org/amaranthstream/peer/wire/HeartbeatOrBuilder.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/peer/wire/HeartbeatOrBuilder.java
@@ -195,4 +195,14 @@
    */
   org.amaranthstream.peer.wire.PoolQueueOrBuilder getQueueOrBuilder(
       int index);
+
+  /**
+   * <pre>
+   * Highest sequence that the receiver has answered on this connection; bounds the transit time.
+   * </pre>
+   *
+   * <code>uint64 acked_sequence = 11;</code>
+   * @return The ackedSequence.
+   */
+  long getAckedSequence();
 }
--- a/amaranthstream/src/main/java/org/amaranthstream/peer/wire/Peer.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/peer/wire/Peer.java
@@ -193,7 +193,7 @@
       "ac\030\004 \001(\014\"\024\n\005Proof\022\013\n\003mac\030\001 \001(\014\"\t\n\007Welcom" +
       "e\"\030\n\004Ping\022\020\n\010sequence\030\001 \001(\004\"C\n\004Pong\022\020\n\010s" +
       "equence\030\001 \001(\004\022)\n\005phase\030\002 \001(\0162\032.amaranths" +
-      "tream.peer.Phase\"\310\003\n\tHeartbeat\022\020\n\010sequen" +
+      "tream.peer.Phase\"\340\003\n\tHeartbeat\022\020\n\010sequen" +
       "ce\030\001 \001(\004\022)\n\005phase\030\002 \001(\0162\032.amaranthstream" +
       ".peer.Phase\022\031\n\021config_generation\030\003 \001(\004\022\032" +
       "\n\rlast_heard_ms\030\004 \001(\rH\000\210\001\001\0228\n\rmodel_vers" +
@@ -204,53 +204,54 @@
       "(\0132\037.amaranthstream.peer.Quarantine\0225\n\ta" +
       "ggregate\030\t \003(\0132\".amaranthstream.peer.Zon" +
       "eAggregate\022-\n\005queue\030\n \003(\0132\036.amaranthstre" +
-      "am.peer.PoolQueueB\020\n\016_last_heard_ms\".\n\014M" +
-      "odelVersion\022\r\n\005model\030\001 \001(\t\022\017\n\007version\030\002 " +
-      "\001(\004\"\241\001\n\006Report\022\016\n\006server\030\001 \001(\t\022\023\n\013incarn" +
-      "ation\030\002 \001(\t\022\024\n\007version\030\003 \001(\004H\000\210\001\001\022\017\n\007run" +
-      "ning\030\004 \001(\r\022\016\n\006queued\030\005 \001(\r\022\r\n\005slots\030\006 \001(" +
-      "\r\022\020\n\010draining\030\007 \001(\010\022\016\n\006age_ms\030\010 \001(\rB\n\n\010_" +
-      "version\"4\n\rLeavingServer\022\016\n\006server\030\001 \001(\t" +
-      "\022\023\n\013incarnation\030\002 \001(\t\"7\n\nQuarantine\022\023\n\013f" +
-      "ingerprint\030\001 \001(\014\022\024\n\014remaining_ms\030\002 \001(\r\"\256" +
-      "\001\n\rZoneAggregate\022\014\n\004zone\030\001 \001(\t\022\016\n\006region" +
-      "\030\002 \001(\t\022\014\n\004pool\030\003 \001(\t\022\017\n\007servers\030\004 \001(\r\022\017\n" +
-      "\007running\030\005 \001(\r\022\016\n\006queued\030\006 \001(\r\022\r\n\005slots\030" +
-      "\007 \001(\r\022\024\n\007version\030\010 \001(\004H\000\210\001\001\022\016\n\006age_ms\030\t " +
-      "\001(\rB\n\n\010_version\")\n\tPoolQueue\022\014\n\004pool\030\001 \001" +
-      "(\t\022\016\n\006queued\030\002 \001(\r\"C\n\005Query\022\n\n\002id\030\001 \001(\004\022" +
-      "\014\n\004kind\030\002 \001(\r\022\014\n\004body\030\003 \001(\014\022\022\n\ntimeout_m" +
-      "s\030\004 \001(\r\"`\n\nQueryReply\022\n\n\002id\030\001 \001(\004\022\016\n\004bod" +
-      "y\030\002 \001(\014H\000\022+\n\005error\030\003 \001(\0132\032.amaranthstrea" +
-      "m.peer.ErrorH\000B\t\n\007outcome\"&\n\005Error\022\014\n\004co" +
-      "de\030\001 \001(\r\022\017\n\007message\030\002 \001(\t\"\303\002\n\007Forward\022\n\n" +
-      "\002id\030\001 \001(\004\022\017\n\007request\030\002 \001(\t\022\022\n\nwork_class" +
-      "\030\003 \001(\t\022\014\n\004pool\030\004 \001(\t\022\020\n\010priority\030\005 \001(\r\022\022" +
-      "\n\nidempotent\030\006 \001(\010\022\025\n\010affinity\030\007 \001(\tH\001\210\001" +
-      "\001\022\034\n\017minimum_version\030\010 \001(\004H\002\210\001\001\022\024\n\014remai" +
-      "ning_ms\030\t \001(\r\0221\n\010generate\030\n \001(\0132\035.amaran" +
-      "thstream.peer.GenerateH\000\022)\n\004call\030\013 \001(\0132\031" +
-      ".amaranthstream.peer.CallH\000B\t\n\007payloadB\013" +
-      "\n\t_affinityB\022\n\020_minimum_version\"<\n\010Gener" +
-      "ate\022\016\n\006prompt\030\001 \001(\t\022\022\n\nmax_tokens\030\002 \001(\r\022" +
-      "\014\n\004seed\030\003 \001(\003\"8\n\004Call\022\014\n\004path\030\001 \001(\t\022\024\n\014c" +
-      "ontent_type\030\002 \001(\t\022\014\n\004body\030\003 \001(\014\"\224\001\n\014Forw" +
-      "ardChunk\022\n\n\002id\030\001 \001(\004\022\016\n\006offset\030\002 \001(\004\022\016\n\006" +
-      "tokens\030\003 \001(\r\022\014\n\004text\030\004 \001(\t\022\024\n\007version\030\005 " +
-      "\001(\004H\000\210\001\001\022\030\n\013incarnation\030\006 \001(\tH\001\210\001\001B\n\n\010_v" +
-      "ersionB\016\n\014_incarnation\"\270\001\n\016ForwardOutcom" +
-      "e\022\n\n\002id\030\001 \001(\004\0220\n\tcompleted\030\002 \001(\0132\033.amara" +
-      "nthstream.peer.AnswerH\000\022.\n\007not_run\030\003 \001(\013" +
-      "2\033.amaranthstream.peer.NotRunH\000\022-\n\007unkno" +
-      "wn\030\004 \001(\0132\032.amaranthstream.peer.ErrorH\000B\t" +
-      "\n\007outcome\"e\n\006Answer\022\016\n\006server\030\001 \001(\t\022\016\n\006s" +
-      "tatus\030\002 \001(\r\022\024\n\014content_type\030\003 \001(\t\022\016\n\006tok" +
-      "ens\030\004 \001(\004\022\025\n\rfinish_reason\030\005 \001(\t\"c\n\006NotR" +
-      "un\022)\n\005error\030\001 \001(\0132\032.amaranthstream.peer." +
-      "Error\022\033\n\016retry_after_ms\030\002 \001(\rH\000\210\001\001B\021\n\017_r" +
-      "etry_after_ms\"\033\n\rForwardCancel\022\n\n\002id\030\001 \001" +
-      "(\004*\037\n\005Phase\022\t\n\005READY\020\000\022\013\n\007LEAVING\020\001B \n\034o" +
-      "rg.amaranthstream.peer.wireP\001b\006proto3"
+      "am.peer.PoolQueue\022\026\n\016acked_sequence\030\013 \001(" +
+      "\004B\020\n\016_last_heard_ms\".\n\014ModelVersion\022\r\n\005m" +
+      "odel\030\001 \001(\t\022\017\n\007version\030\002 \001(\004\"\241\001\n\006Report\022\016" +
+      "\n\006server\030\001 \001(\t\022\023\n\013incarnation\030\002 \001(\t\022\024\n\007v" +
+      "ersion\030\003 \001(\004H\000\210\001\001\022\017\n\007running\030\004 \001(\r\022\016\n\006qu" +
+      "eued\030\005 \001(\r\022\r\n\005slots\030\006 \001(\r\022\020\n\010draining\030\007 " +
+      "\001(\010\022\016\n\006age_ms\030\010 \001(\rB\n\n\010_version\"4\n\rLeavi" +
+      "ngServer\022\016\n\006server\030\001 \001(\t\022\023\n\013incarnation\030" +
+      "\002 \001(\t\"7\n\nQuarantine\022\023\n\013fingerprint\030\001 \001(\014" +
+      "\022\024\n\014remaining_ms\030\002 \001(\r\"\256\001\n\rZoneAggregate" +
+      "\022\014\n\004zone\030\001 \001(\t\022\016\n\006region\030\002 \001(\t\022\014\n\004pool\030\003" +
+      " \001(\t\022\017\n\007servers\030\004 \001(\r\022\017\n\007running\030\005 \001(\r\022\016" +
+      "\n\006queued\030\006 \001(\r\022\r\n\005slots\030\007 \001(\r\022\024\n\007version" +
+      "\030\010 \001(\004H\000\210\001\001\022\016\n\006age_ms\030\t \001(\rB\n\n\010_version\"" +
+      ")\n\tPoolQueue\022\014\n\004pool\030\001 \001(\t\022\016\n\006queued\030\002 \001" +
+      "(\r\"C\n\005Query\022\n\n\002id\030\001 \001(\004\022\014\n\004kind\030\002 \001(\r\022\014\n" +
+      "\004body\030\003 \001(\014\022\022\n\ntimeout_ms\030\004 \001(\r\"`\n\nQuery" +
+      "Reply\022\n\n\002id\030\001 \001(\004\022\016\n\004body\030\002 \001(\014H\000\022+\n\005err" +
+      "or\030\003 \001(\0132\032.amaranthstream.peer.ErrorH\000B\t" +
+      "\n\007outcome\"&\n\005Error\022\014\n\004code\030\001 \001(\r\022\017\n\007mess" +
+      "age\030\002 \001(\t\"\303\002\n\007Forward\022\n\n\002id\030\001 \001(\004\022\017\n\007req" +
+      "uest\030\002 \001(\t\022\022\n\nwork_class\030\003 \001(\t\022\014\n\004pool\030\004" +
+      " \001(\t\022\020\n\010priority\030\005 \001(\r\022\022\n\nidempotent\030\006 \001" +
+      "(\010\022\025\n\010affinity\030\007 \001(\tH\001\210\001\001\022\034\n\017minimum_ver" +
+      "sion\030\010 \001(\004H\002\210\001\001\022\024\n\014remaining_ms\030\t \001(\r\0221\n" +
+      "\010generate\030\n \001(\0132\035.amaranthstream.peer.Ge" +
+      "nerateH\000\022)\n\004call\030\013 \001(\0132\031.amaranthstream." +
+      "peer.CallH\000B\t\n\007payloadB\013\n\t_affinityB\022\n\020_" +
+      "minimum_version\"<\n\010Generate\022\016\n\006prompt\030\001 " +
+      "\001(\t\022\022\n\nmax_tokens\030\002 \001(\r\022\014\n\004seed\030\003 \001(\003\"8\n" +
+      "\004Call\022\014\n\004path\030\001 \001(\t\022\024\n\014content_type\030\002 \001(" +
+      "\t\022\014\n\004body\030\003 \001(\014\"\224\001\n\014ForwardChunk\022\n\n\002id\030\001" +
+      " \001(\004\022\016\n\006offset\030\002 \001(\004\022\016\n\006tokens\030\003 \001(\r\022\014\n\004" +
+      "text\030\004 \001(\t\022\024\n\007version\030\005 \001(\004H\000\210\001\001\022\030\n\013inca" +
+      "rnation\030\006 \001(\tH\001\210\001\001B\n\n\010_versionB\016\n\014_incar" +
+      "nation\"\270\001\n\016ForwardOutcome\022\n\n\002id\030\001 \001(\004\0220\n" +
+      "\tcompleted\030\002 \001(\0132\033.amaranthstream.peer.A" +
+      "nswerH\000\022.\n\007not_run\030\003 \001(\0132\033.amaranthstrea" +
+      "m.peer.NotRunH\000\022-\n\007unknown\030\004 \001(\0132\032.amara" +
+      "nthstream.peer.ErrorH\000B\t\n\007outcome\"e\n\006Ans" +
+      "wer\022\016\n\006server\030\001 \001(\t\022\016\n\006status\030\002 \001(\r\022\024\n\014c" +
+      "ontent_type\030\003 \001(\t\022\016\n\006tokens\030\004 \001(\004\022\025\n\rfin" +
+      "ish_reason\030\005 \001(\t\"c\n\006NotRun\022)\n\005error\030\001 \001(" +
+      "\0132\032.amaranthstream.peer.Error\022\033\n\016retry_a" +
+      "fter_ms\030\002 \001(\rH\000\210\001\001B\021\n\017_retry_after_ms\"\033\n" +
+      "\rForwardCancel\022\n\n\002id\030\001 \001(\004*\037\n\005Phase\022\t\n\005R" +
+      "EADY\020\000\022\013\n\007LEAVING\020\001B \n\034org.amaranthstrea" +
+      "m.peer.wireP\001b\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -309,7 +310,7 @@
     internal_static_amaranthstream_peer_Heartbeat_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_amaranthstream_peer_Heartbeat_descriptor,
-        new java.lang.String[] { "Sequence", "Phase", "ConfigGeneration", "LastHeardMs", "ModelVersion", "Report", "Leaving", "Quarantine", "Aggregate", "Queue", });
+        new java.lang.String[] { "Sequence", "Phase", "ConfigGeneration", "LastHeardMs", "ModelVersion", "Report", "Leaving", "Quarantine", "Aggregate", "Queue", "AckedSequence", });
     internal_static_amaranthstream_peer_ModelVersion_descriptor =
       getDescriptor().getMessageType(9);
     internal_static_amaranthstream_peer_ModelVersion_fieldAccessorTable = new
