Tell silent connections from silent servers by a fresh connection

Cause: an attempt without progress was held against its server although only its connection may be lost. A second silence of one request on one server counts against the server. The quarantine can now be taken over from other entry VMs.

--- a/amaranthstream/src/main/java/org/amaranthstream/dispatch/ActiveRequest.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/dispatch/ActiveRequest.java
@@ -26,6 +26,10 @@
   final Fingerprint fingerprint;
   final Set<BackendServerId> failedServers = new HashSet<>();
   final Set<AvailabilityZoneId> failedZones = new HashSet<>();
+
+  /** Servers on which a connection went silent while a fresh one worked. */
+  final Set<BackendServerId> silentServers = new HashSet<>();
+
   private final long arrival;
   private Optional<Subscription> timer = Optional.empty();
   State state = State.QUEUED;
--- a/amaranthstream/src/main/java/org/amaranthstream/dispatch/DispatchSettings.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/dispatch/DispatchSettings.java
@@ -16,6 +16,7 @@
   private final Duration progressCheck;
   private final Duration firstPartTimeout;
   private final Duration nextPartTimeout;
+  private final Duration probeTimeout;
   private final Duration unreachableBackoff;
   private final Duration reportMaxAge;
   private final Duration quarantine;
@@ -26,6 +27,7 @@
     this.progressCheck = builder.progressCheck;
     this.firstPartTimeout = builder.firstPartTimeout;
     this.nextPartTimeout = builder.nextPartTimeout;
+    this.probeTimeout = builder.probeTimeout;
     this.unreachableBackoff = builder.unreachableBackoff;
     this.reportMaxAge = builder.reportMaxAge;
     this.quarantine = builder.quarantine;
@@ -66,6 +68,11 @@
     return nextPartTimeout;
   }
 
+  /** Returns the time after which a fresh connection counts as unanswered. */
+  public Duration probeTimeout() {
+    return probeTimeout;
+  }
+
   /** Returns the time for which a server that could not be reached is passed over. */
   public Duration unreachableBackoff() {
     return unreachableBackoff;
@@ -88,6 +95,7 @@
     private Duration progressCheck = Duration.ofMillis(100);
     private Duration firstPartTimeout = Duration.ofSeconds(5);
     private Duration nextPartTimeout = Duration.ofSeconds(2);
+    private Duration probeTimeout = Duration.ofMillis(500);
     private Duration unreachableBackoff = Duration.ofMillis(500);
     private Duration reportMaxAge = Duration.ofSeconds(5);
     private Duration quarantine = Duration.ofMinutes(10);
@@ -131,6 +139,13 @@
       return this;
     }
 
+    /** Sets the time after which a fresh connection counts as unanswered. */
+    @CanIgnoreReturnValue
+    public Builder probeTimeout(Duration timeout) {
+      this.probeTimeout = positive("probe timeout", timeout);
+      return this;
+    }
+
     /** Sets the time for which a server that could not be reached is passed over. */
     @CanIgnoreReturnValue
     public Builder unreachableBackoff(Duration backoff) {
--- a/amaranthstream/src/main/java/org/amaranthstream/dispatch/DispatcherBuilder.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/dispatch/DispatcherBuilder.java
@@ -42,6 +42,7 @@
   private LinkBudget linkBudget = LinkBudget.unlimited();
   private ConcurrencyLimit.Factory limits = AimdLimit::startingAt;
   private ServerHealth.Factory healths = HysteresisHealth::create;
+  private ConnectionProbe connectionProbe = ConnectionProbe.none();
 
   DispatcherBuilder() {}
 
@@ -164,6 +165,13 @@
     return this;
   }
 
+  /** Sets how silent connections are told from silent servers. */
+  @CanIgnoreReturnValue
+  public DispatcherBuilder connectionProbe(ConnectionProbe connectionProbe) {
+    this.connectionProbe = checkNotNull(connectionProbe, "connectionProbe");
+    return this;
+  }
+
   /**
    * Returns a dispatcher at work; its timers run until it is closed.
    *
@@ -188,6 +196,7 @@
             retryBudget,
             linkBudget,
             limits,
-            healths));
+            healths,
+            connectionProbe));
   }
 }
--- a/amaranthstream/src/main/java/org/amaranthstream/dispatch/DispatcherParts.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/dispatch/DispatcherParts.java
@@ -29,4 +29,5 @@
     RetryBudget retryBudget,
     LinkBudget linkBudget,
     ConcurrencyLimit.Factory limits,
-    ServerHealth.Factory healths) {}
+    ServerHealth.Factory healths,
+    ConnectionProbe connectionProbe) {}
--- a/amaranthstream/src/main/java/org/amaranthstream/dispatch/PoisonRegistry.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/dispatch/PoisonRegistry.java
@@ -3,6 +3,7 @@
 import static com.google.common.base.Preconditions.checkArgument;
 
 import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableMap;
 import com.google.common.collect.ImmutableSet;
 import java.time.Duration;
 import java.util.HashSet;
@@ -46,6 +47,10 @@
       entry.newestNanos = nowNanos;
     }
     entries.put(fingerprint, entry);
+    trim();
+  }
+
+  private void trim() {
     if (entries.size() > MAX_ENTRIES) {
       entries.remove(entries.keySet().iterator().next());
     }
@@ -76,11 +81,36 @@
 
   /** Returns the time for which {@code fingerprint} is still quarantined, empty if it is not. */
   public Optional<Duration> quarantine(Fingerprint fingerprint, long nowNanos) {
-    Entry entry = current(fingerprint, nowNanos);
-    if (entry == null || entry.crashes.size() < CRASHES_TO_QUARANTINE) {
+    Entry entry = entries.get(fingerprint);
+    if (entry == null) {
       return Optional.empty();
     }
-    return Optional.of(Duration.ofNanos(entry.newestNanos + quarantineNanos - nowNanos));
+    long left = entry.imposed ? entry.imposedEndNanos - nowNanos : 0;
+    if (entry.crashes.size() >= CRASHES_TO_QUARANTINE) {
+      left = Math.max(left, entry.newestNanos + quarantineNanos - nowNanos);
+    }
+    return left > 0 ? Optional.of(Duration.ofNanos(left)) : Optional.empty();
+  }
+
+  /** Quarantines {@code fingerprint} because another entry VM does. */
+  public void impose(Fingerprint fingerprint, Duration left, long nowNanos) {
+    Entry entry = entries.computeIfAbsent(fingerprint, f -> new Entry());
+    long endNanos = nowNanos + Math.min(left.toNanos(), quarantineNanos);
+    if (!entry.imposed || endNanos - entry.imposedEndNanos > 0) {
+      entry.imposed = true;
+      entry.imposedEndNanos = endNanos;
+    }
+    trim();
+  }
+
+  /** Returns the quarantined content with the time that is left. */
+  public ImmutableMap<Fingerprint, Duration> quarantined(long nowNanos) {
+    expire(nowNanos);
+    ImmutableMap.Builder<Fingerprint, Duration> quarantined = ImmutableMap.builder();
+    for (Fingerprint fingerprint : entries.keySet()) {
+      quarantine(fingerprint, nowNanos).ifPresent(left -> quarantined.put(fingerprint, left));
+    }
+    return quarantined.buildOrThrow();
   }
 
   /** Returns what other entry VMs need to know, newest last. */
@@ -117,7 +147,8 @@
   }
 
   private boolean isExpired(Entry entry, long nowNanos) {
-    return nowNanos - entry.newestNanos >= quarantineNanos;
+    boolean imposed = entry.imposed && nowNanos - entry.imposedEndNanos < 0;
+    return !imposed && nowNanos - entry.newestNanos >= quarantineNanos;
   }
 
   private void expire(long nowNanos) {
@@ -128,5 +159,7 @@
     private final Set<Crash> crashes = new HashSet<>();
     private final Set<Crash> cleared = new HashSet<>();
     private long newestNanos;
+    private boolean imposed;
+    private long imposedEndNanos;
   }
 }
--- a/amaranthstream/src/main/java/org/amaranthstream/dispatch/ServerAttempts.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/dispatch/ServerAttempts.java
@@ -15,8 +15,6 @@
  * decision thread only.
  */
 final class ServerAttempts implements AttemptEvents {
-  private static final double NANOS_PER_MILLI = 1e6;
-
   private final TimerService timers;
   private final BackendTransport transport;
   private final ServerTable servers;
@@ -24,6 +22,7 @@
   private final ServerFeedback feedback;
   private final ServiceEstimates estimates;
   private final ProgressWatch watch;
+  private final SilenceResolver silence;
   private final DispatchSettings settings;
   private final Incarnation ownIncarnation;
   private final Lifecycle lifecycle;
@@ -39,6 +38,7 @@
     this.poison = shared.poison();
     this.estimates = shared.estimates();
     this.watch = new ProgressWatch(settings, estimates);
+    this.silence = new SilenceResolver(parts, this::onSilenceResolved);
     this.lifecycle = lifecycle;
   }
 
@@ -182,7 +182,7 @@
     lifecycle.onFailed(attempt.request, AttemptFailure.ran(attempt.place(), code, reason));
   }
 
-  /** Gives up the attempts without progress that {@code mayMove} allows to run elsewhere. */
+  /** Looks into the attempts without progress that {@code mayMove} allows to run elsewhere. */
   void checkProgress(Predicate<ActiveRequest> mayMove) {
     long now = timers.nowNanos();
     List<ServerAttempt> silent = new ArrayList<>();
@@ -191,19 +191,32 @@
     }
     for (ServerAttempt attempt : silent) {
       if (!attempt.isClosed() && mayMove.test(attempt.request)) {
-        giveUpSilent(attempt, now);
+        silence.resolve(attempt);
       }
     }
   }
 
-  private void giveUpSilent(ServerAttempt attempt, long now) {
+  private void onSilenceResolved(ServerAttempt attempt, boolean serverAnswers) {
+    long now = timers.nowNanos();
+    if (!watch.isSilent(attempt, now)) {
+      return;
+    }
+    String silent = "no progress for " + Millis.format(now - attempt.progressNanos());
     attempt.cancel();
-    attempt.server.limit.onOverload();
-    fail(
-        attempt,
-        ResultCode.OUTCOME_UNKNOWN_BACKEND_LOST,
-        String.format(
-            "no progress for %.0f ms", (now - attempt.progressNanos()) / NANOS_PER_MILLI));
+    if (serverAnswers && attempt.request.silentServers.add(attempt.server.server.id())) {
+      giveUpConnection(attempt, silent + " on a connection while a fresh one works");
+      return;
+    }
+    attempt.server.backOff(now + settings.unreachableBackoff().toNanos());
+    fail(attempt, ResultCode.OUTCOME_UNKNOWN_BACKEND_LOST, silent);
+  }
+
+  /** Ends an attempt without holding it against its server. */
+  private void giveUpConnection(ServerAttempt attempt, String reason) {
+    attempt.server.ended(attempt, timers.nowNanos());
+    lifecycle.onFailed(
+        attempt.request,
+        AttemptFailure.ran(attempt.place(), ResultCode.OUTCOME_UNKNOWN_BACKEND_LOST, reason));
   }
 
   /** Clears suspects of crashes that turned out not to be any. */
--- /dev/null
+++ b/amaranthstream/src/test/java/org/amaranthstream/dispatch/PoisonRegistryTest.java
@@ -0,0 +1,80 @@
+package org.amaranthstream.dispatch;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.time.Duration;
+import java.util.Optional;
+import org.amaranthstream.ids.BackendServerId;
+import org.amaranthstream.ids.Incarnation;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+class PoisonRegistryTest {
+  private static final Fingerprint CONTENT = new Fingerprint("0123456789abcdef0123456789abcdef");
+  private static final Duration QUARANTINE = Duration.ofNanos(100);
+
+  private final PoisonRegistry registry = PoisonRegistry.create(QUARANTINE);
+
+  private static Crash crash(String server, String incarnation) {
+    return new Crash(BackendServerId.of(server), Optional.of(Incarnation.of(incarnation)));
+  }
+
+  @Nested
+  class Quarantine {
+    @Test
+    void followsTwoCrashesOfDistinctIncarnations() {
+      registry.onCrash(CONTENT, crash("e1", "a"), 10);
+      assertThat(registry.isSuspect(CONTENT, 10)).isTrue();
+      assertThat(registry.quarantine(CONTENT, 10)).isEmpty();
+      registry.onCrash(CONTENT, crash("e1", "a"), 11);
+      assertThat(registry.quarantine(CONTENT, 11)).isEmpty();
+      registry.onCrash(CONTENT, crash("e1", "b"), 20);
+
+      assertThat(registry.quarantine(CONTENT, 20)).hasValue(QUARANTINE);
+      assertThat(registry.quarantine(CONTENT, 120)).isEmpty();
+    }
+
+    @Test
+    void isLiftedWhenTheServerTurnsOutAlive() {
+      registry.onCrash(CONTENT, crash("e1", "a"), 10);
+      registry.onCrash(CONTENT, crash("e2", "a"), 10);
+      registry.onAlive(crash("e2", "a"));
+
+      assertThat(registry.quarantine(CONTENT, 11)).isEmpty();
+      assertThat(registry.isSuspect(CONTENT, 11)).isTrue();
+    }
+
+    @Test
+    void isTakenOverFromAnotherVm() {
+      registry.impose(CONTENT, Duration.ofNanos(30), 0);
+
+      assertThat(registry.quarantine(CONTENT, 29)).isPresent();
+      assertThat(registry.quarantine(CONTENT, 30)).isEmpty();
+      assertThat(registry.quarantined(10)).containsKey(CONTENT);
+    }
+  }
+
+  @Nested
+  class Join {
+    @Test
+    void countsTheCrashesOfBothVms() {
+      PoisonRegistry other = PoisonRegistry.create(QUARANTINE);
+      registry.onCrash(CONTENT, crash("e1", "a"), 10);
+      other.onCrash(CONTENT, crash("e2", "a"), 1010);
+      other.export(1010).forEach(notice -> registry.join(notice, 20));
+
+      assertThat(registry.quarantine(CONTENT, 20)).isPresent();
+    }
+
+    @Test
+    void doesNotBringBackWhatWasCleared() {
+      registry.onCrash(CONTENT, crash("e1", "a"), 10);
+      PoisonNotice notice = registry.export(10).get(0);
+      registry.onAnswer(CONTENT);
+      registry.join(notice, 20);
+
+      assertThat(registry.isSuspect(CONTENT, 20)).isFalse();
+      assertThat(registry.export(20)).isEmpty();
+    }
+  }
+}
