--- /dev/null
+++ b/amaranthstream-bench/src/main/java/org/amaranthstream/bench/experiment/BaselinePolicies.java
@@ -0,0 +1,35 @@
+package org.amaranthstream.bench.experiment;
+
+import org.amaranthstream.admission.AdmissionDecision;
+import org.amaranthstream.daemon.PolicySet;
+import org.amaranthstream.dispatch.DispatcherBuilder;
+import org.amaranthstream.dispatch.RetryBudget;
+import org.amaranthstream.placement.LinkBudget;
+import org.amaranthstream.placement.ServerHealth;
+import org.amaranthstream.rollout.FixedGenerateAhead;
+import org.amaranthstream.rollout.RolloutServiceBuilder;
+
+/**
+ * Plain decisions to compare with: admit until the queue is full, round robin, first in first out,
+ * fixed concurrency, no generate-ahead, retry without a budget.
+ */
+final class BaselinePolicies implements PolicySet {
+
+  @Override
+  public void configure(DispatcherBuilder dispatcher) {
+    dispatcher
+        .admission(input -> new AdmissionDecision.Admit(input.serviceNanos()))
+        .placement(new RoundRobinPlacement())
+        .queueOrder(FifoOrder::new)
+        .retryPolicy(new PlainRetry())
+        .retryBudget(RetryBudget.unlimited())
+        .linkBudget(LinkBudget.unlimited())
+        .limits(FixedLimit::new)
+        .healths(ServerHealth::always);
+  }
+
+  @Override
+  public void configure(RolloutServiceBuilder rollout) {
+    rollout.generateAhead(new FixedGenerateAhead(0));
+  }
+}
--- a/amaranthstream-bench/src/main/java/org/amaranthstream/bench/experiment/CallClient.java
+++ b/amaranthstream-bench/src/main/java/org/amaranthstream/bench/experiment/CallClient.java
@@ -91,11 +91,11 @@
   private void count(long call, long dueNanos, AsyncResult<HttpReply> reply) {
     long micros = TimeUnit.NANOSECONDS.toMicros(System.nanoTime() - dueNanos);
     if (reply.failed()) {
-      stats.onError(0, "CONNECTION_FAILED", micros);
+      stats.onError(call, 0, "CONNECTION_FAILED", micros);
     } else if (reply.result().isSuccess()) {
       countAnswer(call, micros, reply.result().body().toString());
     } else {
-      countError(micros, reply.result());
+      countError(call, micros, reply.result());
     }
   }
 
@@ -109,13 +109,13 @@
     }
   }
 
-  private void countError(long micros, HttpReply reply) {
+  private void countError(long call, long micros, HttpReply reply) {
     try {
       JsonNode body = MAPPER.readTree(reply.body().getBytes());
       String name = body.path("name").asText("HTTP_" + reply.status());
-      stats.onError(body.path("code").asInt(0), name, micros);
+      stats.onError(call, body.path("code").asInt(0), name, micros);
     } catch (IOException e) {
-      stats.onError(0, "HTTP_" + reply.status(), micros);
+      stats.onError(call, 0, "HTTP_" + reply.status(), micros);
     }
   }
 }
--- a/amaranthstream-bench/src/main/java/org/amaranthstream/bench/experiment/CallStats.java
+++ b/amaranthstream-bench/src/main/java/org/amaranthstream/bench/experiment/CallStats.java
@@ -1,6 +1,8 @@
 package org.amaranthstream.bench.experiment;
 
+import java.util.HashSet;
 import java.util.Map;
+import java.util.Set;
 import java.util.TreeMap;
 import org.HdrHistogram.Histogram;
 
@@ -13,6 +15,7 @@
   private final Histogram latencyMicros = new Histogram(DIGITS);
   private final Histogram refusalMicros = new Histogram(DIGITS);
   private final Map<String, Long> codes = new TreeMap<>();
+  private final Set<Long> refused = new HashSet<>();
   private long offered;
   private long answered;
   private long inTime;
@@ -35,9 +38,10 @@
   }
 
   /** Counts an answer without a result; the code is 0 if the connection failed. */
-  void onError(int code, String name, long micros) {
+  void onError(long call, int code, String name, long micros) {
     codes.merge(name, 1L, Long::sum);
     if (code / GROUP_SIZE == REFUSAL_GROUP) {
+      refused.add(call);
       refusalMicros.recordValue(Math.max(0, micros));
     }
   }
@@ -62,6 +66,11 @@
     return tokens;
   }
 
+  /** Returns the numbers of the calls that were refused as not run. */
+  Set<Long> refused() {
+    return Set.copyOf(refused);
+  }
+
   Map<String, Long> codes() {
     return new TreeMap<>(codes);
   }
--- a/amaranthstream-bench/src/main/java/org/amaranthstream/bench/experiment/Cluster.java
+++ b/amaranthstream-bench/src/main/java/org/amaranthstream/bench/experiment/Cluster.java
@@ -186,8 +186,9 @@
     String platformUrl = links.platformUrl(daemon.zone());
     Path settings = ClusterFiles.writeSettings(folder, daemon, platformUrl);
     Path log = folder.resolve(daemon.name() + ".log");
-    List<String> arguments = List.of("serve", "--settings", settings.toString());
-    daemonProcesses.add(JavaProcess.start(daemon.name(), policy.main(), arguments, log));
+    List<String> arguments = List.of(settings.toString(), policy.name());
+    daemonProcesses.add(
+        JavaProcess.start(daemon.name(), ExperimentDaemon.class, arguments, log));
   }
 
   /** Tells each zone the addresses under which it reaches the others. */
--- a/amaranthstream-bench/src/main/java/org/amaranthstream/bench/experiment/ClusterConfig.java
+++ b/amaranthstream-bench/src/main/java/org/amaranthstream/bench/experiment/ClusterConfig.java
@@ -13,18 +13,19 @@
         %s:
           kind: INTERACTIVE
           pool: engines
-          answerDeadlineMs: %d
+          answerDeadline: %dms
           stalenessBound: %d
           maxTokens: %d
+          idempotent: true
         %s:
           kind: INTERACTIVE
           pool: services
-          answerDeadlineMs: %d
+          answerDeadline: %dms
           idempotent: false
         %s:
           kind: TRAINING
           pool: engines
-          stepDeadlineMs: %d
+          stepDeadline: %dms
           stalenessBound: %d
           weighsMore: %s
           maxTokens: %d
--- /dev/null
+++ b/amaranthstream-bench/src/main/java/org/amaranthstream/bench/experiment/FifoOrder.java
@@ -0,0 +1,21 @@
+package org.amaranthstream.bench.experiment;
+
+import org.amaranthstream.dispatch.QueueOrder;
+import org.amaranthstream.dispatch.QueuedRequest;
+
+/** First in, first out, whatever the priority. */
+final class FifoOrder implements QueueOrder {
+
+  @Override
+  public long rank(QueuedRequest request) {
+    return request.arrival();
+  }
+
+  @Override
+  public boolean isTrainingNext(Turn turn) {
+    return turn.training().arrival() < turn.interactive().arrival();
+  }
+
+  @Override
+  public void onSent(Turn turn, boolean training) {}
+}
--- a/amaranthstream-bench/src/main/java/org/amaranthstream/bench/experiment/Policy.java
+++ b/amaranthstream-bench/src/main/java/org/amaranthstream/bench/experiment/Policy.java
@@ -1,26 +1,27 @@
 package org.amaranthstream.bench.experiment;
 
 import java.util.Locale;
+import org.amaranthstream.daemon.PolicySet;
 
 /** The decisions that daemons take. */
 enum Policy {
   /** Those of the product. */
-  AMARANTHSTREAM(org.amaranthstream.cli.Main.class),
+  AMARANTHSTREAM(PolicySet.standard()),
   /** Round robin, first in first out, fixed concurrency, no generate-ahead, plain retry. */
-  BASELINE(BaselineDaemon.class);
+  BASELINE(new BaselinePolicies());
 
-  private final Class<?> main;
+  private final PolicySet policies;
 
-  Policy(Class<?> main) {
-    this.main = main;
+  Policy(PolicySet policies) {
+    this.policies = policies;
   }
 
   static Policy of(String name) {
     return valueOf(name.toUpperCase(Locale.ROOT));
   }
 
-  Class<?> main() {
-    return main;
+  PolicySet policies() {
+    return policies;
   }
 
   String label() {
--- /dev/null
+++ b/amaranthstream-bench/src/main/java/org/amaranthstream/bench/experiment/ResultPlot.java
@@ -0,0 +1,55 @@
+package org.amaranthstream.bench.experiment;
+
+import java.io.IOException;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.function.ToDoubleFunction;
+import java.util.stream.Stream;
+import org.knowm.xchart.VectorGraphicsEncoder;
+import org.knowm.xchart.VectorGraphicsEncoder.VectorGraphicsFormat;
+import org.knowm.xchart.XYChart;
+import org.knowm.xchart.XYChartBuilder;
+
+/** Plots of a measure by load, one line for each policy, as SVG. */
+final class ResultPlot {
+  private static final int WIDTH = 640;
+  private static final int HEIGHT = 400;
+
+  private ResultPlot() {}
+
+  /** Writes the plot of a measure over the runs without a fault. */
+  static void write(
+      List<RunResult> results, String title, ToDoubleFunction<RunResult> measure, Path file)
+      throws IOException {
+    XYChart chart =
+        new XYChartBuilder()
+            .width(WIDTH)
+            .height(HEIGHT)
+            .title(title)
+            .xAxisTitle("interactive load, times capacity")
+            .yAxisTitle(title)
+            .build();
+    for (String policy : policies(results)) {
+      List<RunResult> runs = ofPolicy(results, policy).toList();
+      double[] loads = runs.stream().mapToDouble(RunResult::load).distinct().sorted().toArray();
+      double[] medians = new double[loads.length];
+      for (int i = 0; i < loads.length; i++) {
+        double load = loads[i];
+        List<RunResult> atLoad = runs.stream().filter(run -> run.load() == load).toList();
+        medians[i] = Median.of(atLoad, measure).median();
+      }
+      chart.addSeries(policy, loads, medians);
+    }
+    VectorGraphicsEncoder.saveVectorGraphic(chart, file.toString(), VectorGraphicsFormat.SVG);
+  }
+
+  private static List<String> policies(List<RunResult> results) {
+    return results.stream().map(RunResult::policy).distinct().toList();
+  }
+
+  private static Stream<RunResult> ofPolicy(List<RunResult> results, String policy) {
+    String none = Fault.NONE.label();
+    return results.stream()
+        .filter(run -> run.policy().equals(policy) && run.fault().equals(none));
+  }
+}
--- /dev/null
+++ b/amaranthstream-bench/src/main/java/org/amaranthstream/bench/experiment/RunResult.java
@@ -0,0 +1,48 @@
+package org.amaranthstream.bench.experiment;
+
+import com.fasterxml.jackson.annotation.JsonProperty;
+import java.util.Map;
+
+/** The measures of one run, as one JSON line has them. */
+record RunResult(
+    String user,
+    String policy,
+    double load,
+    String fault,
+    long seed,
+    int seconds,
+    @JsonProperty("capacity_per_s") double capacityPerSecond,
+    @JsonProperty("trainer_idle_share") double trainerIdleShare,
+    @JsonProperty("steps") long steps,
+    @JsonProperty("samples_delivered") long samplesDelivered,
+    @JsonProperty("samples_doubled") long samplesDoubled,
+    @JsonProperty("samples_lost") long samplesLost,
+    @JsonProperty("samples_broken") long samplesBroken,
+    @JsonProperty("samples_mislabelled") long samplesMislabelled,
+    @JsonProperty("samples_too_old") long samplesTooOld,
+    @JsonProperty("staleness_median") long stalenessMedian,
+    @JsonProperty("staleness_p99") long stalenessP99,
+    @JsonProperty("staleness_max") long stalenessMax,
+    @JsonProperty("step_wait_median_ms") long stepWaitMedianMs,
+    @JsonProperty("step_wait_max_ms") long stepWaitMaxMs,
+    @JsonProperty("step_median_ms") long stepMedianMs,
+    @JsonProperty("step_max_ms") long stepMaxMs,
+    @JsonProperty("tokens_per_sample") double tokensPerSample,
+    @JsonProperty("calls_offered") long callsOffered,
+    @JsonProperty("calls_in_time_share") double callsInTimeShare,
+    @JsonProperty("goodput_per_s") double goodputPerSecond,
+    @JsonProperty("call_median_ms") double callMedianMs,
+    @JsonProperty("call_p99_ms") double callP99Ms,
+    @JsonProperty("calls_wrong") long callsWrong,
+    @JsonProperty("call_errors") Map<String, Long> callErrors,
+    @JsonProperty("refusal_p99_ms") double refusalP99Ms,
+    @JsonProperty("refusal_max_ms") double refusalMaxMs,
+    @JsonProperty("orders_offered") long ordersOffered,
+    @JsonProperty("orders_in_time_share") double ordersInTimeShare,
+    @JsonProperty("order_errors") Map<String, Long> orderErrors,
+    @JsonProperty("orders_doubled") long ordersDoubled,
+    @JsonProperty("orders_not_run_that_ran") long ordersNotRunThatRan,
+    @JsonProperty("extra_tokens_share") double extraTokensShare,
+    @JsonProperty("engine_crashes") long engineCrashes,
+    @JsonProperty("paid_link_kb") long paidLinkKb,
+    @JsonProperty("daemon_cpu_ms") long daemonCpuMs) {}
