--- /dev/null
+++ b/amaranthstream/src/main/java/org/amaranthstream/daemon/Core.java
@@ -0,0 +1,258 @@
+package org.amaranthstream.daemon;
+
+import com.google.common.collect.ImmutableList;
+import java.time.Duration;
+import java.util.List;
+import java.util.Optional;
+import org.amaranthstream.auth.Secret;
+import org.amaranthstream.config.ConfigDisk;
+import org.amaranthstream.config.ConfigKeeper;
+import org.amaranthstream.config.ConfigTiming;
+import org.amaranthstream.config.FileConfigDisk;
+import org.amaranthstream.config.WorkClass;
+import org.amaranthstream.dispatch.Dispatcher;
+import org.amaranthstream.dispatch.DispatcherBuilder;
+import org.amaranthstream.dispatch.http.HttpBackendTransport;
+import org.amaranthstream.ids.WorkClassId;
+import org.amaranthstream.ingress.CallObserver;
+import org.amaranthstream.ingress.CallRunner;
+import org.amaranthstream.ingress.RequestIds;
+import org.amaranthstream.membership.BackendPoller;
+import org.amaranthstream.membership.HttpLoadSource;
+import org.amaranthstream.membership.LocalVm;
+import org.amaranthstream.membership.MembershipTable;
+import org.amaranthstream.peer.PeerNode;
+import org.amaranthstream.platform.VmEntry;
+import org.amaranthstream.platform.VmKind;
+import org.amaranthstream.result.Result;
+import org.amaranthstream.rollout.DeliveryTokenCodec;
+import org.amaranthstream.rollout.RolloutService;
+import org.amaranthstream.rollout.RolloutServiceBuilder;
+import org.amaranthstream.rollout.TokenKey;
+import org.amaranthstream.settings.PeerSeed;
+import org.amaranthstream.settings.Settings;
+import org.amaranthstream.settings.Timing;
+
+/** The parts of a daemon behind its HTTP server, and how they are joined. */
+final class Core implements AutoCloseable {
+  private static final Duration LOAD_TIMEOUT = Duration.ofSeconds(1);
+
+  private final Settings settings;
+  private final Threads threads;
+  private final LocalVm self;
+  private final PlatformClients platform;
+  private final MembershipTable table;
+  private final ConfigKeeper config;
+  private final WeightBoard weights = new WeightBoard();
+  private final ConfigFetch configFetch;
+  private final HeartbeatBridge bridge;
+  private final PeerNode peers;
+  private final HttpBackendTransport transport;
+  private final Dispatcher dispatcher;
+  private final RequestIds requestIds;
+  private final RolloutService rollout;
+  private final PeerOwnerLink ownerLink;
+  private final DecisionParts decisions;
+
+  private Core(Settings settings, LocalVm self, PolicySet policies) {
+    this.settings = settings;
+    this.self = self;
+    this.threads = new Threads(settings.limits());
+    this.platform = PlatformClients.create(threads, settings);
+    this.table = newTable();
+    this.config = newConfigKeeper();
+    this.configFetch = new ConfigFetch(config);
+    this.bridge = new HeartbeatBridge(config, weights, configFetch, threads.decisionTimers());
+    this.peers = newPeers();
+    this.decisions = DecisionParts.create(settings, self, threads.decisionTimers());
+    this.transport = HttpBackendTransport.create(threads.vertx(), threads.decisions());
+    this.dispatcher = newDispatcher(policies);
+    this.requestIds = RequestIds.of(self.id(), self.incarnation());
+    this.ownerLink = new PeerOwnerLink(table, peers.queries());
+    this.rollout = newRollout(policies);
+  }
+
+  static Core create(Settings settings, LocalVm self, PolicySet policies) {
+    return new Core(settings, self, policies);
+  }
+
+  private MembershipTable newTable() {
+    ImmutableList<VmEntry> seeds =
+        settings.peers().stream().map(Core::entryOf).collect(ImmutableList.toImmutableList());
+    return MembershipTable.create(
+        self, PeerSettingsOf.membership(settings), seeds, threads.decisionTimers().nowNanos());
+  }
+
+  private static VmEntry entryOf(PeerSeed seed) {
+    return new VmEntry(
+        seed.vm().value(),
+        VmKind.ENTRY,
+        seed.region(),
+        seed.zone(),
+        seed.address().host(),
+        seed.address().port(),
+        Optional.empty(),
+        false);
+  }
+
+  private ConfigKeeper newConfigKeeper() {
+    Timing timing = settings.timing();
+    ConfigTiming configTiming =
+        new ConfigTiming(
+            timing.configWatchWait(),
+            timing.configPollInterval(),
+            timing.platformTimeout(),
+            timing.suspectTimeout());
+    return ConfigKeeper.builder(
+            threads.platform(), threads.platformTimers(), platform.store(), configTiming)
+        .disk(settings.dataFolder().<ConfigDisk>map(FileConfigDisk::in).orElse(ConfigDisk.NONE))
+        .hasPeers(!settings.peers().isEmpty())
+        .build();
+  }
+
+  private PeerNode newPeers() {
+    return PeerNode.builder()
+        .self(self)
+        .settings(PeerSettingsOf.links(settings))
+        .table(table)
+        .timers(threads.decisionTimers())
+        .decisions(threads.decisions())
+        .source(bridge)
+        .sink(bridge)
+        .build();
+  }
+
+  private Dispatcher newDispatcher(PolicySet policies) {
+    DispatcherBuilder builder =
+        Dispatcher.builder()
+            .timers(threads.decisionTimers())
+            .transport(transport)
+            .forwarder(peers.forwarder())
+            .directory(table)
+            .region(self.region())
+            .incarnation(self.incarnation())
+            .decisionLog(decisions.log())
+            .feedback(new MembershipFeedback(table, threads.decisionTimers()));
+    policies.configure(builder);
+    return builder.build();
+  }
+
+  private RolloutService newRollout(PolicySet policies) {
+    List<TokenKey> keys =
+        settings.deliveryKeys().stream()
+            .map(key -> TokenKey.of(key.id(), bytesOf(key.key())))
+            .toList();
+    RolloutServiceBuilder builder =
+        RolloutService.builder()
+            .self(self.id())
+            .duty(threads.decisions())
+            .timers(threads.decisionTimers())
+            .runner(dispatcher)
+            .codec(DeliveryTokenCodec.of(keys))
+            .classes(this::findClass)
+            .requestIds(requestIds::mint)
+            .decisionLog(decisions.log())
+            .ownerLink(ownerLink);
+    policies.configure(builder);
+    return builder.build();
+  }
+
+  private Optional<WorkClass> findClass(WorkClassId id) {
+    return Optional.ofNullable(config.current().classes().get(id));
+  }
+
+  private static byte[] bytesOf(Secret secret) {
+    return secret.bytes();
+  }
+
+  /** Starts all parts and returns the port of the peer link. */
+  Result<Integer> start() {
+    config.start();
+    configFetch.attach(peers.queries());
+    bridge.attach(dispatcher);
+    ownerLink.serve(rollout);
+    decisions.serve(peers.queries());
+    Result<Integer> port = peers.start(dispatcher);
+    if (port instanceof Result.Success) {
+      startPolling();
+    }
+    return port;
+  }
+
+  private void startPolling() {
+    Timing timing = settings.timing();
+    new VmListPoller(platform.vmList(), table, threads.decisions(), threads.decisionTimers())
+        .start(timing.vmListPollInterval());
+    HttpLoadSource source =
+        HttpLoadSource.create(
+            threads.vertx().createHttpClient(), threads.decisionTimers(), LOAD_TIMEOUT);
+    BackendPoller.create(
+            table, source, threads.decisionTimers(), threads.decisions(), timing.loadPollInterval())
+        .start();
+  }
+
+  Settings settings() {
+    return settings;
+  }
+
+  Threads threads() {
+    return threads;
+  }
+
+  LocalVm self() {
+    return self;
+  }
+
+  MembershipTable table() {
+    return table;
+  }
+
+  ConfigKeeper config() {
+    return config;
+  }
+
+  WeightBoard weights() {
+    return weights;
+  }
+
+  PeerNode peers() {
+    return peers;
+  }
+
+  Dispatcher dispatcher() {
+    return dispatcher;
+  }
+
+  RequestIds requestIds() {
+    return requestIds;
+  }
+
+  RolloutService rollout() {
+    return rollout;
+  }
+
+  CallRunner onceRunner() {
+    return new OnceCallRunner();
+  }
+
+  CallObserver callObserver() {
+    return (workClass, outcome, took) -> {};
+  }
+
+  String issueKey() {
+    return "";
+  }
+
+  DecisionParts decisionParts() {
+    return decisions;
+  }
+
+  @Override
+  public void close() {
+    config.stop();
+    threads.decisions().offer(peers::close);
+    transport.close();
+    decisions.close();
+    threads.close();
+  }
+}
--- /dev/null
+++ b/amaranthstream/src/main/java/org/amaranthstream/daemon/Daemon.java
@@ -0,0 +1,100 @@
+package org.amaranthstream.daemon;
+
+import static com.google.common.base.Preconditions.checkNotNull;
+
+import com.google.common.flogger.FluentLogger;
+import com.google.common.io.BaseEncoding;
+import java.security.SecureRandom;
+import org.amaranthstream.ids.Incarnation;
+import org.amaranthstream.membership.LocalVm;
+import org.amaranthstream.result.Result;
+import org.amaranthstream.settings.Settings;
+
+/**
+ * The system's process on one entry VM.
+ *
+ * <p>Thread safe. {@link #drain} finishes what is in flight and may take long; {@link #close} stops
+ * at once.
+ *
+ * <pre>{@code
+ * Result<Daemon> daemon = Daemon.start(settings, PolicySet.standard());
+ * }</pre>
+ */
+public final class Daemon implements AutoCloseable {
+  private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+  private static final int INCARNATION_BYTES = 6;
+
+  private final Core core;
+  private final HttpFront http;
+  private final int peerPort;
+
+  private Daemon(Core core, HttpFront http, int peerPort) {
+    this.core = core;
+    this.http = http;
+    this.peerPort = peerPort;
+  }
+
+  /**
+   * Starts a daemon.
+   *
+   * @param settings the checked settings
+   * @param policies the decisions that it takes
+   * @return the daemon, or why it cannot start; nothing is left running then
+   */
+  public static Result<Daemon> start(Settings settings, PolicySet policies) {
+    checkNotNull(policies, "policies");
+    LocalVm self = new LocalVm(settings.vm(), newIncarnation(), settings.region(), settings.zone());
+    Core core = Core.create(settings, self, policies);
+    Result<Integer> peerPort = core.start();
+    if (peerPort instanceof Result.Failure<Integer> failure) {
+      core.close();
+      return Result.failure(failure.error());
+    }
+    Result<HttpFront> http = HttpFront.start(settings, core);
+    if (http instanceof Result.Failure<HttpFront> failure) {
+      core.close();
+      return Result.failure(failure.error());
+    }
+    Daemon daemon =
+        new Daemon(
+            core,
+            ((Result.Success<HttpFront>) http).value(),
+            ((Result.Success<Integer>) peerPort).value());
+    logger.atInfo().log(
+        "event=started role=daemon vm=%s zone=%s incarnation=%s port=%d peer_port=%d",
+        self.id(), self.zone(), self.incarnation(), daemon.httpPort(), daemon.peerPort);
+    return Result.success(daemon);
+  }
+
+  private static Incarnation newIncarnation() {
+    byte[] bytes = new byte[INCARNATION_BYTES];
+    new SecureRandom().nextBytes(bytes);
+    return Incarnation.of(BaseEncoding.base16().lowerCase().encode(bytes));
+  }
+
+  /** Returns the port of the HTTP server. */
+  public int httpPort() {
+    return http.port();
+  }
+
+  /** Returns the port of the peer link. */
+  public int peerPort() {
+    return peerPort;
+  }
+
+  /**
+   * Shuts down gracefully: is reported as not ready, goes on accepting until balancers have
+   * noticed, finishes what is in flight, and stops. Blocks until that is done.
+   */
+  public void drain() {
+    Shutdown.of(core, http).run();
+    close();
+  }
+
+  /** Stops at once; what is in flight is cut off. */
+  @Override
+  public void close() {
+    http.close();
+    core.close();
+  }
+}
--- /dev/null
+++ b/amaranthstream/src/main/java/org/amaranthstream/daemon/DecisionParts.java
@@ -0,0 +1,106 @@
+package org.amaranthstream.daemon;
+
+import com.google.common.collect.ImmutableList;
+import com.google.protobuf.InvalidProtocolBufferException;
+import java.time.Duration;
+import java.util.concurrent.CompletableFuture;
+import org.amaranthstream.daemon.wire.ExplainReply;
+import org.amaranthstream.daemon.wire.ExplainRequest;
+import org.amaranthstream.decisions.DecisionFile;
+import org.amaranthstream.decisions.DecisionHistory;
+import org.amaranthstream.decisions.DecisionLog;
+import org.amaranthstream.decisions.DecisionSink;
+import org.amaranthstream.decisions.Explainer;
+import org.amaranthstream.decisions.RingDecisionLog;
+import org.amaranthstream.ids.RequestId;
+import org.amaranthstream.membership.LocalVm;
+import org.amaranthstream.peer.PeerQuery;
+import org.amaranthstream.peer.QueryKind;
+import org.amaranthstream.result.Result;
+import org.amaranthstream.result.ResultCode;
+import org.amaranthstream.ring.DutyThread;
+import org.amaranthstream.settings.Settings;
+import org.amaranthstream.time.TimerService;
+import org.jspecify.annotations.Nullable;
+
+/** Decision records of this daemon, and their explanation here and at other entry VMs. */
+final class DecisionParts implements AutoCloseable {
+  private static final long MAX_FILE_BYTES = 64L << 20;
+  private static final Duration TIMEOUT = Duration.ofSeconds(2);
+
+  private final LocalVm self;
+  private final DutyThread writer;
+  private final DecisionHistory history;
+  private final Explainer explainer;
+  private final DecisionLog log;
+  private @Nullable PeerQuery queries;
+
+  private DecisionParts(Settings settings, LocalVm self) {
+    this.self = self;
+    this.writer = DutyThread.start("records", settings.limits().writerQueueRecords());
+    this.history = DecisionHistory.withCapacity(settings.limits().decisionRecords());
+    this.explainer = Explainer.of(self.id(), self.incarnation());
+    ImmutableList.Builder<DecisionSink> sinks = ImmutableList.builder();
+    sinks.add(history);
+    settings.dataFolder().ifPresent(folder -> sinks.add(DecisionFile.in(folder, MAX_FILE_BYTES)));
+    this.log = RingDecisionLog.create(writer, sinks.build());
+  }
+
+  static DecisionParts create(Settings settings, LocalVm self, TimerService timers) {
+    return new DecisionParts(settings, self);
+  }
+
+  DecisionLog log() {
+    return log;
+  }
+
+  /** Answers the questions of other entry VMs from now on. */
+  void serve(PeerQuery queries) {
+    this.queries = queries;
+    queries.register(
+        QueryKind.EXPLAIN,
+        (from, body, timeout) -> CompletableFuture.completedFuture(answer(body)));
+  }
+
+  private Result<byte[]> answer(byte[] body) {
+    try {
+      RequestId id = RequestId.parse(ExplainRequest.parseFrom(body).getRequestId());
+      return explainHere(id)
+          .map(text -> ExplainReply.newBuilder().setText(text).build().toByteArray());
+    } catch (InvalidProtocolBufferException | IllegalArgumentException e) {
+      return Result.failure(ResultCode.INVALID_REQUEST, "query: " + e.getMessage());
+    }
+  }
+
+  private Result<String> explainHere(RequestId id) {
+    return explainer.explain(id, history.of(id));
+  }
+
+  /** Explains a request from the records of the entry VM that minted its id. */
+  CompletableFuture<Result<String>> explain(RequestId id) {
+    if (id.vm().equals(self.id()) || queries == null) {
+      return CompletableFuture.completedFuture(explainHere(id));
+    }
+    byte[] body = ExplainRequest.newBuilder().setRequestId(id.toString()).build().toByteArray();
+    return queries
+        .query(id.vm(), QueryKind.EXPLAIN, body, TIMEOUT)
+        .thenApply(DecisionParts::textOf);
+  }
+
+  private static Result<String> textOf(Result<byte[]> reply) {
+    if (reply instanceof Result.Failure<byte[]> failure) {
+      return Result.failure(failure.error());
+    }
+    try {
+      byte[] bytes = ((Result.Success<byte[]>) reply).value();
+      return Result.success(ExplainReply.parseFrom(bytes).getText());
+    } catch (InvalidProtocolBufferException e) {
+      return Result.failure(ResultCode.INTERNAL, "reply: " + e.getMessage());
+    }
+  }
+
+  @Override
+  public void close() {
+    writer.close();
+  }
+}
--- /dev/null
+++ b/amaranthstream/src/main/java/org/amaranthstream/daemon/HeartbeatBridge.java
@@ -0,0 +1,76 @@
+package org.amaranthstream.daemon;
+
+import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableMap;
+import org.amaranthstream.config.ConfigKeeper;
+import org.amaranthstream.dispatch.Dispatcher;
+import org.amaranthstream.dispatch.PoisonNotice;
+import org.amaranthstream.ids.ConfigGeneration;
+import org.amaranthstream.ids.EntryVmId;
+import org.amaranthstream.ids.ModelId;
+import org.amaranthstream.ids.PoolId;
+import org.amaranthstream.ids.WeightVersion;
+import org.amaranthstream.peer.HeartbeatSink;
+import org.amaranthstream.peer.HeartbeatSource;
+import org.amaranthstream.time.TimerService;
+import org.jspecify.annotations.Nullable;
+
+/** Joins what heartbeats carry with the parts that own it. Decision thread only. */
+final class HeartbeatBridge implements HeartbeatSource, HeartbeatSink {
+  private final ConfigKeeper config;
+  private final WeightBoard weights;
+  private final ConfigFetch fetch;
+  private final TimerService timers;
+  private @Nullable Dispatcher dispatcher;
+
+  HeartbeatBridge(
+      ConfigKeeper config, WeightBoard weights, ConfigFetch fetch, TimerService timers) {
+    this.timers = timers;
+    this.config = config;
+    this.weights = weights;
+    this.fetch = fetch;
+  }
+
+  void attach(Dispatcher dispatcher) {
+    this.dispatcher = dispatcher;
+  }
+
+  @Override
+  public ConfigGeneration configGeneration() {
+    return config.current().generation();
+  }
+
+  @Override
+  public ImmutableMap<ModelId, WeightVersion> weightVersions() {
+    return weights.all();
+  }
+
+  @Override
+  public ImmutableList<PoisonNotice> poison() {
+    return dispatcher == null ? ImmutableList.of() : dispatcher.poison().export(timers.nowNanos());
+  }
+
+  @Override
+  public ImmutableMap<PoolId, Integer> waiting() {
+    return ImmutableMap.of();
+  }
+
+  @Override
+  public void onConfigGeneration(EntryVmId from, ConfigGeneration generation) {
+    if (config.observePeerGeneration(generation)) {
+      fetch.fetch(from);
+    }
+  }
+
+  @Override
+  public void onWeightVersion(ModelId model, WeightVersion version) {
+    WeightVersion unused = weights.merge(model, version);
+  }
+
+  @Override
+  public void onPoison(PoisonNotice notice) {
+    if (dispatcher != null) {
+      dispatcher.poison().join(notice, timers.nowNanos());
+    }
+  }
+}
--- /dev/null
+++ b/amaranthstream/src/main/java/org/amaranthstream/daemon/HttpFront.java
@@ -0,0 +1,128 @@
+package org.amaranthstream.daemon;
+
+import com.google.common.flogger.FluentLogger;
+import io.vertx.core.Handler;
+import io.vertx.core.http.HttpServer;
+import io.vertx.core.http.HttpServerOptions;
+import io.vertx.ext.web.Router;
+import io.vertx.ext.web.RoutingContext;
+import org.amaranthstream.auth.TokenVerifier;
+import org.amaranthstream.ingress.CallHandler;
+import org.amaranthstream.ingress.DrainGate;
+import org.amaranthstream.ingress.IngressRoutes;
+import org.amaranthstream.ingress.PullHandler;
+import org.amaranthstream.ingress.RequestKeyHandler;
+import org.amaranthstream.ingress.StepHandler;
+import org.amaranthstream.ingress.VersionHandler;
+import org.amaranthstream.result.Result;
+import org.amaranthstream.result.ResultCode;
+import org.amaranthstream.settings.Settings;
+
+/** The HTTP server of a daemon: callers, trainers, operators and health checks. */
+final class HttpFront implements AutoCloseable {
+  private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+  private static final int HTTP_OK = 200;
+  private static final int HTTP_UNAVAILABLE = 503;
+  private static final int IDLE_TIMEOUT_SECONDS = 120;
+
+  private final HttpServer server;
+  private final DrainGate drainGate = DrainGate.create();
+  private volatile boolean ready = true;
+
+  private HttpFront(Settings settings, Core core) {
+    this.server = core.threads().vertx().createHttpServer(options(settings));
+    this.server.requestHandler(newRouter(settings, core));
+  }
+
+  private static HttpServerOptions options(Settings settings) {
+    return new HttpServerOptions()
+        .setHost(settings.http().host())
+        .setPort(settings.http().port())
+        .setMaxHeaderSize(settings.limits().headerBytes())
+        .setIdleTimeout(IDLE_TIMEOUT_SECONDS)
+        .setTcpNoDelay(true);
+  }
+
+  /** Starts to listen, or tells why that is not possible. */
+  static Result<HttpFront> start(Settings settings, Core core) {
+    HttpFront front = new HttpFront(settings, core);
+    Result<Blocking.Done> listening = Blocking.await(front.server.listen());
+    if (listening instanceof Result.Failure<Blocking.Done> failure) {
+      return Result.failure(
+          ResultCode.INTERNAL,
+          "cannot listen on " + settings.http() + ": " + failure.error().message());
+    }
+    return Result.success(front);
+  }
+
+  private Router newRouter(Settings settings, Core core) {
+    Router router = Router.router(core.threads().vertx());
+    router.get("/healthz").handler(routing -> routing.response().end("ok\n"));
+    router.get("/readyz").handler(this::answerReady);
+    TokenVerifier verifier = TokenVerifier.of(settings.callers());
+    IngressRoutes.builder()
+        .verifier(verifier)
+        .drainGate(drainGate)
+        .maxBodyBytes(settings.limits().bodyBytes())
+        .calls(callHandler(core))
+        .requestKeys(RequestKeyHandler.of(core::issueKey, core.self().id()))
+        .steps(StepHandler.of(core.rollout()))
+        .pulls(PullHandler.of(core.rollout()))
+        .versions(VersionHandler.of(core.weights()))
+        .build()
+        .mount(router);
+    AdminFront.mount(router, verifier, core);
+    router.route().failureHandler(HttpFront::onFailure);
+    return router;
+  }
+
+  private static Handler<RoutingContext> callHandler(Core core) {
+    return CallHandler.builder()
+        .config(core.config()::current)
+        .ids(core.requestIds())
+        .timers(core.threads().decisionTimers())
+        .decisions(core.threads().decisions())
+        .runner(core.dispatcher())
+        .once(core.onceRunner())
+        .versions(core.weights())
+        .observer(core.callObserver())
+        .build();
+  }
+
+  private void answerReady(RoutingContext routing) {
+    routing
+        .response()
+        .setStatusCode(ready ? HTTP_OK : HTTP_UNAVAILABLE)
+        .end(ready ? "ready\n" : "draining\n");
+  }
+
+  private static void onFailure(RoutingContext routing) {
+    Throwable cause = routing.failure();
+    if (cause != null) {
+      logger.atWarning().withCause(cause).log(
+          "event=http_handler_failed path=%s", routing.normalizedPath());
+    }
+    if (!routing.response().ended()) {
+      int status = routing.statusCode() > 0 ? routing.statusCode() : 500;
+      routing.response().setStatusCode(status).end();
+    }
+  }
+
+  int port() {
+    return server.actualPort();
+  }
+
+  /** Answers readiness checks as not ready from now on. */
+  void setNotReady() {
+    ready = false;
+  }
+
+  DrainGate drainGate() {
+    return drainGate;
+  }
+
+  @Override
+  public void close() {
+    Result<Blocking.Done> unused = Blocking.await(server.close());
+  }
+}
--- /dev/null
+++ b/amaranthstream/src/main/java/org/amaranthstream/daemon/Shutdown.java
@@ -0,0 +1,111 @@
+package org.amaranthstream.daemon;
+
+import com.google.common.flogger.FluentLogger;
+import java.time.Duration;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.ExecutionException;
+import org.amaranthstream.membership.VmPhase;
+import org.amaranthstream.result.Result;
+import org.amaranthstream.settings.Timing;
+import org.amaranthstream.time.TimerService;
+
+/**
+ * Graceful shutdown: not ready, accept until balancers have noticed, refuse, finish what is in
+ * flight. Nothing in flight is cut off, however long it takes; being late is logged.
+ */
+final class Shutdown {
+  private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+  private static final Duration CHECK_PERIOD = Duration.ofMillis(50);
+  private static final Duration LATE_LOG_PERIOD = Duration.ofSeconds(10);
+
+  private final Core core;
+  private final HttpFront http;
+  private final TimerService timers;
+  private final Timing timing;
+
+  private Shutdown(Core core, HttpFront http) {
+    this.core = core;
+    this.http = http;
+    this.timers = core.threads().decisionTimers();
+    this.timing = core.settings().timing();
+  }
+
+  static Shutdown of(Core core, HttpFront http) {
+    return new Shutdown(core, http);
+  }
+
+  /** Runs the whole sequence on the calling thread. */
+  void run() {
+    logger.atInfo().log("event=shutdown_begun vm=%s", core.self().id());
+    http.setNotReady();
+    core.threads().decisions().offer(this::announceLeaving);
+    pause(timing.drainLag());
+    http.drainGate().close();
+    core.rollout().drain();
+    logger.atInfo().log("event=shutdown_refusing in_flight=%d", http.drainGate().inFlight());
+    awaitIdle();
+    core.rollout().stop();
+    awaitCalls();
+    logger.atInfo().log("event=shutdown_done vm=%s", core.self().id());
+  }
+
+  private void announceLeaving() {
+    core.table().setPhase(VmPhase.LEAVING);
+    core.peers().announce();
+  }
+
+  private void awaitIdle() {
+    long startNanos = timers.nowNanos();
+    long nextLogNanos = startNanos + timing.shutdownTimeout().toNanos();
+    while (!isIdle()) {
+      pause(CHECK_PERIOD);
+      if (timers.nowNanos() - nextLogNanos > 0) {
+        logger.atWarning().log(
+            "event=shutdown_late in_flight=%d waited_s=%d",
+            http.drainGate().inFlight(),
+            Duration.ofNanos(timers.nowNanos() - startNanos).toSeconds());
+        nextLogNanos = timers.nowNanos() + LATE_LOG_PERIOD.toNanos();
+      }
+    }
+  }
+
+  /** Returns true if no work is active and no step has samples to hand out. */
+  private boolean isIdle() {
+    CompletableFuture<Boolean> idle = new CompletableFuture<>();
+    core.rollout().isIdle(result -> idle.complete(isTrue(result) && !isDispatching()));
+    try {
+      return idle.get();
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+      return true;
+    } catch (ExecutionException e) {
+      return false;
+    }
+  }
+
+  private boolean isDispatching() {
+    return core.dispatcher().active() > 0;
+  }
+
+  private static boolean isTrue(Result<Boolean> result) {
+    return result instanceof Result.Success<Boolean> success && success.value();
+  }
+
+  /** Waits until the answers of the last calls have been written. */
+  private void awaitCalls() {
+    while (http.drainGate().inFlight() > 0) {
+      pause(CHECK_PERIOD);
+    }
+  }
+
+  private void pause(Duration time) {
+    CountDownLatch over = new CountDownLatch(1);
+    timers.after(time, over::countDown);
+    try {
+      over.await();
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
+  }
+}
--- /dev/null
+++ b/amaranthstream/src/main/java/org/amaranthstream/daemon/Threads.java
@@ -0,0 +1,63 @@
+package org.amaranthstream.daemon;
+
+import io.vertx.core.Vertx;
+import io.vertx.core.VertxOptions;
+import org.amaranthstream.ring.DutyThread;
+import org.amaranthstream.settings.Limits;
+import org.amaranthstream.time.SystemTimerService;
+import org.amaranthstream.time.TimerService;
+
+/** The threads of a daemon, one for each duty. */
+final class Threads implements AutoCloseable {
+  private static final int EVENT_LOOPS = 2;
+  private static final int WORKERS = 1;
+
+  private final DutyThread decisions;
+  private final DutyThread platform;
+  private final SystemTimerService timers;
+  private final TimerService decisionTimers;
+  private final TimerService platformTimers;
+  private final Vertx vertx;
+
+  Threads(Limits limits) {
+    this.decisions = DutyThread.start("decisions", limits.decisionQueueTasks());
+    this.platform = DutyThread.start("platform", limits.platformQueueTasks());
+    this.timers = SystemTimerService.start("timers");
+    this.decisionTimers = timers.forDuty(decisions);
+    this.platformTimers = timers.forDuty(platform);
+    this.vertx =
+        Vertx.vertx(
+            new VertxOptions()
+                .setEventLoopPoolSize(EVENT_LOOPS)
+                .setWorkerPoolSize(WORKERS)
+                .setInternalBlockingPoolSize(WORKERS));
+  }
+
+  DutyThread decisions() {
+    return decisions;
+  }
+
+  DutyThread platform() {
+    return platform;
+  }
+
+  TimerService decisionTimers() {
+    return decisionTimers;
+  }
+
+  TimerService platformTimers() {
+    return platformTimers;
+  }
+
+  Vertx vertx() {
+    return vertx;
+  }
+
+  @Override
+  public void close() {
+    timers.close();
+    Blocking.await(vertx.close());
+    platform.close();
+    decisions.close();
+  }
+}
--- a/amaranthstream/src/main/java/org/amaranthstream/ingress/CallHandler.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/ingress/CallHandler.java
@@ -21,6 +21,7 @@
 import org.amaranthstream.dispatch.Payload;
 import org.amaranthstream.dispatch.Work;
 import org.amaranthstream.dispatch.WorkRunner;
+import org.amaranthstream.ids.CallerId;
 import org.amaranthstream.ids.RequestId;
 import org.amaranthstream.ids.WeightVersion;
 import org.amaranthstream.result.ErrorDetail;
@@ -75,14 +76,15 @@
     Result<CallRequest> parsed =
         CallParser.parse(config.get(), routing.pathParam("class"), routing.request(), body);
     if (parsed instanceof Result.Success<CallRequest> call) {
-      start(id, call.value(), response);
+      start(id, call.value(), routing);
     } else {
       ErrorDetail error = ((Result.Failure<CallRequest>) parsed).error();
       HttpAnswers.error(response, error, Optional.of(id), Optional.empty());
     }
   }
 
-  private void start(RequestId id, CallRequest call, HttpServerResponse response) {
+  private void start(RequestId id, CallRequest call, RoutingContext routing) {
+    HttpServerResponse response = routing.response();
     long startNanos = timers.nowNanos();
     Work work = workOf(id, call, startNanos);
     Context context = Vertx.currentContext();
@@ -96,7 +98,8 @@
       response.closeHandler(closed -> cancelUnlessEnded(response, cancel));
     }
     CallRunner how = call.workClass().idempotent() ? direct : once;
-    if (!decisions.offer(() -> how.run(call.idempotencyKey(), work, answer))) {
+    CallerId caller = RoleGate.credentialOf(routing).name();
+    if (!decisions.offer(() -> how.run(caller, call.idempotencyKey(), work, answer))) {
       observed.end(ringFull());
     }
   }
--- a/amaranthstream/src/main/java/org/amaranthstream/ingress/DirectCallRunner.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/ingress/DirectCallRunner.java
@@ -6,6 +6,7 @@
 import org.amaranthstream.dispatch.Work;
 import org.amaranthstream.dispatch.WorkListener;
 import org.amaranthstream.dispatch.WorkRunner;
+import org.amaranthstream.ids.CallerId;
 
 /** Runs calls without claiming their keys, for classes whose calls are idempotent. */
 public final class DirectCallRunner implements CallRunner {
@@ -21,7 +22,8 @@
   }
 
   @Override
-  public void run(Optional<String> idempotencyKey, Work work, WorkListener listener) {
+  public void run(
+      CallerId caller, Optional<String> idempotencyKey, Work work, WorkListener listener) {
     runner.submit(work, listener);
   }
 }
--- a/amaranthstream/src/main/java/org/amaranthstream/ingress/IngressRoutes.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/ingress/IngressRoutes.java
@@ -48,15 +48,17 @@
   public void mount(Router router) {
     RoleGate caller = RoleGate.of(verifier, Role.CALLER, Role.TRAINER);
     RoleGate trainer = RoleGate.of(verifier, Role.TRAINER);
-    Handler<RoutingContext> counted = drainGate.countingOnly();
     chain(router, HttpMethod.POST, CALLS, caller, drainGate, body(), calls);
     chain(router, HttpMethod.POST, KEYS, caller, drainGate, requestKeys);
+    Handler<RoutingContext> counted = drainGate.countingOnly();
     chain(router, HttpMethod.PUT, STEP, trainer, drainGate, body(), steps);
     chain(router, HttpMethod.POST, STEP + "/pull", trainer, counted, body(), pulls);
     chain(router, HttpMethod.POST, VERSIONS, trainer, counted, body(), versions);
   }
 
-  /** Mounts each handler on a route of its own, so that tokens are checked before bodies are read. */
+  /**
+   * Mounts each handler on a route of its own, so that tokens are checked before bodies are read.
+   */
   @SafeVarargs
   private static void chain(
       Router router, HttpMethod method, String path, Handler<RoutingContext>... handlers) {
--- a/amaranthstream/src/main/java/org/amaranthstream/ingress/RoleGate.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/ingress/RoleGate.java
@@ -14,6 +14,8 @@
 
 /** Lets calls pass whose bearer token belongs to one of the allowed roles. Thread safe. */
 public final class RoleGate implements Handler<RoutingContext> {
+  private static final String CREDENTIAL = "credential";
+
   private final TokenVerifier verifier;
   private final ImmutableSet<Role> allowed;
 
@@ -29,18 +31,23 @@
 
   @Override
   public void handle(RoutingContext routing) {
-    Optional<Credential> credential =
-        verifier.verify(routing.request().getHeader("Authorization"));
+    Optional<Credential> credential = verifier.verify(routing.request().getHeader("Authorization"));
     if (credential.isEmpty()) {
       refuse(routing, ResultCode.UNAUTHENTICATED, "no valid bearer token");
     } else if (!allowed.contains(credential.get().role())) {
       String message = "role " + credential.get().role() + " may not make this call";
       refuse(routing, ResultCode.FORBIDDEN, message);
     } else {
+      routing.put(CREDENTIAL, credential.get());
       routing.next();
     }
   }
 
+  /** Returns the credential of a call that passed a gate. */
+  static Credential credentialOf(RoutingContext routing) {
+    return checkNotNull(routing.get(CREDENTIAL), "no gate before the handler");
+  }
+
   private static void refuse(RoutingContext routing, ResultCode code, String message) {
     HttpAnswers.error(
         routing.response(), ErrorDetail.of(code, message), Optional.empty(), Optional.empty());
--- a/amaranthstream/src/main/java/org/amaranthstream/peer/HeartbeatSink.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/peer/HeartbeatSink.java
@@ -1,5 +1,6 @@
 package org.amaranthstream.peer;
 
+import org.amaranthstream.dispatch.PoisonNotice;
 import org.amaranthstream.ids.ConfigGeneration;
 import org.amaranthstream.ids.EntryVmId;
 import org.amaranthstream.ids.ModelId;
@@ -13,6 +14,6 @@
   /** A peer knows weight {@code version} of {@code model}; the greatest version counts. */
   void onWeightVersion(ModelId model, WeightVersion version);
 
-  /** A peer has a fingerprint in quarantine. */
-  void onQuarantined(QuarantineNotice notice);
+  /** A peer knows content that was in flight at crashes of backend servers. */
+  void onPoison(PoisonNotice notice);
 }
--- a/amaranthstream/src/main/java/org/amaranthstream/peer/HeartbeatSource.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/peer/HeartbeatSource.java
@@ -2,6 +2,7 @@
 
 import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableMap;
+import org.amaranthstream.dispatch.PoisonNotice;
 import org.amaranthstream.ids.ConfigGeneration;
 import org.amaranthstream.ids.ModelId;
 import org.amaranthstream.ids.PoolId;
@@ -15,8 +16,8 @@
   /** Returns the newest known weight version of each model. */
   ImmutableMap<ModelId, WeightVersion> weightVersions();
 
-  /** Returns the fingerprints in quarantine. */
-  ImmutableList<QuarantineNotice> quarantined();
+  /** Returns the content that was in flight at crashes of backend servers. */
+  ImmutableList<PoisonNotice> poison();
 
   /** Returns the number of requests that wait here, by pool. */
   ImmutableMap<PoolId, Integer> waiting();
--- a/amaranthstream/src/main/java/org/amaranthstream/peer/Heartbeats.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/peer/Heartbeats.java
@@ -1,6 +1,5 @@
 package org.amaranthstream.peer;
 
-import com.google.protobuf.ByteString;
 import java.util.Optional;
 import java.util.OptionalLong;
 import org.amaranthstream.ids.ConfigGeneration;
@@ -15,7 +14,6 @@
 import org.amaranthstream.peer.wire.ModelVersion;
 import org.amaranthstream.peer.wire.Ping;
 import org.amaranthstream.peer.wire.PoolQueue;
-import org.amaranthstream.peer.wire.Quarantine;
 import org.amaranthstream.time.TimerService;
 
 /**
@@ -81,12 +79,7 @@
             (model, version) ->
                 builder.addModelVersion(
                     ModelVersion.newBuilder().setModel(model.value()).setVersion(version.value())));
-    for (QuarantineNotice notice : source.quarantined()) {
-      builder.addQuarantine(
-          Quarantine.newBuilder()
-              .setFingerprint(notice.fingerprint())
-              .setRemainingMs(Ages.toMillis(notice.remaining())));
-    }
+    source.poison().forEach(notice -> builder.addPoison(PoisonCodec.encode(notice)));
     return builder;
   }
 
@@ -139,11 +132,7 @@
     for (ModelVersion known : heartbeat.getModelVersionList()) {
       sink.onWeightVersion(ModelId.of(known.getModel()), WeightVersion.of(known.getVersion()));
     }
-    for (Quarantine quarantine : heartbeat.getQuarantineList()) {
-      ByteString fingerprint = quarantine.getFingerprint();
-      sink.onQuarantined(
-          new QuarantineNotice(fingerprint, Ages.ofMillis(quarantine.getRemainingMs())));
-    }
+    heartbeat.getPoisonList().forEach(content -> sink.onPoison(PoisonCodec.decode(content)));
   }
 
   /** Reports whose true age is not known well enough could bring an old incarnation back. */
--- a/amaranthstream/src/main/java/org/amaranthstream/peer/wire/Heartbeat.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/peer/wire/Heartbeat.java
@@ -32,7 +32,7 @@
     modelVersion_ = java.util.Collections.emptyList();
     report_ = java.util.Collections.emptyList();
     leaving_ = java.util.Collections.emptyList();
-    quarantine_ = java.util.Collections.emptyList();
+    poison_ = java.util.Collections.emptyList();
     aggregate_ = java.util.Collections.emptyList();
     queue_ = java.util.Collections.emptyList();
   }
@@ -246,45 +246,45 @@
     return leaving_.get(index);
   }
 
-  public static final int QUARANTINE_FIELD_NUMBER = 8;
+  public static final int POISON_FIELD_NUMBER = 8;
   @SuppressWarnings("serial")
-  private java.util.List<org.amaranthstream.peer.wire.Quarantine> quarantine_;
+  private java.util.List<org.amaranthstream.peer.wire.PoisonContent> poison_;
   /**
-   * <code>repeated .amaranthstream.peer.Quarantine quarantine = 8;</code>
+   * <code>repeated .amaranthstream.peer.PoisonContent poison = 8;</code>
    */
   @java.lang.Override
-  public java.util.List<org.amaranthstream.peer.wire.Quarantine> getQuarantineList() {
-    return quarantine_;
+  public java.util.List<org.amaranthstream.peer.wire.PoisonContent> getPoisonList() {
+    return poison_;
   }
   /**
-   * <code>repeated .amaranthstream.peer.Quarantine quarantine = 8;</code>
+   * <code>repeated .amaranthstream.peer.PoisonContent poison = 8;</code>
    */
   @java.lang.Override
-  public java.util.List<? extends org.amaranthstream.peer.wire.QuarantineOrBuilder> 
-      getQuarantineOrBuilderList() {
-    return quarantine_;
+  public java.util.List<? extends org.amaranthstream.peer.wire.PoisonContentOrBuilder> 
+      getPoisonOrBuilderList() {
+    return poison_;
   }
   /**
-   * <code>repeated .amaranthstream.peer.Quarantine quarantine = 8;</code>
+   * <code>repeated .amaranthstream.peer.PoisonContent poison = 8;</code>
    */
   @java.lang.Override
-  public int getQuarantineCount() {
-    return quarantine_.size();
+  public int getPoisonCount() {
+    return poison_.size();
   }
   /**
-   * <code>repeated .amaranthstream.peer.Quarantine quarantine = 8;</code>
+   * <code>repeated .amaranthstream.peer.PoisonContent poison = 8;</code>
    */
   @java.lang.Override
-  public org.amaranthstream.peer.wire.Quarantine getQuarantine(int index) {
-    return quarantine_.get(index);
+  public org.amaranthstream.peer.wire.PoisonContent getPoison(int index) {
+    return poison_.get(index);
   }
   /**
-   * <code>repeated .amaranthstream.peer.Quarantine quarantine = 8;</code>
+   * <code>repeated .amaranthstream.peer.PoisonContent poison = 8;</code>
    */
   @java.lang.Override
-  public org.amaranthstream.peer.wire.QuarantineOrBuilder getQuarantineOrBuilder(
+  public org.amaranthstream.peer.wire.PoisonContentOrBuilder getPoisonOrBuilder(
       int index) {
-    return quarantine_.get(index);
+    return poison_.get(index);
   }
 
   public static final int AGGREGATE_FIELD_NUMBER = 9;
@@ -419,8 +419,8 @@
     for (int i = 0; i < leaving_.size(); i++) {
       output.writeMessage(7, leaving_.get(i));
     }
-    for (int i = 0; i < quarantine_.size(); i++) {
-      output.writeMessage(8, quarantine_.get(i));
+    for (int i = 0; i < poison_.size(); i++) {
+      output.writeMessage(8, poison_.get(i));
     }
     for (int i = 0; i < aggregate_.size(); i++) {
       output.writeMessage(9, aggregate_.get(i));
@@ -485,10 +485,10 @@
         }
 
         {
-          final int count = quarantine_.size();
+          final int count = poison_.size();
           for (int i = 0; i < count; i++) {
             size += com.google.protobuf.CodedOutputStream
-              .computeMessageSizeNoTag(quarantine_.get(i));
+              .computeMessageSizeNoTag(poison_.get(i));
           }
           size += 1 * count;
         }
@@ -545,8 +545,8 @@
         .equals(other.getReportList())) return false;
     if (!getLeavingList()
         .equals(other.getLeavingList())) return false;
-    if (!getQuarantineList()
-        .equals(other.getQuarantineList())) return false;
+    if (!getPoisonList()
+        .equals(other.getPoisonList())) return false;
     if (!getAggregateList()
         .equals(other.getAggregateList())) return false;
     if (!getQueueList()
@@ -588,9 +588,9 @@
       hash = (37 * hash) + LEAVING_FIELD_NUMBER;
       hash = (53 * hash) + getLeavingList().hashCode();
     }
-    if (getQuarantineCount() > 0) {
-      hash = (37 * hash) + QUARANTINE_FIELD_NUMBER;
-      hash = (53 * hash) + getQuarantineList().hashCode();
+    if (getPoisonCount() > 0) {
+      hash = (37 * hash) + POISON_FIELD_NUMBER;
+      hash = (53 * hash) + getPoisonList().hashCode();
     }
     if (getAggregateCount() > 0) {
       hash = (37 * hash) + AGGREGATE_FIELD_NUMBER;
@@ -759,11 +759,11 @@
         leavingBuilder_.clear();
       }
       bitField0_ = (bitField0_ & ~0x00000040);
-      if (quarantineBuilder_ == null) {
-        quarantine_ = java.util.Collections.emptyList();
+      if (poisonBuilder_ == null) {
+        poison_ = java.util.Collections.emptyList();
       } else {
-        quarantine_ = null;
-        quarantineBuilder_.clear();
+        poison_ = null;
+        poisonBuilder_.clear();
       }
       bitField0_ = (bitField0_ & ~0x00000080);
       if (aggregateBuilder_ == null) {
@@ -841,14 +841,14 @@
       } else {
         result.leaving_ = leavingBuilder_.build();
       }
-      if (quarantineBuilder_ == null) {
+      if (poisonBuilder_ == null) {
         if (((bitField0_ & 0x00000080) != 0)) {
-          quarantine_ = java.util.Collections.unmodifiableList(quarantine_);
+          poison_ = java.util.Collections.unmodifiableList(poison_);
           bitField0_ = (bitField0_ & ~0x00000080);
         }
-        result.quarantine_ = quarantine_;
+        result.poison_ = poison_;
       } else {
-        result.quarantine_ = quarantineBuilder_.build();
+        result.poison_ = poisonBuilder_.build();
       }
       if (aggregateBuilder_ == null) {
         if (((bitField0_ & 0x00000100) != 0)) {
@@ -994,29 +994,29 @@
           }
         }
       }
-      if (quarantineBuilder_ == null) {
-        if (!other.quarantine_.isEmpty()) {
-          if (quarantine_.isEmpty()) {
-            quarantine_ = other.quarantine_;
+      if (poisonBuilder_ == null) {
+        if (!other.poison_.isEmpty()) {
+          if (poison_.isEmpty()) {
+            poison_ = other.poison_;
             bitField0_ = (bitField0_ & ~0x00000080);
           } else {
-            ensureQuarantineIsMutable();
-            quarantine_.addAll(other.quarantine_);
+            ensurePoisonIsMutable();
+            poison_.addAll(other.poison_);
           }
           onChanged();
         }
       } else {
-        if (!other.quarantine_.isEmpty()) {
-          if (quarantineBuilder_.isEmpty()) {
-            quarantineBuilder_.dispose();
-            quarantineBuilder_ = null;
-            quarantine_ = other.quarantine_;
+        if (!other.poison_.isEmpty()) {
+          if (poisonBuilder_.isEmpty()) {
+            poisonBuilder_.dispose();
+            poisonBuilder_ = null;
+            poison_ = other.poison_;
             bitField0_ = (bitField0_ & ~0x00000080);
-            quarantineBuilder_ = 
+            poisonBuilder_ = 
               com.google.protobuf.GeneratedMessage.alwaysUseFieldBuilders ?
-                 internalGetQuarantineFieldBuilder() : null;
+                 internalGetPoisonFieldBuilder() : null;
           } else {
-            quarantineBuilder_.addAllMessages(other.quarantine_);
+            poisonBuilder_.addAllMessages(other.poison_);
           }
         }
       }
@@ -1161,15 +1161,15 @@
               break;
             } // case 58
             case 66: {
-              org.amaranthstream.peer.wire.Quarantine m =
+              org.amaranthstream.peer.wire.PoisonContent m =
                   input.readMessage(
-                      org.amaranthstream.peer.wire.Quarantine.parser(),
+                      org.amaranthstream.peer.wire.PoisonContent.parser(),
                       extensionRegistry);
-              if (quarantineBuilder_ == null) {
-                ensureQuarantineIsMutable();
-                quarantine_.add(m);
+              if (poisonBuilder_ == null) {
+                ensurePoisonIsMutable();
+                poison_.add(m);
               } else {
-                quarantineBuilder_.addMessage(m);
+                poisonBuilder_.addMessage(m);
               }
               break;
             } // case 66
@@ -2113,244 +2113,244 @@
       return leavingBuilder_;
     }
 
-    private java.util.List<org.amaranthstream.peer.wire.Quarantine> quarantine_ =
+    private java.util.List<org.amaranthstream.peer.wire.PoisonContent> poison_ =
       java.util.Collections.emptyList();
-    private void ensureQuarantineIsMutable() {
+    private void ensurePoisonIsMutable() {
       if (!((bitField0_ & 0x00000080) != 0)) {
-        quarantine_ = new java.util.ArrayList<org.amaranthstream.peer.wire.Quarantine>(quarantine_);
+        poison_ = new java.util.ArrayList<org.amaranthstream.peer.wire.PoisonContent>(poison_);
         bitField0_ |= 0x00000080;
        }
     }
 
     private com.google.protobuf.RepeatedFieldBuilder<
-        org.amaranthstream.peer.wire.Quarantine, org.amaranthstream.peer.wire.Quarantine.Builder, org.amaranthstream.peer.wire.QuarantineOrBuilder> quarantineBuilder_;
+        org.amaranthstream.peer.wire.PoisonContent, org.amaranthstream.peer.wire.PoisonContent.Builder, org.amaranthstream.peer.wire.PoisonContentOrBuilder> poisonBuilder_;
 
     /**
-     * <code>repeated .amaranthstream.peer.Quarantine quarantine = 8;</code>
+     * <code>repeated .amaranthstream.peer.PoisonContent poison = 8;</code>
      */
-    public java.util.List<org.amaranthstream.peer.wire.Quarantine> getQuarantineList() {
-      if (quarantineBuilder_ == null) {
-        return java.util.Collections.unmodifiableList(quarantine_);
+    public java.util.List<org.amaranthstream.peer.wire.PoisonContent> getPoisonList() {
+      if (poisonBuilder_ == null) {
+        return java.util.Collections.unmodifiableList(poison_);
       } else {
-        return quarantineBuilder_.getMessageList();
+        return poisonBuilder_.getMessageList();
       }
     }
     /**
-     * <code>repeated .amaranthstream.peer.Quarantine quarantine = 8;</code>
+     * <code>repeated .amaranthstream.peer.PoisonContent poison = 8;</code>
      */
-    public int getQuarantineCount() {
-      if (quarantineBuilder_ == null) {
-        return quarantine_.size();
+    public int getPoisonCount() {
+      if (poisonBuilder_ == null) {
+        return poison_.size();
       } else {
-        return quarantineBuilder_.getCount();
+        return poisonBuilder_.getCount();
       }
     }
     /**
-     * <code>repeated .amaranthstream.peer.Quarantine quarantine = 8;</code>
+     * <code>repeated .amaranthstream.peer.PoisonContent poison = 8;</code>
      */
-    public org.amaranthstream.peer.wire.Quarantine getQuarantine(int index) {
-      if (quarantineBuilder_ == null) {
-        return quarantine_.get(index);
+    public org.amaranthstream.peer.wire.PoisonContent getPoison(int index) {
+      if (poisonBuilder_ == null) {
+        return poison_.get(index);
       } else {
-        return quarantineBuilder_.getMessage(index);
+        return poisonBuilder_.getMessage(index);
       }
     }
     /**
-     * <code>repeated .amaranthstream.peer.Quarantine quarantine = 8;</code>
+     * <code>repeated .amaranthstream.peer.PoisonContent poison = 8;</code>
      */
-    public Builder setQuarantine(
-        int index, org.amaranthstream.peer.wire.Quarantine value) {
-      if (quarantineBuilder_ == null) {
+    public Builder setPoison(
+        int index, org.amaranthstream.peer.wire.PoisonContent value) {
+      if (poisonBuilder_ == null) {
         if (value == null) {
           throw new NullPointerException();
         }
-        ensureQuarantineIsMutable();
-        quarantine_.set(index, value);
+        ensurePoisonIsMutable();
+        poison_.set(index, value);
         onChanged();
       } else {
-        quarantineBuilder_.setMessage(index, value);
+        poisonBuilder_.setMessage(index, value);
       }
       return this;
     }
     /**
-     * <code>repeated .amaranthstream.peer.Quarantine quarantine = 8;</code>
+     * <code>repeated .amaranthstream.peer.PoisonContent poison = 8;</code>
      */
-    public Builder setQuarantine(
-        int index, org.amaranthstream.peer.wire.Quarantine.Builder builderForValue) {
-      if (quarantineBuilder_ == null) {
-        ensureQuarantineIsMutable();
-        quarantine_.set(index, builderForValue.build());
+    public Builder setPoison(
+        int index, org.amaranthstream.peer.wire.PoisonContent.Builder builderForValue) {
+      if (poisonBuilder_ == null) {
+        ensurePoisonIsMutable();
+        poison_.set(index, builderForValue.build());
         onChanged();
       } else {
-        quarantineBuilder_.setMessage(index, builderForValue.build());
+        poisonBuilder_.setMessage(index, builderForValue.build());
       }
       return this;
     }
     /**
-     * <code>repeated .amaranthstream.peer.Quarantine quarantine = 8;</code>
+     * <code>repeated .amaranthstream.peer.PoisonContent poison = 8;</code>
      */
-    public Builder addQuarantine(org.amaranthstream.peer.wire.Quarantine value) {
-      if (quarantineBuilder_ == null) {
+    public Builder addPoison(org.amaranthstream.peer.wire.PoisonContent value) {
+      if (poisonBuilder_ == null) {
         if (value == null) {
           throw new NullPointerException();
         }
-        ensureQuarantineIsMutable();
-        quarantine_.add(value);
+        ensurePoisonIsMutable();
+        poison_.add(value);
         onChanged();
       } else {
-        quarantineBuilder_.addMessage(value);
+        poisonBuilder_.addMessage(value);
       }
       return this;
     }
     /**
-     * <code>repeated .amaranthstream.peer.Quarantine quarantine = 8;</code>
+     * <code>repeated .amaranthstream.peer.PoisonContent poison = 8;</code>
      */
-    public Builder addQuarantine(
-        int index, org.amaranthstream.peer.wire.Quarantine value) {
-      if (quarantineBuilder_ == null) {
+    public Builder addPoison(
+        int index, org.amaranthstream.peer.wire.PoisonContent value) {
+      if (poisonBuilder_ == null) {
         if (value == null) {
           throw new NullPointerException();
         }
-        ensureQuarantineIsMutable();
-        quarantine_.add(index, value);
+        ensurePoisonIsMutable();
+        poison_.add(index, value);
         onChanged();
       } else {
-        quarantineBuilder_.addMessage(index, value);
+        poisonBuilder_.addMessage(index, value);
       }
       return this;
     }
     /**
-     * <code>repeated .amaranthstream.peer.Quarantine quarantine = 8;</code>
+     * <code>repeated .amaranthstream.peer.PoisonContent poison = 8;</code>
      */
-    public Builder addQuarantine(
-        org.amaranthstream.peer.wire.Quarantine.Builder builderForValue) {
-      if (quarantineBuilder_ == null) {
-        ensureQuarantineIsMutable();
-        quarantine_.add(builderForValue.build());
+    public Builder addPoison(
+        org.amaranthstream.peer.wire.PoisonContent.Builder builderForValue) {
+      if (poisonBuilder_ == null) {
+        ensurePoisonIsMutable();
+        poison_.add(builderForValue.build());
         onChanged();
       } else {
-        quarantineBuilder_.addMessage(builderForValue.build());
+        poisonBuilder_.addMessage(builderForValue.build());
       }
       return this;
     }
     /**
-     * <code>repeated .amaranthstream.peer.Quarantine quarantine = 8;</code>
+     * <code>repeated .amaranthstream.peer.PoisonContent poison = 8;</code>
      */
-    public Builder addQuarantine(
-        int index, org.amaranthstream.peer.wire.Quarantine.Builder builderForValue) {
-      if (quarantineBuilder_ == null) {
-        ensureQuarantineIsMutable();
-        quarantine_.add(index, builderForValue.build());
+    public Builder addPoison(
+        int index, org.amaranthstream.peer.wire.PoisonContent.Builder builderForValue) {
+      if (poisonBuilder_ == null) {
+        ensurePoisonIsMutable();
+        poison_.add(index, builderForValue.build());
         onChanged();
       } else {
-        quarantineBuilder_.addMessage(index, builderForValue.build());
+        poisonBuilder_.addMessage(index, builderForValue.build());
       }
       return this;
     }
     /**
-     * <code>repeated .amaranthstream.peer.Quarantine quarantine = 8;</code>
+     * <code>repeated .amaranthstream.peer.PoisonContent poison = 8;</code>
      */
-    public Builder addAllQuarantine(
-        java.lang.Iterable<? extends org.amaranthstream.peer.wire.Quarantine> values) {
-      if (quarantineBuilder_ == null) {
-        ensureQuarantineIsMutable();
+    public Builder addAllPoison(
+        java.lang.Iterable<? extends org.amaranthstream.peer.wire.PoisonContent> values) {
+      if (poisonBuilder_ == null) {
+        ensurePoisonIsMutable();
         com.google.protobuf.AbstractMessageLite.Builder.addAll(
-            values, quarantine_);
+            values, poison_);
         onChanged();
       } else {
-        quarantineBuilder_.addAllMessages(values);
+        poisonBuilder_.addAllMessages(values);
       }
       return this;
     }
     /**
-     * <code>repeated .amaranthstream.peer.Quarantine quarantine = 8;</code>
+     * <code>repeated .amaranthstream.peer.PoisonContent poison = 8;</code>
      */
-    public Builder clearQuarantine() {
-      if (quarantineBuilder_ == null) {
-        quarantine_ = java.util.Collections.emptyList();
+    public Builder clearPoison() {
+      if (poisonBuilder_ == null) {
+        poison_ = java.util.Collections.emptyList();
         bitField0_ = (bitField0_ & ~0x00000080);
         onChanged();
       } else {
-        quarantineBuilder_.clear();
+        poisonBuilder_.clear();
       }
       return this;
     }
     /**
-     * <code>repeated .amaranthstream.peer.Quarantine quarantine = 8;</code>
+     * <code>repeated .amaranthstream.peer.PoisonContent poison = 8;</code>
      */
-    public Builder removeQuarantine(int index) {
-      if (quarantineBuilder_ == null) {
-        ensureQuarantineIsMutable();
-        quarantine_.remove(index);
+    public Builder removePoison(int index) {
+      if (poisonBuilder_ == null) {
+        ensurePoisonIsMutable();
+        poison_.remove(index);
         onChanged();
       } else {
-        quarantineBuilder_.remove(index);
+        poisonBuilder_.remove(index);
       }
       return this;
     }
     /**
-     * <code>repeated .amaranthstream.peer.Quarantine quarantine = 8;</code>
+     * <code>repeated .amaranthstream.peer.PoisonContent poison = 8;</code>
      */
-    public org.amaranthstream.peer.wire.Quarantine.Builder getQuarantineBuilder(
+    public org.amaranthstream.peer.wire.PoisonContent.Builder getPoisonBuilder(
         int index) {
-      return internalGetQuarantineFieldBuilder().getBuilder(index);
+      return internalGetPoisonFieldBuilder().getBuilder(index);
     }
     /**
-     * <code>repeated .amaranthstream.peer.Quarantine quarantine = 8;</code>
+     * <code>repeated .amaranthstream.peer.PoisonContent poison = 8;</code>
      */
-    public org.amaranthstream.peer.wire.QuarantineOrBuilder getQuarantineOrBuilder(
+    public org.amaranthstream.peer.wire.PoisonContentOrBuilder getPoisonOrBuilder(
         int index) {
-      if (quarantineBuilder_ == null) {
-        return quarantine_.get(index);  } else {
-        return quarantineBuilder_.getMessageOrBuilder(index);
+      if (poisonBuilder_ == null) {
+        return poison_.get(index);  } else {
+        return poisonBuilder_.getMessageOrBuilder(index);
       }
     }
     /**
-     * <code>repeated .amaranthstream.peer.Quarantine quarantine = 8;</code>
+     * <code>repeated .amaranthstream.peer.PoisonContent poison = 8;</code>
      */
-    public java.util.List<? extends org.amaranthstream.peer.wire.QuarantineOrBuilder> 
-         getQuarantineOrBuilderList() {
-      if (quarantineBuilder_ != null) {
-        return quarantineBuilder_.getMessageOrBuilderList();
+    public java.util.List<? extends org.amaranthstream.peer.wire.PoisonContentOrBuilder> 
+         getPoisonOrBuilderList() {
+      if (poisonBuilder_ != null) {
+        return poisonBuilder_.getMessageOrBuilderList();
       } else {
-        return java.util.Collections.unmodifiableList(quarantine_);
+        return java.util.Collections.unmodifiableList(poison_);
       }
     }
     /**
-     * <code>repeated .amaranthstream.peer.Quarantine quarantine = 8;</code>
+     * <code>repeated .amaranthstream.peer.PoisonContent poison = 8;</code>
      */
-    public org.amaranthstream.peer.wire.Quarantine.Builder addQuarantineBuilder() {
-      return internalGetQuarantineFieldBuilder().addBuilder(
-          org.amaranthstream.peer.wire.Quarantine.getDefaultInstance());
+    public org.amaranthstream.peer.wire.PoisonContent.Builder addPoisonBuilder() {
+      return internalGetPoisonFieldBuilder().addBuilder(
+          org.amaranthstream.peer.wire.PoisonContent.getDefaultInstance());
     }
     /**
-     * <code>repeated .amaranthstream.peer.Quarantine quarantine = 8;</code>
+     * <code>repeated .amaranthstream.peer.PoisonContent poison = 8;</code>
      */
-    public org.amaranthstream.peer.wire.Quarantine.Builder addQuarantineBuilder(
+    public org.amaranthstream.peer.wire.PoisonContent.Builder addPoisonBuilder(
         int index) {
-      return internalGetQuarantineFieldBuilder().addBuilder(
-          index, org.amaranthstream.peer.wire.Quarantine.getDefaultInstance());
+      return internalGetPoisonFieldBuilder().addBuilder(
+          index, org.amaranthstream.peer.wire.PoisonContent.getDefaultInstance());
     }
     /**
-     * <code>repeated .amaranthstream.peer.Quarantine quarantine = 8;</code>
+     * <code>repeated .amaranthstream.peer.PoisonContent poison = 8;</code>
      */
-    public java.util.List<org.amaranthstream.peer.wire.Quarantine.Builder> 
-         getQuarantineBuilderList() {
-      return internalGetQuarantineFieldBuilder().getBuilderList();
+    public java.util.List<org.amaranthstream.peer.wire.PoisonContent.Builder> 
+         getPoisonBuilderList() {
+      return internalGetPoisonFieldBuilder().getBuilderList();
     }
     private com.google.protobuf.RepeatedFieldBuilder<
-        org.amaranthstream.peer.wire.Quarantine, org.amaranthstream.peer.wire.Quarantine.Builder, org.amaranthstream.peer.wire.QuarantineOrBuilder> 
-        internalGetQuarantineFieldBuilder() {
-      if (quarantineBuilder_ == null) {
-        quarantineBuilder_ = new com.google.protobuf.RepeatedFieldBuilder<
-            org.amaranthstream.peer.wire.Quarantine, org.amaranthstream.peer.wire.Quarantine.Builder, org.amaranthstream.peer.wire.QuarantineOrBuilder>(
-                quarantine_,
+        org.amaranthstream.peer.wire.PoisonContent, org.amaranthstream.peer.wire.PoisonContent.Builder, org.amaranthstream.peer.wire.PoisonContentOrBuilder> 
+        internalGetPoisonFieldBuilder() {
+      if (poisonBuilder_ == null) {
+        poisonBuilder_ = new com.google.protobuf.RepeatedFieldBuilder<
+            org.amaranthstream.peer.wire.PoisonContent, org.amaranthstream.peer.wire.PoisonContent.Builder, org.amaranthstream.peer.wire.PoisonContentOrBuilder>(
+                poison_,
                 ((bitField0_ & 0x00000080) != 0),
                 getParentForChildren(),
                 isClean());
-        quarantine_ = null;
+        poison_ = null;
       }
-      return quarantineBuilder_;
+      return poisonBuilder_;
     }
 
     private java.util.List<org.amaranthstream.peer.wire.ZoneAggregate> aggregate_ =
--- a/amaranthstream/src/main/java/org/amaranthstream/peer/wire/HeartbeatOrBuilder.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/peer/wire/HeartbeatOrBuilder.java
@@ -125,27 +125,27 @@
       int index);
 
   /**
-   * <code>repeated .amaranthstream.peer.Quarantine quarantine = 8;</code>
+   * <code>repeated .amaranthstream.peer.PoisonContent poison = 8;</code>
    */
-  java.util.List<org.amaranthstream.peer.wire.Quarantine> 
-      getQuarantineList();
+  java.util.List<org.amaranthstream.peer.wire.PoisonContent> 
+      getPoisonList();
   /**
-   * <code>repeated .amaranthstream.peer.Quarantine quarantine = 8;</code>
+   * <code>repeated .amaranthstream.peer.PoisonContent poison = 8;</code>
    */
-  org.amaranthstream.peer.wire.Quarantine getQuarantine(int index);
+  org.amaranthstream.peer.wire.PoisonContent getPoison(int index);
   /**
-   * <code>repeated .amaranthstream.peer.Quarantine quarantine = 8;</code>
+   * <code>repeated .amaranthstream.peer.PoisonContent poison = 8;</code>
    */
-  int getQuarantineCount();
+  int getPoisonCount();
   /**
-   * <code>repeated .amaranthstream.peer.Quarantine quarantine = 8;</code>
+   * <code>repeated .amaranthstream.peer.PoisonContent poison = 8;</code>
    */
-  java.util.List<? extends org.amaranthstream.peer.wire.QuarantineOrBuilder> 
-      getQuarantineOrBuilderList();
+  java.util.List<? extends org.amaranthstream.peer.wire.PoisonContentOrBuilder> 
+      getPoisonOrBuilderList();
   /**
-   * <code>repeated .amaranthstream.peer.Quarantine quarantine = 8;</code>
+   * <code>repeated .amaranthstream.peer.PoisonContent poison = 8;</code>
    */
-  org.amaranthstream.peer.wire.QuarantineOrBuilder getQuarantineOrBuilder(
+  org.amaranthstream.peer.wire.PoisonContentOrBuilder getPoisonOrBuilder(
       int index);
 
   /**
--- a/amaranthstream/src/main/java/org/amaranthstream/peer/wire/Peer.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/peer/wire/Peer.java
@@ -87,10 +87,15 @@
     com.google.protobuf.GeneratedMessage.FieldAccessorTable
       internal_static_amaranthstream_peer_LeavingServer_fieldAccessorTable;
   static final com.google.protobuf.Descriptors.Descriptor
-    internal_static_amaranthstream_peer_Quarantine_descriptor;
+    internal_static_amaranthstream_peer_PoisonContent_descriptor;
   static final 
     com.google.protobuf.GeneratedMessage.FieldAccessorTable
-      internal_static_amaranthstream_peer_Quarantine_fieldAccessorTable;
+      internal_static_amaranthstream_peer_PoisonContent_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_amaranthstream_peer_ServerCrash_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_amaranthstream_peer_ServerCrash_fieldAccessorTable;
   static final com.google.protobuf.Descriptors.Descriptor
     internal_static_amaranthstream_peer_ZoneAggregate_descriptor;
   static final 
@@ -193,65 +198,67 @@
       "ac\030\004 \001(\014\"\024\n\005Proof\022\013\n\003mac\030\001 \001(\014\"\t\n\007Welcom" +
       "e\"\030\n\004Ping\022\020\n\010sequence\030\001 \001(\004\"C\n\004Pong\022\020\n\010s" +
       "equence\030\001 \001(\004\022)\n\005phase\030\002 \001(\0162\032.amaranths" +
-      "tream.peer.Phase\"\340\003\n\tHeartbeat\022\020\n\010sequen" +
+      "tream.peer.Phase\"\337\003\n\tHeartbeat\022\020\n\010sequen" +
       "ce\030\001 \001(\004\022)\n\005phase\030\002 \001(\0162\032.amaranthstream" +
       ".peer.Phase\022\031\n\021config_generation\030\003 \001(\004\022\032" +
       "\n\rlast_heard_ms\030\004 \001(\rH\000\210\001\001\0228\n\rmodel_vers" +
       "ion\030\005 \003(\0132!.amaranthstream.peer.ModelVer" +
       "sion\022+\n\006report\030\006 \003(\0132\033.amaranthstream.pe" +
       "er.Report\0223\n\007leaving\030\007 \003(\0132\".amaranthstr" +
-      "eam.peer.LeavingServer\0223\n\nquarantine\030\010 \003" +
-      "(\0132\037.amaranthstream.peer.Quarantine\0225\n\ta" +
-      "ggregate\030\t \003(\0132\".amaranthstream.peer.Zon" +
-      "eAggregate\022-\n\005queue\030\n \003(\0132\036.amaranthstre" +
-      "am.peer.PoolQueue\022\026\n\016acked_sequence\030\013 \001(" +
-      "\004B\020\n\016_last_heard_ms\".\n\014ModelVersion\022\r\n\005m" +
-      "odel\030\001 \001(\t\022\017\n\007version\030\002 \001(\004\"\241\001\n\006Report\022\016" +
-      "\n\006server\030\001 \001(\t\022\023\n\013incarnation\030\002 \001(\t\022\024\n\007v" +
-      "ersion\030\003 \001(\004H\000\210\001\001\022\017\n\007running\030\004 \001(\r\022\016\n\006qu" +
-      "eued\030\005 \001(\r\022\r\n\005slots\030\006 \001(\r\022\020\n\010draining\030\007 " +
-      "\001(\010\022\016\n\006age_ms\030\010 \001(\rB\n\n\010_version\"4\n\rLeavi" +
-      "ngServer\022\016\n\006server\030\001 \001(\t\022\023\n\013incarnation\030" +
-      "\002 \001(\t\"7\n\nQuarantine\022\023\n\013fingerprint\030\001 \001(\014" +
-      "\022\024\n\014remaining_ms\030\002 \001(\r\"\256\001\n\rZoneAggregate" +
-      "\022\014\n\004zone\030\001 \001(\t\022\016\n\006region\030\002 \001(\t\022\014\n\004pool\030\003" +
-      " \001(\t\022\017\n\007servers\030\004 \001(\r\022\017\n\007running\030\005 \001(\r\022\016" +
-      "\n\006queued\030\006 \001(\r\022\r\n\005slots\030\007 \001(\r\022\024\n\007version" +
-      "\030\010 \001(\004H\000\210\001\001\022\016\n\006age_ms\030\t \001(\rB\n\n\010_version\"" +
-      ")\n\tPoolQueue\022\014\n\004pool\030\001 \001(\t\022\016\n\006queued\030\002 \001" +
-      "(\r\"C\n\005Query\022\n\n\002id\030\001 \001(\004\022\014\n\004kind\030\002 \001(\r\022\014\n" +
-      "\004body\030\003 \001(\014\022\022\n\ntimeout_ms\030\004 \001(\r\"`\n\nQuery" +
-      "Reply\022\n\n\002id\030\001 \001(\004\022\016\n\004body\030\002 \001(\014H\000\022+\n\005err" +
-      "or\030\003 \001(\0132\032.amaranthstream.peer.ErrorH\000B\t" +
-      "\n\007outcome\"&\n\005Error\022\014\n\004code\030\001 \001(\r\022\017\n\007mess" +
-      "age\030\002 \001(\t\"\303\002\n\007Forward\022\n\n\002id\030\001 \001(\004\022\017\n\007req" +
-      "uest\030\002 \001(\t\022\022\n\nwork_class\030\003 \001(\t\022\014\n\004pool\030\004" +
-      " \001(\t\022\020\n\010priority\030\005 \001(\r\022\022\n\nidempotent\030\006 \001" +
-      "(\010\022\025\n\010affinity\030\007 \001(\tH\001\210\001\001\022\034\n\017minimum_ver" +
-      "sion\030\010 \001(\004H\002\210\001\001\022\024\n\014remaining_ms\030\t \001(\r\0221\n" +
-      "\010generate\030\n \001(\0132\035.amaranthstream.peer.Ge" +
-      "nerateH\000\022)\n\004call\030\013 \001(\0132\031.amaranthstream." +
-      "peer.CallH\000B\t\n\007payloadB\013\n\t_affinityB\022\n\020_" +
-      "minimum_version\"<\n\010Generate\022\016\n\006prompt\030\001 " +
-      "\001(\t\022\022\n\nmax_tokens\030\002 \001(\r\022\014\n\004seed\030\003 \001(\003\"8\n" +
-      "\004Call\022\014\n\004path\030\001 \001(\t\022\024\n\014content_type\030\002 \001(" +
-      "\t\022\014\n\004body\030\003 \001(\014\"\224\001\n\014ForwardChunk\022\n\n\002id\030\001" +
-      " \001(\004\022\016\n\006offset\030\002 \001(\004\022\016\n\006tokens\030\003 \001(\r\022\014\n\004" +
-      "text\030\004 \001(\t\022\024\n\007version\030\005 \001(\004H\000\210\001\001\022\030\n\013inca" +
-      "rnation\030\006 \001(\tH\001\210\001\001B\n\n\010_versionB\016\n\014_incar" +
-      "nation\"\270\001\n\016ForwardOutcome\022\n\n\002id\030\001 \001(\004\0220\n" +
-      "\tcompleted\030\002 \001(\0132\033.amaranthstream.peer.A" +
-      "nswerH\000\022.\n\007not_run\030\003 \001(\0132\033.amaranthstrea" +
-      "m.peer.NotRunH\000\022-\n\007unknown\030\004 \001(\0132\032.amara" +
-      "nthstream.peer.ErrorH\000B\t\n\007outcome\"e\n\006Ans" +
-      "wer\022\016\n\006server\030\001 \001(\t\022\016\n\006status\030\002 \001(\r\022\024\n\014c" +
-      "ontent_type\030\003 \001(\t\022\016\n\006tokens\030\004 \001(\004\022\025\n\rfin" +
-      "ish_reason\030\005 \001(\t\"c\n\006NotRun\022)\n\005error\030\001 \001(" +
-      "\0132\032.amaranthstream.peer.Error\022\033\n\016retry_a" +
-      "fter_ms\030\002 \001(\rH\000\210\001\001B\021\n\017_retry_after_ms\"\033\n" +
-      "\rForwardCancel\022\n\n\002id\030\001 \001(\004*\037\n\005Phase\022\t\n\005R" +
-      "EADY\020\000\022\013\n\007LEAVING\020\001B \n\034org.amaranthstrea" +
-      "m.peer.wireP\001b\006proto3"
+      "eam.peer.LeavingServer\0222\n\006poison\030\010 \003(\0132\"" +
+      ".amaranthstream.peer.PoisonContent\0225\n\tag" +
+      "gregate\030\t \003(\0132\".amaranthstream.peer.Zone" +
+      "Aggregate\022-\n\005queue\030\n \003(\0132\036.amaranthstrea" +
+      "m.peer.PoolQueue\022\026\n\016acked_sequence\030\013 \001(\004" +
+      "B\020\n\016_last_heard_ms\".\n\014ModelVersion\022\r\n\005mo" +
+      "del\030\001 \001(\t\022\017\n\007version\030\002 \001(\004\"\241\001\n\006Report\022\016\n" +
+      "\006server\030\001 \001(\t\022\023\n\013incarnation\030\002 \001(\t\022\024\n\007ve" +
+      "rsion\030\003 \001(\004H\000\210\001\001\022\017\n\007running\030\004 \001(\r\022\016\n\006que" +
+      "ued\030\005 \001(\r\022\r\n\005slots\030\006 \001(\r\022\020\n\010draining\030\007 \001" +
+      "(\010\022\016\n\006age_ms\030\010 \001(\rB\n\n\010_version\"4\n\rLeavin" +
+      "gServer\022\016\n\006server\030\001 \001(\t\022\023\n\013incarnation\030\002" +
+      " \001(\t\"e\n\rPoisonContent\022\023\n\013fingerprint\030\001 \001" +
+      "(\t\022/\n\005crash\030\002 \003(\0132 .amaranthstream.peer." +
+      "ServerCrash\022\016\n\006age_ms\030\003 \001(\r\"2\n\013ServerCra" +
+      "sh\022\016\n\006server\030\001 \001(\t\022\023\n\013incarnation\030\002 \001(\t\"" +
+      "\256\001\n\rZoneAggregate\022\014\n\004zone\030\001 \001(\t\022\016\n\006regio" +
+      "n\030\002 \001(\t\022\014\n\004pool\030\003 \001(\t\022\017\n\007servers\030\004 \001(\r\022\017" +
+      "\n\007running\030\005 \001(\r\022\016\n\006queued\030\006 \001(\r\022\r\n\005slots" +
+      "\030\007 \001(\r\022\024\n\007version\030\010 \001(\004H\000\210\001\001\022\016\n\006age_ms\030\t" +
+      " \001(\rB\n\n\010_version\")\n\tPoolQueue\022\014\n\004pool\030\001 " +
+      "\001(\t\022\016\n\006queued\030\002 \001(\r\"C\n\005Query\022\n\n\002id\030\001 \001(\004" +
+      "\022\014\n\004kind\030\002 \001(\r\022\014\n\004body\030\003 \001(\014\022\022\n\ntimeout_" +
+      "ms\030\004 \001(\r\"`\n\nQueryReply\022\n\n\002id\030\001 \001(\004\022\016\n\004bo" +
+      "dy\030\002 \001(\014H\000\022+\n\005error\030\003 \001(\0132\032.amaranthstre" +
+      "am.peer.ErrorH\000B\t\n\007outcome\"&\n\005Error\022\014\n\004c" +
+      "ode\030\001 \001(\r\022\017\n\007message\030\002 \001(\t\"\303\002\n\007Forward\022\n" +
+      "\n\002id\030\001 \001(\004\022\017\n\007request\030\002 \001(\t\022\022\n\nwork_clas" +
+      "s\030\003 \001(\t\022\014\n\004pool\030\004 \001(\t\022\020\n\010priority\030\005 \001(\r\022" +
+      "\022\n\nidempotent\030\006 \001(\010\022\025\n\010affinity\030\007 \001(\tH\001\210" +
+      "\001\001\022\034\n\017minimum_version\030\010 \001(\004H\002\210\001\001\022\024\n\014rema" +
+      "ining_ms\030\t \001(\r\0221\n\010generate\030\n \001(\0132\035.amara" +
+      "nthstream.peer.GenerateH\000\022)\n\004call\030\013 \001(\0132" +
+      "\031.amaranthstream.peer.CallH\000B\t\n\007payloadB" +
+      "\013\n\t_affinityB\022\n\020_minimum_version\"<\n\010Gene" +
+      "rate\022\016\n\006prompt\030\001 \001(\t\022\022\n\nmax_tokens\030\002 \001(\r" +
+      "\022\014\n\004seed\030\003 \001(\003\"8\n\004Call\022\014\n\004path\030\001 \001(\t\022\024\n\014" +
+      "content_type\030\002 \001(\t\022\014\n\004body\030\003 \001(\014\"\224\001\n\014For" +
+      "wardChunk\022\n\n\002id\030\001 \001(\004\022\016\n\006offset\030\002 \001(\004\022\016\n" +
+      "\006tokens\030\003 \001(\r\022\014\n\004text\030\004 \001(\t\022\024\n\007version\030\005" +
+      " \001(\004H\000\210\001\001\022\030\n\013incarnation\030\006 \001(\tH\001\210\001\001B\n\n\010_" +
+      "versionB\016\n\014_incarnation\"\270\001\n\016ForwardOutco" +
+      "me\022\n\n\002id\030\001 \001(\004\0220\n\tcompleted\030\002 \001(\0132\033.amar" +
+      "anthstream.peer.AnswerH\000\022.\n\007not_run\030\003 \001(" +
+      "\0132\033.amaranthstream.peer.NotRunH\000\022-\n\007unkn" +
+      "own\030\004 \001(\0132\032.amaranthstream.peer.ErrorH\000B" +
+      "\t\n\007outcome\"e\n\006Answer\022\016\n\006server\030\001 \001(\t\022\016\n\006" +
+      "status\030\002 \001(\r\022\024\n\014content_type\030\003 \001(\t\022\016\n\006to" +
+      "kens\030\004 \001(\004\022\025\n\rfinish_reason\030\005 \001(\t\"c\n\006Not" +
+      "Run\022)\n\005error\030\001 \001(\0132\032.amaranthstream.peer" +
+      ".Error\022\033\n\016retry_after_ms\030\002 \001(\rH\000\210\001\001B\021\n\017_" +
+      "retry_after_ms\"\033\n\rForwardCancel\022\n\n\002id\030\001 " +
+      "\001(\004*\037\n\005Phase\022\t\n\005READY\020\000\022\013\n\007LEAVING\020\001B \n\034" +
+      "org.amaranthstream.peer.wireP\001b\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -310,7 +317,7 @@
     internal_static_amaranthstream_peer_Heartbeat_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_amaranthstream_peer_Heartbeat_descriptor,
-        new java.lang.String[] { "Sequence", "Phase", "ConfigGeneration", "LastHeardMs", "ModelVersion", "Report", "Leaving", "Quarantine", "Aggregate", "Queue", "AckedSequence", });
+        new java.lang.String[] { "Sequence", "Phase", "ConfigGeneration", "LastHeardMs", "ModelVersion", "Report", "Leaving", "Poison", "Aggregate", "Queue", "AckedSequence", });
     internal_static_amaranthstream_peer_ModelVersion_descriptor =
       getDescriptor().getMessageType(9);
     internal_static_amaranthstream_peer_ModelVersion_fieldAccessorTable = new
@@ -329,86 +336,92 @@
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_amaranthstream_peer_LeavingServer_descriptor,
         new java.lang.String[] { "Server", "Incarnation", });
-    internal_static_amaranthstream_peer_Quarantine_descriptor =
+    internal_static_amaranthstream_peer_PoisonContent_descriptor =
       getDescriptor().getMessageType(12);
-    internal_static_amaranthstream_peer_Quarantine_fieldAccessorTable = new
+    internal_static_amaranthstream_peer_PoisonContent_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
-        internal_static_amaranthstream_peer_Quarantine_descriptor,
-        new java.lang.String[] { "Fingerprint", "RemainingMs", });
-    internal_static_amaranthstream_peer_ZoneAggregate_descriptor =
+        internal_static_amaranthstream_peer_PoisonContent_descriptor,
+        new java.lang.String[] { "Fingerprint", "Crash", "AgeMs", });
+    internal_static_amaranthstream_peer_ServerCrash_descriptor =
       getDescriptor().getMessageType(13);
+    internal_static_amaranthstream_peer_ServerCrash_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_amaranthstream_peer_ServerCrash_descriptor,
+        new java.lang.String[] { "Server", "Incarnation", });
+    internal_static_amaranthstream_peer_ZoneAggregate_descriptor =
+      getDescriptor().getMessageType(14);
     internal_static_amaranthstream_peer_ZoneAggregate_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_amaranthstream_peer_ZoneAggregate_descriptor,
         new java.lang.String[] { "Zone", "Region", "Pool", "Servers", "Running", "Queued", "Slots", "Version", "AgeMs", });
     internal_static_amaranthstream_peer_PoolQueue_descriptor =
-      getDescriptor().getMessageType(14);
+      getDescriptor().getMessageType(15);
     internal_static_amaranthstream_peer_PoolQueue_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_amaranthstream_peer_PoolQueue_descriptor,
         new java.lang.String[] { "Pool", "Queued", });
     internal_static_amaranthstream_peer_Query_descriptor =
-      getDescriptor().getMessageType(15);
+      getDescriptor().getMessageType(16);
     internal_static_amaranthstream_peer_Query_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_amaranthstream_peer_Query_descriptor,
         new java.lang.String[] { "Id", "Kind", "Body", "TimeoutMs", });
     internal_static_amaranthstream_peer_QueryReply_descriptor =
-      getDescriptor().getMessageType(16);
+      getDescriptor().getMessageType(17);
     internal_static_amaranthstream_peer_QueryReply_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_amaranthstream_peer_QueryReply_descriptor,
         new java.lang.String[] { "Id", "Body", "Error", "Outcome", });
     internal_static_amaranthstream_peer_Error_descriptor =
-      getDescriptor().getMessageType(17);
+      getDescriptor().getMessageType(18);
     internal_static_amaranthstream_peer_Error_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_amaranthstream_peer_Error_descriptor,
         new java.lang.String[] { "Code", "Message", });
     internal_static_amaranthstream_peer_Forward_descriptor =
-      getDescriptor().getMessageType(18);
+      getDescriptor().getMessageType(19);
     internal_static_amaranthstream_peer_Forward_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_amaranthstream_peer_Forward_descriptor,
         new java.lang.String[] { "Id", "Request", "WorkClass", "Pool", "Priority", "Idempotent", "Affinity", "MinimumVersion", "RemainingMs", "Generate", "Call", "Payload", });
     internal_static_amaranthstream_peer_Generate_descriptor =
-      getDescriptor().getMessageType(19);
+      getDescriptor().getMessageType(20);
     internal_static_amaranthstream_peer_Generate_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_amaranthstream_peer_Generate_descriptor,
         new java.lang.String[] { "Prompt", "MaxTokens", "Seed", });
     internal_static_amaranthstream_peer_Call_descriptor =
-      getDescriptor().getMessageType(20);
+      getDescriptor().getMessageType(21);
     internal_static_amaranthstream_peer_Call_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_amaranthstream_peer_Call_descriptor,
         new java.lang.String[] { "Path", "ContentType", "Body", });
     internal_static_amaranthstream_peer_ForwardChunk_descriptor =
-      getDescriptor().getMessageType(21);
+      getDescriptor().getMessageType(22);
     internal_static_amaranthstream_peer_ForwardChunk_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_amaranthstream_peer_ForwardChunk_descriptor,
         new java.lang.String[] { "Id", "Offset", "Tokens", "Text", "Version", "Incarnation", });
     internal_static_amaranthstream_peer_ForwardOutcome_descriptor =
-      getDescriptor().getMessageType(22);
+      getDescriptor().getMessageType(23);
     internal_static_amaranthstream_peer_ForwardOutcome_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_amaranthstream_peer_ForwardOutcome_descriptor,
         new java.lang.String[] { "Id", "Completed", "NotRun", "Unknown", "Outcome", });
     internal_static_amaranthstream_peer_Answer_descriptor =
-      getDescriptor().getMessageType(23);
+      getDescriptor().getMessageType(24);
     internal_static_amaranthstream_peer_Answer_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_amaranthstream_peer_Answer_descriptor,
         new java.lang.String[] { "Server", "Status", "ContentType", "Tokens", "FinishReason", });
     internal_static_amaranthstream_peer_NotRun_descriptor =
-      getDescriptor().getMessageType(24);
+      getDescriptor().getMessageType(25);
     internal_static_amaranthstream_peer_NotRun_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_amaranthstream_peer_NotRun_descriptor,
         new java.lang.String[] { "Error", "RetryAfterMs", });
     internal_static_amaranthstream_peer_ForwardCancel_descriptor =
-      getDescriptor().getMessageType(25);
+      getDescriptor().getMessageType(26);
     internal_static_amaranthstream_peer_ForwardCancel_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_amaranthstream_peer_ForwardCancel_descriptor,
--- a/amaranthstream/src/test/java/org/amaranthstream/peer/TestNode.java
+++ b/amaranthstream/src/test/java/org/amaranthstream/peer/TestNode.java
@@ -5,6 +5,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import org.amaranthstream.dispatch.PoisonNotice;
 import org.amaranthstream.ids.AvailabilityZoneId;
 import org.amaranthstream.ids.ConfigGeneration;
 import org.amaranthstream.ids.EntryVmId;
@@ -106,7 +107,7 @@
   }
 
   @Override
-  public ImmutableList<QuarantineNotice> quarantined() {
+  public ImmutableList<PoisonNotice> poison() {
     return ImmutableList.of();
   }
 
@@ -124,5 +125,5 @@
   public void onWeightVersion(ModelId model, WeightVersion version) {}
 
   @Override
-  public void onQuarantined(QuarantineNotice notice) {}
+  public void onPoison(PoisonNotice notice) {}
 }
