Keep the operators' configuration from reverting

Cause: a daemon that follows whatever the key-value service, a peer or its disk says goes back when one of them is stale, restored or lagging.

Ruled out: trusting the service's revision as the generation (a restored backup sets it back); following the service downwards.

Not proved: a backup restored while the newest document is held by no running daemon, or while a write is in flight.

--- /dev/null
+++ b/amaranthstream/src/main/java/org/amaranthstream/config/ConfigDocumentCodec.java
@@ -0,0 +1,76 @@
+package org.amaranthstream.config;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.json.JsonMapper;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import com.google.common.collect.ImmutableList;
+import java.io.IOException;
+import java.time.Instant;
+import org.amaranthstream.ids.ConfigGeneration;
+import org.amaranthstream.result.Result;
+import org.amaranthstream.result.ResultCode;
+
+/** The kept form of a {@link ConfigDocument}: JSON in UTF-8. */
+final class ConfigDocumentCodec {
+  private static final JsonMapper MAPPER = JsonMapper.builder().build();
+
+  private ConfigDocumentCodec() {}
+
+  static byte[] encode(ConfigDocument document) {
+    ObjectNode root = MAPPER.createObjectNode();
+    root.put("generation", document.generation().value());
+    root.put("yaml", document.yaml());
+    ArrayNode history = root.putArray("history");
+    for (ConfigChange change : document.history()) {
+      history
+          .addObject()
+          .put("generation", change.generation().value())
+          .put("operator", change.operator())
+          .put("atMillis", change.at().toEpochMilli())
+          .put("summary", change.summary())
+          .put("nonce", change.nonce());
+    }
+    try {
+      return MAPPER.writeValueAsBytes(root);
+    } catch (JsonProcessingException e) {
+      throw new IllegalStateException("a tree of text and numbers cannot be written", e);
+    }
+  }
+
+  static Result<ConfigDocument> decode(byte[] bytes) {
+    try {
+      JsonNode root = MAPPER.readTree(bytes);
+      ImmutableList.Builder<ConfigChange> history = ImmutableList.builder();
+      for (JsonNode change : root.required("history")) {
+        history.add(change(change));
+      }
+      return Result.success(
+          new ConfigDocument(
+              ConfigGeneration.of(number(root, "generation")),
+              root.required("yaml").asText(),
+              history.build()));
+    } catch (IOException | IllegalArgumentException e) {
+      return Result.failure(
+          ResultCode.CONFIG_INVALID, "found a value that is not a kept configuration");
+    }
+  }
+
+  private static ConfigChange change(JsonNode node) {
+    return new ConfigChange(
+        ConfigGeneration.of(number(node, "generation")),
+        node.required("operator").asText(),
+        Instant.ofEpochMilli(number(node, "atMillis")),
+        node.required("summary").asText(),
+        node.required("nonce").asText());
+  }
+
+  private static long number(JsonNode node, String field) {
+    JsonNode value = node.required(field);
+    if (!value.canConvertToLong() || !value.isIntegralNumber()) {
+      throw new IllegalArgumentException(field + " is not a whole number");
+    }
+    return value.longValue();
+  }
+}
--- a/amaranthstream/src/main/java/org/amaranthstream/config/OperatorConfig.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/config/OperatorConfig.java
@@ -1,6 +1,11 @@
 package org.amaranthstream.config;
 
+import static com.google.common.base.Preconditions.checkState;
+
 import com.google.common.collect.ImmutableMap;
+import com.google.errorprone.annotations.CanIgnoreReturnValue;
+import java.util.LinkedHashMap;
+import java.util.Map;
 import org.amaranthstream.ids.ConfigGeneration;
 import org.amaranthstream.ids.PoolId;
 import org.amaranthstream.ids.WorkClassId;
@@ -23,4 +28,42 @@
   public static OperatorConfig empty() {
     return EMPTY;
   }
+
+  /** Returns a builder of the document of {@code generation}. */
+  public static Builder builder(ConfigGeneration generation) {
+    return new Builder(generation);
+  }
+
+  /** Builds a configuration. Not thread safe. */
+  public static final class Builder {
+    private final ConfigGeneration generation;
+    private final Map<WorkClassId, WorkClass> classes = new LinkedHashMap<>();
+    private final Map<PoolId, Pool> pools = new LinkedHashMap<>();
+
+    private Builder(ConfigGeneration generation) {
+      this.generation = generation;
+    }
+
+    /** Adds a pool. */
+    @CanIgnoreReturnValue
+    public Builder add(Pool pool) {
+      checkState(pools.put(pool.id(), pool) == null, "pool %s is there already", pool.id());
+      return this;
+    }
+
+    /** Adds a class, whose pool is there. */
+    @CanIgnoreReturnValue
+    public Builder add(WorkClass workClass) {
+      checkState(pools.containsKey(workClass.pool()), "no pool %s", workClass.pool());
+      WorkClass former = classes.put(workClass.id(), workClass);
+      checkState(former == null, "class %s is there already", workClass.id());
+      return this;
+    }
+
+    /** Returns the configuration. */
+    public OperatorConfig build() {
+      return new OperatorConfig(
+          generation, ImmutableMap.copyOf(classes), ImmutableMap.copyOf(pools));
+    }
+  }
 }
--- /dev/null
+++ b/amaranthstream/src/test/java/org/amaranthstream/config/ConfigKeeperPropertyTest.java
@@ -0,0 +1,94 @@
+package org.amaranthstream.config;
+
+import java.time.Duration;
+import net.jqwik.api.Arbitraries;
+import net.jqwik.api.Arbitrary;
+import net.jqwik.api.Combinators;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.Provide;
+import net.jqwik.api.Tuple;
+import net.jqwik.api.state.Action;
+import net.jqwik.api.state.ActionChain;
+import net.jqwik.api.state.ActionChainArbitrary;
+import net.jqwik.api.state.Transformer;
+
+/** An accepted generation never reverts, whatever operators, daemons and the platform do. */
+class ConfigKeeperPropertyTest {
+
+  @Property(seed = "20261203", tries = 1_000)
+  void acceptedGenerationNeverReverts(@ForAll("histories") ActionChain<Fleet> history) {
+    history.run().settleAndCheck();
+  }
+
+  @Provide
+  ActionChainArbitrary<Fleet> histories() {
+    return ActionChain.startWith(Fleet::new)
+        .withAction(6, change())
+        .withAction(4, time())
+        .withAction(3, peers())
+        .withAction(5, platform())
+        .withAction(2, restart())
+        .withMaxTransformations(40);
+  }
+
+  private static Arbitrary<Integer> daemons() {
+    return Arbitraries.integers().between(0, Fleet.SIZE - 1);
+  }
+
+  private static Action.Independent<Fleet> change() {
+    return () ->
+        Combinators.combine(
+                daemons(),
+                Arbitraries.frequencyOf(
+                    Tuple.of(4, Arbitraries.just(0)), Tuple.of(1, Arbitraries.just(1))),
+                Arbitraries.of(FakeKeyValueStore.WriteFault.class))
+            .as(
+                (daemon, lag, fault) ->
+                    Transformer.mutate(
+                        "change at " + daemon + " lag " + lag + " fault " + fault,
+                        fleet -> {
+                          fleet.store().failNextWrite(fault);
+                          fleet.put(daemon, lag);
+                        }));
+  }
+
+  private static Action.Independent<Fleet> time() {
+    return () ->
+        Arbitraries.of(1, 7, 400, 6_000)
+            .map(
+                millis ->
+                    Transformer.mutate(
+                        millis + " ms pass", fleet -> fleet.advance(Duration.ofMillis(millis))));
+  }
+
+  private static Action.Independent<Fleet> peers() {
+    return () ->
+        Combinators.combine(daemons(), daemons())
+            .as(
+                (from, to) ->
+                    Transformer.mutate(from + " tells " + to, fleet -> fleet.gossip(from, to)));
+  }
+
+  private static Action.Independent<Fleet> platform() {
+    return () ->
+        Arbitraries.of(
+            Transformer.mutate("outage begins", fleet -> fleet.store().setDown(true)),
+            Transformer.mutate("outage ends", fleet -> fleet.store().setDown(false)),
+            Transformer.mutate("watches go silent", fleet -> fleet.store().setWatchesSilent(true)),
+            Transformer.mutate("watches work", fleet -> fleet.store().setWatchesSilent(false)),
+            Transformer.mutate("reads are stale", fleet -> fleet.store().makeReadsStale(3)),
+            Transformer.mutate("backup is made", fleet -> fleet.store().backUp()),
+            Transformer.mutate("backup is restored", Fleet::restoreBackup));
+  }
+
+  private static Action.Independent<Fleet> restart() {
+    return () ->
+        Combinators.combine(daemons(), Arbitraries.of(true, false))
+            .as(
+                (daemon, keepsDisk) ->
+                    Transformer.mutate(
+                        daemon + " restarts, disk " + keepsDisk,
+                        fleet -> fleet.restart(daemon, keepsDisk)));
+  }
+}
