--- /dev/null
+++ b/amaranthstream/src/main/java/org/amaranthstream/membership/LeavingMarks.java
@@ -0,0 +1,108 @@
+package org.amaranthstream.membership;
+
+import java.util.Iterator;
+import java.util.LinkedHashMap;
+import java.util.Map;
+import org.amaranthstream.ids.Incarnation;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * What makes one backend server leaving: incarnations that were said to leave, and the platform's
+ * list, which is believed at once when it announces a leaving and only after a time when it denies
+ * it.
+ *
+ * <p>An incarnation that leaves stops counting only when another one has reported so much later
+ * that the delay of passed-on reports cannot explain it.
+ *
+ * <p>Not thread safe.
+ */
+final class LeavingMarks {
+  private static final int MAX_INCARNATIONS = 8;
+
+  private final long listClearNanos;
+  private final long skewNanos;
+  private final Map<Incarnation, Long> leavingAtNanos = new LinkedHashMap<>();
+  private boolean listed;
+  private boolean announced;
+  private boolean announcedBeforeAnyReport;
+  private boolean everAnnounced;
+  private long lastAnnouncedNanos;
+  private long lastListedNanos;
+
+  LeavingMarks(MembershipSettings settings, long nowNanos) {
+    this.listClearNanos = settings.listClearAfter().toNanos();
+    this.skewNanos = settings.relaySkew().toNanos();
+    this.lastListedNanos = nowNanos;
+  }
+
+  /** Marks {@code incarnation} as leaving; it was alive at {@code atNanos}. */
+  void add(Incarnation incarnation, long atNanos) {
+    leavingAtNanos.merge(incarnation, atNanos, Math::max);
+    if (leavingAtNanos.size() > MAX_INCARNATIONS) {
+      Iterator<Incarnation> oldest = leavingAtNanos.keySet().iterator();
+      oldest.next();
+      oldest.remove();
+    }
+  }
+
+  /** Takes what one read of the platform's list says; {@code current} is the newest incarnation. */
+  void onListed(boolean leavingInList, @Nullable Incarnation current, long nowNanos) {
+    if (leavingInList && !announced) {
+      bindAnnouncement(current, nowNanos);
+    }
+    listed = true;
+    announced = leavingInList;
+    lastListedNanos = nowNanos;
+    if (leavingInList) {
+      everAnnounced = true;
+      lastAnnouncedNanos = nowNanos;
+    }
+  }
+
+  private void bindAnnouncement(@Nullable Incarnation current, long nowNanos) {
+    if (current == null) {
+      announcedBeforeAnyReport = true;
+    } else {
+      add(current, nowNanos);
+    }
+  }
+
+  /** The server is not in the platform's list any more. */
+  void onUnlisted() {
+    listed = false;
+    announced = false;
+    announcedBeforeAnyReport = false;
+  }
+
+  /** The first incarnation of the server was seen; an earlier announcement is about it. */
+  void onFirstIncarnation(Incarnation incarnation, long nowNanos) {
+    if (announcedBeforeAnyReport) {
+      announcedBeforeAnyReport = false;
+      add(incarnation, nowNanos);
+    }
+  }
+
+  boolean isLeaving(@Nullable LoadReport current, long nowNanos) {
+    boolean deniedTooShort = everAnnounced && nowNanos - lastAnnouncedNanos < listClearNanos;
+    if (announced || announcedBeforeAnyReport || deniedTooShort) {
+      return true;
+    }
+    return leavingAtNanos.entrySet().stream()
+        .anyMatch(mark -> counts(mark.getKey(), mark.getValue(), current));
+  }
+
+  private boolean counts(Incarnation leaving, long atNanos, @Nullable LoadReport current) {
+    return current == null
+        || current.incarnation().equals(leaving)
+        || current.takenNanos() - atNanos <= skewNanos;
+  }
+
+  /** Returns true if {@code incarnation} was said to leave. */
+  boolean contains(Incarnation incarnation) {
+    return leavingAtNanos.containsKey(incarnation);
+  }
+
+  boolean isExpired(long nowNanos, long retentionNanos) {
+    return !listed && nowNanos - lastListedNanos >= retentionNanos;
+  }
+}
