Do not bind an announcement of the list to a run that was not seen

Cause: a daemon that had no report yet bound the list's announcement to the first run it saw, which may be the next one; it then told its peers, and all would have kept off a healthy server for good. Ruled out: binding with an expiry, which only narrows the window.

--- a/amaranthstream/src/main/java/org/amaranthstream/membership/BackendTable.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/membership/BackendTable.java
@@ -79,7 +79,7 @@
   void onPolled(BackendServerId id, LoadReport report, long nowNanos) {
     Row row = rows.get(id);
     if (row != null) {
-      mark(id, row, report, nowNanos);
+      mark(id, report, nowNanos);
       row.reports.onPolled(report);
     }
   }
@@ -87,18 +87,14 @@
   void onRelayed(BackendServerId id, LoadReport report, long nowNanos) {
     Row row = rows.get(id);
     if (row != null) {
-      mark(id, row, report, nowNanos);
+      mark(id, report, nowNanos);
       row.reports.onRelayed(report);
     }
   }
 
-  private void mark(BackendServerId id, Row row, LoadReport report, long nowNanos) {
-    LeavingMarks mark = marksOf(id, nowNanos);
-    if (row.reports.current() == null) {
-      mark.onFirstIncarnation(report.incarnation(), nowNanos);
-    }
+  private void mark(BackendServerId id, LoadReport report, long nowNanos) {
     if (report.draining()) {
-      mark.add(report.incarnation(), report.takenNanos());
+      marksOf(id, nowNanos).add(report.incarnation(), report.takenNanos());
     }
     views = null;
   }
--- a/amaranthstream/src/main/java/org/amaranthstream/membership/LeavingMarks.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/membership/LeavingMarks.java
@@ -24,7 +24,6 @@
   private final Map<Incarnation, Long> leavingAtNanos = new LinkedHashMap<>();
   private boolean listed;
   private boolean announced;
-  private boolean announcedBeforeAnyReport;
   private boolean everAnnounced;
   private long lastAnnouncedNanos;
   private long lastListedNanos;
@@ -47,8 +46,8 @@
 
   /** Takes what one read of the platform's list says; {@code current} is the newest incarnation. */
   void onListed(boolean leavingInList, @Nullable Incarnation current, long nowNanos) {
-    if (leavingInList && !announced) {
-      bindAnnouncement(current, nowNanos);
+    if (leavingInList && !announced && current != null) {
+      add(current, nowNanos);
     }
     listed = true;
     announced = leavingInList;
@@ -59,32 +58,15 @@
     }
   }
 
-  private void bindAnnouncement(@Nullable Incarnation current, long nowNanos) {
-    if (current == null) {
-      announcedBeforeAnyReport = true;
-    } else {
-      add(current, nowNanos);
-    }
-  }
-
   /** The server is not in the platform's list any more. */
   void onUnlisted() {
     listed = false;
     announced = false;
-    announcedBeforeAnyReport = false;
-  }
-
-  /** The first incarnation of the server was seen; an earlier announcement is about it. */
-  void onFirstIncarnation(Incarnation incarnation, long nowNanos) {
-    if (announcedBeforeAnyReport) {
-      announcedBeforeAnyReport = false;
-      add(incarnation, nowNanos);
-    }
   }
 
   boolean isLeaving(@Nullable LoadReport current, long nowNanos) {
     boolean deniedTooShort = everAnnounced && nowNanos - lastAnnouncedNanos < listClearNanos;
-    if (announced || announcedBeforeAnyReport || deniedTooShort) {
+    if (announced || deniedTooShort) {
       return true;
     }
     return leavingAtNanos.entrySet().stream()
