--- a/amaranthstream/src/main/java/org/amaranthstream/dispatch/ServerAttempts.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/dispatch/ServerAttempts.java
@@ -127,7 +127,8 @@
   private void onRejected(ServerAttempt attempt, AttemptEnd.Rejected rejected) {
     ServerState server = attempt.server;
     if (rejected.draining()) {
-      server.markDraining();
+      servers.servers(server.server.pool());
+      server.markDraining(timers.nowNanos());
       feedback.onDraining(server.server);
     } else {
       server.limit.onOverload();
--- a/amaranthstream/src/main/java/org/amaranthstream/dispatch/ServerState.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/dispatch/ServerState.java
@@ -22,6 +22,7 @@
   private boolean leaving;
   private boolean saidDraining;
   private Optional<Incarnation> drainingIncarnation = Optional.empty();
+  private long drainingNanos;
   private boolean backingOff;
   private long backoffEndNanos;
   private @Nullable Crash suspectedCrash;
@@ -36,16 +37,18 @@
   void update(BackendView view) {
     leaving = view.leaving();
     report = view.report();
-    if (saidDraining && isNewIncarnation(drainingIncarnation)) {
+    if (saidDraining && isRestarted()) {
       saidDraining = false;
     }
   }
 
-  private boolean isNewIncarnation(Optional<Incarnation> than) {
-    return than.isPresent()
+  /** Returns true if a report after the server said that it leaves is of another incarnation. */
+  private boolean isRestarted() {
+    return drainingIncarnation.isPresent()
         && report.isPresent()
         && !report.get().draining()
-        && !report.get().incarnation().equals(than.get());
+        && report.get().takenNanos() - drainingNanos > 0
+        && !report.get().incarnation().equals(drainingIncarnation.get());
   }
 
   Optional<LoadReport> report() {
@@ -61,8 +64,9 @@
     return leaving || saidDraining || report.map(LoadReport::draining).orElse(false);
   }
 
-  void markDraining() {
+  void markDraining(long nowNanos) {
     saidDraining = true;
+    drainingNanos = nowNanos;
     drainingIncarnation = incarnation();
   }
 
--- a/amaranthstream/src/test/java/org/amaranthstream/dispatch/FakeDirectory.java
+++ b/amaranthstream/src/test/java/org/amaranthstream/dispatch/FakeDirectory.java
@@ -68,6 +68,10 @@
     return views.get(BackendServerId.of(name));
   }
 
+  Incarnation incarnation(String name) {
+    return view(name).report().orElseThrow().incarnation();
+  }
+
   @Override
   public ImmutableList<BackendView> local(PoolId pool) {
     return pool.equals(POOL) ? ImmutableList.copyOf(views.values()) : ImmutableList.of();
--- a/amaranthstream/src/test/java/org/amaranthstream/dispatch/FakeTransport.java
+++ b/amaranthstream/src/test/java/org/amaranthstream/dispatch/FakeTransport.java
@@ -3,6 +3,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import java.util.function.Consumer;
 import org.amaranthstream.ids.AttemptId;
 import org.amaranthstream.ids.Incarnation;
 import org.amaranthstream.ids.WeightVersion;
@@ -11,6 +12,7 @@
 /** Attempts that tests move by hand, with a ledger of what was sent. */
 final class FakeTransport implements BackendTransport {
   final List<FakeAttempt> attempts = new ArrayList<>();
+  Consumer<FakeAttempt> onStart = attempt -> {};
 
   @Override
   public FakeAttempt start(
@@ -22,6 +24,7 @@
       AttemptListener listener) {
     FakeAttempt attempt = new FakeAttempt(server, id, work, offset, prefix, listener);
     attempts.add(attempt);
+    onStart.accept(attempt);
     return attempt;
   }
 
@@ -66,6 +69,7 @@
     boolean sent;
     boolean ended;
     boolean cancelled;
+    private boolean rejected;
 
     private FakeAttempt(
         BackendServer server,
@@ -87,6 +91,11 @@
       return !ended && !cancelled;
     }
 
+    /** Returns true unless nothing was sent or the server said that it did not run it. */
+    boolean mayHaveRun() {
+      return sent && !rejected;
+    }
+
     void send() {
       sent = true;
       listener.onSending();
@@ -114,7 +123,12 @@
     }
 
     void finish() {
-      end(new AttemptEnd.Finished(new Answer(server.id(), 200, "text/plain", offset, "stop")));
+      finishAt(offset);
+    }
+
+    void finishAt(long tokens) {
+      sent = true;
+      end(new AttemptEnd.Finished(new Answer(server.id(), 200, "text/plain", tokens, "stop")));
     }
 
     void crash() {
@@ -124,6 +138,7 @@
 
     void reject(boolean draining) {
       sent = true;
+      rejected = true;
       end(new AttemptEnd.Rejected("busy", draining, Optional.empty()));
     }
 
--- a/amaranthstream/src/test/java/org/amaranthstream/dispatch/Fixture.java
+++ b/amaranthstream/src/test/java/org/amaranthstream/dispatch/Fixture.java
@@ -23,7 +23,10 @@
   final FakeTransport transport = new FakeTransport();
   final FakeForwarder forwarder = new FakeForwarder();
   final List<DecisionRecord> records = new ArrayList<>();
-  final List<String> drainingServers = new ArrayList<>();
+
+  /** The incarnations that said that they leave. */
+  final List<Incarnation> drainingServers = new ArrayList<>();
+
   final Dispatcher dispatcher;
   private long sequence;
 
@@ -45,7 +48,7 @@
             .region(FakeDirectory.REGION)
             .incarnation(INCARNATION)
             .decisionLog(records::add)
-            .feedback(server -> drainingServers.add(server.id().value()))
+            .feedback(server -> drainingServers.add(directory.incarnation(server.id().value())))
             .limits(SlotsLimit::new)
             .placement(AffinityPlacement.create(new Random(1)))
             .build();
