--- a/amaranthstream/src/main/java/org/amaranthstream/dispatch/Dispatcher.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/dispatch/Dispatcher.java
@@ -243,15 +243,16 @@
     return Optional.of(Millis.atLeast(drain, settings.progressCheck()));
   }
 
-  /** Gives the outcome; {@code error} is corrected if it does not fit what is known to have run. */
+  /** Gives the outcome, with a code that is true to what is known to have run. */
   private void finish(
       ActiveRequest request, DecisionKind kind, ErrorDetail error, Optional<Duration> retryAfter) {
     request.state = ActiveRequest.State.DONE;
     request.running = null;
     request.disarm();
     active.remove(request.work.id());
-    recorder.record(request, kind, error.code().name(), error.message());
-    request.listener.onOutcome(Outcomes.of(request.mayHaveRun, error, retryAfter));
+    ErrorDetail fitting = Outcomes.fit(request.mayHaveRun, error);
+    recorder.record(request, kind, fitting.code().name(), fitting.message());
+    request.listener.onOutcome(Outcomes.of(request.mayHaveRun, fitting, retryAfter));
   }
 
   private void onTick() {
--- a/amaranthstream/src/main/java/org/amaranthstream/dispatch/Outcomes.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/dispatch/Outcomes.java
@@ -14,12 +14,17 @@
 
   /** Returns the outcome of a request without a whole answer. */
   static Outcome of(boolean mayHaveRun, ErrorDetail error, Optional<Duration> retryAfter) {
-    if (mayHaveRun) {
-      return new Outcome.OutcomeUnknown(
-          withCode(error, !isNotRun(error.code()), ResultCode.OUTCOME_UNKNOWN_BACKEND_LOST));
-    }
-    return new Outcome.NotRun(
-        withCode(error, isNotRun(error.code()), ResultCode.NOT_RUN_NO_BACKEND), retryAfter);
+    ErrorDetail fitting = fit(mayHaveRun, error);
+    return mayHaveRun
+        ? new Outcome.OutcomeUnknown(fitting)
+        : new Outcome.NotRun(fitting, retryAfter);
+  }
+
+  /** Returns {@code error} with a code that claims "not run" exactly if the request did not run. */
+  static ErrorDetail fit(boolean mayHaveRun, ErrorDetail error) {
+    return mayHaveRun
+        ? withCode(error, !isNotRun(error.code()), ResultCode.OUTCOME_UNKNOWN_BACKEND_LOST)
+        : withCode(error, isNotRun(error.code()), ResultCode.NOT_RUN_NO_BACKEND);
   }
 
   private static boolean isNotRun(ResultCode code) {
--- a/amaranthstream/src/main/java/org/amaranthstream/dispatch/ServerAttempts.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/dispatch/ServerAttempts.java
@@ -167,6 +167,9 @@
     long now = timers.nowNanos();
     Crash crash = attempt.asCrash();
     attempt.server.suspectCrash(crash, now);
+    if (attempt.server.running.isEmpty()) {
+      attempt.server.backOff(now + settings.unreachableBackoff().toNanos());
+    }
     poison.onCrash(attempt.request.fingerprint, crash, now);
     fail(attempt, ResultCode.OUTCOME_UNKNOWN_BACKEND_LOST, reason);
   }
--- a/amaranthstream/src/main/java/org/amaranthstream/dispatch/ZoneTable.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/dispatch/ZoneTable.java
@@ -68,7 +68,7 @@
     long since =
         running.getOrDefault(view.zone(), List.of()).stream()
             .filter(attempt -> attempt.request.work.pool().equals(pool))
-            .filter(attempt -> attempt.startNanos - view.takenNanos() > 0)
+            .filter(attempt -> attempt.startNanos - view.takenNanos() >= 0)
             .count();
     int load = view.running() + view.queued() + (int) since;
     boolean closed = isBackingOff(view.zone(), nowNanos);
