--- a/amaranthstream/src/main/java/org/amaranthstream/dispatch/ServerAttempts.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/dispatch/ServerAttempts.java
@@ -127,7 +127,8 @@
   private void onRejected(ServerAttempt attempt, AttemptEnd.Rejected rejected) {
     ServerState server = attempt.server;
     if (rejected.draining()) {
-      server.markDraining();
+      servers.servers(server.server.pool());
+      server.markDraining(timers.nowNanos());
       feedback.onDraining(server.server);
     } else {
       server.limit.onOverload();
@@ -166,6 +167,9 @@
     long now = timers.nowNanos();
     Crash crash = attempt.asCrash();
     attempt.server.suspectCrash(crash, now);
+    if (attempt.server.running.isEmpty()) {
+      attempt.server.backOff(now + settings.unreachableBackoff().toNanos());
+    }
     poison.onCrash(attempt.request.fingerprint, crash, now);
     fail(attempt, ResultCode.OUTCOME_UNKNOWN_BACKEND_LOST, reason);
   }
