--- a/amaranthstream-bench/src/main/java/org/amaranthstream/bench/experiment/CallTargets.java
+++ b/amaranthstream-bench/src/main/java/org/amaranthstream/bench/experiment/CallTargets.java
@@ -67,8 +67,8 @@
 
   private static String uuidVersion7(Random random) {
     long millis = System.currentTimeMillis();
-    long high = millis << 16 | VERSION_7 | random.nextLong() & RANDOM_A_MASK;
-    long low = VARIANT | random.nextLong() & RANDOM_B_MASK;
+    long high = (millis << 16) | VERSION_7 | (random.nextLong() & RANDOM_A_MASK);
+    long low = VARIANT | (random.nextLong() & RANDOM_B_MASK);
     return new UUID(high, low).toString();
   }
 
--- a/amaranthstream-bench/src/main/java/org/amaranthstream/bench/experiment/ZoneShape.java
+++ b/amaranthstream-bench/src/main/java/org/amaranthstream/bench/experiment/ZoneShape.java
@@ -1,5 +1,7 @@
 package org.amaranthstream.bench.experiment;
 
+import com.google.errorprone.annotations.Immutable;
+
 /**
  * What stands in one availability zone.
  *
@@ -9,4 +11,5 @@
  * @param engines model engines in it
  * @param services plain services in it
  */
+@Immutable
 record ZoneShape(String zone, String region, int entryVms, int engines, int services) {}
--- /dev/null
+++ b/amaranthstream-bench/src/test/java/org/amaranthstream/bench/experiment/CallTargetsTest.java
@@ -0,0 +1,57 @@
+package org.amaranthstream.bench.experiment;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.util.UUID;
+import org.amaranthstream.standins.engine.GeneratedText;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+final class CallTargetsTest {
+
+  @Nested
+  final class Lookups {
+    private final CallTarget lookups = CallTargets.lookups("run");
+
+    @Test
+    void acceptTheWholeAnswerToTheirOwnPrompt() {
+      assertThat(lookups.judge().tokens(7, answerTo(7))).isGreaterThan(0);
+    }
+
+    @Test
+    void rejectAnswersToOtherCallsAndPartsOfAnswers() {
+      assertThat(lookups.judge().tokens(7, answerTo(8))).isEqualTo(-1);
+      assertThat(lookups.judge().tokens(7, "{\"text\": \"\", \"tokens\": 0}")).isEqualTo(-1);
+      assertThat(lookups.judge().tokens(7, "not JSON")).isEqualTo(-1);
+    }
+
+    private String answerTo(long call) {
+      String prompt = "code the product run-" + call;
+      String key = GeneratedText.key(prompt, prompt.hashCode());
+      int tokens = GeneratedText.length(key, Workload.LOOKUP_MAX_TOKENS);
+      return "{\"text\": \"%s\", \"tokens\": %d}"
+          .formatted(GeneratedText.tokens(key, 0, tokens), tokens);
+    }
+  }
+
+  @Nested
+  final class Orders {
+    private final CallTarget orders = CallTargets.orders("run", 1);
+
+    @Test
+    void haveKeysOfTheirOwnThatNameTheTime() {
+      UUID first = UUID.fromString(orders.key().of(1).orElseThrow());
+      UUID second = UUID.fromString(orders.key().of(2).orElseThrow());
+      assertThat(first).isNotEqualTo(second);
+      assertThat(first.version()).isEqualTo(7);
+      assertThat(first.variant()).isEqualTo(2);
+    }
+
+    @Test
+    void acceptOnlyTheDigestOfTheirOwnBody() {
+      String own = CallTargets.digest(CallTargets.orderBody("run", 3));
+      assertThat(orders.judge().tokens(3, own)).isEqualTo(0);
+      assertThat(orders.judge().tokens(4, own)).isEqualTo(-1);
+    }
+  }
+}
