Claim idempotency keys on claim pages by compare-and-swap

Cause: a request of a class that is not idempotent must run at most once, also when its caller sends it again to another entry VM, when the answer to the claim is lost after the write took effect, and when a claimant restarts.

A key is claimed on the page of its shard and of the interval in which it was made. A write in doubt is settled by the same compare-and-swap again and by the nonce. What is not known counts as run. A claim whose request was not run is given back. While the key-value service is away, only keys that an entry VM issued run, there and once.

--- /dev/null
+++ b/amaranthstream/src/main/java/org/amaranthstream/once/ClaimCounters.java
@@ -0,0 +1,26 @@
+package org.amaranthstream.once;
+
+import com.google.common.collect.ImmutableMap;
+import com.google.common.collect.Maps;
+import java.util.EnumSet;
+import java.util.concurrent.atomic.LongAdder;
+
+/** Counts of the events of claims. Thread safe. */
+public final class ClaimCounters {
+  private final ImmutableMap<ClaimEvent, LongAdder> counts =
+      Maps.toMap(EnumSet.allOf(ClaimEvent.class), event -> new LongAdder());
+
+  /** Returns how often {@code event} was counted. */
+  public long count(ClaimEvent event) {
+    return counts.get(event).sum();
+  }
+
+  /** Returns all counts. */
+  public ImmutableMap<ClaimEvent, Long> snapshot() {
+    return ImmutableMap.copyOf(Maps.transformValues(counts, LongAdder::sum));
+  }
+
+  void increment(ClaimEvent event) {
+    counts.get(event).increment();
+  }
+}
--- /dev/null
+++ b/amaranthstream/src/main/java/org/amaranthstream/once/ClaimDecisions.java
@@ -0,0 +1,31 @@
+package org.amaranthstream.once;
+
+/** How claim decisions are counted and recorded. */
+final class ClaimDecisions {
+  private ClaimDecisions() {}
+
+  static ClaimEvent eventOf(ClaimDecision decision) {
+    if (decision instanceof ClaimDecision.Run) {
+      return ClaimEvent.RUN;
+    }
+    if (decision instanceof ClaimDecision.DuplicateRunning) {
+      return ClaimEvent.DUPLICATE_RUNNING;
+    }
+    if (decision instanceof ClaimDecision.AlreadyRan ran) {
+      return ran.answer().isPresent() ? ClaimEvent.ANSWER_REPEATED : ClaimEvent.PRIOR_RUN_UNKNOWN;
+    }
+    return ClaimEvent.REFUSED;
+  }
+
+  static String reasonOf(ClaimDecision decision) {
+    if (decision instanceof ClaimDecision.Refused refused) {
+      return refused.error().toString();
+    }
+    return switch (eventOf(decision)) {
+      case RUN -> "the key was not claimed before";
+      case DUPLICATE_RUNNING -> "a request with the same key runs";
+      case ANSWER_REPEATED -> "a request with the same key ran, its answer is given again";
+      default -> "a request with the same key may have run, its answer is not known";
+    };
+  }
+}
--- /dev/null
+++ b/amaranthstream/src/main/java/org/amaranthstream/once/ClaimService.java
@@ -0,0 +1,318 @@
+package org.amaranthstream.once;
+
+import com.google.common.collect.ImmutableList;
+import com.google.common.flogger.FluentLogger;
+import java.time.Duration;
+import java.time.Instant;
+import java.time.InstantSource;
+import java.util.Optional;
+import java.util.function.Consumer;
+import java.util.random.RandomGenerator;
+import org.amaranthstream.decisions.DecisionKind;
+import org.amaranthstream.decisions.DecisionLog;
+import org.amaranthstream.decisions.DecisionRecord;
+import org.amaranthstream.ids.EntryVmId;
+import org.amaranthstream.ids.RequestId;
+import org.amaranthstream.result.ErrorDetail;
+import org.amaranthstream.result.ResultCode;
+import org.amaranthstream.time.TimerService;
+
+/**
+ * Decides which requests may run under their keys, at most one for each key in the whole fleet.
+ *
+ * <p>A key that a caller made is claimed by compare-and-swap on its claim page. A key that an entry
+ * VM issued is kept in the memory of that incarnation, and nobody else runs it. What is not known
+ * counts as run. Used on the decision thread only.
+ *
+ * <pre>{@code
+ * claims.claim(request, decision -> {
+ *   if (decision instanceof ClaimDecision.Run run) {
+ *     // run it, then claims.finish(run.ticket(), answer)
+ *   }
+ * });
+ * }</pre>
+ */
+public final class ClaimService {
+  private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+  private static final Duration GIVEN_UP_RETRY_AFTER = Duration.ofMillis(500);
+
+  private final Claimant self;
+  private final TimerService timers;
+  private final InstantSource clock;
+  private final RandomGenerator random;
+  private final ClaimLimits limits;
+  private final ClaimantLink link;
+  private final OutcomeLookup lookup;
+  private final DecisionLog decisionLog;
+  private final ClaimCounters counters;
+  private final ClaimPageWriter writer;
+  private final LocalClaims local;
+  private final IssuedKeys issued = new IssuedKeys();
+
+  ClaimService(ClaimServiceBuilder builder) {
+    this.self = builder.claimant();
+    this.timers = builder.timerService();
+    this.clock = builder.wallClock();
+    this.random = builder.randomness();
+    this.limits = builder.claimLimits();
+    this.link = builder.claimantLink();
+    this.lookup = builder.outcomeLookup();
+    this.decisionLog = builder.decisions();
+    this.counters = builder.claimCounters();
+    this.writer = builder.pageWriter();
+    this.local = new LocalClaims(limits.maxRemembered(), limits.maxAnswerBytes());
+  }
+
+  /** Returns a builder. */
+  public static ClaimServiceBuilder builder() {
+    return new ClaimServiceBuilder();
+  }
+
+  /** Issues a key that only this incarnation runs; it works while the key-value service is away. */
+  public IdempotencyKey issueKey() {
+    IdempotencyKey key =
+        IdempotencyKey.issue(self, clock.instant(), random.nextLong(), random.nextLong());
+    issued.add(key);
+    counters.increment(ClaimEvent.KEY_ISSUED);
+    return key;
+  }
+
+  /** Decides about a request; the consumer is called exactly once, maybe before this returns. */
+  public void claim(ClaimRequest request, Consumer<ClaimDecision> consumer) {
+    Consumer<ClaimDecision> recorded = decision -> consumer.accept(record(request, decision));
+    IdempotencyKey key;
+    try {
+      key = IdempotencyKey.parse(request.key());
+    } catch (IllegalArgumentException e) {
+      recorded.accept(refused(ResultCode.INVALID_REQUEST, "Idempotency-Key: " + e.getMessage()));
+      return;
+    }
+    KeyDigest digest = KeyDigest.of(request.caller(), request.workClass(), key);
+    Optional<ClaimDecision> known = fromMemory(digest).or(() -> checkAge(key));
+    if (known.isPresent()) {
+      recorded.accept(known.get());
+    } else if (key.issuer().isPresent()) {
+      claimIssued(key, digest, recorded);
+    } else {
+      claimOnPage(digest, ClaimPageId.of(digest, key.created(), limits), recorded);
+    }
+  }
+
+  /** Notes the end of a request that ran, or was not run after all. */
+  public void finish(ClaimTicket ticket, StoredAnswer answer) {
+    local.find(ticket.key()).ifPresent(claim -> local.put(ticket.key(), claim.end(answer)));
+  }
+
+  /** Gives a claim back whose request was not run, so that the same key may run later. */
+  public void release(ClaimTicket ticket) {
+    counters.increment(ClaimEvent.RELEASED);
+    local.find(ticket.key()).ifPresent(claim -> local.put(ticket.key(), claim.giveUp()));
+    if (ticket.recorded()) {
+      send(ticket.page(), new PageOrder.Release(ticket.key(), ticket.nonce()), verdict -> {});
+    }
+  }
+
+  /** Carries out an order that a peer forwarded. */
+  public void orderForwarded(ClaimPageId page, PageOrder order, Consumer<OrderVerdict> consumer) {
+    writer.write(page, order, consumer);
+  }
+
+  /** Returns what this incarnation knows about the request of a claim of its own. */
+  public PriorRun priorRun(ClaimPageId page, Claim claim) {
+    if (!claim.claimant().equals(self)) {
+      return new PriorRun.Unknown();
+    }
+    Optional<LocalClaim> known = local.find(claim.key());
+    boolean idle = known.isPresent() && !known.get().isInUse();
+    if (idle && known.get().givenUp().contains(claim.nonce())) {
+      send(page, new PageOrder.Release(claim.key(), claim.nonce()), verdict -> {});
+      return new PriorRun.NeverRun();
+    }
+    return fromClaim(known);
+  }
+
+  /** Returns what this incarnation knows about the request of a key that it issued. */
+  public PriorRun priorRunOfIssued(KeyDigest digest, IdempotencyKey key) {
+    return issued.contains(key) ? new PriorRun.NeverRun() : fromClaim(local.find(digest));
+  }
+
+  /** Returns the counts of events. */
+  public ClaimCounters counters() {
+    return counters;
+  }
+
+  /** Returns the state for the state dump. */
+  public ClaimDescription describe() {
+    return new ClaimDescription(
+        local.size(), local.answerBytes(), issued.size(), counters.snapshot());
+  }
+
+  private Optional<ClaimDecision> fromMemory(KeyDigest digest) {
+    Optional<LocalClaim> known = local.find(digest);
+    if (known.isEmpty() || known.get().state() == LocalState.GIVEN_UP) {
+      return Optional.empty();
+    }
+    if (known.get().isInUse()) {
+      return Optional.of(new ClaimDecision.DuplicateRunning());
+    }
+    return Optional.of(new ClaimDecision.AlreadyRan(known.get().answer()));
+  }
+
+  private Optional<ClaimDecision> checkAge(IdempotencyKey key) {
+    Instant now = clock.instant();
+    if (key.created().isBefore(now.minus(limits.window()))) {
+      return Optional.of(
+          refused(
+              ResultCode.NOT_RUN_KEY_EXPIRED,
+              "key of " + key.created() + " is older than " + limits.window()));
+    }
+    if (key.created().isAfter(now.plus(limits.clockSkew()))) {
+      return Optional.of(
+          refused(
+              ResultCode.INVALID_REQUEST,
+              "key of " + key.created() + " is in the future, it is " + now));
+    }
+    return Optional.empty();
+  }
+
+  private void claimIssued(IdempotencyKey key, KeyDigest digest, Consumer<ClaimDecision> consumer) {
+    Claimant issuer = key.issuer().orElseThrow();
+    if (!issuer.equals(self)) {
+      lookup.lookUpIssued(issuer, digest, key, prior -> consumer.accept(fromIssuer(issuer, prior)));
+      return;
+    }
+    Optional<LocalClaim> givenUp = local.find(digest);
+    if (!issued.take(key) && givenUp.isEmpty()) {
+      consumer.accept(new ClaimDecision.AlreadyRan(Optional.empty()));
+      return;
+    }
+    ClaimNonce nonce = nextNonce();
+    local.put(digest, LocalClaim.claiming(nonce, ImmutableList.of()).run());
+    ClaimPageId page = ClaimPageId.of(digest, key.created(), limits);
+    consumer.accept(new ClaimDecision.Run(new ClaimTicket(digest, nonce, page, false)));
+  }
+
+  private void claimOnPage(KeyDigest digest, ClaimPageId page, Consumer<ClaimDecision> consumer) {
+    ImmutableList<ClaimNonce> givenUp =
+        local.find(digest).map(LocalClaim::givenUp).orElse(ImmutableList.of());
+    LocalClaim claiming = LocalClaim.claiming(nextNonce(), givenUp);
+    local.put(digest, claiming);
+    Claim claim = Claim.held(digest, claiming.nonce(), self);
+    send(
+        page,
+        new PageOrder.Take(claim, givenUp),
+        verdict -> onVerdict(page, digest, claiming, verdict, consumer));
+  }
+
+  private void onVerdict(
+      ClaimPageId page,
+      KeyDigest digest,
+      LocalClaim claiming,
+      OrderVerdict verdict,
+      Consumer<ClaimDecision> consumer) {
+    if (verdict instanceof OrderVerdict.Done) {
+      local.put(digest, claiming.run());
+      consumer.accept(new ClaimDecision.Run(new ClaimTicket(digest, claiming.nonce(), page, true)));
+      return;
+    }
+    local.put(digest, claiming.giveUp());
+    if (verdict instanceof OrderVerdict.HeldBy held) {
+      onHeld(page, held.claim(), consumer);
+      return;
+    }
+    OrderVerdict.Unavailable unavailable = (OrderVerdict.Unavailable) verdict;
+    consumer.accept(unavailable(unavailable.reason(), unavailable.retryAfter()));
+  }
+
+  private void onHeld(ClaimPageId page, Claim claim, Consumer<ClaimDecision> consumer) {
+    if (claim.claimant().equals(self)) {
+      consumer.accept(new ClaimDecision.AlreadyRan(Optional.empty()));
+      return;
+    }
+    lookup.lookUp(
+        claim.claimant(), page, claim, prior -> consumer.accept(fromHolder(claim, prior)));
+  }
+
+  private static ClaimDecision fromHolder(Claim claim, PriorRun prior) {
+    if (prior instanceof PriorRun.NeverRun) {
+      return unavailable(
+          "entry VM " + claim.claimant().vm() + " is giving its claim back", GIVEN_UP_RETRY_AFTER);
+    }
+    return fromPrior(prior);
+  }
+
+  private static ClaimDecision fromIssuer(Claimant issuer, PriorRun prior) {
+    if (prior instanceof PriorRun.NeverRun) {
+      return unavailable(
+          "only entry VM " + issuer.vm() + " runs the key that it issued", GIVEN_UP_RETRY_AFTER);
+    }
+    return fromPrior(prior);
+  }
+
+  private static ClaimDecision fromPrior(PriorRun prior) {
+    if (prior instanceof PriorRun.Running) {
+      return new ClaimDecision.DuplicateRunning();
+    }
+    if (prior instanceof PriorRun.Ended ended) {
+      return new ClaimDecision.AlreadyRan(Optional.of(ended.answer()));
+    }
+    return new ClaimDecision.AlreadyRan(Optional.empty());
+  }
+
+  private static PriorRun fromClaim(Optional<LocalClaim> known) {
+    if (known.isEmpty()) {
+      return new PriorRun.Unknown();
+    }
+    return switch (known.get().state()) {
+      case CLAIMING, RUNNING -> new PriorRun.Running();
+      case ENDED -> new PriorRun.Ended(known.get().answer().orElseThrow());
+      case GIVEN_UP -> new PriorRun.Unknown();
+    };
+  }
+
+  /** Sends an order to the preferred claimant, or carries it out here if that one cannot. */
+  private void send(ClaimPageId page, PageOrder order, Consumer<OrderVerdict> consumer) {
+    Optional<EntryVmId> preferred = link.preferred(page).filter(vm -> !vm.equals(self.vm()));
+    if (preferred.isEmpty()) {
+      writer.write(page, order, consumer);
+      return;
+    }
+    counters.increment(ClaimEvent.ORDER_FORWARDED);
+    link.order(
+        preferred.get(),
+        page,
+        order,
+        verdict -> {
+          if (verdict instanceof OrderVerdict.Unavailable) {
+            writer.write(page, order, consumer);
+          } else {
+            consumer.accept(verdict);
+          }
+        });
+  }
+
+  private ClaimNonce nextNonce() {
+    return ClaimNonce.of(random.nextLong());
+  }
+
+  private ClaimDecision record(ClaimRequest request, ClaimDecision decision) {
+    ClaimEvent event = ClaimDecisions.eventOf(decision);
+    counters.increment(event);
+    RequestId id = request.request();
+    String reason = ClaimDecisions.reasonOf(decision);
+    decisionLog.record(
+        new DecisionRecord(id, DecisionKind.CLAIM, event.name(), reason, timers.nowNanos()));
+    logger.atFine().log("event=claim request=%s decision=%s", id, event);
+    return decision;
+  }
+
+  private static ClaimDecision refused(ResultCode code, String message) {
+    return new ClaimDecision.Refused(ErrorDetail.of(code, message), Optional.empty());
+  }
+
+  private static ClaimDecision unavailable(String reason, Duration retryAfter) {
+    String message = "the key was not claimed: " + reason + "; send it again with the same key";
+    return new ClaimDecision.Refused(
+        ErrorDetail.of(ResultCode.NOT_RUN_CLAIM_UNAVAILABLE, message), Optional.of(retryAfter));
+  }
+}
--- /dev/null
+++ b/amaranthstream/src/main/java/org/amaranthstream/once/NoClaimantLink.java
@@ -0,0 +1,24 @@
+package org.amaranthstream.once;
+
+import java.time.Duration;
+import java.util.Optional;
+import java.util.function.Consumer;
+import org.amaranthstream.ids.EntryVmId;
+
+/** Link of an entry VM without peers. */
+final class NoClaimantLink implements ClaimantLink {
+  static final NoClaimantLink INSTANCE = new NoClaimantLink();
+
+  private NoClaimantLink() {}
+
+  @Override
+  public Optional<EntryVmId> preferred(ClaimPageId page) {
+    return Optional.empty();
+  }
+
+  @Override
+  public void order(
+      EntryVmId vm, ClaimPageId page, PageOrder order, Consumer<OrderVerdict> consumer) {
+    consumer.accept(new OrderVerdict.Unavailable("no link to " + vm, Duration.ZERO));
+  }
+}
--- /dev/null
+++ b/amaranthstream/src/main/java/org/amaranthstream/once/OnceRunner.java
@@ -0,0 +1,69 @@
+package org.amaranthstream.once;
+
+import com.google.common.collect.ImmutableList;
+import org.amaranthstream.dispatch.Chunk;
+import org.amaranthstream.dispatch.Outcome;
+import org.amaranthstream.dispatch.Work;
+import org.amaranthstream.dispatch.WorkListener;
+import org.amaranthstream.dispatch.WorkRunner;
+import org.amaranthstream.ids.CallerId;
+import org.amaranthstream.result.ErrorDetail;
+import org.amaranthstream.result.ResultCode;
+
+/**
+ * Runs work that may run at most once: claims its key first, and gives the answer of an earlier run
+ * again. Used on the decision thread only.
+ */
+public final class OnceRunner {
+  private final ClaimService claims;
+  private final WorkRunner runner;
+
+  private OnceRunner(ClaimService claims, WorkRunner runner) {
+    this.claims = claims;
+    this.runner = runner;
+  }
+
+  /** Returns a runner that runs claimed work by {@code runner}. */
+  public static OnceRunner of(ClaimService claims, WorkRunner runner) {
+    return new OnceRunner(claims, runner);
+  }
+
+  /** Runs {@code work} if no request ran under {@code key} of this caller and class. */
+  public void run(CallerId caller, String key, Work work, WorkListener listener) {
+    ClaimRequest request = new ClaimRequest(work.id(), caller, work.workClass(), key);
+    claims.claim(request, decision -> onDecision(decision, work, listener));
+  }
+
+  private void onDecision(ClaimDecision decision, Work work, WorkListener listener) {
+    if (decision instanceof ClaimDecision.Run run) {
+      runner.submit(work, new RecordingListener(claims, run.ticket(), listener));
+    } else if (decision instanceof ClaimDecision.AlreadyRan ran) {
+      repeat(ran.answer().orElse(priorRunUnknown()), listener);
+    } else if (decision instanceof ClaimDecision.DuplicateRunning) {
+      listener.onOutcome(unknown(ResultCode.DUPLICATE_RUNNING, "a request with the same key runs"));
+    } else {
+      ClaimDecision.Refused refused = (ClaimDecision.Refused) decision;
+      listener.onOutcome(new Outcome.NotRun(refused.error(), refused.retryAfter()));
+    }
+  }
+
+  private static void repeat(StoredAnswer answer, WorkListener listener) {
+    for (Chunk chunk : answer.chunks()) {
+      listener.onChunk(chunk);
+    }
+    listener.onOutcome(answer.outcome());
+  }
+
+  /** Returns the answer for a key whose request may have run and whose answer is not kept. */
+  static StoredAnswer priorRunUnknown() {
+    Outcome outcome =
+        unknown(
+            ResultCode.OUTCOME_UNKNOWN_PRIOR_RUN,
+            "a request with the same key may have run, and its answer is not known any more");
+    return new StoredAnswer(ImmutableList.of(), outcome);
+  }
+
+  private static Outcome unknown(ResultCode code, String message) {
+    return new Outcome.OutcomeUnknown(ErrorDetail.of(code, message));
+  }
+}
--- /dev/null
+++ b/amaranthstream/src/main/java/org/amaranthstream/once/PageQueue.java
@@ -0,0 +1,230 @@
+package org.amaranthstream.once;
+
+import com.google.common.flogger.FluentLogger;
+import java.time.Duration;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.List;
+import java.util.Optional;
+import java.util.function.Consumer;
+import org.amaranthstream.ids.Revision;
+import org.amaranthstream.platform.KeyValueStore;
+import org.amaranthstream.platform.KvEntry;
+import org.amaranthstream.platform.WriteReply;
+import org.amaranthstream.result.Result;
+import org.amaranthstream.result.ResultCode;
+import org.amaranthstream.time.TimerService;
+
+/**
+ * Writes the orders of one page, many with each write, one write at a time.
+ *
+ * <p>A write whose answer was lost is settled by the same compare-and-swap again: once the revision
+ * has moved, the first write either took effect or never will, and a page read at that revision or
+ * a later one shows which. Used on the decision thread only.
+ */
+final class PageQueue {
+  private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+  private static final Duration RETRY_DELAY = Duration.ofMillis(20);
+  private static final Duration UNAVAILABLE_RETRY_AFTER = Duration.ofSeconds(1);
+
+  private final ClaimPageId id;
+  private final KeyValueStore store;
+  private final TimerService timers;
+  private final ReplyGuard replies;
+  private final ClaimLimits limits;
+  private final ClaimCounters counters;
+  private final Deque<PendingOrder> orders = new ArrayDeque<>();
+  private Optional<PageState> cached = Optional.empty();
+  private Revision leastRevision = Revision.of(0);
+  private Optional<Long> lastWriteNanos = Optional.empty();
+  private long lastUsedNanos;
+  private boolean busy;
+
+  PageQueue(
+      ClaimPageId id,
+      KeyValueStore store,
+      TimerService timers,
+      ReplyGuard replies,
+      ClaimLimits limits,
+      ClaimCounters counters) {
+    this.id = id;
+    this.store = store;
+    this.timers = timers;
+    this.replies = replies;
+    this.limits = limits;
+    this.counters = counters;
+  }
+
+  void add(PageOrder order, Consumer<OrderVerdict> consumer) {
+    lastUsedNanos = timers.nowNanos();
+    if (orders.size() >= limits.maxQueuedOrders()) {
+      consumer.accept(unavailable("too many orders wait for claim page " + id.key()));
+      return;
+    }
+    long deadline = timers.nowNanos() + limits.orderTimeout().toNanos();
+    orders.add(new PendingOrder(order, deadline, consumer));
+    next();
+  }
+
+  /** Returns true if no order waits and none came for {@code time}. */
+  boolean isUnusedFor(Duration time) {
+    return !busy && orders.isEmpty() && timers.nowNanos() - lastUsedNanos >= time.toNanos();
+  }
+
+  private void next() {
+    if (busy) {
+      return;
+    }
+    dropExpired();
+    if (orders.isEmpty()) {
+      return;
+    }
+    busy = true;
+    Duration delay = untilNextWrite();
+    if (delay.isZero()) {
+      readOrWrite();
+    } else {
+      timers.after(delay, this::readOrWrite);
+    }
+  }
+
+  private void dropExpired() {
+    while (!orders.isEmpty() && orders.peek().deadlineNanos() - timers.nowNanos() <= 0) {
+      orders.remove().consumer().accept(unavailable("claim page " + id.key() + " not settled"));
+    }
+  }
+
+  private Duration untilNextWrite() {
+    if (lastWriteNanos.isEmpty()) {
+      return Duration.ZERO;
+    }
+    long due = lastWriteNanos.get() + limits.minWriteInterval().toNanos();
+    return Duration.ofNanos(Math.max(0, due - timers.nowNanos()));
+  }
+
+  private void readOrWrite() {
+    if (cached.isEmpty()) {
+      read();
+    } else {
+      write(cached.get(), false);
+    }
+  }
+
+  private void retrySoon() {
+    busy = false;
+    dropExpired();
+    if (!orders.isEmpty()) {
+      busy = true;
+      timers.after(RETRY_DELAY, this::readOrWrite);
+    }
+  }
+
+  private void read() {
+    counters.increment(ClaimEvent.PAGE_READ);
+    Result<Optional<KvEntry>> lost =
+        Result.failure(ResultCode.PLATFORM_UNAVAILABLE, "no reply to a read");
+    replies.await(store.get(id.key()), () -> lost, this::onRead);
+  }
+
+  private void onRead(Result<Optional<KvEntry>> result) {
+    if (!(result instanceof Result.Success<Optional<KvEntry>> success)) {
+      String reason = ((Result.Failure<Optional<KvEntry>>) result).error().message();
+      failAll(reason, Optional.empty());
+      return;
+    }
+    Revision revision = success.value().map(KvEntry::revision).orElse(Revision.of(0));
+    if (leastRevision.isAfter(revision)) {
+      counters.increment(ClaimEvent.STALE_READ);
+      retrySoon();
+      return;
+    }
+    try {
+      ClaimPage page =
+          success.value().map(e -> ClaimPage.ofBytes(e.value())).orElse(ClaimPage.empty());
+      cached = Optional.of(new PageState(revision, page));
+    } catch (IllegalArgumentException e) {
+      logger.atSevere().withCause(e).log("event=claim_page_unreadable page=%s", id.key());
+      failAll("claim page " + id.key() + " is not readable", Optional.empty());
+      return;
+    }
+    write(cached.get(), true);
+  }
+
+  private void write(PageState state, boolean fresh) {
+    ClaimBatch batch = ClaimBatch.of(state.page(), orders, limits.maxPageBytes());
+    if (batch.hasRefusal() && !fresh) {
+      cached = Optional.empty();
+      read();
+      return;
+    }
+    if (!batch.isChanged()) {
+      complete(batch);
+      return;
+    }
+    counters.increment(ClaimEvent.PAGE_WRITTEN);
+    lastWriteNanos = Optional.of(timers.nowNanos());
+    send(state, batch, batch.page().toBytes());
+  }
+
+  private void send(PageState state, ClaimBatch batch, byte[] bytes) {
+    replies.await(
+        store.compareAndSwap(id.key(), state.revision(), bytes, Optional.empty()),
+        () -> new WriteReply.Unknown("no reply to a write"),
+        reply -> onReply(state, batch, bytes, reply));
+  }
+
+  private void onReply(PageState state, ClaimBatch batch, byte[] bytes, WriteReply reply) {
+    if (reply instanceof WriteReply.Written written) {
+      cached = Optional.of(new PageState(written.revision(), batch.page()));
+      leastRevision = written.revision();
+      complete(batch);
+    } else if (reply instanceof WriteReply.Conflict conflict) {
+      counters.increment(ClaimEvent.WRITE_CONFLICT);
+      cached = Optional.empty();
+      leastRevision = conflict.current();
+      retrySoon();
+    } else if (reply instanceof WriteReply.Unknown) {
+      counters.increment(ClaimEvent.WRITE_IN_DOUBT);
+      settle(state, batch, bytes);
+    } else {
+      WriteReply.Unavailable unavailable = (WriteReply.Unavailable) reply;
+      cached = Optional.empty();
+      failAll(unavailable.reason(), unavailable.retryAfter());
+    }
+  }
+
+  /** Sends the same write again, until its oldest order expires. */
+  private void settle(PageState state, ClaimBatch batch, byte[] bytes) {
+    if (batch.oldestDeadlineNanos() - timers.nowNanos() <= 0) {
+      cached = Optional.empty();
+      retrySoon();
+      return;
+    }
+    timers.after(RETRY_DELAY, () -> send(state, batch, bytes));
+  }
+
+  private void complete(ClaimBatch batch) {
+    List<Runnable> verdicts = new ArrayList<>();
+    for (OrderVerdict verdict : batch.verdicts()) {
+      PendingOrder order = orders.remove();
+      verdicts.add(() -> order.consumer().accept(verdict));
+    }
+    busy = false;
+    verdicts.forEach(Runnable::run);
+    next();
+  }
+
+  private void failAll(String reason, Optional<Duration> retryAfter) {
+    List<PendingOrder> failed = new ArrayList<>(orders);
+    orders.clear();
+    busy = false;
+    OrderVerdict verdict =
+        new OrderVerdict.Unavailable(reason, retryAfter.orElse(UNAVAILABLE_RETRY_AFTER));
+    failed.forEach(order -> order.consumer().accept(verdict));
+  }
+
+  private static OrderVerdict unavailable(String reason) {
+    return new OrderVerdict.Unavailable(reason, UNAVAILABLE_RETRY_AFTER);
+  }
+}
--- /dev/null
+++ b/amaranthstream/src/main/java/org/amaranthstream/once/ReplyGuard.java
@@ -0,0 +1,59 @@
+package org.amaranthstream.once;
+
+import com.google.common.flogger.FluentLogger;
+import java.time.Duration;
+import java.util.concurrent.CompletableFuture;
+import java.util.function.Consumer;
+import java.util.function.Supplier;
+import org.amaranthstream.ring.Duty;
+import org.amaranthstream.time.Subscription;
+import org.amaranthstream.time.TimerService;
+
+/**
+ * Brings replies to the decision thread, exactly once each, with a substitute for a reply that does
+ * not come in time.
+ */
+final class ReplyGuard {
+  private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+
+  private final Duty duty;
+  private final TimerService timers;
+  private final Duration timeout;
+
+  ReplyGuard(Duty duty, TimerService timers, Duration timeout) {
+    this.duty = duty;
+    this.timers = timers;
+    this.timeout = timeout;
+  }
+
+  <T> void await(CompletableFuture<T> reply, Supplier<T> substitute, Consumer<T> consumer) {
+    Once<T> once = new Once<>(consumer);
+    once.timer = timers.after(timeout, () -> once.accept(substitute.get()));
+    reply.whenComplete(
+        (value, failure) -> {
+          if (failure != null) {
+            logger.atSevere().withCause(failure).log("event=reply_failed");
+          } else if (!duty.offer(() -> once.accept(value))) {
+            logger.atWarning().log("event=reply_dropped reason=ring_full");
+          }
+        });
+  }
+
+  private static final class Once<T> {
+    private final Consumer<T> consumer;
+    private Subscription timer = () -> {};
+    private boolean done;
+
+    private Once(Consumer<T> consumer) {
+      this.consumer = consumer;
+    }
+
+    private void accept(T value) {
+      if (!done) {
+        done = true;
+        timer.cancel();
+        consumer.accept(value);
+      }
+    }
+  }
+}
--- /dev/null
+++ b/amaranthstream/src/test/java/org/amaranthstream/once/BackendLedger.java
@@ -0,0 +1,53 @@
+package org.amaranthstream.once;
+
+import com.google.common.collect.HashMultiset;
+import com.google.common.collect.Multiset;
+import java.util.LinkedHashMap;
+import java.util.Map;
+import java.util.Optional;
+import org.amaranthstream.dispatch.Answer;
+import org.amaranthstream.dispatch.Outcome;
+import org.amaranthstream.dispatch.Payload;
+import org.amaranthstream.dispatch.Work;
+import org.amaranthstream.dispatch.WorkListener;
+import org.amaranthstream.dispatch.WorkRunner;
+import org.amaranthstream.ids.BackendServerId;
+import org.amaranthstream.ids.RequestId;
+import org.amaranthstream.result.ErrorDetail;
+import org.amaranthstream.result.ResultCode;
+
+/** A backend server that counts how often each order ran; it survives the entry VMs. */
+final class BackendLedger implements WorkRunner {
+  private final Multiset<String> runs = HashMultiset.create();
+  private final Map<RequestId, WorkListener> running = new LinkedHashMap<>();
+  private boolean refusing;
+
+  @Override
+  public void submit(Work work, WorkListener listener) {
+    if (refusing) {
+      ErrorDetail error = ErrorDetail.of(ResultCode.NOT_RUN_OVERLOADED, "no room");
+      listener.onOutcome(new Outcome.NotRun(error, Optional.empty()));
+      return;
+    }
+    runs.add(((Payload.Call) work.payload()).path());
+    running.put(work.id(), listener);
+  }
+
+  @Override
+  public void cancel(RequestId id) {}
+
+  void setRefusing(boolean refusing) {
+    this.refusing = refusing;
+  }
+
+  void finishAll() {
+    Map<RequestId, WorkListener> finished = new LinkedHashMap<>(running);
+    running.clear();
+    Answer answer = new Answer(BackendServerId.of("shop-1"), 200, "text/plain", 0, "done");
+    finished.values().forEach(l -> l.onOutcome(new Outcome.Completed(answer)));
+  }
+
+  int runsOf(String path) {
+    return runs.count(path);
+  }
+}
