--- /dev/null
+++ b/amaranthstream/src/main/java/org/amaranthstream/dispatch/Outcomes.java
@@ -0,0 +1,37 @@
+package org.amaranthstream.dispatch;
+
+import java.time.Duration;
+import java.util.Optional;
+import org.amaranthstream.result.ErrorDetail;
+import org.amaranthstream.result.ResultCode;
+
+/** Makes outcomes whose type is true to what is known to have run. */
+final class Outcomes {
+  private static final int FIRST_NOT_RUN = 200;
+  private static final int FIRST_OUTCOME_UNKNOWN = 300;
+
+  private Outcomes() {}
+
+  /** Returns the outcome of a request without a whole answer. */
+  static Outcome of(boolean mayHaveRun, ErrorDetail error, Optional<Duration> retryAfter) {
+    ErrorDetail fitting = fit(mayHaveRun, error);
+    return mayHaveRun
+        ? new Outcome.OutcomeUnknown(fitting)
+        : new Outcome.NotRun(fitting, retryAfter);
+  }
+
+  /** Returns {@code error} with a code that claims "not run" exactly if the request did not run. */
+  static ErrorDetail fit(boolean mayHaveRun, ErrorDetail error) {
+    return mayHaveRun
+        ? withCode(error, !isNotRun(error.code()), ResultCode.OUTCOME_UNKNOWN_BACKEND_LOST)
+        : withCode(error, isNotRun(error.code()), ResultCode.NOT_RUN_NO_BACKEND);
+  }
+
+  private static boolean isNotRun(ResultCode code) {
+    return code.number() >= FIRST_NOT_RUN && code.number() < FIRST_OUTCOME_UNKNOWN;
+  }
+
+  private static ErrorDetail withCode(ErrorDetail error, boolean fits, ResultCode otherwise) {
+    return fits ? error : ErrorDetail.of(otherwise, error.message());
+  }
+}
--- /dev/null
+++ b/amaranthstream/src/main/java/org/amaranthstream/membership/BackendTable.java
@@ -0,0 +1,198 @@
+package org.amaranthstream.membership;
+
+import static com.google.common.collect.ImmutableList.toImmutableList;
+
+import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableListMultimap;
+import java.time.Duration;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Optional;
+import java.util.TreeMap;
+import org.amaranthstream.ids.AvailabilityZoneId;
+import org.amaranthstream.ids.BackendServerId;
+import org.amaranthstream.ids.Incarnation;
+import org.amaranthstream.ids.PoolId;
+import org.amaranthstream.platform.VmEntry;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * The backend servers of the own availability zone: which exist, what they report and which leave.
+ *
+ * <p>Not thread safe.
+ */
+final class BackendTable {
+  private static final int MAX_MARKED_SERVERS = 4096;
+
+  private final AvailabilityZoneId zone;
+  private final MembershipSettings settings;
+  private final long reportExpiryNanos;
+  private final long retentionNanos;
+  private final TreeMap<BackendServerId, Row> rows = new TreeMap<>();
+  private final Map<BackendServerId, LeavingMarks> marks = new HashMap<>();
+  private @Nullable ImmutableListMultimap<PoolId, BackendView> views;
+
+  BackendTable(AvailabilityZoneId zone, MembershipSettings settings) {
+    this.zone = zone;
+    this.settings = settings;
+    this.reportExpiryNanos = settings.reportExpiry().toNanos();
+    this.retentionNanos = settings.leavingRetention().toNanos();
+  }
+
+  void onList(Collection<VmEntry> servers, long nowNanos) {
+    Map<BackendServerId, VmEntry> listed = new HashMap<>();
+    for (VmEntry entry : servers) {
+      if (entry.zone().equals(zone) && entry.pool().isPresent()) {
+        listed.put(BackendServerId.of(entry.name()), entry);
+      }
+    }
+    removeUnlisted(listed);
+    listed.forEach((id, entry) -> putListed(id, entry, nowNanos));
+    views = null;
+  }
+
+  private void removeUnlisted(Map<BackendServerId, VmEntry> listed) {
+    rows.keySet().removeIf(id -> !listed.containsKey(id));
+    marks.forEach(
+        (id, mark) -> {
+          if (!listed.containsKey(id)) {
+            mark.onUnlisted();
+          }
+        });
+  }
+
+  private void putListed(BackendServerId id, VmEntry entry, long nowNanos) {
+    BackendServer server =
+        new BackendServer(
+            id,
+            entry.pool().orElseThrow(),
+            entry.region(),
+            entry.zone(),
+            entry.host(),
+            entry.port());
+    Row row = rows.computeIfAbsent(id, unused -> new Row(settings, nowNanos));
+    row.server = server;
+    marksOf(id, nowNanos).onListed(entry.leaving(), row.reports.incarnation(), nowNanos);
+  }
+
+  void onPolled(BackendServerId id, LoadReport report, long nowNanos) {
+    Row row = rows.get(id);
+    if (row != null) {
+      mark(id, report, nowNanos);
+      row.reports.onPolled(report);
+    }
+  }
+
+  void onRelayed(BackendServerId id, LoadReport report, long nowNanos) {
+    Row row = rows.get(id);
+    if (row != null) {
+      mark(id, report, nowNanos);
+      row.reports.onRelayed(report);
+    }
+  }
+
+  private void mark(BackendServerId id, LoadReport report, long nowNanos) {
+    if (report.draining()) {
+      marksOf(id, nowNanos).add(report.incarnation(), report.takenNanos());
+    }
+    views = null;
+  }
+
+  void onLeaving(LeavingServer leaving, long nowNanos) {
+    if (marks.containsKey(leaving.server()) || marks.size() < MAX_MARKED_SERVERS) {
+      marksOf(leaving.server(), nowNanos).add(leaving.incarnation(), nowNanos);
+      views = null;
+    }
+  }
+
+  private LeavingMarks marksOf(BackendServerId id, long nowNanos) {
+    return marks.computeIfAbsent(id, unused -> new LeavingMarks(settings, nowNanos));
+  }
+
+  void tick(long nowNanos) {
+    marks.values().removeIf(mark -> mark.isExpired(nowNanos, retentionNanos));
+    views = null;
+  }
+
+  ImmutableList<BackendView> views(PoolId pool, long nowNanos) {
+    if (views == null) {
+      views = buildViews(nowNanos);
+    }
+    return views.get(pool);
+  }
+
+  ImmutableListMultimap<PoolId, BackendView> views(long nowNanos) {
+    if (views == null) {
+      views = buildViews(nowNanos);
+    }
+    return views;
+  }
+
+  private ImmutableListMultimap<PoolId, BackendView> buildViews(long nowNanos) {
+    ImmutableListMultimap.Builder<PoolId, BackendView> builder = ImmutableListMultimap.builder();
+    rows.forEach(
+        (id, row) -> {
+          LoadReport report = row.reports.current();
+          boolean leaving = marksOf(id, nowNanos).isLeaving(report, nowNanos);
+          builder.put(
+              row.server.pool(), new BackendView(row.server, Optional.ofNullable(report), leaving));
+        });
+    return builder.build();
+  }
+
+  ImmutableList<BackendServer> servers() {
+    return rows.values().stream().map(row -> row.server).collect(toImmutableList());
+  }
+
+  /** Returns the age of the newest report, or the time since the server became known. */
+  Duration reportAge(BackendServerId id, long nowNanos) {
+    Row row = rows.get(id);
+    LoadReport report = row.reports.current();
+    long since = report == null ? row.knownSinceNanos : report.takenNanos();
+    return Duration.ofNanos(Math.max(0, nowNanos - since));
+  }
+
+  /** Returns the unexpired reports that this process polled itself. */
+  ImmutableList<RelayedReport> polledReports(long nowNanos) {
+    ImmutableList.Builder<RelayedReport> builder = ImmutableList.builder();
+    rows.forEach(
+        (id, row) -> {
+          LoadReport report = row.reports.current();
+          if (report != null
+              && row.reports.isPolledHere()
+              && nowNanos - report.takenNanos() < reportExpiryNanos) {
+            builder.add(new RelayedReport(id, report));
+          }
+        });
+    return builder.build();
+  }
+
+  /**
+   * Returns the servers whose newest incarnation leaves. Others are not told of: only what the own
+   * reports confirm is passed on, so that two daemons do not keep an old notice alive.
+   */
+  ImmutableList<LeavingServer> leaving() {
+    ImmutableList.Builder<LeavingServer> builder = ImmutableList.builder();
+    rows.forEach(
+        (id, row) -> {
+          Incarnation current = row.reports.incarnation();
+          LeavingMarks mark = marks.get(id);
+          if (current != null && mark != null && mark.contains(current)) {
+            builder.add(new LeavingServer(id, current));
+          }
+        });
+    return builder.build();
+  }
+
+  private static final class Row {
+    private final long knownSinceNanos;
+    private final ServerReports reports;
+    private BackendServer server;
+
+    private Row(MembershipSettings settings, long knownSinceNanos) {
+      this.reports = new ServerReports(settings);
+      this.knownSinceNanos = knownSinceNanos;
+    }
+  }
+}
