Run calls behind claims of their keys

Cause: the demo's quotes were refused because claims were not wired, and its lookups because a class is not idempotent unless its configuration says so. Ruled out: a default of idempotent; a missing key must not double a call.

--- a/amaranthstream-bench/src/main/java/org/amaranthstream/bench/demo/DemoConfig.java
+++ b/amaranthstream-bench/src/main/java/org/amaranthstream/bench/demo/DemoConfig.java
@@ -19,6 +19,7 @@
         "    pool: coding",
         "    answerDeadline: 2s",
         "    stalenessBound: 4",
+        "    idempotent: true",
         "    maxTokens: " + MAX_TOKENS,
         "  quote:",
         "    kind: INTERACTIVE",
--- a/amaranthstream-bench/src/main/java/org/amaranthstream/bench/experiment/Capacity.java
+++ b/amaranthstream-bench/src/main/java/org/amaranthstream/bench/experiment/Capacity.java
@@ -64,9 +64,7 @@
         new DirectCall(
             "direct-" + call, "code the product " + call, Workload.LOOKUP_MAX_TOKENS, call);
     RequestOptions options =
-        new RequestOptions()
-            .setMethod(HttpMethod.POST)
-            .setAbsoluteURI(engine + "/v1/generate");
+        new RequestOptions().setMethod(HttpMethod.POST).setAbsoluteURI(engine + "/v1/generate");
     return client
         .request(options)
         .compose(request -> request.send(Json.text(body)))
--- a/amaranthstream-bench/src/main/java/org/amaranthstream/bench/experiment/Cluster.java
+++ b/amaranthstream-bench/src/main/java/org/amaranthstream/bench/experiment/Cluster.java
@@ -187,8 +187,7 @@
     Path settings = ClusterFiles.writeSettings(folder, daemon, platformUrl);
     Path log = folder.resolve(daemon.name() + ".log");
     List<String> arguments = List.of(settings.toString(), policy.name());
-    daemonProcesses.add(
-        JavaProcess.start(daemon.name(), ExperimentDaemon.class, arguments, log));
+    daemonProcesses.add(JavaProcess.start(daemon.name(), ExperimentDaemon.class, arguments, log));
   }
 
   /** Tells each zone the addresses under which it reaches the others. */
--- a/amaranthstream-bench/src/main/java/org/amaranthstream/bench/experiment/ExperimentCommand.java
+++ b/amaranthstream-bench/src/main/java/org/amaranthstream/bench/experiment/ExperimentCommand.java
@@ -38,7 +38,10 @@
     parser.addArgument("--seconds").type(Integer.class).setDefault(30).help("of a run, in s");
     parser.addArgument("--out").setDefault("docs/measurements").help("folder of the results");
     parser.addArgument("--name").setDefault("experiment").help("name of the results' files");
-    parser.addArgument("--table-only").action(Arguments.storeTrue()).help("only table and plots, no runs");
+    parser
+        .addArgument("--table-only")
+        .action(Arguments.storeTrue())
+        .help("only table and plots, no runs");
   }
 
   @Override
--- a/amaranthstream-bench/src/main/java/org/amaranthstream/bench/experiment/ExperimentRun.java
+++ b/amaranthstream-bench/src/main/java/org/amaranthstream/bench/experiment/ExperimentRun.java
@@ -83,8 +83,7 @@
   private CompletableFuture<Void> arrivals(
       CallClient client, double perSecond, long durationMs, boolean counted) {
     CompletableFuture<Void> over = new CompletableFuture<>();
-    OpenLoop loop =
-        new OpenLoop(vertx, perSecond, spec.seed(), due -> client.call(due, counted));
+    OpenLoop loop = new OpenLoop(vertx, perSecond, spec.seed(), due -> client.call(due, counted));
     vertx.runOnContext(ignored -> loop.start(durationMs, () -> over.complete(null)));
     return over;
   }
--- a/amaranthstream-bench/src/main/java/org/amaranthstream/bench/experiment/PlainRetry.java
+++ b/amaranthstream-bench/src/main/java/org/amaranthstream/bench/experiment/PlainRetry.java
@@ -10,8 +10,7 @@
   @Override
   public Decision decide(Input input) {
     boolean unsafe = input.mayHaveRun() && (!input.idempotent() || !input.resumable());
-    boolean exhausted =
-        input.attempts() >= input.maxAttempts() || input.refusals() >= MAX_REFUSALS;
+    boolean exhausted = input.attempts() >= input.maxAttempts() || input.refusals() >= MAX_REFUSALS;
     if (unsafe || exhausted) {
       ResultCode code = input.mayHaveRun() ? input.failure() : ResultCode.NOT_RUN_NO_BACKEND;
       return new Decision.GiveUp(code, "attempt " + input.attempts());
--- a/amaranthstream-bench/src/main/java/org/amaranthstream/bench/experiment/ResultPlot.java
+++ b/amaranthstream-bench/src/main/java/org/amaranthstream/bench/experiment/ResultPlot.java
@@ -49,7 +49,6 @@
 
   private static Stream<RunResult> ofPolicy(List<RunResult> results, String policy) {
     String none = Fault.NONE.label();
-    return results.stream()
-        .filter(run -> run.policy().equals(policy) && run.fault().equals(none));
+    return results.stream().filter(run -> run.policy().equals(policy) && run.fault().equals(none));
   }
 }
--- a/amaranthstream-bench/src/main/java/org/amaranthstream/bench/experiment/ResultTable.java
+++ b/amaranthstream-bench/src/main/java/org/amaranthstream/bench/experiment/ResultTable.java
@@ -65,8 +65,7 @@
     table.append(row).append(' ').append(runs.size()).append(" |");
     COLUMNS
         .values()
-        .forEach(
-            measure -> table.append(' ').append(Median.of(runs, measure).text()).append(" |"));
+        .forEach(measure -> table.append(' ').append(Median.of(runs, measure).text()).append(" |"));
     table.append('\n');
   }
 }
--- /dev/null
+++ b/amaranthstream/src/main/java/org/amaranthstream/daemon/ClaimKeyIssuer.java
@@ -0,0 +1,28 @@
+package org.amaranthstream.daemon;
+
+import java.util.function.Consumer;
+import org.amaranthstream.ingress.KeyIssuer;
+import org.amaranthstream.once.ClaimService;
+import org.amaranthstream.result.Result;
+import org.amaranthstream.result.ResultCode;
+import org.amaranthstream.ring.Duty;
+
+/** Issues the keys of the claim service, on the decision thread. Thread safe. */
+final class ClaimKeyIssuer implements KeyIssuer {
+  private final ClaimService claims;
+  private final Duty decisions;
+
+  ClaimKeyIssuer(ClaimService claims, Duty decisions) {
+    this.claims = claims;
+    this.decisions = decisions;
+  }
+
+  @Override
+  public void issue(Consumer<Result<String>> consumer) {
+    Runnable task = () -> consumer.accept(Result.success(claims.issueKey().text()));
+    if (!decisions.offer(task)) {
+      consumer.accept(
+          Result.failure(ResultCode.NOT_RUN_QUEUE_FULL, "the ring of the decision duty is full"));
+    }
+  }
+}
--- a/amaranthstream/src/main/java/org/amaranthstream/daemon/Core.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/daemon/Core.java
@@ -16,11 +16,14 @@
 import org.amaranthstream.ids.WorkClassId;
 import org.amaranthstream.ingress.CallObserver;
 import org.amaranthstream.ingress.CallRunner;
+import org.amaranthstream.ingress.KeyIssuer;
 import org.amaranthstream.ingress.RequestIds;
 import org.amaranthstream.membership.BackendPoller;
 import org.amaranthstream.membership.HttpLoadSource;
 import org.amaranthstream.membership.LocalVm;
 import org.amaranthstream.membership.MembershipTable;
+import org.amaranthstream.once.ClaimService;
+import org.amaranthstream.once.Claimant;
 import org.amaranthstream.peer.PeerNode;
 import org.amaranthstream.platform.VmEntry;
 import org.amaranthstream.platform.VmKind;
@@ -53,6 +56,7 @@
   private final RolloutService rollout;
   private final PeerOwnerLink ownerLink;
   private final DecisionParts decisions;
+  private final ClaimService claims;
 
   private Core(Settings settings, LocalVm self, PolicySet policies) {
     this.settings = settings;
@@ -70,6 +74,7 @@
     this.requestIds = RequestIds.of(self.id(), self.incarnation());
     this.ownerLink = new PeerOwnerLink(table, peers.queries());
     this.rollout = newRollout(policies);
+    this.claims = newClaims();
   }
 
   static Core create(Settings settings, LocalVm self, PolicySet policies) {
@@ -157,6 +162,16 @@
     return builder.build();
   }
 
+  private ClaimService newClaims() {
+    return ClaimService.builder()
+        .self(Claimant.of(self.id(), self.incarnation()))
+        .store(platform.store())
+        .duty(threads.decisions())
+        .timers(threads.decisionTimers())
+        .decisionLog(decisions.log())
+        .build();
+  }
+
   private Optional<WorkClass> findClass(WorkClassId id) {
     return Optional.ofNullable(config.current().classes().get(id));
   }
@@ -232,15 +247,15 @@
   }
 
   CallRunner onceRunner() {
-    return new OnceCallRunner();
+    return OnceCallRunner.of(claims, dispatcher);
   }
 
-  CallObserver callObserver() {
-    return (workClass, outcome, took) -> {};
+  KeyIssuer keyIssuer() {
+    return new ClaimKeyIssuer(claims, threads.decisions());
   }
 
-  String issueKey() {
-    return "";
+  CallObserver callObserver() {
+    return (workClass, outcome, took) -> {};
   }
 
   DecisionParts decisionParts() {
--- a/amaranthstream/src/main/java/org/amaranthstream/daemon/HttpFront.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/daemon/HttpFront.java
@@ -65,7 +65,7 @@
         .drainGate(drainGate)
         .maxBodyBytes(settings.limits().bodyBytes())
         .calls(callHandler(core))
-        .requestKeys(RequestKeyHandler.of(core::issueKey, core.self().id()))
+        .requestKeys(RequestKeyHandler.of(core.keyIssuer(), core.self().id()))
         .steps(StepHandler.of(core.rollout()))
         .pulls(PullHandler.of(core.rollout()))
         .versions(VersionHandler.of(core.weights()))
--- a/amaranthstream/src/main/java/org/amaranthstream/daemon/OnceCallRunner.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/daemon/OnceCallRunner.java
@@ -4,19 +4,35 @@
 import org.amaranthstream.dispatch.Outcome;
 import org.amaranthstream.dispatch.Work;
 import org.amaranthstream.dispatch.WorkListener;
+import org.amaranthstream.dispatch.WorkRunner;
 import org.amaranthstream.ids.CallerId;
 import org.amaranthstream.ingress.CallRunner;
+import org.amaranthstream.once.ClaimService;
+import org.amaranthstream.once.OnceRunner;
 import org.amaranthstream.result.ErrorDetail;
 import org.amaranthstream.result.ResultCode;
 
 /** Runs calls that may run at most once, behind a claim of their idempotency key. */
 final class OnceCallRunner implements CallRunner {
+  private final OnceRunner once;
+
+  private OnceCallRunner(OnceRunner once) {
+    this.once = once;
+  }
+
+  static OnceCallRunner of(ClaimService claims, WorkRunner runner) {
+    return new OnceCallRunner(OnceRunner.of(claims, runner));
+  }
 
   @Override
   public void run(
       CallerId caller, Optional<String> idempotencyKey, Work work, WorkListener listener) {
+    if (idempotencyKey.isPresent()) {
+      once.run(caller, idempotencyKey.get(), work, listener);
+      return;
+    }
     ErrorDetail error =
-        ErrorDetail.of(ResultCode.NOT_RUN_CLAIM_UNAVAILABLE, "claims are not available");
+        ErrorDetail.of(ResultCode.NOT_RUN_CLAIM_UNAVAILABLE, "the call has no idempotency key");
     listener.onOutcome(new Outcome.NotRun(error, Optional.empty()));
   }
 }
--- a/amaranthstream/src/main/java/org/amaranthstream/ingress/RequestKeyHandler.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/ingress/RequestKeyHandler.java
@@ -25,7 +25,9 @@
 
   @Override
   public void handle(RoutingContext routing) {
-    HttpAnswers.json(
-        routing.response(), HTTP_CREATED, new RequestKeyBody(issuer.issue(), vm.value()));
+    ResultAnswer<String> answer =
+        ResultAnswer.of(
+            routing.response(), HTTP_CREATED, key -> new RequestKeyBody(key, vm.value()));
+    issuer.issue(answer);
   }
 }
