--- a/amaranthstream/src/test/java/org/amaranthstream/peer/ManualDuty.java
+++ b/amaranthstream/src/test/java/org/amaranthstream/peer/ManualDuty.java
@@ -27,6 +27,13 @@
     }
   }
 
+  /** Waits for one task and runs it. */
+  void runNext() {
+    Runnable task = await();
+    assertWithMessage("next task").that(task).isNotNull();
+    task.run();
+  }
+
   private Runnable await() {
     try {
       return tasks.poll(WAIT_SECONDS, TimeUnit.SECONDS);
--- /dev/null
+++ b/amaranthstream/src/test/java/org/amaranthstream/peer/PeerAuthenticationTest.java
@@ -0,0 +1,251 @@
+package org.amaranthstream.peer;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import com.google.protobuf.ByteString;
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import org.amaranthstream.peer.wire.Challenge;
+import org.amaranthstream.peer.wire.Frame;
+import org.amaranthstream.peer.wire.Heartbeat;
+import org.amaranthstream.peer.wire.Hello;
+import org.amaranthstream.peer.wire.Identity;
+import org.amaranthstream.peer.wire.Ping;
+import org.amaranthstream.peer.wire.Proof;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+class PeerAuthenticationTest {
+  private static final PeerSettings OTHER_KEY =
+      TestMesh.settings().credentials(TestMesh.key("another key, also of 32 bytes...")).build();
+
+  private final TestMesh mesh = new TestMesh();
+  private final TestNode node = mesh.start("vm-a", "zone-a");
+
+  @AfterEach
+  void close() {
+    mesh.close();
+  }
+
+  private static Frame hello(String vm, int nonceBytes) {
+    return Frame.newBuilder()
+        .setHello(
+            Hello.newBuilder()
+                .setProtocolVersion(Handshake.PROTOCOL_VERSION)
+                .setIdentity(
+                    Identity.newBuilder()
+                        .setVm(vm)
+                        .setIncarnation("run-1")
+                        .setRegion("region")
+                        .setZone("zone-a"))
+                .setNonce(ByteString.copyFrom(new byte[nonceBytes])))
+        .build();
+  }
+
+  private static Frame proof(ByteString mac) {
+    return Frame.newBuilder().setProof(Proof.newBuilder().setMac(mac)).build();
+  }
+
+  @Nested
+  class SharedKeys {
+    @Test
+    void otherKeyGetsNoLinkInEitherDirection() {
+      final TestNode stranger = mesh.start("vm-b", "zone-a", OTHER_KEY);
+      mesh.list();
+      mesh.tick();
+      mesh.runUntil("refusals", () -> isRefused(node, stranger) && isRefused(stranger, node));
+      assertThat(node.node.snapshot().inbound()).isEmpty();
+      assertThat(stranger.node.snapshot().inbound()).isEmpty();
+    }
+
+    private boolean isRefused(TestNode from, TestNode to) {
+      return from.linkTo(to).map(link -> link.phase() == LinkPhase.BACKOFF).orElse(false);
+    }
+
+    @Test
+    void serversOwnProofDoesNotPassAsTheClients() throws IOException {
+      try (RawClient client = new RawClient(node.port)) {
+        client.send(hello("vm-x", 32));
+        Challenge challenge = client.read().getChallenge();
+        client.send(proof(challenge.getMac()));
+        assertThat(client.isClosedByOtherSide()).isTrue();
+      }
+    }
+
+    @Test
+    void emptyProofIsRefused() throws IOException {
+      try (RawClient client = new RawClient(node.port)) {
+        client.send(hello("vm-x", 32));
+        client.read();
+        client.send(proof(ByteString.EMPTY));
+        assertThat(client.isClosedByOtherSide()).isTrue();
+      }
+    }
+
+    @Test
+    void anotherEntryVmUnderTheAddressIsRefused() {
+      TestNode other = mesh.start("vm-b", "zone-a");
+      TestNode third = mesh.start("vm-c", "zone-a");
+      node.table.onVmList(
+          java.util.List.of(node.entry(), other.entry(third.port)), mesh.timers.nowNanos());
+      mesh.tick();
+      mesh.runUntil("refusal", () -> isRefused(node, other));
+      assertThat(node.linkTo(other).orElseThrow().lastLoss()).contains("found another");
+    }
+  }
+
+  @Nested
+  class BeforeProof {
+    @Test
+    void heartbeatEndsTheConnection() throws IOException {
+      try (RawClient client = new RawClient(node.port)) {
+        client.send(
+            Frame.newBuilder()
+                .setHeartbeat(Heartbeat.newBuilder().setConfigGeneration(99))
+                .build());
+        assertThat(client.isClosedByOtherSide()).isTrue();
+      }
+      assertThat(node.generations).isEmpty();
+    }
+
+    @Test
+    void shortNonceEndsTheConnection() throws IOException {
+      try (RawClient client = new RawClient(node.port)) {
+        client.send(hello("vm-x", 8));
+        assertThat(client.isClosedByOtherSide()).isTrue();
+      }
+    }
+
+    @Test
+    void invalidIdentityEndsTheConnection() throws IOException {
+      try (RawClient client = new RawClient(node.port)) {
+        client.send(hello("no spaces allowed", 32));
+        assertThat(client.isClosedByOtherSide()).isTrue();
+      }
+    }
+
+    @Test
+    void garbageEndsTheConnection() throws IOException {
+      try (RawClient client = new RawClient(node.port)) {
+        client.sendBytes("GET / HTTP/1.1\r\n\r\n".getBytes(StandardCharsets.US_ASCII));
+        assertThat(client.isClosedByOtherSide()).isTrue();
+      }
+    }
+
+    @Test
+    void oversizedFrameEndsTheConnectionUnread() throws IOException {
+      try (RawClient client = new RawClient(node.port)) {
+        client.sendLength(FrameDecoder.MAX_HANDSHAKE_BYTES + 1);
+        assertThat(client.isClosedByOtherSide()).isTrue();
+      }
+    }
+
+    @Test
+    void truncatedFrameEndsTheConnection() throws IOException {
+      try (RawClient client = new RawClient(node.port)) {
+        client.sendLength(100);
+        client.sendBytes(new byte[50]);
+        client.endOutput();
+        assertThat(client.isClosedByOtherSide()).isTrue();
+      }
+    }
+
+    @Test
+    void silenceEndsTheConnection() throws IOException {
+      try (RawClient client = new RawClient(node.port)) {
+        client.send(hello("vm-x", 32));
+        client.read();
+        mesh.timers.advance(TestMesh.settings().build().connectTimeout());
+        assertThat(client.isClosedByOtherSide()).isTrue();
+      }
+    }
+
+    @Test
+    void connectionsOverTheLimitAreClosed() throws IOException {
+      TestNode small = mesh.start("vm-s", "zone-a", TestMesh.settings().maxInboundLinks(1).build());
+      try (RawClient first = new RawClient(small.port);
+          RawClient second = new RawClient(small.port)) {
+        assertThat(second.isClosedByOtherSide()).isTrue();
+        first.send(hello("vm-x", 32));
+        assertThat(first.read().hasChallenge()).isTrue();
+      }
+    }
+  }
+
+  @Nested
+  class AfterProof {
+    private RawClient authenticated() throws IOException {
+      RawClient client = new RawClient(node.port);
+      Frame hello = hello("vm-x", 32);
+      client.send(hello);
+      Challenge challenge = client.read().getChallenge();
+      byte[] transcript =
+          Transcript.of(
+              Handshake.PROTOCOL_VERSION,
+              hello.getHello().getIdentity(),
+              hello.getHello().getNonce(),
+              challenge.getIdentity(),
+              challenge.getNonce());
+      SharedKeyAuthenticator authenticator =
+          new SharedKeyAuthenticator(
+              (PeerCredentials.SharedKey) TestMesh.settings().build().credentials());
+      client.send(proof(authenticator.prove(HandshakeRole.CLIENT, transcript)));
+      assertThat(client.read().hasWelcome()).isTrue();
+      mesh.runUntil("accepted", () -> !node.node.snapshot().inbound().isEmpty());
+      return client;
+    }
+
+    private void assertClosed(RawClient client) throws IOException {
+      assertThat(client.isClosedByOtherSide()).isTrue();
+      mesh.runUntil("forgotten", () -> node.node.snapshot().inbound().isEmpty());
+    }
+
+    @Test
+    void pingIsAnswered() throws IOException {
+      try (RawClient client = authenticated()) {
+        client.send(Frame.newBuilder().setPing(Ping.newBuilder().setSequence(5)).build());
+        mesh.duty.runNext();
+        assertThat(client.read().getPong().getSequence()).isEqualTo(5);
+      }
+    }
+
+    @Test
+    void oversizedFrameEndsTheConnection() throws IOException {
+      try (RawClient client = authenticated()) {
+        client.sendLength((1 << 20) + 1);
+        assertClosed(client);
+      }
+    }
+
+    @Test
+    void garbageEndsTheConnection() throws IOException {
+      try (RawClient client = authenticated()) {
+        client.sendLength(3);
+        client.sendBytes(new byte[] {(byte) 0xff, (byte) 0xff, (byte) 0xff});
+        assertClosed(client);
+      }
+    }
+
+    @Test
+    void heartbeatWithInvalidPartsIsNotTaken() throws IOException {
+      try (RawClient client = authenticated()) {
+        Heartbeat.Builder heartbeat = Heartbeat.newBuilder().setConfigGeneration(99);
+        heartbeat.addLeavingBuilder().setServer("no spaces allowed");
+        client.send(Frame.newBuilder().setHeartbeat(heartbeat).build());
+        mesh.duty.runNext();
+        assertClosed(client);
+      }
+      assertThat(node.generations).isEmpty();
+    }
+
+    @Test
+    void frameOfTheWrongSideEndsTheConnection() throws IOException {
+      try (RawClient client = authenticated()) {
+        client.send(hello("vm-x", 32));
+        mesh.duty.runNext();
+        assertClosed(client);
+      }
+    }
+  }
+}
--- /dev/null
+++ b/amaranthstream/src/test/java/org/amaranthstream/peer/PeerQueriesTest.java
@@ -0,0 +1,132 @@
+package org.amaranthstream.peer;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.concurrent.CompletableFuture;
+import org.amaranthstream.ids.EntryVmId;
+import org.amaranthstream.result.Result;
+import org.amaranthstream.result.ResultCode;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+class PeerQueriesTest {
+  private static final Duration TIMEOUT = Duration.ofSeconds(2);
+
+  private final TestMesh mesh = new TestMesh();
+  private final TestNode near = mesh.start("vm-a", "zone-a");
+  private final TestNode far = mesh.start("vm-b", "zone-a");
+  private final CompletableFuture<Result<byte[]>> answer = new CompletableFuture<>();
+  private int asked;
+
+  @AfterEach
+  void close() {
+    mesh.close();
+  }
+
+  private CompletableFuture<Result<byte[]>> ask(EntryVmId to) {
+    far.node.queries().register(QueryKind.EXPLAIN, this::handle);
+    return near.node
+        .queries()
+        .query(to, QueryKind.EXPLAIN, "which".getBytes(StandardCharsets.UTF_8), TIMEOUT);
+  }
+
+  private CompletableFuture<Result<byte[]>> handle(
+      org.amaranthstream.membership.LocalVm from, byte[] body, Duration timeout) {
+    asked++;
+    assertThat(from).isEqualTo(near.self);
+    assertThat(new String(body, StandardCharsets.UTF_8)).isEqualTo("which");
+    assertThat(timeout).isEqualTo(TIMEOUT);
+    return answer;
+  }
+
+  private ResultCode failure(CompletableFuture<Result<byte[]>> result) {
+    mesh.runUntil("result", result::isDone);
+    return ((Result.Failure<byte[]>) result.join()).error().code();
+  }
+
+  @Nested
+  class Asked {
+    @Test
+    void waitsForTheLinkAndGetsTheAnswer() {
+      mesh.list();
+      final CompletableFuture<Result<byte[]>> result = ask(far.self.id());
+      answer.complete(Result.success("this".getBytes(StandardCharsets.UTF_8)));
+      mesh.runUntil("result", result::isDone);
+      assertThat(((Result.Success<byte[]>) result.join()).value())
+          .isEqualTo("this".getBytes(StandardCharsets.UTF_8));
+    }
+
+    @Test
+    void getsThePeersOwnError() {
+      mesh.list();
+      answer.complete(Result.failure(ResultCode.UNKNOWN_REQUEST, "no record"));
+      assertThat(failure(ask(far.self.id()))).isEqualTo(ResultCode.UNKNOWN_REQUEST);
+    }
+
+    @Test
+    void peersErrorNeverReadsAsNotSent() {
+      mesh.list();
+      answer.complete(Result.failure(ResultCode.PEER_UNREACHABLE, "its own trouble"));
+      assertThat(failure(ask(far.self.id()))).isEqualTo(ResultCode.INTERNAL);
+    }
+
+    @Test
+    void isUnknownWhenTheLinkIsLost() {
+      mesh.link(near, far);
+      CompletableFuture<Result<byte[]>> result = ask(far.self.id());
+      mesh.runUntil("arrival", () -> asked == 1);
+      far.node.close();
+      assertThat(failure(result)).isEqualTo(ResultCode.OUTCOME_UNKNOWN_PEER_LOST);
+    }
+
+    @Test
+    void isUnknownWhenNoAnswerComesInTime() {
+      mesh.link(near, far);
+      CompletableFuture<Result<byte[]>> result = ask(far.self.id());
+      mesh.runUntil("arrival", () -> asked == 1);
+      mesh.timers.advance(TIMEOUT);
+      assertThat(failure(result)).isEqualTo(ResultCode.OUTCOME_UNKNOWN_DEADLINE);
+    }
+  }
+
+  @Nested
+  class NotAsked {
+    @Test
+    void unknownEntryVmIsNotSent() {
+      assertThat(failure(ask(EntryVmId.of("vm-z")))).isEqualTo(ResultCode.PEER_UNREACHABLE);
+    }
+
+    @Test
+    void entryVmThatIsDownIsNotSent() {
+      mesh.list();
+      far.node.close();
+      CompletableFuture<Result<byte[]>> result = ask(far.self.id());
+      mesh.duty.runNext();
+      mesh.timers.advance(TIMEOUT);
+      assertThat(failure(result)).isEqualTo(ResultCode.PEER_UNREACHABLE);
+      assertThat(asked).isEqualTo(0);
+    }
+  }
+
+  @Nested
+  class Self {
+    @Test
+    void isAnsweredByTheOwnHandler() {
+      answer.complete(Result.success(new byte[] {1}));
+      near.node.queries().register(QueryKind.EXPLAIN, PeerQueriesTest.this::handle);
+      CompletableFuture<Result<byte[]>> result =
+          near.node
+              .queries()
+              .query(
+                  near.self.id(),
+                  QueryKind.EXPLAIN,
+                  "which".getBytes(StandardCharsets.UTF_8),
+                  TIMEOUT);
+      mesh.runUntil("result", result::isDone);
+      assertThat(result.join()).isInstanceOf(Result.Success.class);
+    }
+  }
+}
