--- a/amaranthstream/src/test/java/org/amaranthstream/peer/PeerAuthenticationTest.java
+++ b/amaranthstream/src/test/java/org/amaranthstream/peer/PeerAuthenticationTest.java
@@ -8,10 +8,7 @@
 import org.amaranthstream.peer.wire.Challenge;
 import org.amaranthstream.peer.wire.Frame;
 import org.amaranthstream.peer.wire.Heartbeat;
-import org.amaranthstream.peer.wire.Hello;
-import org.amaranthstream.peer.wire.Identity;
 import org.amaranthstream.peer.wire.Ping;
-import org.amaranthstream.peer.wire.Proof;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
@@ -29,22 +26,11 @@
   }
 
   private static Frame hello(String vm, int nonceBytes) {
-    return Frame.newBuilder()
-        .setHello(
-            Hello.newBuilder()
-                .setProtocolVersion(Handshake.PROTOCOL_VERSION)
-                .setIdentity(
-                    Identity.newBuilder()
-                        .setVm(vm)
-                        .setIncarnation("run-1")
-                        .setRegion("region")
-                        .setZone("zone-a"))
-                .setNonce(ByteString.copyFrom(new byte[nonceBytes])))
-        .build();
+    return RawClient.hello(vm, nonceBytes);
   }
 
   private static Frame proof(ByteString mac) {
-    return Frame.newBuilder().setProof(Proof.newBuilder().setMac(mac)).build();
+    return RawClient.proof(mac);
   }
 
   @Nested
@@ -176,24 +162,7 @@
   @Nested
   class AfterProof {
     private RawClient authenticated() throws IOException {
-      RawClient client = new RawClient(node.port);
-      Frame hello = hello("vm-x", 32);
-      client.send(hello);
-      Challenge challenge = client.read().getChallenge();
-      byte[] transcript =
-          Transcript.of(
-              Handshake.PROTOCOL_VERSION,
-              hello.getHello().getIdentity(),
-              hello.getHello().getNonce(),
-              challenge.getIdentity(),
-              challenge.getNonce());
-      SharedKeyAuthenticator authenticator =
-          new SharedKeyAuthenticator(
-              (PeerCredentials.SharedKey) TestMesh.settings().build().credentials());
-      client.send(proof(authenticator.prove(HandshakeRole.CLIENT, transcript)));
-      assertThat(client.read().hasWelcome()).isTrue();
-      mesh.runUntil("accepted", () -> !node.node.snapshot().inbound().isEmpty());
-      return client;
+      return RawClient.authenticated(mesh, node, "vm-x");
     }
 
     private void assertClosed(RawClient client) throws IOException {
--- a/amaranthstream/src/test/java/org/amaranthstream/peer/RawClient.java
+++ b/amaranthstream/src/test/java/org/amaranthstream/peer/RawClient.java
@@ -1,5 +1,8 @@
 package org.amaranthstream.peer;
 
+import static com.google.common.truth.Truth.assertThat;
+
+import com.google.protobuf.ByteString;
 import java.io.DataInputStream;
 import java.io.DataOutputStream;
 import java.io.EOFException;
@@ -7,7 +10,11 @@
 import java.net.InetAddress;
 import java.net.Socket;
 import java.net.SocketException;
+import org.amaranthstream.peer.wire.Challenge;
 import org.amaranthstream.peer.wire.Frame;
+import org.amaranthstream.peer.wire.Hello;
+import org.amaranthstream.peer.wire.Identity;
+import org.amaranthstream.peer.wire.Proof;
 
 /** A blocking client that speaks, or does not speak, the protocol of peer links. */
 final class RawClient implements AutoCloseable {
@@ -24,6 +31,50 @@
     out = new DataOutputStream(socket.getOutputStream());
   }
 
+  /** Returns the first frame of {@code vm} of zone-a. */
+  static Frame hello(String vm, int nonceBytes) {
+    Identity identity =
+        Identity.newBuilder()
+            .setVm(vm)
+            .setIncarnation("run-1")
+            .setRegion("region-zone-a")
+            .setZone("zone-a")
+            .build();
+    return Frame.newBuilder()
+        .setHello(
+            Hello.newBuilder()
+                .setProtocolVersion(Handshake.PROTOCOL_VERSION)
+                .setIdentity(identity)
+                .setNonce(ByteString.copyFrom(new byte[nonceBytes])))
+        .build();
+  }
+
+  static Frame proof(ByteString mac) {
+    return Frame.newBuilder().setProof(Proof.newBuilder().setMac(mac)).build();
+  }
+
+  /** Returns a client that {@code node} has accepted as {@code vm}. */
+  static RawClient authenticated(TestMesh mesh, TestNode node, String vm) throws IOException {
+    RawClient client = new RawClient(node.port);
+    Hello hello = hello(vm, 32).getHello();
+    client.send(Frame.newBuilder().setHello(hello).build());
+    Challenge challenge = client.read().getChallenge();
+    byte[] transcript =
+        Transcript.of(
+            Handshake.PROTOCOL_VERSION,
+            hello.getIdentity(),
+            hello.getNonce(),
+            challenge.getIdentity(),
+            challenge.getNonce());
+    SharedKeyAuthenticator authenticator =
+        new SharedKeyAuthenticator(
+            (PeerCredentials.SharedKey) TestMesh.settings().build().credentials());
+    client.send(proof(authenticator.prove(HandshakeRole.CLIENT, transcript)));
+    assertThat(client.read().hasWelcome()).isTrue();
+    mesh.runUntil("accepted", () -> node.isHeardFrom(vm));
+    return client;
+  }
+
   void send(Frame frame) throws IOException {
     byte[] body = frame.toByteArray();
     out.writeInt(body.length);
--- a/amaranthstream/src/test/java/org/amaranthstream/peer/TestNode.java
+++ b/amaranthstream/src/test/java/org/amaranthstream/peer/TestNode.java
@@ -89,6 +89,10 @@
         .anyMatch(link -> link.vm().equals(other.self.id()) && link.phase() == LinkPhase.READY);
   }
 
+  boolean isHeardFrom(String vm) {
+    return node.snapshot().inbound().stream().anyMatch(link -> link.vm().value().equals(vm));
+  }
+
   Optional<LinkView> linkTo(TestNode other) {
     return node.snapshot().outbound().stream()
         .filter(link -> link.vm().equals(other.self.id()))
