Call the platform over HTTP

Cause: the daemon needs the key-value service and the VM list, and has to tell a write that had no effect from one whose answer was lost.

A connection is obtained first and the request written after it: failing before that, 429, 503 and other 4xx are Unavailable; a lost connection, a missed deadline, a cut answer and other 5xx are Unknown. A call without an answer replaces the pool, so that one silent connection does not cost a deadline for each of its siblings. A token bucket bounds the calls a second, with counters by kind.

--- /dev/null
+++ b/amaranthstream/src/main/java/org/amaranthstream/platform/PlatformErrors.java
@@ -0,0 +1,51 @@
+package org.amaranthstream.platform;
+
+import org.amaranthstream.result.Result;
+import org.amaranthstream.result.ResultCode;
+
+/** Turns calls that failed into errors and replies. */
+final class PlatformErrors {
+  private static final int CLIENT_ERROR = 400;
+  private static final int NOT_FOUND = 404;
+  private static final int CONFLICT = 409;
+  private static final int SERVER_ERROR = 500;
+  private static final int UNAVAILABLE = 503;
+
+  private PlatformErrors() {}
+
+  /** Returns true if the service refused or failed, beside what its protocol foresees. */
+  static boolean isError(PlatformReply.Answered answered) {
+    int status = answered.status();
+    return status >= CLIENT_ERROR && status != NOT_FOUND && status != CONFLICT;
+  }
+
+  /** Returns a failure that says how {@code reply} is not what was awaited. */
+  static <T> Result<T> failure(PlatformReply reply) {
+    return Result.failure(ResultCode.PLATFORM_UNAVAILABLE, describe(reply));
+  }
+
+  /** Returns the reply to a conditional write that neither succeeded nor met a conflict. */
+  static WriteReply writeReply(PlatformReply reply) {
+    if (reply instanceof PlatformReply.NotSent notSent) {
+      return new WriteReply.Unavailable(notSent.reason(), notSent.retryAfter());
+    }
+    if (reply instanceof PlatformReply.Answered answered && isWithoutEffect(answered.status())) {
+      return new WriteReply.Unavailable(describe(reply), answered.retryAfter());
+    }
+    return new WriteReply.Unknown(describe(reply));
+  }
+
+  private static boolean isWithoutEffect(int status) {
+    boolean isRefused = status >= CLIENT_ERROR && status < SERVER_ERROR;
+    return isRefused || status == UNAVAILABLE;
+  }
+
+  private static String describe(PlatformReply reply) {
+    if (reply instanceof PlatformReply.Answered answered) {
+      return "the service answered HTTP " + answered.status();
+    }
+    return reply instanceof PlatformReply.NotSent notSent
+        ? notSent.reason()
+        : ((PlatformReply.Lost) reply).reason();
+  }
+}
--- /dev/null
+++ b/amaranthstream/src/main/java/org/amaranthstream/platform/PlatformHttp.java
@@ -0,0 +1,151 @@
+package org.amaranthstream.platform;
+
+import com.google.common.flogger.FluentLogger;
+import com.google.errorprone.annotations.concurrent.GuardedBy;
+import io.vertx.core.Vertx;
+import io.vertx.core.buffer.Buffer;
+import io.vertx.core.http.HttpClientAgent;
+import io.vertx.core.http.HttpClientOptions;
+import io.vertx.core.http.HttpMethod;
+import io.vertx.core.http.PoolOptions;
+import io.vertx.core.http.RequestOptions;
+import java.net.URI;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import org.amaranthstream.time.Subscription;
+import org.amaranthstream.time.TimerService;
+
+/**
+ * Makes calls to the platform within the budget, each with a deadline.
+ *
+ * <p>A call that gets no answer in time may have met a connection that went silent, and the pool's
+ * other connections may be silent too. So the pool is replaced by a fresh one, and the old one is
+ * closed once its calls have ended. Thread safe.
+ */
+final class PlatformHttp implements AutoCloseable {
+  private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+  private static final int MAX_CONNECTIONS = 32;
+  private static final int MAX_WAITING_CALLS = 256;
+  private static final int KEEP_ALIVE_SECONDS = 15;
+  private static final Duration MAX_WATCH = Duration.ofMinutes(2);
+  private static final int HTTPS_PORT = 443;
+  private static final int HTTP_PORT = 80;
+
+  private final Vertx vertx;
+  private final TimerService timers;
+  private final PlatformOptions options;
+  private final CallBudget budget;
+  private final CallCounts counts = new CallCounts();
+
+  @GuardedBy("this")
+  private HttpClientAgent client;
+
+  PlatformHttp(Vertx vertx, TimerService timers, PlatformOptions options) {
+    this.vertx = vertx;
+    this.timers = timers;
+    this.options = options;
+    this.budget = new CallBudget(timers, options.callsPerSecond());
+    this.client = newClient();
+  }
+
+  private HttpClientAgent newClient() {
+    return vertx.createHttpClient(
+        new HttpClientOptions()
+            .setConnectTimeout((int) options.timeout().toMillis())
+            .setKeepAliveTimeout(KEEP_ALIVE_SECONDS)
+            .setTcpNoDelay(true)
+            .setSsl(isHttps()),
+        new PoolOptions().setHttp1MaxSize(MAX_CONNECTIONS).setMaxWaitQueueSize(MAX_WAITING_CALLS));
+  }
+
+  CallCounts counts() {
+    return counts;
+  }
+
+  CompletableFuture<PlatformReply> call(CallKind kind, HttpMethod method, String uri, Buffer body) {
+    return call(kind, method, uri, body, Duration.ZERO);
+  }
+
+  /** Makes a call that the service may hold back for {@code wait}. */
+  CompletableFuture<PlatformReply> call(
+      CallKind kind, HttpMethod method, String uri, Buffer body, Duration wait) {
+    Optional<Duration> busy = budget.tryTake();
+    if (busy.isPresent()) {
+      counts.countOverBudget(kind);
+      return CompletableFuture.completedFuture(
+          new PlatformReply.NotSent("the budget of platform calls is spent", busy));
+    }
+    counts.countSent(kind);
+    HttpClientAgent used = client();
+    PlatformCall call = new PlatformCall(body);
+    Subscription deadline = timers.after(options.timeout().plus(wait), () -> expire(call, used));
+    call.reply().thenAccept(reply -> end(kind, reply, deadline));
+    used.request(request(method, uri)).onComplete(call::onConnected);
+    return call.reply();
+  }
+
+  private void end(CallKind kind, PlatformReply reply, Subscription deadline) {
+    deadline.cancel();
+    if (!(reply instanceof PlatformReply.Answered answered) || PlatformErrors.isError(answered)) {
+      counts.countFailed(kind);
+    }
+  }
+
+  private void expire(PlatformCall call, HttpClientAgent used) {
+    call.expire();
+    replace(used);
+  }
+
+  private synchronized HttpClientAgent client() {
+    return client;
+  }
+
+  /** Replaces the pool that a lost call used, unless another call has done so. */
+  private synchronized void replace(HttpClientAgent used) {
+    if (client == used) {
+      client = newClient();
+      used.shutdown(MAX_WATCH.toMillis(), TimeUnit.MILLISECONDS);
+      logger.atWarning().log("event=platform_connections_replaced reason=\"no answer in time\"");
+    }
+  }
+
+  private RequestOptions request(HttpMethod method, String uri) {
+    RequestOptions request =
+        new RequestOptions()
+            .setMethod(method)
+            .setHost(options.url().getHost())
+            .setPort(port())
+            .setURI(basePath() + uri);
+    options
+        .token()
+        .ifPresent(
+            token -> {
+              String text = new String(token.bytes(), StandardCharsets.UTF_8);
+              request.putHeader("Authorization", "Bearer " + text);
+            });
+    return request;
+  }
+
+  private boolean isHttps() {
+    return "https".equals(options.url().getScheme());
+  }
+
+  private int port() {
+    URI url = options.url();
+    int defaultPort = isHttps() ? HTTPS_PORT : HTTP_PORT;
+    return url.getPort() > 0 ? url.getPort() : defaultPort;
+  }
+
+  private String basePath() {
+    String path = options.url().getPath();
+    return path.endsWith("/") ? path.substring(0, path.length() - 1) : path;
+  }
+
+  @Override
+  public synchronized void close() {
+    client.close();
+  }
+}
--- a/amaranthstream/src/test/java/org/amaranthstream/config/ConfigKeeperTest.java
+++ b/amaranthstream/src/test/java/org/amaranthstream/config/ConfigKeeperTest.java
@@ -16,6 +16,7 @@
 import org.amaranthstream.result.ErrorDetail;
 import org.amaranthstream.result.Result;
 import org.amaranthstream.result.ResultCode;
+import org.amaranthstream.time.VirtualTimerService;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
@@ -30,7 +31,7 @@
           Duration.ofSeconds(1),
           Duration.ofSeconds(3));
 
-  private final ManualTimers timers = new ManualTimers();
+  private final VirtualTimerService timers = VirtualTimerService.create();
   private final FakeKeyValueStore store = new FakeKeyValueStore(timers);
   private final ConfigKeeper keeper = keeper(ConfigDisk.NONE, false);
 
--- a/amaranthstream/src/test/java/org/amaranthstream/config/Fleet.java
+++ b/amaranthstream/src/test/java/org/amaranthstream/config/Fleet.java
@@ -15,6 +15,7 @@
 import org.amaranthstream.ids.ConfigGeneration;
 import org.amaranthstream.result.Result;
 import org.amaranthstream.result.ResultCode;
+import org.amaranthstream.time.VirtualTimerService;
 
 /** Daemons with one key-value service in virtual time, and a judge of what they put in force. */
 final class Fleet {
@@ -24,7 +25,7 @@
           Duration.ofSeconds(5), Duration.ofSeconds(10), Duration.ofSeconds(1), Duration.ZERO);
   private static final Duration SETTLED = Duration.ofSeconds(30);
 
-  private final ManualTimers timers = new ManualTimers();
+  private final VirtualTimerService timers = VirtualTimerService.create();
   private final FakeKeyValueStore store = new FakeKeyValueStore(timers);
   private final List<ConfigKeeper> keepers = new ArrayList<>();
   private final List<MemoryDisk> disks = new ArrayList<>();
