--- a/amaranthstream/src/main/java/org/amaranthstream/daemon/Core.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/daemon/Core.java
@@ -25,6 +25,8 @@
 import org.amaranthstream.once.ClaimService;
 import org.amaranthstream.once.Claimant;
 import org.amaranthstream.peer.PeerNode;
+import org.amaranthstream.platform.PlatformClient;
+import org.amaranthstream.platform.PlatformOptions;
 import org.amaranthstream.platform.VmEntry;
 import org.amaranthstream.platform.VmKind;
 import org.amaranthstream.result.Result;
@@ -43,7 +45,7 @@
   private final Settings settings;
   private final Threads threads;
   private final LocalVm self;
-  private final PlatformClients platform;
+  private final PlatformClient platform;
   private final MembershipTable table;
   private final ConfigKeeper config;
   private final WeightBoard weights = new WeightBoard();
@@ -62,7 +64,7 @@
     this.settings = settings;
     this.self = self;
     this.threads = new Threads(settings.limits());
-    this.platform = PlatformClients.create(threads, settings);
+    this.platform = newPlatform();
     this.table = newTable();
     this.config = newConfigKeeper();
     this.configFetch = new ConfigFetch(config);
@@ -81,6 +83,16 @@
     return new Core(settings, self, policies);
   }
 
+  private PlatformClient newPlatform() {
+    PlatformOptions options =
+        new PlatformOptions(
+            settings.platform().url(),
+            settings.platform().token(),
+            settings.timing().platformTimeout(),
+            settings.limits().platformCallsPerSecond());
+    return PlatformClient.create(threads.vertx(), threads.platformTimers(), options);
+  }
+
   private MembershipTable newTable() {
     ImmutableList<VmEntry> seeds =
         settings.peers().stream().map(Core::entryOf).collect(ImmutableList.toImmutableList());
@@ -267,6 +279,7 @@
     config.stop();
     threads.decisions().offer(peers::close);
     transport.close();
+    platform.close();
     decisions.close();
     threads.close();
   }
--- a/amaranthstream/src/main/java/org/amaranthstream/platform/PlatformHttp.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/platform/PlatformHttp.java
@@ -1,14 +1,11 @@
 package org.amaranthstream.platform;
 
-import static com.google.common.base.Preconditions.checkNotNull;
-
-import io.vertx.core.Future;
+import com.google.common.flogger.FluentLogger;
+import com.google.errorprone.annotations.concurrent.GuardedBy;
 import io.vertx.core.Vertx;
 import io.vertx.core.buffer.Buffer;
-import io.vertx.core.http.HttpClient;
+import io.vertx.core.http.HttpClientAgent;
 import io.vertx.core.http.HttpClientOptions;
-import io.vertx.core.http.HttpClientRequest;
-import io.vertx.core.http.HttpClientResponse;
 import io.vertx.core.http.HttpMethod;
 import io.vertx.core.http.PoolOptions;
 import io.vertx.core.http.RequestOptions;
@@ -18,123 +15,137 @@
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
-import java.util.concurrent.atomic.AtomicBoolean;
-import org.amaranthstream.auth.Secret;
+import org.amaranthstream.time.Subscription;
+import org.amaranthstream.time.TimerService;
 
 /**
- * Calls to the platform's HTTP services. A connection is obtained before a request is written, so
- * that a failure to connect is known to have sent nothing. Thread safe.
+ * Makes calls to the platform within the budget, each with a deadline.
+ *
+ * <p>A call that gets no answer in time may have met a connection that went silent, and the pool's
+ * other connections may be silent too. So the pool is replaced by a fresh one, and the old one is
+ * closed once its calls have ended. Thread safe.
  */
-public final class PlatformHttp implements AutoCloseable {
-  private static final int CONNECTIONS = 16;
-  private static final int KEEP_ALIVE_SECONDS = 20;
-  private static final int DEFAULT_PORT = 80;
+final class PlatformHttp implements AutoCloseable {
+  private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+  private static final int MAX_CONNECTIONS = 32;
+  private static final int MAX_WAITING_CALLS = 256;
+  private static final int KEEP_ALIVE_SECONDS = 15;
+  private static final Duration MAX_WATCH = Duration.ofMinutes(2);
+  private static final int HTTPS_PORT = 443;
+  private static final int HTTP_PORT = 80;
 
   private final Vertx vertx;
-  private final HttpClient client;
-  private final URI url;
-  private final Optional<Secret> token;
-  private final Duration timeout;
-
-  private PlatformHttp(Vertx vertx, URI url, Optional<Secret> token, Duration timeout) {
-    this.vertx = checkNotNull(vertx, "vertx");
-    this.url = checkNotNull(url, "url");
-    this.token = checkNotNull(token, "token");
-    this.timeout = checkNotNull(timeout, "timeout");
-    this.client =
-        vertx.createHttpClient(
-            new HttpClientOptions()
-                .setConnectTimeout((int) timeout.toMillis())
-                .setKeepAliveTimeout(KEEP_ALIVE_SECONDS),
-            new PoolOptions().setHttp1MaxSize(CONNECTIONS));
+  private final TimerService timers;
+  private final PlatformOptions options;
+  private final CallBudget budget;
+  private final CallCounts counts = new CallCounts();
+
+  @GuardedBy("this")
+  private HttpClientAgent client;
+
+  PlatformHttp(Vertx vertx, TimerService timers, PlatformOptions options) {
+    this.vertx = vertx;
+    this.timers = timers;
+    this.options = options;
+    this.budget = new CallBudget(timers, options.callsPerSecond());
+    this.client = newClient();
   }
 
-  /**
-   * Returns calls to the services at {@code url}.
-   *
-   * @param timeout time after which a call counts as lost
-   */
-  public static PlatformHttp create(
-      Vertx vertx, URI url, Optional<Secret> token, Duration timeout) {
-    return new PlatformHttp(vertx, url, token, timeout);
+  private HttpClientAgent newClient() {
+    return vertx.createHttpClient(
+        new HttpClientOptions()
+            .setConnectTimeout((int) options.timeout().toMillis())
+            .setKeepAliveTimeout(KEEP_ALIVE_SECONDS)
+            .setTcpNoDelay(true)
+            .setSsl(isHttps()),
+        new PoolOptions().setHttp1MaxSize(MAX_CONNECTIONS).setMaxWaitQueueSize(MAX_WAITING_CALLS));
   }
 
-  /** Makes a call that is answered within the timeout. */
-  CompletableFuture<PlatformReply> call(HttpMethod method, String path, Buffer body) {
-    return call(method, path, body, Duration.ZERO);
+  CallCounts counts() {
+    return counts;
   }
 
-  /** Makes a call that the service may let wait for {@code wait} before it answers. */
-  CompletableFuture<PlatformReply> call(
-      HttpMethod method, String path, Buffer body, Duration wait) {
-    CompletableFuture<PlatformReply> reply = new CompletableFuture<>();
-    AtomicBoolean sent = new AtomicBoolean();
-    long timer =
-        vertx.setTimer(
-            timeout.plus(wait).toMillis(),
-            unused -> reply.complete(lost(sent.get(), "no answer within " + timeout.plus(wait))));
-    client
-        .request(options(method, path))
-        .compose(request -> send(request, body, sent, reply))
-        .compose(PlatformHttp::read)
-        .onSuccess(reply::complete)
-        .onFailure(cause -> reply.complete(lost(sent.get(), String.valueOf(cause.getMessage()))));
-    return reply.whenComplete((unused, none) -> vertx.cancelTimer(timer));
+  CompletableFuture<PlatformReply> call(CallKind kind, HttpMethod method, String uri, Buffer body) {
+    return call(kind, method, uri, body, Duration.ZERO);
   }
 
-  private RequestOptions options(HttpMethod method, String path) {
-    RequestOptions options =
-        new RequestOptions()
-            .setMethod(method)
-            .setHost(url.getHost())
-            .setPort(url.getPort() < 0 ? DEFAULT_PORT : url.getPort())
-            .setURI(url.getPath() + path);
-    token.ifPresent(
-        secret ->
-            options.putHeader(
-                "Authorization", "Bearer " + new String(secret.bytes(), StandardCharsets.UTF_8)));
-    return options;
+  /** Makes a call that the service may hold back for {@code wait}. */
+  CompletableFuture<PlatformReply> call(
+      CallKind kind, HttpMethod method, String uri, Buffer body, Duration wait) {
+    Optional<Duration> busy = budget.tryTake();
+    if (busy.isPresent()) {
+      counts.countOverBudget(kind);
+      return CompletableFuture.completedFuture(
+          new PlatformReply.NotSent("the budget of platform calls is spent", busy));
+    }
+    counts.countSent(kind);
+    HttpClientAgent used = client();
+    PlatformCall call = new PlatformCall(body);
+    Subscription deadline = timers.after(options.timeout().plus(wait), () -> expire(call, used));
+    call.reply().thenAccept(reply -> end(kind, reply, deadline));
+    used.request(request(method, uri)).onComplete(call::onConnected);
+    return call.reply();
   }
 
-  private static Future<HttpClientResponse> send(
-      HttpClientRequest request,
-      Buffer body,
-      AtomicBoolean sent,
-      CompletableFuture<PlatformReply> reply) {
-    if (reply.isDone()) {
-      request.reset();
-      return Future.failedFuture("given up before it was sent");
+  private void end(CallKind kind, PlatformReply reply, Subscription deadline) {
+    deadline.cancel();
+    if (!(reply instanceof PlatformReply.Answered answered) || PlatformErrors.isError(answered)) {
+      counts.countFailed(kind);
     }
-    sent.set(true);
-    reply.whenComplete((value, none) -> resetUnlessAnswered(request, value));
-    return request.send(body);
   }
 
-  /** Frees the connection of a call that was given up. */
-  private static void resetUnlessAnswered(HttpClientRequest request, PlatformReply value) {
-    if (!(value instanceof PlatformReply.Answered)) {
-      request.reset();
+  private void expire(PlatformCall call, HttpClientAgent used) {
+    call.expire();
+    replace(used);
+  }
+
+  private synchronized HttpClientAgent client() {
+    return client;
+  }
+
+  /** Replaces the pool that a lost call used, unless another call has done so. */
+  private synchronized void replace(HttpClientAgent used) {
+    if (client == used) {
+      client = newClient();
+      used.shutdown(MAX_WATCH.toMillis(), TimeUnit.MILLISECONDS);
+      logger.atWarning().log("event=platform_connections_replaced reason=\"no answer in time\"");
     }
   }
 
-  private static Future<PlatformReply> read(HttpClientResponse response) {
-    return response
-        .body()
-        .map(
-            body ->
-                new PlatformReply.Answered(
-                    response.statusCode(),
-                    body,
-                    Optional.ofNullable(response.getHeader("Revision")),
-                    Optional.ofNullable(response.getHeader("Retry-After"))));
+  private RequestOptions request(HttpMethod method, String uri) {
+    RequestOptions request =
+        new RequestOptions()
+            .setMethod(method)
+            .setHost(options.url().getHost())
+            .setPort(port())
+            .setURI(basePath() + uri);
+    options
+        .token()
+        .ifPresent(
+            token -> {
+              String text = new String(token.bytes(), StandardCharsets.UTF_8);
+              request.putHeader("Authorization", "Bearer " + text);
+            });
+    return request;
+  }
+
+  private boolean isHttps() {
+    return "https".equals(options.url().getScheme());
+  }
+
+  private int port() {
+    URI url = options.url();
+    int defaultPort = isHttps() ? HTTPS_PORT : HTTP_PORT;
+    return url.getPort() > 0 ? url.getPort() : defaultPort;
   }
 
-  private static PlatformReply lost(boolean sent, String reason) {
-    return sent ? new PlatformReply.Lost(reason) : new PlatformReply.NotSent(reason);
+  private String basePath() {
+    String path = options.url().getPath();
+    return path.endsWith("/") ? path.substring(0, path.length() - 1) : path;
   }
 
   @Override
-  public void close() {
-    client.shutdown(0, TimeUnit.SECONDS);
+  public synchronized void close() {
+    client.close();
   }
 }
