--- a/amaranthstream-bench/src/main/java/org/amaranthstream/bench/BenchCommands.java
+++ b/amaranthstream-bench/src/main/java/org/amaranthstream/bench/BenchCommands.java
@@ -2,6 +2,7 @@
 
 import com.google.common.collect.ImmutableList;
 import org.amaranthstream.bench.demo.DemoCommand;
+import org.amaranthstream.bench.entrypath.EntryPathCommand;
 import org.amaranthstream.bench.experiment.ExperimentCommand;
 
 /** All subcommands of the bench binary. */
@@ -9,6 +10,6 @@
   private BenchCommands() {}
 
   static ImmutableList<BenchCommand> all() {
-    return ImmutableList.of(new DemoCommand(), new ExperimentCommand());
+    return ImmutableList.of(new DemoCommand(), new ExperimentCommand(), new EntryPathCommand());
   }
 }
--- a/amaranthstream-bench/src/main/java/org/amaranthstream/bench/experiment/Cluster.java
+++ b/amaranthstream-bench/src/main/java/org/amaranthstream/bench/experiment/Cluster.java
@@ -52,7 +52,7 @@
     Cluster cluster = new Cluster(user, folder);
     JavaProcess kv = cluster.standin("kv", List.of("kv"));
     for (ZoneShape zone : user.zones()) {
-      cluster.startBackends(zone);
+      cluster.startZone(zone);
     }
     cluster.kvUrl = "http://" + HOST + ":" + kv.startedPort();
     return cluster;
@@ -141,7 +141,7 @@
     return user.zones().stream().mapToInt(ZoneShape::entryVms).sum();
   }
 
-  private void startBackends(ZoneShape zone) throws IOException {
+  private void startZone(ZoneShape zone) throws IOException {
     for (int i = 0; i < zone.engines(); i++) {
       String name = "engine-" + zone.zone() + "-" + i;
       JavaProcess process = standin(name, engineArguments());
--- a/amaranthstream-bench/src/main/java/org/amaranthstream/bench/experiment/ClusterConfig.java
+++ b/amaranthstream-bench/src/main/java/org/amaranthstream/bench/experiment/ClusterConfig.java
@@ -4,32 +4,6 @@
 
 /** The operators' configuration of the experiments. */
 final class ClusterConfig {
-  private static final String YAML =
-      """
-      pools:
-        engines: {kind: MODEL_ENGINE, model: %s, checksFencing: true}
-        services: {kind: PLAIN_SERVICE}
-      classes:
-        %s:
-          kind: INTERACTIVE
-          pool: engines
-          answerDeadline: %dms
-          stalenessBound: %d
-          maxTokens: %d
-          idempotent: true
-        %s:
-          kind: INTERACTIVE
-          pool: services
-          answerDeadline: %dms
-          idempotent: false
-        %s:
-          kind: TRAINING
-          pool: engines
-          stepDeadline: %dms
-          stalenessBound: %d
-          weighsMore: %s
-          maxTokens: %d
-      """;
 
   private ClusterConfig() {}
 
@@ -37,7 +11,36 @@
   static String yaml(User user) {
     return String.format(
         Locale.ROOT,
-        YAML,
+        """
+        pools:
+          engines: {kind: MODEL_ENGINE, model: %s, checksFencing: true}
+          services: {kind: PLAIN_SERVICE}
+        classes:
+          %s:
+            kind: INTERACTIVE
+            pool: engines
+            answerDeadline: %dms
+            stalenessBound: %d
+            maxTokens: %d
+            idempotent: true
+          %s:
+            kind: INTERACTIVE
+            pool: services
+            answerDeadline: %dms
+            idempotent: false
+          %s:
+            kind: INTERACTIVE
+            pool: services
+            answerDeadline: %dms
+            idempotent: true
+          %s:
+            kind: TRAINING
+            pool: engines
+            stepDeadline: %dms
+            stalenessBound: %d
+            weighsMore: %s
+            maxTokens: %d
+        """,
         Workload.MODEL,
         Workload.LOOKUP_CLASS,
         Workload.LOOKUP_DEADLINE_MS,
@@ -45,6 +48,8 @@
         Workload.LOOKUP_MAX_TOKENS,
         Workload.ORDER_CLASS,
         Workload.ORDER_DEADLINE_MS,
+        Workload.QUERY_CLASS,
+        Workload.ORDER_DEADLINE_MS,
         Workload.TRAINING_CLASS,
         Workload.STEP_DEADLINE_MS,
         user.stalenessBound(),
--- a/amaranthstream-bench/src/main/java/org/amaranthstream/bench/experiment/ClusterFiles.java
+++ b/amaranthstream-bench/src/main/java/org/amaranthstream/bench/experiment/ClusterFiles.java
@@ -14,26 +14,6 @@
   static final String SERVICE_POOL = "services";
 
   private static final String PEER_KEY = "0123456789abcdef0123456789abcdef";
-  private static final String SETTINGS =
-      """
-      vm: %s
-      region: %s
-      zone: %s
-      http: {host: 127.0.0.1, port: %d}
-      peer: {host: 127.0.0.1, port: %d, sharedKeyFile: peer.key}
-      platform: {url: "%s"}
-      callers:
-        - {name: caller, role: CALLER, token: %s}
-        - {name: trainer, role: TRAINER, token: %s}
-        - {name: operator, role: OPERATOR, token: %s}
-      deliveryKeys:
-        - {id: one, key: %s}
-      timing:
-        vmListPollIntervalMs: 500
-        configPollIntervalMs: 2000
-      limits:
-        platformCallsPerSecond: 200
-      """;
 
   private ClusterFiles() {}
 
@@ -43,7 +23,25 @@
     String text =
         String.format(
             Locale.ROOT,
-            SETTINGS,
+            """
+        vm: %s
+        region: %s
+        zone: %s
+        http: {host: 127.0.0.1, port: %d}
+        peer: {host: 127.0.0.1, port: %d, sharedKeyFile: peer.key}
+        platform: {url: "%s"}
+        callers:
+          - {name: caller, role: CALLER, token: %s}
+          - {name: trainer, role: TRAINER, token: %s}
+          - {name: operator, role: OPERATOR, token: %s}
+        deliveryKeys:
+          - {id: one, key: %s}
+        timing:
+          vmListPollIntervalMs: 500
+          configPollIntervalMs: 2000
+        limits:
+          platformCallsPerSecond: 200
+        """,
             daemon.name(),
             daemon.zone().region(),
             daemon.zone().zone(),
--- a/amaranthstream-bench/src/main/java/org/amaranthstream/bench/experiment/Experiment.java
+++ b/amaranthstream-bench/src/main/java/org/amaranthstream/bench/experiment/Experiment.java
@@ -32,7 +32,7 @@
           for (Policy policy : plan.policies()) {
             RunSpec spec =
                 new RunSpec(plan.user(), policy, load, fault, seed, plan.seconds(), capacity);
-            results.add(run(spec));
+            results.add(runOne(spec));
           }
         }
       }
@@ -46,7 +46,7 @@
     }
   }
 
-  private RunResult run(RunSpec spec) throws IOException {
+  private RunResult runOne(RunSpec spec) throws IOException {
     logger.atInfo().log("event=run_started run=%s", spec.name());
     try (Cluster cluster = Cluster.startBackends(spec.user(), work.resolve(spec.name()))) {
       cluster.startDaemons(spec.policy());
--- a/amaranthstream-bench/src/main/java/org/amaranthstream/bench/experiment/FaultInjector.java
+++ b/amaranthstream-bench/src/main/java/org/amaranthstream/bench/experiment/FaultInjector.java
@@ -49,13 +49,13 @@
     logger.atInfo().log("event=fault_begins fault=%s", fault.label());
     try {
       switch (fault) {
-        case NONE -> {}
         case ENGINE_CRASH -> cluster.control(firstEngine(), "{\"crash\": true}");
         case POISON -> executor.scheduleAtFixedRate(poison::send, 0, 1, TimeUnit.SECONDS);
         case FROZEN_CONNECTION -> cluster.control(firstEngine(), "{\"freeze\": true}");
         case ZONE_CUT -> cluster.links().set(cutZone(), LinkState.SILENT);
         case KV_OUTAGE -> cluster.control(cluster.kvUrl(), "{\"outage\": true}");
         case SWAP_FAILURE -> failSwaps();
+        default -> {}
       }
     } catch (IOException e) {
       logger.atSevere().withCause(e).log("event=fault_failed fault=%s", fault.label());
--- a/amaranthstream-bench/src/main/java/org/amaranthstream/bench/experiment/Policy.java
+++ b/amaranthstream-bench/src/main/java/org/amaranthstream/bench/experiment/Policy.java
@@ -6,22 +6,16 @@
 /** The decisions that daemons take. */
 enum Policy {
   /** Those of the product. */
-  AMARANTHSTREAM(PolicySet.standard()),
+  AMARANTHSTREAM,
   /** Round robin, first in first out, fixed concurrency, no generate-ahead, plain retry. */
-  BASELINE(new BaselinePolicies());
-
-  private final PolicySet policies;
-
-  Policy(PolicySet policies) {
-    this.policies = policies;
-  }
+  BASELINE;
 
   static Policy of(String name) {
     return valueOf(name.toUpperCase(Locale.ROOT));
   }
 
   PolicySet policies() {
-    return policies;
+    return this == BASELINE ? new BaselinePolicies() : PolicySet.standard();
   }
 
   String label() {
--- a/amaranthstream-bench/src/main/java/org/amaranthstream/bench/experiment/Workload.java
+++ b/amaranthstream-bench/src/main/java/org/amaranthstream/bench/experiment/Workload.java
@@ -18,6 +18,8 @@
   static final double ORDERS_PER_SECOND = 20;
   static final double SERVICE_MS = 20;
 
+  static final String QUERY_CLASS = "query";
+
   static final String TRAINING_CLASS = "rollout";
   static final String MODEL = "coder";
   static final int STEP_GROUPS = 4;
