Replace the platform's connections before a lost call ends

Cause: the caller learned of the lost call first and could start the next one on the pool that was about to be replaced.

--- a/amaranthstream/src/main/java/org/amaranthstream/platform/PlatformHttp.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/platform/PlatformHttp.java
@@ -95,8 +95,8 @@
   }
 
   private void expire(PlatformCall call, HttpClientAgent used) {
-    call.expire();
     replace(used);
+    call.expire();
   }
 
   private synchronized HttpClientAgent client() {
