--- a/amaranthstream-bench/src/main/java/org/amaranthstream/bench/experiment/ClusterFiles.java
+++ b/amaranthstream-bench/src/main/java/org/amaranthstream/bench/experiment/ClusterFiles.java
@@ -24,24 +24,24 @@
         String.format(
             Locale.ROOT,
             """
-        vm: %s
-        region: %s
-        zone: %s
-        http: {host: 127.0.0.1, port: %d}
-        peer: {host: 127.0.0.1, port: %d, sharedKeyFile: peer.key}
-        platform: {url: "%s"}
-        callers:
-          - {name: caller, role: CALLER, token: %s}
-          - {name: trainer, role: TRAINER, token: %s}
-          - {name: operator, role: OPERATOR, token: %s}
-        deliveryKeys:
-          - {id: one, key: %s}
-        timing:
-          vmListPollIntervalMs: 500
-          configPollIntervalMs: 2000
-        limits:
-          platformCallsPerSecond: 200
-        """,
+            vm: %s
+            region: %s
+            zone: %s
+            http: {host: 127.0.0.1, port: %d}
+            peer: {host: 127.0.0.1, port: %d, sharedKeyFile: peer.key}
+            platform: {url: "%s"}
+            callers:
+              - {name: caller, role: CALLER, token: %s}
+              - {name: trainer, role: TRAINER, token: %s}
+              - {name: operator, role: OPERATOR, token: %s}
+            deliveryKeys:
+              - {id: one, key: %s}
+            timing:
+              vmListPollIntervalMs: 500
+              configPollIntervalMs: 2000
+            limits:
+              platformCallsPerSecond: 200
+            """,
             daemon.name(),
             daemon.zone().region(),
             daemon.zone().zone(),
