--- /dev/null
+++ b/amaranthstream/src/main/java/org/amaranthstream/logs/LogSetup.java
@@ -0,0 +1,24 @@
+package org.amaranthstream.logs;
+
+import java.util.logging.ConsoleHandler;
+import java.util.logging.Handler;
+import java.util.logging.Level;
+import java.util.logging.Logger;
+
+/** Sets up the process's log: one line of key=value pairs per event on the standard error. */
+public final class LogSetup {
+  private LogSetup() {}
+
+  /** Replaces the handlers of the root logger; events below {@code level} are dropped. */
+  public static void install(Level level) {
+    Logger root = Logger.getLogger("");
+    for (Handler handler : root.getHandlers()) {
+      root.removeHandler(handler);
+    }
+    ConsoleHandler console = new ConsoleHandler();
+    console.setFormatter(new KeyValueFormatter());
+    console.setLevel(level);
+    root.addHandler(console);
+    root.setLevel(level);
+  }
+}
--- /dev/null
+++ b/amaranthstream/src/test/java/org/amaranthstream/logs/KeyValueFormatterTest.java
@@ -0,0 +1,44 @@
+package org.amaranthstream.logs;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.time.Instant;
+import java.util.logging.Level;
+import java.util.logging.LogRecord;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+class KeyValueFormatterTest {
+  private final KeyValueFormatter formatter = new KeyValueFormatter();
+
+  @Nested
+  class Format {
+    @Test
+    void putsTimeLevelAndLoggerBeforeTheEvent() {
+      assertThat(formatter.format(event("event=started port=1")))
+          .isEqualTo("time=2026-01-02T03:04:05Z level=WARN logger=Daemon event=started port=1\n");
+    }
+
+    @Test
+    void keepsAnEventOnOneLine() {
+      String line = formatter.format(event("event=x reason=\"a\nb\""));
+      assertThat(line).endsWith("event=x reason=\"a\\nb\"\n");
+    }
+
+    @Test
+    void keepsTheCauseOnTheSameLine() {
+      LogRecord event = event("event=x");
+      event.setThrown(new IllegalStateException("broken \"badly\""));
+      String line = formatter.format(event);
+      assertThat(line).contains(" cause=\"java.lang.IllegalStateException: broken 'badly'");
+      assertThat(line.indexOf('\n')).isEqualTo(line.length() - 1);
+    }
+  }
+
+  private static LogRecord event(String message) {
+    LogRecord event = new LogRecord(Level.WARNING, message);
+    event.setLoggerName("org.amaranthstream.daemon.Daemon");
+    event.setInstant(Instant.parse("2026-01-02T03:04:05Z"));
+    return event;
+  }
+}
