--- a/amaranthstream-standins/src/main/java/org/amaranthstream/standins/service/ServiceRole.java
+++ b/amaranthstream-standins/src/main/java/org/amaranthstream/standins/service/ServiceRole.java
@@ -129,7 +129,7 @@
     return String.valueOf(ctx.request().getHeader("Attempt"));
   }
 
-  private static String digest(String body) {
+  static String digest(String body) {
     return Hashing.sha256().hashString(body, StandardCharsets.UTF_8).toString().substring(0, 16);
   }
 
--- a/amaranthstream-standins/src/main/java/org/amaranthstream/standins/service/ServiceStandin.java
+++ b/amaranthstream-standins/src/main/java/org/amaranthstream/standins/service/ServiceStandin.java
@@ -14,6 +14,11 @@
     super(server);
   }
 
+  /** Returns the key under which the ledger has calls with {@code body}. */
+  public static String keyOf(String body) {
+    return ServiceRole.digest(body);
+  }
+
   /** Returns a builder. */
   public static Builder builder() {
     return new Builder();
