Learn limits and estimates that hold under overload; measure the decisions

Cause: a small pool model in virtual time (bench module) showed two faults. It now compares means of windows, stays within the reported slots and cuts while the server reports a queue. Slot time now counts every attempt, service time is learned for each token, the wait counts training's share, and a waiting request is given up when an answer that began now would be late. VirtualTimerService moves to main, because the bench's simulation uses it.

--- /dev/null
+++ b/amaranthstream-bench/src/main/java/org/amaranthstream/bench/baseline/FifoOrder.java
@@ -0,0 +1,26 @@
+package org.amaranthstream.bench.baseline;
+
+import org.amaranthstream.dispatch.QueueOrder;
+import org.amaranthstream.dispatch.QueuedRequest;
+
+/** First in, first out, over both priorities. */
+public final class FifoOrder implements QueueOrder {
+
+  @Override
+  public long rank(QueuedRequest request) {
+    return request.arrival();
+  }
+
+  @Override
+  public boolean isTrainingNext(Turn turn) {
+    return turn.training().arrival() < turn.interactive().arrival();
+  }
+
+  @Override
+  public double trainingShare(Turn turn) {
+    return 0;
+  }
+
+  @Override
+  public void onSent(Turn turn, boolean training) {}
+}
--- /dev/null
+++ b/amaranthstream-bench/src/main/java/org/amaranthstream/bench/baseline/RoundRobinPlacement.java
@@ -0,0 +1,26 @@
+package org.amaranthstream.bench.baseline;
+
+import com.google.common.collect.ImmutableList;
+import java.util.Optional;
+import org.amaranthstream.ids.AffinityKey;
+import org.amaranthstream.placement.Candidate;
+import org.amaranthstream.placement.PlacementDecision;
+import org.amaranthstream.placement.PlacementPolicy;
+
+/** Takes the servers in turn, whatever their load, and skips those without room. */
+public final class RoundRobinPlacement implements PlacementPolicy {
+  private int next;
+
+  @Override
+  public PlacementDecision place(
+      Optional<AffinityKey> affinity, ImmutableList<Candidate> candidates) {
+    for (int i = 0; i < candidates.size(); i++) {
+      Candidate candidate = candidates.get((next + i) % candidates.size());
+      if (candidate.hasRoom()) {
+        next = (next + i + 1) % candidates.size();
+        return new PlacementDecision.Place(candidate, "in turn");
+      }
+    }
+    return new PlacementDecision.NoRoom("all are full");
+  }
+}
--- /dev/null
+++ b/amaranthstream-bench/src/main/java/org/amaranthstream/bench/decisions/DecisionExperiments.java
@@ -0,0 +1,152 @@
+package org.amaranthstream.bench.decisions;
+
+import com.google.common.collect.ImmutableList;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import org.amaranthstream.bench.baseline.AdmitAll;
+import org.amaranthstream.bench.baseline.FifoOrder;
+import org.amaranthstream.bench.baseline.FixedLimit;
+import org.amaranthstream.bench.baseline.GradientLimit;
+import org.amaranthstream.bench.baseline.InteractiveFirstOrder;
+import org.amaranthstream.bench.baseline.PlainRetry;
+import org.amaranthstream.bench.baseline.RoundRobinPlacement;
+import org.amaranthstream.dispatch.DispatchSettings;
+import org.amaranthstream.dispatch.RetryBudget;
+import org.amaranthstream.placement.ServerHealth;
+
+/** The comparisons of {@code docs/measurements/decisions.md}. */
+final class DecisionExperiments {
+  private static final Duration NO_QUARANTINE = Duration.ofNanos(1);
+
+  private DecisionExperiments() {}
+
+  static ImmutableList<Experiment> all() {
+    List<Experiment> all = new ArrayList<>();
+    for (double load : new double[] {0.5, 0.9, 1.2, 2.0}) {
+      all.add(whole(load));
+      all.add(admission(load));
+    }
+    all.add(order(1.2));
+    all.add(placement(0.9));
+    for (double load : new double[] {0.9, 1.2, 2.0}) {
+      all.add(limits(load));
+    }
+    all.add(overstatedSlots());
+    all.add(crash());
+    all.add(retries(0.9));
+    all.add(retries(2.0));
+    all.add(poison());
+    all.add(health(0.05));
+    all.add(health(0.8));
+    return ImmutableList.copyOf(all);
+  }
+
+  private static Experiment whole(double load) {
+    return new Experiment(
+        "all policies, load " + load,
+        ImmutableList.of(Policies.product(), Policies.baseline()),
+        Load.of(load),
+        Fault.none());
+  }
+
+  private static Experiment admission(double load) {
+    Policies product = Policies.product();
+    return new Experiment(
+        "admission, load " + load,
+        ImmutableList.of(
+            product.named("deadline"), product.withAdmission(new AdmitAll()).named("admit all")),
+        Load.of(load),
+        Fault.none());
+  }
+
+  private static Experiment order(double load) {
+    Policies product = Policies.product();
+    return new Experiment(
+        "queue order, load " + load,
+        ImmutableList.of(
+            product.named("slack"),
+            product.withOrder(InteractiveFirstOrder::new).named("interactive first"),
+            product.withOrder(FifoOrder::new).named("first in first out")),
+        Load.of(load),
+        Fault.none());
+  }
+
+  private static Experiment placement(double load) {
+    Policies product = Policies.product();
+    return new Experiment(
+        "placement, load " + load,
+        ImmutableList.of(
+            product.named("affinity, two choices"),
+            product.withPlacement(RoundRobinPlacement::new).named("round robin")),
+        Load.of(load),
+        Fault.none());
+  }
+
+  private static Experiment limits(double load) {
+    Policies product = Policies.product();
+    return new Experiment(
+        "concurrency limit, load " + load,
+        ImmutableList.of(
+            product.named("AIMD"),
+            product.withLimits(GradientLimit::new).named("gradient"),
+            product.withLimits(FixedLimit::new).named("fixed at the slots"),
+            product.withLimits(slots -> new FixedLimit(4 * slots)).named("fixed at 4 x slots")),
+        Load.of(load),
+        Fault.none());
+  }
+
+  private static Experiment overstatedSlots() {
+    Policies product = Policies.product();
+    return new Experiment(
+        "servers report 4 times their slots, load 2.0",
+        ImmutableList.of(
+            product.named("AIMD"),
+            product.withLimits(GradientLimit::new).named("gradient"),
+            product.withLimits(FixedLimit::new).named("fixed at the report")),
+        Load.of(2.0),
+        Fault.none(),
+        ModelSettings.defaults().withReportedSlots(32));
+  }
+
+  private static Experiment crash() {
+    return new Experiment(
+        "crash of one of eight servers, load 0.9",
+        ImmutableList.of(Policies.product(), Policies.baseline()),
+        Load.of(0.9),
+        Fault.crash());
+  }
+
+  private static Experiment retries(double load) {
+    Policies product = Policies.product().withHealth(ServerHealth::always);
+    return new Experiment(
+        "half of all attempts fail, load " + load,
+        ImmutableList.of(
+            product.named("retry budget"),
+            product.withRetry(new PlainRetry(), RetryBudget::unlimited).named("plain retry")),
+        Load.of(load),
+        Fault.failuresEverywhere(0.5));
+  }
+
+  private static Experiment poison() {
+    Policies product = Policies.product();
+    DispatchSettings none = DispatchSettings.builder().quarantine(NO_QUARANTINE).build();
+    return new Experiment(
+        "poison request each second, load 0.9",
+        ImmutableList.of(
+            product.named("quarantine"), product.withSettings(none).named("no quarantine")),
+        Load.of(0.9).withPoison(),
+        Fault.none());
+  }
+
+  private static Experiment health(double share) {
+    Policies product = Policies.product();
+    return new Experiment(
+        "one server fails " + share + " of its requests, load 0.9",
+        ImmutableList.of(
+            product.named("two detectors"),
+            product.withHealth(ServerHealth::always).named("no health")),
+        Load.of(0.9),
+        Fault.failures(share));
+  }
+}
--- /dev/null
+++ b/amaranthstream-bench/src/main/java/org/amaranthstream/bench/decisions/Experiment.java
@@ -0,0 +1,20 @@
+package org.amaranthstream.bench.decisions;
+
+import com.google.common.collect.ImmutableList;
+
+/**
+ * Policies that are compared in one run under the same load and fault.
+ *
+ * @param title what is compared
+ * @param policies the policies, the baseline last
+ * @param load the load
+ * @param fault the fault
+ * @param model the shape of the pool
+ */
+record Experiment(
+    String title, ImmutableList<Policies> policies, Load load, Fault fault, ModelSettings model) {
+
+  Experiment(String title, ImmutableList<Policies> policies, Load load, Fault fault) {
+    this(title, policies, load, fault, ModelSettings.defaults());
+  }
+}
--- /dev/null
+++ b/amaranthstream-bench/src/main/java/org/amaranthstream/bench/decisions/Policies.java
@@ -0,0 +1,125 @@
+package org.amaranthstream.bench.decisions;
+
+import java.util.Random;
+import java.util.function.Supplier;
+import org.amaranthstream.admission.AdmissionPolicy;
+import org.amaranthstream.admission.DeadlineAdmission;
+import org.amaranthstream.bench.baseline.AdmitAll;
+import org.amaranthstream.bench.baseline.FifoOrder;
+import org.amaranthstream.bench.baseline.FixedLimit;
+import org.amaranthstream.bench.baseline.PlainRetry;
+import org.amaranthstream.bench.baseline.RoundRobinPlacement;
+import org.amaranthstream.dispatch.DispatchSettings;
+import org.amaranthstream.dispatch.DispatcherBuilder;
+import org.amaranthstream.dispatch.IdempotentRetry;
+import org.amaranthstream.dispatch.QueueOrder;
+import org.amaranthstream.dispatch.RetryBudget;
+import org.amaranthstream.dispatch.RetryPolicy;
+import org.amaranthstream.dispatch.SlackOrder;
+import org.amaranthstream.dispatch.SuccessShareBudget;
+import org.amaranthstream.placement.AffinityPlacement;
+import org.amaranthstream.placement.AimdLimit;
+import org.amaranthstream.placement.ConcurrencyLimit;
+import org.amaranthstream.placement.HysteresisHealth;
+import org.amaranthstream.placement.PlacementPolicy;
+import org.amaranthstream.placement.ServerHealth;
+
+/**
+ * A named set of policies under measurement.
+ *
+ * @param name the name in tables
+ * @param admission admits or refuses
+ * @param order the order of the queue
+ * @param placement chooses the server
+ * @param limits learns the concurrency
+ * @param health judges servers
+ * @param retry decides on retries
+ * @param budget bounds retries
+ * @param settings limits and times
+ */
+record Policies(
+    String name,
+    AdmissionPolicy admission,
+    QueueOrder.Factory order,
+    Supplier<PlacementPolicy> placement,
+    ConcurrencyLimit.Factory limits,
+    ServerHealth.Factory health,
+    RetryPolicy retry,
+    Supplier<RetryBudget> budget,
+    DispatchSettings settings) {
+  private static final long PLACEMENT_SEED = 17;
+
+  /** Returns the product's defaults. */
+  static Policies product() {
+    return new Policies(
+        "product",
+        DeadlineAdmission.create(),
+        SlackOrder::create,
+        () -> AffinityPlacement.create(new Random(PLACEMENT_SEED)),
+        AimdLimit::startingAt,
+        HysteresisHealth::create,
+        IdempotentRetry.create(),
+        SuccessShareBudget::create,
+        DispatchSettings.defaults());
+  }
+
+  /** Returns round robin, first in first out, a fixed limit of the slots, plain retry. */
+  static Policies baseline() {
+    return new Policies(
+        "baseline",
+        new AdmitAll(),
+        FifoOrder::new,
+        RoundRobinPlacement::new,
+        FixedLimit::new,
+        ServerHealth::always,
+        new PlainRetry(),
+        RetryBudget::unlimited,
+        DispatchSettings.defaults());
+  }
+
+  Policies named(String newName) {
+    return new Policies(
+        newName, admission, order, placement, limits, health, retry, budget, settings);
+  }
+
+  Policies withAdmission(AdmissionPolicy other) {
+    return new Policies(name, other, order, placement, limits, health, retry, budget, settings);
+  }
+
+  Policies withOrder(QueueOrder.Factory other) {
+    return new Policies(name, admission, other, placement, limits, health, retry, budget, settings);
+  }
+
+  Policies withPlacement(Supplier<PlacementPolicy> other) {
+    return new Policies(name, admission, order, other, limits, health, retry, budget, settings);
+  }
+
+  Policies withLimits(ConcurrencyLimit.Factory other) {
+    return new Policies(name, admission, order, placement, other, health, retry, budget, settings);
+  }
+
+  Policies withHealth(ServerHealth.Factory other) {
+    return new Policies(name, admission, order, placement, limits, other, retry, budget, settings);
+  }
+
+  Policies withRetry(RetryPolicy other, Supplier<RetryBudget> otherBudget) {
+    return new Policies(
+        name, admission, order, placement, limits, health, other, otherBudget, settings);
+  }
+
+  Policies withSettings(DispatchSettings other) {
+    return new Policies(name, admission, order, placement, limits, health, retry, budget, other);
+  }
+
+  DispatcherBuilder apply(DispatcherBuilder builder) {
+    return builder
+        .admission(admission)
+        .queueOrder(order)
+        .placement(placement.get())
+        .limits(limits)
+        .healths(health)
+        .retryPolicy(retry)
+        .retryBudget(budget.get())
+        .settings(settings);
+  }
+}
--- /dev/null
+++ b/amaranthstream-bench/src/main/java/org/amaranthstream/bench/decisions/SimulatedServer.java
@@ -0,0 +1,177 @@
+package org.amaranthstream.bench.decisions;
+
+import com.google.common.collect.ImmutableList;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Random;
+import java.util.Set;
+import org.amaranthstream.dispatch.Answer;
+import org.amaranthstream.dispatch.AttemptEnd;
+import org.amaranthstream.dispatch.Chunk;
+import org.amaranthstream.ids.Incarnation;
+import org.amaranthstream.ids.WeightVersion;
+import org.amaranthstream.membership.BackendServer;
+import org.amaranthstream.membership.LoadReport;
+import org.amaranthstream.time.VirtualTimerService;
+
+/**
+ * One model engine on the virtual clock: slots, a queue by priority, a prefix cache and faults. Not
+ * thread safe.
+ */
+final class SimulatedServer {
+  private static final double NANOS_PER_MILLI = 1e6;
+
+  final BackendServer server;
+  private final VirtualTimerService timers;
+  private final ModelSettings settings;
+  private final Random random;
+  private final Set<SimulatedAttempt> running = new LinkedHashSet<>();
+  private final List<SimulatedAttempt> queue = new ArrayList<>();
+  private final Map<String, Boolean> cache;
+
+  /** Share of requests that fail before their first part. */
+  double failureRate;
+
+  /** Factor of all times. */
+  double slowdown = 1;
+
+  long tokensGenerated;
+  int crashes;
+  int failures;
+  int cacheHits;
+  int starts;
+  private boolean down;
+
+  SimulatedServer(
+      BackendServer server, VirtualTimerService timers, ModelSettings settings, long seed) {
+    this.server = server;
+    this.timers = timers;
+    this.settings = settings;
+    this.random = new Random(seed);
+    this.cache =
+        new LinkedHashMap<>(16, 0.75f, true) {
+          @Override
+          protected boolean removeEldestEntry(Map.Entry<String, Boolean> eldest) {
+            return size() > settings.cachedPrefixes();
+          }
+        };
+  }
+
+  Incarnation incarnation() {
+    return Incarnation.of(server.id() + "." + crashes);
+  }
+
+  LoadReport report() {
+    return new LoadReport(
+        incarnation(),
+        Optional.of(WeightVersion.of(1)),
+        running.size(),
+        queue.size(),
+        settings.reportedSlots(),
+        false,
+        timers.nowNanos());
+  }
+
+  void start(SimulatedAttempt attempt) {
+    if (down) {
+      later(1, () -> attempt.end(new AttemptEnd.NotSent("connection refused")));
+      return;
+    }
+    attempt.listener.onSending();
+    queue.add(attempt);
+    queue.sort(Comparator.comparing(a -> a.work.priority()));
+    runNext();
+  }
+
+  void cancel(SimulatedAttempt attempt) {
+    queue.remove(attempt);
+    if (running.remove(attempt)) {
+      runNext();
+    }
+  }
+
+  /** Ends all attempts and refuses connections for a time. */
+  void crash(Duration restart) {
+    if (down) {
+      return;
+    }
+    down = true;
+    crashes++;
+    ImmutableList<SimulatedAttempt> lost =
+        ImmutableList.<SimulatedAttempt>builder().addAll(running).addAll(queue).build();
+    running.clear();
+    queue.clear();
+    cache.clear();
+    timers.after(restart, () -> down = false);
+    lost.forEach(attempt -> attempt.end(new AttemptEnd.Broken("connection reset")));
+  }
+
+  private void runNext() {
+    while (running.size() < settings.slots() && !queue.isEmpty()) {
+      SimulatedAttempt attempt = queue.remove(0);
+      running.add(attempt);
+      begin(attempt);
+    }
+  }
+
+  private void begin(SimulatedAttempt attempt) {
+    starts++;
+    boolean hit = attempt.prefix().isPresent() && cache.put(attempt.prefix().get(), true) != null;
+    cacheHits += hit ? 1 : 0;
+    double prefill = hit ? settings.hitPrefillMillis() : settings.missPrefillMillis();
+    later(prefill, () -> step(attempt));
+  }
+
+  private void step(SimulatedAttempt attempt) {
+    if (!running.contains(attempt)) {
+      return;
+    }
+    if (attempt.isPoison()) {
+      crash(Duration.ofSeconds(5));
+      return;
+    }
+    if (attempt.isFirstPart() && random.nextDouble() < failureRate) {
+      fail(attempt);
+      return;
+    }
+    int tokens = attempt.nextPart();
+    if (tokens == 0) {
+      finish(attempt);
+      return;
+    }
+    tokensGenerated += tokens;
+    attempt.give(
+        new Chunk(
+            attempt.offset,
+            tokens,
+            "",
+            Optional.of(WeightVersion.of(1)),
+            Optional.of(incarnation())));
+    later(tokens * settings.tokenMillis(), () -> step(attempt));
+  }
+
+  private void fail(SimulatedAttempt attempt) {
+    failures++;
+    running.remove(attempt);
+    attempt.end(new AttemptEnd.Failed("500"));
+    runNext();
+  }
+
+  private void finish(SimulatedAttempt attempt) {
+    running.remove(attempt);
+    attempt.end(
+        new AttemptEnd.Finished(
+            new Answer(server.id(), 200, "text/plain", attempt.offset, "stop")));
+    runNext();
+  }
+
+  private void later(double millis, Runnable task) {
+    timers.after(Duration.ofNanos((long) (millis * slowdown * NANOS_PER_MILLI)), task);
+  }
+}
--- a/amaranthstream/src/main/java/org/amaranthstream/dispatch/AttemptFailure.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/dispatch/AttemptFailure.java
@@ -10,20 +10,33 @@
  *
  * @param place where it ran
  * @param mayHaveRun false only if it is known not to have run
+ * @param progressed true if it gave parts that are kept
+ * @param heldNanos time for which it held a slot, in nanoseconds
  * @param error what was seen
  * @param retryAfter when to come back, if the place said so
  */
 record AttemptFailure(
-    String place, boolean mayHaveRun, ErrorDetail error, Optional<Duration> retryAfter) {
+    String place,
+    boolean mayHaveRun,
+    boolean progressed,
+    long heldNanos,
+    ErrorDetail error,
+    Optional<Duration> retryAfter) {
 
-  static AttemptFailure ran(String place, ResultCode code, String reason) {
+  static AttemptFailure ran(
+      String place, boolean progressed, long heldNanos, ResultCode code, String reason) {
     return new AttemptFailure(
-        place, true, ErrorDetail.of(code, place + ": " + reason), Optional.empty());
+        place,
+        true,
+        progressed,
+        heldNanos,
+        ErrorDetail.of(code, place + ": " + reason),
+        Optional.empty());
   }
 
   static AttemptFailure notRun(
       String place, ResultCode code, String reason, Optional<Duration> retryAfter) {
     return new AttemptFailure(
-        place, false, ErrorDetail.of(code, place + ": " + reason), retryAfter);
+        place, false, false, 0, ErrorDetail.of(code, place + ": " + reason), retryAfter);
   }
 }
--- a/amaranthstream/src/main/java/org/amaranthstream/dispatch/Dispatcher.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/dispatch/Dispatcher.java
@@ -165,16 +165,19 @@
     long now = timers.nowNanos();
     ImmutableList<Candidate> candidates = shared.finder().candidates(request, now);
     PoolQueue queue = queue(work.pool());
+    int slots = candidates.stream().mapToInt(Candidate::limit).sum();
+    long slotNanos = shared.estimates().slotNanos(work.pool());
     return new AdmissionInput(
         work.priority(),
         request.slackNanos(now),
-        candidates.stream().mapToInt(Candidate::limit).sum(),
+        slots,
         candidates.stream().mapToInt(c -> Math.min(c.load(), c.limit())).sum(),
-        queue.aheadOf(work.priority(), work.deadlineNanos()),
+        queue.aheadOf(
+            work.priority(), work.deadlineNanos(), queue.turn(slotNanos, () -> slots, now)),
         settings.queueCapacity(),
         queue.size(),
-        shared.estimates().serviceNanos(work.workClass()),
-        shared.estimates().slotNanos(work.pool()));
+        shared.estimates().serviceNanos(work, 0),
+        slotNanos);
   }
 
   private PoolQueue queue(PoolId pool) {
@@ -188,13 +191,20 @@
     armExpiry(request);
   }
 
-  /** Ends the wait when even a fast answer would be late. */
+  /** Ends the wait when an answer that began now would be late. */
   private void armExpiry(ActiveRequest request) {
-    long fast = shared.estimates().fastServiceNanos(request.work.workClass());
-    long wait = request.slackNanos(timers.nowNanos()) - fast;
+    long wait = request.slackNanos(timers.nowNanos()) - leastSlackNanos(request);
     request.arm(timers.after(Duration.ofNanos(Math.max(0, wait)), () -> expire(request)));
   }
 
+  private long leastSlackNanos(ActiveRequest request) {
+    return admission.leastSlackNanos(serviceNanos(request));
+  }
+
+  private long serviceNanos(ActiveRequest request) {
+    return shared.estimates().serviceNanos(request.work, request.partial.tokens());
+  }
+
   private void send(ActiveRequest request, Candidate candidate) {
     long slack = request.slackNanos(timers.nowNanos());
     request.arm(timers.after(Duration.ofNanos(Math.max(0, slack)), () -> expire(request)));
@@ -267,20 +277,23 @@
   private boolean mayMove(ActiveRequest request) {
     return request.work.idempotent()
         && retryBudget.isAvailable(request.work.workClass())
-        && retryPolicy.decide(retryInput(request, true, ResultCode.OUTCOME_UNKNOWN_BACKEND_LOST))
+        && retryPolicy.decide(
+                retryInput(request, true, false, ResultCode.OUTCOME_UNKNOWN_BACKEND_LOST))
             instanceof RetryPolicy.Decision.Retry;
   }
 
-  private RetryPolicy.Input retryInput(ActiveRequest request, boolean ran, ResultCode failure) {
+  private RetryPolicy.Input retryInput(
+      ActiveRequest request, boolean ran, boolean progressed, ResultCode failure) {
     return new RetryPolicy.Input(
         request.work.idempotent(),
         ran,
+        progressed,
         request.partial.isResumable(),
         request.attempts,
         request.refusals,
         settings.maxAttempts(),
         request.slackNanos(timers.nowNanos()),
-        shared.estimates().fastServiceNanos(request.work.workClass()),
+        serviceNanos(request),
         failure);
   }
 
@@ -339,17 +352,24 @@
       }
       ErrorDetail last = request.lastError == null ? failure.error() : request.lastError;
       RetryPolicy.Decision decision =
-          retryPolicy.decide(retryInput(request, request.mayHaveRun, last.code()));
+          retryPolicy.decide(
+              retryInput(request, request.mayHaveRun, failure.progressed(), last.code()));
       if (decision instanceof RetryPolicy.Decision.Retry retry
           && failure.mayHaveRun()
           && retry.chargesBudget()
-          && !retryBudget.tryTake(request.work.workClass())) {
+          && !retryBudget.tryTake(request.work.workClass(), cost(request, failure))) {
         return new RetryPolicy.Decision.GiveUp(
             last.code(), "retry budget of " + request.work.workClass() + " is used up");
       }
       return decision;
     }
 
+    /** Returns the lost slot time in units of the mean time for which a request holds a slot. */
+    private double cost(ActiveRequest request, AttemptFailure failure) {
+      long slot = shared.estimates().slotNanos(request.work.pool());
+      return slot == 0 ? 1 : Math.min(1, (double) failure.heldNanos() / slot);
+    }
+
     private void retry(ActiveRequest request, AttemptFailure failure, String reason) {
       long offset = request.partial.tokens();
       recorder.record(
--- a/amaranthstream/src/main/java/org/amaranthstream/dispatch/ForwardedAttempts.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/dispatch/ForwardedAttempts.java
@@ -86,6 +86,13 @@
 
   private void fail(ForwardedAttempt attempt, ResultCode code, String reason) {
     attempt.request.failedZones.add(attempt.zone);
-    lifecycle.onFailed(attempt.request, AttemptFailure.ran(attempt.place(), code, reason));
+    lifecycle.onFailed(
+        attempt.request,
+        AttemptFailure.ran(
+            attempt.place(),
+            attempt.request.partial.tokens() > 0,
+            timers.nowNanos() - attempt.startNanos,
+            code,
+            reason));
   }
 }
--- a/amaranthstream/src/main/java/org/amaranthstream/dispatch/IdempotentRetry.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/dispatch/IdempotentRetry.java
@@ -28,7 +28,7 @@
       return new Decision.GiveUp(
           input.failure(), "parts of an unknown weight version were passed on");
     }
-    if (input.slackNanos() <= input.fastServiceNanos()) {
+    if (input.slackNanos() <= input.serviceNanos()) {
       return lateGiveUp(input);
     }
     if (input.attempts() >= input.maxAttempts()) {
@@ -40,7 +40,8 @@
       return new Decision.GiveUp(code, "refused " + input.refusals() + " times");
     }
     return new Decision.Retry(
-        input.mayHaveRun(), String.format("%.0f ms left", input.slackNanos() / NANOS_PER_MILLI));
+        input.mayHaveRun() && !input.progressed(),
+        String.format("%.0f ms left", input.slackNanos() / NANOS_PER_MILLI));
   }
 
   private static Decision lateGiveUp(Input input) {
@@ -49,7 +50,7 @@
     return new Decision.GiveUp(
         code,
         String.format(
-            "%.0f ms left, a fast answer takes %.0f ms",
-            input.slackNanos() / NANOS_PER_MILLI, input.fastServiceNanos() / NANOS_PER_MILLI));
+            "%.0f ms left, the rest takes %.0f ms",
+            input.slackNanos() / NANOS_PER_MILLI, input.serviceNanos() / NANOS_PER_MILLI));
   }
 }
--- a/amaranthstream/src/main/java/org/amaranthstream/dispatch/PoolQueue.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/dispatch/PoolQueue.java
@@ -47,7 +47,7 @@
   }
 
   /** Returns the number of waiting requests that a new one would wait for. */
-  int aheadOf(Priority priority, long deadlineNanos) {
+  int aheadOf(Priority priority, long deadlineNanos, Optional<QueueOrder.Turn> turn) {
     int ahead = 0;
     for (ActiveRequest request : waiting.get(priority)) {
       if (request.deadlineNanos() - deadlineNanos > 0) {
@@ -55,7 +55,19 @@
       }
       ahead++;
     }
-    return priority == Priority.INTERACTIVE ? ahead : ahead + size(Priority.INTERACTIVE);
+    return priority == Priority.TRAINING
+        ? ahead + size(Priority.INTERACTIVE)
+        : ahead + trainingBetween(ahead, turn);
+  }
+
+  /** Returns the training requests that are expected to go before {@code interactive} others. */
+  private int trainingBetween(int interactive, Optional<QueueOrder.Turn> turn) {
+    if (turn.isEmpty()) {
+      return 0;
+    }
+    double share = order.trainingShare(turn.get());
+    double expected = share < 1 ? interactive * share / (1 - share) : Double.MAX_VALUE;
+    return (int) Math.min(size(Priority.TRAINING), expected);
   }
 
   /** Returns what a choice between the priorities rests on, empty unless both wait. */
--- a/amaranthstream/src/main/java/org/amaranthstream/dispatch/QueueOrder.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/dispatch/QueueOrder.java
@@ -18,6 +18,9 @@
    */
   boolean isTrainingNext(Turn turn);
 
+  /** Returns the expected share of training in the coming turns. */
+  double trainingShare(Turn turn);
+
   /**
    * Called when a request of each priority waited and one of them was sent.
    *
--- a/amaranthstream/src/main/java/org/amaranthstream/dispatch/RetryPolicy.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/dispatch/RetryPolicy.java
@@ -14,23 +14,25 @@
    *
    * @param idempotent true if the request may run more than once
    * @param mayHaveRun true if this attempt or an earlier one may have run it
+   * @param progressed true if the attempt that ended gave parts that are kept
    * @param resumable true if another attempt can continue the answer or start it anew
    * @param attempts attempts that may have reached a server
    * @param refusals attempts that are known not to have run
    * @param maxAttempts attempts that may reach a server
    * @param slackNanos time until the deadline, in nanoseconds
-   * @param fastServiceNanos time that a fast answer takes, in nanoseconds, 0 if not known
+   * @param serviceNanos expected time of the rest of the answer, in nanoseconds, 0 if not known
    * @param failure the code of the outcome if the request is given up and may have run
    */
   record Input(
       boolean idempotent,
       boolean mayHaveRun,
+      boolean progressed,
       boolean resumable,
       int attempts,
       int refusals,
       int maxAttempts,
       long slackNanos,
-      long fastServiceNanos,
+      long serviceNanos,
       ResultCode failure) {}
 
   /** Decision on one request, with its reason. */
--- a/amaranthstream/src/main/java/org/amaranthstream/dispatch/ServerAttempt.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/dispatch/ServerAttempt.java
@@ -15,12 +15,14 @@
   final AttemptId id;
   final long startNanos;
   final int loadAtStart;
+  final long startOffset;
   private final AttemptEvents events;
   private BackendTransport.@Nullable Attempt handle;
   private boolean closed;
   private boolean cancelled;
   private boolean sending;
   private boolean answering;
+  private long firstPartNanos;
   private long progressNanos;
   private Optional<Incarnation> incarnation;
 
@@ -37,6 +39,7 @@
     this.startNanos = startNanos;
     this.loadAtStart = loadAtStart;
     this.events = events;
+    this.startOffset = request.partial.tokens();
     this.progressNanos = startNanos;
     this.incarnation = server.incarnation();
   }
@@ -73,13 +76,30 @@
 
   /** Notes progress and the incarnation that made it. */
   void progressed(Chunk chunk, long nowNanos) {
-    answering = true;
+    answered(nowNanos);
     progressNanos = nowNanos;
     if (chunk.incarnation().isPresent()) {
       incarnation = chunk.incarnation();
     }
   }
 
+  /** Notes the time of the first part of the answer. */
+  void answered(long nowNanos) {
+    if (!answering) {
+      answering = true;
+      firstPartNanos = nowNanos;
+    }
+  }
+
+  /** Returns true if parts of the answer came from it and need not be generated again. */
+  boolean hasKeptParts() {
+    return request.partial.tokens() > startOffset;
+  }
+
+  long firstPartNanos() {
+    return firstPartNanos;
+  }
+
   @Override
   public void cancel() {
     closed = true;
--- a/amaranthstream/src/main/java/org/amaranthstream/dispatch/ServerAttempts.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/dispatch/ServerAttempts.java
@@ -69,7 +69,14 @@
   /** Stops an attempt because its request got its outcome. */
   void stop(ServerAttempt attempt) {
     attempt.cancel();
-    attempt.server.ended(attempt, timers.nowNanos());
+    release(attempt);
+  }
+
+  private void release(ServerAttempt attempt) {
+    long now = timers.nowNanos();
+    if (attempt.server.ended(attempt, now) && attempt.isAnswering()) {
+      estimates.onSlot(attempt.request.work, now - attempt.startNanos);
+    }
   }
 
   @Override
@@ -96,7 +103,7 @@
 
   @Override
   public void onEnd(ServerAttempt attempt, AttemptEnd end) {
-    attempt.server.ended(attempt, timers.nowNanos());
+    release(attempt);
     if (end instanceof AttemptEnd.Finished finished) {
       onFinished(attempt, finished.answer());
     } else if (end instanceof AttemptEnd.Rejected rejected) {
@@ -117,9 +124,10 @@
     long now = timers.nowNanos();
     if (!attempt.isAnswering()) {
       onFirstPart(attempt, now);
+      attempt.answered(now);
     }
     attempt.server.health.onOutcome(true, now);
-    estimates.onAnswer(attempt.request.work, now - attempt.startNanos);
+    estimates.onRest(attempt.request.work, attempt.startOffset, now - attempt.firstPartNanos());
     poison.onAnswer(attempt.request.fingerprint);
     lifecycle.onCompleted(attempt.request, answer);
   }
@@ -180,10 +188,17 @@
 
   private void fail(ServerAttempt attempt, ResultCode code, String reason) {
     long now = timers.nowNanos();
-    attempt.server.ended(attempt, now);
+    release(attempt);
     attempt.server.health.onOutcome(false, now);
     attempt.request.failedServers.add(attempt.server.server.id());
-    lifecycle.onFailed(attempt.request, AttemptFailure.ran(attempt.place(), code, reason));
+    lifecycle.onFailed(
+        attempt.request,
+        AttemptFailure.ran(
+            attempt.place(),
+            attempt.hasKeptParts(),
+            timers.nowNanos() - attempt.startNanos,
+            code,
+            reason));
   }
 
   /** Looks into the attempts without progress that {@code mayMove} allows to run elsewhere. */
@@ -217,10 +232,15 @@
 
   /** Ends an attempt without holding it against its server. */
   private void giveUpConnection(ServerAttempt attempt, String reason) {
-    attempt.server.ended(attempt, timers.nowNanos());
+    release(attempt);
     lifecycle.onFailed(
         attempt.request,
-        AttemptFailure.ran(attempt.place(), ResultCode.OUTCOME_UNKNOWN_BACKEND_LOST, reason));
+        AttemptFailure.ran(
+            attempt.place(),
+            attempt.hasKeptParts(),
+            timers.nowNanos() - attempt.startNanos,
+            ResultCode.OUTCOME_UNKNOWN_BACKEND_LOST,
+            reason));
   }
 
   /** Clears suspects of crashes that turned out not to be any. */
--- a/amaranthstream/src/main/java/org/amaranthstream/dispatch/ServerState.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/dispatch/ServerState.java
@@ -36,12 +36,20 @@
 
   void update(BackendView view) {
     leaving = view.leaving();
-    report = view.report();
+    noteReport(view.report());
     if (saidDraining && isRestarted()) {
       saidDraining = false;
     }
   }
 
+  private void noteReport(Optional<LoadReport> newest) {
+    boolean isNew = newest.isPresent() && !newest.equals(report);
+    report = newest;
+    if (isNew) {
+      limit.onReport(newest.get().running(), newest.get().queued());
+    }
+  }
+
   /** Returns true if a report after the server said that it leaves is of another incarnation. */
   private boolean isRestarted() {
     return drainingIncarnation.isPresent()
@@ -89,10 +97,13 @@
     history.add(nowNanos, running.size());
   }
 
-  void ended(ServerAttempt attempt, long nowNanos) {
-    if (running.remove(attempt)) {
+  /** Returns false if the attempt had ended before. */
+  boolean ended(ServerAttempt attempt, long nowNanos) {
+    boolean removed = running.remove(attempt);
+    if (removed) {
       history.add(nowNanos, running.size());
     }
+    return removed;
   }
 
   /**
--- a/amaranthstream/src/main/java/org/amaranthstream/dispatch/ServiceEstimates.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/dispatch/ServiceEstimates.java
@@ -5,19 +5,29 @@
 import org.amaranthstream.ids.PoolId;
 import org.amaranthstream.ids.WorkClassId;
 
-/** Learned times of answers by class, and of slots by pool. Used on the decision thread only. */
+/**
+ * Learned times of answers by class, and of slots by pool. Used on the decision thread only.
+ *
+ * <p>The time of a generated answer is learned for each token that may be generated, so that a long
+ * answer is not taken for a slow one.
+ */
 final class ServiceEstimates {
-  private final Map<WorkClassId, MovingEstimate> byClass = new HashMap<>();
-  private final Map<PoolId, MovingEstimate> byPool = new HashMap<>();
   private final Map<WorkClassId, MovingEstimate> firstParts = new HashMap<>();
+  private final Map<WorkClassId, MovingEstimate> rests = new HashMap<>();
+  private final Map<PoolId, MovingEstimate> slots = new HashMap<>();
 
-  void onAnswer(Work work, long nanos) {
-    byClass.computeIfAbsent(work.workClass(), c -> new MovingEstimate()).add(nanos);
-    byPool.computeIfAbsent(work.pool(), p -> new MovingEstimate()).add(nanos);
+  void onFirstPart(Work work, long nanos) {
+    estimate(firstParts, work.workClass()).add(nanos);
   }
 
-  void onFirstPart(Work work, long nanos) {
-    firstParts.computeIfAbsent(work.workClass(), c -> new MovingEstimate()).add(nanos);
+  /** Takes the time from the first part to the end of an answer that began at {@code offset}. */
+  void onRest(Work work, long offset, long nanos) {
+    estimate(rests, work.workClass()).add(nanos / units(work, offset));
+  }
+
+  /** Takes the time for which a request held a slot, whatever its outcome. */
+  void onSlot(Work work, long nanos) {
+    estimate(slots, work.pool()).add(nanos);
   }
 
   /** Returns the mean time until the first part of an answer, 0 if none is known. */
@@ -26,21 +36,30 @@
     return estimate == null ? 0 : estimate.mean();
   }
 
-  /** Returns the mean time of an answer, 0 if none is known. */
-  long serviceNanos(WorkClassId workClass) {
-    MovingEstimate estimate = byClass.get(workClass);
+  /** Returns the expected time of the rest of an answer after {@code offset}, 0 if not known. */
+  long serviceNanos(Work work, long offset) {
+    MovingEstimate rest = rests.get(work.workClass());
+    if (rest == null) {
+      return 0;
+    }
+    return firstPartNanos(work.workClass()) + rest.mean() * units(work, offset);
+  }
+
+  /** Returns the mean time for which a request of the pool holds a slot, 0 if none is known. */
+  long slotNanos(PoolId pool) {
+    MovingEstimate estimate = slots.get(pool);
     return estimate == null ? 0 : estimate.mean();
   }
 
-  /** Returns the time that a fast answer takes, 0 if none is known. */
-  long fastServiceNanos(WorkClassId workClass) {
-    MovingEstimate estimate = byClass.get(workClass);
-    return estimate == null ? 0 : estimate.low();
+  /** Returns the number of tokens to come, or 1 for a plain service. */
+  private static long units(Work work, long offset) {
+    if (work.payload() instanceof Payload.Generate generate) {
+      return Math.max(1, generate.maxTokens() - offset);
+    }
+    return 1;
   }
 
-  /** Returns the mean time that a request of the pool holds a slot, 0 if none is known. */
-  long slotNanos(PoolId pool) {
-    MovingEstimate estimate = byPool.get(pool);
-    return estimate == null ? 0 : estimate.mean();
+  private static <K> MovingEstimate estimate(Map<K, MovingEstimate> estimates, K key) {
+    return estimates.computeIfAbsent(key, k -> new MovingEstimate());
   }
 }
--- a/amaranthstream/src/main/java/org/amaranthstream/dispatch/SlackOrder.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/dispatch/SlackOrder.java
@@ -25,19 +25,20 @@
 
   @Override
   public boolean isTrainingNext(Turn turn) {
-    return trainingCredit + neededShare(turn) >= 1;
+    return trainingCredit + trainingShare(turn) >= 1;
   }
 
   @Override
   public void onSent(Turn turn, boolean training) {
-    trainingCredit += neededShare(turn);
+    trainingCredit += trainingShare(turn);
     if (training) {
       trainingCredit = Math.max(0, trainingCredit - 1);
     }
     trainingCredit = Math.min(1, trainingCredit);
   }
 
-  private static double neededShare(Turn turn) {
+  @Override
+  public double trainingShare(Turn turn) {
     long slack = turn.training().deadlineNanos() - turn.nowNanos();
     if (slack <= 0) {
       return 1;
--- a/amaranthstream/src/main/java/org/amaranthstream/dispatch/SuccessShareBudget.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/dispatch/SuccessShareBudget.java
@@ -7,12 +7,13 @@
 import org.amaranthstream.ids.WorkClassId;
 
 /**
- * Retries as a share of the successes of a class, with a reserve for the crash of a server.
+ * Retries as a share of the successes of a class, with a reserve for the crash of a server. A retry
+ * after an attempt that failed early costs less than one after an attempt that failed late.
  *
  * <p>Not thread safe.
  */
 public final class SuccessShareBudget implements RetryBudget {
-  private static final double DEFAULT_SHARE = 0.1;
+  private static final double DEFAULT_SHARE = 0.2;
   private static final int DEFAULT_RESERVE = 100;
 
   private final double share;
@@ -24,7 +25,7 @@
     this.reserve = reserve;
   }
 
-  /** Returns a budget of a tenth of the successes and a reserve of 100 retries. */
+  /** Returns a budget of a fifth of the successes and a reserve of 100 retries. */
   public static SuccessShareBudget create() {
     return of(DEFAULT_SHARE, DEFAULT_RESERVE);
   }
@@ -47,11 +48,12 @@
   }
 
   @Override
-  public boolean tryTake(WorkClassId workClass) {
+  public boolean tryTake(WorkClassId workClass, double cost) {
+    checkArgument(cost >= 0 && cost <= 1, "cost is not between 0 and 1: %s", cost);
     if (!isAvailable(workClass)) {
       return false;
     }
-    left.put(workClass, left(workClass) - 1);
+    left.put(workClass, left(workClass) - cost);
     return true;
   }
 
--- a/amaranthstream/src/main/java/org/amaranthstream/ingress/IngressRoutes.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/ingress/IngressRoutes.java
@@ -56,7 +56,9 @@
     chain(router, HttpMethod.POST, VERSIONS, trainer, counted, body(), versions);
   }
 
-  /** Mounts each handler on a route of its own, so that tokens are checked before bodies are read. */
+  /**
+   * Mounts each handler on a route of its own, so that tokens are checked before bodies are read.
+   */
   @SafeVarargs
   private static void chain(
       Router router, HttpMethod method, String path, Handler<RoutingContext>... handlers) {
--- a/amaranthstream/src/main/java/org/amaranthstream/ingress/RoleGate.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/ingress/RoleGate.java
@@ -29,8 +29,7 @@
 
   @Override
   public void handle(RoutingContext routing) {
-    Optional<Credential> credential =
-        verifier.verify(routing.request().getHeader("Authorization"));
+    Optional<Credential> credential = verifier.verify(routing.request().getHeader("Authorization"));
     if (credential.isEmpty()) {
       refuse(routing, ResultCode.UNAUTHENTICATED, "no valid bearer token");
     } else if (!allowed.contains(credential.get().role())) {
--- a/amaranthstream/src/main/java/org/amaranthstream/placement/ConcurrencyLimit.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/placement/ConcurrencyLimit.java
@@ -14,6 +14,14 @@
    */
   void onAnswer(long latencyNanos, int inFlight);
 
+  /**
+   * Takes what the server reported about itself.
+   *
+   * @param running requests that it ran
+   * @param queued requests that waited in it
+   */
+  default void onReport(int running, int queued) {}
+
   /** Takes a refusal by the server, or an answer that did not come in time. */
   void onOverload();
 
--- a/amaranthstream/src/test/java/org/amaranthstream/time/VirtualTimerService.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/time/VirtualTimerService.java
@@ -7,7 +7,7 @@
 import java.util.PriorityQueue;
 
 /**
- * Timers on a virtual clock that moves only when a test moves it.
+ * Timers on a virtual clock that moves only when its owner moves it, for tests and simulations.
  *
  * <p>Tasks run on the thread that moves the clock, ordered by time and, at the same time, by
  * subscription. Not thread safe.
--- a/amaranthstream/src/test/java/org/amaranthstream/dispatch/Session.java
+++ b/amaranthstream/src/test/java/org/amaranthstream/dispatch/Session.java
@@ -1,5 +1,6 @@
 package org.amaranthstream.dispatch;
 
+import com.google.errorprone.annotations.FormatMethod;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
@@ -37,6 +38,7 @@
   }
 
   /** Logs an event, after the decisions that came before it. */
+  @FormatMethod
   void event(String format, Object... arguments) {
     logRecords();
     lines.add(millis(fixture.timers.nowNanos()) + " " + String.format(format, arguments));
--- /dev/null
+++ b/amaranthstream/src/test/java/org/amaranthstream/placement/AimdLimitTest.java
@@ -0,0 +1,72 @@
+package org.amaranthstream.placement;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import org.junit.jupiter.api.Test;
+
+class AimdLimitTest {
+  private static final int WINDOW = 32;
+
+  private static void answers(ConcurrencyLimit limit, int windows, long latencyNanos) {
+    for (int i = 0; i < windows * WINDOW; i++) {
+      limit.onAnswer(latencyNanos, limit.limit());
+    }
+  }
+
+  @Test
+  void startsAtTheReportedSlotsAndStaysWithinThem() {
+    AimdLimit limit = AimdLimit.startingAt(8);
+    answers(limit, 10, 100);
+
+    assertThat(limit.limit()).isEqualTo(8);
+  }
+
+  @Test
+  void growsWhenTheSlotsAreNotKnown() {
+    AimdLimit limit = AimdLimit.startingAt(0);
+    answers(limit, 3, 100);
+
+    assertThat(limit.limit()).isEqualTo(7);
+  }
+
+  @Test
+  void isCutWhenTheLatencyOfWindowsRises() {
+    AimdLimit limit = AimdLimit.startingAt(10);
+    answers(limit, 1, 100);
+    answers(limit, 1, 400);
+
+    assertThat(limit.limit()).isEqualTo(9);
+  }
+
+  @Test
+  void isNotCutBySingleSlowAnswers() {
+    AimdLimit limit = AimdLimit.startingAt(10);
+    answers(limit, 1, 100);
+    for (int i = 0; i < WINDOW; i++) {
+      limit.onAnswer(i % 8 == 0 ? 1000 : 100, 10);
+    }
+
+    assertThat(limit.limit()).isEqualTo(10);
+  }
+
+  @Test
+  void isCutWhileTheServerReportsQueue() {
+    AimdLimit limit = AimdLimit.startingAt(32);
+    for (int i = 0; i < 10; i++) {
+      limit.onReport(8, 24);
+    }
+
+    assertThat(limit.limit()).isEqualTo(11);
+  }
+
+  @Test
+  void recoversAfterRefusals() {
+    AimdLimit limit = AimdLimit.startingAt(10);
+    limit.onOverload();
+    limit.onOverload();
+    assertThat(limit.limit()).isEqualTo(9);
+    answers(limit, 3, 100);
+
+    assertThat(limit.limit()).isEqualTo(10);
+  }
+}
