--- a/amaranthstream/src/test/java/org/amaranthstream/peer/TestNode.java
+++ b/amaranthstream/src/test/java/org/amaranthstream/peer/TestNode.java
@@ -5,6 +5,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import org.amaranthstream.dispatch.PoisonNotice;
 import org.amaranthstream.ids.AvailabilityZoneId;
 import org.amaranthstream.ids.ConfigGeneration;
 import org.amaranthstream.ids.EntryVmId;
@@ -89,6 +90,10 @@
         .anyMatch(link -> link.vm().equals(other.self.id()) && link.phase() == LinkPhase.READY);
   }
 
+  boolean isHeardFrom(String vm) {
+    return node.snapshot().inbound().stream().anyMatch(link -> link.vm().value().equals(vm));
+  }
+
   Optional<LinkView> linkTo(TestNode other) {
     return node.snapshot().outbound().stream()
         .filter(link -> link.vm().equals(other.self.id()))
@@ -106,7 +111,7 @@
   }
 
   @Override
-  public ImmutableList<QuarantineNotice> quarantined() {
+  public ImmutableList<PoisonNotice> poison() {
     return ImmutableList.of();
   }
 
@@ -124,5 +129,5 @@
   public void onWeightVersion(ModelId model, WeightVersion version) {}
 
   @Override
-  public void onQuarantined(QuarantineNotice notice) {}
+  public void onPoison(PoisonNotice notice) {}
 }
