--- a/amaranthstream-bench/src/main/java/org/amaranthstream/bench/experiment/BaselinePolicies.java
+++ b/amaranthstream-bench/src/main/java/org/amaranthstream/bench/experiment/BaselinePolicies.java
@@ -1,6 +1,10 @@
 package org.amaranthstream.bench.experiment;
 
-import org.amaranthstream.admission.AdmissionDecision;
+import org.amaranthstream.bench.baseline.AdmitAll;
+import org.amaranthstream.bench.baseline.FifoOrder;
+import org.amaranthstream.bench.baseline.FixedLimit;
+import org.amaranthstream.bench.baseline.PlainRetry;
+import org.amaranthstream.bench.baseline.RoundRobinPlacement;
 import org.amaranthstream.daemon.PolicySet;
 import org.amaranthstream.dispatch.DispatcherBuilder;
 import org.amaranthstream.dispatch.RetryBudget;
@@ -18,7 +22,7 @@
   @Override
   public void configure(DispatcherBuilder dispatcher) {
     dispatcher
-        .admission(input -> new AdmissionDecision.Admit(input.serviceNanos()))
+        .admission(new AdmitAll())
         .placement(new RoundRobinPlacement())
         .queueOrder(FifoOrder::new)
         .retryPolicy(new PlainRetry())
--- a/amaranthstream-bench/src/test/java/org/amaranthstream/bench/experiment/RoundRobinPlacementTest.java
+++ b/amaranthstream-bench/src/test/java/org/amaranthstream/bench/baseline/RoundRobinPlacementTest.java
@@ -1,4 +1,4 @@
-package org.amaranthstream.bench.experiment;
+package org.amaranthstream.bench.baseline;
 
 import static com.google.common.truth.Truth.assertThat;
 
--- a/amaranthstream/src/main/java/org/amaranthstream/daemon/Daemon.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/daemon/Daemon.java
@@ -5,6 +5,7 @@
 import com.google.common.flogger.FluentLogger;
 import com.google.common.io.BaseEncoding;
 import java.security.SecureRandom;
+import java.util.concurrent.atomic.AtomicBoolean;
 import org.amaranthstream.ids.Incarnation;
 import org.amaranthstream.membership.LocalVm;
 import org.amaranthstream.result.Result;
@@ -27,6 +28,7 @@
   private final Core core;
   private final HttpFront http;
   private final int peerPort;
+  private final AtomicBoolean closed = new AtomicBoolean();
 
   private Daemon(Core core, HttpFront http, int peerPort) {
     this.core = core;
@@ -91,9 +93,12 @@
     close();
   }
 
-  /** Stops at once; what is in flight is cut off. */
+  /** Stops at once; what is in flight is cut off. Later calls do nothing. */
   @Override
   public void close() {
+    if (closed.getAndSet(true)) {
+      return;
+    }
     http.close();
     core.close();
   }
