--- a/amaranthstream-bench/src/main/java/org/amaranthstream/bench/experiment/Cluster.java
+++ b/amaranthstream-bench/src/main/java/org/amaranthstream/bench/experiment/Cluster.java
@@ -83,6 +83,11 @@
     return daemons.stream().map(DaemonSpec::url).toList();
   }
 
+  /** Returns the process of a daemon, in the order of {@link #daemonUrls}. */
+  JavaProcess daemonProcess(int index) {
+    return daemonProcesses.get(index);
+  }
+
   List<BackendProcess> engines() {
     return engines;
   }
--- a/amaranthstream-bench/src/main/java/org/amaranthstream/bench/experiment/ExperimentDaemon.java
+++ b/amaranthstream-bench/src/main/java/org/amaranthstream/bench/experiment/ExperimentDaemon.java
@@ -1,9 +1,8 @@
 package org.amaranthstream.bench.experiment;
 
-import com.google.common.util.concurrent.Uninterruptibles;
 import java.nio.file.Path;
-import java.util.concurrent.CountDownLatch;
-import org.amaranthstream.daemon.Daemon;
+import org.amaranthstream.daemon.DaemonProcess;
+import org.amaranthstream.result.ErrorDetail;
 import org.amaranthstream.result.Result;
 import org.amaranthstream.settings.Settings;
 import org.amaranthstream.settings.SettingsLoader;
@@ -14,23 +13,15 @@
 
   private ExperimentDaemon() {}
 
-  /** Runs until it is killed; the arguments are the settings file and the name of the policy. */
+  /** Runs until it is stopped; the arguments are the settings file and the name of the policy. */
   public static void main(String[] args) {
     Policy policy = Policy.of(args[1]);
     Result<Settings> settings = SettingsLoader.load(Path.of(args[0]));
-    if (settings instanceof Result.Failure<Settings> failure) {
-      exit(failure.error().toString());
-    }
-    Result<Daemon> daemon =
-        Daemon.start(((Result.Success<Settings>) settings).value(), policy.policies());
-    if (daemon instanceof Result.Failure<Daemon> failure) {
-      exit(failure.error().toString());
-    }
-    Uninterruptibles.awaitUninterruptibly(new CountDownLatch(1));
-  }
-
-  private static void exit(String reason) {
-    System.err.println(reason);
+    ErrorDetail error =
+        settings instanceof Result.Success<Settings> success
+            ? DaemonProcess.run(success.value(), policy.policies(), System.out)
+            : ((Result.Failure<Settings>) settings).error();
+    System.err.println(error);
     System.exit(EXIT_NOT_STARTED);
   }
 }
--- a/amaranthstream-bench/src/main/java/org/amaranthstream/bench/experiment/JavaProcess.java
+++ b/amaranthstream-bench/src/main/java/org/amaranthstream/bench/experiment/JavaProcess.java
@@ -81,6 +81,25 @@
     return process.info().totalCpuDuration().map(Duration::toMillis).orElse(0L);
   }
 
+  /** Asks the process to stop, as a platform does before it takes a VM away. */
+  void terminate() {
+    process.destroy();
+  }
+
+  /** Waits until the process has ended and returns its exit status. */
+  int awaitExit(Duration bound) {
+    return process.onExit().orTimeout(bound.toMillis(), TimeUnit.MILLISECONDS).join().exitValue();
+  }
+
+  /** Sends {@code signal}, for example {@code STOP}. */
+  void signal(String signal) throws IOException {
+    new ProcessBuilder("kill", "-" + signal, Long.toString(process.pid()))
+        .start()
+        .onExit()
+        .orTimeout(EXIT_SECONDS, TimeUnit.SECONDS)
+        .join();
+  }
+
   @Override
   public void close() {
     process.destroyForcibly();
--- a/amaranthstream-bench/src/main/java/org/amaranthstream/bench/experiment/User.java
+++ b/amaranthstream-bench/src/main/java/org/amaranthstream/bench/experiment/User.java
@@ -22,7 +22,9 @@
           new ZoneShape("almaty-b", "almaty", 2, 2, 1),
           new ZoneShape("astana-a", "astana", 2, 2, 1))),
   /** One daemon, one engine and one service. */
-  SINGLE("IDLE_TIME", 4, 0, ImmutableList.of(new ZoneShape("zone-a", "region", 1, 1, 1)));
+  SINGLE("IDLE_TIME", 4, 0, ImmutableList.of(new ZoneShape("zone-a", "region", 1, 1, 1))),
+  /** Two daemons, two engines and one service, for tests of processes. */
+  PAIR("IDLE_TIME", 4, 0, ImmutableList.of(new ZoneShape("zone-a", "region", 2, 2, 1)));
 
   /** One-way latency between regions. */
   static final int REGION_LATENCY_MS = 8;
