Make the silent-connection test independent of scheduling, add heartbeat-slope

Now the relay drops bytes from one point on and no frame is taken while the last answer ages; the check is as strict (a fresh connection, and the reason 'no answer for').

--- a/amaranthstream-bench/src/main/java/org/amaranthstream/bench/BenchCommands.java
+++ b/amaranthstream-bench/src/main/java/org/amaranthstream/bench/BenchCommands.java
@@ -2,12 +2,13 @@
 
 import com.google.common.collect.ImmutableList;
 import org.amaranthstream.bench.demo.DemoCommand;
+import org.amaranthstream.bench.slopes.HeartbeatSlopeCommand;
 
 /** All subcommands of the bench binary. */
 final class BenchCommands {
   private BenchCommands() {}
 
   static ImmutableList<BenchCommand> all() {
-    return ImmutableList.of(new DemoCommand());
+    return ImmutableList.of(new DemoCommand(), new HeartbeatSlopeCommand());
   }
 }
--- a/amaranthstream/src/test/java/org/amaranthstream/peer/PeerLinkFaultsTest.java
+++ b/amaranthstream/src/test/java/org/amaranthstream/peer/PeerLinkFaultsTest.java
@@ -51,6 +51,14 @@
     }
   }
 
+  /** Lets {@code seconds} pass; both links keep up. */
+  private void beatBothWays(int seconds) {
+    for (int i = 0; i < seconds; i++) {
+      mesh.timers.advance(SECOND);
+      mesh.runUntil("answers", () -> isAnswered(far, near) && isAnswered(near, far));
+    }
+  }
+
   private static boolean isAnswered(TestNode from, TestNode to) {
     return from.linkTo(to).flatMap(LinkView::answerAge).map(Duration::isZero).orElse(false);
   }
@@ -64,8 +72,7 @@
 
     @Test
     void heartbeatsMakePeersReachableBothWays() {
-      beat(3);
-      mesh.runUntil("answer", () -> isAnswered(near, far));
+      beatBothWays(3);
       mesh.runUntil("two-way", () -> takesWork(near, far) && takesWork(far, near));
       assertThat(far.generations).contains(ConfigGeneration.of(1));
     }
@@ -76,11 +83,11 @@
 
     @Test
     void silentConnectionIsReplacedByFreshOne() {
-      beat(2);
-      relay.holdFromClient();
-      relay.holdFromTarget();
+      beatBothWays(2);
+      relay.swallow();
       int before = relay.accepted();
-      beat(4);
+      // No frame is taken while the last answer becomes 3 s old, and no time passes afterwards.
+      mesh.timers.advance(SECOND.multipliedBy(3));
       mesh.runUntil("fresh connection", () -> near.isLinkedTo(far));
       assertThat(relay.accepted()).isGreaterThan(before);
       assertThat(near.linkTo(far).orElseThrow().lastLoss()).contains("no answer for");
@@ -88,10 +95,10 @@
 
     @Test
     void oneWayCutIsSeenByBothSides() {
-      beat(2);
+      beatBothWays(2);
       mesh.runUntil("two-way", () -> takesWork(near, far) && takesWork(far, near));
       near.table.onVmList(List.of(near.entry(), far.entry(1)), mesh.timers.nowNanos());
-      beat(7);
+      beat(8);
       assertThat(far.table.entryVm(near.self.id()).orElseThrow().reachability())
           .isEqualTo(Reachability.UNREACHABLE);
       assertThat(near.table.entryVm(far.self.id()).orElseThrow().reachability())
@@ -124,9 +131,9 @@
 
     @Test
     void workOnSilentConnectionEndsUnknown() {
-      relay.holdFromTarget();
-      TestListener listener = forward(10);
+      final TestListener listener = forward(10);
       mesh.runUntil("arrival", () -> !far.runner.submitted.isEmpty());
+      relay.swallow();
       for (int i = 0; i < 4; i++) {
         mesh.timers.advance(SECOND);
       }
--- a/amaranthstream/src/test/java/org/amaranthstream/peer/Relay.java
+++ b/amaranthstream/src/test/java/org/amaranthstream/peer/Relay.java
@@ -3,6 +3,7 @@
 import io.netty.bootstrap.Bootstrap;
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandler;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
@@ -13,6 +14,7 @@
 import io.netty.channel.nio.NioIoHandler;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.channel.socket.nio.NioSocketChannel;
+import io.netty.util.ReferenceCountUtil;
 import java.net.InetSocketAddress;
 import java.util.List;
 import java.util.concurrent.CopyOnWriteArrayList;
@@ -24,7 +26,7 @@
   private final EventLoopGroup loops =
       new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
   private final List<Channel> towardsClient = new CopyOnWriteArrayList<>();
-  private final List<Channel> towardsTarget = new CopyOnWriteArrayList<>();
+  private final List<Pass> passes = new CopyOnWriteArrayList<>();
   private final AtomicInteger accepted = new AtomicInteger();
   private final int targetPort;
   private final int port;
@@ -58,9 +60,9 @@
     towardsClient.forEach(channel -> channel.config().setAutoRead(false));
   }
 
-  /** Stops to read what the target of the connections of now sends. */
-  void holdFromTarget() {
-    towardsTarget.forEach(channel -> channel.config().setAutoRead(false));
+  /** Drops from now on what either end of the connections of now sends. */
+  void swallow() {
+    passes.forEach(pass -> pass.swallowing = true);
   }
 
   @Override
@@ -72,25 +74,28 @@
     @Override
     protected void initChannel(Channel client) {
       accepted.incrementAndGet();
-      new Bootstrap()
-          .group(client.eventLoop())
-          .channel(NioSocketChannel.class)
-          .handler(new Pass(client))
-          .connect("127.0.0.1", targetPort)
-          .addListener(
-              done -> {
-                Channel target = ((io.netty.channel.ChannelFuture) done).channel();
-                towardsClient.add(client);
-                towardsTarget.add(target);
-                client.pipeline().addLast(new Pass(target));
-                client.config().setAutoRead(true);
-              });
+      Pass toClient = new Pass(client);
+      ChannelFuture target =
+          new Bootstrap()
+              .group(client.eventLoop())
+              .channel(NioSocketChannel.class)
+              .handler(toClient)
+              .connect("127.0.0.1", targetPort);
+      target.addListener(
+          unused -> {
+            Pass toTarget = new Pass(target.channel());
+            towardsClient.add(client);
+            passes.addAll(List.of(toClient, toTarget));
+            client.pipeline().addLast(toTarget);
+            client.config().setAutoRead(true);
+          });
     }
   }
 
   @ChannelHandler.Sharable
   private static final class Pass extends ChannelInboundHandlerAdapter {
     private final Channel other;
+    private volatile boolean swallowing;
 
     private Pass(Channel other) {
       this.other = other;
@@ -98,7 +103,11 @@
 
     @Override
     public void channelRead(ChannelHandlerContext ctx, Object message) {
-      other.writeAndFlush(message);
+      if (swallowing) {
+        ReferenceCountUtil.release(message);
+      } else {
+        other.writeAndFlush(message);
+      }
     }
 
     @Override
