--- a/amaranthstream-bench/src/main/java/org/amaranthstream/bench/BenchCommands.java
+++ b/amaranthstream-bench/src/main/java/org/amaranthstream/bench/BenchCommands.java
@@ -2,6 +2,8 @@
 
 import com.google.common.collect.ImmutableList;
 import org.amaranthstream.bench.demo.DemoCommand;
+import org.amaranthstream.bench.entrypath.EntryPathCommand;
+import org.amaranthstream.bench.experiment.ExperimentCommand;
 import org.amaranthstream.bench.slopes.HeartbeatSlopeCommand;
 
 /** All subcommands of the bench binary. */
@@ -9,6 +11,10 @@
   private BenchCommands() {}
 
   static ImmutableList<BenchCommand> all() {
-    return ImmutableList.of(new DemoCommand(), new HeartbeatSlopeCommand());
+    return ImmutableList.of(
+        new DemoCommand(),
+        new ExperimentCommand(),
+        new EntryPathCommand(),
+        new HeartbeatSlopeCommand());
   }
 }
--- a/amaranthstream-bench/src/main/java/org/amaranthstream/bench/experiment/FifoOrder.java
+++ b/amaranthstream-bench/src/main/java/org/amaranthstream/bench/baseline/FifoOrder.java
@@ -1,10 +1,10 @@
-package org.amaranthstream.bench.experiment;
+package org.amaranthstream.bench.baseline;
 
 import org.amaranthstream.dispatch.QueueOrder;
 import org.amaranthstream.dispatch.QueuedRequest;
 
-/** First in, first out, whatever the priority. */
-final class FifoOrder implements QueueOrder {
+/** First in, first out, over both priorities. */
+public final class FifoOrder implements QueueOrder {
 
   @Override
   public long rank(QueuedRequest request) {
@@ -16,6 +16,11 @@
     return turn.training().arrival() < turn.interactive().arrival();
   }
 
+  @Override
+  public double trainingShare(Turn turn) {
+    return 0;
+  }
+
   @Override
   public void onSent(Turn turn, boolean training) {}
 }
--- a/amaranthstream-bench/src/main/java/org/amaranthstream/bench/experiment/Cluster.java
+++ b/amaranthstream-bench/src/main/java/org/amaranthstream/bench/experiment/Cluster.java
@@ -52,7 +52,7 @@
     Cluster cluster = new Cluster(user, folder);
     JavaProcess kv = cluster.standin("kv", List.of("kv"));
     for (ZoneShape zone : user.zones()) {
-      cluster.startBackends(zone);
+      cluster.startZone(zone);
     }
     cluster.kvUrl = "http://" + HOST + ":" + kv.startedPort();
     return cluster;
@@ -141,7 +141,7 @@
     return user.zones().stream().mapToInt(ZoneShape::entryVms).sum();
   }
 
-  private void startBackends(ZoneShape zone) throws IOException {
+  private void startZone(ZoneShape zone) throws IOException {
     for (int i = 0; i < zone.engines(); i++) {
       String name = "engine-" + zone.zone() + "-" + i;
       JavaProcess process = standin(name, engineArguments());
@@ -149,7 +149,7 @@
     }
     for (int i = 0; i < zone.services(); i++) {
       String name = "service-" + zone.zone() + "-" + i;
-      List<String> arguments = List.of("service", "--service-ms", "" + Workload.SERVICE_MS);
+      List<String> arguments = List.of("service", "--service-ms", "" + user.serviceMs());
       services.add(
           new BackendProcess(name, ClusterFiles.SERVICE_POOL, zone, standin(name, arguments)));
     }
@@ -187,8 +187,7 @@
     Path settings = ClusterFiles.writeSettings(folder, daemon, platformUrl);
     Path log = folder.resolve(daemon.name() + ".log");
     List<String> arguments = List.of(settings.toString(), policy.name());
-    daemonProcesses.add(
-        JavaProcess.start(daemon.name(), ExperimentDaemon.class, arguments, log));
+    daemonProcesses.add(JavaProcess.start(daemon.name(), ExperimentDaemon.class, arguments, log));
   }
 
   /** Tells each zone the addresses under which it reaches the others. */
--- a/amaranthstream-bench/src/main/java/org/amaranthstream/bench/experiment/User.java
+++ b/amaranthstream-bench/src/main/java/org/amaranthstream/bench/experiment/User.java
@@ -20,7 +20,9 @@
       ImmutableList.of(
           new ZoneShape("almaty-a", "almaty", 2, 2, 1),
           new ZoneShape("almaty-b", "almaty", 2, 2, 1),
-          new ZoneShape("astana-a", "astana", 2, 2, 1)));
+          new ZoneShape("astana-a", "astana", 2, 2, 1))),
+  /** One daemon, one engine and one service. */
+  SINGLE("IDLE_TIME", 4, 0, ImmutableList.of(new ZoneShape("zone-a", "region", 1, 1, 1)));
 
   /** One-way latency between regions. */
   static final int REGION_LATENCY_MS = 8;
@@ -30,8 +32,7 @@
   private final int zoneLatencyMs;
   private final ImmutableList<ZoneShape> zones;
 
-  User(
-      String weighsMore, int stalenessBound, int zoneLatencyMs, ImmutableList<ZoneShape> zones) {
+  User(String weighsMore, int stalenessBound, int zoneLatencyMs, ImmutableList<ZoneShape> zones) {
     this.weighsMore = weighsMore;
     this.stalenessBound = stalenessBound;
     this.zoneLatencyMs = zoneLatencyMs;
@@ -63,7 +64,8 @@
     return from.region().equals(to.region()) ? zoneLatencyMs : REGION_LATENCY_MS;
   }
 
-  int engines() {
-    return zones.stream().mapToInt(ZoneShape::engines).sum();
+  /** Returns the time of a call to a plain service; a daemon's share shows best beside little. */
+  double serviceMs() {
+    return this == SINGLE ? Workload.SHORTEST_SERVICE_MS : Workload.SERVICE_MS;
   }
 }
