--- a/amaranthstream-bench/src/main/java/org/amaranthstream/bench/baseline/FifoOrder.java
+++ b/amaranthstream-bench/src/main/java/org/amaranthstream/bench/baseline/FifoOrder.java
@@ -16,11 +16,6 @@
     return turn.training().arrival() < turn.interactive().arrival();
   }
 
-  @Override
-  public double trainingShare(Turn turn) {
-    return 0;
-  }
-
   @Override
   public void onSent(Turn turn, boolean training) {}
 }
--- a/amaranthstream-bench/src/main/java/org/amaranthstream/bench/baseline/InteractiveFirstOrder.java
+++ b/amaranthstream-bench/src/main/java/org/amaranthstream/bench/baseline/InteractiveFirstOrder.java
@@ -16,11 +16,6 @@
     return false;
   }
 
-  @Override
-  public double trainingShare(Turn turn) {
-    return 0;
-  }
-
   @Override
   public void onSent(Turn turn, boolean training) {}
 }
--- a/amaranthstream-bench/src/main/java/org/amaranthstream/bench/decisions/Measures.java
+++ b/amaranthstream-bench/src/main/java/org/amaranthstream/bench/decisions/Measures.java
@@ -45,6 +45,7 @@
     int starts = pool.servers.stream().mapToInt(s -> s.starts).sum();
     int hits = pool.servers.stream().mapToInt(s -> s.cacheHits).sum();
     return new RunResult(
+        interactive + training,
         interactive,
         share(inTime, interactive),
         share(refused, interactive),
--- a/amaranthstream-bench/src/main/java/org/amaranthstream/bench/decisions/ModelSettings.java
+++ b/amaranthstream-bench/src/main/java/org/amaranthstream/bench/decisions/ModelSettings.java
@@ -26,6 +26,18 @@
     return new ModelSettings(8, 8, 20, 10, 100, 16, 1000, 8);
   }
 
+  ModelSettings withServers(int number) {
+    return new ModelSettings(
+        number,
+        slots,
+        tokenMillis,
+        hitPrefillMillis,
+        missPrefillMillis,
+        cachedPrefixes,
+        reportLagMillis,
+        reportedSlots);
+  }
+
   ModelSettings withReportedSlots(int reported) {
     return new ModelSettings(
         servers,
--- a/amaranthstream-bench/src/main/java/org/amaranthstream/bench/decisions/RunResult.java
+++ b/amaranthstream-bench/src/main/java/org/amaranthstream/bench/decisions/RunResult.java
@@ -3,6 +3,7 @@
 /**
  * Measures of one run.
  *
+ * @param requests requests that were counted, of both priorities
  * @param interactive interactive requests that arrived
  * @param inTimeShare share of them that was answered in time
  * @param refusedShare share of them that was refused without a run
@@ -18,6 +19,7 @@
  * @param crashes crashes of servers
  */
 record RunResult(
+    int requests,
     int interactive,
     double inTimeShare,
     double refusedShare,
--- a/amaranthstream-bench/src/main/java/org/amaranthstream/bench/decisions/SimulatedServer.java
+++ b/amaranthstream-bench/src/main/java/org/amaranthstream/bench/decisions/SimulatedServer.java
@@ -103,7 +103,7 @@
     }
     down = true;
     crashes++;
-    ImmutableList<SimulatedAttempt> lost =
+    final ImmutableList<SimulatedAttempt> lost =
         ImmutableList.<SimulatedAttempt>builder().addAll(running).addAll(queue).build();
     running.clear();
     queue.clear();
--- a/amaranthstream/src/main/java/org/amaranthstream/dispatch/QueueOrder.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/dispatch/QueueOrder.java
@@ -18,8 +18,10 @@
    */
   boolean isTrainingNext(Turn turn);
 
-  /** Returns the expected share of training in the coming turns. */
-  double trainingShare(Turn turn);
+  /** Returns the expected share of training in the coming turns, 0 if it cannot be told. */
+  default double trainingShare(Turn turn) {
+    return 0;
+  }
 
   /**
    * Called when a request of each priority waited and one of them was sent.
