--- a/amaranthstream-bench/src/main/java/org/amaranthstream/bench/BenchCommands.java
+++ b/amaranthstream-bench/src/main/java/org/amaranthstream/bench/BenchCommands.java
@@ -2,12 +2,15 @@
 
 import com.google.common.collect.ImmutableList;
 import org.amaranthstream.bench.demo.DemoCommand;
+import org.amaranthstream.bench.rollout.GenerateAheadCommand;
+import org.amaranthstream.bench.rollout.RolloutSlopesCommand;
 
 /** All subcommands of the bench binary. */
 final class BenchCommands {
   private BenchCommands() {}
 
   static ImmutableList<BenchCommand> all() {
-    return ImmutableList.of(new DemoCommand());
+    return ImmutableList.of(
+        new DemoCommand(), new GenerateAheadCommand(), new RolloutSlopesCommand());
   }
 }
