--- a/amaranthstream-bench/src/main/java/org/amaranthstream/bench/BenchCommands.java
+++ b/amaranthstream-bench/src/main/java/org/amaranthstream/bench/BenchCommands.java
@@ -4,6 +4,8 @@
 import org.amaranthstream.bench.demo.DemoCommand;
 import org.amaranthstream.bench.entrypath.EntryPathCommand;
 import org.amaranthstream.bench.experiment.ExperimentCommand;
+import org.amaranthstream.bench.rollout.GenerateAheadCommand;
+import org.amaranthstream.bench.rollout.RolloutSlopesCommand;
 import org.amaranthstream.bench.slopes.HeartbeatSlopeCommand;
 
 /** All subcommands of the bench binary. */
@@ -15,6 +17,8 @@
         new DemoCommand(),
         new ExperimentCommand(),
         new EntryPathCommand(),
-        new HeartbeatSlopeCommand());
+        new HeartbeatSlopeCommand(),
+        new GenerateAheadCommand(),
+        new RolloutSlopesCommand());
   }
 }
