--- a/amaranthstream-bench/src/main/java/org/amaranthstream/bench/experiment/BaselinePolicies.java
+++ b/amaranthstream-bench/src/main/java/org/amaranthstream/bench/experiment/BaselinePolicies.java
@@ -18,6 +18,7 @@
  * fixed concurrency, no generate-ahead, retry without a budget.
  */
 final class BaselinePolicies implements PolicySet {
+  private static final int UNKNOWN_SLOTS_LIMIT = 4;
 
   @Override
   public void configure(DispatcherBuilder dispatcher) {
@@ -28,7 +29,7 @@
         .retryPolicy(new PlainRetry())
         .retryBudget(RetryBudget.unlimited())
         .linkBudget(LinkBudget.unlimited())
-        .limits(FixedLimit::new)
+        .limits(slots -> new FixedLimit(slots == 0 ? UNKNOWN_SLOTS_LIMIT : slots))
         .healths(ServerHealth::always);
   }
 
--- a/amaranthstream-bench/src/main/java/org/amaranthstream/bench/experiment/ResultPlot.java
+++ b/amaranthstream-bench/src/main/java/org/amaranthstream/bench/experiment/ResultPlot.java
@@ -4,7 +4,6 @@
 import java.nio.file.Path;
 import java.util.List;
 import java.util.function.ToDoubleFunction;
-import java.util.stream.Stream;
 import org.knowm.xchart.VectorGraphicsEncoder;
 import org.knowm.xchart.VectorGraphicsEncoder.VectorGraphicsFormat;
 import org.knowm.xchart.XYChart;
@@ -17,10 +16,15 @@
 
   private ResultPlot() {}
 
-  /** Writes the plot of a measure over the runs without a fault. */
+  /** Writes the plot of a measure over the runs without a fault, if there are any. */
   static void write(
       List<RunResult> results, String title, ToDoubleFunction<RunResult> measure, Path file)
       throws IOException {
+    List<RunResult> sound =
+        results.stream().filter(run -> run.fault().equals(Fault.NONE.label())).toList();
+    if (sound.isEmpty()) {
+      return;
+    }
     XYChart chart =
         new XYChartBuilder()
             .width(WIDTH)
@@ -29,8 +33,8 @@
             .xAxisTitle("interactive load, times capacity")
             .yAxisTitle(title)
             .build();
-    for (String policy : policies(results)) {
-      List<RunResult> runs = ofPolicy(results, policy).toList();
+    for (String policy : policies(sound)) {
+      List<RunResult> runs = sound.stream().filter(run -> run.policy().equals(policy)).toList();
       double[] loads = runs.stream().mapToDouble(RunResult::load).distinct().sorted().toArray();
       double[] medians = new double[loads.length];
       for (int i = 0; i < loads.length; i++) {
@@ -46,9 +50,4 @@
   private static List<String> policies(List<RunResult> results) {
     return results.stream().map(RunResult::policy).distinct().toList();
   }
-
-  private static Stream<RunResult> ofPolicy(List<RunResult> results, String policy) {
-    String none = Fault.NONE.label();
-    return results.stream().filter(run -> run.policy().equals(policy) && run.fault().equals(none));
-  }
 }
