Run the dispatcher's property in every build; measure a frozen server

Cause: the class of the property had a name that the test runner does not pick up by default, so mvn verify passed it over; it ran only when named. Renamed to DispatcherPropertyTest, unchanged otherwise. The bench compares resuming without progress with leaving attempts alone on a frozen server, and the lengths delivered with those of a run without the fault.

--- a/amaranthstream-bench/src/main/java/org/amaranthstream/bench/decisions/DecisionBench.java
+++ b/amaranthstream-bench/src/main/java/org/amaranthstream/bench/decisions/DecisionBench.java
@@ -18,8 +18,8 @@
   private static final int DEFAULT_SEEDS = 5;
   private static final String HEADER =
       "| policy | in time | refused | error | goodput/s | p50 ms | p99 ms | training in time"
-          + " | wasted tokens | cache hits | late refusals | failed attempts | crashes |";
-  private static final String RULE = "|---|---|---|---|---|---|---|---|---|---|---|---|---|";
+          + " | training tokens | wasted tokens | cache hits | late refusals | failed attempts | crashes |";
+  private static final String RULE = "|---|---|---|---|---|---|---|---|---|---|---|---|---|---|";
 
   private DecisionBench() {}
 
@@ -49,7 +49,7 @@
   private static String row(String name, List<RunResult> results) {
     return String.format(
         Locale.ROOT,
-        "| %s | %.1f%% (%.1f-%.1f) | %.1f%% | %.2f%% | %.1f | %.0f | %.0f | %.1f%% | %.2f%%"
+        "| %s | %.1f%% (%.1f-%.1f) | %.1f%% | %.2f%% | %.1f | %.0f | %.0f | %.1f%% | %.1f | %.2f%%"
             + " | %.0f%% | %.0f%% | %.0f | %.0f |",
         name,
         100 * median(results, RunResult::inTimeShare),
@@ -61,6 +61,7 @@
         median(results, RunResult::medianMillis),
         median(results, RunResult::p99Millis),
         100 * median(results, RunResult::trainingInTimeShare),
+        median(results, RunResult::trainingTokens),
         100 * median(results, RunResult::wastedShare),
         100 * median(results, RunResult::cacheHitShare),
         100 * median(results, RunResult::lateRefusalShare),
--- a/amaranthstream-bench/src/main/java/org/amaranthstream/bench/decisions/DecisionExperiments.java
+++ b/amaranthstream-bench/src/main/java/org/amaranthstream/bench/decisions/DecisionExperiments.java
@@ -17,6 +17,7 @@
 
 /** The comparisons of {@code docs/measurements/decisions.md}. */
 final class DecisionExperiments {
+  private static final Duration NEVER = Duration.ofHours(1);
   private static final Duration NO_QUARANTINE = Duration.ofNanos(1);
 
   private DecisionExperiments() {}
@@ -34,6 +35,8 @@
     }
     all.add(overstatedSlots());
     all.add(crash());
+    all.add(freeze(Fault.none(), "no server frozen"));
+    all.add(freeze(Fault.freeze(), "one server frozen"));
     all.add(retries(0.9));
     all.add(retries(2.0));
     all.add(poison());
@@ -117,6 +120,19 @@
         Fault.crash());
   }
 
+  private static Experiment freeze(Fault fault, String title) {
+    Policies product = Policies.product();
+    DispatchSettings patient =
+        DispatchSettings.builder().firstPartTimeout(NEVER).nextPartTimeout(NEVER).build();
+    return new Experiment(
+        title + ", load 0.7",
+        ImmutableList.of(
+            product.named("resumed without progress"),
+            product.withSettings(patient).named("left alone")),
+        Load.of(0.7),
+        fault);
+  }
+
   private static Experiment retries(double load) {
     Policies product = Policies.product().withHealth(ServerHealth::always);
     return new Experiment(
--- a/amaranthstream-bench/src/main/java/org/amaranthstream/bench/decisions/Fault.java
+++ b/amaranthstream-bench/src/main/java/org/amaranthstream/bench/decisions/Fault.java
@@ -21,6 +21,12 @@
             Duration.ofSeconds(20), () -> pool.servers.get(0).crash(Duration.ofSeconds(10)));
   }
 
+  /** Returns the first server frozen from 20 s on, with its connections open. */
+  static Fault freeze() {
+    return (pool, timers) ->
+        timers.after(Duration.ofSeconds(20), () -> pool.servers.get(0).frozen = true);
+  }
+
   /** Returns failures of a share of the requests of the first server. */
   static Fault failures(double share) {
     return (pool, timers) -> pool.servers.get(0).failureRate = share;
--- a/amaranthstream-bench/src/main/java/org/amaranthstream/bench/decisions/Measures.java
+++ b/amaranthstream-bench/src/main/java/org/amaranthstream/bench/decisions/Measures.java
@@ -23,6 +23,7 @@
   private int errors;
   private int training;
   private int trainingInTime;
+  private long trainingTokens;
   private long tokensDelivered;
 
   Measures(VirtualTimerService timers) {
@@ -54,6 +55,7 @@
         latencyMicros.getValueAtPercentile(50) / MICROS_PER_MILLI,
         latencyMicros.getValueAtPercentile(99) / MICROS_PER_MILLI,
         share(trainingInTime, training),
+        share(trainingTokens, trainingInTime),
         1 - share(tokensDelivered, generated),
         share(hits, starts),
         share(refusedLate, refused),
@@ -91,6 +93,7 @@
       }
       if (work.priority() == Priority.TRAINING) {
         trainingInTime += whole ? 1 : 0;
+        trainingTokens += whole ? tokens : 0;
       } else {
         countInteractive(outcome);
       }
--- a/amaranthstream-bench/src/main/java/org/amaranthstream/bench/decisions/RunResult.java
+++ b/amaranthstream-bench/src/main/java/org/amaranthstream/bench/decisions/RunResult.java
@@ -12,6 +12,7 @@
  * @param medianMillis median latency of answers
  * @param p99Millis 99th percentile of the latency of answers
  * @param trainingInTimeShare share of the training requests that was answered in time
+ * @param trainingTokens mean length of the training answers, in tokens
  * @param wastedShare share of the generated tokens that was not part of a whole answer
  * @param cacheHitShare share of the starts that found their prefix cached
  * @param lateRefusalShare share of the refusals that came more than 50 ms after the arrival
@@ -28,6 +29,7 @@
     double medianMillis,
     double p99Millis,
     double trainingInTimeShare,
+    double trainingTokens,
     double wastedShare,
     double cacheHitShare,
     double lateRefusalShare,
--- a/amaranthstream-bench/src/main/java/org/amaranthstream/bench/decisions/SimulatedServer.java
+++ b/amaranthstream-bench/src/main/java/org/amaranthstream/bench/decisions/SimulatedServer.java
@@ -38,6 +38,9 @@
   /** Share of requests that fail before their first part. */
   double failureRate;
 
+  /** True if the server keeps its connections and makes no progress. */
+  boolean frozen;
+
   /** Factor of all times. */
   double slowdown = 1;
 
@@ -129,7 +132,7 @@
   }
 
   private void step(SimulatedAttempt attempt) {
-    if (!running.contains(attempt)) {
+    if (frozen || !running.contains(attempt)) {
       return;
     }
     if (attempt.isPoison()) {
--- a/amaranthstream/src/test/java/org/amaranthstream/dispatch/DispatcherProperties.java
+++ b/amaranthstream/src/test/java/org/amaranthstream/dispatch/DispatcherPropertyTest.java
@@ -15,7 +15,7 @@
 import org.amaranthstream.ids.WeightVersion;
 
 /** Promises that hold whatever the order of events. */
-class DispatcherProperties {
+class DispatcherPropertyTest {
   private static final int SERVERS = 4;
   private static final int MAX_ACTIONS = 120;
 
