--- a/amaranthstream-bench/src/main/java/org/amaranthstream/bench/BenchCommands.java
+++ b/amaranthstream-bench/src/main/java/org/amaranthstream/bench/BenchCommands.java
@@ -4,12 +4,17 @@
 import org.amaranthstream.bench.demo.DemoCommand;
 import org.amaranthstream.bench.entrypath.EntryPathCommand;
 import org.amaranthstream.bench.experiment.ExperimentCommand;
+import org.amaranthstream.bench.slopes.HeartbeatSlopeCommand;
 
 /** All subcommands of the bench binary. */
 final class BenchCommands {
   private BenchCommands() {}
 
   static ImmutableList<BenchCommand> all() {
-    return ImmutableList.of(new DemoCommand(), new ExperimentCommand(), new EntryPathCommand());
+    return ImmutableList.of(
+        new DemoCommand(),
+        new ExperimentCommand(),
+        new EntryPathCommand(),
+        new HeartbeatSlopeCommand());
   }
 }
