--- a/amaranthstream-standins/src/main/java/org/amaranthstream/standins/kv/KvState.java
+++ b/amaranthstream-standins/src/main/java/org/amaranthstream/standins/kv/KvState.java
@@ -12,7 +12,7 @@
 
 /** Entries and leases of the key-value service. One thread; time is given to each call. */
 final class KvState {
-  /** Answer of a write that took effect is its revision; of another one is negative. */
+  /** Result of a write that names a lease which does not exist. */
   static final long NO_LEASE = Long.MIN_VALUE;
 
   private final TreeMap<String, Entry> entries = new TreeMap<>();
@@ -43,7 +43,10 @@
     return entry == null ? 0 : entry.revision();
   }
 
-  /** Writes if the revision is as expected; returns the new revision, or 0 on a conflict. */
+  /**
+   * Writes if the revision is as expected; returns the new revision, 0 on a conflict, or {@link
+   * #NO_LEASE}.
+   */
   long put(String key, long expected, Buffer value, @Nullable String lease) {
     if (revisionOf(key) != expected) {
       return 0;
