Write the peer key of a cluster once, before its daemons start

Two daemons of a trial refused to start with a secret of 0 characters: the file was written anew for each daemon while the former one read it.

--- a/amaranthstream-bench/src/main/java/org/amaranthstream/bench/experiment/Cluster.java
+++ b/amaranthstream-bench/src/main/java/org/amaranthstream/bench/experiment/Cluster.java
@@ -71,6 +71,7 @@
     }
     links.open(daemons, kvUrl);
     announceVms();
+    ClusterFiles.writePeerKey(folder);
     for (DaemonSpec daemon : daemons) {
       startDaemon(daemon, policy);
     }
--- a/amaranthstream-bench/src/main/java/org/amaranthstream/bench/experiment/ClusterFiles.java
+++ b/amaranthstream-bench/src/main/java/org/amaranthstream/bench/experiment/ClusterFiles.java
@@ -17,9 +17,13 @@
 
   private ClusterFiles() {}
 
+  /** Writes the key that all settings name; before any daemon starts, for they read it at once. */
+  static void writePeerKey(Path folder) throws IOException {
+    Files.writeString(folder.resolve("peer.key"), PEER_KEY);
+  }
+
   /** Writes the settings of a daemon and returns their file. */
   static Path writeSettings(Path folder, DaemonSpec daemon, String platformUrl) throws IOException {
-    Files.writeString(folder.resolve("peer.key"), PEER_KEY);
     String text =
         String.format(
             Locale.ROOT,
