Order weight versions to engines from a controller per zone and pool

Ruled out: all entry VMs of a zone competing for the lease; two per pool do, which saves calls on the key-value service and changes no safety.

--- a/amaranthstream/src/main/java/org/amaranthstream/daemon/Core.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/daemon/Core.java
@@ -48,7 +48,7 @@
   private final PlatformClient platform;
   private final MembershipTable table;
   private final ConfigKeeper config;
-  private final WeightBoard weights = new WeightBoard();
+  private final WeightParts weights;
   private final ConfigFetch configFetch;
   private final HeartbeatBridge bridge;
   private final PeerNode peers;
@@ -67,8 +67,10 @@
     this.platform = newPlatform();
     this.table = newTable();
     this.config = newConfigKeeper();
+    this.weights = new WeightParts(threads, self, table, config, platform.store());
     this.configFetch = new ConfigFetch(config);
-    this.bridge = new HeartbeatBridge(config, weights, configFetch, threads.decisionTimers());
+    this.bridge =
+        new HeartbeatBridge(config, weights.registry(), configFetch, threads.decisionTimers());
     this.peers = newPeers();
     this.decisions = DecisionParts.create(settings, self, threads.decisionTimers());
     this.transport = HttpBackendTransport.create(threads.vertx(), threads.decisions());
@@ -194,6 +196,7 @@
 
   /** Starts all parts and returns the port of the peer link. */
   Result<Integer> start() {
+    weights.start();
     config.start();
     configFetch.attach(peers.queries());
     bridge.attach(dispatcher);
@@ -238,7 +241,7 @@
     return config;
   }
 
-  WeightBoard weights() {
+  WeightParts weights() {
     return weights;
   }
 
@@ -277,7 +280,9 @@
   @Override
   public void close() {
     config.stop();
+    threads.decisions().offer(weights::stopControllers);
     threads.decisions().offer(peers::close);
+    weights.close();
     transport.close();
     platform.close();
     decisions.close();
--- a/amaranthstream/src/main/java/org/amaranthstream/daemon/HeartbeatBridge.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/daemon/HeartbeatBridge.java
@@ -13,18 +13,19 @@
 import org.amaranthstream.peer.HeartbeatSink;
 import org.amaranthstream.peer.HeartbeatSource;
 import org.amaranthstream.time.TimerService;
+import org.amaranthstream.weights.WeightRegistry;
 import org.jspecify.annotations.Nullable;
 
 /** Joins what heartbeats carry with the parts that own it. Decision thread only. */
 final class HeartbeatBridge implements HeartbeatSource, HeartbeatSink {
   private final ConfigKeeper config;
-  private final WeightBoard weights;
+  private final WeightRegistry weights;
   private final ConfigFetch fetch;
   private final TimerService timers;
   private @Nullable Dispatcher dispatcher;
 
   HeartbeatBridge(
-      ConfigKeeper config, WeightBoard weights, ConfigFetch fetch, TimerService timers) {
+      ConfigKeeper config, WeightRegistry weights, ConfigFetch fetch, TimerService timers) {
     this.timers = timers;
     this.config = config;
     this.weights = weights;
