--- a/amaranthstream-bench/src/main/java/org/amaranthstream/bench/slopes/HeartbeatSlope.java
+++ b/amaranthstream-bench/src/main/java/org/amaranthstream/bench/slopes/HeartbeatSlope.java
@@ -176,7 +176,7 @@
         unit,
         fit.intercept(),
         fit.slope(),
-        fit.rSquared(),
+        fit.determination(),
         Iterables.getLast(points).y());
   }
 
--- a/amaranthstream-bench/src/main/java/org/amaranthstream/bench/slopes/LinearFit.java
+++ b/amaranthstream-bench/src/main/java/org/amaranthstream/bench/slopes/LinearFit.java
@@ -9,9 +9,10 @@
  *
  * @param intercept value at 0
  * @param slope change per unit
- * @param rSquared share of the variance that the line explains, from 0 to 1
+ * @param determination coefficient of determination: share of the variance that the line explains,
+ *     from 0 to 1
  */
-public record LinearFit(double intercept, double slope, double rSquared) {
+public record LinearFit(double intercept, double slope, double determination) {
   /**
    * One measured point.
    *
@@ -34,8 +35,8 @@
     double sxy = points.stream().mapToDouble(p -> (p.x() - meanX) * (p.y() - meanY)).sum();
     checkArgument(sxx > 0, "all points have the same x: %s", meanX);
     double slope = sxy / sxx;
-    double rSquared = syy == 0 ? 1 : square(sxy) / (sxx * syy);
-    return new LinearFit(meanY - slope * meanX, slope, rSquared);
+    double determination = syy == 0 ? 1 : square(sxy) / (sxx * syy);
+    return new LinearFit(meanY - slope * meanX, slope, determination);
   }
 
   private static double square(double value) {
