--- a/amaranthstream-bench/src/main/java/org/amaranthstream/bench/BenchCommands.java
+++ b/amaranthstream-bench/src/main/java/org/amaranthstream/bench/BenchCommands.java
@@ -2,6 +2,8 @@
 
 import com.google.common.collect.ImmutableList;
 import org.amaranthstream.bench.demo.DemoCommand;
+import org.amaranthstream.bench.entrypath.EntryPathCommand;
+import org.amaranthstream.bench.experiment.ExperimentCommand;
 import org.amaranthstream.bench.rollout.GenerateAheadCommand;
 import org.amaranthstream.bench.rollout.RolloutSlopesCommand;
 
@@ -11,6 +13,10 @@
 
   static ImmutableList<BenchCommand> all() {
     return ImmutableList.of(
-        new DemoCommand(), new GenerateAheadCommand(), new RolloutSlopesCommand());
+        new DemoCommand(),
+        new ExperimentCommand(),
+        new EntryPathCommand(),
+        new GenerateAheadCommand(),
+        new RolloutSlopesCommand());
   }
 }
--- a/amaranthstream-bench/src/main/java/org/amaranthstream/bench/experiment/Policy.java
+++ b/amaranthstream-bench/src/main/java/org/amaranthstream/bench/experiment/Policy.java
@@ -1,26 +1,21 @@
 package org.amaranthstream.bench.experiment;
 
 import java.util.Locale;
+import org.amaranthstream.daemon.PolicySet;
 
 /** The decisions that daemons take. */
 enum Policy {
   /** Those of the product. */
-  AMARANTHSTREAM(org.amaranthstream.cli.Main.class),
+  AMARANTHSTREAM,
   /** Round robin, first in first out, fixed concurrency, no generate-ahead, plain retry. */
-  BASELINE(BaselineDaemon.class);
-
-  private final Class<?> main;
-
-  Policy(Class<?> main) {
-    this.main = main;
-  }
+  BASELINE;
 
   static Policy of(String name) {
     return valueOf(name.toUpperCase(Locale.ROOT));
   }
 
-  Class<?> main() {
-    return main;
+  PolicySet policies() {
+    return this == BASELINE ? new BaselinePolicies() : PolicySet.standard();
   }
 
   String label() {
--- a/amaranthstream/src/main/java/org/amaranthstream/daemon/Core.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/daemon/Core.java
@@ -16,12 +16,17 @@
 import org.amaranthstream.ids.WorkClassId;
 import org.amaranthstream.ingress.CallObserver;
 import org.amaranthstream.ingress.CallRunner;
+import org.amaranthstream.ingress.KeyIssuer;
 import org.amaranthstream.ingress.RequestIds;
 import org.amaranthstream.membership.BackendPoller;
 import org.amaranthstream.membership.HttpLoadSource;
 import org.amaranthstream.membership.LocalVm;
 import org.amaranthstream.membership.MembershipTable;
+import org.amaranthstream.once.ClaimService;
+import org.amaranthstream.once.Claimant;
 import org.amaranthstream.peer.PeerNode;
+import org.amaranthstream.platform.PlatformClient;
+import org.amaranthstream.platform.PlatformOptions;
 import org.amaranthstream.platform.VmEntry;
 import org.amaranthstream.platform.VmKind;
 import org.amaranthstream.result.Result;
@@ -40,7 +45,7 @@
   private final Settings settings;
   private final Threads threads;
   private final LocalVm self;
-  private final PlatformClients platform;
+  private final PlatformClient platform;
   private final MembershipTable table;
   private final ConfigKeeper config;
   private final WeightBoard weights = new WeightBoard();
@@ -53,12 +58,13 @@
   private final RolloutService rollout;
   private final PeerOwnerLink ownerLink;
   private final DecisionParts decisions;
+  private final ClaimService claims;
 
   private Core(Settings settings, LocalVm self, PolicySet policies) {
     this.settings = settings;
     this.self = self;
     this.threads = new Threads(settings.limits());
-    this.platform = PlatformClients.create(threads, settings);
+    this.platform = newPlatform();
     this.table = newTable();
     this.config = newConfigKeeper();
     this.configFetch = new ConfigFetch(config);
@@ -70,12 +76,23 @@
     this.requestIds = RequestIds.of(self.id(), self.incarnation());
     this.ownerLink = new PeerOwnerLink(table, peers.queries());
     this.rollout = newRollout(policies);
+    this.claims = newClaims();
   }
 
   static Core create(Settings settings, LocalVm self, PolicySet policies) {
     return new Core(settings, self, policies);
   }
 
+  private PlatformClient newPlatform() {
+    PlatformOptions options =
+        new PlatformOptions(
+            settings.platform().url(),
+            settings.platform().token(),
+            settings.timing().platformTimeout(),
+            settings.limits().platformCallsPerSecond());
+    return PlatformClient.create(threads.vertx(), threads.platformTimers(), options);
+  }
+
   private MembershipTable newTable() {
     ImmutableList<VmEntry> seeds =
         settings.peers().stream().map(Core::entryOf).collect(ImmutableList.toImmutableList());
@@ -157,6 +174,16 @@
     return builder.build();
   }
 
+  private ClaimService newClaims() {
+    return ClaimService.builder()
+        .self(Claimant.of(self.id(), self.incarnation()))
+        .store(platform.store())
+        .duty(threads.decisions())
+        .timers(threads.decisionTimers())
+        .decisionLog(decisions.log())
+        .build();
+  }
+
   private Optional<WorkClass> findClass(WorkClassId id) {
     return Optional.ofNullable(config.current().classes().get(id));
   }
@@ -232,15 +259,15 @@
   }
 
   CallRunner onceRunner() {
-    return new OnceCallRunner();
+    return OnceCallRunner.of(claims, dispatcher);
   }
 
-  CallObserver callObserver() {
-    return (workClass, outcome, took) -> {};
+  KeyIssuer keyIssuer() {
+    return new ClaimKeyIssuer(claims, threads.decisions());
   }
 
-  String issueKey() {
-    return "";
+  CallObserver callObserver() {
+    return (workClass, outcome, took) -> {};
   }
 
   DecisionParts decisionParts() {
@@ -252,6 +279,7 @@
     config.stop();
     threads.decisions().offer(peers::close);
     transport.close();
+    platform.close();
     decisions.close();
     threads.close();
   }
--- a/amaranthstream/src/main/java/org/amaranthstream/platform/PlatformReply.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/platform/PlatformReply.java
@@ -3,40 +3,35 @@
 import io.vertx.core.buffer.Buffer;
 import java.time.Duration;
 import java.util.Optional;
+import org.amaranthstream.ids.Revision;
 
-/** Reply to a call to the platform. */
+/** How a call to the platform ended. */
 sealed interface PlatformReply {
+
   /**
-   * The service answered.
+   * The service answered whole.
    *
    * @param status the HTTP status
+   * @param revision the {@code Revision} header
+   * @param retryAfter the {@code Retry-After} header
    * @param body the body
-   * @param revision the revision that the answer names
-   * @param retryAfter seconds after which the service asks to come back
    */
-  record Answered(int status, Buffer body, Optional<String> revision, Optional<String> retryAfter)
-      implements PlatformReply {
-    private static final int MAX_DIGITS = 6;
-
-    Optional<Duration> comeBack() {
-      return retryAfter
-          .filter(s -> !s.isEmpty() && s.length() <= MAX_DIGITS)
-          .filter(s -> s.chars().allMatch(c -> c >= '0' && c <= '9'))
-          .map(s -> Duration.ofSeconds(Long.parseLong(s)));
-    }
-  }
+  record Answered(
+      int status, Optional<Revision> revision, Optional<Duration> retryAfter, Buffer body)
+      implements PlatformReply {}
 
   /**
-   * The call was sent and its answer was lost.
+   * No byte of the call was sent.
    *
    * @param reason what was seen
+   * @param retryAfter when to come back
    */
-  record Lost(String reason) implements PlatformReply {}
+  record NotSent(String reason, Optional<Duration> retryAfter) implements PlatformReply {}
 
   /**
-   * Nothing was sent.
+   * The call may have been sent, and no whole answer came.
    *
    * @param reason what was seen
    */
-  record NotSent(String reason) implements PlatformReply {}
+  record Lost(String reason) implements PlatformReply {}
 }
