Add the command line, the administration API and the metrics

Cause: operators need to read and change the configuration, ask for a dump, a status and an explanation, from a terminal and by HTTP.

One class for each command, numbered exit codes; the API asks for an operator's token on every path below /v1/admin, before a body is read.

--- /dev/null
+++ b/amaranthstream/src/main/java/org/amaranthstream/admin/AdminRoutes.java
@@ -0,0 +1,163 @@
+package org.amaranthstream.admin;
+
+import static com.google.common.base.Preconditions.checkNotNull;
+
+import com.fasterxml.jackson.databind.node.JsonNodeFactory;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import com.google.errorprone.annotations.CanIgnoreReturnValue;
+import io.vertx.ext.web.Router;
+import io.vertx.ext.web.RoutingContext;
+import java.util.Optional;
+import java.util.function.Supplier;
+import org.amaranthstream.auth.TokenVerifier;
+import org.amaranthstream.config.ConfigKeeper;
+import org.amaranthstream.ids.RequestId;
+import org.amaranthstream.result.Result;
+import org.amaranthstream.result.ResultCode;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * The routes of the administration API, as {@code docs/API.md} describes; each asks for an
+ * operator's token.
+ *
+ * <p>Thread safe.
+ *
+ * <pre>{@code
+ * AdminRoutes.builder()
+ *     .verifier(verifier)
+ *     .config(keeper)
+ *     .explainer(explainer)
+ *     .dump(dump)
+ *     .status(core::status)
+ *     .build()
+ *     .mount(router);
+ * }</pre>
+ */
+public final class AdminRoutes {
+  private static final String PREFIX = "/v1/admin/";
+
+  private final OperatorGate gate;
+  private final ConfigRoutes config;
+  private final RequestExplainer explainer;
+  private final StateDump dump;
+  private final Supplier<?> status;
+
+  private AdminRoutes(Builder builder) {
+    this.gate = new OperatorGate(checkNotNull(builder.verifier, "verifier"));
+    this.config = new ConfigRoutes(checkNotNull(builder.config, "config"));
+    this.explainer = checkNotNull(builder.explainer, "explainer");
+    this.dump = checkNotNull(builder.dump, "dump");
+    this.status = checkNotNull(builder.status, "status");
+  }
+
+  /** Returns a builder without parts; all are required. */
+  public static Builder builder() {
+    return new Builder();
+  }
+
+  /** Mounts the routes on {@code router}. */
+  public void mount(Router router) {
+    router.route(PREFIX + "*").handler(gate);
+    config.mount(router);
+    router.get(PREFIX + "explain").handler(this::explain);
+    router.get(PREFIX + "dump").handler(this::dump);
+    router.get(PREFIX + "status").handler(this::status);
+  }
+
+  private void explain(RoutingContext routing) {
+    Optional<RequestId> id = requestId(routing.request().getParam("id"));
+    if (id.isEmpty()) {
+      AdminAnswers.error(
+          routing,
+          ResultCode.INVALID_REQUEST,
+          "found no request id in the parameter id, expected vm/incarnation/sequence");
+      return;
+    }
+    explainer
+        .explain(id.get())
+        .thenAccept(
+            result -> routing.vertx().runOnContext(unused -> answer(routing, id.get(), result)));
+  }
+
+  private static Optional<RequestId> requestId(@Nullable String text) {
+    try {
+      return Optional.ofNullable(text).map(RequestId::parse);
+    } catch (IllegalArgumentException e) {
+      return Optional.empty();
+    }
+  }
+
+  private static void answer(RoutingContext routing, RequestId id, Result<String> result) {
+    if (result instanceof Result.Success<String> success) {
+      ObjectNode body = JsonNodeFactory.instance.objectNode();
+      body.put("requestId", id.toString()).put("explanation", success.value());
+      AdminAnswers.json(routing, ResultCode.OK, body);
+    } else if (result instanceof Result.Failure<String> failure) {
+      AdminAnswers.error(routing, failure.error());
+    }
+  }
+
+  private void dump(RoutingContext routing) {
+    dump.collect()
+        .thenAccept(
+            body ->
+                routing
+                    .vertx()
+                    .runOnContext(unused -> AdminAnswers.json(routing, ResultCode.OK, body)));
+  }
+
+  private void status(RoutingContext routing) {
+    AdminAnswers.json(routing, ResultCode.OK, StateJson.tree(status.get()));
+  }
+
+  /** Builds the routes. Not thread safe. */
+  public static final class Builder {
+    private @Nullable TokenVerifier verifier;
+    private @Nullable ConfigKeeper config;
+    private @Nullable RequestExplainer explainer;
+    private @Nullable StateDump dump;
+    private @Nullable Supplier<?> status;
+
+    private Builder() {}
+
+    /** Sets who knows the tokens. */
+    @CanIgnoreReturnValue
+    public Builder verifier(TokenVerifier verifier) {
+      this.verifier = verifier;
+      return this;
+    }
+
+    /** Sets the keeper of the configuration. */
+    @CanIgnoreReturnValue
+    public Builder config(ConfigKeeper config) {
+      this.config = config;
+      return this;
+    }
+
+    /** Sets who explains requests. */
+    @CanIgnoreReturnValue
+    public Builder explainer(RequestExplainer explainer) {
+      this.explainer = explainer;
+      return this;
+    }
+
+    /** Sets the state dump. */
+    @CanIgnoreReturnValue
+    public Builder dump(StateDump dump) {
+      this.dump = dump;
+      return this;
+    }
+
+    /** Sets the short state, a JSON node or a record. */
+    @CanIgnoreReturnValue
+    public Builder status(Supplier<?> status) {
+      this.status = status;
+      return this;
+    }
+
+    /** Returns the routes. */
+    public AdminRoutes build() {
+      return new AdminRoutes(this);
+    }
+  }
+}
--- /dev/null
+++ b/amaranthstream/src/main/java/org/amaranthstream/cli/AdminClient.java
@@ -0,0 +1,90 @@
+package org.amaranthstream.cli;
+
+import io.vertx.core.Future;
+import io.vertx.core.Vertx;
+import io.vertx.core.buffer.Buffer;
+import io.vertx.core.http.HttpClient;
+import io.vertx.core.http.HttpClientOptions;
+import io.vertx.core.http.HttpClientRequest;
+import io.vertx.core.http.HttpClientResponse;
+import io.vertx.core.http.HttpMethod;
+import io.vertx.core.http.RequestOptions;
+import java.util.Optional;
+import java.util.concurrent.CompletionException;
+import java.util.concurrent.TimeUnit;
+import org.amaranthstream.ids.ConfigGeneration;
+import org.amaranthstream.result.ErrorDetail;
+import org.amaranthstream.result.Result;
+import org.amaranthstream.result.ResultCode;
+
+/** Calls the administration API of a daemon, one call after another. */
+final class AdminClient implements AutoCloseable {
+  private static final int TIMEOUT_MS = 15_000;
+  private static final int CONNECT_TIMEOUT_MS = 3_000;
+
+  private final Vertx vertx = Vertx.vertx();
+  private final HttpClient client =
+      vertx.createHttpClient(new HttpClientOptions().setConnectTimeout(CONNECT_TIMEOUT_MS));
+  private final String url;
+  private final String token;
+
+  AdminClient(String url, String token) {
+    this.url = url;
+    this.token = token;
+  }
+
+  Result<AdminAnswer> get(String path) {
+    return call(HttpMethod.GET, path, Optional.empty(), Buffer.buffer());
+  }
+
+  Result<AdminAnswer> put(String path, ConfigGeneration expected, String body) {
+    return call(HttpMethod.PUT, path, Optional.of(expected), Buffer.buffer(body));
+  }
+
+  private Result<AdminAnswer> call(
+      HttpMethod method, String path, Optional<ConfigGeneration> expected, Buffer body) {
+    try {
+      RequestOptions options =
+          new RequestOptions().setMethod(method).setAbsoluteURI(url + path).setTimeout(TIMEOUT_MS);
+      options.putHeader("Authorization", "Bearer " + token);
+      expected.ifPresent(generation -> options.putHeader("If-Match", generation.toString()));
+      HttpClientRequest request = join(client.request(options));
+      return send(request, method, body);
+    } catch (CompletionException | IllegalArgumentException e) {
+      return Result.failure(ResultCode.PEER_UNREACHABLE, "no connection to " + url + ": " + e);
+    }
+  }
+
+  private Result<AdminAnswer> send(HttpClientRequest request, HttpMethod method, Buffer body) {
+    try {
+      return join(request.send(body).compose(AdminClient::readAnswer));
+    } catch (CompletionException e) {
+      ResultCode code =
+          method.equals(HttpMethod.PUT)
+              ? ResultCode.CONFIG_OUTCOME_UNKNOWN
+              : ResultCode.PEER_UNREACHABLE;
+      return Result.failure(ErrorDetail.of(code, "no answer of " + url + ": " + e.getCause()));
+    }
+  }
+
+  /** Reads the body on the event loop, before its first part can pass by. */
+  private static Future<Result<AdminAnswer>> readAnswer(HttpClientResponse response) {
+    String entityTag = response.getHeader("ETag");
+    return response
+        .body()
+        .map(body -> AdminAnswer.of(response.statusCode(), entityTag, body.toString()));
+  }
+
+  private static <T> T join(Future<T> future) {
+    return future
+        .timeout(TIMEOUT_MS, TimeUnit.MILLISECONDS)
+        .toCompletionStage()
+        .toCompletableFuture()
+        .join();
+  }
+
+  @Override
+  public void close() {
+    join(vertx.close());
+  }
+}
--- /dev/null
+++ b/amaranthstream/src/main/java/org/amaranthstream/cli/DumpCommand.java
@@ -0,0 +1,25 @@
+package org.amaranthstream.cli;
+
+import net.sourceforge.argparse4j.inf.Namespace;
+import net.sourceforge.argparse4j.inf.Subparser;
+import net.sourceforge.argparse4j.inf.Subparsers;
+
+/** Prints the state of a daemon as JSON. */
+final class DumpCommand implements Command {
+
+  @Override
+  public void addParser(Subparsers parsers) {
+    Subparser parser =
+        parsers
+            .addParser("dump")
+            .help("print the whole state of a daemon as JSON")
+            .setDefault(KEY, this);
+    AdminAccess.addOptions(parser);
+  }
+
+  @Override
+  public ExitCode run(Namespace arguments, Terminal terminal) {
+    return AdminAccess.call(
+        arguments, terminal, client -> client.get("/v1/admin/dump"), AdminAnswer::body);
+  }
+}
--- a/amaranthstream/src/main/java/org/amaranthstream/cli/Main.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/cli/Main.java
@@ -4,8 +4,8 @@
 public final class Main {
   private Main() {}
 
-  /** Runs the command line. */
+  /** Runs the command line and ends the process with the command's exit code. */
   public static void main(String[] args) {
-    System.out.println("amaranthstream");
+    System.exit(CommandLine.run(new Terminal(System.out, System.err), args).status());
   }
 }
--- /dev/null
+++ b/amaranthstream/src/main/java/org/amaranthstream/cli/package-info.java
@@ -0,0 +1,2 @@
+/** The command line: one class for each command. */
+package org.amaranthstream.cli;
--- /dev/null
+++ b/amaranthstream/src/main/java/org/amaranthstream/metrics/Metric.java
@@ -0,0 +1,80 @@
+package org.amaranthstream.metrics;
+
+import com.google.common.collect.ImmutableList;
+
+/** All metrics of the product; {@code docs/METRICS.md} explains each of them. */
+public enum Metric {
+  CALLS(MetricType.COUNTER, "calls", "Calls that ended, by class and result code", "class", "code"),
+  CALL_SECONDS(
+      MetricType.HISTOGRAM, "call_seconds", "Time from a call to its end, by class", "class"),
+  CONFIG_GENERATION(
+      MetricType.GAUGE, "config_generation", "Generation of the configuration in force"),
+  CONFIG_PLATFORM_REACHABLE(
+      MetricType.GAUGE,
+      "config_platform_reachable",
+      "1 if the last read of the configuration was answered"),
+  CONFIG_PLATFORM_BEHIND(
+      MetricType.GAUGE,
+      "config_platform_behind",
+      "1 if the key-value service holds an older configuration than is in force"),
+  CONFIG_REFUSED_DOCUMENTS(
+      MetricType.COUNTER,
+      "config_refused_documents",
+      "Configurations that were not followed because they cannot be read"),
+  CONFIG_CLASHES(
+      MetricType.COUNTER,
+      "config_clashes",
+      "Configurations of the generation in force with other contents"),
+  PLATFORM_CALLS(
+      MetricType.COUNTER, "platform_calls", "Calls sent to the platform, by kind", "kind"),
+  PLATFORM_CALLS_FAILED(
+      MetricType.COUNTER,
+      "platform_calls_failed",
+      "Calls to the platform that were refused or lost, by kind",
+      "kind"),
+  PLATFORM_CALLS_OVER_BUDGET(
+      MetricType.COUNTER,
+      "platform_calls_over_budget",
+      "Calls to the platform that were not sent because the budget was spent, by kind",
+      "kind"),
+  DUTY_QUEUE_TASKS(
+      MetricType.GAUGE, "duty_queue_tasks", "Tasks that wait for a duty's thread", "duty"),
+  DUTY_REFUSED_TASKS(
+      MetricType.COUNTER, "duty_refused_tasks", "Tasks refused by a full ring", "duty"),
+  DECISION_RECORDS_DROPPED(
+      MetricType.COUNTER, "decision_records_dropped", "Decision records dropped by a full ring");
+
+  private static final String PREFIX = "amaranthstream_";
+
+  private final MetricType type;
+  private final String name;
+  private final String help;
+  private final ImmutableList<String> labels;
+
+  Metric(MetricType type, String name, String help, String... labels) {
+    this.type = type;
+    this.name = name;
+    this.help = help;
+    this.labels = ImmutableList.copyOf(labels);
+  }
+
+  /** Returns the type. */
+  public MetricType type() {
+    return type;
+  }
+
+  /** Returns the name as Prometheus shows it, without the suffixes of its type. */
+  public String fullName() {
+    return PREFIX + name;
+  }
+
+  /** Returns a sentence for a person. */
+  public String help() {
+    return help;
+  }
+
+  /** Returns the names of its labels. */
+  public ImmutableList<String> labels() {
+    return labels;
+  }
+}
--- /dev/null
+++ b/amaranthstream/src/main/java/org/amaranthstream/metrics/package-info.java
@@ -0,0 +1,2 @@
+/** Metrics for Prometheus, with bounded label sets. */
+package org.amaranthstream.metrics;
--- a/amaranthstream/src/test/java/org/amaranthstream/config/FakeKeyValueStore.java
+++ b/amaranthstream/src/test/java/org/amaranthstream/config/FakeKeyValueStore.java
@@ -14,14 +14,14 @@
 import org.amaranthstream.platform.WriteReply;
 import org.amaranthstream.result.Result;
 import org.amaranthstream.result.ResultCode;
-import org.amaranthstream.time.VirtualTimerService;
+import org.amaranthstream.time.TimerService;
 
 /** One entry of a key-value service in virtual time, with the faults of the real one. */
-final class FakeKeyValueStore implements KeyValueStore {
+public final class FakeKeyValueStore implements KeyValueStore {
   private static final Duration LATENCY = Duration.ofMillis(5);
   private static final Duration TIMEOUT = Duration.ofSeconds(1);
 
-  private final VirtualTimerService timers;
+  private final TimerService timers;
   private final List<Watch> watches = new ArrayList<>();
   private Optional<KvEntry> entry = Optional.empty();
   private Optional<KvEntry> former = Optional.empty();
@@ -40,7 +40,8 @@
 
   private record Watch(Revision after, CompletableFuture<Result<Optional<KvEntry>>> reply) {}
 
-  FakeKeyValueStore(VirtualTimerService timers) {
+  /** Creates an empty service whose answers come by {@code timers}. */
+  public FakeKeyValueStore(TimerService timers) {
     this.timers = timers;
   }
 
