--- a/amaranthstream-bench/src/main/java/org/amaranthstream/bench/experiment/FifoOrder.java
+++ b/amaranthstream-bench/src/main/java/org/amaranthstream/bench/baseline/FifoOrder.java
@@ -1,10 +1,10 @@
-package org.amaranthstream.bench.experiment;
+package org.amaranthstream.bench.baseline;
 
 import org.amaranthstream.dispatch.QueueOrder;
 import org.amaranthstream.dispatch.QueuedRequest;
 
-/** First in, first out, whatever the priority. */
-final class FifoOrder implements QueueOrder {
+/** First in, first out, over both priorities. */
+public final class FifoOrder implements QueueOrder {
 
   @Override
   public long rank(QueuedRequest request) {
--- a/amaranthstream-bench/src/main/java/org/amaranthstream/bench/experiment/BaselinePolicies.java
+++ b/amaranthstream-bench/src/main/java/org/amaranthstream/bench/experiment/BaselinePolicies.java
@@ -1,6 +1,10 @@
 package org.amaranthstream.bench.experiment;
 
-import org.amaranthstream.admission.AdmissionDecision;
+import org.amaranthstream.bench.baseline.AdmitAll;
+import org.amaranthstream.bench.baseline.FifoOrder;
+import org.amaranthstream.bench.baseline.FixedLimit;
+import org.amaranthstream.bench.baseline.PlainRetry;
+import org.amaranthstream.bench.baseline.RoundRobinPlacement;
 import org.amaranthstream.daemon.PolicySet;
 import org.amaranthstream.dispatch.DispatcherBuilder;
 import org.amaranthstream.dispatch.RetryBudget;
@@ -14,17 +18,18 @@
  * fixed concurrency, no generate-ahead, retry without a budget.
  */
 final class BaselinePolicies implements PolicySet {
+  private static final int UNKNOWN_SLOTS_LIMIT = 4;
 
   @Override
   public void configure(DispatcherBuilder dispatcher) {
     dispatcher
-        .admission(input -> new AdmissionDecision.Admit(input.serviceNanos()))
+        .admission(new AdmitAll())
         .placement(new RoundRobinPlacement())
         .queueOrder(FifoOrder::new)
         .retryPolicy(new PlainRetry())
         .retryBudget(RetryBudget.unlimited())
         .linkBudget(LinkBudget.unlimited())
-        .limits(FixedLimit::new)
+        .limits(slots -> new FixedLimit(slots == 0 ? UNKNOWN_SLOTS_LIMIT : slots))
         .healths(ServerHealth::always);
   }
 
--- a/amaranthstream-bench/src/main/java/org/amaranthstream/bench/experiment/Cluster.java
+++ b/amaranthstream-bench/src/main/java/org/amaranthstream/bench/experiment/Cluster.java
@@ -52,7 +52,7 @@
     Cluster cluster = new Cluster(user, folder);
     JavaProcess kv = cluster.standin("kv", List.of("kv"));
     for (ZoneShape zone : user.zones()) {
-      cluster.startBackends(zone);
+      cluster.startZone(zone);
     }
     cluster.kvUrl = "http://" + HOST + ":" + kv.startedPort();
     return cluster;
@@ -83,6 +83,11 @@
     return daemons.stream().map(DaemonSpec::url).toList();
   }
 
+  /** Returns the process of a daemon, in the order of {@link #daemonUrls}. */
+  JavaProcess daemonProcess(int index) {
+    return daemonProcesses.get(index);
+  }
+
   List<BackendProcess> engines() {
     return engines;
   }
@@ -141,7 +146,7 @@
     return user.zones().stream().mapToInt(ZoneShape::entryVms).sum();
   }
 
-  private void startBackends(ZoneShape zone) throws IOException {
+  private void startZone(ZoneShape zone) throws IOException {
     for (int i = 0; i < zone.engines(); i++) {
       String name = "engine-" + zone.zone() + "-" + i;
       JavaProcess process = standin(name, engineArguments());
@@ -149,7 +154,7 @@
     }
     for (int i = 0; i < zone.services(); i++) {
       String name = "service-" + zone.zone() + "-" + i;
-      List<String> arguments = List.of("service", "--service-ms", "" + Workload.SERVICE_MS);
+      List<String> arguments = List.of("service", "--service-ms", "" + user.serviceMs());
       services.add(
           new BackendProcess(name, ClusterFiles.SERVICE_POOL, zone, standin(name, arguments)));
     }
