Count the end of a platform call before its caller learns of it

The caller's future now depends on the counting.

The package logs gets its layer in the test of imports.

--- a/amaranthstream/src/main/java/org/amaranthstream/platform/PlatformHttp.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/platform/PlatformHttp.java
@@ -82,16 +82,19 @@
     HttpClientAgent used = client();
     PlatformCall call = new PlatformCall(body);
     Subscription deadline = timers.after(options.timeout().plus(wait), () -> expire(call, used));
-    call.reply().thenAccept(reply -> end(kind, reply, deadline));
+    CompletableFuture<PlatformReply> counted =
+        call.reply().thenApply(reply -> end(kind, reply, deadline));
     used.request(request(method, uri)).onComplete(call::onConnected);
-    return call.reply();
+    return counted;
   }
 
-  private void end(CallKind kind, PlatformReply reply, Subscription deadline) {
+  /** Counts the end of a call before the caller learns of it. */
+  private PlatformReply end(CallKind kind, PlatformReply reply, Subscription deadline) {
     deadline.cancel();
     if (!(reply instanceof PlatformReply.Answered answered) || PlatformErrors.isError(answered)) {
       counts.countFailed(kind);
     }
+    return reply;
   }
 
   private void expire(PlatformCall call, HttpClientAgent used) {
--- a/amaranthstream/src/test/java/org/amaranthstream/ImportDirectionTest.java
+++ b/amaranthstream/src/test/java/org/amaranthstream/ImportDirectionTest.java
@@ -23,7 +23,7 @@
 
   private static final ImmutableList<ImmutableList<String>> LAYERS =
       ImmutableList.of(
-          ImmutableList.of("ids", "result", "time", "ring"),
+          ImmutableList.of("ids", "result", "time", "ring", "logs"),
           ImmutableList.of("yaml", "auth"),
           ImmutableList.of("platform", "config", "membership", "decisions", "settings"),
           ImmutableList.of("admission", "placement"),
