--- a/amaranthstream/src/main/java/org/amaranthstream/daemon/HttpFront.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/daemon/HttpFront.java
@@ -14,6 +14,7 @@
 import org.amaranthstream.ingress.RequestKeyHandler;
 import org.amaranthstream.ingress.StepHandler;
 import org.amaranthstream.ingress.VersionHandler;
+import org.amaranthstream.metrics.MetricsHandler;
 import org.amaranthstream.result.Result;
 import org.amaranthstream.result.ResultCode;
 import org.amaranthstream.settings.Settings;
@@ -59,6 +60,7 @@
     Router router = Router.router(core.threads().vertx());
     router.get("/healthz").handler(routing -> routing.response().end("ok\n"));
     router.get("/readyz").handler(this::answerReady);
+    router.get("/metrics").handler(MetricsHandler.of(core.metrics().registry()));
     TokenVerifier verifier = TokenVerifier.of(settings.callers());
     IngressRoutes.builder()
         .verifier(verifier)
@@ -85,7 +87,7 @@
         .runner(core.dispatcher())
         .once(core.onceRunner())
         .versions(core.weights())
-        .observer(core.callObserver())
+        .observer(core.metrics()::onAnswer)
         .build();
   }
 
