Let the relay skew follow the suspect timeout

Cause: with heartbeats slower than 3 s every passed-on load report counted as late and was dropped, so a daemon knew only the servers that it polls itself. Ruled out: a bound in the membership table alone, which does not know the heartbeat interval. PeerSettingsOfTest failed before the change and passes after it; 83 tests of peer, membership and daemon settings, 0 failures.

--- a/amaranthstream/src/main/java/org/amaranthstream/daemon/PeerSettingsOf.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/daemon/PeerSettingsOf.java
@@ -41,6 +41,7 @@
     return MembershipSettings.builder()
         .suspectAfter(suspect)
         .unreachableAfter(suspect.multipliedBy(2))
+        .relaySkew(suspect)
         .build();
   }
 }
