--- a/amaranthstream-bench/src/test/java/org/amaranthstream/bench/embedded/FleetClient.java
+++ b/amaranthstream-bench/src/test/java/org/amaranthstream/bench/embedded/FleetClient.java
@@ -41,7 +41,7 @@
 
   void putConfig() {
     HttpResponse<String> response =
-        send(
+        exchange(
             request("/v1/admin/config", EmbeddedFleet.OPERATOR)
                 .header("If-Match", "0")
                 .PUT(BodyPublishers.ofString(CONFIG)));
@@ -85,12 +85,12 @@
   /** Asks for a key that the daemon issues. */
   String issueKey() {
     HttpResponse<String> response =
-        send(request("/v1/request-keys", EmbeddedFleet.CALLER).POST(BodyPublishers.noBody()));
+        exchange(request("/v1/request-keys", EmbeddedFleet.CALLER).POST(BodyPublishers.noBody()));
     return json(response).path("key").asText();
   }
 
   HttpResponse<String> send(String method, String path, String token, String body) {
-    return send(request(path, token).method(method, BodyPublishers.ofString(body)));
+    return exchange(request(path, token).method(method, BodyPublishers.ofString(body)));
   }
 
   private HttpRequest.Builder request(String path, String token) {
@@ -99,7 +99,7 @@
         .header("Authorization", "Bearer " + token);
   }
 
-  private HttpResponse<String> send(HttpRequest.Builder request) {
+  private HttpResponse<String> exchange(HttpRequest.Builder request) {
     return http.sendAsync(request.build(), BodyHandlers.ofString())
         .orTimeout(TIMEOUT.toSeconds(), TimeUnit.SECONDS)
         .join();
--- a/amaranthstream-bench/src/test/java/org/amaranthstream/bench/embedded/ShutdownTest.java
+++ b/amaranthstream-bench/src/test/java/org/amaranthstream/bench/embedded/ShutdownTest.java
@@ -51,7 +51,7 @@
 
     @Test
     void answersWhatTheBalancerStillSendsOrRefusesItAsNotRun() {
-      CompletableFuture<HttpResponse<String>> slow =
+      final CompletableFuture<HttpResponse<String>> slow =
           fleet.client(0).lookupLater("keeps the daemon up", 400);
       Polling.until("running call", () -> runs() > 0);
       CompletableFuture<Void> drained =
--- a/amaranthstream/src/main/java/org/amaranthstream/daemon/AdminFront.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/daemon/AdminFront.java
@@ -54,8 +54,7 @@
     return value;
   }
 
-  private static void complete(
-      CompletableFuture<Object> value, Result<RolloutDescription> result) {
+  private static void complete(CompletableFuture<Object> value, Result<RolloutDescription> result) {
     if (result instanceof Result.Success<RolloutDescription> success) {
       value.complete(success.value());
     } else {
--- a/amaranthstream/src/main/java/org/amaranthstream/daemon/Core.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/daemon/Core.java
@@ -60,6 +60,7 @@
   private final DecisionParts decisions;
   private final ClaimService claims;
   private final DaemonMetrics metrics;
+  private final LoadGauge loadGauge = new LoadGauge();
 
   private Core(Settings settings, LocalVm self, PolicySet policies) {
     this.settings = settings;
@@ -198,6 +199,7 @@
 
   /** Starts all parts and returns the port of the peer link. */
   Result<Integer> start() {
+    loadGauge.start(dispatcher, threads.decisionTimers());
     weights.start();
     config.start();
     configFetch.attach(peers.queries());
@@ -279,6 +281,10 @@
     return platform.counts();
   }
 
+  LoadGauge loadGauge() {
+    return loadGauge;
+  }
+
   ClaimService claims() {
     return claims;
   }
--- a/amaranthstream/src/main/java/org/amaranthstream/daemon/DaemonStatus.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/daemon/DaemonStatus.java
@@ -32,8 +32,8 @@
         core.config().current().generation().value(),
         core.config().status().platformReachable(),
         core.config().status().platformBehind(),
-        core.dispatcher().active(),
-        core.dispatcher().queued(),
+        core.loadGauge().active(),
+        core.loadGauge().queued(),
         core.threads().decisions().depth());
   }
 }
