--- a/amaranthstream/src/main/java/org/amaranthstream/daemon/AdminFront.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/daemon/AdminFront.java
@@ -1,36 +1,67 @@
 package org.amaranthstream.daemon;
 
-import io.vertx.core.http.HttpMethod;
 import io.vertx.ext.web.Router;
-import io.vertx.ext.web.RoutingContext;
-import io.vertx.ext.web.handler.BodyHandler;
-import java.nio.charset.StandardCharsets;
-import org.amaranthstream.auth.Role;
+import java.util.concurrent.CompletableFuture;
+import java.util.function.Supplier;
+import org.amaranthstream.admin.AdminRoutes;
+import org.amaranthstream.admin.StateDump;
 import org.amaranthstream.auth.TokenVerifier;
-import org.amaranthstream.ids.ConfigGeneration;
-import org.amaranthstream.ingress.RoleGate;
 import org.amaranthstream.result.Result;
+import org.amaranthstream.ring.Duty;
+import org.amaranthstream.rollout.RolloutDescription;
+import org.amaranthstream.settings.SettingsDump;
 
 /** Joins the administration routes with the parts of a daemon. */
 final class AdminFront {
   private AdminFront() {}
 
   static void mount(Router router, TokenVerifier verifier, Core core) {
-    router.route("/v1/admin/*").handler(RoleGate.of(verifier, Role.OPERATOR));
-    router.route("/v1/admin/*").handler(BodyHandler.create(false));
-    router.route(HttpMethod.PUT, "/v1/admin/config").handler(routing -> put(routing, core));
+    AdminRoutes.builder()
+        .verifier(verifier)
+        .config(core.config())
+        .explainer(core.decisionParts()::explain)
+        .dump(dumpOf(core))
+        .status(() -> DaemonStatus.of(core))
+        .build()
+        .mount(router);
   }
 
-  private static void put(RoutingContext routing, Core core) {
-    long expected = Long.parseLong(routing.request().getHeader("If-Match"));
-    String yaml = routing.body().buffer().toString(StandardCharsets.UTF_8);
-    core.config()
-        .put(ConfigGeneration.of(expected), yaml, "operator")
-        .thenAccept(result -> answer(routing, result));
+  private static StateDump dumpOf(Core core) {
+    Duty decisions = core.threads().decisions();
+    return StateDump.builder()
+        .add("settings", () -> SettingsDump.of(core.settings()))
+        .add("config", core.config()::status)
+        .add("status", () -> DaemonStatus.of(core))
+        .addLater("membership", () -> onDuty(decisions, core.table()::snapshot))
+        .addLater("peers", () -> onDuty(decisions, core.peers()::snapshot))
+        .addLater("weights", () -> onDuty(decisions, core.weights()::describe))
+        .addLater("claims", () -> onDuty(decisions, core.claims()::describe))
+        .addLater("rollout", () -> rollout(core))
+        .build();
   }
 
-  private static void answer(RoutingContext routing, Result<ConfigGeneration> result) {
-    int status = result instanceof Result.Success ? 200 : 409;
-    routing.response().setStatusCode(status).end(result.toString());
+  private static CompletableFuture<Object> onDuty(Duty duty, Supplier<?> part) {
+    CompletableFuture<Object> value = new CompletableFuture<>();
+    if (!duty.offer(() -> value.complete(part.get()))) {
+      value.completeExceptionally(new IllegalStateException("the ring of the duty is full"));
+    }
+    return value;
+  }
+
+  private static CompletableFuture<Object> rollout(Core core) {
+    CompletableFuture<Object> value = new CompletableFuture<>();
+    core.rollout().describe(result -> complete(value, result));
+    return value;
+  }
+
+  private static void complete(
+      CompletableFuture<Object> value, Result<RolloutDescription> result) {
+    if (result instanceof Result.Success<RolloutDescription> success) {
+      value.complete(success.value());
+    } else {
+      value.completeExceptionally(
+          new IllegalStateException(
+              ((Result.Failure<RolloutDescription>) result).error().toString()));
+    }
   }
 }
--- a/amaranthstream/src/main/java/org/amaranthstream/daemon/Core.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/daemon/Core.java
@@ -14,7 +14,6 @@
 import org.amaranthstream.dispatch.DispatcherBuilder;
 import org.amaranthstream.dispatch.http.HttpBackendTransport;
 import org.amaranthstream.ids.WorkClassId;
-import org.amaranthstream.ingress.CallObserver;
 import org.amaranthstream.ingress.CallRunner;
 import org.amaranthstream.ingress.KeyIssuer;
 import org.amaranthstream.ingress.RequestIds;
@@ -25,6 +24,7 @@
 import org.amaranthstream.once.ClaimService;
 import org.amaranthstream.once.Claimant;
 import org.amaranthstream.peer.PeerNode;
+import org.amaranthstream.platform.CallCounts;
 import org.amaranthstream.platform.PlatformClient;
 import org.amaranthstream.platform.PlatformOptions;
 import org.amaranthstream.platform.VmEntry;
@@ -59,6 +59,7 @@
   private final PeerOwnerLink ownerLink;
   private final DecisionParts decisions;
   private final ClaimService claims;
+  private final DaemonMetrics metrics;
 
   private Core(Settings settings, LocalVm self, PolicySet policies) {
     this.settings = settings;
@@ -79,6 +80,7 @@
     this.ownerLink = new PeerOwnerLink(table, peers.queries());
     this.rollout = newRollout(policies);
     this.claims = newClaims();
+    this.metrics = new DaemonMetrics(this);
   }
 
   static Core create(Settings settings, LocalVm self, PolicySet policies) {
@@ -269,8 +271,16 @@
     return new ClaimKeyIssuer(claims, threads.decisions());
   }
 
-  CallObserver callObserver() {
-    return (workClass, outcome, took) -> {};
+  DaemonMetrics metrics() {
+    return metrics;
+  }
+
+  CallCounts platformCounts() {
+    return platform.counts();
+  }
+
+  ClaimService claims() {
+    return claims;
   }
 
   DecisionParts decisionParts() {
--- /dev/null
+++ b/amaranthstream/src/main/java/org/amaranthstream/daemon/DaemonMetrics.java
@@ -0,0 +1,55 @@
+package org.amaranthstream.daemon;
+
+import com.google.common.collect.ImmutableMap;
+import java.time.Duration;
+import java.util.function.DoubleSupplier;
+import org.amaranthstream.dispatch.Outcome;
+import org.amaranthstream.ids.WorkClassId;
+import org.amaranthstream.metrics.ControlMetrics;
+import org.amaranthstream.metrics.Metric;
+import org.amaranthstream.metrics.Metrics;
+import org.amaranthstream.result.ResultCode;
+
+/** The metrics of a daemon and where they are read. Thread safe. */
+final class DaemonMetrics {
+  private static final double NANOS_PER_SECOND = 1e9;
+
+  private final Metrics metrics = Metrics.create();
+
+  DaemonMetrics(Core core) {
+    ControlMetrics.readConfig(metrics, core.config());
+    ControlMetrics.readPlatform(metrics, core.platformCounts());
+    Threads threads = core.threads();
+    metrics.read(
+        Metric.DUTY_QUEUE_TASKS,
+        ImmutableMap.<String, DoubleSupplier>of(
+            "decisions", threads.decisions()::depth, "platform", threads.platform()::depth));
+    metrics.read(
+        Metric.DUTY_REFUSED_TASKS,
+        ImmutableMap.<String, DoubleSupplier>of(
+            "decisions",
+            threads.decisions()::refusedCount,
+            "platform",
+            threads.platform()::refusedCount));
+  }
+
+  Metrics registry() {
+    return metrics;
+  }
+
+  /** Counts the end of a call. */
+  void onAnswer(WorkClassId workClass, Outcome outcome, Duration took) {
+    metrics.count(Metric.CALLS, workClass.value(), codeOf(outcome).name());
+    metrics.observe(Metric.CALL_SECONDS, took.toNanos() / NANOS_PER_SECOND, workClass.value());
+  }
+
+  private static ResultCode codeOf(Outcome outcome) {
+    if (outcome instanceof Outcome.NotRun notRun) {
+      return notRun.error().code();
+    }
+    if (outcome instanceof Outcome.OutcomeUnknown unknown) {
+      return unknown.error().code();
+    }
+    return ResultCode.OK;
+  }
+}
--- /dev/null
+++ b/amaranthstream/src/test/java/org/amaranthstream/yaml/YamlFuzzTest.java
@@ -0,0 +1,69 @@
+package org.amaranthstream.yaml;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import net.jqwik.api.Arbitraries;
+import net.jqwik.api.Arbitrary;
+import net.jqwik.api.Combinators;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.Provide;
+import org.amaranthstream.config.ConfigCodec;
+import org.amaranthstream.ids.ConfigGeneration;
+import org.amaranthstream.result.Result;
+import org.amaranthstream.settings.SettingsLoader;
+
+/** Whatever a file holds, the loaders return a value or one error with a line. */
+class YamlFuzzTest {
+  private static final Path EXAMPLES = Path.of("../docs/examples");
+  private static final String ERROR_FORM = "(?s)f:[1-9][0-9]*: key .+: found .+, expected .+";
+
+  @Property(seed = "20261203", tries = 2_000)
+  void settingsNeverThrow(@ForAll("settings") String text) {
+    check(SettingsLoader.parse("f", text, Path.of("none")));
+  }
+
+  @Property(seed = "20261203", tries = 2_000)
+  void configurationNeverThrows(@ForAll("configurations") String text) {
+    check(ConfigCodec.decode("f", text, ConfigGeneration.of(1)));
+  }
+
+  private static void check(Result<?> result) {
+    if (result instanceof Result.Failure<?> failure) {
+      assertThat(failure.error().message()).matches(ERROR_FORM);
+    }
+  }
+
+  @Provide
+  Arbitrary<String> settings() throws IOException {
+    return damaged(Files.readString(EXAMPLES.resolve("settings.yaml")));
+  }
+
+  @Provide
+  Arbitrary<String> configurations() throws IOException {
+    return damaged(Files.readString(EXAMPLES.resolve("config.yaml")));
+  }
+
+  private static Arbitrary<String> damaged(String example) {
+    Arbitrary<String> noise =
+        Arbitraries.oneOf(
+            Arbitraries.strings().ofMaxLength(6),
+            Arbitraries.strings().withChars("{}[]:,-&*!|>'\"#%@`? \n\t\\0a").ofMaxLength(8),
+            Arbitraries.of("<<: *a", "!!binary x", "---\n", "...\n", "\uFEFF", "[".repeat(99)));
+    Arbitrary<Integer> places = Arbitraries.integers().between(0, example.length());
+    Arbitrary<String> spliced =
+        Combinators.combine(places, places, noise)
+            .as(
+                (from, to, text) ->
+                    example.substring(0, Math.min(from, to))
+                        + text
+                        + example.substring(Math.max(from, to)));
+    Arbitrary<String> inserted =
+        Combinators.combine(places, noise)
+            .as((at, text) -> example.substring(0, at) + text + example.substring(at));
+    return Arbitraries.oneOf(spliced, inserted, noise);
+  }
+}
