--- a/amaranthstream-bench/src/main/java/org/amaranthstream/bench/decisions/Measures.java
+++ b/amaranthstream-bench/src/main/java/org/amaranthstream/bench/decisions/Measures.java
@@ -23,6 +23,7 @@
   private int errors;
   private int training;
   private int trainingInTime;
+  private long trainingTokens;
   private long tokensDelivered;
 
   Measures(VirtualTimerService timers) {
@@ -45,6 +46,7 @@
     int starts = pool.servers.stream().mapToInt(s -> s.starts).sum();
     int hits = pool.servers.stream().mapToInt(s -> s.cacheHits).sum();
     return new RunResult(
+        interactive + training,
         interactive,
         share(inTime, interactive),
         share(refused, interactive),
@@ -53,6 +55,7 @@
         latencyMicros.getValueAtPercentile(50) / MICROS_PER_MILLI,
         latencyMicros.getValueAtPercentile(99) / MICROS_PER_MILLI,
         share(trainingInTime, training),
+        share(trainingTokens, trainingInTime),
         1 - share(tokensDelivered, generated),
         share(hits, starts),
         share(refusedLate, refused),
@@ -90,6 +93,7 @@
       }
       if (work.priority() == Priority.TRAINING) {
         trainingInTime += whole ? 1 : 0;
+        trainingTokens += whole ? tokens : 0;
       } else {
         countInteractive(outcome);
       }
--- a/amaranthstream-bench/src/main/java/org/amaranthstream/bench/decisions/RunResult.java
+++ b/amaranthstream-bench/src/main/java/org/amaranthstream/bench/decisions/RunResult.java
@@ -3,6 +3,7 @@
 /**
  * Measures of one run.
  *
+ * @param requests requests that were counted, of both priorities
  * @param interactive interactive requests that arrived
  * @param inTimeShare share of them that was answered in time
  * @param refusedShare share of them that was refused without a run
@@ -11,6 +12,7 @@
  * @param medianMillis median latency of answers
  * @param p99Millis 99th percentile of the latency of answers
  * @param trainingInTimeShare share of the training requests that was answered in time
+ * @param trainingTokens mean length of the training answers, in tokens
  * @param wastedShare share of the generated tokens that was not part of a whole answer
  * @param cacheHitShare share of the starts that found their prefix cached
  * @param lateRefusalShare share of the refusals that came more than 50 ms after the arrival
@@ -18,6 +20,7 @@
  * @param crashes crashes of servers
  */
 record RunResult(
+    int requests,
     int interactive,
     double inTimeShare,
     double refusedShare,
@@ -26,6 +29,7 @@
     double medianMillis,
     double p99Millis,
     double trainingInTimeShare,
+    double trainingTokens,
     double wastedShare,
     double cacheHitShare,
     double lateRefusalShare,
--- a/amaranthstream-bench/src/main/java/org/amaranthstream/bench/experiment/Cluster.java
+++ b/amaranthstream-bench/src/main/java/org/amaranthstream/bench/experiment/Cluster.java
@@ -71,6 +71,7 @@
     }
     links.open(daemons, kvUrl);
     announceVms();
+    ClusterFiles.writePeerKey(folder);
     for (DaemonSpec daemon : daemons) {
       startDaemon(daemon, policy);
     }
@@ -83,6 +84,11 @@
     return daemons.stream().map(DaemonSpec::url).toList();
   }
 
+  /** Returns the process of a daemon, in the order of {@link #daemonUrls}. */
+  JavaProcess daemonProcess(int index) {
+    return daemonProcesses.get(index);
+  }
+
   List<BackendProcess> engines() {
     return engines;
   }
--- a/amaranthstream/src/main/java/org/amaranthstream/daemon/Core.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/daemon/Core.java
@@ -14,7 +14,6 @@
 import org.amaranthstream.dispatch.DispatcherBuilder;
 import org.amaranthstream.dispatch.http.HttpBackendTransport;
 import org.amaranthstream.ids.WorkClassId;
-import org.amaranthstream.ingress.CallObserver;
 import org.amaranthstream.ingress.CallRunner;
 import org.amaranthstream.ingress.KeyIssuer;
 import org.amaranthstream.ingress.RequestIds;
@@ -25,6 +24,7 @@
 import org.amaranthstream.once.ClaimService;
 import org.amaranthstream.once.Claimant;
 import org.amaranthstream.peer.PeerNode;
+import org.amaranthstream.platform.CallCounts;
 import org.amaranthstream.platform.PlatformClient;
 import org.amaranthstream.platform.PlatformOptions;
 import org.amaranthstream.platform.VmEntry;
@@ -48,7 +48,7 @@
   private final PlatformClient platform;
   private final MembershipTable table;
   private final ConfigKeeper config;
-  private final WeightBoard weights = new WeightBoard();
+  private final WeightParts weights;
   private final ConfigFetch configFetch;
   private final HeartbeatBridge bridge;
   private final PeerNode peers;
@@ -59,6 +59,7 @@
   private final PeerOwnerLink ownerLink;
   private final DecisionParts decisions;
   private final ClaimService claims;
+  private final DaemonMetrics metrics;
 
   private Core(Settings settings, LocalVm self, PolicySet policies) {
     this.settings = settings;
@@ -67,8 +68,10 @@
     this.platform = newPlatform();
     this.table = newTable();
     this.config = newConfigKeeper();
+    this.weights = new WeightParts(threads, self, table, config, platform.store());
     this.configFetch = new ConfigFetch(config);
-    this.bridge = new HeartbeatBridge(config, weights, configFetch, threads.decisionTimers());
+    this.bridge =
+        new HeartbeatBridge(config, weights.registry(), configFetch, threads.decisionTimers());
     this.peers = newPeers();
     this.decisions = DecisionParts.create(settings, self, threads.decisionTimers());
     this.transport = HttpBackendTransport.create(threads.vertx(), threads.decisions());
@@ -77,6 +80,7 @@
     this.ownerLink = new PeerOwnerLink(table, peers.queries());
     this.rollout = newRollout(policies);
     this.claims = newClaims();
+    this.metrics = new DaemonMetrics(this);
   }
 
   static Core create(Settings settings, LocalVm self, PolicySet policies) {
@@ -194,6 +198,7 @@
 
   /** Starts all parts and returns the port of the peer link. */
   Result<Integer> start() {
+    weights.start();
     config.start();
     configFetch.attach(peers.queries());
     bridge.attach(dispatcher);
@@ -238,7 +243,7 @@
     return config;
   }
 
-  WeightBoard weights() {
+  WeightParts weights() {
     return weights;
   }
 
@@ -266,8 +271,16 @@
     return new ClaimKeyIssuer(claims, threads.decisions());
   }
 
-  CallObserver callObserver() {
-    return (workClass, outcome, took) -> {};
+  DaemonMetrics metrics() {
+    return metrics;
+  }
+
+  CallCounts platformCounts() {
+    return platform.counts();
+  }
+
+  ClaimService claims() {
+    return claims;
   }
 
   DecisionParts decisionParts() {
@@ -277,7 +290,9 @@
   @Override
   public void close() {
     config.stop();
+    threads.decisions().offer(weights::stopControllers);
     threads.decisions().offer(peers::close);
+    weights.close();
     transport.close();
     platform.close();
     decisions.close();
