--- a/amaranthstream-bench/src/main/java/org/amaranthstream/bench/experiment/ClusterConfig.java
+++ b/amaranthstream-bench/src/main/java/org/amaranthstream/bench/experiment/ClusterConfig.java
@@ -43,7 +43,7 @@
         """,
         Workload.MODEL,
         Workload.LOOKUP_CLASS,
-        Workload.LOOKUP_DEADLINE_MS,
+        user.lookupDeadlineMs(),
         user.stalenessBound(),
         Workload.LOOKUP_MAX_TOKENS,
         Workload.ORDER_CLASS,
--- a/amaranthstream-bench/src/main/java/org/amaranthstream/bench/experiment/User.java
+++ b/amaranthstream-bench/src/main/java/org/amaranthstream/bench/experiment/User.java
@@ -29,6 +29,8 @@
   /** One-way latency between regions. */
   static final int REGION_LATENCY_MS = 8;
 
+  private static final int PATIENT_DEADLINE_MS = 60_000;
+
   private final String weighsMore;
   private final int stalenessBound;
   private final int zoneLatencyMs;
@@ -66,6 +68,11 @@
     return from.region().equals(to.region()) ? zoneLatencyMs : REGION_LATENCY_MS;
   }
 
+  /** Returns the deadline of lookups; tests of processes do not depend on speed. */
+  int lookupDeadlineMs() {
+    return this == PAIR ? PATIENT_DEADLINE_MS : Workload.LOOKUP_DEADLINE_MS;
+  }
+
   /** Returns the time of a call to a plain service; a daemon's share shows best beside little. */
   double serviceMs() {
     return this == SINGLE ? Workload.SHORTEST_SERVICE_MS : Workload.SERVICE_MS;
--- a/amaranthstream/src/main/java/org/amaranthstream/daemon/Core.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/daemon/Core.java
@@ -2,6 +2,7 @@
 
 import com.google.common.collect.ImmutableList;
 import java.time.Duration;
+import java.time.InstantSource;
 import java.util.List;
 import java.util.Optional;
 import org.amaranthstream.auth.Secret;
@@ -10,9 +11,12 @@
 import org.amaranthstream.config.ConfigTiming;
 import org.amaranthstream.config.FileConfigDisk;
 import org.amaranthstream.config.WorkClass;
+import org.amaranthstream.dispatch.DispatchSettings;
 import org.amaranthstream.dispatch.Dispatcher;
 import org.amaranthstream.dispatch.DispatcherBuilder;
 import org.amaranthstream.dispatch.http.HttpBackendTransport;
+import org.amaranthstream.dispatch.http.HttpConnectionProbe;
+import org.amaranthstream.ids.EntryVmId;
 import org.amaranthstream.ids.WorkClassId;
 import org.amaranthstream.ingress.CallRunner;
 import org.amaranthstream.ingress.KeyIssuer;
@@ -21,7 +25,11 @@
 import org.amaranthstream.membership.HttpLoadSource;
 import org.amaranthstream.membership.LocalVm;
 import org.amaranthstream.membership.MembershipTable;
+import org.amaranthstream.membership.RendezvousHash;
+import org.amaranthstream.once.ClaimLimits;
+import org.amaranthstream.once.ClaimPageId;
 import org.amaranthstream.once.ClaimService;
+import org.amaranthstream.once.ClaimTrimmer;
 import org.amaranthstream.once.Claimant;
 import org.amaranthstream.peer.PeerNode;
 import org.amaranthstream.platform.CallCounts;
@@ -53,6 +61,7 @@
   private final HeartbeatBridge bridge;
   private final PeerNode peers;
   private final HttpBackendTransport transport;
+  private final HttpConnectionProbe probe;
   private final Dispatcher dispatcher;
   private final RequestIds requestIds;
   private final RolloutService rollout;
@@ -76,6 +85,8 @@
     this.peers = newPeers();
     this.decisions = DecisionParts.create(settings, self, threads.decisionTimers());
     this.transport = HttpBackendTransport.create(threads.vertx(), threads.decisions());
+    this.probe =
+        HttpConnectionProbe.create(threads.vertx(), threads.decisions(), threads.decisionTimers());
     this.dispatcher = newDispatcher(policies);
     this.requestIds = RequestIds.of(self.id(), self.incarnation());
     this.ownerLink = new PeerOwnerLink(table, peers.queries());
@@ -154,11 +165,20 @@
             .region(self.region())
             .incarnation(self.incarnation())
             .decisionLog(decisions.log())
+            .settings(dispatchSettings())
+            .connectionProbe(probe)
             .feedback(new MembershipFeedback(table, threads.decisionTimers()));
     policies.configure(builder);
     return builder.build();
   }
 
+  private DispatchSettings dispatchSettings() {
+    return DispatchSettings.builder()
+        .queueCapacity(settings.limits().classQueueRequests())
+        .nextPartTimeout(settings.timing().silentConnectionTimeout())
+        .build();
+  }
+
   private RolloutService newRollout(PolicySet policies) {
     List<TokenKey> keys =
         settings.deliveryKeys().stream()
@@ -213,8 +233,21 @@
     return port;
   }
 
+  /** The entry VMs of a zone share the deletion of expired claim pages. */
+  private boolean isTrimmedHere(ClaimPageId page) {
+    ImmutableList<EntryVmId> order = RendezvousHash.order(page.toString(), table.zoneMembers());
+    return !order.isEmpty() && order.get(0).equals(self.id());
+  }
+
   private void startPolling() {
     Timing timing = settings.timing();
+    ClaimTrimmer.create(
+            platform.store(),
+            InstantSource.system(),
+            ClaimLimits.defaults(),
+            this::isTrimmedHere,
+            claims.counters())
+        .start(threads.decisionTimers());
     new VmListPoller(platform.vmList(), table, threads.decisions(), threads.decisionTimers())
         .start(timing.vmListPollInterval());
     HttpLoadSource source =
@@ -298,8 +331,10 @@
     config.stop();
     threads.decisions().offer(weights::stopControllers);
     threads.decisions().offer(peers::close);
+    threads.closeDuties();
     weights.close();
     transport.close();
+    probe.close();
     platform.close();
     decisions.close();
     threads.close();
--- a/amaranthstream/src/main/java/org/amaranthstream/daemon/Threads.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/daemon/Threads.java
@@ -2,6 +2,7 @@
 
 import io.vertx.core.Vertx;
 import io.vertx.core.VertxOptions;
+import org.amaranthstream.result.Result;
 import org.amaranthstream.ring.DutyThread;
 import org.amaranthstream.settings.Limits;
 import org.amaranthstream.time.SystemTimerService;
@@ -53,11 +54,16 @@
     return vertx;
   }
 
-  @Override
-  public void close() {
+  /** Stops timers and duties after the tasks that wait, so that no part works from here on. */
+  void closeDuties() {
     timers.close();
-    Blocking.await(vertx.close());
-    platform.close();
     decisions.close();
+    platform.close();
+  }
+
+  /** Stops the event loops. */
+  @Override
+  public void close() {
+    Result<Blocking.Done> unused = Blocking.await(vertx.close());
   }
 }
