--- a/amaranthstream-bench/src/main/java/org/amaranthstream/bench/Main.java
+++ b/amaranthstream-bench/src/main/java/org/amaranthstream/bench/Main.java
@@ -1,10 +1,12 @@
 package org.amaranthstream.bench;
 
+import java.util.logging.Level;
 import net.sourceforge.argparse4j.ArgumentParsers;
 import net.sourceforge.argparse4j.inf.ArgumentParser;
 import net.sourceforge.argparse4j.inf.ArgumentParserException;
 import net.sourceforge.argparse4j.inf.Namespace;
 import net.sourceforge.argparse4j.inf.Subparsers;
+import org.amaranthstream.logs.LogSetup;
 
 /** Entry point of the bench binary: one subcommand for each measurement, and the demo. */
 public final class Main {
@@ -15,6 +17,8 @@
 
   /** Runs the command line and exits with the command's status. */
   public static void main(String[] args) {
+    LogSetup.prepare();
+    LogSetup.install(Level.INFO);
     ArgumentParser parser =
         ArgumentParsers.newFor("amaranthstream-bench")
             .build()
--- a/amaranthstream-bench/src/main/java/org/amaranthstream/bench/experiment/ExperimentDaemon.java
+++ b/amaranthstream-bench/src/main/java/org/amaranthstream/bench/experiment/ExperimentDaemon.java
@@ -1,7 +1,9 @@
 package org.amaranthstream.bench.experiment;
 
 import java.nio.file.Path;
+import java.util.logging.Level;
 import org.amaranthstream.daemon.DaemonProcess;
+import org.amaranthstream.logs.LogSetup;
 import org.amaranthstream.result.ErrorDetail;
 import org.amaranthstream.result.Result;
 import org.amaranthstream.settings.Settings;
@@ -15,6 +17,8 @@
 
   /** Runs until it is stopped; the arguments are the settings file and the name of the policy. */
   public static void main(String[] args) {
+    LogSetup.prepare();
+    LogSetup.install(Level.INFO);
     Policy policy = Policy.of(args[1]);
     Result<Settings> settings = SettingsLoader.load(Path.of(args[0]));
     ErrorDetail error =
--- a/amaranthstream-bench/src/test/java/org/amaranthstream/bench/experiment/SeparateProcessesTest.java
+++ b/amaranthstream-bench/src/test/java/org/amaranthstream/bench/experiment/SeparateProcessesTest.java
@@ -4,6 +4,7 @@
 
 import io.vertx.core.http.HttpMethod;
 import java.io.IOException;
+import java.nio.file.Files;
 import java.nio.file.Path;
 import java.time.Duration;
 import java.util.Map;
@@ -96,6 +97,8 @@
       assertThat(call.join().status()).isEqualTo(200);
       int sigterm = 128 + 15;
       assertThat(cluster.daemonProcess(0).awaitExit(TIMEOUT)).isAnyOf(0, sigterm);
+      String log = Files.readString(folder.resolve("entry-zone-a-0.log"));
+      assertThat(log).containsMatch("event=shutdown_begun [^\\n]*\\n(.*\\n)*.*event=shutdown_done");
     }
   }
 
--- a/amaranthstream-standins/src/test/java/org/amaranthstream/standins/engine/EngineStandinTest.java
+++ b/amaranthstream-standins/src/test/java/org/amaranthstream/standins/engine/EngineStandinTest.java
@@ -60,8 +60,7 @@
       engine.control("{\"truncateNext\": 1}");
       assertThat(generate("a1", 1, 32, "").body().toString()).doesNotContain("\"end\":true");
       engine.control("{\"wrongEchoNext\": 1}");
-      assertThat(generate("a2", 1, 32, "").body().toString())
-          .doesNotContain("\"attempt\":\"a2\"");
+      assertThat(generate("a2", 1, 32, "").body().toString()).doesNotContain("\"attempt\":\"a2\"");
       engine.control("{\"omitVersionNext\": 1}");
       assertThat(generate("a3", 1, 32, "").body().toString()).doesNotContain("version");
     }
--- a/amaranthstream/src/main/java/org/amaranthstream/logs/LogSetup.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/logs/LogSetup.java
@@ -9,6 +9,14 @@
 public final class LogSetup {
   private LogSetup() {}
 
+  /**
+   * Chooses the log manager that keeps events of a shutdown; to be called before anything logs, as
+   * the first thing that a process does.
+   */
+  public static void prepare() {
+    System.setProperty("java.util.logging.manager", KeptLogManager.class.getName());
+  }
+
   /** Replaces the handlers of the root logger; events below {@code level} are dropped. */
   public static void install(Level level) {
     Logger root = Logger.getLogger("");
