Do not let a trainer that is gone hold up a shutdown

Ruled out: dropping ready samples at once, since their trainer may be between two pulls; a step without a pull for 15 s is taken as abandoned, and its samples are generated again where its trainer comes back. Conclusion: a shutdown ends at most 15 s after the last pull of a gone trainer.

--- a/amaranthstream/src/main/java/org/amaranthstream/rollout/StepOwner.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/rollout/StepOwner.java
@@ -20,6 +20,7 @@
  */
 final class StepOwner {
   private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+  private static final Duration ABANDONED_AFTER = Duration.ofSeconds(15);
 
   private final StepId id;
   private final StepSpec spec;
@@ -111,9 +112,13 @@
     generator.stop();
   }
 
-  /** Returns true if nothing runs, nothing is ready and no pull waits. */
+  /**
+   * Returns true if nothing runs, no pull waits, and nothing is ready for a trainer that still
+   * pulls. Samples that nobody pulls are generated again where the trainer comes back.
+   */
   boolean isIdle() {
-    return generator.running() == 0 && generator.ready() == 0 && pending == null;
+    boolean handedOut = generator.ready() == 0 || isUnusedFor(ABANDONED_AFTER);
+    return generator.running() == 0 && handedOut && pending == null;
   }
 
   /** Returns true if every slot was put on a page or is known to be kept. */
