Hold a server's slots where it reports them

Engines had free slots while daemons queued: each of seven daemons cut its own limit for the queue that all of them make. Conclusion: the queue belongs into the engine; AimdLimit and its tests stay for servers that report no slots. Admission across daemons is the next cause.

--- a/amaranthstream/src/main/java/org/amaranthstream/dispatch/DispatcherBuilder.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/dispatch/DispatcherBuilder.java
@@ -11,11 +11,11 @@
 import org.amaranthstream.ids.RegionId;
 import org.amaranthstream.membership.BackendDirectory;
 import org.amaranthstream.placement.AffinityPlacement;
-import org.amaranthstream.placement.AimdLimit;
 import org.amaranthstream.placement.ConcurrencyLimit;
 import org.amaranthstream.placement.HysteresisHealth;
 import org.amaranthstream.placement.LinkBudget;
 import org.amaranthstream.placement.PlacementPolicy;
+import org.amaranthstream.placement.ReportedSlotsLimit;
 import org.amaranthstream.placement.ServerHealth;
 import org.amaranthstream.time.TimerService;
 import org.jspecify.annotations.Nullable;
@@ -40,7 +40,7 @@
   private RetryPolicy retryPolicy = IdempotentRetry.create();
   private RetryBudget retryBudget = SuccessShareBudget.create();
   private LinkBudget linkBudget = LinkBudget.unlimited();
-  private ConcurrencyLimit.Factory limits = AimdLimit::startingAt;
+  private ConcurrencyLimit.Factory limits = ReportedSlotsLimit::startingAt;
   private ServerHealth.Factory healths = HysteresisHealth::create;
   private ConnectionProbe connectionProbe = ConnectionProbe.none();
 
