Pass on a plain service's own refusal of a call

Cause: every status but 200 of a plain service counted as failed, so a 404 of the service was tried again on other servers and its body lost. Ruled out: passing on 5xx, which may come from anything between. Conclusion: statuses below 500 that echo the attempt are answers.

--- a/amaranthstream/src/main/java/org/amaranthstream/dispatch/http/CallAttempt.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/dispatch/http/CallAttempt.java
@@ -19,6 +19,7 @@
  */
 final class CallAttempt extends HttpAttempt {
   private static final String ATTEMPT_HEADER = "Attempt";
+  private static final int FIRST_SERVER_ERROR = 500;
   private static final String DEFAULT_TYPE = "application/octet-stream";
 
   private final AttemptId id;
@@ -42,6 +43,12 @@
     return Buffer.buffer(call.body());
   }
 
+  /** The service's own word on a bad call, for example 404, is an answer and is passed on. */
+  @Override
+  boolean isAnswer(HttpClientResponse response) {
+    return response.statusCode() < FIRST_SERVER_ERROR;
+  }
+
   @Override
   void onAnswer(HttpClientResponse response) {
     if (!id.value().equals(response.getHeader(ATTEMPT_HEADER))) {
--- a/amaranthstream/src/main/java/org/amaranthstream/dispatch/http/HttpAttempt.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/dispatch/http/HttpAttempt.java
@@ -39,10 +39,15 @@
   /** Sets the headers and returns the body. */
   abstract Buffer prepare(HttpClientRequest request);
 
-  /** Reads a response of status 200. */
+  /** Returns true if the server ran the request and the response is its whole answer. */
+  boolean isAnswer(HttpClientResponse response) {
+    return response.statusCode() == HTTP_OK;
+  }
+
+  /** Reads a response that is an answer. */
   abstract void onAnswer(HttpClientResponse response);
 
-  /** Returns the end that a response of another status than 200 means. */
+  /** Returns the end that a response means which is no answer. */
   abstract AttemptEnd refusalOf(HttpClientResponse response, Buffer body);
 
   /** Runs after the connection of a cancelled attempt was closed. */
@@ -88,7 +93,7 @@
     }
     HttpClientResponse response = result.result();
     response.exceptionHandler(this::onLost);
-    if (response.statusCode() == HTTP_OK) {
+    if (isAnswer(response)) {
       onAnswer(response);
     } else {
       response.body().onComplete(body -> onRefusal(response, body));
--- a/amaranthstream/src/test/java/org/amaranthstream/dispatch/http/HttpBackendTransportTest.java
+++ b/amaranthstream/src/test/java/org/amaranthstream/dispatch/http/HttpBackendTransportTest.java
@@ -156,6 +156,19 @@
       assertThat(listener.events()).containsExactly("sending", "0:ok", "end").inOrder();
     }
 
+    @Test
+    void passesOnTheServicesOwnRefusalOfTheCall() {
+      RecordingListener listener =
+          runCall(
+              (socket, request) ->
+                  ScriptedServer.write(
+                      socket,
+                      "HTTP/1.1 404 Not Found\r\nAttempt: a-1\r\nContent-Length: 2\r\n\r\nno"));
+      AttemptEnd end = listener.awaitEnd();
+      assertThat(end).isInstanceOf(AttemptEnd.Finished.class);
+      assertThat(((AttemptEnd.Finished) end).answer().status()).isEqualTo(404);
+    }
+
     @Test
     void isInvalidWithoutTheEcho() {
       RecordingListener listener = runCall(answer("200 OK", "ok"));
