Chain results in one place and drop what nothing uses

Cause: a read of the whole change found the same unwrapping of a result in two handlers, a parameter of DecisionParts that nothing read, and a method that only renamed another. Ruled out: more chaining in other callers, builders that look alike, and one gate for admin and ingress, which needs a place that both may import. Conclusion: Result.flatMap serves both handlers.

--- a/amaranthstream/src/main/java/org/amaranthstream/daemon/Core.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/daemon/Core.java
@@ -5,7 +5,6 @@
 import java.time.InstantSource;
 import java.util.List;
 import java.util.Optional;
-import org.amaranthstream.auth.Secret;
 import org.amaranthstream.config.ConfigDisk;
 import org.amaranthstream.config.ConfigKeeper;
 import org.amaranthstream.config.ConfigTiming;
@@ -83,7 +82,7 @@
     this.bridge =
         new HeartbeatBridge(config, weights.registry(), configFetch, threads.decisionTimers());
     this.peers = newPeers();
-    this.decisions = DecisionParts.create(settings, self, threads.decisionTimers());
+    this.decisions = DecisionParts.create(settings, self);
     this.transport = HttpBackendTransport.create(threads.vertx(), threads.decisions());
     this.probe =
         HttpConnectionProbe.create(threads.vertx(), threads.decisions(), threads.decisionTimers());
@@ -182,7 +181,7 @@
   private RolloutService newRollout(PolicySet policies) {
     List<TokenKey> keys =
         settings.deliveryKeys().stream()
-            .map(key -> TokenKey.of(key.id(), bytesOf(key.key())))
+            .map(key -> TokenKey.of(key.id(), key.key().bytes()))
             .toList();
     RolloutServiceBuilder builder =
         RolloutService.builder()
@@ -213,10 +212,6 @@
     return Optional.ofNullable(config.current().classes().get(id));
   }
 
-  private static byte[] bytesOf(Secret secret) {
-    return secret.bytes();
-  }
-
   /** Starts all parts and returns the port of the peer link. */
   Result<Integer> start() {
     loadGauge.start(dispatcher, threads.decisionTimers());
--- a/amaranthstream/src/main/java/org/amaranthstream/daemon/DecisionParts.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/daemon/DecisionParts.java
@@ -20,7 +20,6 @@
 import org.amaranthstream.result.ResultCode;
 import org.amaranthstream.ring.DutyThread;
 import org.amaranthstream.settings.Settings;
-import org.amaranthstream.time.TimerService;
 import org.jspecify.annotations.Nullable;
 
 /** Decision records of this daemon, and their explanation here and at other entry VMs. */
@@ -46,7 +45,7 @@
     this.log = RingDecisionLog.create(writer, sinks.build());
   }
 
-  static DecisionParts create(Settings settings, LocalVm self, TimerService timers) {
+  static DecisionParts create(Settings settings, LocalVm self) {
     return new DecisionParts(settings, self);
   }
 
--- a/amaranthstream/src/main/java/org/amaranthstream/ingress/PullHandler.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/ingress/PullHandler.java
@@ -42,9 +42,6 @@
   }
 
   private static Result<PullRequest> requestOf(RoutingContext routing, StepId step) {
-    Result<PullBody> body = Json.readBody(routing, PullBody.class);
-    return body instanceof Result.Success<PullBody> success
-        ? success.value().toRequest(step)
-        : Result.failure(((Result.Failure<PullBody>) body).error());
+    return Json.readBody(routing, PullBody.class).flatMap(body -> body.toRequest(step));
   }
 }
--- a/amaranthstream/src/main/java/org/amaranthstream/ingress/StepHandler.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/ingress/StepHandler.java
@@ -43,9 +43,6 @@
   }
 
   private static Result<StepSpec> specOf(RoutingContext routing) {
-    Result<StepBody> body = Json.readBody(routing, StepBody.class);
-    return body instanceof Result.Success<StepBody> success
-        ? success.value().toSpec()
-        : Result.failure(((Result.Failure<StepBody>) body).error());
+    return Json.readBody(routing, StepBody.class).flatMap(StepBody::toSpec);
   }
 }
--- a/amaranthstream/src/main/java/org/amaranthstream/result/Result.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/result/Result.java
@@ -41,6 +41,14 @@
     return failure(((Failure<T>) this).error());
   }
 
+  /** Returns the result that {@code function} makes of the value, or the same failure. */
+  default <R> Result<R> flatMap(Function<? super T, Result<R>> function) {
+    if (this instanceof Success<T> success) {
+      return function.apply(success.value());
+    }
+    return failure(((Failure<T>) this).error());
+  }
+
   /**
    * A value.
    *
