--- /dev/null
+++ b/amaranthstream/src/main/java/org/amaranthstream/calls/CallRun.java
@@ -0,0 +1,249 @@
+package org.amaranthstream.calls;
+
+import com.google.common.flogger.FluentLogger;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import org.amaranthstream.result.ErrorDetail;
+import org.amaranthstream.result.ResultCode;
+import org.amaranthstream.servers.TrackedServer;
+import org.amaranthstream.time.Subscription;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * One request of a caller, from its arrival to its one answer.
+ *
+ * <p>An answer is held back until it is whole, so that a broken one can be replaced by another
+ * server's; a long one or a stream is passed on as it arrives. "Not run" is answered only while no
+ * attempt may have run. Used on one thread.
+ */
+public final class CallRun {
+  private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+
+  /** Attempts that servers refuse do not count; so many are made at most. */
+  private static final int MAX_REFUSED = 6;
+
+  private static final Duration RETRY_AFTER = Duration.ofMillis(300);
+
+  private final CallService service;
+  private final CallPolicy policy;
+  private final OutboundCall call;
+  private final List<TrackedServer> servers;
+  private final CallerExchange exchange;
+  private final long endNanos;
+  private final Set<TrackedServer> tried = new HashSet<>();
+  private final List<CallAttempt> running = new ArrayList<>();
+  private int counted;
+  private int refused;
+  private boolean mayHaveRun;
+  private @Nullable CallAttempt committed;
+  private @Nullable CallAttempt lastError;
+  private @Nullable Subscription timeout;
+  private @Nullable Subscription hedge;
+  private boolean isOver;
+  private String lastFailure = "no backend server is known";
+
+  CallRun(
+      CallService service,
+      CallPolicy policy,
+      OutboundCall call,
+      List<TrackedServer> servers,
+      Duration timeLeft,
+      CallerExchange exchange) {
+    this.service = service;
+    this.policy = policy;
+    this.call = call;
+    this.servers = servers;
+    this.exchange = exchange;
+    this.endNanos = service.timers().nowNanos() + timeLeft.toNanos();
+  }
+
+  void start() {
+    timeout = service.timers().after(max(timeLeft(), Duration.ZERO), this::onTimeout);
+    attemptNext();
+  }
+
+  private static Duration max(Duration a, Duration b) {
+    return a.compareTo(b) > 0 ? a : b;
+  }
+
+  private Duration timeLeft() {
+    return Duration.ofNanos(endNanos - service.timers().nowNanos());
+  }
+
+  /** Tries the next server; if there is none, answers unless an attempt is still running. */
+  private void attemptNext() {
+    Optional<TrackedServer> server =
+        mayTryAnother() ? service.choose(servers, tried) : Optional.empty();
+    if (server.isPresent()) {
+      attempt(server.get());
+    } else if (running.isEmpty()) {
+      giveUp();
+    }
+  }
+
+  private boolean mayTryAnother() {
+    boolean isWithinBound = counted < policy.maxAttempts() && refused < MAX_REFUSED;
+    return isWithinBound && (policy.isRepeatable() || !mayHaveRun);
+  }
+
+  private void attempt(TrackedServer server) {
+    tried.add(server);
+    counted++;
+    CallAttempt attempt = new CallAttempt(this, server);
+    running.add(attempt);
+    logger.atFine().log("event=call_sent %s server=%s attempt=%d", this, server.id(), counted);
+    attempt.start(service.transport(), call, timeLeft());
+    if (policy.isRepeatable() && !isOver && committed == null) {
+      planHedge();
+    }
+  }
+
+  private void planHedge() {
+    if (hedge != null) {
+      hedge.cancel();
+    }
+    hedge = service.timers().after(policy.hedgeAfter(), this::hedge);
+  }
+
+  private void hedge() {
+    if (!isOver && committed == null && mayTryAnother()) {
+      attemptNext();
+    }
+  }
+
+  /** Returns true if the attempt's answer is passed on as it arrives. */
+  boolean shouldStream(CallAttempt attempt) {
+    return policy.isStream() || attempt.isLong();
+  }
+
+  boolean isCommitted(CallAttempt attempt) {
+    return committed == attempt;
+  }
+
+  /** Chooses the attempt whose answer the caller gets; the others are ended. */
+  void commit(CallAttempt attempt) {
+    committed = attempt;
+    for (CallAttempt other : List.copyOf(running)) {
+      if (other != attempt) {
+        running.remove(other);
+        other.cancel();
+      }
+    }
+  }
+
+  CallerExchange exchange() {
+    return exchange;
+  }
+
+  /** An attempt has a whole answer that was held back. */
+  void onWhole(CallAttempt attempt) {
+    running.remove(attempt);
+    if (attempt.head().isServerError() && policy.isRepeatable() && mayTryAnother()) {
+      mayHaveRun = true;
+      lastError = attempt;
+      attemptNext();
+      return;
+    }
+    if (attempt.head().isServerError() && !running.isEmpty()) {
+      lastError = attempt;
+      return;
+    }
+    commit(attempt);
+    exchange.answer(attempt.head(), attempt.body());
+    close(ResultCode.OK, "");
+  }
+
+  /** An attempt whose answer was passed on as it arrived has ended whole. */
+  void onStreamed(CallAttempt attempt) {
+    running.remove(attempt);
+    exchange.end();
+    close(ResultCode.OK, "");
+  }
+
+  void onFailed(CallAttempt attempt, AttemptFailure failure) {
+    running.remove(attempt);
+    lastFailure = attempt.serverId() + ": " + failure;
+    if (failure instanceof AttemptFailure.Broken) {
+      mayHaveRun = true;
+    } else {
+      counted--;
+      refused++;
+    }
+    if (committed == attempt) {
+      exchange.abort();
+      close(ResultCode.OUTCOME_UNKNOWN_BACKEND_LOST, lastFailure);
+      return;
+    }
+    attemptNext();
+  }
+
+  private void giveUp() {
+    if (lastError != null) {
+      exchange.answer(lastError.head(), lastError.body());
+      close(ResultCode.BACKEND_FAILED, lastFailure);
+    } else if (mayHaveRun) {
+      fail(ResultCode.OUTCOME_UNKNOWN_BACKEND_LOST, lastFailure);
+    } else {
+      fail(ResultCode.NOT_RUN_NO_BACKEND, lastFailure);
+    }
+  }
+
+  private void onTimeout() {
+    if (isOver) {
+      return;
+    }
+    boolean isNotRun = running.isEmpty() && !mayHaveRun;
+    cancelAll();
+    if (committed != null) {
+      exchange.abort();
+      close(ResultCode.OUTCOME_UNKNOWN_DEADLINE, "the answer was not whole in time");
+    } else if (isNotRun) {
+      fail(ResultCode.NOT_RUN_DEADLINE, lastFailure);
+    } else {
+      fail(ResultCode.OUTCOME_UNKNOWN_DEADLINE, "no answer in time");
+    }
+  }
+
+  /** The caller has left: its attempts are ended, and nothing is answered. */
+  public void cancel() {
+    if (!isOver) {
+      cancelAll();
+      close(ResultCode.OUTCOME_UNKNOWN_CANCELLED, "the caller has left");
+    }
+  }
+
+  private void cancelAll() {
+    List<CallAttempt> all = List.copyOf(running);
+    running.clear();
+    all.forEach(CallAttempt::cancel);
+  }
+
+  private void fail(ResultCode code, String message) {
+    exchange.fail(ErrorDetail.of(code, message), RETRY_AFTER);
+    close(code, message);
+  }
+
+  private void close(ResultCode code, String detail) {
+    isOver = true;
+    if (timeout != null) {
+      timeout.cancel();
+    }
+    if (hedge != null) {
+      hedge.cancel();
+    }
+    service.ended(this, code, detail);
+  }
+
+  CallService service() {
+    return service;
+  }
+
+  @Override
+  public String toString() {
+    return "request=" + call.id() + " uri=" + call.uri();
+  }
+}
--- /dev/null
+++ b/amaranthstream/src/main/java/org/amaranthstream/calls/CallService.java
@@ -0,0 +1,116 @@
+package org.amaranthstream.calls;
+
+import static com.google.common.base.Preconditions.checkNotNull;
+
+import com.google.common.collect.ImmutableList;
+import com.google.common.flogger.FluentLogger;
+import java.time.Duration;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Optional;
+import java.util.Random;
+import java.util.Set;
+import org.amaranthstream.result.ResultCode;
+import org.amaranthstream.routing.Route;
+import org.amaranthstream.routing.WeightedService;
+import org.amaranthstream.servers.ServerChoice;
+import org.amaranthstream.servers.ServerDirectory;
+import org.amaranthstream.servers.TrackedServer;
+import org.amaranthstream.time.TimerService;
+
+/**
+ * Passes requests on to backend servers.
+ *
+ * <p>Used on one thread.
+ */
+public final class CallService {
+  private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+
+  private final ServerDirectory directory;
+  private final ServerChoice choice;
+  private final CallTransport transport;
+  private final TimerService timers;
+  private final Random random = new Random();
+  private final Set<CallRun> open = new HashSet<>();
+
+  private CallService(
+      ServerDirectory directory,
+      ServerChoice choice,
+      CallTransport transport,
+      TimerService timers) {
+    this.directory = directory;
+    this.choice = choice;
+    this.transport = transport;
+    this.timers = timers;
+  }
+
+  /** Returns a service that sends over {@code transport}. */
+  public static CallService create(
+      ServerDirectory directory,
+      ServerChoice choice,
+      CallTransport transport,
+      TimerService timers) {
+    return new CallService(
+        checkNotNull(directory, "directory"),
+        checkNotNull(choice, "choice"),
+        checkNotNull(transport, "transport"),
+        checkNotNull(timers, "timers"));
+  }
+
+  /**
+   * Passes a request on.
+   *
+   * @param timeLeft the time that the caller still waits
+   * @return a handle for a caller that leaves
+   */
+  public CallRun start(Route route, OutboundCall call, Duration timeLeft, CallerExchange exchange) {
+    Duration time = timeLeft.compareTo(route.timeout()) < 0 ? timeLeft : route.timeout();
+    List<TrackedServer> servers = directory.open(pick(route).service());
+    CallRun run = new CallRun(this, CallPolicy.of(route), call, servers, time, exchange);
+    open.add(run);
+    run.start();
+    return run;
+  }
+
+  private WeightedService pick(Route route) {
+    ImmutableList<WeightedService> services = route.services();
+    int total = services.stream().mapToInt(WeightedService::weight).sum();
+    int drawn = total > 0 ? random.nextInt(total) : 0;
+    for (WeightedService service : services) {
+      drawn -= service.weight();
+      if (drawn < 0) {
+        return service;
+      }
+    }
+    return services.get(0);
+  }
+
+  /** Returns the number of requests that wait for an answer. */
+  public int openCount() {
+    return open.size();
+  }
+
+  TimerService timers() {
+    return timers;
+  }
+
+  ServerDirectory directory() {
+    return directory;
+  }
+
+  CallTransport transport() {
+    return transport;
+  }
+
+  Optional<TrackedServer> choose(List<TrackedServer> servers, Set<TrackedServer> except) {
+    return choice.choose(
+        servers, server -> server.isOpen() && !except.contains(server), timers.nowNanos());
+  }
+
+  void ended(CallRun run, ResultCode code, String detail) {
+    open.remove(run);
+    if (code != ResultCode.OK) {
+      logger.atInfo().log("event=call_ended %s code=%s detail=\"%s\"", run, code, detail);
+    }
+  }
+}
--- a/amaranthstream/src/main/java/org/amaranthstream/cli/Main.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/cli/Main.java
@@ -1,5 +1,10 @@
 package org.amaranthstream.cli;
 
+import java.nio.file.Path;
+import java.util.Arrays;
+import java.util.Optional;
+import java.util.ServiceLoader;
+import java.util.logging.Level;
 import org.amaranthstream.logs.LogSetup;
 
 /** Entry point of the amaranthstream binary. */
@@ -9,6 +14,30 @@
   /** Runs the command line and ends the process with the command's exit code. */
   public static void main(String[] args) {
     LogSetup.prepare();
-    System.exit(CommandLine.run(new Terminal(System.out, System.err), args).status());
+    Optional<ProcessRole> role = Arrays.stream(args).findFirst().flatMap(Main::findRole);
+    System.exit(role.isPresent() ? run(role.get()) : runCommand(args));
+  }
+
+  private static Optional<ProcessRole> findRole(String name) {
+    for (ProcessRole role : ServiceLoader.load(ProcessRole.class)) {
+      if (role.name().equals(name)) {
+        return Optional.of(role);
+      }
+    }
+    return Optional.empty();
+  }
+
+  private static int run(ProcessRole role) {
+    LogSetup.install(Level.INFO);
+    String settings = System.getenv(ProcessRole.SETTINGS_VARIABLE);
+    if (settings == null) {
+      System.err.printf("%s is not set%n", ProcessRole.SETTINGS_VARIABLE);
+      return ExitCode.USAGE.status();
+    }
+    return role.run(Path.of(settings));
+  }
+
+  private static int runCommand(String... args) {
+    return CommandLine.run(new Terminal(System.out, System.err), args).status();
   }
 }
--- /dev/null
+++ b/amaranthstream/src/main/java/org/amaranthstream/fleet/Fleet.java
@@ -0,0 +1,136 @@
+package org.amaranthstream.fleet;
+
+import static com.google.common.base.Preconditions.checkNotNull;
+
+import com.google.common.collect.ImmutableList;
+import com.google.common.flogger.FluentLogger;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import org.amaranthstream.ids.EntryVmId;
+import org.amaranthstream.ids.Incarnation;
+import org.amaranthstream.ids.JobId;
+import org.amaranthstream.platform.KvEntry;
+import org.amaranthstream.platform.MirrorListener;
+import org.amaranthstream.platform.MirrorTiming;
+import org.amaranthstream.platform.PrefixMirror;
+import org.amaranthstream.platform.TransactionalStore;
+import org.amaranthstream.time.TimerService;
+
+/**
+ * The daemons that are registered in the store, and who holds which duty.
+ *
+ * <p>What was known stays known while the store is away. Used on the thread of its timers.
+ */
+public final class Fleet implements MirrorListener {
+  private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+  private static final Duration WATCH_WAIT = Duration.ofSeconds(25);
+  private static final Duration SETTLE = Duration.ofMillis(100);
+
+  private final PrefixMirror mirror;
+  private final Map<EntryVmId, FleetNode> nodes = new HashMap<>();
+  private final Map<String, KvEntry> duties = new HashMap<>();
+  private final List<FleetListener> listeners = new ArrayList<>();
+
+  private Fleet(TransactionalStore store, TimerService timers) {
+    this.mirror =
+        PrefixMirror.create(
+            store, timers, FleetKeys.PREFIX, MirrorTiming.of(WATCH_WAIT, SETTLE), this);
+  }
+
+  /** Returns a view that knows nobody. */
+  public static Fleet create(TransactionalStore store, TimerService timers) {
+    return new Fleet(checkNotNull(store, "store"), checkNotNull(timers, "timers"));
+  }
+
+  /** Adds a listener. */
+  public void listen(FleetListener listener) {
+    listeners.add(checkNotNull(listener, "listener"));
+  }
+
+  /** Starts to follow the store. */
+  public void start() {
+    mirror.start();
+  }
+
+  /** Returns the registration of {@code vm}. */
+  public Optional<FleetNode> node(EntryVmId vm) {
+    return Optional.ofNullable(nodes.get(vm));
+  }
+
+  /** Returns true if that start of {@code vm}'s process is registered. */
+  public boolean isAlive(EntryVmId vm, Incarnation incarnation) {
+    FleetNode node = nodes.get(vm);
+    return node != null && node.incarnation().equals(incarnation);
+  }
+
+  /** Returns all daemons that are registered. */
+  public ImmutableList<FleetNode> nodes() {
+    return ImmutableList.copyOf(nodes.values());
+  }
+
+  /** Returns the entry of the holder of {@code duty}, empty if nobody holds it. */
+  public Optional<KvEntry> holder(String duty) {
+    return Optional.ofNullable(duties.get(duty));
+  }
+
+  /** Returns true once the registrations were read. */
+  public boolean hasCaughtUp() {
+    return mirror.hasCaughtUp();
+  }
+
+  @Override
+  public void onPut(KvEntry entry) {
+    String key = entry.key();
+    if (key.startsWith(FleetKeys.NODES)) {
+      FleetNode.decode(entry.value()).ifPresent(this::onNode);
+    } else if (key.startsWith(FleetKeys.DUTIES)) {
+      String duty = key.substring(FleetKeys.DUTIES.length());
+      duties.put(duty, entry);
+      listeners.forEach(listener -> listener.onDutyChanged(duty));
+    } else if (key.startsWith(FleetKeys.ENDED_JOBS)) {
+      JobId job = JobId.of(key.substring(FleetKeys.ENDED_JOBS.length()));
+      listeners.forEach(listener -> listener.onJobEnded(job));
+    }
+  }
+
+  private void onNode(FleetNode node) {
+    FleetNode before = nodes.put(node.vm(), node);
+    if (before != null && !before.incarnation().equals(node.incarnation())) {
+      lost(before);
+    }
+    if (before == null || !before.equals(node)) {
+      logger.atInfo().log(
+          "event=node_joined vm=%s incarnation=%s address=%s:%d",
+          node.vm(), node.incarnation(), node.host(), node.port());
+      listeners.forEach(listener -> listener.onNodeJoined(node));
+    }
+  }
+
+  private void lost(FleetNode node) {
+    logger.atInfo().log("event=node_lost vm=%s incarnation=%s", node.vm(), node.incarnation());
+    listeners.forEach(listener -> listener.onNodeLost(node));
+  }
+
+  @Override
+  public void onRemoved(String key) {
+    if (key.startsWith(FleetKeys.NODES)) {
+      FleetNode gone = nodes.remove(EntryVmId.of(key.substring(FleetKeys.NODES.length())));
+      if (gone != null) {
+        lost(gone);
+      }
+    } else if (key.startsWith(FleetKeys.DUTIES)) {
+      String duty = key.substring(FleetKeys.DUTIES.length());
+      duties.remove(duty);
+      listeners.forEach(listener -> listener.onDutyChanged(duty));
+    }
+  }
+
+  @Override
+  public void onCaughtUp() {
+    listeners.forEach(FleetListener::onCaughtUp);
+  }
+}
--- /dev/null
+++ b/amaranthstream/src/main/java/org/amaranthstream/fleet/FleetListener.java
@@ -0,0 +1,22 @@
+package org.amaranthstream.fleet;
+
+import org.amaranthstream.ids.JobId;
+
+/** Hears of the changes of a {@link Fleet}. */
+public interface FleetListener {
+
+  /** A daemon has registered. */
+  default void onNodeJoined(FleetNode node) {}
+
+  /** The registration of a daemon has ended or its process has started anew. */
+  default void onNodeLost(FleetNode node) {}
+
+  /** A job was ended by a daemon that did not reach the job's owner. */
+  default void onJobEnded(JobId job) {}
+
+  /** The holder of a duty has changed. */
+  default void onDutyChanged(String duty) {}
+
+  /** The view is up to date after the start or after an outage of the store. */
+  default void onCaughtUp() {}
+}
--- /dev/null
+++ b/amaranthstream/src/main/java/org/amaranthstream/fleet/FleetNode.java
@@ -0,0 +1,56 @@
+package org.amaranthstream.fleet;
+
+import com.google.protobuf.InvalidProtocolBufferException;
+import java.util.Optional;
+import org.amaranthstream.ids.AvailabilityZoneId;
+import org.amaranthstream.ids.EntryVmId;
+import org.amaranthstream.ids.Incarnation;
+import org.amaranthstream.ids.RegionId;
+import org.amaranthstream.jobs.wire.NodeRecord;
+
+/**
+ * A daemon as it is registered.
+ *
+ * @param vm the entry VM
+ * @param incarnation the start of the process
+ * @param host the IP number of its peer link
+ * @param port the port of its peer link
+ * @param zone its availability zone
+ * @param region its region
+ */
+public record FleetNode(
+    EntryVmId vm,
+    Incarnation incarnation,
+    String host,
+    int port,
+    AvailabilityZoneId zone,
+    RegionId region) {
+
+  byte[] encode() {
+    return NodeRecord.newBuilder()
+        .setVm(vm.value())
+        .setIncarnation(incarnation.value())
+        .setHost(host)
+        .setPort(port)
+        .setZone(zone.value())
+        .setRegion(region.value())
+        .build()
+        .toByteArray();
+  }
+
+  static Optional<FleetNode> decode(byte[] value) {
+    try {
+      NodeRecord node = NodeRecord.parseFrom(value);
+      return Optional.of(
+          new FleetNode(
+              EntryVmId.of(node.getVm()),
+              Incarnation.of(node.getIncarnation()),
+              node.getHost(),
+              node.getPort(),
+              AvailabilityZoneId.of(node.getZone()),
+              RegionId.of(node.getRegion())));
+    } catch (InvalidProtocolBufferException | IllegalArgumentException e) {
+      return Optional.empty();
+    }
+  }
+}
--- /dev/null
+++ b/amaranthstream/src/main/java/org/amaranthstream/fleet/FleetSession.java
@@ -0,0 +1,162 @@
+package org.amaranthstream.fleet;
+
+import static com.google.common.base.Preconditions.checkNotNull;
+
+import com.google.common.flogger.FluentLogger;
+import java.time.Duration;
+import java.time.InstantSource;
+import java.util.Optional;
+import org.amaranthstream.ids.LeaseId;
+import org.amaranthstream.platform.GrantedLease;
+import org.amaranthstream.platform.RenewalReply;
+import org.amaranthstream.platform.Transaction;
+import org.amaranthstream.platform.TransactionReply;
+import org.amaranthstream.platform.TransactionalStore;
+import org.amaranthstream.result.Result;
+import org.amaranthstream.time.TimerService;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * This daemon's registration in the store, under one lease that it renews.
+ *
+ * <p>When the lease has ended, or somebody has removed the registration, the daemon registers anew
+ * under a new lease. Used on the thread of its timers.
+ */
+public final class FleetSession implements FleetListener {
+  private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+  private static final Duration TTL = Duration.ofMillis(3_000);
+  private static final Duration RENEWAL_PERIOD = Duration.ofMillis(900);
+  private static final Duration RETRY_PAUSE = Duration.ofMillis(400);
+
+  private final TransactionalStore store;
+  private final TimerService timers;
+  private final LeaseClock clock;
+  private final FleetNode self;
+  private @Nullable LeaseId lease;
+  private LeaseClock.Moment renewedAt;
+  private Duration ttl = TTL;
+  private boolean isRegistering;
+  private boolean isClosed;
+  private Runnable onRegistered = () -> {};
+
+  private FleetSession(
+      TransactionalStore store, TimerService timers, InstantSource timeOfDay, FleetNode self) {
+    this.store = store;
+    this.timers = timers;
+    this.clock = new LeaseClock(timers, timeOfDay);
+    this.self = self;
+    this.renewedAt = clock.now();
+  }
+
+  /** Returns a session that is not registered yet. */
+  public static FleetSession create(
+      TransactionalStore store, TimerService timers, InstantSource timeOfDay, FleetNode self) {
+    return new FleetSession(
+        checkNotNull(store, "store"),
+        checkNotNull(timers, "timers"),
+        checkNotNull(timeOfDay, "timeOfDay"),
+        checkNotNull(self, "self"));
+  }
+
+  /** Registers, and keeps the registration until the session is closed. */
+  public void start(Runnable onRegistered) {
+    this.onRegistered = onRegistered;
+    register();
+    timers.every(RENEWAL_PERIOD, this::renew);
+  }
+
+  /** Returns this daemon as it is registered. */
+  public FleetNode self() {
+    return self;
+  }
+
+  /** Returns the lease, empty while the daemon is not registered. */
+  public Optional<LeaseId> lease() {
+    return Optional.ofNullable(lease);
+  }
+
+  /** Returns how long the lease certainly lasts from now on; negative if it may have ended. */
+  public Duration remaining() {
+    return lease == null ? Duration.ZERO : ttl.minus(clock.since(renewedAt));
+  }
+
+  private void register() {
+    if (isRegistering || isClosed) {
+      return;
+    }
+    isRegistering = true;
+    lease = null;
+    LeaseClock.Moment asked = clock.now();
+    store.grantLease(TTL).thenAccept(result -> onGranted(result, asked));
+  }
+
+  private void onGranted(Result<GrantedLease> result, LeaseClock.Moment asked) {
+    if (result instanceof Result.Failure<GrantedLease> failure) {
+      retry(failure.error().toString());
+      return;
+    }
+    GrantedLease granted = ((Result.Success<GrantedLease>) result).value();
+    Transaction write =
+        Transaction.builder().put(FleetKeys.node(self.vm()), self.encode(), granted.id()).build();
+    store.transact(write).thenAccept(reply -> onWritten(reply, granted, asked));
+  }
+
+  private void onWritten(TransactionReply reply, GrantedLease granted, LeaseClock.Moment asked) {
+    if (!(reply instanceof TransactionReply.Committed)) {
+      retry(reply.toString());
+      return;
+    }
+    isRegistering = false;
+    lease = granted.id();
+    ttl = granted.ttl();
+    renewedAt = asked;
+    logger.atInfo().log("event=registered vm=%s lease=%s", self.vm(), granted.id());
+    onRegistered.run();
+  }
+
+  private void retry(String error) {
+    logger.atFine().log("event=registration_failed error=\"%s\"", error);
+    isRegistering = false;
+    timers.after(RETRY_PAUSE, this::register);
+  }
+
+  private void renew() {
+    LeaseId renewed = lease;
+    if (renewed == null || isClosed) {
+      return;
+    }
+    LeaseClock.Moment asked = clock.now();
+    store.renewLease(renewed).thenAccept(reply -> onRenewed(reply, renewed, asked));
+  }
+
+  private void onRenewed(RenewalReply reply, LeaseId renewed, LeaseClock.Moment asked) {
+    if (!renewed.equals(lease)) {
+      return;
+    }
+    if (reply instanceof RenewalReply.Renewed) {
+      renewedAt = asked;
+    } else if (reply instanceof RenewalReply.Ended) {
+      logger.atWarning().log("event=lease_ended vm=%s lease=%s", self.vm(), renewed);
+      register();
+    }
+  }
+
+  /** The own registration may have been removed though the lease lives: register anew. */
+  @Override
+  public void onNodeLost(FleetNode node) {
+    if (node.vm().equals(self.vm()) && node.incarnation().equals(self.incarnation())) {
+      logger.atWarning().log("event=registration_removed vm=%s", self.vm());
+      register();
+    }
+  }
+
+  /** Ends the lease, so that others learn at once that this daemon leaves. */
+  public void close() {
+    isClosed = true;
+    LeaseId ended = lease;
+    lease = null;
+    if (ended != null) {
+      store.endLease(ended);
+    }
+  }
+}
--- /dev/null
+++ b/amaranthstream/src/main/java/org/amaranthstream/jobs/ItemEnd.java
@@ -0,0 +1,31 @@
+package org.amaranthstream.jobs;
+
+/** How a run of an item ended. */
+public sealed interface ItemEnd {
+
+  /** The stream is whole. */
+  record Complete() implements ItemEnd {}
+
+  /** The server is full, or swaps its weights; the item did not run. */
+  record ServerFull() implements ItemEnd {}
+
+  /** Another incarnation has the server's address; the item did not run. */
+  record ServerReplaced() implements ItemEnd {}
+
+  /**
+   * The server failed the item.
+   *
+   * @param status the HTTP status
+   */
+  record Failed(int status) implements ItemEnd {}
+
+  /** The item can never be done. */
+  record Impossible() implements ItemEnd {}
+
+  /**
+   * The stream broke off, or no connection was made.
+   *
+   * @param reason what was seen
+   */
+  record Broken(String reason) implements ItemEnd {}
+}
--- /dev/null
+++ b/amaranthstream/src/main/java/org/amaranthstream/jobs/ItemProgress.java
@@ -0,0 +1,125 @@
+package org.amaranthstream.jobs;
+
+import com.google.common.flogger.FluentLogger;
+import java.time.Duration;
+import org.amaranthstream.ids.BackendServerId;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * How far an item of an owned job is.
+ *
+ * <p>Not thread safe; times are monotonic nanoseconds that callers pass in.
+ */
+final class ItemProgress {
+  private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+  private static final Duration FIRST_PAUSE = Duration.ofMillis(50);
+  private static final Duration LONGEST_PAUSE = Duration.ofMillis(2_000);
+  private static final int MOST_DOUBLINGS = 6;
+
+  /** Where an item stands. */
+  enum State {
+    WAITING,
+    RUNNING,
+    FINISHED
+  }
+
+  private final ItemSpec spec;
+  private final long expectedTokens;
+  private final ItemText text = new ItemText();
+  private State state = State.WAITING;
+  private int failures;
+  private int breaks;
+  private long notBeforeNanos = Long.MIN_VALUE;
+  private ItemTransport.@Nullable Run run;
+  private @Nullable BackendServerId lastServer;
+
+  ItemProgress(ItemSpec spec, long expectedTokens) {
+    this.spec = spec;
+    this.expectedTokens = expectedTokens;
+  }
+
+  ItemSpec spec() {
+    return spec;
+  }
+
+  /** Returns the expected length of the text that is still to be generated. */
+  long expectedTokens() {
+    return expectedTokens;
+  }
+
+  ItemText text() {
+    return text;
+  }
+
+  boolean isWaiting() {
+    return state == State.WAITING;
+  }
+
+  boolean isRunning() {
+    return state == State.RUNNING;
+  }
+
+  boolean isFinished() {
+    return state == State.FINISHED;
+  }
+
+  boolean isReady(long nowNanos) {
+    return state == State.WAITING && nowNanos >= notBeforeNanos;
+  }
+
+  long notBeforeNanos() {
+    return notBeforeNanos;
+  }
+
+  void begin(BackendServerId server) {
+    state = State.RUNNING;
+    lastServer = server;
+  }
+
+  void attach(ItemTransport.Run run) {
+    this.run = run;
+  }
+
+  /** The item waits for its next run, without delay. */
+  void retryAtOnce() {
+    state = State.WAITING;
+    run = null;
+  }
+
+  /** The item waits for its next run, longer after each break in a row. */
+  void retryLater(long nowNanos, String reason) {
+    state = State.WAITING;
+    run = null;
+    long pause = FIRST_PAUSE.toNanos() << Math.min(breaks, MOST_DOUBLINGS);
+    notBeforeNanos = nowNanos + Math.min(pause, LONGEST_PAUSE.toNanos());
+    breaks++;
+    logger.atInfo().log(
+        "event=item_broken item=%s server=%s last_event=%d breaks=%d reason=\"%s\"",
+        spec.id(), lastServer, text.lastEvent(), breaks, reason);
+  }
+
+  /** A run has brought the item further. */
+  void onProgress() {
+    breaks = 0;
+  }
+
+  /** Counts a run that the server failed; returns the number of them. */
+  int countFailure() {
+    failures++;
+    return failures;
+  }
+
+  void finish() {
+    state = State.FINISHED;
+    run = null;
+  }
+
+  /** Ends the run at the server, if there is one. */
+  void cancel() {
+    ItemTransport.Run running = run;
+    run = null;
+    if (running != null) {
+      running.cancel();
+    }
+  }
+}
--- /dev/null
+++ b/amaranthstream/src/main/java/org/amaranthstream/jobs/ItemRunner.java
@@ -0,0 +1,194 @@
+package org.amaranthstream.jobs;
+
+import com.google.common.flogger.FluentLogger;
+import java.time.Duration;
+import java.util.Optional;
+import org.amaranthstream.ids.WeightVersion;
+import org.amaranthstream.servers.ServerDirectory;
+import org.amaranthstream.servers.TrackedServer;
+import org.amaranthstream.time.Subscription;
+import org.amaranthstream.time.TimerService;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * Runs one item at one server and turns what comes back into the item's progress.
+ *
+ * <p>Text under a weight version that the job does not allow is discarded. A stream without
+ * progress is resumed elsewhere. Used on one thread.
+ */
+final class ItemRunner implements ItemListener {
+  private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+
+  /** A server may hold an item in its queue, or load weights, before it starts to answer. */
+  private static final Duration START_TIMEOUT = Duration.ofMillis(5_000);
+
+  private static final Duration EVENT_TIMEOUT = Duration.ofMillis(2_500);
+
+  /** What follows a run. */
+  interface Observer {
+    /** A run has ended; a server may have room and the item may wait again. */
+    void onRunEnded(OwnedJob job);
+  }
+
+  private final OwnedJob job;
+  private final ItemProgress item;
+  private final TrackedServer server;
+  private final ItemRules rules;
+  private final ServerDirectory directory;
+  private final TimerService timers;
+  private final Observer observer;
+  private Optional<WeightVersion> version = Optional.empty();
+  private ItemTransport.@Nullable Run run;
+  private @Nullable Subscription silence;
+  private boolean isOver;
+
+  ItemRunner(
+      OwnedJob job,
+      ItemProgress item,
+      TrackedServer server,
+      ItemRules rules,
+      ServerDirectory directory,
+      TimerService timers,
+      Observer observer) {
+    this.job = job;
+    this.item = item;
+    this.server = server;
+    this.rules = rules;
+    this.directory = directory;
+    this.timers = timers;
+    this.observer = observer;
+  }
+
+  void start(ItemTransport transport) {
+    item.begin(server.id());
+    server.begin();
+    item.attach(this::cancel);
+    watch(START_TIMEOUT);
+    logger.atFine().log(
+        "event=item_started job=%s item=%s server=%s last_event=%d",
+        job.id(), item.spec().id(), server.id(), item.text().lastEvent());
+    ItemRequest request = new ItemRequest(job.spec().host(), item.spec(), item.text().lastEvent());
+    ItemTransport.Run started = transport.start(server, request, this);
+    if (isOver) {
+      return;
+    }
+    run = started;
+  }
+
+  private void watch(Duration timeout) {
+    if (silence != null) {
+      silence.cancel();
+    }
+    silence =
+        timers.after(timeout, () -> breakOff("no progress for " + timeout.toMillis() + " ms"));
+  }
+
+  @Override
+  public void onStarted(Optional<WeightVersion> told) {
+    if (isOver) {
+      return;
+    }
+    watch(EVENT_TIMEOUT);
+    server.onAnswered();
+    told.ifPresent(this::onVersion);
+  }
+
+  private void onVersion(WeightVersion told) {
+    version = Optional.of(told);
+    server.onVersion(job.spec().model(), told);
+  }
+
+  @Override
+  public void onEvent(ItemEvent event) {
+    if (isOver) {
+      return;
+    }
+    watch(EVENT_TIMEOUT);
+    event.newVersion().ifPresent(this::onVersion);
+    if (version.isEmpty() || !rules.allows(job.spec(), item.text().versions(), version.get())) {
+      item.text().clear();
+      breakOff("text of weight version " + version + " is not allowed");
+      return;
+    }
+    if (!item.text().add(event, version)) {
+      breakOff("event " + event.id() + " follows event " + item.text().lastEvent());
+      return;
+    }
+    item.onProgress();
+  }
+
+  /** Ends the run from this side; the item is resumed elsewhere. */
+  private void breakOff(String reason) {
+    ItemTransport.Run running = run;
+    onEnded(new ItemEnd.Broken(reason));
+    if (running != null) {
+      running.cancel();
+    }
+  }
+
+  /** The job needs the run no more. */
+  private void cancel() {
+    if (close() && run != null) {
+      run.cancel();
+    }
+  }
+
+  private boolean close() {
+    if (isOver) {
+      return false;
+    }
+    isOver = true;
+    if (silence != null) {
+      silence.cancel();
+    }
+    server.end();
+    return true;
+  }
+
+  @Override
+  public void onEnded(ItemEnd end) {
+    if (!close()) {
+      return;
+    }
+    long now = timers.nowNanos();
+    if (end instanceof ItemEnd.Complete) {
+      onComplete(now);
+    } else if (end instanceof ItemEnd.ServerFull) {
+      server.onFull(now);
+      item.retryAtOnce();
+    } else if (end instanceof ItemEnd.ServerReplaced) {
+      directory.onReplaced(server);
+      item.retryAtOnce();
+    } else if (end instanceof ItemEnd.Impossible) {
+      logger.atWarning().log("event=item_impossible job=%s item=%s", job.id(), item.spec().id());
+      job.giveUp(item);
+    } else if (end instanceof ItemEnd.Failed failed) {
+      onFailed(failed, now);
+    } else {
+      String reason = ((ItemEnd.Broken) end).reason();
+      server.onFailed(now, reason);
+      item.retryLater(now, reason);
+    }
+    observer.onRunEnded(job);
+  }
+
+  private void onComplete(long now) {
+    if (item.text().lastEvent() == 0) {
+      item.retryLater(now, "the stream has no event");
+      return;
+    }
+    job.complete(item);
+  }
+
+  private void onFailed(ItemEnd.Failed failed, long now) {
+    int failures = item.countFailure();
+    if (failures >= rules.maxFailures()) {
+      logger.atWarning().log(
+          "event=item_given_up job=%s item=%s failures=%d status=%d",
+          job.id(), item.spec().id(), failures, failed.status());
+      job.giveUp(item);
+    } else {
+      item.retryLater(now, "the server answered " + failed.status());
+    }
+  }
+}
--- /dev/null
+++ b/amaranthstream/src/main/java/org/amaranthstream/jobs/ItemScheduler.java
@@ -0,0 +1,174 @@
+package org.amaranthstream.jobs;
+
+import com.google.common.collect.ImmutableList;
+import com.google.common.flogger.FluentLogger;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import org.amaranthstream.ids.ServiceId;
+import org.amaranthstream.ids.WeightVersion;
+import org.amaranthstream.routing.Route;
+import org.amaranthstream.routing.RouteKind;
+import org.amaranthstream.routing.RoutingConfig;
+import org.amaranthstream.routing.RoutingTable;
+import org.amaranthstream.servers.ServerChoice;
+import org.amaranthstream.servers.ServerDirectory;
+import org.amaranthstream.servers.TrackedServer;
+import org.amaranthstream.time.TimerService;
+
+/**
+ * Starts the items of all owned jobs where there is room.
+ *
+ * <p>Used on one thread.
+ */
+final class ItemScheduler implements ItemRunner.Observer {
+  private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+  private static final Duration TICK = Duration.ofMillis(50);
+
+  private final RoutingTable routing;
+  private final ServerDirectory directory;
+  private final ServerChoice choice;
+  private final ItemTransport transport;
+  private final TimerService timers;
+  private final Observer observer;
+  private final List<OwnedJob> jobs = new ArrayList<>();
+  private boolean isPumping;
+  private boolean isTicking;
+
+  /** What follows a change of a job's items. */
+  @FunctionalInterface
+  interface Observer {
+    /** Items of a job may have finished. */
+    void onItemsChanged(OwnedJob job);
+  }
+
+  ItemScheduler(
+      RoutingTable routing,
+      ServerDirectory directory,
+      ServerChoice choice,
+      ItemTransport transport,
+      TimerService timers,
+      Observer observer) {
+    this.routing = routing;
+    this.directory = directory;
+    this.choice = choice;
+    this.transport = transport;
+    this.timers = timers;
+    this.observer = observer;
+    directory.listen(this::pump);
+  }
+
+  void add(OwnedJob job) {
+    jobs.add(job);
+    pump();
+  }
+
+  @Override
+  public void onRunEnded(OwnedJob job) {
+    observer.onItemsChanged(job);
+    pump();
+  }
+
+  /** Starts what can be started, and looks again a little later while items wait. */
+  void pump() {
+    if (isPumping) {
+      return;
+    }
+    isPumping = true;
+    long now = timers.nowNanos();
+    jobs.removeIf(job -> !job.isRunnable() || !hasOpenItems(job));
+    jobs.sort(JobOrder.at(now));
+    for (OwnedJob job : ImmutableList.copyOf(jobs)) {
+      pump(job, now);
+    }
+    isPumping = false;
+    if (!jobs.isEmpty() && !isTicking) {
+      isTicking = true;
+      timers.after(TICK, this::tick);
+    }
+  }
+
+  private void tick() {
+    isTicking = false;
+    pump();
+  }
+
+  private static boolean hasOpenItems(OwnedJob job) {
+    for (ItemProgress item : job.items()) {
+      if (!item.isFinished()) {
+        return true;
+      }
+    }
+    return false;
+  }
+
+  private void pump(OwnedJob job, long now) {
+    Optional<RoutingConfig> config = routing.current();
+    if (config.isEmpty()) {
+      return;
+    }
+    Optional<Route> route = routeOf(config.get(), job.spec());
+    if (route.isEmpty()) {
+      giveUpAll(job, "the route is gone");
+      return;
+    }
+    if (job.age(now).compareTo(route.get().itemTimeout()) >= 0) {
+      giveUpAll(job, "its time is up");
+      return;
+    }
+    startAll(job, route.get(), now);
+  }
+
+  private static Optional<Route> routeOf(RoutingConfig config, JobSpec spec) {
+    return config.find(spec.host(), spec.path()).filter(r -> r.kind() == RouteKind.BATCH);
+  }
+
+  private void startAll(OwnedJob job, Route route, long now) {
+    ItemRules rules = new ItemRules(route.maxAttempts(), route.isSingleVersion());
+    while (job.isRunnable()) {
+      Optional<ItemProgress> item = ItemOrder.next(job.items(), now);
+      if (item.isEmpty()) {
+        return;
+      }
+      Optional<TrackedServer> server = serverFor(job, route, now);
+      if (server.isEmpty()) {
+        return;
+      }
+      new ItemRunner(job, item.get(), server.get(), rules, directory, timers, this)
+          .start(transport);
+    }
+  }
+
+  private Optional<TrackedServer> serverFor(OwnedJob job, Route route, long now) {
+    List<TrackedServer> servers = new ArrayList<>();
+    route.services().stream()
+        .filter(service -> service.weight() > 0)
+        .forEach(service -> servers.addAll(withRoom(service.service(), job, now)));
+    return choice.choose(servers, server -> true, now);
+  }
+
+  private List<TrackedServer> withRoom(ServiceId service, OwnedJob job, long now) {
+    return directory.open(service).stream()
+        .filter(server -> server.inFlight() < server.entry().slots())
+        .filter(server -> !server.isAvoided(now))
+        .filter(server -> isFresh(server, job))
+        .toList();
+  }
+
+  /** A server that tells no version is tried; what it generates is checked anyway. */
+  private static boolean isFresh(TrackedServer server, OwnedJob job) {
+    Optional<WeightVersion> version = server.version(job.spec().model());
+    return version.isEmpty() || !job.spec().minVersion().isAfter(version.get());
+  }
+
+  private void giveUpAll(OwnedJob job, String reason) {
+    logger.atWarning().log("event=items_given_up job=%s reason=\"%s\"", job.id(), reason);
+    for (ItemProgress item : job.items()) {
+      if (!item.isFinished()) {
+        job.giveUp(item);
+      }
+    }
+    observer.onItemsChanged(job);
+  }
+}
--- /dev/null
+++ b/amaranthstream/src/main/java/org/amaranthstream/jobs/ItemText.java
@@ -0,0 +1,53 @@
+package org.amaranthstream.jobs;
+
+import com.google.common.collect.ImmutableSortedSet;
+import java.io.ByteArrayOutputStream;
+import java.util.Optional;
+import java.util.TreeSet;
+import org.amaranthstream.ids.WeightVersion;
+
+/**
+ * The text of an item so far, and the weight versions that generated it.
+ *
+ * <p>Not thread safe.
+ */
+final class ItemText {
+  private static final byte SEPARATOR = '\n';
+
+  private final ByteArrayOutputStream text = new ByteArrayOutputStream();
+  private final TreeSet<WeightVersion> versions = new TreeSet<>();
+  private long lastEvent;
+
+  /** Adds an event that was generated under {@code version}; returns false if one is missing. */
+  boolean add(ItemEvent event, Optional<WeightVersion> version) {
+    if (event.id() != lastEvent + 1) {
+      return false;
+    }
+    if (lastEvent > 0) {
+      text.write(SEPARATOR);
+    }
+    text.writeBytes(event.data());
+    lastEvent = event.id();
+    version.ifPresent(versions::add);
+    return true;
+  }
+
+  long lastEvent() {
+    return lastEvent;
+  }
+
+  /** Forgets everything, so that the next run starts anew. */
+  void clear() {
+    text.reset();
+    versions.clear();
+    lastEvent = 0;
+  }
+
+  ImmutableSortedSet<WeightVersion> versions() {
+    return ImmutableSortedSet.copyOfSorted(versions);
+  }
+
+  byte[] bytes() {
+    return text.toByteArray();
+  }
+}
--- /dev/null
+++ b/amaranthstream/src/main/java/org/amaranthstream/jobs/JobAcceptor.java
@@ -0,0 +1,128 @@
+package org.amaranthstream.jobs;
+
+import com.google.common.collect.ImmutableList;
+import com.google.common.flogger.FluentLogger;
+import java.time.Duration;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import org.amaranthstream.ids.JobId;
+import org.amaranthstream.ids.Revision;
+import org.amaranthstream.platform.TransactionReply;
+import org.amaranthstream.result.Result;
+import org.amaranthstream.result.ResultCode;
+
+/**
+ * Accepts jobs: a job is accepted once the store has acknowledged it, and once only.
+ *
+ * <p>A refusal is given only if no write of the job can take effect any more; otherwise the outcome
+ * is unknown, and the write is pursued so that a job that was accepted after all runs. Used on one
+ * thread.
+ */
+final class JobAcceptor {
+  private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+  private static final Duration PURSUIT = Duration.ofSeconds(30);
+
+  private final JobStore store;
+  private final JobBook book;
+  private final JobKeeper keeper;
+  private final Map<JobId, CompletableFuture<Result<JobDone>>> open = new HashMap<>();
+
+  JobAcceptor(JobStore store, JobBook book, JobKeeper keeper) {
+    this.store = store;
+    this.book = book;
+    this.keeper = keeper;
+  }
+
+  /** Accepts a job; a job that was accepted before, here or elsewhere, is accepted again. */
+  CompletableFuture<Result<JobDone>> submit(JobSpec spec, Duration patience) {
+    if (book.owned(spec.id()).isPresent() || book.owner(spec.id()).isPresent()) {
+      return CompletableFuture.completedFuture(Result.success(JobDone.ACCEPTED));
+    }
+    CompletableFuture<Result<JobDone>> before = open.get(spec.id());
+    if (before != null) {
+      return before;
+    }
+    CompletableFuture<Result<JobDone>> reply = new CompletableFuture<>();
+    open.put(spec.id(), reply);
+    byte[] record = JobStore.encodeRecord(spec);
+    Submission submission = new Submission(spec, record, keeper.firstOwner(spec, record), reply);
+    submission.create(patience);
+    return reply;
+  }
+
+  private final class Submission {
+    private final JobSpec spec;
+    private final byte[] record;
+    private final JobOwner owner;
+    private final CompletableFuture<Result<JobDone>> reply;
+
+    private Submission(
+        JobSpec spec, byte[] record, JobOwner owner, CompletableFuture<Result<JobDone>> reply) {
+      this.spec = spec;
+      this.record = record;
+      this.owner = owner;
+      this.reply = reply;
+    }
+
+    private void create(Duration patience) {
+      store.create(spec.id(), record, owner, patience).thenAccept(this::onCreated);
+    }
+
+    private void onCreated(TransactionReply created) {
+      if (created instanceof TransactionReply.Committed committed) {
+        accepted(committed.revision());
+      } else if (created instanceof TransactionReply.Conflict conflict) {
+        exists(conflict);
+      } else if (created instanceof TransactionReply.Unknown unknown) {
+        boolean isFirst = !reply.isDone();
+        logger.atWarning().log(
+            "event=job_outcome_unknown job=%s error=\"%s\"", spec.id(), unknown.error());
+        reply.complete(
+            Result.failure(ResultCode.OUTCOME_UNKNOWN_DEADLINE, unknown.error().message()));
+        if (isFirst) {
+          create(PURSUIT);
+        } else {
+          open.remove(spec.id());
+        }
+      } else {
+        open.remove(spec.id());
+        logger.atWarning().log("event=job_refused job=%s reply=\"%s\"", spec.id(), created);
+        reply.complete(
+            Result.failure(ResultCode.NOT_RUN_OVERLOADED, "the store cannot take the job now"));
+      }
+    }
+
+    private void accepted(Revision revision) {
+      open.remove(spec.id());
+      logger.atInfo().log(
+          "event=job_accepted job=%s step=%d items=%d min_version=%s revision=%s",
+          spec.id(), spec.step(), spec.items().size(), spec.minVersion(), revision);
+      if (book.owned(spec.id()).isEmpty()) {
+        keeper.own(spec, new StoredOwner(spec.id(), owner, revision), ImmutableList.of());
+      }
+      reply.complete(Result.success(JobDone.ACCEPTED));
+    }
+
+    private void exists(TransactionReply.Conflict conflict) {
+      Optional<StoredOwner> current =
+          conflict.current().stream().flatMap(e -> JobStore.storedOwner(e).stream()).findFirst();
+      if (current.isPresent() && current.get().owner().equals(owner)) {
+        accepted(current.get().revision());
+        return;
+      }
+      open.remove(spec.id());
+      logger.atInfo().log("event=job_known job=%s owner=%s", spec.id(), current);
+      current.ifPresent(this::learn);
+      reply.complete(Result.success(JobDone.ACCEPTED));
+    }
+
+    private void learn(StoredOwner current) {
+      book.learn(current);
+      if (keeper.isOrphan(current)) {
+        keeper.claim(current);
+      }
+    }
+  }
+}
--- /dev/null
+++ b/amaranthstream/src/main/java/org/amaranthstream/jobs/JobCodec.java
@@ -0,0 +1,156 @@
+package org.amaranthstream.jobs;
+
+import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableListMultimap;
+import com.google.common.collect.ImmutableSortedSet;
+import com.google.protobuf.ByteString;
+import com.google.protobuf.InvalidProtocolBufferException;
+import java.util.List;
+import java.util.Optional;
+import java.util.OptionalLong;
+import org.amaranthstream.ids.EntryVmId;
+import org.amaranthstream.ids.GroupId;
+import org.amaranthstream.ids.Incarnation;
+import org.amaranthstream.ids.ItemId;
+import org.amaranthstream.ids.JobId;
+import org.amaranthstream.ids.ModelId;
+import org.amaranthstream.ids.WeightVersion;
+import org.amaranthstream.jobs.wire.HeaderRecord;
+import org.amaranthstream.jobs.wire.ItemRecord;
+import org.amaranthstream.jobs.wire.JobRecord;
+import org.amaranthstream.jobs.wire.OwnerRecord;
+import org.amaranthstream.jobs.wire.ResultPage;
+import org.amaranthstream.jobs.wire.ResultRecord;
+
+/** Turns batch jobs into the records of the store and of peer links, and back. */
+final class JobCodec {
+  private static final long NO_ESTIMATE = 0;
+
+  private JobCodec() {}
+
+  static JobRecord encode(JobSpec spec) {
+    JobRecord.Builder builder =
+        JobRecord.newBuilder()
+            .setJob(spec.id().value())
+            .setHost(spec.host())
+            .setPath(spec.path())
+            .setStep(spec.step())
+            .setModel(spec.model().value())
+            .setMinVersion(spec.minVersion().value())
+            .setWantedGroups(spec.wantedGroups());
+    spec.items().forEach(item -> builder.addItem(encode(item)));
+    return builder.build();
+  }
+
+  private static ItemRecord encode(ItemSpec item) {
+    ItemRecord.Builder builder =
+        ItemRecord.newBuilder()
+            .setItem(item.id().value())
+            .setPath(item.path())
+            .setBody(ByteString.copyFrom(item.body()))
+            .setTokens(item.tokens())
+            .setExpectedTokens(item.expectedTokens().orElse(NO_ESTIMATE))
+            .setGroup(item.group().value());
+    item.headers()
+        .forEach(
+            (name, value) ->
+                builder.addHeader(HeaderRecord.newBuilder().setName(name).setValue(value)));
+    return builder.build();
+  }
+
+  /**
+   * Returns the job of a record.
+   *
+   * @throws IllegalArgumentException if a part is out of range
+   */
+  static JobSpec decode(JobRecord job) {
+    return new JobSpec(
+        JobId.of(job.getJob()),
+        job.getHost(),
+        job.getPath(),
+        job.getStep(),
+        ModelId.of(job.getModel()),
+        WeightVersion.of(job.getMinVersion()),
+        job.getWantedGroups(),
+        job.getItemList().stream().map(JobCodec::decode).collect(ImmutableList.toImmutableList()));
+  }
+
+  private static ItemSpec decode(ItemRecord item) {
+    ImmutableListMultimap.Builder<String, String> headers = ImmutableListMultimap.builder();
+    item.getHeaderList().forEach(header -> headers.put(header.getName(), header.getValue()));
+    return new ItemSpec(
+        ItemId.of(item.getItem()),
+        item.getPath(),
+        headers.build(),
+        item.getBody().toByteArray(),
+        item.getTokens(),
+        item.getExpectedTokens() == NO_ESTIMATE
+            ? OptionalLong.empty()
+            : OptionalLong.of(item.getExpectedTokens()),
+        GroupId.of(item.getGroup()));
+  }
+
+  static byte[] encode(JobOwner owner) {
+    return OwnerRecord.newBuilder()
+        .setVm(owner.vm().value())
+        .setIncarnation(owner.incarnation().value())
+        .setEpoch(owner.epoch())
+        .setEnded(owner.isEnded())
+        .setAcceptedMs(owner.acceptedMillis())
+        .setItems(owner.items())
+        .setParts(owner.parts())
+        .setNonce(owner.nonce())
+        .build()
+        .toByteArray();
+  }
+
+  static Optional<JobOwner> decodeOwner(byte[] value) {
+    try {
+      OwnerRecord owner = OwnerRecord.parseFrom(value);
+      return Optional.of(
+          new JobOwner(
+              EntryVmId.of(owner.getVm()),
+              Incarnation.of(owner.getIncarnation()),
+              owner.getEpoch(),
+              owner.getEnded(),
+              owner.getAcceptedMs(),
+              owner.getItems(),
+              owner.getParts(),
+              owner.getNonce()));
+    } catch (InvalidProtocolBufferException | IllegalArgumentException e) {
+      return Optional.empty();
+    }
+  }
+
+  static ResultRecord encode(ItemResult result) {
+    ResultRecord.Builder builder =
+        ResultRecord.newBuilder()
+            .setItem(result.item().value())
+            .setComplete(result.isComplete())
+            .setText(ByteString.copyFrom(result.text()));
+    result.versions().forEach(version -> builder.addVersion(version.value()));
+    return builder.build();
+  }
+
+  static ItemResult decode(ResultRecord result) {
+    return new ItemResult(
+        ItemId.of(result.getItem()),
+        result.getComplete(),
+        result.getText().toByteArray(),
+        result.getVersionList().stream()
+            .map(WeightVersion::of)
+            .collect(ImmutableSortedSet.toImmutableSortedSet(WeightVersion::compareTo)));
+  }
+
+  static byte[] encodePage(List<ItemResult> results, long nonce) {
+    ResultPage.Builder page = ResultPage.newBuilder().setNonce(nonce);
+    results.forEach(result -> page.addResult(encode(result)));
+    return page.build().toByteArray();
+  }
+
+  static ImmutableList<ItemResult> decodePage(byte[] value) throws InvalidProtocolBufferException {
+    return ResultPage.parseFrom(value).getResultList().stream()
+        .map(JobCodec::decode)
+        .collect(ImmutableList.toImmutableList());
+  }
+}
--- /dev/null
+++ b/amaranthstream/src/main/java/org/amaranthstream/jobs/JobDescription.java
@@ -0,0 +1,43 @@
+package org.amaranthstream.jobs;
+
+import java.time.Duration;
+
+/**
+ * The state of an owned job, for the state dump.
+ *
+ * @param job the job
+ * @param epoch the number of owners so far
+ * @param ageMillis milliseconds since the acceptance
+ * @param items the number of items
+ * @param running the number of items that run
+ * @param listed the number of listed results
+ * @param groupsComplete the number of groups whose items all have a result
+ * @param isEnded true if the caller has ended the job
+ */
+public record JobDescription(
+    String job,
+    long epoch,
+    long ageMillis,
+    int items,
+    int running,
+    int listed,
+    long groupsComplete,
+    boolean isEnded) {
+
+  static JobDescription of(OwnedJob job, long nowNanos) {
+    int running = 0;
+    for (ItemProgress item : job.items()) {
+      running += item.isRunning() ? 1 : 0;
+    }
+    Duration age = job.age(nowNanos);
+    return new JobDescription(
+        job.id().value(),
+        job.owner().owner().epoch(),
+        age.toMillis(),
+        job.spec().items().size(),
+        running,
+        job.listedCount(),
+        job.completeGroups(),
+        job.isEnded());
+  }
+}
--- /dev/null
+++ b/amaranthstream/src/main/java/org/amaranthstream/jobs/JobKeeper.java
@@ -0,0 +1,275 @@
+package org.amaranthstream.jobs;
+
+import com.google.common.collect.ImmutableList;
+import com.google.common.flogger.FluentLogger;
+import java.time.Duration;
+import java.time.InstantSource;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Optional;
+import java.util.Random;
+import java.util.Set;
+import org.amaranthstream.fleet.Fleet;
+import org.amaranthstream.fleet.FleetListener;
+import org.amaranthstream.fleet.FleetNode;
+import org.amaranthstream.ids.EntryVmId;
+import org.amaranthstream.ids.JobId;
+import org.amaranthstream.membership.RendezvousHash;
+import org.amaranthstream.platform.TransactionReply;
+import org.amaranthstream.result.Result;
+import org.amaranthstream.time.TimerService;
+
+/**
+ * Keeps each job owned by a daemon that lives: takes over the jobs of daemons that are gone, and
+ * lets go of jobs that others have taken.
+ *
+ * <p>Used on one thread.
+ */
+final class JobKeeper implements FleetListener {
+  private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+
+  /** The time for which a job is kept after its submission. */
+  private static final Duration RETENTION = Duration.ofSeconds(150);
+
+  /** The time that the daemon with the first claim on a job has before the next one tries. */
+  private static final Duration NEXT_CLAIM = Duration.ofMillis(1_500);
+
+  /** Daemons that try to take a job over when its owner is lost. */
+  private static final int CLAIMANTS = 2;
+
+  private static final Duration TAKEOVER_PATIENCE = Duration.ofSeconds(5);
+  private static final Duration LOAD_RETRY = Duration.ofMillis(400);
+  private static final Duration SWEEP_DELAY = Duration.ofMillis(150);
+
+  private final FleetNode self;
+  private final Fleet fleet;
+  private final JobStore store;
+  private final JobBook book;
+  private final TimerService timers;
+  private final InstantSource timeOfDay;
+  private final Random nonces;
+  private final Set<JobId> taking = new HashSet<>();
+  private Starter starter = job -> {};
+  private boolean isSweepPlanned;
+
+  /** Starts a job that is now owned here. */
+  @FunctionalInterface
+  interface Starter {
+    void start(OwnedJob job);
+  }
+
+  JobKeeper(
+      FleetNode self,
+      Fleet fleet,
+      JobStore store,
+      JobBook book,
+      TimerService timers,
+      InstantSource timeOfDay,
+      Random nonces) {
+    this.self = self;
+    this.fleet = fleet;
+    this.store = store;
+    this.book = book;
+    this.timers = timers;
+    this.timeOfDay = timeOfDay;
+    this.nonces = nonces;
+  }
+
+  void start(Starter starter) {
+    this.starter = starter;
+    fleet.listen(this);
+  }
+
+  FleetNode self() {
+    return self;
+  }
+
+  /** Returns the record of a job that is accepted here and now. */
+  JobOwner firstOwner(JobSpec spec, byte[] record) {
+    return new JobOwner(
+        self.vm(),
+        self.incarnation(),
+        1,
+        false,
+        timeOfDay.millis(),
+        spec.items().size(),
+        JobStore.partCount(record),
+        nonces.nextLong());
+  }
+
+  /** Takes a job that the store has just acknowledged as owned here. */
+  OwnedJob own(JobSpec spec, StoredOwner owner, ImmutableList<ItemResult> results) {
+    long sinceAccepted = Math.max(0, timeOfDay.millis() - owner.owner().acceptedMillis());
+    OwnedJob job = new OwnedJob(spec, owner, timers.nowNanos(), Duration.ofMillis(sinceAccepted));
+    job.restore(results);
+    book.add(job);
+    timers.after(RETENTION, () -> expire(job));
+    starter.start(job);
+    return job;
+  }
+
+  private void expire(OwnedJob job) {
+    if (!job.isLost()) {
+      book.remove(job.id());
+      store.remove(job.owner());
+    }
+  }
+
+  @Override
+  public void onNodeLost(FleetNode node) {
+    planSweep();
+  }
+
+  @Override
+  public void onCaughtUp() {
+    planSweep();
+  }
+
+  /** The owner of a job did not hear of the job's end itself. */
+  @Override
+  public void onJobEnded(JobId job) {
+    book.owned(job)
+        .ifPresent(
+            owned -> {
+              logger.atInfo().log("event=job_end_noticed job=%s", job);
+              owned.end();
+              store.removeNotice(job);
+              resolve(owned);
+            });
+  }
+
+  /** Looks for jobs without a living owner, once for losses that come together. */
+  void planSweep() {
+    if (!isSweepPlanned) {
+      isSweepPlanned = true;
+      timers.after(SWEEP_DELAY, this::sweep);
+    }
+  }
+
+  private void sweep() {
+    isSweepPlanned = false;
+    store.owners().thenAccept(this::onOwners);
+  }
+
+  private void onOwners(Result<ImmutableList<StoredOwner>> result) {
+    if (result instanceof Result.Success<ImmutableList<StoredOwner>> success) {
+      success.value().stream().filter(this::isOrphan).forEach(this::claimInTurn);
+    } else {
+      timers.after(LOAD_RETRY, this::planSweep);
+    }
+  }
+
+  /** Returns true if no living daemon owns the job. */
+  boolean isOrphan(StoredOwner owner) {
+    JobOwner record = owner.owner();
+    if (record.isHeldBy(self.vm(), self.incarnation())) {
+      return book.owned(owner.job()).isEmpty() && !taking.contains(owner.job());
+    }
+    return !fleet.isAlive(record.vm(), record.incarnation());
+  }
+
+  private void claimInTurn(StoredOwner orphan) {
+    boolean wasOwn = orphan.owner().vm().equals(self.vm());
+    int rank = wasOwn ? 0 : rank(orphan.job());
+    if (rank < CLAIMANTS) {
+      timers.after(NEXT_CLAIM.multipliedBy(rank), () -> claimIfOrphan(orphan));
+    }
+  }
+
+  private int rank(JobId job) {
+    List<EntryVmId> alive = fleet.nodes().stream().map(FleetNode::vm).sorted().toList();
+    int rank = RendezvousHash.order(job.value(), alive).indexOf(self.vm());
+    return rank < 0 ? CLAIMANTS : rank;
+  }
+
+  private void claimIfOrphan(StoredOwner orphan) {
+    boolean isKnownTaken =
+        book.owner(orphan.job()).filter(o -> o.revision().isAfter(orphan.revision())).isPresent();
+    if (!isKnownTaken && isOrphan(orphan)) {
+      claim(orphan);
+    }
+  }
+
+  /** Takes a job over from an owner that is gone. */
+  void claim(StoredOwner orphan) {
+    JobId job = orphan.job();
+    if (book.owned(job).isPresent() || !taking.add(job)) {
+      return;
+    }
+    JobOwner next = orphan.owner().takenBy(self.vm(), self.incarnation(), nonces.nextLong());
+    store
+        .replaceOwner(orphan, next, TAKEOVER_PATIENCE)
+        .thenAccept(reply -> onClaimed(job, next, reply));
+  }
+
+  private void onClaimed(JobId job, JobOwner next, TransactionReply reply) {
+    if (reply instanceof TransactionReply.Committed committed) {
+      logger.atInfo().log(
+          "event=job_taken_over job=%s epoch=%d revision=%s",
+          job, next.epoch(), committed.revision());
+      load(new StoredOwner(job, next, committed.revision()));
+      return;
+    }
+    taking.remove(job);
+    logger.atInfo().log("event=job_not_taken_over job=%s reply=\"%s\"", job, reply);
+    if (reply instanceof TransactionReply.Conflict conflict) {
+      conflict.current().stream()
+          .flatMap(entry -> JobStore.storedOwner(entry).stream())
+          .forEach(book::learn);
+    } else {
+      timers.after(LOAD_RETRY, this::planSweep);
+    }
+  }
+
+  private void load(StoredOwner owner) {
+    store
+        .job(owner)
+        .thenAccept(
+            result -> {
+              if (result instanceof Result.Success<JobSpec> success) {
+                loadResults(owner, success.value());
+              } else {
+                timers.after(LOAD_RETRY, () -> load(owner));
+              }
+            });
+  }
+
+  private void loadResults(StoredOwner owner, JobSpec spec) {
+    store
+        .results(owner.job())
+        .thenAccept(
+            result -> {
+              if (result instanceof Result.Success<ImmutableList<ItemResult>> success) {
+                taking.remove(owner.job());
+                own(spec, owner, success.value());
+              } else {
+                timers.after(LOAD_RETRY, () -> loadResults(owner, spec));
+              }
+            });
+  }
+
+  /** Finds out what became of an owned job whose record was changed by somebody else. */
+  void resolve(OwnedJob job) {
+    store.owner(job.id()).thenAccept(result -> onResolved(job, result));
+  }
+
+  private void onResolved(OwnedJob job, Result<Optional<StoredOwner>> result) {
+    if (result instanceof Result.Failure<Optional<StoredOwner>>) {
+      timers.after(LOAD_RETRY, () -> resolve(job));
+      return;
+    }
+    Optional<StoredOwner> now = ((Result.Success<Optional<StoredOwner>>) result).value();
+    boolean isOwn = now.isPresent() && now.get().owner().isHeldBy(self.vm(), self.incarnation());
+    if (isOwn) {
+      job.setOwner(now.get());
+      if (job.isEnded()) {
+        job.end();
+      }
+      return;
+    }
+    logger.atWarning().log("event=job_lost job=%s owner=%s", job.id(), now);
+    job.lose();
+    book.remove(job.id());
+    now.ifPresent(book::learn);
+  }
+}
--- /dev/null
+++ b/amaranthstream/src/main/java/org/amaranthstream/jobs/JobService.java
@@ -0,0 +1,358 @@
+package org.amaranthstream.jobs;
+
+import static com.google.common.base.Preconditions.checkNotNull;
+
+import com.google.common.collect.ImmutableList;
+import com.google.common.flogger.FluentLogger;
+import com.google.errorprone.annotations.CanIgnoreReturnValue;
+import java.time.Duration;
+import java.time.InstantSource;
+import java.util.Optional;
+import java.util.Random;
+import java.util.concurrent.CompletableFuture;
+import org.amaranthstream.fleet.Fleet;
+import org.amaranthstream.fleet.FleetNode;
+import org.amaranthstream.ids.ItemId;
+import org.amaranthstream.ids.JobId;
+import org.amaranthstream.platform.TransactionReply;
+import org.amaranthstream.platform.TransactionRunner;
+import org.amaranthstream.platform.TransactionalStore;
+import org.amaranthstream.result.Result;
+import org.amaranthstream.result.ResultCode;
+import org.amaranthstream.routing.RoutingTable;
+import org.amaranthstream.servers.ServerChoice;
+import org.amaranthstream.servers.ServerDirectory;
+import org.amaranthstream.time.TimerService;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * Batch jobs, for callers at any daemon: the owner of a job answers, here or over a peer link, and
+ * the store does if the owner cannot be reached.
+ *
+ * <p>Used on one thread.
+ *
+ * <pre>{@code
+ * JobService jobs = JobService.builder()....build();
+ * jobs.start();
+ * jobs.submit(spec, Duration.ofSeconds(5)).thenAccept(this::answer);
+ * }</pre>
+ */
+public final class JobService {
+  private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+
+  /** What a read returns at most, leaving room for its encoding. */
+  private static final int MAX_READ_BYTES = 700_000;
+
+  private static final Duration STORE_READ_PAUSE = Duration.ofMillis(500);
+  private static final Duration END_PATIENCE = Duration.ofSeconds(3);
+
+  private final JobStore store;
+  private final JobBook book = new JobBook();
+  private final JobKeeper keeper;
+  private final JobAcceptor acceptor;
+  private final JobDesk desk;
+  private final ItemScheduler scheduler;
+  private final ResultLister lister;
+  private final RemoteJobs remote;
+  private final TimerService timers;
+  private final Random nonces = new Random();
+
+  private JobService(Builder builder) {
+    this.timers = checkNotNull(builder.timers, "timers");
+    Fleet fleet = checkNotNull(builder.fleet, "fleet");
+    this.store =
+        new JobStore(
+            checkNotNull(builder.store, "store"), TransactionRunner.create(builder.store, timers));
+    this.keeper =
+        new JobKeeper(
+            checkNotNull(builder.self, "self"),
+            fleet,
+            store,
+            book,
+            timers,
+            builder.timeOfDay,
+            nonces);
+    this.acceptor = new JobAcceptor(store, book, keeper);
+    this.desk = new JobDesk(store, keeper, timers, nonces);
+    this.lister = new ResultLister(store, timers, nonces, keeper::resolve);
+    this.scheduler =
+        new ItemScheduler(
+            checkNotNull(builder.routing, "routing"),
+            checkNotNull(builder.directory, "directory"),
+            checkNotNull(builder.choice, "choice"),
+            checkNotNull(builder.transport, "transport"),
+            timers,
+            lister::schedule);
+    this.remote = new RemoteJobs(checkNotNull(builder.peers, "peers"), fleet);
+  }
+
+  /** Returns a builder. */
+  public static Builder builder() {
+    return new Builder();
+  }
+
+  /** Starts to run jobs and to take over those of daemons that are gone. */
+  public void start() {
+    keeper.start(scheduler::add);
+  }
+
+  /** Looks for jobs without a living owner. */
+  public void sweep() {
+    keeper.planSweep();
+  }
+
+  /** Returns what answers the questions of other daemons. */
+  public JobQuestions questions() {
+    return new JobQuestions(this, book, desk);
+  }
+
+  /**
+   * Accepts a job.
+   *
+   * @param patience the time after which the caller is answered
+   * @return a failure {@code NOT_RUN_*} if the job will never run, {@code OUTCOME_UNKNOWN_*} if it
+   *     may
+   */
+  public CompletableFuture<Result<JobDone>> submit(JobSpec spec, Duration patience) {
+    return acceptor.submit(spec, patience);
+  }
+
+  /** Returns results from {@code position} on, waiting at most {@code wait} until there are any. */
+  public CompletableFuture<Result<ResultSlice>> read(JobId job, int position, Duration wait) {
+    Optional<OwnedJob> owned = book.owned(job);
+    if (owned.isPresent()) {
+      return desk.read(owned.get(), position, wait, MAX_READ_BYTES);
+    }
+    return withOwner(
+        job,
+        owner -> remote.read(owner, position, wait, MAX_READ_BYTES),
+        owner -> readStore(owner, position, wait));
+  }
+
+  /** Returns the body of an item. */
+  public CompletableFuture<Result<byte[]>> body(JobId job, ItemId item) {
+    Optional<OwnedJob> owned = book.owned(job);
+    if (owned.isPresent()) {
+      return CompletableFuture.completedFuture(desk.body(owned.get(), item));
+    }
+    return withOwner(
+        job,
+        owner -> remote.body(owner, item),
+        owner -> store.job(owner).thenApply(r -> r.flatMap(spec -> JobDesk.bodyOf(spec, item))));
+  }
+
+  /** Ends a job; ending it again changes nothing. */
+  public CompletableFuture<Result<JobDone>> end(JobId job) {
+    Optional<OwnedJob> owned = book.owned(job);
+    if (owned.isPresent()) {
+      return desk.end(owned.get());
+    }
+    return withOwner(job, remote::end, this::endInStore);
+  }
+
+  /** A question to a job's owner, or to the store in its place. */
+  @FunctionalInterface
+  private interface Ask<T> {
+    CompletableFuture<Result<T>> ask(StoredOwner owner);
+  }
+
+  private <T> CompletableFuture<Result<T>> withOwner(JobId job, Ask<T> peer, Ask<T> fallback) {
+    Optional<StoredOwner> known = book.owner(job);
+    if (known.isPresent()) {
+      return askOwner(known.get(), peer, fallback, true);
+    }
+    return lookUp(job, owner -> askOwner(owner, peer, fallback, false));
+  }
+
+  private <T> CompletableFuture<Result<T>> lookUp(JobId job, Ask<T> next) {
+    return store
+        .owner(job)
+        .thenCompose(
+            result -> {
+              if (result instanceof Result.Failure<Optional<StoredOwner>> failure) {
+                return failed(failure.error().code(), failure.error().message());
+              }
+              Optional<StoredOwner> owner =
+                  ((Result.Success<Optional<StoredOwner>>) result).value();
+              if (owner.isEmpty()) {
+                return failed(ResultCode.UNKNOWN_JOB, "there is no job " + job);
+              }
+              book.learn(owner.get());
+              return next.ask(owner.get());
+            });
+  }
+
+  private static <T> CompletableFuture<Result<T>> failed(ResultCode code, String message) {
+    return CompletableFuture.completedFuture(Result.failure(code, message));
+  }
+
+  private <T> CompletableFuture<Result<T>> askOwner(
+      StoredOwner owner, Ask<T> peer, Ask<T> fallback, boolean mayBeOld) {
+    if (keeper.isOrphan(owner)) {
+      keeper.claim(owner);
+      return fallback.ask(owner);
+    }
+    return peer.ask(owner)
+        .thenCompose(
+            result -> {
+              if (!(result instanceof Result.Failure<T> failure) || isFinal(failure)) {
+                return CompletableFuture.completedFuture(result);
+              }
+              logger.atFine().log(
+                  "event=owner_not_reached job=%s error=\"%s\"", owner.job(), failure.error());
+              return mayBeOld
+                  ? lookUp(owner.job(), fresh -> askFresh(owner, fresh, peer, fallback))
+                  : fallback.ask(owner);
+            });
+  }
+
+  private <T> CompletableFuture<Result<T>> askFresh(
+      StoredOwner before, StoredOwner fresh, Ask<T> peer, Ask<T> fallback) {
+    boolean hasMoved = !fresh.owner().isHeldBy(before.owner().vm(), before.owner().incarnation());
+    return hasMoved ? askOwner(fresh, peer, fallback, false) : fallback.ask(fresh);
+  }
+
+  private static boolean isFinal(Result.Failure<?> failure) {
+    return failure.error().code() == ResultCode.UNKNOWN_ITEM;
+  }
+
+  private CompletableFuture<Result<ResultSlice>> readStore(
+      StoredOwner owner, int position, Duration wait) {
+    return store
+        .results(owner.job())
+        .thenCompose(
+            result -> {
+              if (result instanceof Result.Failure<ImmutableList<ItemResult>> failure) {
+                return failed(failure.error().code(), failure.error().message());
+              }
+              ImmutableList<ItemResult> results =
+                  ((Result.Success<ImmutableList<ItemResult>>) result).value();
+              int total = owner.owner().items();
+              boolean canGrow = results.size() < total && !owner.owner().isEnded();
+              if (results.size() <= position && canGrow && !wait.isZero()) {
+                return readStoreLater(owner, position);
+              }
+              ImmutableList<ItemResult> page = ResultPages.limit(results, position, MAX_READ_BYTES);
+              return CompletableFuture.completedFuture(
+                  Result.success(new ResultSlice(total, position, page)));
+            });
+  }
+
+  private CompletableFuture<Result<ResultSlice>> readStoreLater(StoredOwner owner, int position) {
+    CompletableFuture<Result<ResultSlice>> reply = new CompletableFuture<>();
+    timers.after(
+        STORE_READ_PAUSE,
+        () -> readStore(owner, position, Duration.ZERO).thenAccept(reply::complete));
+    return reply;
+  }
+
+  private CompletableFuture<Result<JobDone>> endInStore(StoredOwner owner) {
+    if (owner.owner().isEnded()) {
+      return CompletableFuture.completedFuture(Result.success(JobDone.ENDED));
+    }
+    JobOwner ended = owner.owner().ended(nonces.nextLong());
+    return store
+        .endForOwner(owner, ended, END_PATIENCE)
+        .thenCompose(
+            reply -> {
+              if (reply instanceof TransactionReply.Committed committed) {
+                logger.atInfo().log("event=job_ended_for_owner job=%s", owner.job());
+                book.learn(new StoredOwner(owner.job(), ended, committed.revision()));
+                return CompletableFuture.completedFuture(Result.success(JobDone.ENDED));
+              }
+              book.forget(owner.job());
+              return failed(
+                  ResultCode.PLATFORM_UNAVAILABLE, "the end could not be recorded: " + reply);
+            });
+  }
+
+  /** Returns the state of all owned jobs, for the state dump. */
+  public ImmutableList<JobDescription> describe() {
+    return book.owned().stream()
+        .map(job -> JobDescription.of(job, timers.nowNanos()))
+        .collect(ImmutableList.toImmutableList());
+  }
+
+  /** Builder of {@link JobService}; every part is mandatory. */
+  public static final class Builder {
+    private @Nullable FleetNode self;
+    private @Nullable Fleet fleet;
+    private @Nullable TransactionalStore store;
+    private @Nullable TimerService timers;
+    private @Nullable RoutingTable routing;
+    private @Nullable ServerDirectory directory;
+    private @Nullable ServerChoice choice;
+    private @Nullable ItemTransport transport;
+    private @Nullable JobPeers peers;
+    private InstantSource timeOfDay = InstantSource.system();
+
+    private Builder() {}
+
+    /** Sets this daemon and the view of the others. */
+    @CanIgnoreReturnValue
+    public Builder fleet(FleetNode self, Fleet fleet) {
+      this.self = self;
+      this.fleet = fleet;
+      return this;
+    }
+
+    /** Sets the store. */
+    @CanIgnoreReturnValue
+    public Builder store(TransactionalStore store) {
+      this.store = store;
+      return this;
+    }
+
+    /** Sets the timers, on whose thread everything runs. */
+    @CanIgnoreReturnValue
+    public Builder timers(TimerService timers) {
+      this.timers = timers;
+      return this;
+    }
+
+    /** Sets the time of day, which dates acceptances. */
+    @CanIgnoreReturnValue
+    public Builder timeOfDay(InstantSource timeOfDay) {
+      this.timeOfDay = timeOfDay;
+      return this;
+    }
+
+    /** Sets the configuration. */
+    @CanIgnoreReturnValue
+    public Builder routing(RoutingTable routing) {
+      this.routing = routing;
+      return this;
+    }
+
+    /** Sets the servers and how one is chosen. */
+    @CanIgnoreReturnValue
+    public Builder servers(ServerDirectory directory, ServerChoice choice) {
+      this.directory = directory;
+      this.choice = choice;
+      return this;
+    }
+
+    /** Sets what runs items. */
+    @CanIgnoreReturnValue
+    public Builder transport(ItemTransport transport) {
+      this.transport = transport;
+      return this;
+    }
+
+    /** Sets how other daemons are asked. */
+    @CanIgnoreReturnValue
+    public Builder peers(JobPeers peers) {
+      this.peers = peers;
+      return this;
+    }
+
+    /**
+     * Returns the service, not started.
+     *
+     * @throws NullPointerException if a part was not set
+     */
+    public JobService build() {
+      return new JobService(this);
+    }
+  }
+}
--- /dev/null
+++ b/amaranthstream/src/main/java/org/amaranthstream/jobs/JobSpec.java
@@ -0,0 +1,28 @@
+package org.amaranthstream.jobs;
+
+import com.google.common.collect.ImmutableList;
+import org.amaranthstream.ids.JobId;
+import org.amaranthstream.ids.ModelId;
+import org.amaranthstream.ids.WeightVersion;
+
+/**
+ * A batch job, as it was submitted.
+ *
+ * @param id the job
+ * @param host the host of its route
+ * @param path the path that it was submitted to, which selects its route
+ * @param step the trainer's step
+ * @param model the model that generates
+ * @param minVersion the oldest weight version that may generate any of its text
+ * @param wantedGroups the number of complete groups that the trainer waits for
+ * @param items the items in the caller's order
+ */
+public record JobSpec(
+    JobId id,
+    String host,
+    String path,
+    long step,
+    ModelId model,
+    WeightVersion minVersion,
+    int wantedGroups,
+    ImmutableList<ItemSpec> items) {}
--- /dev/null
+++ b/amaranthstream/src/main/java/org/amaranthstream/jobs/JobStore.java
@@ -0,0 +1,254 @@
+package org.amaranthstream.jobs;
+
+import com.google.common.collect.ImmutableList;
+import com.google.common.flogger.FluentLogger;
+import com.google.protobuf.InvalidProtocolBufferException;
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.time.Duration;
+import java.util.Arrays;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import org.amaranthstream.fleet.FleetKeys;
+import org.amaranthstream.ids.JobId;
+import org.amaranthstream.jobs.wire.JobRecord;
+import org.amaranthstream.platform.KvEntry;
+import org.amaranthstream.platform.KvPage;
+import org.amaranthstream.platform.Transaction;
+import org.amaranthstream.platform.TransactionReply;
+import org.amaranthstream.platform.TransactionRunner;
+import org.amaranthstream.platform.TransactionalStore;
+import org.amaranthstream.result.Result;
+import org.amaranthstream.result.ResultCode;
+
+/**
+ * Batch jobs in the platform's store.
+ *
+ * <p>The record of a job's owner guards everything: it is created with the job, changed at each
+ * takeover and at the end, and every page of results expects it unchanged. So two owners never
+ * append both, and no result follows an end that the owner has not seen. Used on one thread.
+ */
+final class JobStore {
+  private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+  private static final int PART_BYTES = 700_000;
+
+  /** Results wait for the store as long as their job may live. */
+  private static final Duration APPEND_PATIENCE = Duration.ofMinutes(10);
+
+  private final TransactionalStore store;
+  private final TransactionRunner runner;
+
+  JobStore(TransactionalStore store, TransactionRunner runner) {
+    this.store = store;
+    this.runner = runner;
+  }
+
+  static int partCount(byte[] record) {
+    return Math.max(1, (record.length + PART_BYTES - 1) / PART_BYTES);
+  }
+
+  static byte[] encodeRecord(JobSpec spec) {
+    return Compression.compress(JobCodec.encode(spec).toByteArray());
+  }
+
+  /** Accepts a job unless it exists. */
+  CompletableFuture<TransactionReply> create(
+      JobId job, byte[] record, JobOwner owner, Duration patience) {
+    Transaction.Builder builder =
+        Transaction.builder()
+            .expectAbsent(JobKeys.owner(job))
+            .put(JobKeys.owner(job), JobCodec.encode(owner));
+    for (int part = 0; part < owner.parts(); part++) {
+      int from = part * PART_BYTES;
+      int to = Math.min(record.length, from + PART_BYTES);
+      builder.put(JobKeys.part(job, part), Arrays.copyOfRange(record, from, to));
+    }
+    return runner.run(builder.build(), patience);
+  }
+
+  /** Replaces the owner's record if it is still the one given. */
+  CompletableFuture<TransactionReply> replaceOwner(
+      StoredOwner before, JobOwner after, Duration patience) {
+    String key = JobKeys.owner(before.job());
+    return runner.run(
+        Transaction.builder()
+            .expect(key, before.revision())
+            .put(key, JobCodec.encode(after))
+            .build(),
+        patience);
+  }
+
+  /** Ends a job whose owner cannot be reached, and leaves the owner a notice. */
+  CompletableFuture<TransactionReply> endForOwner(
+      StoredOwner before, JobOwner after, Duration patience) {
+    String key = JobKeys.owner(before.job());
+    return runner.run(
+        Transaction.builder()
+            .expect(key, before.revision())
+            .put(key, JobCodec.encode(after))
+            .put(FleetKeys.endedJob(before.job()), JobCodec.encode(after))
+            .build(),
+        patience);
+  }
+
+  /** Appends results from {@code position} on if the owner's record is unchanged. */
+  CompletableFuture<TransactionReply> append(
+      StoredOwner owner, int position, List<ItemResult> results, long nonce) {
+    String page = JobKeys.page(owner.job(), position);
+    return runner.run(
+        Transaction.builder()
+            .expect(JobKeys.owner(owner.job()), owner.revision())
+            .expectAbsent(page)
+            .put(page, Compression.compress(JobCodec.encodePage(results, nonce)))
+            .build(),
+        APPEND_PATIENCE);
+  }
+
+  /** Reads who owns a job; empty if there is no such job. */
+  CompletableFuture<Result<Optional<StoredOwner>>> owner(JobId job) {
+    return store.get(JobKeys.owner(job)).thenApply(result -> result.map(JobStore::storedOwner));
+  }
+
+  private static Optional<StoredOwner> storedOwner(Optional<KvEntry> entry) {
+    return entry.flatMap(JobStore::storedOwner);
+  }
+
+  static Optional<StoredOwner> storedOwner(KvEntry entry) {
+    return JobCodec.decodeOwner(entry.value())
+        .map(owner -> new StoredOwner(JobKeys.jobOfOwner(entry.key()), owner, entry.revision()));
+  }
+
+  /** Reads the owners of all jobs. */
+  CompletableFuture<Result<ImmutableList<StoredOwner>>> owners() {
+    return entries(JobKeys.OWNERS)
+        .thenApply(
+            result ->
+                result.map(
+                    entries ->
+                        entries.stream()
+                            .flatMap(entry -> storedOwner(entry).stream())
+                            .collect(ImmutableList.toImmutableList())));
+  }
+
+  /** Reads a job. */
+  CompletableFuture<Result<JobSpec>> job(StoredOwner owner) {
+    return parts(owner, 0, new ByteArrayOutputStream()).thenApply(r -> r.flatMap(JobStore::spec));
+  }
+
+  private CompletableFuture<Result<byte[]>> parts(
+      StoredOwner owner, int part, ByteArrayOutputStream read) {
+    if (part == owner.owner().parts()) {
+      return CompletableFuture.completedFuture(Result.success(read.toByteArray()));
+    }
+    return store
+        .get(JobKeys.part(owner.job(), part))
+        .thenCompose(
+            result -> {
+              if (result instanceof Result.Failure<Optional<KvEntry>> failure) {
+                return CompletableFuture.completedFuture(Result.failure(failure.error()));
+              }
+              Optional<KvEntry> entry = ((Result.Success<Optional<KvEntry>>) result).value();
+              if (entry.isEmpty()) {
+                return CompletableFuture.completedFuture(
+                    Result.failure(
+                        ResultCode.INTERNAL, "part " + part + " of " + owner.job() + " is gone"));
+              }
+              read.writeBytes(entry.get().value());
+              return parts(owner, part + 1, read);
+            });
+  }
+
+  private static Result<JobSpec> spec(byte[] record) {
+    try {
+      return Result.success(JobCodec.decode(JobRecord.parseFrom(Compression.expand(record))));
+    } catch (IOException | IllegalArgumentException e) {
+      return Result.failure(ResultCode.INTERNAL, "a job's record cannot be read: " + e);
+    }
+  }
+
+  /** Reads all results that are listed. */
+  CompletableFuture<Result<ImmutableList<ItemResult>>> results(JobId job) {
+    return entries(JobKeys.results(job)).thenApply(r -> r.flatMap(JobStore::decodePages));
+  }
+
+  private static Result<ImmutableList<ItemResult>> decodePages(ImmutableList<KvEntry> pages) {
+    ImmutableList.Builder<ItemResult> results = ImmutableList.builder();
+    try {
+      for (KvEntry page : pages) {
+        results.addAll(JobCodec.decodePage(Compression.expand(page.value())));
+      }
+    } catch (InvalidProtocolBufferException e) {
+      return Result.failure(ResultCode.INTERNAL, "a page of results cannot be read: " + e);
+    } catch (IOException e) {
+      return Result.failure(ResultCode.INTERNAL, "a page of results is not compressed: " + e);
+    }
+    return Result.success(results.build());
+  }
+
+  private CompletableFuture<Result<ImmutableList<KvEntry>>> entries(String prefix) {
+    return pages(prefix, "", ImmutableList.builder());
+  }
+
+  private CompletableFuture<Result<ImmutableList<KvEntry>>> pages(
+      String prefix, String after, ImmutableList.Builder<KvEntry> read) {
+    return store
+        .range(prefix, after)
+        .thenCompose(
+            result -> {
+              if (result instanceof Result.Failure<KvPage> failure) {
+                return CompletableFuture.completedFuture(Result.failure(failure.error()));
+              }
+              KvPage page = ((Result.Success<KvPage>) result).value();
+              read.addAll(page.entries());
+              if (!page.hasMore() || page.entries().isEmpty()) {
+                return CompletableFuture.completedFuture(Result.success(read.build()));
+              }
+              String last = page.entries().get(page.entries().size() - 1).key();
+              return pages(prefix, last, read);
+            });
+  }
+
+  /** Removes a job that nobody may ask for any more. */
+  void remove(StoredOwner owner) {
+    entries(JobKeys.results(owner.job()))
+        .thenAccept(
+            result -> {
+              if (result instanceof Result.Success<ImmutableList<KvEntry>> success) {
+                removeAll(owner, success.value());
+              }
+            });
+  }
+
+  private void removeAll(StoredOwner owner, ImmutableList<KvEntry> pages) {
+    int most = Transaction.MAX_ENTRIES - owner.owner().parts() - 2;
+    Transaction.Builder builder =
+        Transaction.builder().expect(JobKeys.owner(owner.job()), owner.revision());
+    pages.stream().limit(most).forEach(page -> builder.remove(page.key()));
+    boolean isLast = pages.size() <= most;
+    if (isLast) {
+      builder.remove(JobKeys.owner(owner.job()));
+      for (int part = 0; part < owner.owner().parts(); part++) {
+        builder.remove(JobKeys.part(owner.job(), part));
+      }
+    }
+    runner
+        .run(builder.build(), APPEND_PATIENCE)
+        .thenAccept(
+            reply -> {
+              logger.atInfo().log(
+                  "event=job_removed job=%s last=%s reply=%s", owner.job(), isLast, reply);
+              if (!isLast && reply instanceof TransactionReply.Committed) {
+                remove(owner);
+              }
+            });
+  }
+
+  /** Removes the notice of an end once the owner has seen it. */
+  void removeNotice(JobId job) {
+    store
+        .transact(Transaction.builder().remove(FleetKeys.endedJob(job)).build())
+        .thenAccept(
+            reply -> logger.atFine().log("event=notice_removed job=%s reply=%s", job, reply));
+  }
+}
--- /dev/null
+++ b/amaranthstream/src/main/java/org/amaranthstream/jobs/OwnedJob.java
@@ -0,0 +1,216 @@
+package org.amaranthstream.jobs;
+
+import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableSortedSet;
+import java.time.Duration;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import org.amaranthstream.ids.GroupId;
+import org.amaranthstream.ids.ItemId;
+import org.amaranthstream.ids.JobId;
+
+/**
+ * A job that this daemon owns: its items, what is listed, and what waits to be listed.
+ *
+ * <p>A result is listed only once the store has acknowledged its page. Not thread safe.
+ */
+final class OwnedJob {
+  private static final byte[] NO_TEXT = new byte[0];
+
+  private final JobSpec spec;
+  private final long startNanos;
+  private final Map<ItemId, ItemProgress> items = new LinkedHashMap<>();
+  private final Map<GroupId, Integer> openInGroup = new LinkedHashMap<>();
+  private final List<ItemResult> listed = new ArrayList<>();
+  private final ArrayDeque<ItemResult> unlisted = new ArrayDeque<>();
+  private final List<Runnable> waiters = new ArrayList<>();
+  private StoredOwner owner;
+  private boolean isEnded;
+  private boolean isLost;
+  private boolean isAppending;
+
+  /**
+   * Creates a job.
+   *
+   * @param sinceAccepted the time since the job was accepted
+   */
+  OwnedJob(JobSpec spec, StoredOwner owner, long nowNanos, Duration sinceAccepted) {
+    this.spec = spec;
+    this.owner = owner;
+    this.startNanos = nowNanos - sinceAccepted.toNanos();
+    this.isEnded = owner.owner().isEnded();
+    for (ItemSpec item : spec.items()) {
+      items.put(item.id(), new ItemProgress(item, ExpectedLength.tokens(item)));
+      openInGroup.merge(item.group(), 1, Integer::sum);
+    }
+  }
+
+  /** Takes results that an owner before this one has listed. */
+  void restore(ImmutableList<ItemResult> results) {
+    for (ItemResult result : results) {
+      listed.add(result);
+      close(items.get(result.item()));
+    }
+  }
+
+  JobSpec spec() {
+    return spec;
+  }
+
+  JobId id() {
+    return spec.id();
+  }
+
+  StoredOwner owner() {
+    return owner;
+  }
+
+  void setOwner(StoredOwner owner) {
+    this.owner = owner;
+    this.isEnded |= owner.owner().isEnded();
+  }
+
+  Duration age(long nowNanos) {
+    return Duration.ofNanos(nowNanos - startNanos);
+  }
+
+  Iterable<ItemProgress> items() {
+    return items.values();
+  }
+
+  Optional<ItemProgress> item(ItemId id) {
+    return Optional.ofNullable(items.get(id));
+  }
+
+  /** Returns the number of items of a group that have no result yet. */
+  int openInGroup(GroupId group) {
+    return openInGroup.getOrDefault(group, 0);
+  }
+
+  /** Returns the number of groups all of whose items have a result. */
+  long completeGroups() {
+    return openInGroup.values().stream().filter(open -> open == 0).count();
+  }
+
+  boolean isRunnable() {
+    return !isEnded && !isLost;
+  }
+
+  boolean isEnded() {
+    return isEnded;
+  }
+
+  boolean isLost() {
+    return isLost;
+  }
+
+  /** The caller has ended the job: nothing is started or listed any more. */
+  void end() {
+    isEnded = true;
+    unlisted.clear();
+    stopRuns();
+    wakeWaiters();
+  }
+
+  /** Another daemon has taken the job. */
+  void lose() {
+    isLost = true;
+    unlisted.clear();
+    stopRuns();
+    wakeWaiters();
+  }
+
+  private void stopRuns() {
+    items.values().forEach(ItemProgress::cancel);
+  }
+
+  /** An item has its whole text. */
+  void complete(ItemProgress item) {
+    ItemText text = item.text();
+    finish(item, new ItemResult(item.spec().id(), true, text.bytes(), text.versions()));
+  }
+
+  /** An item is given up. */
+  void giveUp(ItemProgress item) {
+    item.cancel();
+    finish(item, new ItemResult(item.spec().id(), false, NO_TEXT, ImmutableSortedSet.of()));
+  }
+
+  private void finish(ItemProgress item, ItemResult result) {
+    close(item);
+    item.text().clear();
+    if (isRunnable()) {
+      unlisted.add(result);
+    }
+  }
+
+  private void close(ItemProgress item) {
+    if (!item.isFinished()) {
+      item.finish();
+      openInGroup.merge(item.spec().group(), -1, Integer::sum);
+    }
+  }
+
+  /** Takes the results to append next, of at most {@code maxBytes} of text but at least one. */
+  ImmutableList<ItemResult> nextPage(int maxBytes) {
+    ImmutableList.Builder<ItemResult> page = ImmutableList.builder();
+    int bytes = 0;
+    while (!unlisted.isEmpty() && (bytes == 0 || bytes + size(unlisted.peek()) <= maxBytes)) {
+      ItemResult result = unlisted.remove();
+      bytes += size(result);
+      page.add(result);
+    }
+    return page.build();
+  }
+
+  private static int size(ItemResult result) {
+    return result.text().length + 1;
+  }
+
+  boolean hasUnlisted() {
+    return !unlisted.isEmpty();
+  }
+
+  boolean isAppending() {
+    return isAppending;
+  }
+
+  void setAppending(boolean isAppending) {
+    this.isAppending = isAppending;
+  }
+
+  int listedCount() {
+    return listed.size();
+  }
+
+  /** The store has acknowledged a page. */
+  void list(ImmutableList<ItemResult> page) {
+    listed.addAll(page);
+    wakeWaiters();
+  }
+
+  /** Returns true if every item has a listed result. */
+  boolean isWhole() {
+    return listed.size() == items.size();
+  }
+
+  /** Returns the results from {@code position} on, of at most {@code maxBytes} but at least one. */
+  ImmutableList<ItemResult> read(int position, int maxBytes) {
+    return ResultPages.limit(listed, position, maxBytes);
+  }
+
+  /** Calls {@code waiter} once more results are listed or none will be. */
+  void onChange(Runnable waiter) {
+    waiters.add(waiter);
+  }
+
+  private void wakeWaiters() {
+    List<Runnable> woken = List.copyOf(waiters);
+    waiters.clear();
+    woken.forEach(Runnable::run);
+  }
+}
--- /dev/null
+++ b/amaranthstream/src/main/java/org/amaranthstream/jobs/ResultLister.java
@@ -0,0 +1,81 @@
+package org.amaranthstream.jobs;
+
+import com.google.common.collect.ImmutableList;
+import com.google.common.flogger.FluentLogger;
+import java.time.Duration;
+import java.util.HashSet;
+import java.util.Random;
+import java.util.Set;
+import org.amaranthstream.ids.JobId;
+import org.amaranthstream.platform.TransactionReply;
+import org.amaranthstream.time.TimerService;
+
+/**
+ * Appends finished results to the store, in pages: one at a time for each job, so that positions
+ * are fixed in the order of the pages.
+ *
+ * <p>Used on one thread.
+ */
+final class ResultLister {
+  private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+
+  /** Results that finish within this time share a page, which is one call to the store. */
+  private static final Duration GATHER = Duration.ofMillis(350);
+
+  private static final int MAX_PAGE_BYTES = 600_000;
+
+  private final JobStore store;
+  private final TimerService timers;
+  private final Random nonces;
+  private final ConflictHandler conflicts;
+  private final Set<JobId> gathering = new HashSet<>();
+
+  /** What follows a page that another daemon's change has forestalled. */
+  @FunctionalInterface
+  interface ConflictHandler {
+    /** The job's owner has changed or the job has ended. */
+    void onConflict(OwnedJob job);
+  }
+
+  ResultLister(JobStore store, TimerService timers, Random nonces, ConflictHandler conflicts) {
+    this.store = store;
+    this.timers = timers;
+    this.nonces = nonces;
+    this.conflicts = conflicts;
+  }
+
+  /** Lists what has finished, a little later. */
+  void schedule(OwnedJob job) {
+    if (!job.hasUnlisted() || job.isAppending() || !gathering.add(job.id())) {
+      return;
+    }
+    timers.after(GATHER, () -> append(job));
+  }
+
+  private void append(OwnedJob job) {
+    gathering.remove(job.id());
+    if (!job.hasUnlisted() || job.isAppending() || !job.isRunnable()) {
+      return;
+    }
+    ImmutableList<ItemResult> page = job.nextPage(MAX_PAGE_BYTES);
+    job.setAppending(true);
+    store
+        .append(job.owner(), job.listedCount(), page, nonces.nextLong())
+        .thenAccept(reply -> onReply(job, page, reply));
+  }
+
+  private void onReply(OwnedJob job, ImmutableList<ItemResult> page, TransactionReply reply) {
+    job.setAppending(false);
+    if (reply instanceof TransactionReply.Committed committed) {
+      int from = job.listedCount();
+      job.list(page);
+      logger.atInfo().log(
+          "event=results_listed job=%s from=%d to=%d groups_complete=%d revision=%s",
+          job.id(), from, job.listedCount(), job.completeGroups(), committed.revision());
+      schedule(job);
+      return;
+    }
+    logger.atWarning().log("event=results_not_listed job=%s reply=\"%s\"", job.id(), reply);
+    conflicts.onConflict(job);
+  }
+}
--- /dev/null
+++ b/amaranthstream/src/main/java/org/amaranthstream/jobs/package-info.java
@@ -0,0 +1,2 @@
+/** Batch jobs: accepted durably, run by one owner, their results listed once at fixed positions. */
+package org.amaranthstream.jobs;
--- a/amaranthstream/src/main/java/org/amaranthstream/peer/QueryKind.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/peer/QueryKind.java
@@ -11,7 +11,9 @@
   /** The operators' configuration in force. */
   CONFIG_FETCH(4),
   /** A training step that the asking entry VM hands over. */
-  STEP_HANDOFF(5);
+  STEP_HANDOFF(5),
+  /** A question about a batch job that the other entry VM owns. */
+  JOB(6);
 
   private final int number;
 
--- a/amaranthstream/src/main/java/org/amaranthstream/platform/PlatformHttp.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/platform/PlatformHttp.java
@@ -25,7 +25,7 @@
  * other connections may be silent too. So the pool is replaced by a fresh one, and the old one is
  * closed once its calls have ended. Thread safe.
  */
-final class PlatformHttp implements AutoCloseable {
+public final class PlatformHttp implements AutoCloseable {
   private static final FluentLogger logger = FluentLogger.forEnclosingClass();
   private static final int MAX_CONNECTIONS = 32;
   private static final int MAX_WAITING_CALLS = 256;
@@ -43,7 +43,8 @@
   @GuardedBy("this")
   private HttpClientAgent client;
 
-  PlatformHttp(Vertx vertx, TimerService timers, PlatformOptions options) {
+  /** Creates a client; it connects when it is first used. */
+  public PlatformHttp(Vertx vertx, TimerService timers, PlatformOptions options) {
     this.vertx = vertx;
     this.timers = timers;
     this.options = options;
@@ -61,16 +62,19 @@
         new PoolOptions().setHttp1MaxSize(MAX_CONNECTIONS).setMaxWaitQueueSize(MAX_WAITING_CALLS));
   }
 
-  CallCounts counts() {
+  /** Returns the counts of calls by kind. */
+  public CallCounts counts() {
     return counts;
   }
 
-  CompletableFuture<PlatformReply> call(CallKind kind, HttpMethod method, String uri, Buffer body) {
+  /** Makes a call that the service answers at once. */
+  public CompletableFuture<PlatformReply> call(
+      CallKind kind, HttpMethod method, String uri, Buffer body) {
     return call(kind, method, uri, body, Duration.ZERO);
   }
 
   /** Makes a call that the service may hold back for {@code wait}. */
-  CompletableFuture<PlatformReply> call(
+  public CompletableFuture<PlatformReply> call(
       CallKind kind, HttpMethod method, String uri, Buffer body, Duration wait) {
     Optional<Duration> busy = budget.tryTake();
     if (busy.isPresent()) {
--- a/amaranthstream/src/main/java/org/amaranthstream/platform/PlatformReply.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/platform/PlatformReply.java
@@ -6,7 +6,7 @@
 import org.amaranthstream.ids.Revision;
 
 /** How a call to the platform ended. */
-sealed interface PlatformReply {
+public sealed interface PlatformReply {
 
   /**
    * The service answered whole.
--- /dev/null
+++ b/amaranthstream/src/main/java/org/amaranthstream/platform/PrefixMirror.java
@@ -0,0 +1,218 @@
+package org.amaranthstream.platform;
+
+import static com.google.common.base.Preconditions.checkNotNull;
+
+import com.google.common.flogger.FluentLogger;
+import java.time.Duration;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import org.amaranthstream.ids.Revision;
+import org.amaranthstream.result.Result;
+import org.amaranthstream.time.TimerService;
+
+/**
+ * Follows all entries below a prefix: one listing, then watches.
+ *
+ * <p>The prefix is listed again when the store has forgotten the changes since the last answer.
+ * After an answer with changes the next watch starts a little later, so that changes that come in
+ * quick succession cost one call.
+ *
+ * <p>Used on the thread of its timers, on which the store completes its futures too.
+ *
+ * <pre>{@code
+ * PrefixMirror mirror = PrefixMirror.create(store, timers, "op/", timing, listener);
+ * mirror.start();
+ * }</pre>
+ */
+public final class PrefixMirror {
+  private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+
+  private final TransactionalStore store;
+  private final TimerService timers;
+  private final String prefix;
+  private final MirrorTiming timing;
+  private final MirrorListener listener;
+  private final Map<String, Revision> known = new HashMap<>();
+  private final Set<String> listed = new HashSet<>();
+  private Revision listedAt = Revision.of(0);
+  private Revision after = Revision.of(0);
+  private Duration pause;
+  private boolean isAway;
+  private boolean hasCaughtUp;
+  private boolean isStopped;
+  private long heardNanos;
+
+  private PrefixMirror(
+      TransactionalStore store,
+      TimerService timers,
+      String prefix,
+      MirrorTiming timing,
+      MirrorListener listener) {
+    this.store = store;
+    this.timers = timers;
+    this.prefix = prefix;
+    this.timing = timing;
+    this.listener = listener;
+    this.pause = timing.firstRetry();
+  }
+
+  /** Returns a mirror of the entries below {@code prefix}, not started. */
+  public static PrefixMirror create(
+      TransactionalStore store,
+      TimerService timers,
+      String prefix,
+      MirrorTiming timing,
+      MirrorListener listener) {
+    return new PrefixMirror(
+        checkNotNull(store, "store"),
+        checkNotNull(timers, "timers"),
+        checkNotNull(prefix, "prefix"),
+        checkNotNull(timing, "timing"),
+        checkNotNull(listener, "listener"));
+  }
+
+  /** Starts to follow the prefix. */
+  public void start() {
+    heardNanos = timers.nowNanos();
+    list();
+  }
+
+  /** Makes no further calls. */
+  public void stop() {
+    isStopped = true;
+  }
+
+  /** Returns the time since the store last answered. */
+  public Duration age() {
+    return Duration.ofNanos(timers.nowNanos() - heardNanos);
+  }
+
+  /** Returns true if the prefix was listed whole at least once. */
+  public boolean hasCaughtUp() {
+    return hasCaughtUp;
+  }
+
+  /** Returns true if the last call failed. */
+  public boolean isStoreAway() {
+    return isAway;
+  }
+
+  private void list() {
+    if (isStopped) {
+      return;
+    }
+    listed.clear();
+    page("", true);
+  }
+
+  private void page(String afterKey, boolean isFirst) {
+    store.range(prefix, afterKey).thenAccept(result -> onPage(result, isFirst));
+  }
+
+  private void onPage(Result<KvPage> result, boolean isFirst) {
+    if (result instanceof Result.Failure<KvPage> failure) {
+      onFailure(failure.error().toString(), this::list);
+      return;
+    }
+    KvPage page = ((Result.Success<KvPage>) result).value();
+    if (isFirst) {
+      listedAt = page.revision();
+    }
+    for (KvEntry entry : page.entries()) {
+      listed.add(entry.key());
+      put(entry);
+    }
+    if (page.hasMore() && !page.entries().isEmpty()) {
+      page(page.entries().get(page.entries().size() - 1).key(), false);
+      return;
+    }
+    for (String key : List.copyOf(known.keySet())) {
+      if (!listed.contains(key)) {
+        remove(key);
+      }
+    }
+    after = listedAt;
+    onAnswer();
+    watch();
+  }
+
+  private void watch() {
+    if (isStopped) {
+      return;
+    }
+    store.watch(prefix, after, timing.watchWait()).thenAccept(this::onWatched);
+  }
+
+  private void onWatched(WatchReply reply) {
+    if (reply instanceof WatchReply.Changes changes) {
+      onChanges(changes);
+    } else if (reply instanceof WatchReply.Failed failed) {
+      onFailure(failed.error().toString(), this::watch);
+    } else {
+      logger.atInfo().log("event=store_history_lost prefix=%s after=%s", prefix, after);
+      list();
+    }
+  }
+
+  private void onChanges(WatchReply.Changes changes) {
+    for (KvChange change : changes.changes()) {
+      if (change instanceof KvChange.Put put) {
+        put(put.entry());
+      } else {
+        removeIfOlder(change);
+      }
+    }
+    after = changes.revision();
+    onAnswer();
+    if (changes.changes().isEmpty()) {
+      watch();
+    } else {
+      timers.after(timing.settle(), this::watch);
+    }
+  }
+
+  private void put(KvEntry entry) {
+    Revision before = known.get(entry.key());
+    if (before == null || entry.revision().isAfter(before)) {
+      known.put(entry.key(), entry.revision());
+      listener.onPut(entry);
+    }
+  }
+
+  private void removeIfOlder(KvChange removal) {
+    Revision before = known.get(removal.key());
+    if (before != null && removal.revision().isAfter(before)) {
+      remove(removal.key());
+    }
+  }
+
+  private void remove(String key) {
+    known.remove(key);
+    listener.onRemoved(key);
+  }
+
+  private void onAnswer() {
+    heardNanos = timers.nowNanos();
+    pause = timing.firstRetry();
+    if (isAway || !hasCaughtUp) {
+      isAway = false;
+      hasCaughtUp = true;
+      logger.atInfo().log("event=store_watch_ready prefix=%s revision=%s", prefix, after);
+      listener.onCaughtUp();
+    }
+  }
+
+  private void onFailure(String error, Runnable next) {
+    if (!isAway) {
+      isAway = true;
+      logger.atWarning().log("event=store_watch_lost prefix=%s error=\"%s\"", prefix, error);
+      listener.onStoreAway();
+    }
+    timers.after(pause, next);
+    Duration longer = pause.multipliedBy(2);
+    pause = longer.compareTo(timing.lastRetry()) < 0 ? longer : timing.lastRetry();
+  }
+}
--- /dev/null
+++ b/amaranthstream/src/main/java/org/amaranthstream/platform/TransactionRunner.java
@@ -0,0 +1,119 @@
+package org.amaranthstream.platform;
+
+import static com.google.common.base.Preconditions.checkNotNull;
+
+import com.google.common.flogger.FluentLogger;
+import java.time.Duration;
+import java.util.Arrays;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import org.amaranthstream.ids.Revision;
+import org.amaranthstream.result.ErrorDetail;
+import org.amaranthstream.time.TimerService;
+
+/**
+ * Repeats a transaction until its outcome is known or its time is up.
+ *
+ * <p>A transaction that got no answer may have been applied. Its next send then meets its own
+ * writes and conflicts; the runner recognizes them by their bytes and reports the transaction as
+ * committed. So each transaction must expect something of a key that it writes, and write bytes
+ * there that no other transaction writes.
+ *
+ * <p>Used on the thread of its timers, on which the store completes its futures too.
+ */
+public final class TransactionRunner {
+  private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+  private static final Duration FIRST_PAUSE = Duration.ofMillis(100);
+  private static final Duration LONGEST_PAUSE = Duration.ofMillis(800);
+
+  private final TransactionalStore store;
+  private final TimerService timers;
+
+  private TransactionRunner(TransactionalStore store, TimerService timers) {
+    this.store = store;
+    this.timers = timers;
+  }
+
+  /** Returns a runner of transactions on {@code store}. */
+  public static TransactionRunner create(TransactionalStore store, TimerService timers) {
+    return new TransactionRunner(checkNotNull(store, "store"), checkNotNull(timers, "timers"));
+  }
+
+  /**
+   * Runs {@code transaction}.
+   *
+   * @param patience the time after which no further send is started
+   * @return the outcome; {@link TransactionReply.Unknown} only if the time is up and a send may
+   *     still take effect, {@link TransactionReply.NotDone} only if none can
+   */
+  public CompletableFuture<TransactionReply> run(Transaction transaction, Duration patience) {
+    Attempt attempt = new Attempt(transaction, timers.nowNanos() + patience.toNanos());
+    attempt.send();
+    return attempt.outcome;
+  }
+
+  private final class Attempt {
+    private final Transaction transaction;
+    private final long endNanos;
+    private final CompletableFuture<TransactionReply> outcome = new CompletableFuture<>();
+    private Duration pause = FIRST_PAUSE;
+    private boolean mayHaveTakenEffect;
+
+    private Attempt(Transaction transaction, long endNanos) {
+      this.transaction = transaction;
+      this.endNanos = endNanos;
+    }
+
+    private void send() {
+      store.transact(transaction).thenAccept(this::onReply);
+    }
+
+    private void onReply(TransactionReply reply) {
+      if (reply instanceof TransactionReply.Conflict conflict) {
+        onConflict(conflict);
+      } else if (reply instanceof TransactionReply.NotDone notDone) {
+        again(notDone.error());
+      } else if (reply instanceof TransactionReply.Unknown unknown) {
+        mayHaveTakenEffect = true;
+        again(unknown.error());
+      } else {
+        outcome.complete(reply);
+      }
+    }
+
+    private void onConflict(TransactionReply.Conflict conflict) {
+      Optional<Revision> own = mayHaveTakenEffect ? ownRevision(conflict) : Optional.empty();
+      if (own.isPresent()) {
+        outcome.complete(new TransactionReply.Committed(own.get()));
+      } else {
+        outcome.complete(conflict);
+      }
+    }
+
+    private Optional<Revision> ownRevision(TransactionReply.Conflict conflict) {
+      for (KvEntry entry : conflict.current()) {
+        for (Transaction.Write write : transaction.writes()) {
+          if (write.key().equals(entry.key()) && Arrays.equals(write.value(), entry.value())) {
+            return Optional.of(entry.revision());
+          }
+        }
+      }
+      return Optional.empty();
+    }
+
+    private void again(ErrorDetail error) {
+      long left = endNanos - timers.nowNanos();
+      if (left <= pause.toNanos()) {
+        outcome.complete(
+            mayHaveTakenEffect
+                ? new TransactionReply.Unknown(error)
+                : new TransactionReply.NotDone(error));
+        return;
+      }
+      logger.atFine().log("event=transaction_repeated error=\"%s\"", error);
+      timers.after(pause, this::send);
+      Duration longer = pause.multipliedBy(2);
+      pause = longer.compareTo(LONGEST_PAUSE) < 0 ? longer : LONGEST_PAUSE;
+    }
+  }
+}
--- /dev/null
+++ b/amaranthstream/src/main/java/org/amaranthstream/routing/RoutingConfig.java
@@ -0,0 +1,102 @@
+package org.amaranthstream.routing;
+
+import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableMap;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import org.amaranthstream.ids.RouteId;
+import org.amaranthstream.ids.ServiceId;
+
+/**
+ * One version of the operators' routes, services and limits.
+ *
+ * <p>Immutable and thread safe.
+ */
+public final class RoutingConfig {
+  private static final Comparator<Route> LONGEST_PREFIX_FIRST =
+      Comparator.comparingInt((Route route) -> route.prefix().length()).reversed();
+
+  private final long version;
+  private final ImmutableMap<RouteId, Route> routes;
+  private final ImmutableMap<String, ImmutableList<Route>> routesByHost;
+  private final ImmutableMap<ServiceId, ServicePolicy> services;
+  private final RequestLimits limits;
+
+  private RoutingConfig(
+      long version,
+      ImmutableMap<RouteId, Route> routes,
+      ImmutableMap<ServiceId, ServicePolicy> services,
+      RequestLimits limits) {
+    this.version = version;
+    this.routes = routes;
+    this.routesByHost = byHost(routes);
+    this.services = services;
+    this.limits = limits;
+  }
+
+  /** Returns a configuration. */
+  public static RoutingConfig of(
+      long version,
+      Iterable<Route> routes,
+      Iterable<ServicePolicy> services,
+      RequestLimits limits) {
+    ImmutableMap.Builder<RouteId, Route> byId = ImmutableMap.builder();
+    routes.forEach(route -> byId.put(route.id(), route));
+    ImmutableMap.Builder<ServiceId, ServicePolicy> policies = ImmutableMap.builder();
+    services.forEach(service -> policies.put(service.id(), service));
+    return new RoutingConfig(version, byId.buildKeepingLast(), policies.buildKeepingLast(), limits);
+  }
+
+  private static ImmutableMap<String, ImmutableList<Route>> byHost(
+      ImmutableMap<RouteId, Route> routes) {
+    Map<String, List<Route>> grouped = new HashMap<>();
+    for (Route route : routes.values()) {
+      grouped.computeIfAbsent(route.host(), unused -> new ArrayList<>()).add(route);
+    }
+    ImmutableMap.Builder<String, ImmutableList<Route>> sorted = ImmutableMap.builder();
+    grouped.forEach(
+        (host, list) -> sorted.put(host, ImmutableList.sortedCopyOf(LONGEST_PREFIX_FIRST, list)));
+    return sorted.buildOrThrow();
+  }
+
+  /** Returns the version; a greater number is newer. */
+  public long version() {
+    return version;
+  }
+
+  /** Returns the route with the longest prefix that begins {@code path}, of those of the host. */
+  public Optional<Route> find(String host, String path) {
+    for (Route route : routesByHost.getOrDefault(host, ImmutableList.of())) {
+      if (path.startsWith(route.prefix())) {
+        return Optional.of(route);
+      }
+    }
+    return Optional.empty();
+  }
+
+  /** Returns the routes of batch jobs of a host. */
+  public ImmutableList<Route> batchRoutes(String host) {
+    return routesByHost.getOrDefault(host, ImmutableList.of()).stream()
+        .filter(route -> route.kind() == RouteKind.BATCH)
+        .collect(ImmutableList.toImmutableList());
+  }
+
+  /** Returns the number of routes. */
+  public int routeCount() {
+    return routes.size();
+  }
+
+  /** Returns the services by name. */
+  public ImmutableMap<ServiceId, ServicePolicy> services() {
+    return services;
+  }
+
+  /** Returns the bounds on what callers may send. */
+  public RequestLimits limits() {
+    return limits;
+  }
+}
--- /dev/null
+++ b/amaranthstream/src/main/java/org/amaranthstream/routing/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Which service a request goes to, and what may be done with it, by the operators' configuration.
+ */
+package org.amaranthstream.routing;
--- /dev/null
+++ b/amaranthstream/src/main/java/org/amaranthstream/weights/EngineSwap.java
@@ -0,0 +1,123 @@
+package org.amaranthstream.weights;
+
+import java.time.Duration;
+import java.util.Optional;
+import java.util.function.Supplier;
+import org.amaranthstream.ids.EntryVmId;
+import org.amaranthstream.ids.FencingNumber;
+import org.amaranthstream.ids.ModelId;
+import org.amaranthstream.ids.WeightVersion;
+import org.amaranthstream.result.Result;
+import org.amaranthstream.servers.TrackedServer;
+import org.amaranthstream.time.TimerService;
+
+/**
+ * One engine on its way to a weight version: asked for its state, ordered, and asked again until it
+ * holds the version or the swap has taken too long.
+ *
+ * <p>Used on one thread.
+ */
+final class EngineSwap {
+  private static final Duration LOAD_TIME = Duration.ofMillis(900);
+  private static final Duration POLL = Duration.ofMillis(250);
+  private static final Duration LONGEST = Duration.ofMillis(6_000);
+
+  /** What follows the end of a swap. */
+  @FunctionalInterface
+  interface Observer {
+    void onDone(EngineSwap swap, String outcome);
+  }
+
+  private final TrackedServer server;
+  private final ModelId model;
+  private final WeightVersion version;
+  private final EntryVmId self;
+  private final SwapTransport transport;
+  private final TimerService timers;
+  private final Supplier<Optional<FencingNumber>> fence;
+  private final Observer observer;
+  private final long startNanos;
+  private boolean isOver;
+
+  EngineSwap(
+      TrackedServer server,
+      ModelId model,
+      WeightVersion version,
+      EntryVmId self,
+      SwapTransport transport,
+      TimerService timers,
+      Supplier<Optional<FencingNumber>> fence,
+      Observer observer) {
+    this.server = server;
+    this.model = model;
+    this.version = version;
+    this.self = self;
+    this.transport = transport;
+    this.timers = timers;
+    this.fence = fence;
+    this.observer = observer;
+    this.startNanos = timers.nowNanos();
+  }
+
+  TrackedServer server() {
+    return server;
+  }
+
+  void start() {
+    look();
+  }
+
+  private void look() {
+    if (!server.isOpen() || fence.get().isEmpty()) {
+      finish("not to be ordered any more");
+      return;
+    }
+    if (timers.nowNanos() - startNanos > LONGEST.toNanos()) {
+      finish("took too long");
+      return;
+    }
+    transport.report(server).thenAccept(this::onReport);
+  }
+
+  private void onReport(Result<ServerReport> result) {
+    if (result instanceof Result.Failure<ServerReport> failure) {
+      server.onFailed(timers.nowNanos(), failure.error().toString());
+      finish("no report: " + failure.error());
+      return;
+    }
+    ServerReport report = ((Result.Success<ServerReport>) result).value();
+    report.versions().forEach(server::onVersion);
+    boolean isReached = server.version(model).filter(held -> !version.isAfter(held)).isPresent();
+    if (isReached && !report.isBusy()) {
+      finish("reached");
+    } else if (report.isBusy()) {
+      timers.after(POLL, this::look);
+    } else {
+      order(report.orders());
+    }
+  }
+
+  private void order(long orders) {
+    SwapRequest request = new SwapRequest(model, version, orders, self);
+    transport.order(server, request, fence).thenAccept(this::onReply);
+  }
+
+  private void onReply(SwapReply reply) {
+    switch (reply) {
+      case STARTED -> timers.after(LOAD_TIME, this::look);
+      case HELD_ALREADY -> {
+        server.onVersion(model, version);
+        finish("held already");
+      }
+      case CONFLICT, UNKNOWN, UNKNOWN_VERSION -> timers.after(POLL, this::look);
+      case SERVER_REPLACED, FENCED, NOT_ALLOWED, NOT_SENT -> finish(reply.toString());
+    }
+  }
+
+  private void finish(String outcome) {
+    if (!isOver) {
+      isOver = true;
+      observer.onDone(this, outcome);
+    }
+  }
+}
--- /dev/null
+++ b/amaranthstream/src/main/java/org/amaranthstream/weights/NamedVersions.java
@@ -0,0 +1,38 @@
+package org.amaranthstream.weights;
+
+import com.google.common.collect.ImmutableMap;
+import com.google.common.flogger.FluentLogger;
+import java.util.HashMap;
+import java.util.Map;
+import org.amaranthstream.ids.ModelId;
+import org.amaranthstream.ids.WeightVersion;
+
+/** The newest weight version that trainers have named for each model. Not thread safe. */
+public final class NamedVersions {
+  private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+
+  private final Map<ModelId, WeightVersion> versions = new HashMap<>();
+
+  private NamedVersions() {}
+
+  /** Returns versions of no model. */
+  public static NamedVersions create() {
+    return new NamedVersions();
+  }
+
+  /** Takes a version; an older one than is known is ignored. Returns whether it is news. */
+  public boolean name(ModelId model, WeightVersion version) {
+    WeightVersion before = versions.get(model);
+    if (before != null && !version.isAfter(before)) {
+      return false;
+    }
+    versions.put(model, version);
+    logger.atInfo().log("event=version_named model=%s version=%s", model, version);
+    return true;
+  }
+
+  /** Returns the newest version of each model. */
+  public ImmutableMap<ModelId, WeightVersion> newest() {
+    return ImmutableMap.copyOf(versions);
+  }
+}
--- /dev/null
+++ b/amaranthstream/src/main/java/org/amaranthstream/weights/SwapTransport.java
@@ -0,0 +1,23 @@
+package org.amaranthstream.weights;
+
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.function.Supplier;
+import org.amaranthstream.ids.FencingNumber;
+import org.amaranthstream.result.Result;
+import org.amaranthstream.servers.TrackedServer;
+
+/** Speaks to engines about their weights. Futures never complete exceptionally. */
+public interface SwapTransport {
+
+  /** Asks an engine for its state. */
+  CompletableFuture<Result<ServerReport>> report(TrackedServer server);
+
+  /**
+   * Sends an order.
+   *
+   * @param fence asked right before the order is written; if it is empty, nothing is sent
+   */
+  CompletableFuture<SwapReply> order(
+      TrackedServer server, SwapRequest request, Supplier<Optional<FencingNumber>> fence);
+}
--- /dev/null
+++ b/amaranthstream/src/main/java/org/amaranthstream/weights/WeightController.java
@@ -0,0 +1,118 @@
+package org.amaranthstream.weights;
+
+import static com.google.common.base.Preconditions.checkNotNull;
+
+import com.google.common.flogger.FluentLogger;
+import java.time.Duration;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Optional;
+import java.util.function.Supplier;
+import org.amaranthstream.ids.EntryVmId;
+import org.amaranthstream.ids.FencingNumber;
+import org.amaranthstream.ids.ModelId;
+import org.amaranthstream.ids.WeightVersion;
+import org.amaranthstream.servers.ServerDirectory;
+import org.amaranthstream.servers.TrackedServer;
+import org.amaranthstream.time.TimerService;
+
+/**
+ * Brings all engines to the newest weight version of their models, a few at a time.
+ *
+ * <p>Acts only while this daemon holds the duty. Used on one thread.
+ */
+public final class WeightController {
+  private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+  private static final int MAX_CONCURRENT = 2;
+  private static final Duration TICK = Duration.ofMillis(200);
+
+  private final EntryVmId self;
+  private final NamedVersions named;
+  private final ServerDirectory directory;
+  private final SwapTransport transport;
+  private final TimerService timers;
+  private final Supplier<Optional<FencingNumber>> fence;
+  private final Map<TrackedServer, EngineSwap> swaps = new HashMap<>();
+
+  private WeightController(
+      EntryVmId self,
+      NamedVersions named,
+      ServerDirectory directory,
+      SwapTransport transport,
+      TimerService timers,
+      Supplier<Optional<FencingNumber>> fence) {
+    this.self = self;
+    this.named = named;
+    this.directory = directory;
+    this.transport = transport;
+    this.timers = timers;
+    this.fence = fence;
+  }
+
+  /**
+   * Returns a controller, not started.
+   *
+   * @param fence the fencing number while this daemon may order, asked right before each order
+   */
+  public static WeightController create(
+      EntryVmId self,
+      NamedVersions named,
+      ServerDirectory directory,
+      SwapTransport transport,
+      TimerService timers,
+      Supplier<Optional<FencingNumber>> fence) {
+    return new WeightController(
+        checkNotNull(self, "self"),
+        checkNotNull(named, "named"),
+        checkNotNull(directory, "directory"),
+        checkNotNull(transport, "transport"),
+        checkNotNull(timers, "timers"),
+        checkNotNull(fence, "fence"));
+  }
+
+  /** Starts to order. */
+  public void start() {
+    timers.every(TICK, this::plan);
+  }
+
+  /** Orders what is to be ordered now. */
+  public void plan() {
+    if (fence.get().isEmpty()) {
+      return;
+    }
+    named.newest().forEach(this::plan);
+  }
+
+  private void plan(ModelId model, WeightVersion newest) {
+    while (swaps.size() < MAX_CONCURRENT) {
+      long now = timers.nowNanos();
+      Optional<TrackedServer> next =
+          SwapOrder.next(
+              directory.all(),
+              model,
+              newest,
+              server -> !swaps.containsKey(server) && !server.isAvoided(now));
+      if (next.isEmpty()) {
+        return;
+      }
+      start(next.get(), model, newest);
+    }
+  }
+
+  private void start(TrackedServer server, ModelId model, WeightVersion version) {
+    logger.atInfo().log(
+        "event=swap_started server=%s model=%s from=%s to=%s",
+        server.id(), model, server.version(model), version);
+    EngineSwap swap =
+        new EngineSwap(server, model, version, self, transport, timers, fence, this::onDone);
+    swaps.put(server, swap);
+    swap.start();
+  }
+
+  private void onDone(EngineSwap swap, String outcome) {
+    swaps.remove(swap.server());
+    logger.atInfo().log("event=swap_ended server=%s outcome=\"%s\"", swap.server().id(), outcome);
+    directory.changed();
+    plan();
+  }
+}
