Link daemons: owners of jobs answer, submissions pass through a peer that reaches the store

Daemons now ask the owner over the product's peer links, under a key that the store holds; news of configuration and weight versions travel with heartbeats. Also: a caller's leaving is observed before the call starts (a refused call had logged an IllegalStateException).

--- a/amaranthstream/src/main/java/org/amaranthstream/calls/CallRun.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/calls/CallRun.java
@@ -20,7 +20,7 @@
  * server's; a long one or a stream is passed on as it arrives. "Not run" is answered only while no
  * attempt may have run. Used on one thread.
  */
-public final class CallRun {
+final class CallRun {
   private static final FluentLogger logger = FluentLogger.forEnclosingClass();
 
   /** Attempts that servers refuse do not count; so many are made at most. */
@@ -209,7 +209,7 @@
   }
 
   /** The caller has left: its attempts are ended, and nothing is answered. */
-  public void cancel() {
+  void cancel() {
     if (!isOver) {
       cancelAll();
       close(ResultCode.OUTCOME_UNKNOWN_CANCELLED, "the caller has left");
--- a/amaranthstream/src/main/java/org/amaranthstream/calls/CallService.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/calls/CallService.java
@@ -68,8 +68,8 @@
     List<TrackedServer> servers = directory.open(pick(route).service());
     CallRun run = new CallRun(this, CallPolicy.of(route), call, servers, time, exchange);
     open.add(run);
+    exchange.onCallerLeft(run::cancel);
     run.start();
-    return run;
   }
 
   private WeightedService pick(Route route) {
--- a/amaranthstream/src/main/java/org/amaranthstream/calls/CallerExchange.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/calls/CallerExchange.java
@@ -7,6 +7,9 @@
 /** The caller's side of a request. */
 public interface CallerExchange {
 
+  /** Calls {@code task} if the caller leaves before its answer is whole. */
+  void onCallerLeft(Runnable task);
+
   /** Sends a whole answer of a backend server. */
   void answer(AnswerHead head, Buffer body);
 
--- a/amaranthstream/src/main/java/org/amaranthstream/fleet/Fleet.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/fleet/Fleet.java
@@ -94,6 +94,8 @@
     } else if (key.startsWith(FleetKeys.ENDED_JOBS)) {
       JobId job = JobId.of(key.substring(FleetKeys.ENDED_JOBS.length()));
       listeners.forEach(listener -> listener.onJobEnded(job));
+    } else if (key.equals(FleetKeys.SECRET)) {
+      listeners.forEach(listener -> listener.onSecret(entry.value()));
     }
   }
 
--- a/amaranthstream/src/main/java/org/amaranthstream/fleet/FleetKeys.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/fleet/FleetKeys.java
@@ -17,6 +17,9 @@
   /** What the notices of jobs that ended without their owner's knowledge begin with. */
   public static final String ENDED_JOBS = PREFIX + "ended/";
 
+  /** The key with which daemons prove themselves to each other. */
+  static final String SECRET = PREFIX + "secret";
+
   private FleetKeys() {}
 
   static String node(EntryVmId vm) {
--- /dev/null
+++ b/amaranthstream/src/main/java/org/amaranthstream/fleet/FleetLinks.java
@@ -0,0 +1,170 @@
+package org.amaranthstream.fleet;
+
+import static com.google.common.base.Preconditions.checkNotNull;
+
+import com.google.common.collect.ImmutableList;
+import com.google.common.flogger.FluentLogger;
+import java.time.Duration;
+import java.util.EnumMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import org.amaranthstream.ids.EntryVmId;
+import org.amaranthstream.membership.LocalVm;
+import org.amaranthstream.membership.MembershipSettings;
+import org.amaranthstream.membership.MembershipTable;
+import org.amaranthstream.peer.PeerCredentials;
+import org.amaranthstream.peer.PeerNode;
+import org.amaranthstream.peer.PeerQuery;
+import org.amaranthstream.peer.PeerSettings;
+import org.amaranthstream.peer.QueryHandler;
+import org.amaranthstream.peer.QueryKind;
+import org.amaranthstream.platform.VmEntry;
+import org.amaranthstream.platform.VmKind;
+import org.amaranthstream.result.Result;
+import org.amaranthstream.result.ResultCode;
+import org.amaranthstream.ring.Duty;
+import org.amaranthstream.time.TimerService;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * Links to the daemons that are registered, once the key for them is known.
+ *
+ * <p>Used on the thread of its timers, which is the duty's too.
+ */
+public final class FleetLinks implements FleetListener {
+  private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+  private static final Duration HEARTBEAT_PERIOD = Duration.ofSeconds(2);
+  private static final Duration SILENT_AFTER = Duration.ofMillis(4_500);
+  private static final Duration CONNECT_TIMEOUT = Duration.ofMillis(700);
+  private static final Duration BACKOFF_MAX = Duration.ofSeconds(1);
+  private static final Duration BACKOFF_MIN = Duration.ofMillis(100);
+  private static final int MAX_FRAME_BYTES = 2 << 20;
+  private static final int FRAMES_PER_LINK = 4;
+
+  private final FleetNode self;
+  private final Fleet fleet;
+  private final TimerService timers;
+  private final Duty duty;
+  private final FleetNews news;
+  private final Map<QueryKind, QueryHandler> handlers = new EnumMap<>(QueryKind.class);
+  private @Nullable MembershipTable table;
+  private @Nullable PeerNode node;
+
+  private FleetLinks(FleetNode self, Fleet fleet, TimerService timers, Duty duty, FleetNews news) {
+    this.self = self;
+    this.fleet = fleet;
+    this.timers = timers;
+    this.duty = duty;
+    this.news = news;
+  }
+
+  /** Returns links that open once {@link #open} has the key. */
+  public static FleetLinks create(
+      FleetNode self, Fleet fleet, TimerService timers, Duty duty, FleetNews news) {
+    FleetLinks links =
+        new FleetLinks(
+            checkNotNull(self, "self"),
+            checkNotNull(fleet, "fleet"),
+            checkNotNull(timers, "timers"),
+            checkNotNull(duty, "duty"),
+            checkNotNull(news, "news"));
+    fleet.listen(links);
+    return links;
+  }
+
+  /** Sets who answers a kind of question; called before the links are opened. */
+  public void register(QueryKind kind, QueryHandler handler) {
+    handlers.put(kind, handler);
+  }
+
+  /** Starts to listen and to connect. */
+  public void open(byte[] key) {
+    LocalVm local = new LocalVm(self.vm(), self.incarnation(), self.region(), self.zone());
+    MembershipSettings membership =
+        MembershipSettings.builder()
+            .suspectAfter(SILENT_AFTER)
+            .unreachableAfter(SILENT_AFTER.multipliedBy(2))
+            .build();
+    table = MembershipTable.create(local, membership, ImmutableList.of(), timers.nowNanos());
+    node =
+        PeerNode.builder()
+            .self(local)
+            .settings(settings(key))
+            .table(table)
+            .timers(timers)
+            .decisions(duty)
+            .source(news)
+            .sink(news)
+            .build();
+    handlers.forEach(node.queries()::register);
+    Result<Integer> port = node.start(NoForwardedWork.INSTANCE);
+    if (port instanceof Result.Failure<Integer> failure) {
+      logger.atSevere().log("event=peer_links_closed error=\"%s\"", failure.error());
+      node = null;
+    }
+    update();
+  }
+
+  private PeerSettings settings(byte[] key) {
+    return PeerSettings.builder()
+        .host(self.host())
+        .port(self.port())
+        .credentials(PeerCredentials.SharedKey.of(key))
+        .heartbeatPeriod(HEARTBEAT_PERIOD)
+        .silentAfter(SILENT_AFTER)
+        .connectTimeout(CONNECT_TIMEOUT)
+        .backoffMin(BACKOFF_MIN)
+        .backoffMax(BACKOFF_MAX)
+        .maxFrameBytes(MAX_FRAME_BYTES)
+        .maxLinkBytes(FRAMES_PER_LINK * MAX_FRAME_BYTES)
+        .build();
+  }
+
+  @Override
+  public void onNodeJoined(FleetNode joined) {
+    update();
+  }
+
+  /**
+   * A daemon that is not registered keeps its link, since the store may be the one that is away.
+   */
+  private void update() {
+    if (table != null) {
+      List<VmEntry> entries = fleet.nodes().stream().map(FleetLinks::entry).toList();
+      table.onVmList(entries, timers.nowNanos());
+    }
+  }
+
+  private static VmEntry entry(FleetNode node) {
+    return new VmEntry(
+        node.vm().value(),
+        VmKind.ENTRY,
+        node.region(),
+        node.zone(),
+        node.host(),
+        node.port(),
+        Optional.empty(),
+        false);
+  }
+
+  /** Asks another daemon; the future never completes exceptionally. */
+  public CompletableFuture<Result<byte[]>> query(
+      EntryVmId to, QueryKind kind, byte[] question, Duration timeout) {
+    PeerNode open = node;
+    if (open == null) {
+      return CompletableFuture.completedFuture(
+          Result.failure(ResultCode.PEER_UNREACHABLE, "peer links are not open"));
+    }
+    PeerQuery queries = open.queries();
+    return queries.query(to, kind, question, timeout);
+  }
+
+  /** Closes all links. */
+  public void close() {
+    if (node != null) {
+      node.close();
+    }
+  }
+}
--- a/amaranthstream/src/main/java/org/amaranthstream/fleet/FleetListener.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/fleet/FleetListener.java
@@ -17,6 +17,9 @@
   /** The holder of a duty has changed. */
   default void onDutyChanged(String duty) {}
 
+  /** The key with which daemons prove themselves to each other is known. */
+  default void onSecret(byte[] key) {}
+
   /** The view is up to date after the start or after an outage of the store. */
   default void onCaughtUp() {}
 }
--- /dev/null
+++ b/amaranthstream/src/main/java/org/amaranthstream/fleet/FleetNews.java
@@ -0,0 +1,87 @@
+package org.amaranthstream.fleet;
+
+import static com.google.common.base.Preconditions.checkNotNull;
+
+import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableMap;
+import org.amaranthstream.dispatch.PoisonNotice;
+import org.amaranthstream.ids.ConfigGeneration;
+import org.amaranthstream.ids.EntryVmId;
+import org.amaranthstream.ids.ModelId;
+import org.amaranthstream.ids.PoolId;
+import org.amaranthstream.ids.WeightVersion;
+import org.amaranthstream.peer.HeartbeatSink;
+import org.amaranthstream.peer.HeartbeatSource;
+import org.amaranthstream.routing.RoutingConfig;
+import org.amaranthstream.routing.RoutingTable;
+import org.amaranthstream.weights.NamedVersions;
+
+/**
+ * What daemons tell each other with their heartbeats: the configuration in force and the newest
+ * weight versions. A daemon that hears of a newer configuration reads it from the store.
+ *
+ * <p>Used on one thread.
+ */
+public final class FleetNews implements HeartbeatSource, HeartbeatSink {
+  private final RoutingTable routing;
+  private final NamedVersions versions;
+  private final Runnable onOutdated;
+
+  private FleetNews(RoutingTable routing, NamedVersions versions, Runnable onOutdated) {
+    this.routing = routing;
+    this.versions = versions;
+    this.onOutdated = onOutdated;
+  }
+
+  /**
+   * Returns news of this daemon.
+   *
+   * @param onOutdated called when a peer has a newer configuration
+   */
+  public static FleetNews create(
+      RoutingTable routing, NamedVersions versions, Runnable onOutdated) {
+    return new FleetNews(
+        checkNotNull(routing, "routing"),
+        checkNotNull(versions, "versions"),
+        checkNotNull(onOutdated, "onOutdated"));
+  }
+
+  private long ownVersion() {
+    return routing.current().map(RoutingConfig::version).orElse(0L);
+  }
+
+  @Override
+  public ConfigGeneration configGeneration() {
+    return ConfigGeneration.of(ownVersion());
+  }
+
+  @Override
+  public ImmutableMap<ModelId, WeightVersion> weightVersions() {
+    return versions.newest();
+  }
+
+  @Override
+  public ImmutableList<PoisonNotice> poison() {
+    return ImmutableList.of();
+  }
+
+  @Override
+  public ImmutableMap<PoolId, Integer> waiting() {
+    return ImmutableMap.of();
+  }
+
+  @Override
+  public void onConfigGeneration(EntryVmId from, ConfigGeneration generation) {
+    if (generation.value() > ownVersion()) {
+      onOutdated.run();
+    }
+  }
+
+  @Override
+  public void onWeightVersion(ModelId model, WeightVersion version) {
+    versions.name(model, version);
+  }
+
+  @Override
+  public void onPoison(PoisonNotice notice) {}
+}
--- /dev/null
+++ b/amaranthstream/src/main/java/org/amaranthstream/fleet/NoForwardedWork.java
@@ -0,0 +1,25 @@
+package org.amaranthstream.fleet;
+
+import java.util.Optional;
+import org.amaranthstream.dispatch.Outcome;
+import org.amaranthstream.dispatch.Work;
+import org.amaranthstream.dispatch.WorkListener;
+import org.amaranthstream.dispatch.WorkRunner;
+import org.amaranthstream.ids.RequestId;
+import org.amaranthstream.result.ErrorDetail;
+import org.amaranthstream.result.ResultCode;
+
+/** Refuses work of peers: where servers are reached directly, nothing is forwarded. */
+enum NoForwardedWork implements WorkRunner {
+  INSTANCE;
+
+  @Override
+  public void submit(Work work, WorkListener listener) {
+    ErrorDetail error =
+        ErrorDetail.of(ResultCode.NOT_RUN_NO_BACKEND, "this daemon takes no forwarded work");
+    listener.onOutcome(new Outcome.NotRun(error, Optional.empty()));
+  }
+
+  @Override
+  public void cancel(RequestId id) {}
+}
--- /dev/null
+++ b/amaranthstream/src/main/java/org/amaranthstream/jobs/FirstSuccess.java
@@ -0,0 +1,33 @@
+package org.amaranthstream.jobs;
+
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import org.amaranthstream.result.Result;
+import org.amaranthstream.result.ResultCode;
+
+/** Waits for the first success of several questions. Used on one thread. */
+final class FirstSuccess<T> {
+  private final CompletableFuture<Result<T>> reply = new CompletableFuture<>();
+  private int open;
+
+  private FirstSuccess(int open) {
+    this.open = open;
+  }
+
+  /** Returns the first success, or the last failure if there is none. */
+  static <T> CompletableFuture<Result<T>> of(List<CompletableFuture<Result<T>>> replies) {
+    FirstSuccess<T> first = new FirstSuccess<>(replies.size());
+    if (replies.isEmpty()) {
+      first.reply.complete(Result.failure(ResultCode.PEER_UNREACHABLE, "there is no peer"));
+    }
+    replies.forEach(one -> one.thenAccept(first::onReply));
+    return first.reply;
+  }
+
+  private void onReply(Result<T> result) {
+    open--;
+    if (result instanceof Result.Success || open == 0) {
+      reply.complete(result);
+    }
+  }
+}
--- a/amaranthstream/src/main/java/org/amaranthstream/jobs/JobAcceptor.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/jobs/JobAcceptor.java
@@ -4,14 +4,19 @@
 import com.google.common.flogger.FluentLogger;
 import java.time.Duration;
 import java.util.HashMap;
+import java.util.Iterator;
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
+import java.util.function.BooleanSupplier;
+import org.amaranthstream.ids.EntryVmId;
 import org.amaranthstream.ids.JobId;
 import org.amaranthstream.ids.Revision;
+import org.amaranthstream.peer.PeerQuery;
 import org.amaranthstream.platform.TransactionReply;
 import org.amaranthstream.result.Result;
 import org.amaranthstream.result.ResultCode;
+import org.amaranthstream.time.TimerService;
 
 /**
  * Accepts jobs: a job is accepted once the store has acknowledged it, and once only.
@@ -24,15 +29,30 @@
   private static final FluentLogger logger = FluentLogger.forEnclosingClass();
   private static final Duration PURSUIT = Duration.ofSeconds(30);
 
+  /** The store may be slow for everybody; another daemon is asked only after this time. */
+  private static final Duration RELAY_AFTER = Duration.ofMillis(900);
+
   private final JobStore store;
   private final JobBook book;
   private final JobKeeper keeper;
+  private final RemoteJobs remote;
+  private final TimerService timers;
+  private final BooleanSupplier isStoreAway;
   private final Map<JobId, CompletableFuture<Result<JobDone>>> open = new HashMap<>();
 
-  JobAcceptor(JobStore store, JobBook book, JobKeeper keeper) {
+  JobAcceptor(
+      JobStore store,
+      JobBook book,
+      JobKeeper keeper,
+      RemoteJobs remote,
+      TimerService timers,
+      BooleanSupplier isStoreAway) {
     this.store = store;
     this.book = book;
     this.keeper = keeper;
+    this.remote = remote;
+    this.timers = timers;
+    this.isStoreAway = isStoreAway;
   }
 
   /** Accepts a job; a job that was accepted before, here or elsewhere, is accepted again. */
@@ -48,7 +68,7 @@
     open.put(spec.id(), reply);
     byte[] record = JobStore.encodeRecord(spec);
     Submission submission = new Submission(spec, record, keeper.firstOwner(spec, record), reply);
-    submission.create(patience);
+    submission.start(patience);
     return reply;
   }
 
@@ -57,6 +77,8 @@
     private final byte[] record;
     private final JobOwner owner;
     private final CompletableFuture<Result<JobDone>> reply;
+    private boolean isRelaying;
+    private boolean mayBeAcceptedElsewhere;
 
     private Submission(
         JobSpec spec, byte[] record, JobOwner owner, CompletableFuture<Result<JobDone>> reply) {
@@ -66,26 +88,51 @@
       this.reply = reply;
     }
 
+    private void start(Duration patience) {
+      timers.after(isStoreAway.getAsBoolean() ? Duration.ZERO : RELAY_AFTER, this::relay);
+      create(patience);
+    }
+
     private void create(Duration patience) {
       store.create(spec.id(), record, owner, patience).thenAccept(this::onCreated);
     }
 
+    private void relay() {
+      if (!reply.isDone()) {
+        isRelaying = true;
+        relayTo(remote.others().iterator());
+      }
+    }
+
+    /** Lets another daemon, which may reach the store, accept the job. */
+    private void relayTo(Iterator<EntryVmId> others) {
+      if (reply.isDone() || !others.hasNext()) {
+        isRelaying = false;
+        return;
+      }
+      EntryVmId vm = others.next();
+      remote.submit(vm, spec).thenAccept(result -> onRelayed(vm, result, others));
+    }
+
+    private void onRelayed(EntryVmId vm, Result<JobDone> result, Iterator<EntryVmId> others) {
+      if (result instanceof Result.Success) {
+        logger.atInfo().log("event=job_accepted_by_peer job=%s vm=%s", spec.id(), vm);
+        reply.complete(result);
+        return;
+      }
+      ResultCode code = ((Result.Failure<JobDone>) result).error().code();
+      boolean isNotRun = code == ResultCode.NOT_RUN_OVERLOADED || PeerQuery.isNotSent(code);
+      mayBeAcceptedElsewhere |= !isNotRun;
+      relayTo(others);
+    }
+
     private void onCreated(TransactionReply created) {
       if (created instanceof TransactionReply.Committed committed) {
         accepted(committed.revision());
       } else if (created instanceof TransactionReply.Conflict conflict) {
         exists(conflict);
-      } else if (created instanceof TransactionReply.Unknown unknown) {
-        boolean isFirst = !reply.isDone();
-        logger.atWarning().log(
-            "event=job_outcome_unknown job=%s error=\"%s\"", spec.id(), unknown.error());
-        reply.complete(
-            Result.failure(ResultCode.OUTCOME_UNKNOWN_DEADLINE, unknown.error().message()));
-        if (isFirst) {
-          create(PURSUIT);
-        } else {
-          open.remove(spec.id());
-        }
+      } else if (created instanceof TransactionReply.Unknown || isOpenElsewhere()) {
+        onUnknown(created);
       } else {
         open.remove(spec.id());
         logger.atWarning().log("event=job_refused job=%s reply=\"%s\"", spec.id(), created);
@@ -94,6 +141,23 @@
       }
     }
 
+    private boolean isOpenElsewhere() {
+      return isRelaying || mayBeAcceptedElsewhere;
+    }
+
+    private void onUnknown(TransactionReply created) {
+      boolean isFirst = !reply.isDone();
+      logger.atWarning().log("event=job_outcome_unknown job=%s reply=\"%s\"", spec.id(), created);
+      reply.complete(
+          Result.failure(
+              ResultCode.OUTCOME_UNKNOWN_DEADLINE, "the store did not answer: " + created));
+      if (isFirst && created instanceof TransactionReply.Unknown) {
+        create(PURSUIT);
+      } else {
+        open.remove(spec.id());
+      }
+    }
+
     private void accepted(Revision revision) {
       open.remove(spec.id());
       logger.atInfo().log(
--- a/amaranthstream/src/main/java/org/amaranthstream/jobs/JobService.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/jobs/JobService.java
@@ -7,16 +7,21 @@
 import com.google.errorprone.annotations.CanIgnoreReturnValue;
 import java.time.Duration;
 import java.time.InstantSource;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.Optional;
 import java.util.Random;
 import java.util.concurrent.CompletableFuture;
+import java.util.function.BooleanSupplier;
 import org.amaranthstream.fleet.Fleet;
 import org.amaranthstream.fleet.FleetNode;
+import org.amaranthstream.ids.EntryVmId;
 import org.amaranthstream.ids.ItemId;
 import org.amaranthstream.ids.JobId;
 import org.amaranthstream.platform.TransactionReply;
 import org.amaranthstream.platform.TransactionRunner;
 import org.amaranthstream.platform.TransactionalStore;
+import org.amaranthstream.result.ErrorDetail;
 import org.amaranthstream.result.Result;
 import org.amaranthstream.result.ResultCode;
 import org.amaranthstream.routing.RoutingTable;
@@ -72,7 +77,8 @@
             timers,
             builder.timeOfDay,
             nonces);
-    this.acceptor = new JobAcceptor(store, book, keeper);
+    this.remote = new RemoteJobs(builder.self.vm(), checkNotNull(builder.peers, "peers"), fleet);
+    this.acceptor = new JobAcceptor(store, book, keeper, remote, timers, builder.isStoreAway);
     this.desk = new JobDesk(store, keeper, timers, nonces);
     this.lister = new ResultLister(store, timers, nonces, keeper::resolve);
     this.scheduler =
@@ -83,7 +89,6 @@
             checkNotNull(builder.transport, "transport"),
             timers,
             lister::schedule);
-    this.remote = new RemoteJobs(checkNotNull(builder.peers, "peers"), fleet);
   }
 
   /** Returns a builder. */
@@ -125,7 +130,7 @@
     }
     return withOwner(
         job,
-        owner -> remote.read(owner, position, wait, MAX_READ_BYTES),
+        vm -> remote.read(vm, job, position, wait, MAX_READ_BYTES),
         owner -> readStore(owner, position, wait));
   }
 
@@ -137,7 +142,7 @@
     }
     return withOwner(
         job,
-        owner -> remote.body(owner, item),
+        vm -> remote.body(vm, job, item),
         owner -> store.job(owner).thenApply(r -> r.flatMap(spec -> JobDesk.bodyOf(spec, item))));
   }
 
@@ -147,30 +152,37 @@
     if (owned.isPresent()) {
       return desk.end(owned.get());
     }
-    return withOwner(job, remote::end, this::endInStore);
+    return withOwner(job, vm -> remote.end(vm, job), this::endInStore);
   }
 
-  /** A question to a job's owner, or to the store in its place. */
+  /** A question to a daemon. */
   @FunctionalInterface
-  private interface Ask<T> {
+  private interface AskPeer<T> {
+    CompletableFuture<Result<T>> ask(EntryVmId vm);
+  }
+
+  /** A question to the store in the owner's place. */
+  @FunctionalInterface
+  private interface AskStore<T> {
     CompletableFuture<Result<T>> ask(StoredOwner owner);
   }
 
-  private <T> CompletableFuture<Result<T>> withOwner(JobId job, Ask<T> peer, Ask<T> fallback) {
+  private <T> CompletableFuture<Result<T>> withOwner(
+      JobId job, AskPeer<T> peer, AskStore<T> fallback) {
     Optional<StoredOwner> known = book.owner(job);
     if (known.isPresent()) {
       return askOwner(known.get(), peer, fallback, true);
     }
-    return lookUp(job, owner -> askOwner(owner, peer, fallback, false));
+    return lookUp(job, peer, owner -> askOwner(owner, peer, fallback, false));
   }
 
-  private <T> CompletableFuture<Result<T>> lookUp(JobId job, Ask<T> next) {
+  private <T> CompletableFuture<Result<T>> lookUp(JobId job, AskPeer<T> peer, AskStore<T> next) {
     return store
         .owner(job)
         .thenCompose(
             result -> {
               if (result instanceof Result.Failure<Optional<StoredOwner>> failure) {
-                return failed(failure.error().code(), failure.error().message());
+                return askAll(peer, failure.error());
               }
               Optional<StoredOwner> owner =
                   ((Result.Success<Optional<StoredOwner>>) result).value();
@@ -182,32 +194,42 @@
             });
   }
 
+  /** The store is away: one of the other daemons may be the owner. */
+  private <T> CompletableFuture<Result<T>> askAll(AskPeer<T> peer, ErrorDetail storeError) {
+    List<CompletableFuture<Result<T>>> replies = new ArrayList<>();
+    remote.others().forEach(vm -> replies.add(peer.ask(vm)));
+    return FirstSuccess.of(replies)
+        .thenApply(
+            result -> result instanceof Result.Success ? result : Result.failure(storeError));
+  }
+
   private static <T> CompletableFuture<Result<T>> failed(ResultCode code, String message) {
     return CompletableFuture.completedFuture(Result.failure(code, message));
   }
 
   private <T> CompletableFuture<Result<T>> askOwner(
-      StoredOwner owner, Ask<T> peer, Ask<T> fallback, boolean mayBeOld) {
+      StoredOwner owner, AskPeer<T> peer, AskStore<T> fallback, boolean mayBeOld) {
     if (keeper.isOrphan(owner)) {
       keeper.claim(owner);
       return fallback.ask(owner);
     }
-    return peer.ask(owner)
+    return peer.ask(owner.owner().vm())
         .thenCompose(
             result -> {
               if (!(result instanceof Result.Failure<T> failure) || isFinal(failure)) {
                 return CompletableFuture.completedFuture(result);
               }
-              logger.atFine().log(
-                  "event=owner_not_reached job=%s error=\"%s\"", owner.job(), failure.error());
+              logger.atInfo().log(
+                  "event=owner_not_reached job=%s owner=%s error=\"%s\"",
+                  owner.job(), owner.owner().vm(), failure.error());
               return mayBeOld
-                  ? lookUp(owner.job(), fresh -> askFresh(owner, fresh, peer, fallback))
+                  ? lookUp(owner.job(), peer, fresh -> askFresh(owner, fresh, peer, fallback))
                   : fallback.ask(owner);
             });
   }
 
   private <T> CompletableFuture<Result<T>> askFresh(
-      StoredOwner before, StoredOwner fresh, Ask<T> peer, Ask<T> fallback) {
+      StoredOwner before, StoredOwner fresh, AskPeer<T> peer, AskStore<T> fallback) {
     boolean hasMoved = !fresh.owner().isHeldBy(before.owner().vm(), before.owner().incarnation());
     return hasMoved ? askOwner(fresh, peer, fallback, false) : fallback.ask(fresh);
   }
@@ -285,6 +307,7 @@
     private @Nullable ItemTransport transport;
     private @Nullable JobPeers peers;
     private InstantSource timeOfDay = InstantSource.system();
+    private BooleanSupplier isStoreAway = () -> false;
 
     private Builder() {}
 
@@ -303,6 +326,13 @@
       return this;
     }
 
+    /** Sets what tells whether the store answers this daemon. */
+    @CanIgnoreReturnValue
+    public Builder storeAway(BooleanSupplier isStoreAway) {
+      this.isStoreAway = isStoreAway;
+      return this;
+    }
+
     /** Sets the timers, on whose thread everything runs. */
     @CanIgnoreReturnValue
     public Builder timers(TimerService timers) {
--- /dev/null
+++ b/amaranthstream/src/main/java/org/amaranthstream/jobs/LinkedJobPeers.java
@@ -0,0 +1,62 @@
+package org.amaranthstream.jobs;
+
+import static com.google.common.base.Preconditions.checkNotNull;
+
+import com.google.protobuf.InvalidProtocolBufferException;
+import java.time.Duration;
+import java.util.concurrent.CompletableFuture;
+import org.amaranthstream.fleet.FleetLinks;
+import org.amaranthstream.ids.EntryVmId;
+import org.amaranthstream.jobs.wire.JobAnswer;
+import org.amaranthstream.jobs.wire.JobQuestion;
+import org.amaranthstream.membership.LocalVm;
+import org.amaranthstream.peer.QueryKind;
+import org.amaranthstream.result.Result;
+import org.amaranthstream.result.ResultCode;
+
+/** Questions about jobs over the links between daemons. Used on one thread. */
+public final class LinkedJobPeers implements JobPeers {
+  private final FleetLinks links;
+
+  private LinkedJobPeers(FleetLinks links) {
+    this.links = links;
+  }
+
+  /** Returns questions over {@code links}. */
+  public static LinkedJobPeers over(FleetLinks links) {
+    return new LinkedJobPeers(checkNotNull(links, "links"));
+  }
+
+  /** Lets other daemons ask {@code questions}. */
+  public void serve(JobQuestions questions) {
+    links.register(
+        QueryKind.JOB, (LocalVm from, byte[] body, Duration timeout) -> answer(questions, body));
+  }
+
+  private static CompletableFuture<Result<byte[]>> answer(JobQuestions questions, byte[] body) {
+    try {
+      return questions
+          .answer(JobQuestion.parseFrom(body))
+          .thenApply(answer -> Result.success(answer.toByteArray()));
+    } catch (InvalidProtocolBufferException | IllegalArgumentException e) {
+      return CompletableFuture.completedFuture(
+          Result.failure(ResultCode.INVALID_REQUEST, "the question cannot be read: " + e));
+    }
+  }
+
+  @Override
+  public CompletableFuture<Result<JobAnswer>> ask(
+      EntryVmId vm, JobQuestion question, Duration timeout) {
+    return links
+        .query(vm, QueryKind.JOB, question.toByteArray(), timeout)
+        .thenApply(result -> result.flatMap(LinkedJobPeers::decode));
+  }
+
+  private static Result<JobAnswer> decode(byte[] body) {
+    try {
+      return Result.success(JobAnswer.parseFrom(body));
+    } catch (InvalidProtocolBufferException e) {
+      return Result.failure(ResultCode.INTERNAL, "the answer cannot be read: " + e);
+    }
+  }
+}
--- a/amaranthstream/src/main/java/org/amaranthstream/jobs/RemoteJobs.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/jobs/RemoteJobs.java
@@ -4,12 +4,16 @@
 import java.time.Duration;
 import java.util.concurrent.CompletableFuture;
 import org.amaranthstream.fleet.Fleet;
+import org.amaranthstream.fleet.FleetNode;
+import org.amaranthstream.ids.EntryVmId;
 import org.amaranthstream.ids.ItemId;
+import org.amaranthstream.ids.JobId;
 import org.amaranthstream.jobs.wire.BodyQuestion;
 import org.amaranthstream.jobs.wire.EndQuestion;
 import org.amaranthstream.jobs.wire.JobAnswer;
 import org.amaranthstream.jobs.wire.JobQuestion;
 import org.amaranthstream.jobs.wire.ReadQuestion;
+import org.amaranthstream.jobs.wire.SubmitQuestion;
 import org.amaranthstream.result.Result;
 import org.amaranthstream.result.ResultCode;
 
@@ -22,25 +26,31 @@
 
   private static final Duration END_TIMEOUT = Duration.ofMillis(1_500);
 
+  private static final Duration SUBMIT_TIMEOUT = Duration.ofMillis(3_500);
+  private static final int MAX_ASKED = 12;
+
+  private final EntryVmId self;
   private final JobPeers peers;
   private final Fleet fleet;
 
-  RemoteJobs(JobPeers peers, Fleet fleet) {
+  RemoteJobs(EntryVmId self, JobPeers peers, Fleet fleet) {
+    this.self = self;
     this.peers = peers;
     this.fleet = fleet;
   }
 
   CompletableFuture<Result<ResultSlice>> read(
-      StoredOwner owner, int position, Duration wait, int maxBytes) {
+      EntryVmId vm, JobId job, int position, Duration wait, int maxBytes) {
     JobQuestion question =
-        question(owner)
+        question(job)
             .setRead(
                 ReadQuestion.newBuilder()
                     .setAfter(position)
                     .setWaitMs(wait.toMillis())
                     .setMaxBytes(maxBytes))
             .build();
-    return ask(owner, question, ANSWER_TIMEOUT.plus(wait))
+    return peers
+        .ask(vm, question, ANSWER_TIMEOUT.plus(wait))
         .thenApply(result -> result.flatMap(answer -> slice(answer, position)));
   }
 
@@ -57,10 +67,10 @@
                 .collect(ImmutableList.toImmutableList())));
   }
 
-  CompletableFuture<Result<byte[]>> body(StoredOwner owner, ItemId item) {
+  CompletableFuture<Result<byte[]>> body(EntryVmId vm, JobId job, ItemId item) {
     JobQuestion question =
-        question(owner).setItemBody(BodyQuestion.newBuilder().setItem(item.value())).build();
-    return ask(owner, question, ANSWER_TIMEOUT).thenApply(r -> r.flatMap(a -> bodyOf(a, item)));
+        question(job).setItemBody(BodyQuestion.newBuilder().setItem(item.value())).build();
+    return peers.ask(vm, question, ANSWER_TIMEOUT).thenApply(r -> r.flatMap(a -> bodyOf(a, item)));
   }
 
   private static Result<byte[]> bodyOf(JobAnswer answer, ItemId item) {
@@ -72,9 +82,9 @@
         : Result.failure(ResultCode.UNKNOWN_ITEM, "there is no item " + item);
   }
 
-  CompletableFuture<Result<JobDone>> end(StoredOwner owner) {
-    JobQuestion question = question(owner).setEnd(EndQuestion.getDefaultInstance()).build();
-    return ask(owner, question, END_TIMEOUT).thenApply(r -> r.flatMap(RemoteJobs::ended));
+  CompletableFuture<Result<JobDone>> end(EntryVmId vm, JobId job) {
+    JobQuestion question = question(job).setEnd(EndQuestion.getDefaultInstance()).build();
+    return peers.ask(vm, question, END_TIMEOUT).thenApply(r -> r.flatMap(RemoteJobs::ended));
   }
 
   private static Result<JobDone> ended(JobAnswer answer) {
@@ -88,16 +98,35 @@
         ResultCode.PEER_UNREACHABLE, "the peer does not own the job: " + answer.getBodyCase());
   }
 
-  private static JobQuestion.Builder question(StoredOwner owner) {
-    return JobQuestion.newBuilder().setJob(owner.job().value());
+  private static JobQuestion.Builder question(JobId job) {
+    return JobQuestion.newBuilder().setJob(job.value());
   }
 
-  private CompletableFuture<Result<JobAnswer>> ask(
-      StoredOwner owner, JobQuestion question, Duration timeout) {
-    if (!fleet.isAlive(owner.owner().vm(), owner.owner().incarnation())) {
-      return CompletableFuture.completedFuture(
-          Result.failure(ResultCode.PEER_UNREACHABLE, "the owner is not registered"));
-    }
-    return peers.ask(owner.owner().vm(), question, timeout);
+  /** Passes a submission on to another daemon, which accepts it in its own name. */
+  CompletableFuture<Result<JobDone>> submit(EntryVmId vm, JobSpec spec) {
+    JobQuestion question =
+        question(spec.id())
+            .setSubmit(SubmitQuestion.newBuilder().setRecord(JobCodec.encode(spec)))
+            .build();
+    return peers.ask(vm, question, SUBMIT_TIMEOUT).thenApply(r -> r.flatMap(RemoteJobs::accepted));
+  }
+
+  private static Result<JobDone> accepted(JobAnswer answer) {
+    return switch (answer.getSubmit().getOutcome()) {
+      case JobQuestions.OUTCOME_ACCEPTED -> Result.success(JobDone.ACCEPTED);
+      case JobQuestions.OUTCOME_REFUSED ->
+          Result.failure(ResultCode.NOT_RUN_OVERLOADED, "the peer refuses the job");
+      default -> Result.failure(ResultCode.OUTCOME_UNKNOWN_PEER_LOST, "the peer does not know yet");
+    };
+  }
+
+  /** Returns other daemons to ask when the owner is not known, at most {@link #MAX_ASKED}. */
+  ImmutableList<EntryVmId> others() {
+    return fleet.nodes().stream()
+        .map(FleetNode::vm)
+        .filter(vm -> !vm.equals(self))
+        .sorted()
+        .limit(MAX_ASKED)
+        .collect(ImmutableList.toImmutableList());
   }
 }
--- a/amaranthstream/src/main/java/org/amaranthstream/platform/PrefixMirror.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/platform/PrefixMirror.java
@@ -43,6 +43,7 @@
   private boolean isAway;
   private boolean hasCaughtUp;
   private boolean isStopped;
+  private boolean isRefreshing;
   private long heardNanos;
 
   private PrefixMirror(
@@ -80,6 +81,24 @@
     list();
   }
 
+  /**
+   * Lists the prefix again without waiting for the watch, whose connection may be silent. At most
+   * one refresh is under way.
+   */
+  public void refresh() {
+    if (!isRefreshing && !isStopped) {
+      isRefreshing = true;
+      store.range(prefix, "").thenAccept(this::onRefreshed);
+    }
+  }
+
+  private void onRefreshed(Result<KvPage> result) {
+    isRefreshing = false;
+    if (result instanceof Result.Success<KvPage> success) {
+      success.value().entries().forEach(this::put);
+    }
+  }
+
   /** Makes no further calls. */
   public void stop() {
     isStopped = true;
