Mend the build of the call service; test mirrors and repeated transactions in virtual time

NodeRecord moves to fleet.wire, so that fleet does not import jobs. Tests: PrefixMirrorTest, TransactionRunnerTest over a simulated store with faults.

--- a/amaranthstream/src/main/java/org/amaranthstream/calls/CallService.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/calls/CallService.java
@@ -61,9 +61,8 @@
    * Passes a request on.
    *
    * @param timeLeft the time that the caller still waits
-   * @return a handle for a caller that leaves
    */
-  public CallRun start(Route route, OutboundCall call, Duration timeLeft, CallerExchange exchange) {
+  public void start(Route route, OutboundCall call, Duration timeLeft, CallerExchange exchange) {
     Duration time = timeLeft.compareTo(route.timeout()) < 0 ? timeLeft : route.timeout();
     List<TrackedServer> servers = directory.open(pick(route).service());
     CallRun run = new CallRun(this, CallPolicy.of(route), call, servers, time, exchange);
--- a/amaranthstream/src/main/java/org/amaranthstream/fleet/FleetNode.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/fleet/FleetNode.java
@@ -2,11 +2,11 @@
 
 import com.google.protobuf.InvalidProtocolBufferException;
 import java.util.Optional;
+import org.amaranthstream.fleet.wire.NodeRecord;
 import org.amaranthstream.ids.AvailabilityZoneId;
 import org.amaranthstream.ids.EntryVmId;
 import org.amaranthstream.ids.Incarnation;
 import org.amaranthstream.ids.RegionId;
-import org.amaranthstream.jobs.wire.NodeRecord;
 
 /**
  * A daemon as it is registered.
--- a/amaranthstream/src/main/java/org/amaranthstream/jobs/wire/Jobs.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/jobs/wire/Jobs.java
@@ -56,11 +56,6 @@
   static final 
     com.google.protobuf.GeneratedMessage.FieldAccessorTable
       internal_static_amaranthstream_jobs_ResultRecord_fieldAccessorTable;
-  static final com.google.protobuf.Descriptors.Descriptor
-    internal_static_amaranthstream_jobs_NodeRecord_descriptor;
-  static final 
-    com.google.protobuf.GeneratedMessage.FieldAccessorTable
-      internal_static_amaranthstream_jobs_NodeRecord_fieldAccessorTable;
   static final com.google.protobuf.Descriptors.Descriptor
     internal_static_amaranthstream_jobs_JobQuestion_descriptor;
   static final 
@@ -143,33 +138,31 @@
       "nthstream.jobs.ResultRecord\022\r\n\005nonce\030\002 \001" +
       "(\003\"M\n\014ResultRecord\022\014\n\004item\030\001 \001(\t\022\020\n\010comp" +
       "lete\030\002 \001(\010\022\014\n\004text\030\003 \001(\014\022\017\n\007version\030\004 \003(" +
-      "\003\"g\n\nNodeRecord\022\n\n\002vm\030\001 \001(\t\022\023\n\013incarnati" +
-      "on\030\002 \001(\t\022\014\n\004host\030\003 \001(\t\022\014\n\004port\030\004 \001(\005\022\014\n\004" +
-      "zone\030\005 \001(\t\022\016\n\006region\030\006 \001(\t\"\365\001\n\013JobQuesti" +
-      "on\022\013\n\003job\030\001 \001(\t\0221\n\004read\030\002 \001(\0132!.amaranth" +
-      "stream.jobs.ReadQuestionH\000\0226\n\titem_body\030" +
-      "\003 \001(\0132!.amaranthstream.jobs.BodyQuestion" +
-      "H\000\022/\n\003end\030\004 \001(\0132 .amaranthstream.jobs.En" +
-      "dQuestionH\000\0225\n\006submit\030\005 \001(\0132#.amaranthst" +
-      "ream.jobs.SubmitQuestionH\000B\006\n\004body\"A\n\014Re" +
-      "adQuestion\022\r\n\005after\030\001 \001(\005\022\017\n\007wait_ms\030\002 \001" +
-      "(\003\022\021\n\tmax_bytes\030\003 \001(\005\"\034\n\014BodyQuestion\022\014\n" +
-      "\004item\030\001 \001(\t\"\r\n\013EndQuestion\"@\n\016SubmitQues" +
-      "tion\022.\n\006record\030\001 \001(\0132\036.amaranthstream.jo" +
-      "bs.JobRecord\"\222\002\n\tJobAnswer\022/\n\004read\030\001 \001(\013" +
-      "2\037.amaranthstream.jobs.ReadAnswerH\000\0224\n\ti" +
-      "tem_body\030\002 \001(\0132\037.amaranthstream.jobs.Bod" +
-      "yAnswerH\000\022-\n\003end\030\003 \001(\0132\036.amaranthstream." +
-      "jobs.EndAnswerH\000\0223\n\006submit\030\004 \001(\0132!.amara" +
-      "nthstream.jobs.SubmitAnswerH\000\0222\n\tnot_own" +
-      "er\030\005 \001(\0132\035.amaranthstream.jobs.NotOwnerH" +
-      "\000B\006\n\004body\"N\n\nReadAnswer\022\r\n\005total\030\001 \001(\005\0221" +
-      "\n\006result\030\002 \003(\0132!.amaranthstream.jobs.Res" +
-      "ultRecord\")\n\nBodyAnswer\022\r\n\005found\030\001 \001(\010\022\014" +
-      "\n\004body\030\002 \001(\014\"\032\n\tEndAnswer\022\r\n\005ended\030\001 \001(\010" +
-      "\"7\n\014SubmitAnswer\022\017\n\007outcome\030\001 \001(\005\022\026\n\016ret" +
-      "ry_after_ms\030\002 \001(\003\"\n\n\010NotOwnerB \n\034org.ama" +
-      "ranthstream.jobs.wireP\001b\006proto3"
+      "\003\"\365\001\n\013JobQuestion\022\013\n\003job\030\001 \001(\t\0221\n\004read\030\002" +
+      " \001(\0132!.amaranthstream.jobs.ReadQuestionH" +
+      "\000\0226\n\titem_body\030\003 \001(\0132!.amaranthstream.jo" +
+      "bs.BodyQuestionH\000\022/\n\003end\030\004 \001(\0132 .amarant" +
+      "hstream.jobs.EndQuestionH\000\0225\n\006submit\030\005 \001" +
+      "(\0132#.amaranthstream.jobs.SubmitQuestionH" +
+      "\000B\006\n\004body\"A\n\014ReadQuestion\022\r\n\005after\030\001 \001(\005" +
+      "\022\017\n\007wait_ms\030\002 \001(\003\022\021\n\tmax_bytes\030\003 \001(\005\"\034\n\014" +
+      "BodyQuestion\022\014\n\004item\030\001 \001(\t\"\r\n\013EndQuestio" +
+      "n\"@\n\016SubmitQuestion\022.\n\006record\030\001 \001(\0132\036.am" +
+      "aranthstream.jobs.JobRecord\"\222\002\n\tJobAnswe" +
+      "r\022/\n\004read\030\001 \001(\0132\037.amaranthstream.jobs.Re" +
+      "adAnswerH\000\0224\n\titem_body\030\002 \001(\0132\037.amaranth" +
+      "stream.jobs.BodyAnswerH\000\022-\n\003end\030\003 \001(\0132\036." +
+      "amaranthstream.jobs.EndAnswerH\000\0223\n\006submi" +
+      "t\030\004 \001(\0132!.amaranthstream.jobs.SubmitAnsw" +
+      "erH\000\0222\n\tnot_owner\030\005 \001(\0132\035.amaranthstream" +
+      ".jobs.NotOwnerH\000B\006\n\004body\"N\n\nReadAnswer\022\r" +
+      "\n\005total\030\001 \001(\005\0221\n\006result\030\002 \003(\0132!.amaranth" +
+      "stream.jobs.ResultRecord\")\n\nBodyAnswer\022\r" +
+      "\n\005found\030\001 \001(\010\022\014\n\004body\030\002 \001(\014\"\032\n\tEndAnswer" +
+      "\022\r\n\005ended\030\001 \001(\010\"7\n\014SubmitAnswer\022\017\n\007outco" +
+      "me\030\001 \001(\005\022\026\n\016retry_after_ms\030\002 \001(\003\"\n\n\010NotO" +
+      "wnerB \n\034org.amaranthstream.jobs.wireP\001b\006" +
+      "proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -211,74 +204,68 @@
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_amaranthstream_jobs_ResultRecord_descriptor,
         new java.lang.String[] { "Item", "Complete", "Text", "Version", });
-    internal_static_amaranthstream_jobs_NodeRecord_descriptor =
-      getDescriptor().getMessageType(6);
-    internal_static_amaranthstream_jobs_NodeRecord_fieldAccessorTable = new
-      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
-        internal_static_amaranthstream_jobs_NodeRecord_descriptor,
-        new java.lang.String[] { "Vm", "Incarnation", "Host", "Port", "Zone", "Region", });
     internal_static_amaranthstream_jobs_JobQuestion_descriptor =
-      getDescriptor().getMessageType(7);
+      getDescriptor().getMessageType(6);
     internal_static_amaranthstream_jobs_JobQuestion_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_amaranthstream_jobs_JobQuestion_descriptor,
         new java.lang.String[] { "Job", "Read", "ItemBody", "End", "Submit", "Body", });
     internal_static_amaranthstream_jobs_ReadQuestion_descriptor =
-      getDescriptor().getMessageType(8);
+      getDescriptor().getMessageType(7);
     internal_static_amaranthstream_jobs_ReadQuestion_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_amaranthstream_jobs_ReadQuestion_descriptor,
         new java.lang.String[] { "After", "WaitMs", "MaxBytes", });
     internal_static_amaranthstream_jobs_BodyQuestion_descriptor =
-      getDescriptor().getMessageType(9);
+      getDescriptor().getMessageType(8);
     internal_static_amaranthstream_jobs_BodyQuestion_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_amaranthstream_jobs_BodyQuestion_descriptor,
         new java.lang.String[] { "Item", });
     internal_static_amaranthstream_jobs_EndQuestion_descriptor =
-      getDescriptor().getMessageType(10);
+      getDescriptor().getMessageType(9);
     internal_static_amaranthstream_jobs_EndQuestion_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_amaranthstream_jobs_EndQuestion_descriptor,
         new java.lang.String[] { });
     internal_static_amaranthstream_jobs_SubmitQuestion_descriptor =
-      getDescriptor().getMessageType(11);
+      getDescriptor().getMessageType(10);
     internal_static_amaranthstream_jobs_SubmitQuestion_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_amaranthstream_jobs_SubmitQuestion_descriptor,
         new java.lang.String[] { "Record", });
     internal_static_amaranthstream_jobs_JobAnswer_descriptor =
-      getDescriptor().getMessageType(12);
+      getDescriptor().getMessageType(11);
     internal_static_amaranthstream_jobs_JobAnswer_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_amaranthstream_jobs_JobAnswer_descriptor,
         new java.lang.String[] { "Read", "ItemBody", "End", "Submit", "NotOwner", "Body", });
     internal_static_amaranthstream_jobs_ReadAnswer_descriptor =
-      getDescriptor().getMessageType(13);
+      getDescriptor().getMessageType(12);
     internal_static_amaranthstream_jobs_ReadAnswer_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_amaranthstream_jobs_ReadAnswer_descriptor,
         new java.lang.String[] { "Total", "Result", });
     internal_static_amaranthstream_jobs_BodyAnswer_descriptor =
-      getDescriptor().getMessageType(14);
+      getDescriptor().getMessageType(13);
     internal_static_amaranthstream_jobs_BodyAnswer_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_amaranthstream_jobs_BodyAnswer_descriptor,
         new java.lang.String[] { "Found", "Body", });
     internal_static_amaranthstream_jobs_EndAnswer_descriptor =
-      getDescriptor().getMessageType(15);
+      getDescriptor().getMessageType(14);
     internal_static_amaranthstream_jobs_EndAnswer_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_amaranthstream_jobs_EndAnswer_descriptor,
         new java.lang.String[] { "Ended", });
     internal_static_amaranthstream_jobs_SubmitAnswer_descriptor =
-      getDescriptor().getMessageType(16);
+      getDescriptor().getMessageType(15);
     internal_static_amaranthstream_jobs_SubmitAnswer_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_amaranthstream_jobs_SubmitAnswer_descriptor,
         new java.lang.String[] { "Outcome", "RetryAfterMs", });
     internal_static_amaranthstream_jobs_NotOwner_descriptor =
-      getDescriptor().getMessageType(17);
+      getDescriptor().getMessageType(16);
     internal_static_amaranthstream_jobs_NotOwner_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_amaranthstream_jobs_NotOwner_descriptor,
--- a/amaranthstream/src/test/java/org/amaranthstream/ImportDirectionTest.java
+++ b/amaranthstream/src/test/java/org/amaranthstream/ImportDirectionTest.java
@@ -24,11 +24,13 @@
   private static final ImmutableList<ImmutableList<String>> LAYERS =
       ImmutableList.of(
           ImmutableList.of("ids", "result", "time", "ring", "logs"),
-          ImmutableList.of("yaml", "auth"),
+          ImmutableList.of("yaml", "auth", "routing"),
           ImmutableList.of("platform", "config", "membership", "decisions", "settings"),
-          ImmutableList.of("admission", "placement"),
+          ImmutableList.of("admission", "placement", "servers", "calls"),
           ImmutableList.of("dispatch"),
           ImmutableList.of("peer", "rollout", "once", "weights"),
+          ImmutableList.of("fleet"),
+          ImmutableList.of("jobs"),
           ImmutableList.of("ingress", "admin", "metrics"),
           ImmutableList.of("daemon", "cli", "demo"));
 
--- /dev/null
+++ b/amaranthstream/src/test/java/org/amaranthstream/platform/PrefixMirrorTest.java
@@ -0,0 +1,189 @@
+package org.amaranthstream.platform;
+
+import static com.google.common.truth.Truth.assertThat;
+import static java.nio.charset.StandardCharsets.UTF_8;
+
+import java.time.Duration;
+import java.util.Map;
+import java.util.TreeMap;
+import org.amaranthstream.time.VirtualTimerService;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+class PrefixMirrorTest {
+  private static final Duration WAIT = Duration.ofSeconds(10);
+  private static final Duration SETTLE = Duration.ofMillis(300);
+
+  private final VirtualTimerService timers = VirtualTimerService.create();
+  private final SimulatedStore store = new SimulatedStore(timers);
+  private final SimulatedStoreClient client = store.client();
+  private final Seen seen = new Seen();
+  private final PrefixMirror mirror =
+      PrefixMirror.create(client, timers, "a/", MirrorTiming.of(WAIT, SETTLE), seen);
+
+  private static final class Seen implements MirrorListener {
+    private final Map<String, String> values = new TreeMap<>();
+    private int caughtUp;
+    private int away;
+
+    @Override
+    public void onPut(KvEntry entry) {
+      values.put(entry.key(), new String(entry.value(), UTF_8));
+    }
+
+    @Override
+    public void onRemoved(String key) {
+      values.remove(key);
+    }
+
+    @Override
+    public void onCaughtUp() {
+      caughtUp++;
+    }
+
+    @Override
+    public void onStoreAway() {
+      away++;
+    }
+  }
+
+  private void put(String key, String value) {
+    store.put(key, value.getBytes(UTF_8));
+  }
+
+  private void run(long millis) {
+    timers.advance(Duration.ofMillis(millis));
+  }
+
+  @BeforeEach
+  void fill() {
+    put("a/1", "one");
+    put("b/1", "other");
+  }
+
+  @Nested
+  class Listing {
+    @Test
+    void takesEntriesOfThePrefixOnly() {
+      mirror.start();
+      run(20);
+
+      assertThat(seen.values).containsExactly("a/1", "one");
+      assertThat(seen.caughtUp).isEqualTo(1);
+    }
+
+    @Test
+    void takesAllPages() {
+      put("a/2", "two");
+      put("a/3", "three");
+      client.setPageSize(2);
+
+      mirror.start();
+      run(40);
+
+      assertThat(seen.values.keySet()).containsExactly("a/1", "a/2", "a/3");
+    }
+
+    @Test
+    void missesNoChangeBetweenTwoPages() {
+      put("a/2", "two");
+      put("a/3", "three");
+      client.setPageSize(2);
+      mirror.start();
+      run(5);
+      put("a/1", "newer");
+      run(40);
+
+      assertThat(seen.values).containsEntry("a/1", "newer");
+    }
+
+    @Test
+    void isRepeatedUntilTheStoreAnswers() {
+      client.setRefused(true);
+      mirror.start();
+      run(2_000);
+      client.setRefused(false);
+      run(1_000);
+
+      assertThat(seen.values).containsKey("a/1");
+    }
+  }
+
+  @Nested
+  class Watching {
+    @BeforeEach
+    void start() {
+      mirror.start();
+      run(20);
+    }
+
+    @Test
+    void seesWritesAndRemovals() {
+      put("a/2", "two");
+      store.remove("a/1");
+      run(500);
+
+      assertThat(seen.values).containsExactly("a/2", "two");
+    }
+
+    @Test
+    void takesChangesInQuickSuccessionWithOneCall() {
+      int before = store.calls();
+      put("a/2", "two");
+      run(20);
+      for (int i = 0; i < 20; i++) {
+        put("a/3", "value " + i);
+      }
+      run(400);
+
+      assertThat(seen.values).containsEntry("a/3", "value 19");
+      assertThat(store.calls() - before).isAtMost(2);
+    }
+
+    @Test
+    void listsAgainWhenTheHistoryIsForgotten() {
+      client.setSilent(true);
+      put("a/2", "two");
+      store.remove("a/1");
+      store.forgetHistory();
+      run(15_000);
+      client.setSilent(false);
+      run(15_000);
+
+      assertThat(seen.values).containsExactly("a/2", "two");
+    }
+
+    @Test
+    void tellsOfAnOutageOnceAndOfItsEnd() {
+      client.setSilent(true);
+      run(20_000);
+      client.setSilent(false);
+      run(15_000);
+
+      assertThat(seen.away).isEqualTo(1);
+      assertThat(seen.caughtUp).isEqualTo(2);
+    }
+
+    @Test
+    void refreshReadsPastASilentWatch() {
+      client.setSilent(true);
+      put("a/2", "two");
+      client.setSilent(false);
+      mirror.refresh();
+      run(20);
+
+      assertThat(seen.values).containsEntry("a/2", "two");
+    }
+
+    @Test
+    void makesNoCallOnceStopped() {
+      mirror.stop();
+      run(12_000);
+      int before = store.calls();
+      run(60_000);
+
+      assertThat(store.calls()).isEqualTo(before);
+    }
+  }
+}
--- /dev/null
+++ b/amaranthstream/src/test/java/org/amaranthstream/platform/TransactionRunnerTest.java
@@ -0,0 +1,96 @@
+package org.amaranthstream.platform;
+
+import static com.google.common.truth.Truth.assertThat;
+import static java.nio.charset.StandardCharsets.UTF_8;
+
+import java.time.Duration;
+import java.util.concurrent.CompletableFuture;
+import org.amaranthstream.platform.SimulatedStoreClient.WriteFault;
+import org.amaranthstream.time.VirtualTimerService;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+class TransactionRunnerTest {
+  private static final Duration PATIENCE = Duration.ofSeconds(10);
+
+  private final VirtualTimerService timers = VirtualTimerService.create();
+  private final SimulatedStore store = new SimulatedStore(timers);
+  private final SimulatedStoreClient client = store.client();
+  private final TransactionRunner runner = TransactionRunner.create(client, timers);
+
+  private static Transaction create(String value) {
+    return Transaction.builder().expectAbsent("key").put("key", value.getBytes(UTF_8)).build();
+  }
+
+  private CompletableFuture<TransactionReply> run(Transaction transaction, long millis) {
+    CompletableFuture<TransactionReply> reply = runner.run(transaction, PATIENCE);
+    timers.advance(Duration.ofMillis(millis));
+    return reply;
+  }
+
+  @Nested
+  class LostAnswers {
+    @Test
+    void recognizesItsOwnWriteAfterALostAnswer() {
+      client.setWriteFault(WriteFault.ANSWER_LOST, Duration.ZERO);
+      CompletableFuture<TransactionReply> reply = run(create("mine"), 1_000);
+      client.setWriteFault(WriteFault.NONE, Duration.ZERO);
+      timers.advance(Duration.ofSeconds(3));
+
+      assertThat(reply.join())
+          .isEqualTo(new TransactionReply.Committed(store.entry("key").get().revision()));
+    }
+
+    @Test
+    void takesAnothersWriteAsAConflict() {
+      client.setSilent(true);
+      CompletableFuture<TransactionReply> reply = run(create("mine"), 1_000);
+      store.put("key", "theirs".getBytes(UTF_8));
+      client.setSilent(false);
+      timers.advance(Duration.ofSeconds(3));
+
+      assertThat(reply.join()).isInstanceOf(TransactionReply.Conflict.class);
+    }
+
+    @Test
+    void anotherSendCannotTakeEffectTwice() {
+      client.setWriteFault(WriteFault.APPLIED_LATE, Duration.ofSeconds(3));
+      CompletableFuture<TransactionReply> reply = run(create("mine"), 1_000);
+      client.setWriteFault(WriteFault.NONE, Duration.ZERO);
+      timers.advance(Duration.ofSeconds(1));
+      long written = store.entry("key").get().revision().value();
+      timers.advance(Duration.ofSeconds(5));
+
+      assertThat(reply.join()).isInstanceOf(TransactionReply.Committed.class);
+      assertThat(store.entry("key").get().revision().value()).isEqualTo(written);
+    }
+  }
+
+  @Nested
+  class Outages {
+    @Test
+    void isNotDoneIfEverySendWasRefused() {
+      client.setRefused(true);
+
+      assertThat(run(create("mine"), 15_000).join()).isInstanceOf(TransactionReply.NotDone.class);
+      assertThat(store.entry("key")).isEmpty();
+    }
+
+    @Test
+    void isUnknownIfASendGotNoAnswer() {
+      client.setSilent(true);
+
+      assertThat(run(create("mine"), 15_000).join()).isInstanceOf(TransactionReply.Unknown.class);
+    }
+
+    @Test
+    void commitsOnceTheStoreIsBack() {
+      client.setRefused(true);
+      CompletableFuture<TransactionReply> reply = run(create("mine"), 4_000);
+      client.setRefused(false);
+      timers.advance(Duration.ofSeconds(2));
+
+      assertThat(reply.join()).isInstanceOf(TransactionReply.Committed.class);
+    }
+  }
+}
