--- a/amaranthstream/src/main/java/org/amaranthstream/fleet/Fleet.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/fleet/Fleet.java
@@ -27,12 +27,13 @@
  */
 public final class Fleet implements MirrorListener {
   private static final FluentLogger logger = FluentLogger.forEnclosingClass();
-  private static final Duration WATCH_WAIT = Duration.ofSeconds(25);
+  private static final Duration WATCH_WAIT = Duration.ofSeconds(10);
   private static final Duration SETTLE = Duration.ofMillis(100);
 
   private final PrefixMirror mirror;
   private final Map<EntryVmId, FleetNode> nodes = new HashMap<>();
   private final Map<String, KvEntry> duties = new HashMap<>();
+  private final Map<String, KvEntry> releases = new HashMap<>();
   private final List<FleetListener> listeners = new ArrayList<>();
 
   private Fleet(TransactionalStore store, TimerService timers) {
@@ -77,6 +78,11 @@
     return Optional.ofNullable(duties.get(duty));
   }
 
+  /** Returns the entry with which the last holder of {@code duty} has released it. */
+  Optional<KvEntry> release(String duty) {
+    return Optional.ofNullable(releases.get(duty));
+  }
+
   /** Returns true once the registrations were read. */
   public boolean hasCaughtUp() {
     return mirror.hasCaughtUp();
@@ -94,6 +100,10 @@
     } else if (key.startsWith(FleetKeys.ENDED_JOBS)) {
       JobId job = JobId.of(key.substring(FleetKeys.ENDED_JOBS.length()));
       listeners.forEach(listener -> listener.onJobEnded(job));
+    } else if (key.startsWith(FleetKeys.RELEASES)) {
+      String duty = key.substring(FleetKeys.RELEASES.length());
+      releases.put(duty, entry);
+      listeners.forEach(listener -> listener.onReleased(duty));
     } else if (key.equals(FleetKeys.SECRET)) {
       listeners.forEach(listener -> listener.onSecret(entry.value()));
     }
@@ -128,6 +138,8 @@
       String duty = key.substring(FleetKeys.DUTIES.length());
       duties.remove(duty);
       listeners.forEach(listener -> listener.onDutyChanged(duty));
+    } else if (key.startsWith(FleetKeys.RELEASES)) {
+      releases.remove(key.substring(FleetKeys.RELEASES.length()));
     }
   }
 
--- a/amaranthstream/src/main/java/org/amaranthstream/fleet/FleetKeys.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/fleet/FleetKeys.java
@@ -20,6 +20,9 @@
   /** The key with which daemons prove themselves to each other. */
   static final String SECRET = PREFIX + "secret";
 
+  /** What the releases of duties begin with. */
+  static final String RELEASES = PREFIX + "releases/";
+
   private FleetKeys() {}
 
   static String node(EntryVmId vm) {
@@ -30,6 +33,10 @@
     return DUTIES + name;
   }
 
+  static String release(String duty) {
+    return RELEASES + duty;
+  }
+
   /** Returns the key that tells the owner of {@code job} that the job has ended. */
   public static String endedJob(JobId job) {
     return ENDED_JOBS + job;
--- a/amaranthstream/src/main/java/org/amaranthstream/fleet/FleetLinks.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/fleet/FleetLinks.java
@@ -33,7 +33,7 @@
  *
  * <p>Used on the thread of its timers, which is the duty's too.
  */
-public final class FleetLinks implements FleetListener {
+public final class FleetLinks implements FleetListener, RelayingStore.PeerStores {
   private static final FluentLogger logger = FluentLogger.forEnclosingClass();
   private static final Duration HEARTBEAT_PERIOD = Duration.ofSeconds(2);
   private static final Duration SILENT_AFTER = Duration.ofMillis(4_500);
@@ -161,6 +161,20 @@
     return queries.query(to, kind, question, timeout);
   }
 
+  @Override
+  public ImmutableList<EntryVmId> others() {
+    return fleet.nodes().stream()
+        .map(FleetNode::vm)
+        .filter(vm -> !vm.equals(self.vm()))
+        .sorted()
+        .collect(ImmutableList.toImmutableList());
+  }
+
+  @Override
+  public CompletableFuture<Result<byte[]>> call(EntryVmId vm, byte[] call, Duration timeout) {
+    return query(vm, QueryKind.STORE_CALL, call, timeout);
+  }
+
   /** Closes all links. */
   public void close() {
     if (node != null) {
--- a/amaranthstream/src/main/java/org/amaranthstream/fleet/FleetListener.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/fleet/FleetListener.java
@@ -17,6 +17,9 @@
   /** The holder of a duty has changed. */
   default void onDutyChanged(String duty) {}
 
+  /** The holder of a duty has released it. */
+  default void onReleased(String duty) {}
+
   /** The key with which daemons prove themselves to each other is known. */
   default void onSecret(byte[] key) {}
 
--- a/amaranthstream/src/main/java/org/amaranthstream/fleet/FleetSession.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/fleet/FleetSession.java
@@ -24,7 +24,7 @@
  */
 public final class FleetSession implements FleetListener {
   private static final FluentLogger logger = FluentLogger.forEnclosingClass();
-  private static final Duration TTL = Duration.ofMillis(3_000);
+  static final Duration TTL = Duration.ofMillis(3_000);
   private static final Duration RENEWAL_PERIOD = Duration.ofMillis(900);
   private static final Duration RETRY_PAUSE = Duration.ofMillis(400);
 
--- a/amaranthstream/src/main/java/org/amaranthstream/fleet/HeldDuty.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/fleet/HeldDuty.java
@@ -7,23 +7,28 @@
 import java.time.Duration;
 import java.util.Arrays;
 import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
 import org.amaranthstream.ids.FencingNumber;
 import org.amaranthstream.ids.LeaseId;
+import org.amaranthstream.ids.Revision;
 import org.amaranthstream.platform.KvEntry;
 import org.amaranthstream.platform.Transaction;
 import org.amaranthstream.platform.TransactionReply;
 import org.amaranthstream.platform.TransactionalStore;
 import org.amaranthstream.time.TimerService;
+import org.amaranthstream.weights.DutyFence;
 import org.jspecify.annotations.Nullable;
 
 /**
  * A duty that at most one daemon performs at a time, held under the daemon's lease.
  *
  * <p>The fencing number is the revision at which the duty was taken. A daemon that takes the duty
- * waits before it acts, until orders of the holder before it can no longer arrive; a holder stops
- * to act a while before its lease can have ended. Used on the thread of its timers.
+ * waits before it acts, until acts of the holder before it can no longer happen; a holder stops to
+ * act a while before its lease can have ended. A holder that leaves releases the duty with the age
+ * of its last act, and the next one waits only as long as the acts of two holders must be apart.
+ * Used on the thread of its timers.
  */
-public final class HeldDuty implements FleetListener {
+public final class HeldDuty implements FleetListener, DutyFence {
   private static final FluentLogger logger = FluentLogger.forEnclosingClass();
   private static final Duration RETRY_PAUSE = Duration.ofMillis(500);
 
@@ -36,6 +41,7 @@
   private @Nullable FencingNumber fence;
   private @Nullable LeaseId heldLease;
   private long actFromNanos;
+  private Optional<Long> lastActNanos = Optional.empty();
   private boolean isAsking;
   private boolean isResigned;
 
@@ -77,24 +83,65 @@
     timers.every(RETRY_PAUSE, this::tryTake);
   }
 
-  /**
-   * Returns the fencing number if this daemon may act right now; to be asked right before each act.
-   */
-  public Optional<FencingNumber> fence() {
+  @Override
+  public Optional<FencingNumber> current() {
     boolean isHeld = fence != null && session.lease().equals(Optional.ofNullable(heldLease));
     boolean isSafe = session.remaining().compareTo(timing.stopBefore()) > 0;
     boolean isClear = timers.nowNanos() - actFromNanos >= 0;
     return isHeld && isSafe && isClear && !isResigned ? Optional.of(fence) : Optional.empty();
   }
 
+  @Override
+  public Optional<FencingNumber> act() {
+    Optional<FencingNumber> number = current();
+    if (number.isPresent()) {
+      lastActNanos = Optional.of(timers.nowNanos());
+    }
+    return number;
+  }
+
   /** Returns true if this daemon holds the duty, though perhaps it may not act yet. */
   public boolean isHeld() {
     return fence != null;
   }
 
-  /** Acts no more and does not take the duty again; the lease's end frees it for others. */
-  public void resign() {
+  /**
+   * Acts no more, does not take the duty again, and frees it for others.
+   *
+   * @return completes when the duty was freed or could not be
+   */
+  public CompletableFuture<Void> resign() {
     isResigned = true;
+    FencingNumber held = fence;
+    if (held == null) {
+      return CompletableFuture.completedFuture(null);
+    }
+    Duration sinceAct =
+        lastActNanos
+            .map(at -> Duration.ofNanos(timers.nowNanos() - at))
+            .orElse(timing.betweenHolders());
+    Transaction release =
+        Transaction.builder()
+            .expect(FleetKeys.duty(name), Revision.of(held.value()))
+            .remove(FleetKeys.duty(name))
+            .put(FleetKeys.release(name), encode(sinceAct))
+            .build();
+    return store
+        .transact(release)
+        .thenAccept(
+            reply ->
+                logger.atInfo().log(
+                    "event=duty_released duty=%s fence=%s last_act_ms=%d reply=%s",
+                    name, held, sinceAct.toMillis(), reply));
+  }
+
+  private static byte[] encode(Duration sinceAct) {
+    return Long.toString(sinceAct.toMillis()).getBytes(StandardCharsets.UTF_8);
+  }
+
+  /** Returns the time since the last act of a holder that released the duty, at the release. */
+  private static Duration decode(KvEntry release) {
+    return Duration.ofMillis(Long.parseLong(new String(release.value(), StandardCharsets.UTF_8)));
   }
 
   private void tryTake() {
@@ -109,12 +156,9 @@
     Optional<KvEntry> holder = fleet.holder(name);
     if (holder.isPresent()) {
       adopt(holder.get(), value, lease.get());
-      return;
+    } else {
+      take(value, lease.get());
     }
-    isAsking = true;
-    String key = FleetKeys.duty(name);
-    Transaction take = Transaction.builder().expectAbsent(key).put(key, value, lease.get()).build();
-    store.transact(take).thenAccept(reply -> onReply(reply, lease.get()));
   }
 
   private byte[] holderValue(LeaseId lease) {
@@ -125,24 +169,43 @@
   /** The answer to an earlier take was lost, and the take had succeeded. */
   private void adopt(KvEntry holder, byte[] ownValue, LeaseId lease) {
     if (Arrays.equals(holder.value(), ownValue)) {
-      take(FencingNumber.of(holder.revision().value()), lease);
+      begin(holder.revision(), lease, timing.startAfter());
     }
   }
 
-  private void onReply(TransactionReply reply, LeaseId lease) {
+  /** Each take removes the release before it, so a release tells of the last holder. */
+  private void take(byte[] value, LeaseId lease) {
+    isAsking = true;
+    String key = FleetKeys.duty(name);
+    Transaction.Builder take = Transaction.builder().expectAbsent(key).put(key, value, lease);
+    Optional<KvEntry> release = fleet.release(name);
+    release.ifPresent(entry -> take.expect(entry.key(), entry.revision()).remove(entry.key()));
+    Duration wait = release.map(this::waitAfter).orElse(timing.startAfter());
+    store.transact(take.build()).thenAccept(reply -> onReply(reply, lease, wait));
+  }
+
+  private Duration waitAfter(KvEntry release) {
+    Duration wait = timing.betweenHolders().minus(decode(release));
+    return wait.isNegative() ? Duration.ZERO : wait;
+  }
+
+  private void onReply(TransactionReply reply, LeaseId lease, Duration wait) {
     isAsking = false;
-    if (!(reply instanceof TransactionReply.Committed committed)) {
+    if (reply instanceof TransactionReply.Committed committed) {
+      begin(committed.revision(), lease, wait);
+    } else {
       logger.atFine().log("event=duty_not_taken duty=%s reply=\"%s\"", name, reply);
-      return;
     }
-    take(FencingNumber.of(committed.revision().value()), lease);
   }
 
-  private void take(FencingNumber number, LeaseId lease) {
-    fence = number;
+  private void begin(Revision revision, LeaseId lease, Duration wait) {
+    fence = FencingNumber.of(revision.value());
     heldLease = lease;
-    actFromNanos = timers.nowNanos() + timing.startAfter().toNanos();
-    logger.atInfo().log("event=duty_taken duty=%s fence=%s lease=%s", name, number, lease);
+    lastActNanos = Optional.empty();
+    actFromNanos = timers.nowNanos() + wait.toNanos();
+    logger.atInfo().log(
+        "event=duty_taken duty=%s fence=%s lease=%s wait_ms=%d",
+        name, fence, lease, wait.toMillis());
   }
 
   private void lose(String reason) {
@@ -154,17 +217,22 @@
   /** Gives up a duty whose entry is gone or another's. */
   @Override
   public void onDutyChanged(String duty) {
-    if (!duty.equals(name)) {
+    FencingNumber held = fence;
+    if (!duty.equals(name) || held == null) {
       return;
     }
     Optional<KvEntry> holder = fleet.holder(name);
-    boolean isOwnFence =
-        fence != null && holder.isPresent() && holder.get().revision().value() == fence.value();
-    if (fence != null && !isOwnFence) {
-      boolean isOlder = holder.isPresent() && holder.get().revision().value() < fence.value();
-      if (!isOlder) {
-        lose("the entry has changed");
-      }
+    boolean isCurrent = holder.isPresent() && holder.get().revision().value() <= held.value();
+    if (!isCurrent) {
+      lose("the entry has changed");
+    }
+  }
+
+  /** A free duty is taken without waiting for the next try. */
+  @Override
+  public void onReleased(String duty) {
+    if (duty.equals(name)) {
+      tryTake();
     }
   }
 }
--- /dev/null
+++ b/amaranthstream/src/main/java/org/amaranthstream/fleet/RelayingStore.java
@@ -0,0 +1,287 @@
+package org.amaranthstream.fleet;
+
+import static com.google.common.base.Preconditions.checkNotNull;
+
+import com.google.common.collect.ImmutableList;
+import com.google.common.flogger.FluentLogger;
+import com.google.protobuf.InvalidProtocolBufferException;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import java.util.function.Function;
+import org.amaranthstream.fleet.wire.RangeCall;
+import org.amaranthstream.fleet.wire.StoreAnswer;
+import org.amaranthstream.fleet.wire.StoreCall;
+import org.amaranthstream.fleet.wire.WatchCall;
+import org.amaranthstream.ids.EntryVmId;
+import org.amaranthstream.ids.LeaseId;
+import org.amaranthstream.ids.Revision;
+import org.amaranthstream.peer.PeerQuery;
+import org.amaranthstream.platform.GrantedLease;
+import org.amaranthstream.platform.KvEntry;
+import org.amaranthstream.platform.KvPage;
+import org.amaranthstream.platform.RenewalReply;
+import org.amaranthstream.platform.StoreMonitor;
+import org.amaranthstream.platform.Transaction;
+import org.amaranthstream.platform.TransactionReply;
+import org.amaranthstream.platform.TransactionalStore;
+import org.amaranthstream.platform.WatchReply;
+import org.amaranthstream.result.ErrorDetail;
+import org.amaranthstream.result.Result;
+import org.amaranthstream.result.ResultCode;
+
+/**
+ * A store that is reached through another daemon while this one does not reach it itself.
+ *
+ * <p>Answers the load pattern of a store that serves only some of the daemons: the others go on
+ * with their leases, duties and jobs. While the store is away, renewals of the lease still try the
+ * own way, and so find out when it works again. Used on one thread.
+ */
+public final class RelayingStore implements TransactionalStore {
+  private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+  private static final Duration RELAY_TIMEOUT = Duration.ofMillis(1_500);
+
+  /** A watch through a peer ends soon, so that the own way is tried again. */
+  private static final Duration LONGEST_RELAYED_WATCH = Duration.ofSeconds(2);
+
+  private static final int MAX_PEERS = 3;
+  private static final ErrorDetail WATCH_GIVEN_UP =
+      ErrorDetail.of(ResultCode.PLATFORM_UNAVAILABLE, "the store went away during the watch");
+
+  private final TransactionalStore direct;
+  private final StoreMonitor monitor;
+  private final Set<CompletableFuture<WatchReply>> watches = new HashSet<>();
+  private PeerStores peers = PeerStores.NONE;
+  private Optional<EntryVmId> lastGood = Optional.empty();
+
+  /** The way to the store through other daemons. */
+  public interface PeerStores {
+    /** No other daemon. */
+    PeerStores NONE =
+        new PeerStores() {
+          @Override
+          public ImmutableList<EntryVmId> others() {
+            return ImmutableList.of();
+          }
+
+          @Override
+          public CompletableFuture<Result<byte[]>> call(
+              EntryVmId vm, byte[] call, Duration timeout) {
+            return CompletableFuture.completedFuture(
+                Result.failure(ResultCode.PEER_UNREACHABLE, "there is no peer"));
+          }
+        };
+
+    /** Returns the other daemons. */
+    ImmutableList<EntryVmId> others();
+
+    /** Lets {@code vm} make a call; the future never completes exceptionally. */
+    CompletableFuture<Result<byte[]>> call(EntryVmId vm, byte[] call, Duration timeout);
+  }
+
+  private RelayingStore(TransactionalStore direct, StoreMonitor monitor) {
+    this.direct = direct;
+    this.monitor = monitor;
+  }
+
+  /** Returns a store over {@code direct}, or over a peer while {@code monitor} says it is away. */
+  public static RelayingStore create(TransactionalStore direct, StoreMonitor monitor) {
+    RelayingStore store =
+        new RelayingStore(checkNotNull(direct, "direct"), checkNotNull(monitor, "monitor"));
+    monitor.onAway(store::giveUpWatches);
+    return store;
+  }
+
+  /** Sets the way through other daemons. */
+  public void attach(PeerStores peers) {
+    this.peers = checkNotNull(peers, "peers");
+  }
+
+  private ImmutableList<EntryVmId> peers() {
+    List<EntryVmId> order = new ArrayList<>();
+    lastGood.ifPresent(order::add);
+    peers.others().stream().filter(vm -> !order.contains(vm)).forEach(order::add);
+    return order.stream().limit(MAX_PEERS).collect(ImmutableList.toImmutableList());
+  }
+
+  private void giveUpWatches() {
+    List<CompletableFuture<WatchReply>> open = List.copyOf(watches);
+    watches.clear();
+    open.forEach(watch -> watch.complete(new WatchReply.Failed(WATCH_GIVEN_UP)));
+  }
+
+  /** Asks one peer after another until one has asked the store. */
+  private CompletableFuture<StoreAnswer> relay(StoreCall call, Duration timeout) {
+    CompletableFuture<StoreAnswer> answer = new CompletableFuture<>();
+    relay(call, timeout, peers(), 0, answer);
+    return answer;
+  }
+
+  private void relay(
+      StoreCall call,
+      Duration timeout,
+      ImmutableList<EntryVmId> order,
+      int next,
+      CompletableFuture<StoreAnswer> answer) {
+    if (next == order.size()) {
+      answer.complete(StoreAnswer.newBuilder().setNotDone("no peer reaches the store").build());
+      return;
+    }
+    EntryVmId peer = order.get(next);
+    peers
+        .call(peer, call.toByteArray(), timeout)
+        .thenAccept(
+            result -> {
+              Optional<StoreAnswer> decoded = decode(result, peer);
+              if (decoded.isPresent()) {
+                answer.complete(decoded.get());
+              } else {
+                relay(call, timeout, order, next + 1, answer);
+              }
+            });
+  }
+
+  /** Returns the answer to use; empty if the peer has certainly not asked the store. */
+  private Optional<StoreAnswer> decode(Result<byte[]> result, EntryVmId peer) {
+    if (result instanceof Result.Success<byte[]> success) {
+      lastGood = Optional.of(peer);
+      return Optional.of(parse(success.value()));
+    }
+    ErrorDetail error = ((Result.Failure<byte[]>) result).error();
+    boolean isNotAsked =
+        error.code() == ResultCode.PLATFORM_UNAVAILABLE || PeerQuery.isNotSent(error.code());
+    logger.atFine().log("event=store_relay_failed vm=%s error=\"%s\"", peer, error);
+    return isNotAsked
+        ? Optional.empty()
+        : Optional.of(StoreAnswer.newBuilder().setUnknown(error.message()).build());
+  }
+
+  private static StoreAnswer parse(byte[] body) {
+    try {
+      return StoreAnswer.parseFrom(body);
+    } catch (InvalidProtocolBufferException e) {
+      return StoreAnswer.newBuilder().setUnknown("an answer that cannot be read").build();
+    }
+  }
+
+  /** Makes a call that changes nothing, on the own way first unless the store is away. */
+  private <T> CompletableFuture<T> read(
+      Function<TransactionalStore, CompletableFuture<T>> own,
+      Function<T, Boolean> isFailure,
+      StoreCall call,
+      Function<StoreAnswer, T> decoder) {
+    if (monitor.isAway()) {
+      return relay(call, RELAY_TIMEOUT).thenApply(decoder);
+    }
+    return own.apply(direct)
+        .thenCompose(
+            result ->
+                isFailure.apply(result)
+                    ? relay(call, RELAY_TIMEOUT).thenApply(decoder)
+                    : CompletableFuture.completedFuture(result));
+  }
+
+  private static <T> boolean isFailure(Result<T> result) {
+    return result instanceof Result.Failure;
+  }
+
+  @Override
+  public CompletableFuture<Result<Optional<KvEntry>>> get(String key) {
+    StoreCall call = StoreCall.newBuilder().setGet(key).build();
+    return read(
+        store -> store.get(key), RelayingStore::isFailure, call, StoreCallCodec::decodeEntry);
+  }
+
+  @Override
+  public CompletableFuture<Result<KvPage>> range(String prefix, String after) {
+    StoreCall call =
+        StoreCall.newBuilder()
+            .setRange(RangeCall.newBuilder().setPrefix(prefix).setAfter(after))
+            .build();
+    return read(
+        store -> store.range(prefix, after),
+        RelayingStore::isFailure,
+        call,
+        StoreCallCodec::decodePage);
+  }
+
+  @Override
+  public CompletableFuture<WatchReply> watch(String prefix, Revision after, Duration wait) {
+    if (!monitor.isAway()) {
+      CompletableFuture<WatchReply> reply = new CompletableFuture<>();
+      watches.add(reply);
+      direct
+          .watch(prefix, after, wait)
+          .thenAccept(
+              answer -> {
+                watches.remove(reply);
+                reply.complete(answer);
+              });
+      return reply;
+    }
+    Duration shorter = wait.compareTo(LONGEST_RELAYED_WATCH) < 0 ? wait : LONGEST_RELAYED_WATCH;
+    WatchCall watch =
+        WatchCall.newBuilder()
+            .setPrefix(prefix)
+            .setAfter(after.value())
+            .setWaitMs(shorter.toMillis())
+            .build();
+    return relay(StoreCall.newBuilder().setWatch(watch).build(), shorter.plus(RELAY_TIMEOUT))
+        .thenApply(StoreCallCodec::decodeWatch);
+  }
+
+  @Override
+  public CompletableFuture<TransactionReply> transact(Transaction transaction) {
+    StoreCall call =
+        StoreCall.newBuilder().setTransaction(StoreCallCodec.encode(transaction)).build();
+    if (monitor.isAway()) {
+      return relay(call, RELAY_TIMEOUT).thenApply(StoreCallCodec::decodeTransaction);
+    }
+    return direct
+        .transact(transaction)
+        .thenCompose(
+            reply ->
+                reply instanceof TransactionReply.NotDone
+                    ? relay(call, RELAY_TIMEOUT).thenApply(StoreCallCodec::decodeTransaction)
+                    : CompletableFuture.completedFuture(reply));
+  }
+
+  @Override
+  public CompletableFuture<Result<GrantedLease>> grantLease(Duration ttl) {
+    StoreCall call = StoreCall.newBuilder().setGrantTtlMs(ttl.toMillis()).build();
+    return read(
+        store -> store.grantLease(ttl),
+        RelayingStore::isFailure,
+        call,
+        StoreCallCodec::decodeGrant);
+  }
+
+  /** A renewal may be made twice, so the own way is tried even while the store is away. */
+  @Override
+  public CompletableFuture<RenewalReply> renewLease(LeaseId lease) {
+    StoreCall call = StoreCall.newBuilder().setRenewLease(lease.value()).build();
+    CompletableFuture<RenewalReply> own = direct.renewLease(lease);
+    if (monitor.isAway()) {
+      return relay(call, RELAY_TIMEOUT).thenApply(StoreCallCodec::decodeRenewal);
+    }
+    return own.thenCompose(
+        reply ->
+            reply instanceof RenewalReply.Failed
+                ? relay(call, RELAY_TIMEOUT).thenApply(StoreCallCodec::decodeRenewal)
+                : CompletableFuture.completedFuture(reply));
+  }
+
+  @Override
+  public CompletableFuture<Result<LeaseId>> endLease(LeaseId lease) {
+    StoreCall call = StoreCall.newBuilder().setEndLease(lease.value()).build();
+    return read(
+        store -> store.endLease(lease),
+        RelayingStore::isFailure,
+        call,
+        answer -> StoreCallCodec.decodeEnd(answer, lease));
+  }
+}
--- /dev/null
+++ b/amaranthstream/src/main/java/org/amaranthstream/fleet/StoreRelay.java
@@ -0,0 +1,95 @@
+package org.amaranthstream.fleet;
+
+import static com.google.common.base.Preconditions.checkNotNull;
+
+import com.google.protobuf.InvalidProtocolBufferException;
+import java.time.Duration;
+import java.util.concurrent.CompletableFuture;
+import java.util.function.BooleanSupplier;
+import org.amaranthstream.fleet.wire.StoreAnswer;
+import org.amaranthstream.fleet.wire.StoreCall;
+import org.amaranthstream.ids.LeaseId;
+import org.amaranthstream.ids.Revision;
+import org.amaranthstream.membership.LocalVm;
+import org.amaranthstream.peer.QueryKind;
+import org.amaranthstream.platform.TransactionalStore;
+import org.amaranthstream.result.Result;
+import org.amaranthstream.result.ResultCode;
+
+/**
+ * Makes calls to the store for daemons that do not reach it. Only this daemon's own way to the
+ * store is used, so a call passes through one daemon at most.
+ *
+ * <p>Used on one thread.
+ */
+public final class StoreRelay {
+  private final TransactionalStore direct;
+  private final BooleanSupplier isAway;
+
+  private StoreRelay(TransactionalStore direct, BooleanSupplier isAway) {
+    this.direct = direct;
+    this.isAway = isAway;
+  }
+
+  /**
+   * Returns a relay.
+   *
+   * @param direct this daemon's own way to the store
+   * @param isAway tells whether the store answers this daemon
+   */
+  public static StoreRelay create(TransactionalStore direct, BooleanSupplier isAway) {
+    return new StoreRelay(checkNotNull(direct, "direct"), checkNotNull(isAway, "isAway"));
+  }
+
+  /** Lets other daemons use this relay. */
+  public void serve(FleetLinks links) {
+    links.register(
+        QueryKind.STORE_CALL, (LocalVm from, byte[] body, Duration timeout) -> answer(body));
+  }
+
+  private CompletableFuture<Result<byte[]>> answer(byte[] body) {
+    if (isAway.getAsBoolean()) {
+      return CompletableFuture.completedFuture(
+          Result.failure(ResultCode.PLATFORM_UNAVAILABLE, "the store is away here too"));
+    }
+    try {
+      return call(StoreCall.parseFrom(body))
+          .thenApply(answer -> Result.success(answer.toByteArray()));
+    } catch (InvalidProtocolBufferException | IllegalArgumentException e) {
+      return CompletableFuture.completedFuture(
+          Result.failure(ResultCode.INVALID_REQUEST, "the call cannot be read: " + e));
+    }
+  }
+
+  private CompletableFuture<StoreAnswer> call(StoreCall call) {
+    return switch (call.getBodyCase()) {
+      case GET -> direct.get(call.getGet()).thenApply(StoreCallCodec::encodeEntry);
+      case RANGE ->
+          direct
+              .range(call.getRange().getPrefix(), call.getRange().getAfter())
+              .thenApply(StoreCallCodec::encodePage);
+      case WATCH ->
+          direct
+              .watch(
+                  call.getWatch().getPrefix(),
+                  Revision.of(call.getWatch().getAfter()),
+                  Duration.ofMillis(call.getWatch().getWaitMs()))
+              .thenApply(StoreCallCodec::encode);
+      case TRANSACTION ->
+          direct
+              .transact(StoreCallCodec.decode(call.getTransaction()))
+              .thenApply(StoreCallCodec::encode);
+      case GRANT_TTL_MS ->
+          direct
+              .grantLease(Duration.ofMillis(call.getGrantTtlMs()))
+              .thenApply(StoreCallCodec::encodeGrant);
+      case RENEW_LEASE ->
+          direct.renewLease(LeaseId.of(call.getRenewLease())).thenApply(StoreCallCodec::encode);
+      case END_LEASE ->
+          direct.endLease(LeaseId.of(call.getEndLease())).thenApply(StoreCallCodec::encodeEnd);
+      case BODY_NOT_SET ->
+          CompletableFuture.completedFuture(
+              StoreAnswer.newBuilder().setNotDone("an empty call").build());
+    };
+  }
+}
--- a/amaranthstream/src/main/java/org/amaranthstream/jobs/ItemText.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/jobs/ItemText.java
@@ -43,6 +43,14 @@
     lastEvent = 0;
   }
 
+  /** Goes on from what another owner had. */
+  void restore(ItemPartial partial) {
+    clear();
+    text.writeBytes(partial.text());
+    versions.addAll(partial.versions());
+    lastEvent = partial.lastEvent();
+  }
+
   ImmutableSortedSet<WeightVersion> versions() {
     return ImmutableSortedSet.copyOfSorted(versions);
   }
--- a/amaranthstream/src/main/java/org/amaranthstream/jobs/JobAcceptor.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/jobs/JobAcceptor.java
@@ -8,7 +8,6 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
-import java.util.function.BooleanSupplier;
 import org.amaranthstream.ids.EntryVmId;
 import org.amaranthstream.ids.JobId;
 import org.amaranthstream.ids.Revision;
@@ -37,22 +36,21 @@
   private final JobKeeper keeper;
   private final RemoteJobs remote;
   private final TimerService timers;
-  private final BooleanSupplier isStoreAway;
   private final Map<JobId, CompletableFuture<Result<JobDone>>> open = new HashMap<>();
+  private boolean isLeaving;
 
   JobAcceptor(
-      JobStore store,
-      JobBook book,
-      JobKeeper keeper,
-      RemoteJobs remote,
-      TimerService timers,
-      BooleanSupplier isStoreAway) {
+      JobStore store, JobBook book, JobKeeper keeper, RemoteJobs remote, TimerService timers) {
     this.store = store;
     this.book = book;
     this.keeper = keeper;
     this.remote = remote;
     this.timers = timers;
-    this.isStoreAway = isStoreAway;
+  }
+
+  /** Accepts no job in this daemon's name any more. */
+  void leave() {
+    isLeaving = true;
   }
 
   /** Accepts a job; a job that was accepted before, here or elsewhere, is accepted again. */
@@ -89,7 +87,11 @@
     }
 
     private void start(Duration patience) {
-      timers.after(isStoreAway.getAsBoolean() ? Duration.ZERO : RELAY_AFTER, this::relay);
+      if (isLeaving) {
+        relayOnly();
+        return;
+      }
+      timers.after(RELAY_AFTER, this::relay);
       create(patience);
     }
 
@@ -97,6 +99,12 @@
       store.create(spec.id(), record, owner, patience).thenAccept(this::onCreated);
     }
 
+    /** This daemon is about to end: another one accepts the job, or nobody does. */
+    private void relayOnly() {
+      relay();
+      reply.thenAccept(unused -> open.remove(spec.id()));
+    }
+
     private void relay() {
       if (!reply.isDone()) {
         isRelaying = true;
@@ -108,12 +116,23 @@
     private void relayTo(Iterator<EntryVmId> others) {
       if (reply.isDone() || !others.hasNext()) {
         isRelaying = false;
+        onNotRelayed();
         return;
       }
       EntryVmId vm = others.next();
       remote.submit(vm, spec).thenAccept(result -> onRelayed(vm, result, others));
     }
 
+    private void onNotRelayed() {
+      if (isLeaving && !reply.isDone()) {
+        ResultCode code =
+            mayBeAcceptedElsewhere
+                ? ResultCode.OUTCOME_UNKNOWN_PEER_LOST
+                : ResultCode.NOT_RUN_SHUTTING_DOWN;
+        reply.complete(Result.failure(code, "no other daemon took the job"));
+      }
+    }
+
     private void onRelayed(EntryVmId vm, Result<JobDone> result, Iterator<EntryVmId> others) {
       if (result instanceof Result.Success) {
         logger.atInfo().log("event=job_accepted_by_peer job=%s vm=%s", spec.id(), vm);
@@ -164,7 +183,11 @@
           "event=job_accepted job=%s step=%d items=%d min_version=%s revision=%s",
           spec.id(), spec.step(), spec.items().size(), spec.minVersion(), revision);
       if (book.owned(spec.id()).isEmpty()) {
-        keeper.own(spec, new StoredOwner(spec.id(), owner, revision), ImmutableList.of());
+        keeper.own(
+            spec,
+            new StoredOwner(spec.id(), owner, revision),
+            ImmutableList.of(),
+            ImmutableList.of());
       }
       reply.complete(Result.success(JobDone.ACCEPTED));
     }
--- a/amaranthstream/src/main/java/org/amaranthstream/jobs/JobCodec.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/jobs/JobCodec.java
@@ -19,6 +19,7 @@
 import org.amaranthstream.jobs.wire.ItemRecord;
 import org.amaranthstream.jobs.wire.JobRecord;
 import org.amaranthstream.jobs.wire.OwnerRecord;
+import org.amaranthstream.jobs.wire.PartialRecord;
 import org.amaranthstream.jobs.wire.ResultPage;
 import org.amaranthstream.jobs.wire.ResultRecord;
 
@@ -91,6 +92,10 @@
   }
 
   static byte[] encode(JobOwner owner) {
+    return ownerRecord(owner).toByteArray();
+  }
+
+  static OwnerRecord ownerRecord(JobOwner owner) {
     return OwnerRecord.newBuilder()
         .setVm(owner.vm().value())
         .setIncarnation(owner.incarnation().value())
@@ -100,28 +105,60 @@
         .setItems(owner.items())
         .setParts(owner.parts())
         .setNonce(owner.nonce())
-        .build()
-        .toByteArray();
+        .build();
   }
 
   static Optional<JobOwner> decodeOwner(byte[] value) {
     try {
-      OwnerRecord owner = OwnerRecord.parseFrom(value);
-      return Optional.of(
-          new JobOwner(
-              EntryVmId.of(owner.getVm()),
-              Incarnation.of(owner.getIncarnation()),
-              owner.getEpoch(),
-              owner.getEnded(),
-              owner.getAcceptedMs(),
-              owner.getItems(),
-              owner.getParts(),
-              owner.getNonce()));
+      return Optional.of(owner(OwnerRecord.parseFrom(value)));
     } catch (InvalidProtocolBufferException | IllegalArgumentException e) {
       return Optional.empty();
     }
   }
 
+  /**
+   * Returns the owner of a record.
+   *
+   * @throws IllegalArgumentException if an id is malformed
+   */
+  static JobOwner owner(OwnerRecord owner) {
+    return new JobOwner(
+        EntryVmId.of(owner.getVm()),
+        Incarnation.of(owner.getIncarnation()),
+        owner.getEpoch(),
+        owner.getEnded(),
+        owner.getAcceptedMs(),
+        owner.getItems(),
+        owner.getParts(),
+        owner.getNonce());
+  }
+
+  static PartialRecord encode(ItemPartial partial) {
+    PartialRecord.Builder builder =
+        PartialRecord.newBuilder()
+            .setItem(partial.item().value())
+            .setText(ByteString.copyFrom(partial.text()))
+            .setLastEvent(partial.lastEvent())
+            .setWhole(partial.isWhole());
+    partial.versions().forEach(version -> builder.addVersion(version.value()));
+    return builder.build();
+  }
+
+  static ItemPartial decode(PartialRecord partial) {
+    return new ItemPartial(
+        ItemId.of(partial.getItem()),
+        partial.getText().toByteArray(),
+        partial.getLastEvent(),
+        versions(partial.getVersionList()),
+        partial.getWhole());
+  }
+
+  private static ImmutableSortedSet<WeightVersion> versions(List<Long> versions) {
+    return versions.stream()
+        .map(WeightVersion::of)
+        .collect(ImmutableSortedSet.toImmutableSortedSet(WeightVersion::compareTo));
+  }
+
   static ResultRecord encode(ItemResult result) {
     ResultRecord.Builder builder =
         ResultRecord.newBuilder()
@@ -137,9 +174,7 @@
         ItemId.of(result.getItem()),
         result.getComplete(),
         result.getText().toByteArray(),
-        result.getVersionList().stream()
-            .map(WeightVersion::of)
-            .collect(ImmutableSortedSet.toImmutableSortedSet(WeightVersion::compareTo)));
+        versions(result.getVersionList()));
   }
 
   static byte[] encodePage(List<ItemResult> results, long nonce) {
--- a/amaranthstream/src/main/java/org/amaranthstream/jobs/JobKeeper.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/jobs/JobKeeper.java
@@ -9,6 +9,7 @@
 import java.util.Optional;
 import java.util.Random;
 import java.util.Set;
+import java.util.concurrent.CompletableFuture;
 import org.amaranthstream.fleet.Fleet;
 import org.amaranthstream.fleet.FleetListener;
 import org.amaranthstream.fleet.FleetNode;
@@ -98,10 +99,15 @@
   }
 
   /** Takes a job that the store has just acknowledged as owned here. */
-  OwnedJob own(JobSpec spec, StoredOwner owner, ImmutableList<ItemResult> results) {
+  OwnedJob own(
+      JobSpec spec,
+      StoredOwner owner,
+      ImmutableList<ItemResult> results,
+      ImmutableList<ItemPartial> partials) {
     long sinceAccepted = Math.max(0, timeOfDay.millis() - owner.owner().acceptedMillis());
     OwnedJob job = new OwnedJob(spec, owner, timers.nowNanos(), Duration.ofMillis(sinceAccepted));
     job.restore(results);
+    job.restorePartials(partials);
     book.add(job);
     timers.after(RETENTION, () -> expire(job));
     starter.start(job);
@@ -192,23 +198,33 @@
 
   /** Takes a job over from an owner that is gone. */
   void claim(StoredOwner orphan) {
-    JobId job = orphan.job();
+    take(orphan, ImmutableList.of());
+  }
+
+  /**
+   * Takes a job over with what its owner had of its open items.
+   *
+   * @return whether the job is owned here now
+   */
+  CompletableFuture<Boolean> take(StoredOwner before, ImmutableList<ItemPartial> partials) {
+    JobId job = before.job();
     if (book.owned(job).isPresent() || !taking.add(job)) {
-      return;
+      return CompletableFuture.completedFuture(false);
     }
-    JobOwner next = orphan.owner().takenBy(self.vm(), self.incarnation(), nonces.nextLong());
-    store
-        .replaceOwner(orphan, next, TAKEOVER_PATIENCE)
-        .thenAccept(reply -> onClaimed(job, next, reply));
+    JobOwner next = before.owner().takenBy(self.vm(), self.incarnation(), nonces.nextLong());
+    return store
+        .replaceOwner(before, next, TAKEOVER_PATIENCE)
+        .thenApply(reply -> onTaken(job, next, reply, partials));
   }
 
-  private void onClaimed(JobId job, JobOwner next, TransactionReply reply) {
+  private boolean onTaken(
+      JobId job, JobOwner next, TransactionReply reply, ImmutableList<ItemPartial> partials) {
     if (reply instanceof TransactionReply.Committed committed) {
       logger.atInfo().log(
-          "event=job_taken_over job=%s epoch=%d revision=%s",
-          job, next.epoch(), committed.revision());
-      load(new StoredOwner(job, next, committed.revision()));
-      return;
+          "event=job_taken_over job=%s epoch=%d partials=%d revision=%s",
+          job, next.epoch(), partials.size(), committed.revision());
+      load(new StoredOwner(job, next, committed.revision()), partials);
+      return true;
     }
     taking.remove(job);
     logger.atInfo().log("event=job_not_taken_over job=%s reply=\"%s\"", job, reply);
@@ -219,31 +235,32 @@
     } else {
       timers.after(LOAD_RETRY, this::planSweep);
     }
+    return false;
   }
 
-  private void load(StoredOwner owner) {
+  private void load(StoredOwner owner, ImmutableList<ItemPartial> partials) {
     store
         .job(owner)
         .thenAccept(
             result -> {
               if (result instanceof Result.Success<JobSpec> success) {
-                loadResults(owner, success.value());
+                loadResults(owner, success.value(), partials);
               } else {
-                timers.after(LOAD_RETRY, () -> load(owner));
+                timers.after(LOAD_RETRY, () -> load(owner, partials));
               }
             });
   }
 
-  private void loadResults(StoredOwner owner, JobSpec spec) {
+  private void loadResults(StoredOwner owner, JobSpec spec, ImmutableList<ItemPartial> partials) {
     store
         .results(owner.job())
         .thenAccept(
             result -> {
               if (result instanceof Result.Success<ImmutableList<ItemResult>> success) {
                 taking.remove(owner.job());
-                own(spec, owner, success.value());
+                own(spec, owner, success.value(), partials);
               } else {
-                timers.after(LOAD_RETRY, () -> loadResults(owner, spec));
+                timers.after(LOAD_RETRY, () -> loadResults(owner, spec, partials));
               }
             });
   }
@@ -268,8 +285,13 @@
       return;
     }
     logger.atWarning().log("event=job_lost job=%s owner=%s", job.id(), now);
+    letGo(job);
+    now.ifPresent(book::learn);
+  }
+
+  /** Another daemon owns the job now. */
+  void letGo(OwnedJob job) {
     job.lose();
     book.remove(job.id());
-    now.ifPresent(book::learn);
   }
 }
--- a/amaranthstream/src/main/java/org/amaranthstream/jobs/JobQuestions.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/jobs/JobQuestions.java
@@ -1,13 +1,17 @@
 package org.amaranthstream.jobs;
 
+import com.google.common.collect.ImmutableList;
 import com.google.protobuf.ByteString;
 import java.time.Duration;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import org.amaranthstream.ids.ItemId;
 import org.amaranthstream.ids.JobId;
+import org.amaranthstream.ids.Revision;
 import org.amaranthstream.jobs.wire.BodyAnswer;
 import org.amaranthstream.jobs.wire.EndAnswer;
+import org.amaranthstream.jobs.wire.HandoverAnswer;
+import org.amaranthstream.jobs.wire.HandoverQuestion;
 import org.amaranthstream.jobs.wire.JobAnswer;
 import org.amaranthstream.jobs.wire.JobQuestion;
 import org.amaranthstream.jobs.wire.NotOwner;
@@ -54,6 +58,9 @@
     if (question.hasSubmit()) {
       return submit(question.getSubmit());
     }
+    if (question.hasHandover()) {
+      return takeOver(JobId.of(question.getJob()), question.getHandover());
+    }
     Optional<OwnedJob> job = book.owned(JobId.of(question.getJob()));
     if (job.isEmpty()) {
       return CompletableFuture.completedFuture(NOT_OWNER);
@@ -64,7 +71,7 @@
           CompletableFuture.completedFuture(
               body(desk.body(job.get(), ItemId.of(question.getItemBody().getItem()))));
       case END -> desk.end(job.get()).thenApply(JobQuestions::ended);
-      case SUBMIT, BODY_NOT_SET -> CompletableFuture.completedFuture(NOT_OWNER);
+      case SUBMIT, HANDOVER, BODY_NOT_SET -> CompletableFuture.completedFuture(NOT_OWNER);
     };
   }
 
@@ -97,6 +104,23 @@
     return JobAnswer.newBuilder().setEnd(EndAnswer.newBuilder().setEnded(isEnded)).build();
   }
 
+  private CompletableFuture<JobAnswer> takeOver(JobId job, HandoverQuestion question) {
+    StoredOwner before =
+        new StoredOwner(
+            job, JobCodec.owner(question.getOwner()), Revision.of(question.getRevision()));
+    ImmutableList<ItemPartial> partials =
+        question.getPartialList().stream()
+            .map(JobCodec::decode)
+            .collect(ImmutableList.toImmutableList());
+    return service
+        .takeOver(before, partials)
+        .thenApply(
+            isTaken ->
+                JobAnswer.newBuilder()
+                    .setHandover(HandoverAnswer.newBuilder().setTaken(isTaken))
+                    .build());
+  }
+
   private CompletableFuture<JobAnswer> submit(SubmitQuestion question) {
     return service
         .submit(JobCodec.decode(question.getRecord()), SUBMIT_PATIENCE)
--- a/amaranthstream/src/main/java/org/amaranthstream/jobs/JobService.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/jobs/JobService.java
@@ -12,7 +12,6 @@
 import java.util.Optional;
 import java.util.Random;
 import java.util.concurrent.CompletableFuture;
-import java.util.function.BooleanSupplier;
 import org.amaranthstream.fleet.Fleet;
 import org.amaranthstream.fleet.FleetNode;
 import org.amaranthstream.ids.EntryVmId;
@@ -61,6 +60,7 @@
   private final RemoteJobs remote;
   private final TimerService timers;
   private final Random nonces = new Random();
+  private boolean isLeaving;
 
   private JobService(Builder builder) {
     this.timers = checkNotNull(builder.timers, "timers");
@@ -78,7 +78,7 @@
             builder.timeOfDay,
             nonces);
     this.remote = new RemoteJobs(builder.self.vm(), checkNotNull(builder.peers, "peers"), fleet);
-    this.acceptor = new JobAcceptor(store, book, keeper, remote, timers, builder.isStoreAway);
+    this.acceptor = new JobAcceptor(store, book, keeper, remote, timers);
     this.desk = new JobDesk(store, keeper, timers, nonces);
     this.lister = new ResultLister(store, timers, nonces, keeper::resolve);
     this.scheduler =
@@ -101,6 +101,21 @@
     keeper.start(scheduler::add);
   }
 
+  /**
+   * Hands all jobs to other daemons, because this one is about to end.
+   *
+   * @return completes once each job was taken or nobody took it
+   */
+  public CompletableFuture<Void> handOver() {
+    isLeaving = true;
+    acceptor.leave();
+    return new JobHandover(book, keeper, remote).start();
+  }
+
+  CompletableFuture<Boolean> takeOver(StoredOwner before, ImmutableList<ItemPartial> partials) {
+    return isLeaving ? CompletableFuture.completedFuture(false) : keeper.take(before, partials);
+  }
+
   /** Looks for jobs without a living owner. */
   public void sweep() {
     keeper.planSweep();
@@ -307,7 +322,6 @@
     private @Nullable ItemTransport transport;
     private @Nullable JobPeers peers;
     private InstantSource timeOfDay = InstantSource.system();
-    private BooleanSupplier isStoreAway = () -> false;
 
     private Builder() {}
 
@@ -326,13 +340,6 @@
       return this;
     }
 
-    /** Sets what tells whether the store answers this daemon. */
-    @CanIgnoreReturnValue
-    public Builder storeAway(BooleanSupplier isStoreAway) {
-      this.isStoreAway = isStoreAway;
-      return this;
-    }
-
     /** Sets the timers, on whose thread everything runs. */
     @CanIgnoreReturnValue
     public Builder timers(TimerService timers) {
--- a/amaranthstream/src/main/java/org/amaranthstream/jobs/OwnedJob.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/jobs/OwnedJob.java
@@ -57,6 +57,38 @@
     }
   }
 
+  /** Takes the texts that an owner before this one had not listed. */
+  void restorePartials(ImmutableList<ItemPartial> partials) {
+    for (ItemPartial partial : partials) {
+      ItemProgress item = items.get(partial.item());
+      if (item != null && item.isWaiting()) {
+        item.text().restore(partial);
+        if (partial.isWhole()) {
+          complete(item);
+        }
+      }
+    }
+  }
+
+  /** Returns the texts that are not listed, for the next owner. */
+  ImmutableList<ItemPartial> partials() {
+    ImmutableList.Builder<ItemPartial> partials = ImmutableList.builder();
+    for (ItemResult result : unlisted) {
+      if (result.isComplete()) {
+        partials.add(new ItemPartial(result.item(), result.text(), 1, result.versions(), true));
+      }
+    }
+    for (ItemProgress item : items.values()) {
+      ItemText text = item.text();
+      if (!item.isFinished() && text.lastEvent() > 0) {
+        partials.add(
+            new ItemPartial(
+                item.spec().id(), text.bytes(), text.lastEvent(), text.versions(), false));
+      }
+    }
+    return partials.build();
+  }
+
   JobSpec spec() {
     return spec;
   }
--- a/amaranthstream/src/main/java/org/amaranthstream/jobs/RemoteJobs.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/jobs/RemoteJobs.java
@@ -10,6 +10,7 @@
 import org.amaranthstream.ids.JobId;
 import org.amaranthstream.jobs.wire.BodyQuestion;
 import org.amaranthstream.jobs.wire.EndQuestion;
+import org.amaranthstream.jobs.wire.HandoverQuestion;
 import org.amaranthstream.jobs.wire.JobAnswer;
 import org.amaranthstream.jobs.wire.JobQuestion;
 import org.amaranthstream.jobs.wire.ReadQuestion;
@@ -27,6 +28,7 @@
   private static final Duration END_TIMEOUT = Duration.ofMillis(1_500);
 
   private static final Duration SUBMIT_TIMEOUT = Duration.ofMillis(3_500);
+  private static final Duration HANDOVER_TIMEOUT = Duration.ofMillis(1_000);
   private static final int MAX_ASKED = 12;
 
   private final EntryVmId self;
@@ -120,6 +122,24 @@
     };
   }
 
+  /** Asks another daemon to take a job over. */
+  CompletableFuture<Result<JobDone>> handOver(
+      EntryVmId vm, StoredOwner owner, ImmutableList<ItemPartial> partials) {
+    HandoverQuestion.Builder handover =
+        HandoverQuestion.newBuilder()
+            .setOwner(JobCodec.ownerRecord(owner.owner()))
+            .setRevision(owner.revision().value());
+    partials.forEach(partial -> handover.addPartial(JobCodec.encode(partial)));
+    JobQuestion question = question(owner.job()).setHandover(handover).build();
+    return peers.ask(vm, question, HANDOVER_TIMEOUT).thenApply(r -> r.flatMap(RemoteJobs::taken));
+  }
+
+  private static Result<JobDone> taken(JobAnswer answer) {
+    return answer.hasHandover() && answer.getHandover().getTaken()
+        ? Result.success(JobDone.ACCEPTED)
+        : notOwner(answer);
+  }
+
   /** Returns other daemons to ask when the owner is not known, at most {@link #MAX_ASKED}. */
   ImmutableList<EntryVmId> others() {
     return fleet.nodes().stream()
--- a/amaranthstream/src/main/java/org/amaranthstream/jobs/wire/JobAnswer.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/jobs/wire/JobAnswer.java
@@ -59,6 +59,7 @@
     END(3),
     SUBMIT(4),
     NOT_OWNER(5),
+    HANDOVER(6),
     BODY_NOT_SET(0);
     private final int value;
     private BodyCase(int value) {
@@ -81,6 +82,7 @@
         case 3: return END;
         case 4: return SUBMIT;
         case 5: return NOT_OWNER;
+        case 6: return HANDOVER;
         case 0: return BODY_NOT_SET;
         default: return null;
       }
@@ -263,6 +265,37 @@
     return org.amaranthstream.jobs.wire.NotOwner.getDefaultInstance();
   }
 
+  public static final int HANDOVER_FIELD_NUMBER = 6;
+  /**
+   * <code>.amaranthstream.jobs.HandoverAnswer handover = 6;</code>
+   * @return Whether the handover field is set.
+   */
+  @java.lang.Override
+  public boolean hasHandover() {
+    return bodyCase_ == 6;
+  }
+  /**
+   * <code>.amaranthstream.jobs.HandoverAnswer handover = 6;</code>
+   * @return The handover.
+   */
+  @java.lang.Override
+  public org.amaranthstream.jobs.wire.HandoverAnswer getHandover() {
+    if (bodyCase_ == 6) {
+       return (org.amaranthstream.jobs.wire.HandoverAnswer) body_;
+    }
+    return org.amaranthstream.jobs.wire.HandoverAnswer.getDefaultInstance();
+  }
+  /**
+   * <code>.amaranthstream.jobs.HandoverAnswer handover = 6;</code>
+   */
+  @java.lang.Override
+  public org.amaranthstream.jobs.wire.HandoverAnswerOrBuilder getHandoverOrBuilder() {
+    if (bodyCase_ == 6) {
+       return (org.amaranthstream.jobs.wire.HandoverAnswer) body_;
+    }
+    return org.amaranthstream.jobs.wire.HandoverAnswer.getDefaultInstance();
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -292,6 +325,9 @@
     if (bodyCase_ == 5) {
       output.writeMessage(5, (org.amaranthstream.jobs.wire.NotOwner) body_);
     }
+    if (bodyCase_ == 6) {
+      output.writeMessage(6, (org.amaranthstream.jobs.wire.HandoverAnswer) body_);
+    }
     getUnknownFields().writeTo(output);
   }
 
@@ -321,6 +357,10 @@
       size += com.google.protobuf.CodedOutputStream
         .computeMessageSize(5, (org.amaranthstream.jobs.wire.NotOwner) body_);
     }
+    if (bodyCase_ == 6) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeMessageSize(6, (org.amaranthstream.jobs.wire.HandoverAnswer) body_);
+    }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -358,6 +398,10 @@
         if (!getNotOwner()
             .equals(other.getNotOwner())) return false;
         break;
+      case 6:
+        if (!getHandover()
+            .equals(other.getHandover())) return false;
+        break;
       case 0:
       default:
     }
@@ -393,6 +437,10 @@
         hash = (37 * hash) + NOT_OWNER_FIELD_NUMBER;
         hash = (53 * hash) + getNotOwner().hashCode();
         break;
+      case 6:
+        hash = (37 * hash) + HANDOVER_FIELD_NUMBER;
+        hash = (53 * hash) + getHandover().hashCode();
+        break;
       case 0:
       default:
     }
@@ -542,6 +590,9 @@
       if (notOwnerBuilder_ != null) {
         notOwnerBuilder_.clear();
       }
+      if (handoverBuilder_ != null) {
+        handoverBuilder_.clear();
+      }
       bodyCase_ = 0;
       body_ = null;
       return this;
@@ -603,6 +654,10 @@
           notOwnerBuilder_ != null) {
         result.body_ = notOwnerBuilder_.build();
       }
+      if (bodyCase_ == 6 &&
+          handoverBuilder_ != null) {
+        result.body_ = handoverBuilder_.build();
+      }
     }
 
     @java.lang.Override
@@ -638,6 +693,10 @@
           mergeNotOwner(other.getNotOwner());
           break;
         }
+        case HANDOVER: {
+          mergeHandover(other.getHandover());
+          break;
+        }
         case BODY_NOT_SET: {
           break;
         }
@@ -703,6 +762,13 @@
               bodyCase_ = 5;
               break;
             } // case 42
+            case 50: {
+              input.readMessage(
+                  internalGetHandoverFieldBuilder().getBuilder(),
+                  extensionRegistry);
+              bodyCase_ = 6;
+              break;
+            } // case 50
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -1481,6 +1547,148 @@
       return notOwnerBuilder_;
     }
 
+    private com.google.protobuf.SingleFieldBuilder<
+        org.amaranthstream.jobs.wire.HandoverAnswer, org.amaranthstream.jobs.wire.HandoverAnswer.Builder, org.amaranthstream.jobs.wire.HandoverAnswerOrBuilder> handoverBuilder_;
+    /**
+     * <code>.amaranthstream.jobs.HandoverAnswer handover = 6;</code>
+     * @return Whether the handover field is set.
+     */
+    @java.lang.Override
+    public boolean hasHandover() {
+      return bodyCase_ == 6;
+    }
+    /**
+     * <code>.amaranthstream.jobs.HandoverAnswer handover = 6;</code>
+     * @return The handover.
+     */
+    @java.lang.Override
+    public org.amaranthstream.jobs.wire.HandoverAnswer getHandover() {
+      if (handoverBuilder_ == null) {
+        if (bodyCase_ == 6) {
+          return (org.amaranthstream.jobs.wire.HandoverAnswer) body_;
+        }
+        return org.amaranthstream.jobs.wire.HandoverAnswer.getDefaultInstance();
+      } else {
+        if (bodyCase_ == 6) {
+          return handoverBuilder_.getMessage();
+        }
+        return org.amaranthstream.jobs.wire.HandoverAnswer.getDefaultInstance();
+      }
+    }
+    /**
+     * <code>.amaranthstream.jobs.HandoverAnswer handover = 6;</code>
+     */
+    public Builder setHandover(org.amaranthstream.jobs.wire.HandoverAnswer value) {
+      if (handoverBuilder_ == null) {
+        if (value == null) {
+          throw new NullPointerException();
+        }
+        body_ = value;
+        onChanged();
+      } else {
+        handoverBuilder_.setMessage(value);
+      }
+      bodyCase_ = 6;
+      return this;
+    }
+    /**
+     * <code>.amaranthstream.jobs.HandoverAnswer handover = 6;</code>
+     */
+    public Builder setHandover(
+        org.amaranthstream.jobs.wire.HandoverAnswer.Builder builderForValue) {
+      if (handoverBuilder_ == null) {
+        body_ = builderForValue.build();
+        onChanged();
+      } else {
+        handoverBuilder_.setMessage(builderForValue.build());
+      }
+      bodyCase_ = 6;
+      return this;
+    }
+    /**
+     * <code>.amaranthstream.jobs.HandoverAnswer handover = 6;</code>
+     */
+    public Builder mergeHandover(org.amaranthstream.jobs.wire.HandoverAnswer value) {
+      if (handoverBuilder_ == null) {
+        if (bodyCase_ == 6 &&
+            body_ != org.amaranthstream.jobs.wire.HandoverAnswer.getDefaultInstance()) {
+          body_ = org.amaranthstream.jobs.wire.HandoverAnswer.newBuilder((org.amaranthstream.jobs.wire.HandoverAnswer) body_)
+              .mergeFrom(value).buildPartial();
+        } else {
+          body_ = value;
+        }
+        onChanged();
+      } else {
+        if (bodyCase_ == 6) {
+          handoverBuilder_.mergeFrom(value);
+        } else {
+          handoverBuilder_.setMessage(value);
+        }
+      }
+      bodyCase_ = 6;
+      return this;
+    }
+    /**
+     * <code>.amaranthstream.jobs.HandoverAnswer handover = 6;</code>
+     */
+    public Builder clearHandover() {
+      if (handoverBuilder_ == null) {
+        if (bodyCase_ == 6) {
+          bodyCase_ = 0;
+          body_ = null;
+          onChanged();
+        }
+      } else {
+        if (bodyCase_ == 6) {
+          bodyCase_ = 0;
+          body_ = null;
+        }
+        handoverBuilder_.clear();
+      }
+      return this;
+    }
+    /**
+     * <code>.amaranthstream.jobs.HandoverAnswer handover = 6;</code>
+     */
+    public org.amaranthstream.jobs.wire.HandoverAnswer.Builder getHandoverBuilder() {
+      return internalGetHandoverFieldBuilder().getBuilder();
+    }
+    /**
+     * <code>.amaranthstream.jobs.HandoverAnswer handover = 6;</code>
+     */
+    @java.lang.Override
+    public org.amaranthstream.jobs.wire.HandoverAnswerOrBuilder getHandoverOrBuilder() {
+      if ((bodyCase_ == 6) && (handoverBuilder_ != null)) {
+        return handoverBuilder_.getMessageOrBuilder();
+      } else {
+        if (bodyCase_ == 6) {
+          return (org.amaranthstream.jobs.wire.HandoverAnswer) body_;
+        }
+        return org.amaranthstream.jobs.wire.HandoverAnswer.getDefaultInstance();
+      }
+    }
+    /**
+     * <code>.amaranthstream.jobs.HandoverAnswer handover = 6;</code>
+     */
+    private com.google.protobuf.SingleFieldBuilder<
+        org.amaranthstream.jobs.wire.HandoverAnswer, org.amaranthstream.jobs.wire.HandoverAnswer.Builder, org.amaranthstream.jobs.wire.HandoverAnswerOrBuilder> 
+        internalGetHandoverFieldBuilder() {
+      if (handoverBuilder_ == null) {
+        if (!(bodyCase_ == 6)) {
+          body_ = org.amaranthstream.jobs.wire.HandoverAnswer.getDefaultInstance();
+        }
+        handoverBuilder_ = new com.google.protobuf.SingleFieldBuilder<
+            org.amaranthstream.jobs.wire.HandoverAnswer, org.amaranthstream.jobs.wire.HandoverAnswer.Builder, org.amaranthstream.jobs.wire.HandoverAnswerOrBuilder>(
+                (org.amaranthstream.jobs.wire.HandoverAnswer) body_,
+                getParentForChildren(),
+                isClean());
+        body_ = null;
+      }
+      bodyCase_ = 6;
+      onChanged();
+      return handoverBuilder_;
+    }
+
     // @@protoc_insertion_point(builder_scope:amaranthstream.jobs.JobAnswer)
   }
 
--- a/amaranthstream/src/main/java/org/amaranthstream/jobs/wire/JobAnswerOrBuilder.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/jobs/wire/JobAnswerOrBuilder.java
@@ -97,5 +97,20 @@
    */
   org.amaranthstream.jobs.wire.NotOwnerOrBuilder getNotOwnerOrBuilder();
 
+  /**
+   * <code>.amaranthstream.jobs.HandoverAnswer handover = 6;</code>
+   * @return Whether the handover field is set.
+   */
+  boolean hasHandover();
+  /**
+   * <code>.amaranthstream.jobs.HandoverAnswer handover = 6;</code>
+   * @return The handover.
+   */
+  org.amaranthstream.jobs.wire.HandoverAnswer getHandover();
+  /**
+   * <code>.amaranthstream.jobs.HandoverAnswer handover = 6;</code>
+   */
+  org.amaranthstream.jobs.wire.HandoverAnswerOrBuilder getHandoverOrBuilder();
+
   org.amaranthstream.jobs.wire.JobAnswer.BodyCase getBodyCase();
 }
--- a/amaranthstream/src/main/java/org/amaranthstream/jobs/wire/JobQuestion.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/jobs/wire/JobQuestion.java
@@ -63,6 +63,7 @@
     ITEM_BODY(3),
     END(4),
     SUBMIT(5),
+    HANDOVER(6),
     BODY_NOT_SET(0);
     private final int value;
     private BodyCase(int value) {
@@ -84,6 +85,7 @@
         case 3: return ITEM_BODY;
         case 4: return END;
         case 5: return SUBMIT;
+        case 6: return HANDOVER;
         case 0: return BODY_NOT_SET;
         default: return null;
       }
@@ -262,6 +264,37 @@
     return org.amaranthstream.jobs.wire.SubmitQuestion.getDefaultInstance();
   }
 
+  public static final int HANDOVER_FIELD_NUMBER = 6;
+  /**
+   * <code>.amaranthstream.jobs.HandoverQuestion handover = 6;</code>
+   * @return Whether the handover field is set.
+   */
+  @java.lang.Override
+  public boolean hasHandover() {
+    return bodyCase_ == 6;
+  }
+  /**
+   * <code>.amaranthstream.jobs.HandoverQuestion handover = 6;</code>
+   * @return The handover.
+   */
+  @java.lang.Override
+  public org.amaranthstream.jobs.wire.HandoverQuestion getHandover() {
+    if (bodyCase_ == 6) {
+       return (org.amaranthstream.jobs.wire.HandoverQuestion) body_;
+    }
+    return org.amaranthstream.jobs.wire.HandoverQuestion.getDefaultInstance();
+  }
+  /**
+   * <code>.amaranthstream.jobs.HandoverQuestion handover = 6;</code>
+   */
+  @java.lang.Override
+  public org.amaranthstream.jobs.wire.HandoverQuestionOrBuilder getHandoverOrBuilder() {
+    if (bodyCase_ == 6) {
+       return (org.amaranthstream.jobs.wire.HandoverQuestion) body_;
+    }
+    return org.amaranthstream.jobs.wire.HandoverQuestion.getDefaultInstance();
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -291,6 +324,9 @@
     if (bodyCase_ == 5) {
       output.writeMessage(5, (org.amaranthstream.jobs.wire.SubmitQuestion) body_);
     }
+    if (bodyCase_ == 6) {
+      output.writeMessage(6, (org.amaranthstream.jobs.wire.HandoverQuestion) body_);
+    }
     getUnknownFields().writeTo(output);
   }
 
@@ -319,6 +355,10 @@
       size += com.google.protobuf.CodedOutputStream
         .computeMessageSize(5, (org.amaranthstream.jobs.wire.SubmitQuestion) body_);
     }
+    if (bodyCase_ == 6) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeMessageSize(6, (org.amaranthstream.jobs.wire.HandoverQuestion) body_);
+    }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -354,6 +394,10 @@
         if (!getSubmit()
             .equals(other.getSubmit())) return false;
         break;
+      case 6:
+        if (!getHandover()
+            .equals(other.getHandover())) return false;
+        break;
       case 0:
       default:
     }
@@ -387,6 +431,10 @@
         hash = (37 * hash) + SUBMIT_FIELD_NUMBER;
         hash = (53 * hash) + getSubmit().hashCode();
         break;
+      case 6:
+        hash = (37 * hash) + HANDOVER_FIELD_NUMBER;
+        hash = (53 * hash) + getHandover().hashCode();
+        break;
       case 0:
       default:
     }
@@ -538,6 +586,9 @@
       if (submitBuilder_ != null) {
         submitBuilder_.clear();
       }
+      if (handoverBuilder_ != null) {
+        handoverBuilder_.clear();
+      }
       bodyCase_ = 0;
       body_ = null;
       return this;
@@ -598,6 +649,10 @@
           submitBuilder_ != null) {
         result.body_ = submitBuilder_.build();
       }
+      if (bodyCase_ == 6 &&
+          handoverBuilder_ != null) {
+        result.body_ = handoverBuilder_.build();
+      }
     }
 
     @java.lang.Override
@@ -634,6 +689,10 @@
           mergeSubmit(other.getSubmit());
           break;
         }
+        case HANDOVER: {
+          mergeHandover(other.getHandover());
+          break;
+        }
         case BODY_NOT_SET: {
           break;
         }
@@ -697,6 +756,13 @@
               bodyCase_ = 5;
               break;
             } // case 42
+            case 50: {
+              input.readMessage(
+                  internalGetHandoverFieldBuilder().getBuilder(),
+                  extensionRegistry);
+              bodyCase_ = 6;
+              break;
+            } // case 50
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -1369,6 +1435,148 @@
       return submitBuilder_;
     }
 
+    private com.google.protobuf.SingleFieldBuilder<
+        org.amaranthstream.jobs.wire.HandoverQuestion, org.amaranthstream.jobs.wire.HandoverQuestion.Builder, org.amaranthstream.jobs.wire.HandoverQuestionOrBuilder> handoverBuilder_;
+    /**
+     * <code>.amaranthstream.jobs.HandoverQuestion handover = 6;</code>
+     * @return Whether the handover field is set.
+     */
+    @java.lang.Override
+    public boolean hasHandover() {
+      return bodyCase_ == 6;
+    }
+    /**
+     * <code>.amaranthstream.jobs.HandoverQuestion handover = 6;</code>
+     * @return The handover.
+     */
+    @java.lang.Override
+    public org.amaranthstream.jobs.wire.HandoverQuestion getHandover() {
+      if (handoverBuilder_ == null) {
+        if (bodyCase_ == 6) {
+          return (org.amaranthstream.jobs.wire.HandoverQuestion) body_;
+        }
+        return org.amaranthstream.jobs.wire.HandoverQuestion.getDefaultInstance();
+      } else {
+        if (bodyCase_ == 6) {
+          return handoverBuilder_.getMessage();
+        }
+        return org.amaranthstream.jobs.wire.HandoverQuestion.getDefaultInstance();
+      }
+    }
+    /**
+     * <code>.amaranthstream.jobs.HandoverQuestion handover = 6;</code>
+     */
+    public Builder setHandover(org.amaranthstream.jobs.wire.HandoverQuestion value) {
+      if (handoverBuilder_ == null) {
+        if (value == null) {
+          throw new NullPointerException();
+        }
+        body_ = value;
+        onChanged();
+      } else {
+        handoverBuilder_.setMessage(value);
+      }
+      bodyCase_ = 6;
+      return this;
+    }
+    /**
+     * <code>.amaranthstream.jobs.HandoverQuestion handover = 6;</code>
+     */
+    public Builder setHandover(
+        org.amaranthstream.jobs.wire.HandoverQuestion.Builder builderForValue) {
+      if (handoverBuilder_ == null) {
+        body_ = builderForValue.build();
+        onChanged();
+      } else {
+        handoverBuilder_.setMessage(builderForValue.build());
+      }
+      bodyCase_ = 6;
+      return this;
+    }
+    /**
+     * <code>.amaranthstream.jobs.HandoverQuestion handover = 6;</code>
+     */
+    public Builder mergeHandover(org.amaranthstream.jobs.wire.HandoverQuestion value) {
+      if (handoverBuilder_ == null) {
+        if (bodyCase_ == 6 &&
+            body_ != org.amaranthstream.jobs.wire.HandoverQuestion.getDefaultInstance()) {
+          body_ = org.amaranthstream.jobs.wire.HandoverQuestion.newBuilder((org.amaranthstream.jobs.wire.HandoverQuestion) body_)
+              .mergeFrom(value).buildPartial();
+        } else {
+          body_ = value;
+        }
+        onChanged();
+      } else {
+        if (bodyCase_ == 6) {
+          handoverBuilder_.mergeFrom(value);
+        } else {
+          handoverBuilder_.setMessage(value);
+        }
+      }
+      bodyCase_ = 6;
+      return this;
+    }
+    /**
+     * <code>.amaranthstream.jobs.HandoverQuestion handover = 6;</code>
+     */
+    public Builder clearHandover() {
+      if (handoverBuilder_ == null) {
+        if (bodyCase_ == 6) {
+          bodyCase_ = 0;
+          body_ = null;
+          onChanged();
+        }
+      } else {
+        if (bodyCase_ == 6) {
+          bodyCase_ = 0;
+          body_ = null;
+        }
+        handoverBuilder_.clear();
+      }
+      return this;
+    }
+    /**
+     * <code>.amaranthstream.jobs.HandoverQuestion handover = 6;</code>
+     */
+    public org.amaranthstream.jobs.wire.HandoverQuestion.Builder getHandoverBuilder() {
+      return internalGetHandoverFieldBuilder().getBuilder();
+    }
+    /**
+     * <code>.amaranthstream.jobs.HandoverQuestion handover = 6;</code>
+     */
+    @java.lang.Override
+    public org.amaranthstream.jobs.wire.HandoverQuestionOrBuilder getHandoverOrBuilder() {
+      if ((bodyCase_ == 6) && (handoverBuilder_ != null)) {
+        return handoverBuilder_.getMessageOrBuilder();
+      } else {
+        if (bodyCase_ == 6) {
+          return (org.amaranthstream.jobs.wire.HandoverQuestion) body_;
+        }
+        return org.amaranthstream.jobs.wire.HandoverQuestion.getDefaultInstance();
+      }
+    }
+    /**
+     * <code>.amaranthstream.jobs.HandoverQuestion handover = 6;</code>
+     */
+    private com.google.protobuf.SingleFieldBuilder<
+        org.amaranthstream.jobs.wire.HandoverQuestion, org.amaranthstream.jobs.wire.HandoverQuestion.Builder, org.amaranthstream.jobs.wire.HandoverQuestionOrBuilder> 
+        internalGetHandoverFieldBuilder() {
+      if (handoverBuilder_ == null) {
+        if (!(bodyCase_ == 6)) {
+          body_ = org.amaranthstream.jobs.wire.HandoverQuestion.getDefaultInstance();
+        }
+        handoverBuilder_ = new com.google.protobuf.SingleFieldBuilder<
+            org.amaranthstream.jobs.wire.HandoverQuestion, org.amaranthstream.jobs.wire.HandoverQuestion.Builder, org.amaranthstream.jobs.wire.HandoverQuestionOrBuilder>(
+                (org.amaranthstream.jobs.wire.HandoverQuestion) body_,
+                getParentForChildren(),
+                isClean());
+        body_ = null;
+      }
+      bodyCase_ = 6;
+      onChanged();
+      return handoverBuilder_;
+    }
+
     // @@protoc_insertion_point(builder_scope:amaranthstream.jobs.JobQuestion)
   }
 
--- a/amaranthstream/src/main/java/org/amaranthstream/jobs/wire/JobQuestionOrBuilder.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/jobs/wire/JobQuestionOrBuilder.java
@@ -82,5 +82,20 @@
    */
   org.amaranthstream.jobs.wire.SubmitQuestionOrBuilder getSubmitOrBuilder();
 
+  /**
+   * <code>.amaranthstream.jobs.HandoverQuestion handover = 6;</code>
+   * @return Whether the handover field is set.
+   */
+  boolean hasHandover();
+  /**
+   * <code>.amaranthstream.jobs.HandoverQuestion handover = 6;</code>
+   * @return The handover.
+   */
+  org.amaranthstream.jobs.wire.HandoverQuestion getHandover();
+  /**
+   * <code>.amaranthstream.jobs.HandoverQuestion handover = 6;</code>
+   */
+  org.amaranthstream.jobs.wire.HandoverQuestionOrBuilder getHandoverOrBuilder();
+
   org.amaranthstream.jobs.wire.JobQuestion.BodyCase getBodyCase();
 }
--- a/amaranthstream/src/main/java/org/amaranthstream/peer/QueryKind.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/peer/QueryKind.java
@@ -13,7 +13,9 @@
   /** A training step that the asking entry VM hands over. */
   STEP_HANDOFF(5),
   /** A question about a batch job that the other entry VM owns. */
-  JOB(6);
+  JOB(6),
+  /** A call to the store that the asking entry VM cannot make itself. */
+  STORE_CALL(7);
 
   private final int number;
 
--- a/amaranthstream/src/main/java/org/amaranthstream/platform/StoreMonitor.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/platform/StoreMonitor.java
@@ -4,6 +4,8 @@
 
 import com.google.common.flogger.FluentLogger;
 import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
 import org.amaranthstream.time.TimerService;
 
 /**
@@ -15,6 +17,8 @@
   private static final FluentLogger logger = FluentLogger.forEnclosingClass();
 
   private final TimerService timers;
+  private final List<Runnable> listeners = new ArrayList<>();
+  private long answered;
   private boolean isAway;
   private boolean hasFailed;
   private long awaySinceNanos;
@@ -31,6 +35,7 @@
 
   /** A call was answered. */
   public void onAnswered() {
+    answered++;
     if (isAway) {
       isAway = false;
       logger.atInfo().log("event=store_regained away_ms=%d", millisSince(awaySinceNanos));
@@ -45,9 +50,20 @@
       isAway = true;
       awaySinceNanos = lastFailureNanos;
       logger.atWarning().log("event=store_lost error=\"%s\"", error);
+      listeners.forEach(Runnable::run);
     }
   }
 
+  /** Calls {@code task} whenever an outage begins. */
+  public void onAway(Runnable task) {
+    listeners.add(task);
+  }
+
+  /** Returns the number of calls that were answered. */
+  public long answeredCount() {
+    return answered;
+  }
+
   /** Returns true if the last call failed. */
   public boolean isAway() {
     return isAway;
--- a/amaranthstream/src/main/java/org/amaranthstream/weights/EngineSwap.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/weights/EngineSwap.java
@@ -1,10 +1,7 @@
 package org.amaranthstream.weights;
 
 import java.time.Duration;
-import java.util.Optional;
-import java.util.function.Supplier;
 import org.amaranthstream.ids.EntryVmId;
-import org.amaranthstream.ids.FencingNumber;
 import org.amaranthstream.ids.ModelId;
 import org.amaranthstream.ids.WeightVersion;
 import org.amaranthstream.result.Result;
@@ -34,7 +31,7 @@
   private final EntryVmId self;
   private final SwapTransport transport;
   private final TimerService timers;
-  private final Supplier<Optional<FencingNumber>> fence;
+  private final DutyFence fence;
   private final Observer observer;
   private final long startNanos;
   private boolean isOver;
@@ -46,7 +43,7 @@
       EntryVmId self,
       SwapTransport transport,
       TimerService timers,
-      Supplier<Optional<FencingNumber>> fence,
+      DutyFence fence,
       Observer observer) {
     this.server = server;
     this.model = model;
@@ -68,7 +65,7 @@
   }
 
   private void look() {
-    if (!server.isOpen() || fence.get().isEmpty()) {
+    if (!server.isOpen() || fence.current().isEmpty()) {
       finish("not to be ordered any more");
       return;
     }
--- a/amaranthstream/src/main/java/org/amaranthstream/weights/SwapTransport.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/weights/SwapTransport.java
@@ -1,9 +1,6 @@
 package org.amaranthstream.weights;
 
-import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
-import java.util.function.Supplier;
-import org.amaranthstream.ids.FencingNumber;
 import org.amaranthstream.result.Result;
 import org.amaranthstream.servers.TrackedServer;
 
@@ -16,8 +13,7 @@
   /**
    * Sends an order.
    *
-   * @param fence asked right before the order is written; if it is empty, nothing is sent
+   * @param fence asked right before the order is written; if it refuses, nothing is sent
    */
-  CompletableFuture<SwapReply> order(
-      TrackedServer server, SwapRequest request, Supplier<Optional<FencingNumber>> fence);
+  CompletableFuture<SwapReply> order(TrackedServer server, SwapRequest request, DutyFence fence);
 }
--- a/amaranthstream/src/main/java/org/amaranthstream/weights/WeightController.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/weights/WeightController.java
@@ -7,9 +7,7 @@
 import java.util.HashMap;
 import java.util.Map;
 import java.util.Optional;
-import java.util.function.Supplier;
 import org.amaranthstream.ids.EntryVmId;
-import org.amaranthstream.ids.FencingNumber;
 import org.amaranthstream.ids.ModelId;
 import org.amaranthstream.ids.WeightVersion;
 import org.amaranthstream.servers.ServerDirectory;
@@ -31,7 +29,7 @@
   private final ServerDirectory directory;
   private final SwapTransport transport;
   private final TimerService timers;
-  private final Supplier<Optional<FencingNumber>> fence;
+  private final DutyFence fence;
   private final Map<TrackedServer, EngineSwap> swaps = new HashMap<>();
 
   private WeightController(
@@ -40,7 +38,7 @@
       ServerDirectory directory,
       SwapTransport transport,
       TimerService timers,
-      Supplier<Optional<FencingNumber>> fence) {
+      DutyFence fence) {
     this.self = self;
     this.named = named;
     this.directory = directory;
@@ -52,7 +50,7 @@
   /**
    * Returns a controller, not started.
    *
-   * @param fence the fencing number while this daemon may order, asked right before each order
+   * @param fence tells whether this daemon may order, asked right before each order
    */
   public static WeightController create(
       EntryVmId self,
@@ -60,7 +58,7 @@
       ServerDirectory directory,
       SwapTransport transport,
       TimerService timers,
-      Supplier<Optional<FencingNumber>> fence) {
+      DutyFence fence) {
     return new WeightController(
         checkNotNull(self, "self"),
         checkNotNull(named, "named"),
@@ -77,7 +75,7 @@
 
   /** Orders what is to be ordered now. */
   public void plan() {
-    if (fence.get().isEmpty()) {
+    if (fence.current().isEmpty()) {
       return;
     }
     named.newest().forEach(this::plan);
--- /dev/null
+++ b/amaranthstream/src/test/java/org/amaranthstream/fleet/FleetTestNode.java
@@ -0,0 +1,89 @@
+package org.amaranthstream.fleet;
+
+import java.time.Duration;
+import org.amaranthstream.ids.AvailabilityZoneId;
+import org.amaranthstream.ids.EntryVmId;
+import org.amaranthstream.ids.Incarnation;
+import org.amaranthstream.ids.RegionId;
+import org.amaranthstream.platform.SimulatedStore;
+import org.amaranthstream.platform.SimulatedStoreClient;
+import org.amaranthstream.time.TimerService;
+import org.amaranthstream.time.VirtualTimerService;
+
+/** A daemon's registration and one duty, over a simulated store. */
+public final class FleetTestNode {
+  private static final int PORT = 7000;
+  private static final Duration ORDER_TURN = Duration.ofSeconds(3);
+
+  private final SimulatedStoreClient store;
+  private final FleetNode self;
+  private final Fleet fleet;
+  private final FleetSession session;
+  private final HeldDuty duty;
+
+  /** Creates a daemon that is not registered yet. */
+  public FleetTestNode(
+      String vm, String incarnation, SimulatedStore store, VirtualTimerService timers) {
+    this(vm, incarnation, store, timers, timers);
+  }
+
+  /** Creates a daemon whose timers may stop while time goes on. */
+  public FleetTestNode(
+      String vm,
+      String incarnation,
+      SimulatedStore store,
+      TimerService timers,
+      VirtualTimerService world) {
+    this.store = store.client();
+    this.self =
+        new FleetNode(
+            EntryVmId.of(vm),
+            Incarnation.of(incarnation),
+            "10.0.0.1",
+            PORT,
+            AvailabilityZoneId.of("a"),
+            RegionId.of("r"));
+    this.fleet = Fleet.create(this.store, timers);
+    this.session =
+        FleetSession.create(
+            this.store,
+            timers,
+            () -> java.time.Instant.ofEpochMilli(world.nowNanos() / 1_000_000),
+            self);
+    this.duty =
+        HeldDuty.create("weights", this.store, timers, fleet, session, DutyTiming.of(ORDER_TURN));
+  }
+
+  /** Registers and tries for the duty. */
+  public void start() {
+    fleet.listen(session);
+    fleet.start();
+    session.start(() -> {});
+    duty.start();
+  }
+
+  /** Returns the way to the store, to give it faults. */
+  public SimulatedStoreClient store() {
+    return store;
+  }
+
+  /** Returns this daemon. */
+  public FleetNode self() {
+    return self;
+  }
+
+  /** Returns the view of all daemons. */
+  public Fleet fleet() {
+    return fleet;
+  }
+
+  /** Returns the registration. */
+  public FleetSession session() {
+    return session;
+  }
+
+  /** Returns the duty. */
+  public HeldDuty duty() {
+    return duty;
+  }
+}
--- /dev/null
+++ b/amaranthstream/src/test/java/org/amaranthstream/fleet/HeldDutyTest.java
@@ -0,0 +1,198 @@
+package org.amaranthstream.fleet;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import org.amaranthstream.ids.FencingNumber;
+import org.amaranthstream.platform.SimulatedStore;
+import org.amaranthstream.platform.SimulatedStoreClient.WriteFault;
+import org.amaranthstream.time.PausableTimerService;
+import org.amaranthstream.time.VirtualTimerService;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+class HeldDutyTest {
+  private static final Duration ORDER_TURN = Duration.ofSeconds(3);
+
+  private final VirtualTimerService timers = VirtualTimerService.create();
+  private final SimulatedStore store = new SimulatedStore(timers);
+  private final FleetTestNode first = new FleetTestNode("vm-1", "i1", store, timers);
+  private final FleetTestNode second = new FleetTestNode("vm-2", "i2", store, timers);
+  private final List<Act> acts = new ArrayList<>();
+
+  private record Act(String vm, long atNanos, FencingNumber fence) {}
+
+  private void run(Duration duration) {
+    timers.advance(duration);
+  }
+
+  private void runSeconds(double seconds) {
+    run(Duration.ofMillis((long) (seconds * 1000)));
+  }
+
+  /** Lets both nodes act whenever they may, every 100 ms. */
+  private void actAlways(FleetTestNode... nodes) {
+    for (FleetTestNode node : nodes) {
+      timers.every(Duration.ofMillis(100), () -> act(node));
+    }
+  }
+
+  private void act(FleetTestNode node) {
+    Optional<FencingNumber> fence = node.duty().act();
+    fence.ifPresent(
+        number -> acts.add(new Act(node.self().vm().value(), timers.nowNanos(), number)));
+  }
+
+  private void assertTurnsAreApart() {
+    for (int i = 1; i < acts.size(); i++) {
+      Act before = acts.get(i - 1);
+      Act after = acts.get(i);
+      if (!before.vm().equals(after.vm())) {
+        assertThat(after.atNanos() - before.atNanos()).isAtLeast(ORDER_TURN.toNanos());
+        assertThat(after.fence().value()).isGreaterThan(before.fence().value());
+      }
+    }
+  }
+
+  private long holders() {
+    return acts.stream().map(Act::vm).distinct().count();
+  }
+
+  @Nested
+  class Taking {
+    @Test
+    void givesTheDutyToOneNode() {
+      first.start();
+      second.start();
+      runSeconds(20);
+
+      assertThat(first.duty().isHeld() ^ second.duty().isHeld()).isTrue();
+    }
+
+    @Test
+    void waitsBeforeTheFirstActAfterAnUnknownHolder() {
+      first.start();
+      runSeconds(3);
+
+      assertThat(first.duty().isHeld()).isTrue();
+      assertThat(first.duty().current()).isEmpty();
+      runSeconds(4);
+      assertThat(first.duty().current()).isPresent();
+    }
+
+    @Test
+    void adoptsATakeWhoseAnswerWasLost() {
+      first.start();
+      runSeconds(0.2);
+      first.store().setWriteFault(WriteFault.ANSWER_LOST, Duration.ZERO);
+      runSeconds(3);
+      first.store().setWriteFault(WriteFault.NONE, Duration.ZERO);
+      runSeconds(12);
+
+      assertThat(first.duty().current()).isPresent();
+    }
+  }
+
+  @Nested
+  class Handover {
+    @Test
+    void releasedDutyIsActedInAfterOneTurn() {
+      first.start();
+      runSeconds(10);
+      second.start();
+      actAlways(first, second);
+      runSeconds(2);
+      first.duty().resign();
+      runSeconds(4.5);
+
+      assertThat(holders()).isEqualTo(2);
+      assertTurnsAreApart();
+    }
+
+    @Test
+    void releasedDutyWithoutRecentActsIsActedInAtOnce() {
+      first.start();
+      runSeconds(10);
+      second.start();
+      runSeconds(2);
+      first.duty().resign();
+      runSeconds(1);
+
+      assertThat(second.duty().current()).isPresent();
+    }
+
+    @Test
+    void releaseOfAnEarlierHolderShortensNothing() {
+      first.start();
+      runSeconds(10);
+      second.start();
+      runSeconds(2);
+      first.duty().resign();
+      runSeconds(1);
+      FleetTestNode third = new FleetTestNode("vm-3", "i3", store, timers);
+      third.start();
+      actAlways(second, third);
+      runSeconds(1);
+      second.store().setSilent(true);
+      runSeconds(15);
+
+      assertThat(holders()).isEqualTo(2);
+      assertTurnsAreApart();
+    }
+  }
+
+  @Nested
+  class Losses {
+    @Test
+    void holderThatIsCutOffStopsBeforeTheNextOneActs() {
+      first.start();
+      runSeconds(10);
+      second.start();
+      actAlways(first, second);
+      runSeconds(2);
+      first.store().setSilent(true);
+      runSeconds(20);
+      first.store().setSilent(false);
+      runSeconds(10);
+
+      assertThat(holders()).isEqualTo(2);
+      assertTurnsAreApart();
+    }
+
+    @Test
+    void holderWhoseKeysAreTakenAwayWhileItIsCutOffStopsInTime() {
+      first.start();
+      runSeconds(10);
+      second.start();
+      actAlways(first, second);
+      runSeconds(2);
+      first.store().setSilent(true);
+      store.expire(first.session().lease().get());
+      runSeconds(20);
+
+      assertThat(holders()).isEqualTo(2);
+      assertTurnsAreApart();
+    }
+
+    @Test
+    void holderThatWasSuspendedDoesNotActOnAnOldLease() {
+      PausableTimerService paused = new PausableTimerService(timers);
+      FleetTestNode node = new FleetTestNode("vm-0", "i0", store, paused, timers);
+      node.start();
+      runSeconds(10);
+      assertThat(node.duty().current()).isPresent();
+      second.start();
+      actAlways(second);
+      runSeconds(2);
+      paused.pause();
+      runSeconds(10);
+      paused.resume();
+
+      assertThat(node.duty().act()).isEmpty();
+      assertThat(holders()).isEqualTo(1);
+    }
+  }
+}
