--- a/amaranthstream/src/main/java/org/amaranthstream/fleet/HeldDuty.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/fleet/HeldDuty.java
@@ -8,6 +8,7 @@
 import java.util.Arrays;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
+import org.amaranthstream.ids.EntryVmId;
 import org.amaranthstream.ids.FencingNumber;
 import org.amaranthstream.ids.LeaseId;
 import org.amaranthstream.ids.Revision;
@@ -161,6 +162,17 @@
     }
   }
 
+  /** Returns the other daemon that holds the duty, empty if it is this one or nobody. */
+  public Optional<EntryVmId> otherHolder() {
+    if (fence != null) {
+      return Optional.empty();
+    }
+    return fleet
+        .holder(name)
+        .map(entry -> new String(entry.value(), StandardCharsets.UTF_8))
+        .map(text -> EntryVmId.of(text.substring(0, text.indexOf('/'))));
+  }
+
   private byte[] holderValue(LeaseId lease) {
     String text = session.self().vm() + "/" + session.self().incarnation() + "/" + lease;
     return text.getBytes(StandardCharsets.UTF_8);
--- a/amaranthstream/src/main/java/org/amaranthstream/fleet/StoreRelay.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/fleet/StoreRelay.java
@@ -47,7 +47,7 @@
         QueryKind.STORE_CALL, (LocalVm from, byte[] body, Duration timeout) -> answer(body));
   }
 
-  private CompletableFuture<Result<byte[]>> answer(byte[] body) {
+  CompletableFuture<Result<byte[]>> answer(byte[] body) {
     if (isAway.getAsBoolean()) {
       return CompletableFuture.completedFuture(
           Result.failure(ResultCode.PLATFORM_UNAVAILABLE, "the store is away here too"));
--- a/amaranthstream/src/main/java/org/amaranthstream/jobs/ItemOrder.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/jobs/ItemOrder.java
@@ -4,10 +4,12 @@
 import java.util.Optional;
 
 /**
- * Chooses which item of a job starts next: the one expected to be the longest.
+ * Chooses which item of a job starts next: the one expected to be the longest, or at a slow server
+ * the shortest.
  *
  * <p>Pure. Answers the load pattern of a step with a few very long items: a group is complete only
- * when its longest item is, so long items that start last decide when the step ends.
+ * when its longest item is, so long items that start last, or at a slow server, decide when the
+ * step ends.
  */
 final class ItemOrder {
   private static final Comparator<ItemProgress> LONGEST_FIRST =
@@ -15,11 +17,21 @@
 
   private ItemOrder() {}
 
-  /** Returns the item to start next, empty if none is ready. */
-  static Optional<ItemProgress> next(Iterable<ItemProgress> items, long nowNanos) {
+  /** Returns the item to start next at a fast server, empty if none is ready. */
+  static Optional<ItemProgress> longest(Iterable<ItemProgress> items, long nowNanos) {
+    return best(items, LONGEST_FIRST, nowNanos);
+  }
+
+  /** Returns the item to start next at a slow server, empty if none is ready. */
+  static Optional<ItemProgress> shortest(Iterable<ItemProgress> items, long nowNanos) {
+    return best(items, LONGEST_FIRST.reversed(), nowNanos);
+  }
+
+  private static Optional<ItemProgress> best(
+      Iterable<ItemProgress> items, Comparator<ItemProgress> order, long nowNanos) {
     ItemProgress best = null;
     for (ItemProgress item : items) {
-      boolean isBetter = best == null || LONGEST_FIRST.compare(item, best) > 0;
+      boolean isBetter = best == null || order.compare(item, best) > 0;
       if (item.isReady(nowNanos) && isBetter) {
         best = item;
       }
--- a/amaranthstream/src/main/java/org/amaranthstream/jobs/ItemProgress.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/jobs/ItemProgress.java
@@ -2,6 +2,7 @@
 
 import com.google.common.flogger.FluentLogger;
 import java.time.Duration;
+import java.util.Optional;
 import org.amaranthstream.ids.BackendServerId;
 import org.jspecify.annotations.Nullable;
 
@@ -30,7 +31,7 @@
   private int failures;
   private int breaks;
   private long notBeforeNanos = Long.MIN_VALUE;
-  private ItemTransport.@Nullable Run run;
+  private @Nullable ItemRunner runner;
   private @Nullable BackendServerId lastServer;
 
   ItemProgress(ItemSpec spec, long expectedTokens) {
@@ -71,25 +72,27 @@
     return notBeforeNanos;
   }
 
-  void begin(BackendServerId server) {
+  void begin(ItemRunner started) {
     state = State.RUNNING;
-    lastServer = server;
+    runner = started;
+    lastServer = started.server().id();
   }
 
-  void attach(ItemTransport.Run run) {
-    this.run = run;
+  /** Returns the run that is under way. */
+  Optional<ItemRunner> runner() {
+    return Optional.ofNullable(runner);
   }
 
   /** The item waits for its next run, without delay. */
   void retryAtOnce() {
     state = State.WAITING;
-    run = null;
+    runner = null;
   }
 
   /** The item waits for its next run, longer after each break in a row. */
   void retryLater(long nowNanos, String reason) {
     state = State.WAITING;
-    run = null;
+    runner = null;
     long pause = FIRST_PAUSE.toNanos() << Math.min(breaks, MOST_DOUBLINGS);
     notBeforeNanos = nowNanos + Math.min(pause, LONGEST_PAUSE.toNanos());
     breaks++;
@@ -111,13 +114,13 @@
 
   void finish() {
     state = State.FINISHED;
-    run = null;
+    runner = null;
   }
 
   /** Ends the run at the server, if there is one. */
   void cancel() {
-    ItemTransport.Run running = run;
-    run = null;
+    ItemRunner running = runner;
+    runner = null;
     if (running != null) {
       running.cancel();
     }
--- a/amaranthstream/src/main/java/org/amaranthstream/jobs/ItemRunner.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/jobs/ItemRunner.java
@@ -3,6 +3,7 @@
 import com.google.common.flogger.FluentLogger;
 import java.time.Duration;
 import java.util.Optional;
+import java.util.OptionalLong;
 import org.amaranthstream.ids.WeightVersion;
 import org.amaranthstream.servers.ServerDirectory;
 import org.amaranthstream.servers.TrackedServer;
@@ -40,6 +41,7 @@
   private Optional<WeightVersion> version = Optional.empty();
   private ItemTransport.@Nullable Run run;
   private @Nullable Subscription silence;
+  private OptionalLong lastEventNanos = OptionalLong.empty();
   private boolean isOver;
 
   ItemRunner(
@@ -60,9 +62,8 @@
   }
 
   void start(ItemTransport transport) {
-    item.begin(server.id());
+    item.begin(this);
     server.begin();
-    item.attach(this::cancel);
     watch(START_TIMEOUT);
     logger.atFine().log(
         "event=item_started job=%s item=%s server=%s last_event=%d",
@@ -110,6 +111,7 @@
       breakOff("text of weight version " + version + " is not allowed");
       return;
     }
+    measurePace();
     if (!item.text().add(event, version)) {
       breakOff("event " + event.id() + " follows event " + item.text().lastEvent());
       return;
@@ -117,6 +119,29 @@
     item.onProgress();
   }
 
+  private void measurePace() {
+    long now = timers.nowNanos();
+    if (lastEventNanos.isPresent()) {
+      server.onPace(now - lastEventNanos.getAsLong(), now);
+    }
+    lastEventNanos = OptionalLong.of(now);
+  }
+
+  TrackedServer server() {
+    return server;
+  }
+
+  /** Ends a run at a slow server, so that the item is resumed at a faster one. */
+  void moveAway() {
+    ItemTransport.Run running = run;
+    if (close()) {
+      item.retryAtOnce();
+      if (running != null) {
+        running.cancel();
+      }
+    }
+  }
+
   /** Ends the run from this side; the item is resumed elsewhere. */
   private void breakOff(String reason) {
     ItemTransport.Run running = run;
@@ -127,7 +152,7 @@
   }
 
   /** The job needs the run no more. */
-  private void cancel() {
+  void cancel() {
     if (close() && run != null) {
       run.cancel();
     }
--- a/amaranthstream/src/main/java/org/amaranthstream/jobs/ItemScheduler.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/jobs/ItemScheduler.java
@@ -6,7 +6,6 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
-import org.amaranthstream.ids.ServiceId;
 import org.amaranthstream.ids.WeightVersion;
 import org.amaranthstream.routing.Route;
 import org.amaranthstream.routing.RouteKind;
@@ -14,6 +13,7 @@
 import org.amaranthstream.routing.RoutingTable;
 import org.amaranthstream.servers.ServerChoice;
 import org.amaranthstream.servers.ServerDirectory;
+import org.amaranthstream.servers.SlowServers;
 import org.amaranthstream.servers.TrackedServer;
 import org.amaranthstream.time.TimerService;
 
@@ -126,13 +126,17 @@
 
   private void startAll(OwnedJob job, Route route, long now) {
     ItemRules rules = new ItemRules(route.maxAttempts(), route.isSingleVersion());
+    SlowServers slow = SlowServers.among(servers(route), now);
     while (job.isRunnable()) {
-      Optional<ItemProgress> item = ItemOrder.next(job.items(), now);
-      if (item.isEmpty()) {
+      Optional<TrackedServer> server = serverFor(job, route, slow, now);
+      if (server.isEmpty()) {
         return;
       }
-      Optional<TrackedServer> server = serverFor(job, route, now);
-      if (server.isEmpty()) {
+      boolean isSlow = slow.contains(server.get());
+      Optional<ItemProgress> item =
+          isSlow ? ItemOrder.shortest(job.items(), now) : ItemOrder.longest(job.items(), now);
+      if (item.isEmpty()) {
+        moveFromSlow(job, slow, server.get());
         return;
       }
       new ItemRunner(job, item.get(), server.get(), rules, directory, timers, this)
@@ -140,16 +144,43 @@
     }
   }
 
-  private Optional<TrackedServer> serverFor(OwnedJob job, Route route, long now) {
+  /**
+   * Nothing waits and {@code free} has room: an item that runs at a slow server goes on there. It
+   * is started with the next look at the job.
+   */
+  private void moveFromSlow(OwnedJob job, SlowServers slow, TrackedServer free) {
+    if (slow.contains(free)) {
+      return;
+    }
+    for (ItemProgress item : job.items()) {
+      Optional<ItemRunner> runner = item.runner();
+      if (runner.isPresent() && slow.contains(runner.get().server())) {
+        logger.atInfo().log(
+            "event=item_moved job=%s item=%s from=%s last_event=%d",
+            job.id(), item.spec().id(), runner.get().server().id(), item.text().lastEvent());
+        runner.get().moveAway();
+        return;
+      }
+    }
+  }
+
+  private List<TrackedServer> servers(Route route) {
     List<TrackedServer> servers = new ArrayList<>();
     route.services().stream()
         .filter(service -> service.weight() > 0)
-        .forEach(service -> servers.addAll(withRoom(service.service(), job, now)));
-    return choice.choose(servers, server -> true, now);
+        .forEach(service -> servers.addAll(directory.open(service.service())));
+    return servers;
+  }
+
+  /** Slow servers come last. */
+  private Optional<TrackedServer> serverFor(OwnedJob job, Route route, SlowServers slow, long now) {
+    List<TrackedServer> free = withRoom(servers(route), job, now);
+    Optional<TrackedServer> fast = choice.choose(free, server -> !slow.contains(server), now);
+    return fast.isPresent() ? fast : choice.choose(free, server -> true, now);
   }
 
-  private List<TrackedServer> withRoom(ServiceId service, OwnedJob job, long now) {
-    return directory.open(service).stream()
+  private List<TrackedServer> withRoom(List<TrackedServer> servers, OwnedJob job, long now) {
+    return servers.stream()
         .filter(server -> server.inFlight() < server.entry().slots())
         .filter(server -> !server.isAvoided(now))
         .filter(server -> isFresh(server, job))
--- a/amaranthstream/src/main/java/org/amaranthstream/jobs/JobAcceptor.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/jobs/JobAcceptor.java
@@ -55,6 +55,20 @@
 
   /** Accepts a job; a job that was accepted before, here or elsewhere, is accepted again. */
   CompletableFuture<Result<JobDone>> submit(JobSpec spec, Duration patience) {
+    return submit(spec, patience, true);
+  }
+
+  /** Accepts a job that another daemon passes on; it is not passed on further. */
+  CompletableFuture<Result<JobDone>> submitForPeer(JobSpec spec, Duration patience) {
+    if (isLeaving) {
+      return CompletableFuture.completedFuture(
+          Result.failure(ResultCode.NOT_RUN_OVERLOADED, "this daemon is about to end"));
+    }
+    return submit(spec, patience, false);
+  }
+
+  private CompletableFuture<Result<JobDone>> submit(
+      JobSpec spec, Duration patience, boolean mayRelay) {
     if (book.owned(spec.id()).isPresent() || book.owner(spec.id()).isPresent()) {
       return CompletableFuture.completedFuture(Result.success(JobDone.ACCEPTED));
     }
@@ -65,7 +79,8 @@
     CompletableFuture<Result<JobDone>> reply = new CompletableFuture<>();
     open.put(spec.id(), reply);
     byte[] record = JobStore.encodeRecord(spec);
-    Submission submission = new Submission(spec, record, keeper.firstOwner(spec, record), reply);
+    Submission submission =
+        new Submission(spec, record, keeper.firstOwner(spec, record), reply, mayRelay);
     submission.start(patience);
     return reply;
   }
@@ -75,15 +90,21 @@
     private final byte[] record;
     private final JobOwner owner;
     private final CompletableFuture<Result<JobDone>> reply;
+    private final boolean mayRelay;
     private boolean isRelaying;
     private boolean mayBeAcceptedElsewhere;
 
     private Submission(
-        JobSpec spec, byte[] record, JobOwner owner, CompletableFuture<Result<JobDone>> reply) {
+        JobSpec spec,
+        byte[] record,
+        JobOwner owner,
+        CompletableFuture<Result<JobDone>> reply,
+        boolean mayRelay) {
       this.spec = spec;
       this.record = record;
       this.owner = owner;
       this.reply = reply;
+      this.mayRelay = mayRelay;
     }
 
     private void start(Duration patience) {
@@ -91,7 +112,9 @@
         relayOnly();
         return;
       }
-      timers.after(RELAY_AFTER, this::relay);
+      if (mayRelay) {
+        timers.after(RELAY_AFTER, this::relay);
+      }
       create(patience);
     }
 
--- a/amaranthstream/src/main/java/org/amaranthstream/jobs/JobQuestions.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/jobs/JobQuestions.java
@@ -7,8 +7,11 @@
 import java.util.concurrent.CompletableFuture;
 import org.amaranthstream.ids.ItemId;
 import org.amaranthstream.ids.JobId;
+import org.amaranthstream.ids.ModelId;
 import org.amaranthstream.ids.Revision;
+import org.amaranthstream.ids.WeightVersion;
 import org.amaranthstream.jobs.wire.BodyAnswer;
+import org.amaranthstream.jobs.wire.DemandNotice;
 import org.amaranthstream.jobs.wire.EndAnswer;
 import org.amaranthstream.jobs.wire.HandoverAnswer;
 import org.amaranthstream.jobs.wire.HandoverQuestion;
@@ -58,6 +61,11 @@
     if (question.hasSubmit()) {
       return submit(question.getSubmit());
     }
+    if (question.hasDemand()) {
+      DemandNotice demand = question.getDemand();
+      service.onDemand(ModelId.of(demand.getModel()), WeightVersion.of(demand.getMinVersion()));
+      return CompletableFuture.completedFuture(JobAnswer.getDefaultInstance());
+    }
     if (question.hasHandover()) {
       return takeOver(JobId.of(question.getJob()), question.getHandover());
     }
@@ -71,7 +79,7 @@
           CompletableFuture.completedFuture(
               body(desk.body(job.get(), ItemId.of(question.getItemBody().getItem()))));
       case END -> desk.end(job.get()).thenApply(JobQuestions::ended);
-      case SUBMIT, HANDOVER, BODY_NOT_SET -> CompletableFuture.completedFuture(NOT_OWNER);
+      case SUBMIT, HANDOVER, DEMAND, BODY_NOT_SET -> CompletableFuture.completedFuture(NOT_OWNER);
     };
   }
 
@@ -123,7 +131,7 @@
 
   private CompletableFuture<JobAnswer> submit(SubmitQuestion question) {
     return service
-        .submit(JobCodec.decode(question.getRecord()), SUBMIT_PATIENCE)
+        .submitForPeer(JobCodec.decode(question.getRecord()), SUBMIT_PATIENCE)
         .thenApply(JobQuestions::submitted);
   }
 
--- a/amaranthstream/src/main/java/org/amaranthstream/jobs/JobService.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/jobs/JobService.java
@@ -12,11 +12,14 @@
 import java.util.Optional;
 import java.util.Random;
 import java.util.concurrent.CompletableFuture;
+import java.util.function.Supplier;
 import org.amaranthstream.fleet.Fleet;
 import org.amaranthstream.fleet.FleetNode;
 import org.amaranthstream.ids.EntryVmId;
 import org.amaranthstream.ids.ItemId;
 import org.amaranthstream.ids.JobId;
+import org.amaranthstream.ids.ModelId;
+import org.amaranthstream.ids.WeightVersion;
 import org.amaranthstream.platform.TransactionReply;
 import org.amaranthstream.platform.TransactionRunner;
 import org.amaranthstream.platform.TransactionalStore;
@@ -58,12 +61,16 @@
   private final ItemScheduler scheduler;
   private final ResultLister lister;
   private final RemoteJobs remote;
+  private final DemandListener demand;
+  private final Supplier<Optional<EntryVmId>> weightsHolder;
   private final TimerService timers;
   private final Random nonces = new Random();
   private boolean isLeaving;
 
   private JobService(Builder builder) {
     this.timers = checkNotNull(builder.timers, "timers");
+    this.demand = checkNotNull(builder.demand, "demand");
+    this.weightsHolder = checkNotNull(builder.weightsHolder, "weightsHolder");
     Fleet fleet = checkNotNull(builder.fleet, "fleet");
     this.store =
         new JobStore(
@@ -96,9 +103,27 @@
     return new Builder();
   }
 
+  /** What follows a job's demand for fresh weights. */
+  @FunctionalInterface
+  public interface DemandListener {
+    /** A job was accepted, here or elsewhere, that allows {@code minVersion} and newer. */
+    void onJob(ModelId model, WeightVersion minVersion);
+  }
+
+  void onDemand(ModelId model, WeightVersion minVersion) {
+    demand.onJob(model, minVersion);
+  }
+
+  private void start(OwnedJob job) {
+    scheduler.add(job);
+    JobSpec spec = job.spec();
+    demand.onJob(spec.model(), spec.minVersion());
+    weightsHolder.get().ifPresent(vm -> remote.tellDemand(vm, spec));
+  }
+
   /** Starts to run jobs and to take over those of daemons that are gone. */
   public void start() {
-    keeper.start(scheduler::add);
+    keeper.start(this::start);
   }
 
   /**
@@ -137,6 +162,10 @@
     return acceptor.submit(spec, patience);
   }
 
+  CompletableFuture<Result<JobDone>> submitForPeer(JobSpec spec, Duration patience) {
+    return acceptor.submitForPeer(spec, patience);
+  }
+
   /** Returns results from {@code position} on, waiting at most {@code wait} until there are any. */
   public CompletableFuture<Result<ResultSlice>> read(JobId job, int position, Duration wait) {
     Optional<OwnedJob> owned = book.owned(job);
@@ -321,6 +350,8 @@
     private @Nullable ServerChoice choice;
     private @Nullable ItemTransport transport;
     private @Nullable JobPeers peers;
+    private @Nullable DemandListener demand;
+    private @Nullable Supplier<Optional<EntryVmId>> weightsHolder;
     private InstantSource timeOfDay = InstantSource.system();
 
     private Builder() {}
@@ -376,6 +407,14 @@
       return this;
     }
 
+    /** Sets who hears of the jobs' demand for weights, here and at the daemon that orders. */
+    @CanIgnoreReturnValue
+    public Builder demand(DemandListener demand, Supplier<Optional<EntryVmId>> weightsHolder) {
+      this.demand = demand;
+      this.weightsHolder = weightsHolder;
+      return this;
+    }
+
     /** Sets how other daemons are asked. */
     @CanIgnoreReturnValue
     public Builder peers(JobPeers peers) {
--- a/amaranthstream/src/main/java/org/amaranthstream/platform/PlatformHttp.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/platform/PlatformHttp.java
@@ -53,13 +53,25 @@
   }
 
   private HttpClientAgent newClient() {
-    return vertx.createHttpClient(
+    HttpClientOptions client =
         new HttpClientOptions()
             .setConnectTimeout((int) options.timeout().toMillis())
             .setKeepAliveTimeout(KEEP_ALIVE_SECONDS)
             .setTcpNoDelay(true)
-            .setSsl(isHttps()),
-        new PoolOptions().setHttp1MaxSize(MAX_CONNECTIONS).setMaxWaitQueueSize(MAX_WAITING_CALLS));
+            .setSsl(isHttps());
+    PoolOptions pool =
+        new PoolOptions().setHttp1MaxSize(MAX_CONNECTIONS).setMaxWaitQueueSize(MAX_WAITING_CALLS);
+    return vertx
+        .httpClientBuilder()
+        .with(client)
+        .with(pool)
+        .withConnectHandler(connection -> connection.exceptionHandler(PlatformHttp::onBroken))
+        .build();
+  }
+
+  /** Calls on the connection hear of its end themselves. */
+  private static void onBroken(Throwable cause) {
+    logger.atFine().log("event=platform_connection_broken cause=\"%s\"", cause);
   }
 
   /** Returns the counts of calls by kind. */
--- a/amaranthstream/src/main/java/org/amaranthstream/servers/TrackedServer.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/servers/TrackedServer.java
@@ -5,6 +5,7 @@
 import java.util.HashMap;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalDouble;
 import org.amaranthstream.ids.BackendServerId;
 import org.amaranthstream.ids.ModelId;
 import org.amaranthstream.ids.WeightVersion;
@@ -28,6 +29,7 @@
   private int failures;
   private long avoidUntilNanos = Long.MIN_VALUE;
   private long fullUntilNanos = Long.MIN_VALUE;
+  private final Pace pace = new Pace();
   private final Map<ModelId, WeightVersion> versions = new HashMap<>();
 
   TrackedServer(ServerEntry entry) {
@@ -112,6 +114,16 @@
         id(), failures, (avoidUntilNanos - nowNanos) / 1_000_000, reason);
   }
 
+  /** A stream of the server had two events {@code intervalNanos} apart. */
+  public void onPace(long intervalNanos, long nowNanos) {
+    pace.add(intervalNanos, nowNanos);
+  }
+
+  /** Returns the average time between two events of a stream, empty while it is not known. */
+  public OptionalDouble nanosPerEvent(long nowNanos) {
+    return pace.nanosPerEvent(nowNanos);
+  }
+
   /** The server told, in this incarnation, which weight version it holds. */
   public void onVersion(ModelId model, WeightVersion version) {
     versions.put(model, version);
--- a/amaranthstream/src/main/java/org/amaranthstream/weights/SwapOrder.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/weights/SwapOrder.java
@@ -14,7 +14,8 @@
  * the one with the least work.
  *
  * <p>Pure. Answers the load pattern of a trainer that allows samples of the last two versions: an
- * engine with an older one idles until it is swapped, so it comes first.
+ * engine with an older one idles until it is swapped, so it comes first; one whose version is still
+ * allowed goes on working, so that each engine loads only every second version.
  */
 final class SwapOrder {
   private SwapOrder() {}
@@ -23,7 +24,7 @@
   static Optional<TrackedServer> next(
       Collection<TrackedServer> servers,
       ModelId model,
-      WeightVersion newest,
+      WeightVersion oldestUseful,
       Predicate<TrackedServer> isFree) {
     Comparator<TrackedServer> order =
         Comparator.comparing((TrackedServer server) -> versionOf(server, model))
@@ -31,7 +32,7 @@
     List<TrackedServer> old =
         servers.stream()
             .filter(server -> server.isOpen() && server.holds(model))
-            .filter(server -> newest.isAfter(versionOf(server, model)))
+            .filter(server -> oldestUseful.isAfter(versionOf(server, model)))
             .filter(isFree)
             .toList();
     return old.stream().min(order);
--- /dev/null
+++ b/amaranthstream/src/test/java/org/amaranthstream/fleet/RelayingStoreTest.java
@@ -0,0 +1,188 @@
+package org.amaranthstream.fleet;
+
+import static com.google.common.truth.Truth.assertThat;
+import static java.nio.charset.StandardCharsets.UTF_8;
+
+import com.google.common.collect.ImmutableList;
+import java.time.Duration;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import org.amaranthstream.fleet.wire.StoreAnswer;
+import org.amaranthstream.ids.EntryVmId;
+import org.amaranthstream.ids.Revision;
+import org.amaranthstream.platform.GrantedLease;
+import org.amaranthstream.platform.KvEntry;
+import org.amaranthstream.platform.KvPage;
+import org.amaranthstream.platform.RenewalReply;
+import org.amaranthstream.platform.SimulatedStore;
+import org.amaranthstream.platform.SimulatedStoreClient;
+import org.amaranthstream.platform.SimulatedStoreClient.WriteFault;
+import org.amaranthstream.platform.StoreMonitor;
+import org.amaranthstream.platform.Transaction;
+import org.amaranthstream.platform.TransactionReply;
+import org.amaranthstream.platform.WatchReply;
+import org.amaranthstream.result.Result;
+import org.amaranthstream.result.ResultCode;
+import org.amaranthstream.time.VirtualTimerService;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+class RelayingStoreTest {
+  private static final EntryVmId PEER = EntryVmId.of("peer");
+
+  private final VirtualTimerService timers = VirtualTimerService.create();
+  private final SimulatedStore state = new SimulatedStore(timers);
+  private final SimulatedStoreClient own = state.client();
+  private final SimulatedStoreClient peers = state.client();
+  private final StoreMonitor monitor = StoreMonitor.create(timers);
+  private boolean isPeerAway;
+  private final StoreRelay relay = StoreRelay.create(peers, () -> isPeerAway);
+  private final RelayingStore store = RelayingStore.create(own, monitor);
+  private boolean isPeerCut;
+  private int relayed;
+
+  @BeforeEach
+  void attach() {
+    store.attach(
+        new RelayingStore.PeerStores() {
+          @Override
+          public ImmutableList<EntryVmId> others() {
+            return ImmutableList.of(PEER);
+          }
+
+          @Override
+          public CompletableFuture<Result<byte[]>> call(
+              EntryVmId vm, byte[] call, Duration timeout) {
+            relayed++;
+            return isPeerCut
+                ? CompletableFuture.completedFuture(
+                    Result.failure(ResultCode.OUTCOME_UNKNOWN_PEER_LOST, "lost"))
+                : relay.answer(call);
+          }
+        });
+  }
+
+  private <T> T await(CompletableFuture<T> reply) {
+    timers.advance(Duration.ofSeconds(10));
+    return reply.join();
+  }
+
+  private static Transaction create(String key) {
+    return Transaction.builder().expectAbsent(key).put(key, "v".getBytes(UTF_8)).build();
+  }
+
+  @Nested
+  class WhileTheStoreAnswers {
+    @Test
+    void asksNoPeer() {
+      assertThat(await(store.transact(create("a")))).isInstanceOf(TransactionReply.Committed.class);
+      assertThat(relayed).isEqualTo(0);
+    }
+
+    @Test
+    void takesAConflictAsTheAnswer() {
+      state.put("a", new byte[0]);
+
+      assertThat(await(store.transact(create("a")))).isInstanceOf(TransactionReply.Conflict.class);
+      assertThat(relayed).isEqualTo(0);
+    }
+  }
+
+  @Nested
+  class WhileTheStoreRefusesThisDaemon {
+    @BeforeEach
+    void refuse() {
+      own.setRefused(true);
+    }
+
+    @Test
+    void passesATransactionThroughAPeer() {
+      assertThat(await(store.transact(create("a")))).isInstanceOf(TransactionReply.Committed.class);
+    }
+
+    @Test
+    void passesReadsThroughAPeer() {
+      state.put("a/1", "one".getBytes(UTF_8));
+
+      Result<KvPage> page = await(store.range("a/", ""));
+      Result<Optional<KvEntry>> entry = await(store.get("a/1"));
+
+      assertThat(((Result.Success<KvPage>) page).value().entries()).hasSize(1);
+      assertThat(((Result.Success<Optional<KvEntry>>) entry).value()).isPresent();
+    }
+
+    @Test
+    void keepsItsLeaseThroughAPeer() {
+      GrantedLease lease =
+          ((Result.Success<GrantedLease>) await(store.grantLease(Duration.ofMinutes(1)))).value();
+
+      assertThat(await(store.renewLease(lease.id()))).isInstanceOf(RenewalReply.Renewed.class);
+    }
+
+    @Test
+    void changesNothingIfThePeerDoesNotReachTheStoreEither() {
+      isPeerAway = true;
+
+      assertThat(await(store.transact(create("a")))).isInstanceOf(TransactionReply.NotDone.class);
+    }
+
+    @Test
+    void doesNotKnowWhatAPeerDidThatWasLost() {
+      isPeerCut = true;
+
+      assertThat(await(store.transact(create("a")))).isInstanceOf(TransactionReply.Unknown.class);
+    }
+  }
+
+  @Nested
+  class WhileTheStoreIsSilent {
+    @Test
+    void doesNotRepeatATransactionThatMayTakeEffect() {
+      own.setWriteFault(WriteFault.APPLIED_LATE, Duration.ofSeconds(3));
+
+      assertThat(await(store.transact(create("a")))).isInstanceOf(TransactionReply.Unknown.class);
+      assertThat(relayed).isEqualTo(0);
+    }
+
+    @Test
+    void givesUpWatchesWhenTheOutageIsNoticed() {
+      CompletableFuture<WatchReply> watch =
+          store.watch("a/", Revision.of(10), Duration.ofSeconds(20));
+      timers.advance(Duration.ofSeconds(1));
+      monitor.onFailed("no answer");
+
+      assertThat(watch.join()).isInstanceOf(WatchReply.Failed.class);
+    }
+
+    @Test
+    void watchesThroughAPeer() {
+      own.setSilent(true);
+      monitor.onFailed("no answer");
+      CompletableFuture<WatchReply> watch =
+          store.watch("a/", Revision.of(10), Duration.ofSeconds(20));
+      state.put("a/1", "one".getBytes(UTF_8));
+      timers.advance(Duration.ofMillis(100));
+
+      assertThat(((WatchReply.Changes) watch.join()).changes()).hasSize(1);
+    }
+  }
+
+  @Nested
+  class AnswersOfThePeer {
+    @Test
+    void anEmptyCallIsNotDone() {
+      Result<byte[]> answer = relay.answer(new byte[0]).join();
+
+      assertThat(parse(answer).hasNotDone()).isTrue();
+    }
+
+    private StoreAnswer parse(Result<byte[]> answer) {
+      try {
+        return StoreAnswer.parseFrom(((Result.Success<byte[]>) answer).value());
+      } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+        throw new AssertionError(e);
+      }
+    }
+  }
+}
--- /dev/null
+++ b/amaranthstream/src/test/java/org/amaranthstream/jobs/JobFleet.java
@@ -0,0 +1,302 @@
+package org.amaranthstream.jobs;
+
+import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableListMultimap;
+import com.google.protobuf.InvalidProtocolBufferException;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.concurrent.CompletableFuture;
+import org.amaranthstream.fleet.Fleet;
+import org.amaranthstream.fleet.FleetNode;
+import org.amaranthstream.fleet.FleetSession;
+import org.amaranthstream.ids.AvailabilityZoneId;
+import org.amaranthstream.ids.EntryVmId;
+import org.amaranthstream.ids.GroupId;
+import org.amaranthstream.ids.Incarnation;
+import org.amaranthstream.ids.ItemId;
+import org.amaranthstream.ids.JobId;
+import org.amaranthstream.ids.RegionId;
+import org.amaranthstream.ids.RouteId;
+import org.amaranthstream.ids.WeightVersion;
+import org.amaranthstream.jobs.wire.JobAnswer;
+import org.amaranthstream.jobs.wire.JobQuestion;
+import org.amaranthstream.platform.SimulatedStore;
+import org.amaranthstream.platform.SimulatedStoreClient;
+import org.amaranthstream.result.Result;
+import org.amaranthstream.result.ResultCode;
+import org.amaranthstream.routing.RequestLimits;
+import org.amaranthstream.routing.Route;
+import org.amaranthstream.routing.RouteKind;
+import org.amaranthstream.routing.RoutingConfig;
+import org.amaranthstream.routing.RoutingTable;
+import org.amaranthstream.routing.WeightedService;
+import org.amaranthstream.servers.ServerChoice;
+import org.amaranthstream.servers.ServerDirectory;
+import org.amaranthstream.time.PausableTimerService;
+import org.amaranthstream.time.VirtualTimerService;
+
+/** Daemons with batch jobs over one simulated store and simulated engines, in virtual time. */
+final class JobFleet {
+  private static final String HOST = "host";
+  private static final Duration ITEM_TIMEOUT = Duration.ofSeconds(40);
+
+  private final VirtualTimerService timers = VirtualTimerService.create();
+  private final SimulatedStore store = new SimulatedStore(timers);
+  private final SimulatedServers servers = new SimulatedServers(timers);
+  private final Map<String, Node> nodes = new LinkedHashMap<>();
+  private int incarnations;
+
+  /** One daemon. */
+  final class Node {
+    private final String name;
+    private final PausableTimerService clock = new PausableTimerService(timers);
+    private final SimulatedStoreClient client = store.client();
+    private final RoutingTable routing = RoutingTable.create();
+    private final ServerDirectory directory = ServerDirectory.create(clock, () -> false);
+    private final JobService jobs;
+    private final JobQuestions questions;
+    private final FleetSession session;
+    private final FleetNode self;
+    private boolean isCut;
+    private boolean isDead;
+
+    private Node(String name) {
+      this.name = name;
+      incarnations++;
+      self =
+          new FleetNode(
+              EntryVmId.of(name),
+              Incarnation.of("i" + incarnations),
+              "10.0.0.1",
+              7000,
+              AvailabilityZoneId.of("a"),
+              RegionId.of("r"));
+      Fleet fleet = Fleet.create(client, clock);
+      session = FleetSession.create(client, clock, JobFleet.this::now, self);
+      jobs =
+          JobService.builder()
+              .fleet(self, fleet)
+              .store(client)
+              .timers(clock)
+              .timeOfDay(JobFleet.this::now)
+              .routing(routing)
+              .servers(directory, ServerChoice.in(self.zone(), zone -> Optional.empty()))
+              .transport(this::start)
+              .peers(this::ask)
+              .demand((model, version) -> {}, Optional::empty)
+              .build();
+      questions = jobs.questions();
+      routing.apply(config());
+      fleet.listen(session);
+      fleet.start();
+      jobs.start();
+      session.start(jobs::sweep);
+    }
+
+    private ItemTransport.Run start(
+        org.amaranthstream.servers.TrackedServer server,
+        ItemRequest request,
+        ItemListener listener) {
+      return servers.start(server, request, new GuardedListener(listener));
+    }
+
+    /** A process that was killed hears nothing. */
+    private final class GuardedListener implements ItemListener {
+      private final ItemListener listener;
+
+      private GuardedListener(ItemListener listener) {
+        this.listener = listener;
+      }
+
+      @Override
+      public void onStarted(Optional<WeightVersion> version) {
+        if (!isDead) {
+          listener.onStarted(version);
+        }
+      }
+
+      @Override
+      public void onEvent(ItemEvent event) {
+        if (!isDead) {
+          listener.onEvent(event);
+        }
+      }
+
+      @Override
+      public void onEnded(ItemEnd end) {
+        if (!isDead) {
+          listener.onEnded(end);
+        }
+      }
+    }
+
+    private CompletableFuture<Result<JobAnswer>> ask(
+        EntryVmId vm, JobQuestion question, Duration timeout) {
+      CompletableFuture<Result<JobAnswer>> reply = new CompletableFuture<>();
+      Node peer = nodes.get(vm.value());
+      if (isCut || peer == null || peer.isCut || peer.isDead) {
+        reply.complete(Result.failure(ResultCode.PEER_UNREACHABLE, "cut"));
+        return reply;
+      }
+      timers.after(Duration.ofMillis(1), () -> peer.answer(question, reply));
+      timers.after(
+          timeout,
+          () ->
+              reply.complete(
+                  Result.failure(ResultCode.OUTCOME_UNKNOWN_DEADLINE, "no answer in time")));
+      return reply;
+    }
+
+    private void answer(JobQuestion question, CompletableFuture<Result<JobAnswer>> reply) {
+      try {
+        JobQuestion copy = JobQuestion.parseFrom(question.toByteArray());
+        questions.answer(copy).thenAccept(a -> reply.complete(Result.success(a)));
+      } catch (InvalidProtocolBufferException e) {
+        throw new AssertionError(e);
+      }
+    }
+
+    String name() {
+      return name;
+    }
+
+    JobService jobs() {
+      return jobs;
+    }
+
+    SimulatedStoreClient store() {
+      return client;
+    }
+
+    boolean owns(JobId job) {
+      return jobs.describe().stream().anyMatch(d -> d.job().equals(job.value()));
+    }
+
+    /** Cuts the links to the other daemons. */
+    void cutLinks(boolean isCut) {
+      this.isCut = isCut;
+    }
+
+    /** Suspends the VM. */
+    void pause() {
+      clock.pause();
+    }
+
+    void resume() {
+      clock.resume();
+    }
+
+    /** Ends the process without a word. */
+    void kill() {
+      isDead = true;
+      client.setSilent(true);
+      clock.pause();
+    }
+
+    /** Ends the process gracefully. */
+    void leave() {
+      jobs.handOver().thenRun(session::close);
+    }
+
+    boolean isDead() {
+      return isDead;
+    }
+  }
+
+  private Instant now() {
+    return Instant.ofEpochMilli(timers.nowNanos() / 1_000_000);
+  }
+
+  private static RoutingConfig config() {
+    Route route =
+        Route.builder()
+            .id(RouteId.of("batch"))
+            .match(HOST, "/")
+            .kind(RouteKind.BATCH)
+            .maxAttempts(3)
+            .itemTimeout(ITEM_TIMEOUT)
+            .services(ImmutableList.of(new WeightedService(SimulatedServers.SERVICE, 1)))
+            .build();
+    return RoutingConfig.of(1, List.of(route), List.of(), RequestLimits.defaults());
+  }
+
+  /** Starts a daemon, or starts it anew. */
+  Node start(String name) {
+    Node node = new Node(name);
+    nodes.put(name, node);
+    return node;
+  }
+
+  /** Lets all daemons know a server. */
+  void addServer(String id, int slots, long version) {
+    nodes.values().forEach(n -> n.directory.onEntry(SimulatedServers.entry(id, slots, version)));
+  }
+
+  List<Node> alive() {
+    return nodes.values().stream().filter(node -> !node.isDead).toList();
+  }
+
+  SimulatedStore store() {
+    return store;
+  }
+
+  SimulatedServers servers() {
+    return servers;
+  }
+
+  void run(Duration duration) {
+    timers.advance(duration);
+  }
+
+  void runMillis(long millis) {
+    run(Duration.ofMillis(millis));
+  }
+
+  <T> T await(CompletableFuture<T> reply) {
+    for (int i = 0; i < 400 && !reply.isDone(); i++) {
+      runMillis(50);
+    }
+    return reply.join();
+  }
+
+  /** Returns a job whose items have as many events as {@code lengths} says, in groups of two. */
+  static JobSpec job(String id, long minVersion, int... lengths) {
+    List<ItemSpec> items = new ArrayList<>();
+    for (int i = 0; i < lengths.length; i++) {
+      String item = id + "-" + i;
+      items.add(
+          new ItemSpec(
+              ItemId.of(item),
+              "/" + item,
+              ImmutableListMultimap.of("name", "value"),
+              ("body of " + item).getBytes(StandardCharsets.UTF_8),
+              100,
+              OptionalLong.of(lengths[i]),
+              GroupId.of(id + "-g" + i / 2)));
+    }
+    return new JobSpec(
+        JobId.of(id),
+        HOST,
+        "/" + id,
+        0,
+        SimulatedServers.MODEL,
+        WeightVersion.of(minVersion),
+        1,
+        ImmutableList.copyOf(items));
+  }
+
+  /** Reads all results that {@code node} shows from the start. */
+  ImmutableList<ItemResult> read(Node node, JobId job) {
+    Result<ResultSlice> result = await(node.jobs().read(job, 0, Duration.ZERO));
+    return result instanceof Result.Success<ResultSlice> success
+        ? success.value().results()
+        : ImmutableList.of();
+  }
+}
--- /dev/null
+++ b/amaranthstream/src/test/java/org/amaranthstream/jobs/JobPropertyTest.java
@@ -0,0 +1,227 @@
+package org.amaranthstream.jobs;
+
+import static com.google.common.truth.Truth.assertThat;
+import static com.google.common.truth.Truth.assertWithMessage;
+import static java.nio.charset.StandardCharsets.UTF_8;
+
+import com.google.common.collect.ImmutableList;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import org.amaranthstream.ids.ItemId;
+import org.amaranthstream.ids.JobId;
+import org.amaranthstream.platform.SimulatedStoreClient.WriteFault;
+import org.amaranthstream.result.Result;
+import org.amaranthstream.result.ResultCode;
+
+/** Random series of submissions, reads, ends and faults over three daemons. */
+class JobPropertyTest {
+  private static final int STEPS = 40;
+  private static final Duration PATIENCE = Duration.ofSeconds(3);
+
+  /** What callers have seen of one job. */
+  private static final class Seen {
+    private final JobSpec job;
+    private final List<CompletableFuture<Result<JobDone>>> replies = new ArrayList<>();
+    private final List<ItemResult> results = new ArrayList<>();
+    private boolean isEnded;
+
+    private Seen(JobSpec job) {
+      this.job = job;
+    }
+
+    private boolean isAccepted() {
+      return replies.stream().anyMatch(r -> r.isDone() && r.join() instanceof Result.Success);
+    }
+
+    private boolean isRefusedAlways() {
+      return replies.stream().allMatch(Seen::isRefused);
+    }
+
+    private static boolean isRefused(CompletableFuture<Result<JobDone>> reply) {
+      return reply.isDone()
+          && reply.join() instanceof Result.Failure<JobDone> failure
+          && failure.error().code() == ResultCode.NOT_RUN_OVERLOADED;
+    }
+  }
+
+  private static final class Play {
+    private final Random random;
+    private final JobFleet fleet = new JobFleet();
+    private final Map<JobId, Seen> jobs = new HashMap<>();
+    private int nextJob;
+
+    private Play(long seed) {
+      this.random = new Random(seed);
+      for (String name : List.of("vm-1", "vm-2", "vm-3")) {
+        fleet.start(name);
+      }
+      fleet.runMillis(600);
+      addServers();
+    }
+
+    private void addServers() {
+      fleet.addServer("s1", 3, 1);
+      fleet.addServer("s2", 3, 1);
+    }
+
+    private JobFleet.Node anyNode() {
+      List<JobFleet.Node> alive = fleet.alive();
+      return alive.get(random.nextInt(alive.size()));
+    }
+
+    private void step() {
+      switch (random.nextInt(12)) {
+        case 0, 1 -> submitNew();
+        case 2 -> submitAgain();
+        case 3, 4, 5 -> jobs.values().forEach(this::read);
+        case 6 -> fault(anyNode(), WriteFault.ANSWER_LOST);
+        case 7 -> fault(anyNode(), WriteFault.APPLIED_LATE);
+        case 8 -> refuse(anyNode());
+        case 9 -> pause(anyNode());
+        case 10 -> restart(anyNode());
+        default -> endOne();
+      }
+      fleet.runMillis(100 + random.nextInt(900));
+    }
+
+    private void submitNew() {
+      String id = "job" + nextJob++;
+      JobSpec job = JobFleet.job(id, 1, 1 + random.nextInt(20), 1 + random.nextInt(20), 3, 60);
+      Seen seen = new Seen(job);
+      jobs.put(job.id(), seen);
+      seen.replies.add(anyNode().jobs().submit(job, PATIENCE));
+    }
+
+    private void submitAgain() {
+      for (Seen seen : jobs.values()) {
+        seen.replies.add(anyNode().jobs().submit(seen.job, PATIENCE));
+      }
+    }
+
+    private void read(Seen seen) {
+      JobFleet.Node node = anyNode();
+      Result<ResultSlice> result = fleet.await(node.jobs().read(seen.job.id(), 0, Duration.ZERO));
+      if (result instanceof Result.Failure<ResultSlice> failure) {
+        boolean isUnknown = failure.error().code() == ResultCode.UNKNOWN_JOB;
+        assertWithMessage("an accepted job is unknown at %s", node.name())
+            .that(isUnknown && seen.isAccepted())
+            .isFalse();
+        return;
+      }
+      check(seen, ((Result.Success<ResultSlice>) result).value().results());
+    }
+
+    private static void check(Seen seen, ImmutableList<ItemResult> results) {
+      Set<ItemId> items = new HashSet<>();
+      for (int i = 0; i < results.size(); i++) {
+        ItemResult result = results.get(i);
+        assertThat(items.add(result.item())).isTrue();
+        if (i < seen.results.size()) {
+          assertThat(result.item()).isEqualTo(seen.results.get(i).item());
+        } else {
+          seen.results.add(result);
+        }
+        if (result.isComplete()) {
+          ItemSpec item =
+              seen.job.items().stream()
+                  .filter(spec -> spec.id().equals(result.item()))
+                  .findFirst()
+                  .get();
+          assertThat(new String(result.text(), UTF_8)).isEqualTo(SimulatedServers.text(item));
+        }
+      }
+    }
+
+    private void fault(JobFleet.Node node, WriteFault fault) {
+      node.store().setWriteFault(fault, Duration.ofMillis(500 + random.nextInt(5_000)));
+      fleet.runMillis(random.nextInt(2_000));
+      node.store().setWriteFault(WriteFault.NONE, Duration.ZERO);
+    }
+
+    private void refuse(JobFleet.Node node) {
+      node.store().setRefused(true);
+      node.cutLinks(random.nextBoolean());
+      fleet.runMillis(random.nextInt(5_000));
+      node.store().setRefused(false);
+      node.cutLinks(false);
+    }
+
+    private void pause(JobFleet.Node node) {
+      node.pause();
+      fleet.runMillis(random.nextInt(8_000));
+      node.resume();
+    }
+
+    private void restart(JobFleet.Node node) {
+      if (random.nextInt(4) == 0) {
+        fleet.alive().forEach(JobFleet.Node::kill);
+        for (String name : List.of("vm-1", "vm-2", "vm-3")) {
+          fleet.start(name);
+        }
+      } else if (random.nextBoolean()) {
+        node.leave();
+        fleet.runMillis(1_500);
+        node.kill();
+        fleet.start(node.name());
+      } else {
+        node.kill();
+        fleet.runMillis(random.nextInt(2_000));
+        fleet.start(node.name());
+      }
+      fleet.runMillis(300);
+      addServers();
+    }
+
+    private void endOne() {
+      for (Seen seen : jobs.values()) {
+        if (!seen.isEnded && random.nextInt(3) == 0) {
+          Result<JobDone> ended = fleet.await(anyNode().jobs().end(seen.job.id()));
+          seen.isEnded = ended instanceof Result.Success;
+          return;
+        }
+      }
+    }
+
+    private void finish() {
+      fleet.run(Duration.ofSeconds(45));
+      for (Seen seen : jobs.values()) {
+        for (JobFleet.Node node : fleet.alive()) {
+          Result<ResultSlice> last = fleet.await(node.jobs().read(seen.job.id(), 0, Duration.ZERO));
+          if (last instanceof Result.Success<ResultSlice> success) {
+            check(seen, success.value().results());
+            assertThat(success.value().results().size()).isAtLeast(seen.results.size());
+          } else {
+            assertWithMessage("job %s is lost at %s", seen.job.id(), node.name())
+                .that(seen.isAccepted())
+                .isFalse();
+          }
+        }
+        if (seen.isRefusedAlways()) {
+          for (ItemSpec item : seen.job.items()) {
+            assertThat(fleet.servers().starts(item.id())).isEqualTo(0);
+          }
+        } else if (seen.isAccepted() && !seen.isEnded) {
+          assertThat(seen.results).hasSize(seen.job.items().size());
+        }
+      }
+    }
+  }
+
+  @Property(tries = 60, seed = "20261204")
+  void jobsAreAcceptedOnceAndResultsNeverChange(@ForAll long seed) {
+    Play play = new Play(seed);
+    for (int i = 0; i < STEPS; i++) {
+      play.step();
+    }
+    play.finish();
+  }
+}
--- /dev/null
+++ b/amaranthstream/src/test/java/org/amaranthstream/jobs/JobServiceTest.java
@@ -0,0 +1,361 @@
+package org.amaranthstream.jobs;
+
+import static com.google.common.truth.Truth.assertThat;
+import static java.nio.charset.StandardCharsets.UTF_8;
+
+import com.google.common.collect.ImmutableList;
+import java.time.Duration;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import org.amaranthstream.ids.ItemId;
+import org.amaranthstream.ids.JobId;
+import org.amaranthstream.ids.WeightVersion;
+import org.amaranthstream.platform.SimulatedStoreClient.WriteFault;
+import org.amaranthstream.result.Result;
+import org.amaranthstream.result.ResultCode;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+class JobServiceTest {
+  private static final Duration PATIENCE = Duration.ofSeconds(4);
+  private static final JobId JOB = JobId.of("job");
+
+  private final JobFleet fleet = new JobFleet();
+  private JobFleet.Node first;
+  private JobFleet.Node second;
+
+  @BeforeEach
+  void start() {
+    first = fleet.start("vm-1");
+    second = fleet.start("vm-2");
+    fleet.runMillis(500);
+    fleet.addServer("s1", 4, 1);
+    fleet.addServer("s2", 4, 1);
+  }
+
+  private Result<JobDone> submit(JobFleet.Node node, JobSpec job) {
+    return fleet.await(node.jobs().submit(job, PATIENCE));
+  }
+
+  private static boolean isAccepted(Result<JobDone> result) {
+    return result.equals(Result.success(JobDone.ACCEPTED));
+  }
+
+  private static ResultCode code(Result<?> result) {
+    return ((Result.Failure<?>) result).error().code();
+  }
+
+  private static void assertWhole(JobSpec job, List<ItemResult> results) {
+    assertThat(results).hasSize(job.items().size());
+    for (ItemResult result : results) {
+      ItemSpec item =
+          job.items().stream().filter(i -> i.id().equals(result.item())).findFirst().get();
+      assertThat(new String(result.text(), UTF_8)).isEqualTo(SimulatedServers.text(item));
+      assertThat(result.isComplete()).isTrue();
+    }
+  }
+
+  private static List<ItemId> ids(List<ItemResult> results) {
+    return results.stream().map(ItemResult::item).toList();
+  }
+
+  @Nested
+  class Accepting {
+    private final JobSpec job = JobFleet.job("job", 1, 5, 5);
+
+    @Test
+    void acceptsAJobOnceHoweverOftenItComes() {
+      assertThat(isAccepted(submit(first, job))).isTrue();
+      assertThat(isAccepted(submit(first, job))).isTrue();
+      assertThat(isAccepted(submit(second, job))).isTrue();
+      fleet.run(Duration.ofSeconds(3));
+
+      assertThat(fleet.servers().starts(ItemId.of("job-0"))).isEqualTo(1);
+    }
+
+    @Test
+    void acceptsAfterALostAnswerWithoutASecondJob() {
+      first.store().setWriteFault(WriteFault.ANSWER_LOST, Duration.ZERO);
+      CompletableFuture<Result<JobDone>> reply = first.jobs().submit(job, PATIENCE);
+      fleet.runMillis(500);
+      first.store().setWriteFault(WriteFault.NONE, Duration.ZERO);
+
+      assertThat(isAccepted(fleet.await(reply))).isTrue();
+    }
+
+    @Test
+    void refusesWhatNobodyCanStore() {
+      first.store().setRefused(true);
+      second.store().setRefused(true);
+      Result<JobDone> refused = submit(first, job);
+      first.store().setRefused(false);
+      second.store().setRefused(false);
+      fleet.run(Duration.ofSeconds(40));
+
+      assertThat(code(refused)).isEqualTo(ResultCode.NOT_RUN_OVERLOADED);
+      assertThat(fleet.servers().starts(ItemId.of("job-0"))).isEqualTo(0);
+    }
+
+    @Test
+    void promisesNothingIfTheStoreMayStillTakeTheJob() {
+      first.store().setSilent(true);
+      second.store().setSilent(true);
+
+      assertThat(code(submit(first, job))).isEqualTo(ResultCode.OUTCOME_UNKNOWN_DEADLINE);
+    }
+
+    @Test
+    void runsAJobThatTheStoreTookAfterItsCallerWasToldNothing() {
+      first.store().setWriteFault(WriteFault.APPLIED_LATE, Duration.ofSeconds(8));
+      first.cutLinks(true);
+      Result<JobDone> reply = submit(first, job);
+      first.store().setWriteFault(WriteFault.NONE, Duration.ZERO);
+      fleet.run(Duration.ofSeconds(20));
+
+      assertThat(reply).isInstanceOf(Result.Failure.class);
+      assertWhole(job, fleet.read(first, JOB));
+    }
+
+    @Test
+    void letsAPeerAcceptWhatThisDaemonCannotStore() {
+      first.store().setSilent(true);
+
+      assertThat(isAccepted(submit(first, job))).isTrue();
+      fleet.run(Duration.ofSeconds(3));
+      assertThat(second.owns(JOB)).isTrue();
+    }
+  }
+
+  @Nested
+  class Results {
+    private final JobSpec job = JobFleet.job("job", 1, 5, 40, 3, 7);
+
+    @Test
+    void areTheSameAtEveryDaemon() {
+      submit(first, job);
+      fleet.run(Duration.ofSeconds(3));
+
+      ImmutableList<ItemResult> own = fleet.read(first, JOB);
+      assertWhole(job, own);
+      assertThat(ids(fleet.read(second, JOB))).isEqualTo(ids(own));
+    }
+
+    @Test
+    void comeFromTheStoreIfTheOwnerIsCutOff() {
+      submit(first, job);
+      fleet.run(Duration.ofSeconds(3));
+      first.cutLinks(true);
+
+      assertWhole(job, fleet.read(second, JOB));
+    }
+
+    @Test
+    void areNotShownBeforeTheStoreHasThem() {
+      submit(first, job);
+      first.store().setSilent(true);
+      fleet.run(Duration.ofMillis(2_500));
+
+      assertThat(fleet.read(second, JOB)).isEmpty();
+    }
+
+    @Test
+    void nameTheVersionsThatMadeThem() {
+      fleet.servers().setVersion("s1", 4);
+      fleet.servers().setVersion("s2", 4);
+      submit(first, job);
+      fleet.run(Duration.ofSeconds(3));
+
+      for (ItemResult result : fleet.read(first, JOB)) {
+        assertThat(result.versions()).containsExactly(WeightVersion.of(4));
+      }
+    }
+
+    @Test
+    void neverHoldTextOfAVersionThatIsTooOld() {
+      JobSpec fresh = JobFleet.job("job", 3, 5, 5);
+      fleet.servers().setVersion("s1", 2);
+      fleet.addServer("s3", 1, 3);
+      submit(first, fresh);
+      fleet.run(Duration.ofSeconds(6));
+
+      ImmutableList<ItemResult> results = fleet.read(first, JOB);
+      assertWhole(fresh, results);
+      for (ItemResult result : results) {
+        assertThat(result.versions()).containsExactly(WeightVersion.of(3));
+      }
+    }
+
+    @Test
+    void unknownJobIsUnknownAndAStoreThatIsAwayIsNoProof() {
+      assertThat(code(fleet.await(first.jobs().read(JOB, 0, Duration.ZERO))))
+          .isEqualTo(ResultCode.UNKNOWN_JOB);
+      first.store().setRefused(true);
+      assertThat(code(fleet.await(first.jobs().read(JOB, 0, Duration.ZERO))))
+          .isEqualTo(ResultCode.PLATFORM_UNAVAILABLE);
+    }
+
+    @Test
+    void bodyOfAnItemComesBackUnchanged() {
+      submit(first, job);
+
+      for (JobFleet.Node node : List.of(first, second)) {
+        Result<byte[]> body = fleet.await(node.jobs().body(JOB, ItemId.of("job-1")));
+        assertThat(new String(((Result.Success<byte[]>) body).value(), UTF_8))
+            .isEqualTo("body of job-1");
+      }
+    }
+  }
+
+  @Nested
+  class Items {
+    @Test
+    void longestStartFirst() {
+      JobSpec job = JobFleet.job("job", 1, 3, 4, 90, 5, 6, 7, 8, 9, 80, 10, 11, 12);
+      submit(first, job);
+      fleet.runMillis(20);
+
+      assertThat(fleet.servers().order().subList(0, 2))
+          .containsExactly(ItemId.of("job-2"), ItemId.of("job-8"))
+          .inOrder();
+    }
+
+    @Test
+    void goOnElsewhereWhenTheirServerFallsSilent() {
+      JobSpec job = JobFleet.job("job", 1, 30, 30);
+      submit(first, job);
+      fleet.runMillis(200);
+      fleet.servers().silence("s1");
+      fleet.run(Duration.ofSeconds(8));
+
+      assertWhole(job, fleet.read(first, JOB));
+    }
+
+    @Test
+    void moveAwayFromASlowServerOnceAnotherIsFree() {
+      fleet.servers().setPace("s1", Duration.ofMillis(300));
+      JobSpec job = JobFleet.job("job", 1, 60, 60, 60, 60);
+      submit(first, job);
+      fleet.run(Duration.ofSeconds(8));
+
+      assertWhole(job, fleet.read(first, JOB));
+    }
+
+    @Test
+    void areGivenUpAfterTheRoutesAttempts() {
+      JobSpec job = JobFleet.job("job", 1, 3, 3);
+      fleet.servers().setEnd(ItemId.of("job-0"), new ItemEnd.Failed(500));
+      submit(first, job);
+      fleet.run(Duration.ofSeconds(10));
+
+      assertThat(fleet.servers().starts(ItemId.of("job-0"))).isEqualTo(3);
+      assertThat(fleet.read(first, JOB)).hasSize(2);
+    }
+
+    @Test
+    void areGivenUpAtOnceIfTheyCanNeverBeDone() {
+      JobSpec job = JobFleet.job("job", 1, 3, 3);
+      fleet.servers().setEnd(ItemId.of("job-0"), new ItemEnd.Impossible());
+      submit(first, job);
+      fleet.run(Duration.ofSeconds(10));
+
+      assertThat(fleet.servers().starts(ItemId.of("job-0"))).isEqualTo(1);
+    }
+  }
+
+  @Nested
+  class Ends {
+    private final JobSpec job = JobFleet.job("job", 1, 500, 500);
+
+    @Test
+    void stopTheItemsWhicheverDaemonIsTold() {
+      submit(first, job);
+      fleet.runMillis(100);
+      Result<JobDone> ended = fleet.await(second.jobs().end(JOB));
+      fleet.run(Duration.ofSeconds(30));
+
+      assertThat(ended).isEqualTo(Result.success(JobDone.ENDED));
+      assertThat(fleet.read(first, JOB)).isEmpty();
+    }
+
+    @Test
+    void reachAnOwnerThatIsCutOffFromTheOthers() {
+      submit(first, job);
+      fleet.runMillis(100);
+      first.cutLinks(true);
+      Result<JobDone> ended = fleet.await(second.jobs().end(JOB));
+      fleet.run(Duration.ofSeconds(2));
+
+      assertThat(ended).isEqualTo(Result.success(JobDone.ENDED));
+      assertThat(first.jobs().describe().get(0).isEnded()).isTrue();
+    }
+
+    @Test
+    void mayBeRepeated() {
+      submit(first, job);
+      fleet.await(second.jobs().end(JOB));
+
+      assertThat(fleet.await(first.jobs().end(JOB))).isEqualTo(Result.success(JobDone.ENDED));
+      assertThat(fleet.await(second.jobs().end(JOB))).isEqualTo(Result.success(JobDone.ENDED));
+    }
+  }
+
+  @Nested
+  class Takeovers {
+    private final JobSpec job = JobFleet.job("job", 1, 5, 90, 90, 3);
+
+    @Test
+    void jobOfAKilledDaemonIsFinishedByAnother() {
+      submit(first, job);
+      fleet.runMillis(800);
+      ImmutableList<ItemResult> before = fleet.read(second, JOB);
+      first.kill();
+      fleet.run(Duration.ofSeconds(15));
+
+      ImmutableList<ItemResult> after = fleet.read(second, JOB);
+      assertWhole(job, after);
+      assertThat(ids(after).subList(0, before.size())).isEqualTo(ids(before));
+    }
+
+    @Test
+    void jobsSurviveTheEndOfAllDaemons() {
+      submit(first, job);
+      first.kill();
+      second.kill();
+      fleet.runMillis(800);
+      JobFleet.Node third = fleet.start("vm-1");
+      fleet.start("vm-2");
+      fleet.runMillis(500);
+      fleet.addServer("s1", 4, 1);
+      fleet.run(Duration.ofSeconds(15));
+
+      assertWhole(job, fleet.read(third, JOB));
+    }
+
+    @Test
+    void ownerThatWasSuspendedListsNothingMore() {
+      submit(first, job);
+      fleet.runMillis(800);
+      first.pause();
+      fleet.run(Duration.ofSeconds(12));
+      ImmutableList<ItemResult> taken = fleet.read(second, JOB);
+      first.resume();
+      fleet.run(Duration.ofSeconds(5));
+
+      assertWhole(job, taken);
+      assertThat(ids(fleet.read(second, JOB))).isEqualTo(ids(taken));
+      assertThat(first.owns(JOB)).isFalse();
+    }
+
+    @Test
+    void leavingDaemonPassesItsTextOn() {
+      submit(first, job);
+      fleet.runMillis(1_000);
+      first.leave();
+      fleet.run(Duration.ofMillis(1_600));
+
+      assertThat(second.owns(JOB)).isTrue();
+      assertWhole(job, fleet.read(second, JOB));
+    }
+  }
+}
--- /dev/null
+++ b/amaranthstream/src/test/java/org/amaranthstream/jobs/SimulatedServers.java
@@ -0,0 +1,159 @@
+package org.amaranthstream.jobs;
+
+import com.google.common.collect.ImmutableMap;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import org.amaranthstream.ids.AvailabilityZoneId;
+import org.amaranthstream.ids.BackendServerId;
+import org.amaranthstream.ids.ItemId;
+import org.amaranthstream.ids.ModelId;
+import org.amaranthstream.ids.ServiceId;
+import org.amaranthstream.ids.WeightVersion;
+import org.amaranthstream.servers.ServerEntry;
+import org.amaranthstream.servers.TrackedServer;
+import org.amaranthstream.time.TimerService;
+
+/** Engines in virtual time that generate a known text for each item, event by event. */
+final class SimulatedServers implements ItemTransport {
+  static final ServiceId SERVICE = ServiceId.of("engine");
+  static final ModelId MODEL = ModelId.of("model");
+  private static final Duration FIRST = Duration.ofMillis(10);
+
+  private final TimerService timers;
+  private final Map<BackendServerId, Long> versions = new HashMap<>();
+  private final Map<BackendServerId, Duration> paces = new HashMap<>();
+  private final Set<BackendServerId> silent = new LinkedHashSet<>();
+  private final Map<ItemId, ItemEnd> ends = new HashMap<>();
+  private final Map<ItemId, Integer> starts = new HashMap<>();
+  private final List<ItemId> order = new ArrayList<>();
+
+  SimulatedServers(TimerService timers) {
+    this.timers = timers;
+  }
+
+  static ServerEntry entry(String id, int slots, long version) {
+    return new ServerEntry(
+        BackendServerId.of(id),
+        1,
+        SERVICE,
+        "10.0.0.9",
+        8080,
+        AvailabilityZoneId.of("a"),
+        slots,
+        false,
+        ImmutableMap.of(MODEL, WeightVersion.of(version)));
+  }
+
+  /** Returns the number of events of an item. */
+  static int events(ItemSpec item) {
+    return (int) item.expectedTokens().orElse(1);
+  }
+
+  /** Returns the whole text of an item. */
+  static String text(ItemSpec item) {
+    StringBuilder text = new StringBuilder();
+    for (int i = 1; i <= events(item); i++) {
+      text.append(i == 1 ? "" : "\n").append(item.id()).append('.').append(i);
+    }
+    return text.toString();
+  }
+
+  void setVersion(String server, long version) {
+    versions.put(BackendServerId.of(server), version);
+  }
+
+  void setPace(String server, Duration perEvent) {
+    paces.put(BackendServerId.of(server), perEvent);
+  }
+
+  /** Lets the server send nothing more. */
+  void silence(String server) {
+    silent.add(BackendServerId.of(server));
+  }
+
+  /** Lets every run of the item end so at once. */
+  void setEnd(ItemId item, ItemEnd end) {
+    ends.put(item, end);
+  }
+
+  /** Returns the number of runs of an item that were started. */
+  int starts(ItemId item) {
+    return starts.getOrDefault(item, 0);
+  }
+
+  /** Returns the items in the order of their starts. */
+  List<ItemId> order() {
+    return order;
+  }
+
+  @Override
+  public Run start(TrackedServer server, ItemRequest request, ItemListener listener) {
+    starts.merge(request.item().id(), 1, Integer::sum);
+    order.add(request.item().id());
+    Stream stream = new Stream(server, request, listener);
+    timers.after(FIRST, stream::begin);
+    return stream;
+  }
+
+  private final class Stream implements Run {
+    private final TrackedServer server;
+    private final ItemRequest request;
+    private final ItemListener listener;
+    private long next;
+    private boolean isOver;
+
+    private Stream(TrackedServer server, ItemRequest request, ItemListener listener) {
+      this.server = server;
+      this.request = request;
+      this.listener = listener;
+      this.next = request.lastEvent() + 1;
+    }
+
+    private void begin() {
+      if (isOver || silent.contains(server.id())) {
+        return;
+      }
+      ItemEnd end = ends.get(request.item().id());
+      if (end != null) {
+        isOver = true;
+        listener.onEnded(end);
+        return;
+      }
+      listener.onStarted(Optional.of(version()));
+      step();
+    }
+
+    private WeightVersion version() {
+      long told = server.version(MODEL).map(WeightVersion::value).orElse(1L);
+      return WeightVersion.of(versions.getOrDefault(server.id(), told));
+    }
+
+    private void step() {
+      if (isOver || silent.contains(server.id())) {
+        return;
+      }
+      if (next > events(request.item())) {
+        isOver = true;
+        listener.onEnded(new ItemEnd.Complete());
+        return;
+      }
+      String data = request.item().id() + "." + next;
+      listener.onEvent(
+          new ItemEvent(next, data.getBytes(StandardCharsets.UTF_8), Optional.of(version())));
+      next++;
+      timers.after(paces.getOrDefault(server.id(), Duration.ofMillis(20)), this::step);
+    }
+
+    @Override
+    public void cancel() {
+      isOver = true;
+    }
+  }
+}
--- /dev/null
+++ b/amaranthstream/src/test/java/org/amaranthstream/servers/ServerDirectoryTest.java
@@ -0,0 +1,117 @@
+package org.amaranthstream.servers;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import com.google.common.collect.ImmutableMap;
+import java.time.Duration;
+import org.amaranthstream.ids.AvailabilityZoneId;
+import org.amaranthstream.ids.BackendServerId;
+import org.amaranthstream.ids.ServiceId;
+import org.amaranthstream.time.VirtualTimerService;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+class ServerDirectoryTest {
+  private static final ServiceId SERVICE = ServiceId.of("portal");
+  private static final int PORT = 8080;
+
+  private final VirtualTimerService timers = VirtualTimerService.create();
+  private boolean wasStoreAway;
+  private final ServerDirectory directory = ServerDirectory.create(timers, () -> wasStoreAway);
+
+  static ServerEntry entry(String id, long born, boolean isDraining) {
+    return new ServerEntry(
+        BackendServerId.of(id),
+        born,
+        SERVICE,
+        "10.0.0.9",
+        PORT,
+        AvailabilityZoneId.of("a"),
+        4,
+        isDraining,
+        ImmutableMap.of());
+  }
+
+  private int open() {
+    return directory.open(SERVICE).size();
+  }
+
+  @Nested
+  class Draining {
+    @Test
+    void serverThatDrainsTakesNoMore() {
+      directory.onEntry(entry("s", 1, false));
+      directory.onEntry(entry("s", 1, true));
+
+      assertThat(open()).isEqualTo(0);
+    }
+
+    @Test
+    void serverNeverStopsToDrain() {
+      directory.onEntry(entry("s", 1, true));
+      directory.onEntry(entry("s", 1, false));
+
+      assertThat(open()).isEqualTo(0);
+    }
+
+    @Test
+    void nextIncarnationUnderTheSameNameIsOpen() {
+      directory.onEntry(entry("s", 1, true));
+      directory.onEntry(entry("s", 2, false));
+
+      assertThat(open()).isEqualTo(1);
+    }
+
+    @Test
+    void earlierIncarnationIsGone() {
+      directory.onEntry(entry("s", 1, false));
+      TrackedServer first = directory.open(SERVICE).get(0);
+      directory.onEntry(entry("s", 2, false));
+
+      assertThat(first.isOpen()).isFalse();
+    }
+  }
+
+  @Nested
+  class VanishedEntries {
+    @Test
+    void serverIsGoneAtOnce() {
+      directory.onEntry(entry("s", 1, false));
+      directory.onEntryRemoved(BackendServerId.of("s"));
+
+      assertThat(open()).isEqualTo(0);
+    }
+
+    @Test
+    void serverStaysForAWhileIfTheStoreWasAway() {
+      directory.onEntry(entry("s", 1, false));
+      wasStoreAway = true;
+      directory.onEntryRemoved(BackendServerId.of("s"));
+      timers.advance(Duration.ofSeconds(2));
+      assertThat(open()).isEqualTo(1);
+
+      timers.advance(Duration.ofMillis(500));
+      assertThat(open()).isEqualTo(0);
+    }
+
+    @Test
+    void serverThatRegistersAgainInTimeStays() {
+      directory.onEntry(entry("s", 1, false));
+      wasStoreAway = true;
+      directory.onEntryRemoved(BackendServerId.of("s"));
+      timers.advance(Duration.ofSeconds(1));
+      directory.onEntry(entry("s", 1, false));
+      timers.advance(Duration.ofSeconds(10));
+
+      assertThat(open()).isEqualTo(1);
+    }
+
+    @Test
+    void serverWhoseAddressAnswersAsAnotherIsGone() {
+      directory.onEntry(entry("s", 1, false));
+      directory.onReplaced(directory.open(SERVICE).get(0));
+
+      assertThat(open()).isEqualTo(0);
+    }
+  }
+}
