--- a/amaranthstream-bench/src/main/java/org/amaranthstream/bench/Main.java
+++ b/amaranthstream-bench/src/main/java/org/amaranthstream/bench/Main.java
@@ -18,7 +18,7 @@
   /** Runs the command line and exits with the command's status. */
   public static void main(String[] args) {
     LogSetup.prepare();
-    LogSetup.install(Level.INFO);
+    LogSetup.install(Level.INFO, System.err);
     ArgumentParser parser =
         ArgumentParsers.newFor("amaranthstream-bench")
             .build()
--- a/amaranthstream-bench/src/main/java/org/amaranthstream/bench/experiment/ExperimentDaemon.java
+++ b/amaranthstream-bench/src/main/java/org/amaranthstream/bench/experiment/ExperimentDaemon.java
@@ -18,12 +18,12 @@
   /** Runs until it is stopped; the arguments are the settings file and the name of the policy. */
   public static void main(String[] args) {
     LogSetup.prepare();
-    LogSetup.install(Level.INFO);
+    LogSetup.install(Level.INFO, System.out);
     Policy policy = Policy.of(args[1]);
     Result<Settings> settings = SettingsLoader.load(Path.of(args[0]));
     ErrorDetail error =
         settings instanceof Result.Success<Settings> success
-            ? DaemonProcess.run(success.value(), policy.policies(), System.out)
+            ? DaemonProcess.run(success.value(), policy.policies())
             : ((Result.Failure<Settings>) settings).error();
     System.err.println(error);
     System.exit(EXIT_NOT_STARTED);
--- a/amaranthstream-bench/src/main/java/org/amaranthstream/bench/experiment/JavaProcess.java
+++ b/amaranthstream-bench/src/main/java/org/amaranthstream/bench/experiment/JavaProcess.java
@@ -6,7 +6,9 @@
 import java.io.File;
 import java.io.IOException;
 import java.io.InputStreamReader;
+import java.io.PrintWriter;
 import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
 import java.nio.file.Path;
 import java.time.Duration;
 import java.util.List;
@@ -27,6 +29,8 @@
           "-Xss512k",
           "-XX:+ExitOnOutOfMemoryError");
 
+  private static final String STARTED = "event=started";
+
   private final String name;
   private final Process process;
   private final CompletableFuture<Map<String, String>> started = new CompletableFuture<>();
@@ -51,9 +55,9 @@
             .addAll(arguments)
             .build();
     Process process =
-        new ProcessBuilder(command).redirectError(log.toFile()).redirectInput(nullFile()).start();
+        new ProcessBuilder(command).redirectErrorStream(true).redirectInput(nullFile()).start();
     JavaProcess started = new JavaProcess(name, process);
-    Thread reader = new Thread(started::readOutput, "output-" + name);
+    Thread reader = new Thread(() -> started.readOutput(log), "output-" + name);
     reader.setDaemon(true);
     reader.start();
     return started;
@@ -106,14 +110,18 @@
     process.onExit().orTimeout(EXIT_SECONDS, TimeUnit.SECONDS).join();
   }
 
-  private void readOutput() {
+  private void readOutput(Path log) {
     try (BufferedReader lines =
-        new BufferedReader(
-            new InputStreamReader(process.getInputStream(), StandardCharsets.UTF_8))) {
+            new BufferedReader(
+                new InputStreamReader(process.getInputStream(), StandardCharsets.UTF_8));
+        PrintWriter copy = new PrintWriter(Files.newBufferedWriter(log), true)) {
       String line = lines.readLine();
       while (line != null) {
-        if (line.startsWith("event=started")) {
-          started.complete(Splitter.on(' ').withKeyValueSeparator('=').split(line));
+        copy.println(line);
+        int event = line.indexOf(STARTED);
+        if (event >= 0) {
+          String pairs = line.substring(event);
+          started.complete(Splitter.on(' ').withKeyValueSeparator('=').split(pairs));
         }
         line = lines.readLine();
       }
--- a/amaranthstream/src/main/java/org/amaranthstream/cli/Main.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/cli/Main.java
@@ -28,7 +28,7 @@
   }
 
   private static int run(ProcessRole role) {
-    LogSetup.install(Level.INFO);
+    LogSetup.install(Level.INFO, System.out);
     String settings = System.getenv(ProcessRole.SETTINGS_VARIABLE);
     if (settings == null) {
       System.err.printf("%s is not set%n", ProcessRole.SETTINGS_VARIABLE);
--- a/amaranthstream/src/main/java/org/amaranthstream/cli/ServeCommand.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/cli/ServeCommand.java
@@ -24,11 +24,10 @@
 
   @Override
   public ExitCode run(Namespace arguments, Terminal terminal) {
-    LogSetup.install(Level.INFO);
+    LogSetup.install(Level.INFO, terminal.out());
     Result<Settings> settings = SettingsLoader.load(Path.of(arguments.getString("settings")));
     if (settings instanceof Result.Success<Settings> success) {
-      return terminal.fail(
-          DaemonProcess.run(success.value(), PolicySet.standard(), terminal.out()));
+      return terminal.fail(DaemonProcess.run(success.value(), PolicySet.standard()));
     }
     return terminal.fail(((Result.Failure<Settings>) settings).error());
   }
--- a/amaranthstream/src/main/java/org/amaranthstream/daemon/DaemonProcess.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/daemon/DaemonProcess.java
@@ -1,7 +1,6 @@
 package org.amaranthstream.daemon;
 
 import com.google.common.util.concurrent.Uninterruptibles;
-import java.io.PrintStream;
 import java.util.concurrent.CountDownLatch;
 import org.amaranthstream.result.ErrorDetail;
 import org.amaranthstream.result.Result;
@@ -15,22 +14,17 @@
   private DaemonProcess() {}
 
   /**
-   * Starts a daemon, prints one line with its ports to {@code out}, and blocks until the process
-   * ends.
+   * Starts a daemon, which logs its ports, and blocks until the process ends.
    *
    * @return why the daemon cannot start
    */
-  public static ErrorDetail run(Settings settings, PolicySet policies, PrintStream out) {
+  public static ErrorDetail run(Settings settings, PolicySet policies) {
     Result<Daemon> started = Daemon.start(settings, policies);
     if (started instanceof Result.Failure<Daemon> failure) {
       return failure.error();
     }
     Daemon daemon = ((Result.Success<Daemon>) started).value();
     Runtime.getRuntime().addShutdownHook(new Thread(daemon::drain, "shutdown"));
-    out.printf(
-        "event=started role=daemon vm=%s port=%d peer_port=%d%n",
-        settings.vm(), daemon.httpPort(), daemon.peerPort());
-    out.flush();
     Uninterruptibles.awaitUninterruptibly(new CountDownLatch(1));
     throw new AssertionError("unreachable");
   }
--- a/amaranthstream/src/main/java/org/amaranthstream/daemon/HttpFront.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/daemon/HttpFront.java
@@ -13,6 +13,7 @@
 import org.amaranthstream.ingress.PullHandler;
 import org.amaranthstream.ingress.RequestKeyHandler;
 import org.amaranthstream.ingress.StepHandler;
+import org.amaranthstream.ingress.StrictFraming;
 import org.amaranthstream.ingress.VersionHandler;
 import org.amaranthstream.metrics.MetricsHandler;
 import org.amaranthstream.result.Result;
@@ -31,7 +32,9 @@
   private volatile boolean ready = true;
 
   private HttpFront(Settings settings, Core core) {
-    this.server = core.threads().vertx().createHttpServer(options(settings));
+    HttpServerOptions options = options(settings);
+    this.server = core.threads().vertx().createHttpServer(options);
+    this.server.connectionHandler(connection -> StrictFraming.apply(connection, options));
     this.server.requestHandler(newRouter(settings, core));
   }
 
@@ -41,6 +44,7 @@
         .setPort(settings.http().port())
         .setMaxHeaderSize(settings.limits().headerBytes())
         .setIdleTimeout(IDLE_TIMEOUT_SECONDS)
+        .setHttp2ClearTextEnabled(false)
         .setTcpNoDelay(true);
   }
 
--- a/amaranthstream/src/main/java/org/amaranthstream/ingress/IngressRoutes.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/ingress/IngressRoutes.java
@@ -46,6 +46,7 @@
 
   /** Mounts the routes on {@code router}. */
   public void mount(Router router) {
+    router.route().last().handler(UnknownPathHandler.INSTANCE);
     RoleGate caller = RoleGate.of(verifier, Role.CALLER, Role.TRAINER);
     RoleGate trainer = RoleGate.of(verifier, Role.TRAINER);
     chain(router, HttpMethod.POST, CALLS, caller, drainGate, body(), calls);
--- a/amaranthstream/src/main/java/org/amaranthstream/logs/LogSetup.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/logs/LogSetup.java
@@ -1,12 +1,14 @@
 package org.amaranthstream.logs;
 
-import java.util.logging.ConsoleHandler;
+import java.io.PrintStream;
 import java.util.logging.Handler;
 import java.util.logging.Level;
 import java.util.logging.Logger;
 
-/** Sets up the process's log: one line of key=value pairs per event on the standard error. */
+/** Sets up the process's log: one line of key=value pairs per event. */
 public final class LogSetup {
+  private static final int MAX_WAITING_LINES = 4_096;
+
   private LogSetup() {}
 
   /**
@@ -18,15 +20,15 @@
   }
 
   /** Replaces the handlers of the root logger; events below {@code level} are dropped. */
-  public static void install(Level level) {
+  public static void install(Level level, PrintStream out) {
     Logger root = Logger.getLogger("");
     for (Handler handler : root.getHandlers()) {
       root.removeHandler(handler);
     }
-    ConsoleHandler console = new ConsoleHandler();
-    console.setFormatter(new KeyValueFormatter());
-    console.setLevel(level);
-    root.addHandler(console);
+    QueuedLogHandler handler = QueuedLogHandler.start(MAX_WAITING_LINES, out);
+    handler.setLevel(level);
+    root.addHandler(handler);
+    Runtime.getRuntime().addShutdownHook(new Thread(handler::flush, "log-flush"));
     root.setLevel(level);
   }
 }
--- a/amaranthstream/src/main/java/org/amaranthstream/platform/PrefixMirror.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/platform/PrefixMirror.java
@@ -23,7 +23,7 @@
  * <p>Used on the thread of its timers, on which the store completes its futures too.
  *
  * <pre>{@code
- * PrefixMirror mirror = PrefixMirror.create(store, timers, "op/", timing, listener);
+ * PrefixMirror mirror = PrefixMirror.create(store, timers, "settings/", timing, listener);
  * mirror.start();
  * }</pre>
  */
--- /dev/null
+++ b/amaranthstream/src/test/java/org/amaranthstream/weights/SwapTest.java
@@ -0,0 +1,241 @@
+package org.amaranthstream.weights;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import com.google.common.collect.ImmutableMap;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import org.amaranthstream.ids.AvailabilityZoneId;
+import org.amaranthstream.ids.BackendServerId;
+import org.amaranthstream.ids.EntryVmId;
+import org.amaranthstream.ids.FencingNumber;
+import org.amaranthstream.ids.ModelId;
+import org.amaranthstream.ids.ServiceId;
+import org.amaranthstream.ids.WeightVersion;
+import org.amaranthstream.result.Result;
+import org.amaranthstream.servers.ServerDirectory;
+import org.amaranthstream.servers.ServerEntry;
+import org.amaranthstream.servers.TrackedServer;
+import org.amaranthstream.time.VirtualTimerService;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+class SwapTest {
+  private static final ModelId MODEL = ModelId.of("m");
+  private static final Duration LOAD = Duration.ofMillis(900);
+
+  private final VirtualTimerService timers = VirtualTimerService.create();
+  private final ServerDirectory directory = ServerDirectory.create(timers, () -> false);
+  private final NamedVersions named = NamedVersions.create();
+  private final VersionDemand demand = VersionDemand.create(named);
+  private final Engines engines = new Engines();
+  private Optional<FencingNumber> fence = Optional.of(FencingNumber.of(5));
+  private final WeightController controller =
+      WeightController.create(
+          EntryVmId.of("vm"),
+          named,
+          demand,
+          directory,
+          engines,
+          timers,
+          new DutyFence() {
+            @Override
+            public Optional<FencingNumber> current() {
+              return fence;
+            }
+
+            @Override
+            public Optional<FencingNumber> act() {
+              return fence;
+            }
+          });
+
+  /** Engines that check the expected number of orders, as real ones do. */
+  private final class Engines implements SwapTransport {
+    private final Map<BackendServerId, Long> versions = new HashMap<>();
+    private final Map<BackendServerId, Long> orders = new HashMap<>();
+    private final Map<BackendServerId, Boolean> busy = new HashMap<>();
+    private final List<BackendServerId> accepted = new ArrayList<>();
+    private int loading;
+    private int mostLoading;
+    private boolean isAnswerLost;
+    private Duration late = Duration.ZERO;
+
+    @Override
+    public CompletableFuture<Result<ServerReport>> report(TrackedServer server) {
+      BackendServerId id = server.id();
+      return CompletableFuture.completedFuture(
+          Result.success(
+              new ServerReport(
+                  busy.getOrDefault(id, false),
+                  orders.getOrDefault(id, 0L),
+                  ImmutableMap.of(MODEL, WeightVersion.of(versions.getOrDefault(id, 1L))))));
+    }
+
+    @Override
+    public CompletableFuture<SwapReply> order(
+        TrackedServer server, SwapRequest request, DutyFence gate) {
+      if (gate.act().isEmpty()) {
+        return CompletableFuture.completedFuture(SwapReply.NOT_ALLOWED);
+      }
+      if (isAnswerLost) {
+        timers.after(late, () -> apply(server.id(), request));
+        return CompletableFuture.completedFuture(SwapReply.UNKNOWN);
+      }
+      return CompletableFuture.completedFuture(apply(server.id(), request));
+    }
+
+    private SwapReply apply(BackendServerId id, SwapRequest request) {
+      boolean isExpected = orders.getOrDefault(id, 0L) == request.expectedOrders();
+      if (!isExpected || busy.getOrDefault(id, false)) {
+        return SwapReply.CONFLICT;
+      }
+      orders.merge(id, 1L, Long::sum);
+      accepted.add(id);
+      busy.put(id, true);
+      loading++;
+      mostLoading = Math.max(mostLoading, loading);
+      timers.after(
+          LOAD,
+          () -> {
+            busy.put(id, false);
+            loading--;
+            versions.put(id, request.version().value());
+          });
+      return SwapReply.STARTED;
+    }
+  }
+
+  @BeforeEach
+  void addServers() {
+    for (int i = 0; i < 6; i++) {
+      directory.onEntry(
+          new ServerEntry(
+              BackendServerId.of("s" + i),
+              1,
+              ServiceId.of("engine"),
+              "10.0.0.9",
+              8080,
+              AvailabilityZoneId.of("a"),
+              4,
+              false,
+              ImmutableMap.of(MODEL, WeightVersion.of(1))));
+    }
+    controller.start();
+  }
+
+  private void name(long version) {
+    named.name(MODEL, WeightVersion.of(version));
+    controller.plan();
+  }
+
+  private void run(double seconds) {
+    timers.advance(Duration.ofMillis((long) (seconds * 1000)));
+  }
+
+  private long at(long version) {
+    return engines.versions.values().stream().filter(v -> v == version).count();
+  }
+
+  @Nested
+  class Orders {
+    @Test
+    void bringAllEnginesToTheNamedVersionTwoAtATime() {
+      name(2);
+      run(10);
+
+      assertThat(at(2)).isEqualTo(6);
+      assertThat(engines.mostLoading).isEqualTo(2);
+      assertThat(engines.accepted).hasSize(6);
+    }
+
+    @Test
+    void skipVersionsThatWereNamedMeanwhile() {
+      name(2);
+      run(1);
+      name(3);
+      run(10);
+
+      assertThat(at(3)).isEqualTo(6);
+      // Four engines had loaded or begun to load version 2; the other two go to 3 at once.
+      assertThat(engines.accepted).hasSize(4 + 6);
+    }
+
+    @Test
+    void areNotSentWithoutTheDuty() {
+      fence = Optional.empty();
+      name(2);
+      run(10);
+
+      assertThat(engines.accepted).isEmpty();
+    }
+
+    @Test
+    void thatArriveLateChangeNothingMore() {
+      engines.isAnswerLost = true;
+      engines.late = Duration.ofSeconds(4);
+      name(2);
+      run(1);
+      engines.isAnswerLost = false;
+      run(20);
+
+      assertThat(at(2)).isEqualTo(6);
+      assertThat(engines.accepted).hasSize(6);
+    }
+  }
+
+  @Nested
+  class Demand {
+    @Test
+    void leavesEnginesThatAreFreshEnoughForTheNextJob() {
+      name(2);
+      run(10);
+      name(3);
+      demand.onJob(MODEL, WeightVersion.of(2));
+      run(0.5);
+      int before = engines.accepted.size();
+      run(10);
+
+      assertThat(engines.accepted.size() - before).isAtMost(1);
+      assertThat(at(2)).isAtLeast(3);
+    }
+
+    @Test
+    void swapsEnginesThatTheNextJobCannotUse() {
+      name(2);
+      run(10);
+      name(3);
+      demand.onJob(MODEL, WeightVersion.of(2));
+      run(10);
+      name(4);
+      run(10);
+
+      assertThat(at(2)).isEqualTo(0);
+    }
+
+    @Test
+    void followsTheStrictestJob() {
+      name(5);
+      demand.onJob(MODEL, WeightVersion.of(3));
+      demand.onJob(MODEL, WeightVersion.of(5));
+      demand.onJob(MODEL, WeightVersion.of(4));
+
+      assertThat(demand.oldestUseful(MODEL, WeightVersion.of(5)))
+          .isEqualTo(Optional.of(WeightVersion.of(5)));
+    }
+
+    @Test
+    void learnsNothingFromJobsThatAllowTheFirstVersion() {
+      name(2);
+      demand.onJob(MODEL, WeightVersion.of(1));
+
+      assertThat(demand.oldestUseful(MODEL, WeightVersion.of(2))).isEmpty();
+    }
+  }
+}
