--- a/amaranthstream/src/main/java/org/amaranthstream/fleet/RelayingStore.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/fleet/RelayingStore.java
@@ -237,7 +237,7 @@
   @Override
   public CompletableFuture<TransactionReply> transact(Transaction transaction) {
     StoreCall call =
-        StoreCall.newBuilder().setTransaction(StoreCallCodec.encode(transaction)).build();
+        StoreCall.newBuilder().setTransaction(StoreCallCodec.encodeCall(transaction)).build();
     if (monitor.isAway()) {
       return relay(call, RELAY_TIMEOUT).thenApply(StoreCallCodec::decodeTransaction);
     }
--- a/amaranthstream/src/main/java/org/amaranthstream/fleet/StoreCallCodec.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/fleet/StoreCallCodec.java
@@ -33,7 +33,7 @@
 final class StoreCallCodec {
   private StoreCallCodec() {}
 
-  static TransactionCall encode(Transaction transaction) {
+  static TransactionCall encodeCall(Transaction transaction) {
     TransactionCall.Builder call = TransactionCall.newBuilder();
     for (Transaction.Expectation expectation : transaction.expectations()) {
       call.addExpectation(
@@ -51,7 +51,7 @@
     return call.addAllRemoval(transaction.removals()).build();
   }
 
-  static Transaction decode(TransactionCall call) {
+  static Transaction decodeCall(TransactionCall call) {
     Transaction.Builder transaction = Transaction.builder();
     for (ExpectationRecord expectation : call.getExpectationList()) {
       transaction.expect(expectation.getKey(), Revision.of(expectation.getRevision()));
@@ -68,7 +68,7 @@
     return transaction.build();
   }
 
-  private static EntryRecord encode(KvEntry entry) {
+  private static EntryRecord record(KvEntry entry) {
     return EntryRecord.newBuilder()
         .setKey(entry.key())
         .setValue(ByteString.copyFrom(entry.value()))
@@ -76,20 +76,20 @@
         .build();
   }
 
-  private static KvEntry decode(EntryRecord entry) {
+  private static KvEntry entry(EntryRecord entry) {
     return new KvEntry(
         entry.getKey(), entry.getValue().toByteArray(), Revision.of(entry.getRevision()));
   }
 
-  private static ImmutableList<KvEntry> decode(EntryList list) {
+  private static ImmutableList<KvEntry> entries(EntryList list) {
     return list.getEntryList().stream()
-        .map(StoreCallCodec::decode)
+        .map(StoreCallCodec::entry)
         .collect(ImmutableList.toImmutableList());
   }
 
-  private static EntryList encode(List<KvEntry> entries) {
+  private static EntryList list(List<KvEntry> entries) {
     EntryList.Builder list = EntryList.newBuilder();
-    entries.forEach(entry -> list.addEntry(encode(entry)));
+    entries.forEach(entry -> list.addEntry(record(entry)));
     return list.build();
   }
 
@@ -106,14 +106,12 @@
       return notDone(failure.error());
     }
     Optional<KvEntry> entry = ((Result.Success<Optional<KvEntry>>) result).value();
-    return StoreAnswer.newBuilder()
-        .setEntries(encode(entry.map(List::of).orElse(List.of())))
-        .build();
+    return StoreAnswer.newBuilder().setEntries(list(entry.map(List::of).orElse(List.of()))).build();
   }
 
   static Result<Optional<KvEntry>> decodeEntry(StoreAnswer answer) {
     return answer.hasEntries()
-        ? Result.success(decode(answer.getEntries()).stream().findFirst())
+        ? Result.success(entries(answer.getEntries()).stream().findFirst())
         : failure(answer);
   }
 
@@ -123,7 +121,7 @@
     }
     KvPage page = ((Result.Success<KvPage>) result).value();
     EntryList.Builder list =
-        encode(page.entries()).toBuilder()
+        list(page.entries()).toBuilder()
             .setHasMore(page.hasMore())
             .setRevision(page.revision().value());
     return StoreAnswer.newBuilder().setEntries(list).build();
@@ -135,10 +133,10 @@
     }
     EntryList list = answer.getEntries();
     return Result.success(
-        new KvPage(decode(list), list.getHasMore(), Revision.of(list.getRevision())));
+        new KvPage(entries(list), list.getHasMore(), Revision.of(list.getRevision())));
   }
 
-  static StoreAnswer encode(WatchReply reply) {
+  static StoreAnswer encodeWatch(WatchReply reply) {
     if (reply instanceof WatchReply.HistoryLost) {
       return StoreAnswer.newBuilder().setHistoryLost(true).build();
     }
@@ -147,13 +145,13 @@
     }
     WatchReply.Changes changes = (WatchReply.Changes) reply;
     ChangeList.Builder list = ChangeList.newBuilder().setRevision(changes.revision().value());
-    changes.changes().forEach(change -> list.addChange(encode(change)));
+    changes.changes().forEach(change -> list.addChange(changeRecord(change)));
     return StoreAnswer.newBuilder().setChanges(list).build();
   }
 
-  private static ChangeRecord encode(KvChange change) {
+  private static ChangeRecord changeRecord(KvChange change) {
     if (change instanceof KvChange.Put put) {
-      return ChangeRecord.newBuilder().setPut(encode(put.entry())).build();
+      return ChangeRecord.newBuilder().setPut(record(put.entry())).build();
     }
     RemovalRecord removed =
         RemovalRecord.newBuilder()
@@ -163,9 +161,9 @@
     return ChangeRecord.newBuilder().setRemoved(removed).build();
   }
 
-  private static KvChange decode(ChangeRecord change) {
+  private static KvChange change(ChangeRecord change) {
     return change.hasPut()
-        ? new KvChange.Put(decode(change.getPut()))
+        ? new KvChange.Put(entry(change.getPut()))
         : new KvChange.Removed(
             change.getRemoved().getKey(), Revision.of(change.getRemoved().getRevision()));
   }
@@ -180,17 +178,17 @@
     ChangeList list = answer.getChanges();
     return new WatchReply.Changes(
         list.getChangeList().stream()
-            .map(StoreCallCodec::decode)
+            .map(StoreCallCodec::change)
             .collect(ImmutableList.toImmutableList()),
         Revision.of(list.getRevision()));
   }
 
-  static StoreAnswer encode(TransactionReply reply) {
+  static StoreAnswer encodeTransaction(TransactionReply reply) {
     StoreAnswer.Builder answer = StoreAnswer.newBuilder();
     if (reply instanceof TransactionReply.Committed committed) {
       answer.setCommitted(committed.revision().value());
     } else if (reply instanceof TransactionReply.Conflict conflict) {
-      answer.setConflict(encode(conflict.current()));
+      answer.setConflict(list(conflict.current()));
     } else if (reply instanceof TransactionReply.NotDone notDone) {
       answer.setNotDone(notDone.error().message());
     } else if (reply instanceof TransactionReply.Unknown unknown) {
@@ -204,7 +202,7 @@
   static TransactionReply decodeTransaction(StoreAnswer answer) {
     return switch (answer.getBodyCase()) {
       case COMMITTED -> new TransactionReply.Committed(Revision.of(answer.getCommitted()));
-      case CONFLICT -> new TransactionReply.Conflict(decode(answer.getConflict()));
+      case CONFLICT -> new TransactionReply.Conflict(entries(answer.getConflict()));
       case LEASE_ENDED -> new TransactionReply.LeaseEnded();
       case NOT_DONE -> new TransactionReply.NotDone(error(answer));
       default -> new TransactionReply.Unknown(error(answer));
@@ -230,7 +228,7 @@
         : failure(answer);
   }
 
-  static StoreAnswer encode(RenewalReply reply) {
+  static StoreAnswer encodeRenewal(RenewalReply reply) {
     if (reply instanceof RenewalReply.Renewed) {
       return done();
     }
--- a/amaranthstream/src/main/java/org/amaranthstream/fleet/StoreRelay.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/fleet/StoreRelay.java
@@ -74,17 +74,19 @@
                   call.getWatch().getPrefix(),
                   Revision.of(call.getWatch().getAfter()),
                   Duration.ofMillis(call.getWatch().getWaitMs()))
-              .thenApply(StoreCallCodec::encode);
+              .thenApply(StoreCallCodec::encodeWatch);
       case TRANSACTION ->
           direct
-              .transact(StoreCallCodec.decode(call.getTransaction()))
-              .thenApply(StoreCallCodec::encode);
+              .transact(StoreCallCodec.decodeCall(call.getTransaction()))
+              .thenApply(StoreCallCodec::encodeTransaction);
       case GRANT_TTL_MS ->
           direct
               .grantLease(Duration.ofMillis(call.getGrantTtlMs()))
               .thenApply(StoreCallCodec::encodeGrant);
       case RENEW_LEASE ->
-          direct.renewLease(LeaseId.of(call.getRenewLease())).thenApply(StoreCallCodec::encode);
+          direct
+              .renewLease(LeaseId.of(call.getRenewLease()))
+              .thenApply(StoreCallCodec::encodeRenewal);
       case END_LEASE ->
           direct.endLease(LeaseId.of(call.getEndLease())).thenApply(StoreCallCodec::encodeEnd);
       case BODY_NOT_SET ->
--- a/amaranthstream/src/main/java/org/amaranthstream/jobs/ItemScheduler.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/jobs/ItemScheduler.java
@@ -80,7 +80,7 @@
     jobs.removeIf(job -> !job.isRunnable() || !hasOpenItems(job));
     jobs.sort(JobOrder.at(now));
     for (OwnedJob job : ImmutableList.copyOf(jobs)) {
-      pump(job, now);
+      pumpJob(job, now);
     }
     isPumping = false;
     if (!jobs.isEmpty() && !isTicking) {
@@ -103,7 +103,7 @@
     return false;
   }
 
-  private void pump(OwnedJob job, long now) {
+  private void pumpJob(OwnedJob job, long now) {
     Optional<RoutingConfig> config = routing.current();
     if (config.isEmpty()) {
       return;
--- a/amaranthstream/src/main/java/org/amaranthstream/jobs/JobAcceptor.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/jobs/JobAcceptor.java
@@ -55,7 +55,7 @@
 
   /** Accepts a job; a job that was accepted before, here or elsewhere, is accepted again. */
   CompletableFuture<Result<JobDone>> submit(JobSpec spec, Duration patience) {
-    return submit(spec, patience, true);
+    return accept(spec, patience, true);
   }
 
   /** Accepts a job that another daemon passes on; it is not passed on further. */
@@ -64,10 +64,10 @@
       return CompletableFuture.completedFuture(
           Result.failure(ResultCode.NOT_RUN_OVERLOADED, "this daemon is about to end"));
     }
-    return submit(spec, patience, false);
+    return accept(spec, patience, false);
   }
 
-  private CompletableFuture<Result<JobDone>> submit(
+  private CompletableFuture<Result<JobDone>> accept(
       JobSpec spec, Duration patience, boolean mayRelay) {
     if (book.owned(spec.id()).isPresent() || book.owner(spec.id()).isPresent()) {
       return CompletableFuture.completedFuture(Result.success(JobDone.ACCEPTED));
--- a/amaranthstream/src/main/java/org/amaranthstream/jobs/JobCodec.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/jobs/JobCodec.java
@@ -29,7 +29,7 @@
 
   private JobCodec() {}
 
-  static JobRecord encode(JobSpec spec) {
+  static JobRecord encodeJob(JobSpec spec) {
     JobRecord.Builder builder =
         JobRecord.newBuilder()
             .setJob(spec.id().value())
@@ -39,11 +39,11 @@
             .setModel(spec.model().value())
             .setMinVersion(spec.minVersion().value())
             .setWantedGroups(spec.wantedGroups());
-    spec.items().forEach(item -> builder.addItem(encode(item)));
+    spec.items().forEach(item -> builder.addItem(encodeItem(item)));
     return builder.build();
   }
 
-  private static ItemRecord encode(ItemSpec item) {
+  private static ItemRecord encodeItem(ItemSpec item) {
     ItemRecord.Builder builder =
         ItemRecord.newBuilder()
             .setItem(item.id().value())
@@ -64,7 +64,7 @@
    *
    * @throws IllegalArgumentException if a part is out of range
    */
-  static JobSpec decode(JobRecord job) {
+  static JobSpec decodeJob(JobRecord job) {
     return new JobSpec(
         JobId.of(job.getJob()),
         job.getHost(),
@@ -73,10 +73,12 @@
         ModelId.of(job.getModel()),
         WeightVersion.of(job.getMinVersion()),
         job.getWantedGroups(),
-        job.getItemList().stream().map(JobCodec::decode).collect(ImmutableList.toImmutableList()));
+        job.getItemList().stream()
+            .map(JobCodec::decodeItem)
+            .collect(ImmutableList.toImmutableList()));
   }
 
-  private static ItemSpec decode(ItemRecord item) {
+  private static ItemSpec decodeItem(ItemRecord item) {
     ImmutableListMultimap.Builder<String, String> headers = ImmutableListMultimap.builder();
     item.getHeaderList().forEach(header -> headers.put(header.getName(), header.getValue()));
     return new ItemSpec(
@@ -91,7 +93,7 @@
         GroupId.of(item.getGroup()));
   }
 
-  static byte[] encode(JobOwner owner) {
+  static byte[] encodeOwner(JobOwner owner) {
     return ownerRecord(owner).toByteArray();
   }
 
@@ -133,7 +135,7 @@
         owner.getNonce());
   }
 
-  static PartialRecord encode(ItemPartial partial) {
+  static PartialRecord encodePartial(ItemPartial partial) {
     PartialRecord.Builder builder =
         PartialRecord.newBuilder()
             .setItem(partial.item().value())
@@ -144,7 +146,7 @@
     return builder.build();
   }
 
-  static ItemPartial decode(PartialRecord partial) {
+  static ItemPartial decodePartial(PartialRecord partial) {
     return new ItemPartial(
         ItemId.of(partial.getItem()),
         partial.getText().toByteArray(),
@@ -159,7 +161,7 @@
         .collect(ImmutableSortedSet.toImmutableSortedSet(WeightVersion::compareTo));
   }
 
-  static ResultRecord encode(ItemResult result) {
+  static ResultRecord encodeResult(ItemResult result) {
     ResultRecord.Builder builder =
         ResultRecord.newBuilder()
             .setItem(result.item().value())
@@ -169,7 +171,7 @@
     return builder.build();
   }
 
-  static ItemResult decode(ResultRecord result) {
+  static ItemResult decodeResult(ResultRecord result) {
     return new ItemResult(
         ItemId.of(result.getItem()),
         result.getComplete(),
@@ -179,13 +181,13 @@
 
   static byte[] encodePage(List<ItemResult> results, long nonce) {
     ResultPage.Builder page = ResultPage.newBuilder().setNonce(nonce);
-    results.forEach(result -> page.addResult(encode(result)));
+    results.forEach(result -> page.addResult(encodeResult(result)));
     return page.build().toByteArray();
   }
 
   static ImmutableList<ItemResult> decodePage(byte[] value) throws InvalidProtocolBufferException {
     return ResultPage.parseFrom(value).getResultList().stream()
-        .map(JobCodec::decode)
+        .map(JobCodec::decodeResult)
         .collect(ImmutableList.toImmutableList());
   }
 }
--- a/amaranthstream/src/main/java/org/amaranthstream/jobs/JobQuestions.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/jobs/JobQuestions.java
@@ -95,7 +95,7 @@
       return NOT_OWNER;
     }
     ReadAnswer.Builder answer = ReadAnswer.newBuilder().setTotal(success.value().total());
-    success.value().results().forEach(r -> answer.addResult(JobCodec.encode(r)));
+    success.value().results().forEach(r -> answer.addResult(JobCodec.encodeResult(r)));
     return JobAnswer.newBuilder().setRead(answer).build();
   }
 
@@ -118,7 +118,7 @@
             job, JobCodec.owner(question.getOwner()), Revision.of(question.getRevision()));
     ImmutableList<ItemPartial> partials =
         question.getPartialList().stream()
-            .map(JobCodec::decode)
+            .map(JobCodec::decodePartial)
             .collect(ImmutableList.toImmutableList());
     return service
         .takeOver(before, partials)
@@ -131,7 +131,7 @@
 
   private CompletableFuture<JobAnswer> submit(SubmitQuestion question) {
     return service
-        .submitForPeer(JobCodec.decode(question.getRecord()), SUBMIT_PATIENCE)
+        .submitForPeer(JobCodec.decodeJob(question.getRecord()), SUBMIT_PATIENCE)
         .thenApply(JobQuestions::submitted);
   }
 
--- a/amaranthstream/src/main/java/org/amaranthstream/jobs/JobStore.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/jobs/JobStore.java
@@ -49,7 +49,7 @@
   }
 
   static byte[] encodeRecord(JobSpec spec) {
-    return Compression.compress(JobCodec.encode(spec).toByteArray());
+    return Compression.compress(JobCodec.encodeJob(spec).toByteArray());
   }
 
   /** Accepts a job unless it exists. */
@@ -58,7 +58,7 @@
     Transaction.Builder builder =
         Transaction.builder()
             .expectAbsent(JobKeys.owner(job))
-            .put(JobKeys.owner(job), JobCodec.encode(owner));
+            .put(JobKeys.owner(job), JobCodec.encodeOwner(owner));
     for (int part = 0; part < owner.parts(); part++) {
       int from = part * PART_BYTES;
       int to = Math.min(record.length, from + PART_BYTES);
@@ -74,7 +74,7 @@
     return runner.run(
         Transaction.builder()
             .expect(key, before.revision())
-            .put(key, JobCodec.encode(after))
+            .put(key, JobCodec.encodeOwner(after))
             .build(),
         patience);
   }
@@ -86,8 +86,8 @@
     return runner.run(
         Transaction.builder()
             .expect(key, before.revision())
-            .put(key, JobCodec.encode(after))
-            .put(FleetKeys.endedJob(before.job()), JobCodec.encode(after))
+            .put(key, JobCodec.encodeOwner(after))
+            .put(FleetKeys.endedJob(before.job()), JobCodec.encodeOwner(after))
             .build(),
         patience);
   }
@@ -161,7 +161,7 @@
 
   private static Result<JobSpec> spec(byte[] record) {
     try {
-      return Result.success(JobCodec.decode(JobRecord.parseFrom(Compression.expand(record))));
+      return Result.success(JobCodec.decodeJob(JobRecord.parseFrom(Compression.expand(record))));
     } catch (IOException | IllegalArgumentException e) {
       return Result.failure(ResultCode.INTERNAL, "a job's record cannot be read: " + e);
     }
--- a/amaranthstream/src/main/java/org/amaranthstream/jobs/RemoteJobs.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/jobs/RemoteJobs.java
@@ -69,7 +69,7 @@
             answer.getRead().getTotal(),
             position,
             answer.getRead().getResultList().stream()
-                .map(JobCodec::decode)
+                .map(JobCodec::decodeResult)
                 .collect(ImmutableList.toImmutableList())));
   }
 
@@ -112,7 +112,7 @@
   CompletableFuture<Result<JobDone>> submit(EntryVmId vm, JobSpec spec) {
     JobQuestion question =
         question(spec.id())
-            .setSubmit(SubmitQuestion.newBuilder().setRecord(JobCodec.encode(spec)))
+            .setSubmit(SubmitQuestion.newBuilder().setRecord(JobCodec.encodeJob(spec)))
             .build();
     return peers.ask(vm, question, SUBMIT_TIMEOUT).thenApply(r -> r.flatMap(RemoteJobs::accepted));
   }
@@ -146,7 +146,7 @@
         HandoverQuestion.newBuilder()
             .setOwner(JobCodec.ownerRecord(owner.owner()))
             .setRevision(owner.revision().value());
-    partials.forEach(partial -> handover.addPartial(JobCodec.encode(partial)));
+    partials.forEach(partial -> handover.addPartial(JobCodec.encodePartial(partial)));
     JobQuestion question = question(owner.job()).setHandover(handover).build();
     return peers.ask(vm, question, HANDOVER_TIMEOUT).thenApply(r -> r.flatMap(RemoteJobs::taken));
   }
--- a/amaranthstream/src/main/java/org/amaranthstream/weights/EngineSwap.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/weights/EngineSwap.java
@@ -107,7 +107,11 @@
         finish("held already");
       }
       case CONFLICT, UNKNOWN, UNKNOWN_VERSION -> timers.after(POLL, this::look);
-      case SERVER_REPLACED, FENCED, NOT_ALLOWED, NOT_SENT -> finish(reply.toString());
+      default -> {
+        // Without a pause the same order would be tried again at once.
+        server.onFailed(timers.nowNanos(), "order: " + reply);
+        finish(reply.toString());
+      }
     }
   }
 
--- a/amaranthstream/src/main/java/org/amaranthstream/weights/WeightController.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/weights/WeightController.java
@@ -83,10 +83,10 @@
     if (fence.current().isEmpty()) {
       return;
     }
-    named.newest().forEach(this::plan);
+    named.newest().forEach(this::planModel);
   }
 
-  private void plan(ModelId model, WeightVersion newest) {
+  private void planModel(ModelId model, WeightVersion newest) {
     while (swaps.size() < MAX_CONCURRENT) {
       long now = timers.nowNanos();
       Optional<TrackedServer> next =
@@ -98,11 +98,11 @@
       if (next.isEmpty()) {
         return;
       }
-      start(next.get(), model, newest);
+      startSwap(next.get(), model, newest);
     }
   }
 
-  private void start(TrackedServer server, ModelId model, WeightVersion version) {
+  private void startSwap(TrackedServer server, ModelId model, WeightVersion version) {
     logger.atInfo().log(
         "event=swap_started server=%s model=%s from=%s to=%s",
         server.id(), model, server.version(model), version);
--- a/amaranthstream/src/test/java/org/amaranthstream/fleet/HeldDutyTest.java
+++ b/amaranthstream/src/test/java/org/amaranthstream/fleet/HeldDutyTest.java
@@ -84,7 +84,7 @@
     }
 
     @Test
-    void adoptsATakeWhoseAnswerWasLost() {
+    void adoptsTakeWhoseAnswerWasLost() {
       first.start();
       runSeconds(0.2);
       first.store().setWriteFault(WriteFault.ANSWER_LOST, Duration.ZERO);
--- a/amaranthstream/src/test/java/org/amaranthstream/fleet/RelayingStoreTest.java
+++ b/amaranthstream/src/test/java/org/amaranthstream/fleet/RelayingStoreTest.java
@@ -81,7 +81,7 @@
     }
 
     @Test
-    void takesAConflictAsTheAnswer() {
+    void takesConflictAsTheAnswer() {
       state.put("a", new byte[0]);
 
       assertThat(await(store.transact(create("a")))).isInstanceOf(TransactionReply.Conflict.class);
@@ -97,12 +97,12 @@
     }
 
     @Test
-    void passesATransactionThroughAPeer() {
+    void passesTransactionThroughPeer() {
       assertThat(await(store.transact(create("a")))).isInstanceOf(TransactionReply.Committed.class);
     }
 
     @Test
-    void passesReadsThroughAPeer() {
+    void passesReadsThroughPeer() {
       state.put("a/1", "one".getBytes(UTF_8));
 
       Result<KvPage> page = await(store.range("a/", ""));
@@ -113,7 +113,7 @@
     }
 
     @Test
-    void keepsItsLeaseThroughAPeer() {
+    void keepsItsLeaseThroughPeer() {
       GrantedLease lease =
           ((Result.Success<GrantedLease>) await(store.grantLease(Duration.ofMinutes(1)))).value();
 
@@ -128,7 +128,7 @@
     }
 
     @Test
-    void doesNotKnowWhatAPeerDidThatWasLost() {
+    void doesNotKnowWhatPeerDidThatWasLost() {
       isPeerCut = true;
 
       assertThat(await(store.transact(create("a")))).isInstanceOf(TransactionReply.Unknown.class);
@@ -138,7 +138,7 @@
   @Nested
   class WhileTheStoreIsSilent {
     @Test
-    void doesNotRepeatATransactionThatMayTakeEffect() {
+    void doesNotRepeatTransactionThatMayTakeEffect() {
       own.setWriteFault(WriteFault.APPLIED_LATE, Duration.ofSeconds(3));
 
       assertThat(await(store.transact(create("a")))).isInstanceOf(TransactionReply.Unknown.class);
@@ -156,7 +156,7 @@
     }
 
     @Test
-    void watchesThroughAPeer() {
+    void watchesThroughPeer() {
       own.setSilent(true);
       monitor.onFailed("no answer");
       CompletableFuture<WatchReply> watch =
--- a/amaranthstream/src/test/java/org/amaranthstream/jobs/JobServiceTest.java
+++ b/amaranthstream/src/test/java/org/amaranthstream/jobs/JobServiceTest.java
@@ -65,7 +65,7 @@
     private final JobSpec job = JobFleet.job("job", 1, 5, 5);
 
     @Test
-    void acceptsAJobOnceHoweverOftenItComes() {
+    void acceptsJobOnceHoweverOftenItComes() {
       assertThat(isAccepted(submit(first, job))).isTrue();
       assertThat(isAccepted(submit(first, job))).isTrue();
       assertThat(isAccepted(submit(second, job))).isTrue();
@@ -75,7 +75,7 @@
     }
 
     @Test
-    void acceptsAfterALostAnswerWithoutASecondJob() {
+    void acceptsAfterLostAnswerWithoutSecondJob() {
       first.store().setWriteFault(WriteFault.ANSWER_LOST, Duration.ZERO);
       CompletableFuture<Result<JobDone>> reply = first.jobs().submit(job, PATIENCE);
       fleet.runMillis(500);
@@ -88,12 +88,11 @@
     void refusesWhatNobodyCanStore() {
       first.store().setRefused(true);
       second.store().setRefused(true);
-      Result<JobDone> refused = submit(first, job);
+      assertThat(code(submit(first, job))).isEqualTo(ResultCode.NOT_RUN_OVERLOADED);
+
       first.store().setRefused(false);
       second.store().setRefused(false);
       fleet.run(Duration.ofSeconds(40));
-
-      assertThat(code(refused)).isEqualTo(ResultCode.NOT_RUN_OVERLOADED);
       assertThat(fleet.servers().starts(ItemId.of("job-0"))).isEqualTo(0);
     }
 
@@ -106,7 +105,7 @@
     }
 
     @Test
-    void runsAJobThatTheStoreTookAfterItsCallerWasToldNothing() {
+    void runsJobThatTheStoreTookAfterItsCallerWasToldNothing() {
       first.store().setWriteFault(WriteFault.APPLIED_LATE, Duration.ofSeconds(8));
       first.cutLinks(true);
       Result<JobDone> reply = submit(first, job);
@@ -118,7 +117,7 @@
     }
 
     @Test
-    void letsAPeerAcceptWhatThisDaemonCannotStore() {
+    void letsPeerAcceptWhatThisDaemonCannotStore() {
       first.store().setSilent(true);
 
       assertThat(isAccepted(submit(first, job))).isTrue();
@@ -172,7 +171,7 @@
     }
 
     @Test
-    void neverHoldTextOfAVersionThatIsTooOld() {
+    void neverHoldTextOfVersionThatIsTooOld() {
       JobSpec fresh = JobFleet.job("job", 3, 5, 5);
       fleet.servers().setVersion("s1", 2);
       fleet.addServer("s3", 1, 3);
@@ -187,7 +186,7 @@
     }
 
     @Test
-    void unknownJobIsUnknownAndAStoreThatIsAwayIsNoProof() {
+    void unknownJobIsUnknownAndStoreThatIsAwayIsNoProof() {
       assertThat(code(fleet.await(first.jobs().read(JOB, 0, Duration.ZERO))))
           .isEqualTo(ResultCode.UNKNOWN_JOB);
       first.store().setRefused(true);
@@ -232,7 +231,7 @@
     }
 
     @Test
-    void moveAwayFromASlowServerOnceAnotherIsFree() {
+    void moveAwayFromSlowServerOnceAnotherIsFree() {
       fleet.servers().setPace("s1", Duration.ofMillis(300));
       JobSpec job = JobFleet.job("job", 1, 60, 60, 60, 60);
       submit(first, job);
@@ -305,16 +304,15 @@
     private final JobSpec job = JobFleet.job("job", 1, 5, 90, 90, 3);
 
     @Test
-    void jobOfAKilledDaemonIsFinishedByAnother() {
+    void jobOfKilledDaemonIsFinishedByAnother() {
       submit(first, job);
       fleet.runMillis(800);
-      ImmutableList<ItemResult> before = fleet.read(second, JOB);
+      List<ItemId> before = ids(fleet.read(second, JOB));
       first.kill();
       fleet.run(Duration.ofSeconds(15));
 
-      ImmutableList<ItemResult> after = fleet.read(second, JOB);
-      assertWhole(job, after);
-      assertThat(ids(after).subList(0, before.size())).isEqualTo(ids(before));
+      assertThat(ids(fleet.read(second, JOB)).subList(0, before.size())).isEqualTo(before);
+      assertWhole(job, fleet.read(second, JOB));
     }
 
     @Test
@@ -323,13 +321,13 @@
       first.kill();
       second.kill();
       fleet.runMillis(800);
-      JobFleet.Node third = fleet.start("vm-1");
+      fleet.start("vm-1");
       fleet.start("vm-2");
       fleet.runMillis(500);
       fleet.addServer("s1", 4, 1);
       fleet.run(Duration.ofSeconds(15));
 
-      assertWhole(job, fleet.read(third, JOB));
+      assertWhole(job, fleet.read(fleet.alive().get(0), JOB));
     }
 
     @Test
--- a/amaranthstream/src/test/java/org/amaranthstream/platform/PrefixMirrorTest.java
+++ b/amaranthstream/src/test/java/org/amaranthstream/platform/PrefixMirrorTest.java
@@ -129,16 +129,16 @@
 
     @Test
     void takesChangesInQuickSuccessionWithOneCall() {
-      int before = store.calls();
       put("a/2", "two");
       run(20);
+      int before = store.calls();
       for (int i = 0; i < 20; i++) {
         put("a/3", "value " + i);
       }
       run(400);
 
       assertThat(seen.values).containsEntry("a/3", "value 19");
-      assertThat(store.calls() - before).isAtMost(2);
+      assertThat(store.calls() - before).isAtMost(1);
     }
 
     @Test
@@ -166,7 +166,7 @@
     }
 
     @Test
-    void refreshReadsPastASilentWatch() {
+    void refreshReadsPastSilentWatch() {
       client.setSilent(true);
       put("a/2", "two");
       client.setSilent(false);
--- a/amaranthstream/src/test/java/org/amaranthstream/platform/TransactionRunnerTest.java
+++ b/amaranthstream/src/test/java/org/amaranthstream/platform/TransactionRunnerTest.java
@@ -31,7 +31,7 @@
   @Nested
   class LostAnswers {
     @Test
-    void recognizesItsOwnWriteAfterALostAnswer() {
+    void recognizesItsOwnWriteAfterLostAnswer() {
       client.setWriteFault(WriteFault.ANSWER_LOST, Duration.ZERO);
       CompletableFuture<TransactionReply> reply = run(create("mine"), 1_000);
       client.setWriteFault(WriteFault.NONE, Duration.ZERO);
@@ -42,26 +42,27 @@
     }
 
     @Test
-    void takesAnothersWriteAsAConflict() {
+    void takesAnothersWriteAsConflict() {
       client.setSilent(true);
-      CompletableFuture<TransactionReply> reply = run(create("mine"), 1_000);
-      store.put("key", "theirs".getBytes(UTF_8));
-      client.setSilent(false);
-      timers.advance(Duration.ofSeconds(3));
-
-      assertThat(reply.join()).isInstanceOf(TransactionReply.Conflict.class);
+      timers.after(
+          Duration.ofSeconds(1),
+          () -> {
+            store.put("key", "theirs".getBytes(UTF_8));
+            client.setSilent(false);
+          });
+
+      assertThat(run(create("mine"), 4_000).join()).isInstanceOf(TransactionReply.Conflict.class);
     }
 
     @Test
     void anotherSendCannotTakeEffectTwice() {
       client.setWriteFault(WriteFault.APPLIED_LATE, Duration.ofSeconds(3));
-      CompletableFuture<TransactionReply> reply = run(create("mine"), 1_000);
-      client.setWriteFault(WriteFault.NONE, Duration.ZERO);
-      timers.advance(Duration.ofSeconds(1));
+      timers.after(
+          Duration.ofSeconds(1), () -> client.setWriteFault(WriteFault.NONE, Duration.ZERO));
+
+      assertThat(run(create("mine"), 2_000).join()).isInstanceOf(TransactionReply.Committed.class);
       long written = store.entry("key").get().revision().value();
       timers.advance(Duration.ofSeconds(5));
-
-      assertThat(reply.join()).isInstanceOf(TransactionReply.Committed.class);
       assertThat(store.entry("key").get().revision().value()).isEqualTo(written);
     }
   }
@@ -77,7 +78,7 @@
     }
 
     @Test
-    void isUnknownIfASendGotNoAnswer() {
+    void isUnknownIfSendGotNoAnswer() {
       client.setSilent(true);
 
       assertThat(run(create("mine"), 15_000).join()).isInstanceOf(TransactionReply.Unknown.class);
--- a/amaranthstream/src/test/java/org/amaranthstream/servers/ServerChoiceTest.java
+++ b/amaranthstream/src/test/java/org/amaranthstream/servers/ServerChoiceTest.java
@@ -56,7 +56,7 @@
   }
 
   @Test
-  void takesAServerThatJustFailedLast() {
+  void takesServerThatJustFailedLast() {
     TrackedServer failed = server("r1-a", 0);
     failed.onFailed(0, "reset");
     TrackedServer far = server("r2-a", SLOTS);
--- a/amaranthstream/src/test/java/org/amaranthstream/servers/ServerDirectoryTest.java
+++ b/amaranthstream/src/test/java/org/amaranthstream/servers/ServerDirectoryTest.java
@@ -83,7 +83,7 @@
     }
 
     @Test
-    void serverStaysForAWhileIfTheStoreWasAway() {
+    void serverStaysForWhileIfTheStoreWasAway() {
       directory.onEntry(entry("s", 1, false));
       wasStoreAway = true;
       directory.onEntryRemoved(BackendServerId.of("s"));
--- a/amaranthstream/src/test/java/org/amaranthstream/servers/SlowServersTest.java
+++ b/amaranthstream/src/test/java/org/amaranthstream/servers/SlowServersTest.java
@@ -37,7 +37,7 @@
   }
 
   @Test
-  void forgetsAServerThatHasNoEventsAnyMore() {
+  void forgetsServerThatHasNoEventsAnyMore() {
     TrackedServer slow = server("slow", 140);
     List<TrackedServer> servers = List.of(server("a", 40), slow, server("b", 42));
 
--- a/amaranthstream/src/test/java/org/amaranthstream/weights/SwapTest.java
+++ b/amaranthstream/src/test/java/org/amaranthstream/weights/SwapTest.java
@@ -146,7 +146,7 @@
   @Nested
   class Orders {
     @Test
-    void bringAllEnginesToTheNamedVersionTwoAtATime() {
+    void bringAllEnginesToTheNamedVersionTwoAtTime() {
       name(2);
       run(10);
 
