--- a/amaranthstream/src/test/java/org/amaranthstream/platform/PrefixMirrorTest.java
+++ b/amaranthstream/src/test/java/org/amaranthstream/platform/PrefixMirrorTest.java
@@ -52,6 +52,12 @@
     store.put(key, value.getBytes(UTF_8));
   }
 
+  private void putTwentyTimes(String key) {
+    for (int i = 0; i < 20; i++) {
+      put(key, "value " + i);
+    }
+  }
+
   private void run(long millis) {
     timers.advance(Duration.ofMillis(millis));
   }
@@ -132,9 +138,7 @@
       put("a/2", "two");
       run(20);
       int before = store.calls();
-      for (int i = 0; i < 20; i++) {
-        put("a/3", "value " + i);
-      }
+      putTwentyTimes("a/3");
       run(400);
 
       assertThat(seen.values).containsEntry("a/3", "value 19");
