Write the last log lines before a process ends; do not cut its output in the test of SIGTERM

Cause: the log went to the standard output from a thread of its own, the shutdown hook could end before it had written, and Process.destroy closes the reader's side of the output. The hook now flushes, and flush waits for lines in the writer's hands (QueuedLogHandlerTest flushWaits); the test's process is ended by its handle and its log is read whole. Ruled out: load; it failed alone too.

--- a/amaranthstream-bench/src/main/java/org/amaranthstream/bench/experiment/JavaProcess.java
+++ b/amaranthstream-bench/src/main/java/org/amaranthstream/bench/experiment/JavaProcess.java
@@ -31,6 +31,8 @@
 
   private static final String STARTED = "event=started";
 
+  private final CompletableFuture<Boolean> copied = new CompletableFuture<>();
+
   private final String name;
   private final Process process;
   private final CompletableFuture<Map<String, String>> started = new CompletableFuture<>();
@@ -87,12 +89,16 @@
 
   /** Asks the process to stop, as a platform does before it takes a VM away. */
   void terminate() {
-    process.destroy();
+    // Process.destroy would close the output, and with it the log.
+    process.toHandle().destroy();
   }
 
-  /** Waits until the process has ended and returns its exit status. */
+  /** Waits until the process has ended and its log is whole, and returns its exit status. */
   int awaitExit(Duration bound) {
-    return process.onExit().orTimeout(bound.toMillis(), TimeUnit.MILLISECONDS).join().exitValue();
+    int status =
+        process.onExit().orTimeout(bound.toMillis(), TimeUnit.MILLISECONDS).join().exitValue();
+    copied.orTimeout(EXIT_SECONDS, TimeUnit.SECONDS).join();
+    return status;
   }
 
   /** Sends {@code signal}, for example {@code STOP}. */
@@ -128,6 +134,8 @@
       started.completeExceptionally(new IOException("process ended"));
     } catch (IOException e) {
       started.completeExceptionally(e);
+    } finally {
+      copied.complete(true);
     }
   }
 
--- a/amaranthstream/src/main/java/org/amaranthstream/daemon/DaemonProcess.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/daemon/DaemonProcess.java
@@ -2,6 +2,7 @@
 
 import com.google.common.util.concurrent.Uninterruptibles;
 import java.util.concurrent.CountDownLatch;
+import org.amaranthstream.logs.LogSetup;
 import org.amaranthstream.result.ErrorDetail;
 import org.amaranthstream.result.Result;
 import org.amaranthstream.settings.Settings;
@@ -24,8 +25,14 @@
       return failure.error();
     }
     Daemon daemon = ((Result.Success<Daemon>) started).value();
-    Runtime.getRuntime().addShutdownHook(new Thread(daemon::drain, "shutdown"));
+    Runtime.getRuntime().addShutdownHook(new Thread(() -> shutDown(daemon), "shutdown"));
     Uninterruptibles.awaitUninterruptibly(new CountDownLatch(1));
     throw new AssertionError("unreachable");
   }
+
+  /** The process ends with this hook, so the log is written here. */
+  private static void shutDown(Daemon daemon) {
+    daemon.drain();
+    LogSetup.flush();
+  }
 }
--- a/amaranthstream/src/main/java/org/amaranthstream/logs/LogSetup.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/logs/LogSetup.java
@@ -28,7 +28,14 @@
     QueuedLogHandler handler = QueuedLogHandler.start(MAX_WAITING_LINES, out);
     handler.setLevel(level);
     root.addHandler(handler);
-    Runtime.getRuntime().addShutdownHook(new Thread(handler::flush, "log-flush"));
+    Runtime.getRuntime().addShutdownHook(new Thread(LogSetup::flush, "log-flush"));
     root.setLevel(level);
   }
+
+  /** Writes the lines that wait; for the end of a process. */
+  public static void flush() {
+    for (Handler handler : Logger.getLogger("").getHandlers()) {
+      handler.flush();
+    }
+  }
 }
--- a/amaranthstream/src/main/java/org/amaranthstream/logs/QueuedLogHandler.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/logs/QueuedLogHandler.java
@@ -4,10 +4,13 @@
 
 import java.io.PrintStream;
 import java.nio.charset.StandardCharsets;
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.ArrayBlockingQueue;
+import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.LongAdder;
+import java.util.concurrent.locks.LockSupport;
 import java.util.logging.Handler;
 import java.util.logging.LogRecord;
 
@@ -19,9 +22,13 @@
  * once there is room again.
  */
 public final class QueuedLogHandler extends Handler {
+  private static final Duration LONGEST_FLUSH = Duration.ofMillis(500);
+  private static final Duration FLUSH_PAUSE = Duration.ofMillis(1);
+
   private final ArrayBlockingQueue<String> queue;
   private final PrintStream out;
   private final LongAdder dropped = new LongAdder();
+  private final AtomicInteger unwritten = new AtomicInteger();
 
   private QueuedLogHandler(int capacity, PrintStream out) {
     this.queue = new ArrayBlockingQueue<>(capacity);
@@ -50,7 +57,12 @@
 
   @Override
   public void publish(LogRecord event) {
-    if (isLoggable(event) && !queue.offer(getFormatter().format(event))) {
+    if (!isLoggable(event)) {
+      return;
+    }
+    unwritten.incrementAndGet();
+    if (!queue.offer(getFormatter().format(event))) {
+      unwritten.decrementAndGet();
       dropped.increment();
     }
   }
@@ -69,22 +81,29 @@
     List<String> lines = new ArrayList<>();
     lines.add(first);
     queue.drainTo(lines);
-    long lost = dropped.sumThenReset();
-    if (lost > 0) {
-      lines.add("event=log_lines_dropped count=" + lost + "\n");
-    }
-    byte[] bytes = String.join("", lines).getBytes(StandardCharsets.UTF_8);
+    String text = String.join("", lines) + droppedNotice();
+    byte[] bytes = text.getBytes(StandardCharsets.UTF_8);
     out.write(bytes, 0, bytes.length);
     out.flush();
+    unwritten.addAndGet(-lines.size());
   }
 
-  /** Writes what waits. */
+  private String droppedNotice() {
+    long lost = dropped.sumThenReset();
+    return lost == 0 ? "" : "event=log_lines_dropped count=" + lost + "\n";
+  }
+
+  /** Writes what waits, and waits a while for lines that the thread is just writing. */
   @Override
   public void flush() {
     String first = queue.poll();
     if (first != null) {
       write(first);
     }
+    long start = System.nanoTime();
+    while (unwritten.get() > 0 && System.nanoTime() - start < LONGEST_FLUSH.toNanos()) {
+      LockSupport.parkNanos(FLUSH_PAUSE.toNanos());
+    }
   }
 
   @Override
--- a/amaranthstream/src/test/java/org/amaranthstream/logs/QueuedLogHandlerTest.java
+++ b/amaranthstream/src/test/java/org/amaranthstream/logs/QueuedLogHandlerTest.java
@@ -50,4 +50,16 @@
 
     assertThat(written()).endsWith("event=e0\n");
   }
+
+  @Test
+  void flushWaitsForLinesThatTheThreadIsWriting() {
+    for (int i = 0; i < 200; i++) {
+      ByteArrayOutputStream written = new ByteArrayOutputStream();
+      QueuedLogHandler threaded = QueuedLogHandler.start(8, new PrintStream(written, true, UTF_8));
+      threaded.publish(new LogRecord(Level.INFO, "event=last"));
+      threaded.flush();
+
+      assertThat(written.toString(UTF_8)).endsWith("event=last\n");
+    }
+  }
 }
