Apply the end of a job that is just being taken over

Cause found by reading: an owner that has claimed a job and still reads it does not know it yet; an end recorded in the store then leaves a notice, which the owner dropped, and it ran the job once read. JobServiceTest reachAnOwnerThatIsStillReadingTheJob fails without the change.

--- a/amaranthstream/src/main/java/org/amaranthstream/jobs/JobKeeper.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/jobs/JobKeeper.java
@@ -50,6 +50,7 @@
   private final InstantSource timeOfDay;
   private final Random nonces;
   private final Set<JobId> taking = new HashSet<>();
+  private final Set<JobId> endsNotApplied = new HashSet<>();
   private Starter starter = job -> {};
   private boolean isSweepPlanned;
 
@@ -109,6 +110,9 @@
     job.restore(results);
     job.restorePartials(partials);
     book.add(job);
+    if (endsNotApplied.remove(job.id())) {
+      endNoticed(job);
+    }
     timers.after(RETENTION, () -> expire(job));
     starter.start(job);
     return job;
@@ -131,17 +135,20 @@
     planSweep();
   }
 
-  /** The owner of a job did not hear of the job's end itself. */
+  /**
+   * The owner of a job did not hear of the job's end itself. A job that is just being taken over is
+   * not owned yet; its end is kept for the moment when it is.
+   */
   @Override
   public void onJobEnded(JobId job) {
-    book.owned(job)
-        .ifPresent(
-            owned -> {
-              logger.atInfo().log("event=job_end_noticed job=%s", job);
-              owned.end();
-              store.removeNotice(job);
-              resolve(owned);
-            });
+    book.owned(job).ifPresentOrElse(this::endNoticed, () -> endsNotApplied.add(job));
+  }
+
+  private void endNoticed(OwnedJob job) {
+    logger.atInfo().log("event=job_end_noticed job=%s", job.id());
+    job.end();
+    store.removeNotice(job.id());
+    resolve(job);
   }
 
   /** Looks for jobs without a living owner, once for losses that come together. */
--- a/amaranthstream/src/main/java/org/amaranthstream/platform/SimulatedStoreClient.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/platform/SimulatedStoreClient.java
@@ -33,6 +33,7 @@
   private final TimerService timers;
   private boolean isSilent;
   private boolean isRefused;
+  private boolean areReadsHeld;
   private WriteFault writeFault = WriteFault.NONE;
   private Duration lateBy = Duration.ofSeconds(3);
   private int pageSize = 500;
@@ -58,6 +59,11 @@
     this.lateBy = lateBy;
   }
 
+  /** Lets single reads fail until they are let through again; everything else works. */
+  public void setReadsHeld(boolean areReadsHeld) {
+    this.areReadsHeld = areReadsHeld;
+  }
+
   /** Sets the number of entries of a page. */
   public void setPageSize(int pageSize) {
     this.pageSize = pageSize;
@@ -83,6 +89,9 @@
 
   @Override
   public CompletableFuture<Result<Optional<KvEntry>>> get(String key) {
+    if (areReadsHeld) {
+      return call(() -> failure(REFUSED), failure(REFUSED), failure(NO_ANSWER));
+    }
     return call(() -> Result.success(store.entry(key)), failure(REFUSED), failure(NO_ANSWER));
   }
 
--- a/amaranthstream/src/test/java/org/amaranthstream/jobs/JobFleet.java
+++ b/amaranthstream/src/test/java/org/amaranthstream/jobs/JobFleet.java
@@ -13,6 +13,7 @@
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.concurrent.CompletableFuture;
+import java.util.function.BooleanSupplier;
 import org.amaranthstream.fleet.Fleet;
 import org.amaranthstream.fleet.FleetNode;
 import org.amaranthstream.fleet.FleetSession;
@@ -259,6 +260,22 @@
     run(Duration.ofMillis(millis));
   }
 
+  /** Moves the clock in small steps until {@code condition} holds. */
+  void runUntil(BooleanSupplier condition) {
+    for (int i = 0; i < 20_000 && !condition.getAsBoolean(); i++) {
+      runMillis(1);
+    }
+  }
+
+  /** Returns true if the store names {@code node} as the owner of {@code job}. */
+  boolean ownerIs(JobId job, Node node) {
+    return store
+        .entry(JobKeys.owner(job))
+        .flatMap(JobStore::storedOwner)
+        .filter(o -> o.owner().isHeldBy(node.self.vm(), node.self.incarnation()))
+        .isPresent();
+  }
+
   <T> T await(CompletableFuture<T> reply) {
     for (int i = 0; i < 400 && !reply.isDone(); i++) {
       runMillis(50);
--- a/amaranthstream/src/test/java/org/amaranthstream/jobs/JobServiceTest.java
+++ b/amaranthstream/src/test/java/org/amaranthstream/jobs/JobServiceTest.java
@@ -289,6 +289,25 @@
       assertThat(first.jobs().describe().get(0).isEnded()).isTrue();
     }
 
+    /** After a restart, an owner reads its job anew for a while and does not know it yet. */
+    @Test
+    void reachAnOwnerThatIsStillReadingTheJob() {
+      submit(first, job);
+      first.kill();
+      fleet.runMillis(100);
+      JobFleet.Node again = fleet.start("vm-1");
+      fleet.addServer("s1", 4, 1);
+      fleet.runUntil(() -> fleet.ownerIs(JOB, again));
+      again.store().setReadsHeld(true);
+      Result<JobDone> ended = fleet.await(second.jobs().end(JOB));
+      again.store().setReadsHeld(false);
+      int before = fleet.servers().starts(ItemId.of("job-0"));
+      fleet.run(Duration.ofSeconds(5));
+
+      assertThat(ended).isEqualTo(Result.success(JobDone.ENDED));
+      assertThat(fleet.servers().starts(ItemId.of("job-0"))).isEqualTo(before);
+    }
+
     @Test
     void mayBeRepeated() {
       submit(first, job);
