Try the own way to the store when no peer reaches it either

Cause found by reading: while the store is away every call goes to peers; only the renewal of a lease tried the own way. If the store was away for everybody and the daemons had no lease, as after a restart in the outage, all asked each other for good. RelayingStoreTest AfterAnOutageForEverybody fails without the change.

--- a/amaranthstream/src/main/java/org/amaranthstream/fleet/RelayingStore.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/fleet/RelayingStore.java
@@ -175,7 +175,13 @@
       StoreCall call,
       Function<StoreAnswer, T> decoder) {
     if (monitor.isAway()) {
-      return relay(call, RELAY_TIMEOUT).thenApply(decoder);
+      return relay(call, RELAY_TIMEOUT)
+          .thenApply(decoder)
+          .thenCompose(
+              result ->
+                  isFailure.apply(result)
+                      ? own.apply(direct)
+                      : CompletableFuture.completedFuture(result));
     }
     return own.apply(direct)
         .thenCompose(
@@ -231,7 +237,12 @@
             .setWaitMs(shorter.toMillis())
             .build();
     return relay(StoreCall.newBuilder().setWatch(watch).build(), shorter.plus(RELAY_TIMEOUT))
-        .thenApply(StoreCallCodec::decodeWatch);
+        .thenApply(StoreCallCodec::decodeWatch)
+        .thenCompose(
+            reply ->
+                reply instanceof WatchReply.Failed
+                    ? direct.watch(prefix, after, shorter)
+                    : CompletableFuture.completedFuture(reply));
   }
 
   @Override
@@ -239,7 +250,13 @@
     StoreCall call =
         StoreCall.newBuilder().setTransaction(StoreCallCodec.encodeCall(transaction)).build();
     if (monitor.isAway()) {
-      return relay(call, RELAY_TIMEOUT).thenApply(StoreCallCodec::decodeTransaction);
+      return relay(call, RELAY_TIMEOUT)
+          .thenApply(StoreCallCodec::decodeTransaction)
+          .thenCompose(
+              reply ->
+                  reply instanceof TransactionReply.NotDone
+                      ? direct.transact(transaction)
+                      : CompletableFuture.completedFuture(reply));
     }
     return direct
         .transact(transaction)
--- a/amaranthstream/src/test/java/org/amaranthstream/fleet/RelayingStoreTest.java
+++ b/amaranthstream/src/test/java/org/amaranthstream/fleet/RelayingStoreTest.java
@@ -168,6 +168,25 @@
     }
   }
 
+  /** All daemons have seen the store away, none holds a lease to renew, and the store is back. */
+  @Nested
+  class AfterAnOutageForEverybody {
+    @BeforeEach
+    void seeTheStoreAway() {
+      monitor.onFailed("HTTP 503");
+      isPeerAway = true;
+    }
+
+    @Test
+    void triesItsOwnWayWhenNoPeerReachesTheStore() {
+      assertThat(await(store.transact(create("a")))).isInstanceOf(TransactionReply.Committed.class);
+      assertThat(await(store.grantLease(Duration.ofMinutes(1)))).isInstanceOf(Result.Success.class);
+      assertThat(await(store.range("a", ""))).isInstanceOf(Result.Success.class);
+      assertThat(await(store.watch("a", Revision.of(10), Duration.ofSeconds(1))))
+          .isInstanceOf(WatchReply.Changes.class);
+    }
+  }
+
   @Nested
   class AnswersOfThePeer {
     @Test
