Pass the rest of the wait on when a duty is released during it

Cause, found by reading the change: a holder that had not acted yet released its duty as if nothing had been done for a whole turn.

--- a/amaranthstream/src/main/java/org/amaranthstream/fleet/HeldDuty.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/fleet/HeldDuty.java
@@ -117,10 +117,7 @@
     if (held == null) {
       return CompletableFuture.completedFuture(null);
     }
-    Duration sinceAct =
-        lastActNanos
-            .map(at -> Duration.ofNanos(timers.nowNanos() - at))
-            .orElse(timing.betweenHolders());
+    Duration sinceAct = sinceAct();
     Transaction release =
         Transaction.builder()
             .expect(FleetKeys.duty(name), Revision.of(held.value()))
@@ -136,6 +133,20 @@
                     name, held, sinceAct.toMillis(), reply));
   }
 
+  /**
+   * Returns the time since the last act that the next holder must keep away from. A holder that has
+   * not acted yet may still be waiting for the one before: then that act may lie ahead, and the
+   * time is less than the turn by the rest of the wait.
+   */
+  private Duration sinceAct() {
+    long now = timers.nowNanos();
+    if (lastActNanos.isPresent()) {
+      return Duration.ofNanos(now - lastActNanos.get());
+    }
+    Duration restOfWait = Duration.ofNanos(Math.max(0, actFromNanos - now));
+    return timing.betweenHolders().minus(restOfWait);
+  }
+
   private static byte[] encode(Duration sinceAct) {
     return Long.toString(sinceAct.toMillis()).getBytes(StandardCharsets.UTF_8);
   }
--- a/amaranthstream/src/test/java/org/amaranthstream/fleet/HeldDutyTest.java
+++ b/amaranthstream/src/test/java/org/amaranthstream/fleet/HeldDutyTest.java
@@ -124,6 +124,28 @@
       assertThat(second.duty().current()).isPresent();
     }
 
+    /** A rolling restart reaches the next holder while it still waits for the one before. */
+    @Test
+    void releaseDuringTheWaitPassesTheRestOfTheWaitOn() {
+      first.start();
+      runSeconds(10);
+      second.start();
+      FleetTestNode third = new FleetTestNode("vm-3", "i3", store, timers);
+      actAlways(first, second, third);
+      runSeconds(2);
+      first.store().setSilent(true);
+      store.expire(first.session().lease().get());
+      runSeconds(0.8);
+      assertThat(second.duty().isHeld()).isTrue();
+      third.start();
+      runSeconds(0.3);
+      second.duty().resign();
+      runSeconds(20);
+
+      assertThat(holders()).isEqualTo(2);
+      assertTurnsAreApart();
+    }
+
     @Test
     void releaseOfAnEarlierHolderShortensNothing() {
       first.start();
