--- a/amaranthstream/src/main/java/org/amaranthstream/calls/CallRun.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/calls/CallRun.java
@@ -26,8 +26,6 @@
   /** Attempts that servers refuse do not count; so many are made at most. */
   private static final int MAX_REFUSED = 6;
 
-  private static final Duration RETRY_AFTER = Duration.ofMillis(300);
-
   private final CallService service;
   private final CallPolicy policy;
   private final OutboundCall call;
@@ -223,7 +221,7 @@
   }
 
   private void fail(ResultCode code, String message) {
-    exchange.fail(ErrorDetail.of(code, message), RETRY_AFTER);
+    exchange.fail(ErrorDetail.of(code, message), ReturnTimes.NO_SERVER);
     close(code, message);
   }
 
--- a/amaranthstream/src/main/java/org/amaranthstream/fleet/Fleet.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/fleet/Fleet.java
@@ -57,11 +57,6 @@
     mirror.start();
   }
 
-  /** Returns the registration of {@code vm}. */
-  public Optional<FleetNode> node(EntryVmId vm) {
-    return Optional.ofNullable(nodes.get(vm));
-  }
-
   /** Returns true if that start of {@code vm}'s process is registered. */
   public boolean isAlive(EntryVmId vm, Incarnation incarnation) {
     FleetNode node = nodes.get(vm);
@@ -73,6 +68,14 @@
     return ImmutableList.copyOf(nodes.values());
   }
 
+  /** Returns the daemons that are registered besides {@code self}, in a fixed order. */
+  public ImmutableList<EntryVmId> othersThan(EntryVmId self) {
+    return nodes.keySet().stream()
+        .filter(vm -> !vm.equals(self))
+        .sorted()
+        .collect(ImmutableList.toImmutableList());
+  }
+
   /** Returns the entry of the holder of {@code duty}, empty if nobody holds it. */
   public Optional<KvEntry> holder(String duty) {
     return Optional.ofNullable(duties.get(duty));
--- a/amaranthstream/src/main/java/org/amaranthstream/fleet/FleetLinks.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/fleet/FleetLinks.java
@@ -163,11 +163,7 @@
 
   @Override
   public ImmutableList<EntryVmId> others() {
-    return fleet.nodes().stream()
-        .map(FleetNode::vm)
-        .filter(vm -> !vm.equals(self.vm()))
-        .sorted()
-        .collect(ImmutableList.toImmutableList());
+    return fleet.othersThan(self.vm());
   }
 
   @Override
--- a/amaranthstream/src/main/java/org/amaranthstream/fleet/RelayingStore.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/fleet/RelayingStore.java
@@ -13,6 +13,8 @@
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.Function;
+import java.util.function.Predicate;
+import java.util.function.Supplier;
 import org.amaranthstream.fleet.wire.RangeCall;
 import org.amaranthstream.fleet.wire.StoreAnswer;
 import org.amaranthstream.fleet.wire.StoreCall;
@@ -168,27 +170,31 @@
     }
   }
 
-  /** Makes a call that changes nothing, on the own way first unless the store is away. */
-  private <T> CompletableFuture<T> read(
+  /**
+   * Makes a call on one way, and on the other if it was certainly not made on the first: on the own
+   * way first, or through a peer first while the store is away.
+   */
+  private <T> CompletableFuture<T> eitherWay(
       Function<TransactionalStore, CompletableFuture<T>> own,
-      Function<T, Boolean> isFailure,
+      Predicate<T> isNotMade,
       StoreCall call,
       Function<StoreAnswer, T> decoder) {
-    if (monitor.isAway()) {
-      return relay(call, RELAY_TIMEOUT)
-          .thenApply(decoder)
-          .thenCompose(
-              result ->
-                  isFailure.apply(result)
-                      ? own.apply(direct)
-                      : CompletableFuture.completedFuture(result));
-    }
-    return own.apply(direct)
+    Supplier<CompletableFuture<T>> ownWay = () -> own.apply(direct);
+    Supplier<CompletableFuture<T>> overPeer = () -> relay(call, RELAY_TIMEOUT).thenApply(decoder);
+    return monitor.isAway()
+        ? orElse(overPeer, isNotMade, ownWay)
+        : orElse(ownWay, isNotMade, overPeer);
+  }
+
+  private static <T> CompletableFuture<T> orElse(
+      Supplier<CompletableFuture<T>> first,
+      Predicate<T> isNotMade,
+      Supplier<CompletableFuture<T>> second) {
+    return first
+        .get()
         .thenCompose(
-            result ->
-                isFailure.apply(result)
-                    ? relay(call, RELAY_TIMEOUT).thenApply(decoder)
-                    : CompletableFuture.completedFuture(result));
+            reply ->
+                isNotMade.test(reply) ? second.get() : CompletableFuture.completedFuture(reply));
   }
 
   private static <T> boolean isFailure(Result<T> result) {
@@ -198,7 +204,7 @@
   @Override
   public CompletableFuture<Result<Optional<KvEntry>>> get(String key) {
     StoreCall call = StoreCall.newBuilder().setGet(key).build();
-    return read(
+    return eitherWay(
         store -> store.get(key), RelayingStore::isFailure, call, StoreCallCodec::decodeEntry);
   }
 
@@ -208,7 +214,7 @@
         StoreCall.newBuilder()
             .setRange(RangeCall.newBuilder().setPrefix(prefix).setAfter(after))
             .build();
-    return read(
+    return eitherWay(
         store -> store.range(prefix, after),
         RelayingStore::isFailure,
         call,
@@ -236,41 +242,28 @@
             .setAfter(after.value())
             .setWaitMs(shorter.toMillis())
             .build();
-    return relay(StoreCall.newBuilder().setWatch(watch).build(), shorter.plus(RELAY_TIMEOUT))
-        .thenApply(StoreCallCodec::decodeWatch)
-        .thenCompose(
-            reply ->
-                reply instanceof WatchReply.Failed
-                    ? direct.watch(prefix, after, shorter)
-                    : CompletableFuture.completedFuture(reply));
+    StoreCall call = StoreCall.newBuilder().setWatch(watch).build();
+    return orElse(
+        () -> relay(call, shorter.plus(RELAY_TIMEOUT)).thenApply(StoreCallCodec::decodeWatch),
+        reply -> reply instanceof WatchReply.Failed,
+        () -> direct.watch(prefix, after, shorter));
   }
 
   @Override
   public CompletableFuture<TransactionReply> transact(Transaction transaction) {
     StoreCall call =
         StoreCall.newBuilder().setTransaction(StoreCallCodec.encodeCall(transaction)).build();
-    if (monitor.isAway()) {
-      return relay(call, RELAY_TIMEOUT)
-          .thenApply(StoreCallCodec::decodeTransaction)
-          .thenCompose(
-              reply ->
-                  reply instanceof TransactionReply.NotDone
-                      ? direct.transact(transaction)
-                      : CompletableFuture.completedFuture(reply));
-    }
-    return direct
-        .transact(transaction)
-        .thenCompose(
-            reply ->
-                reply instanceof TransactionReply.NotDone
-                    ? relay(call, RELAY_TIMEOUT).thenApply(StoreCallCodec::decodeTransaction)
-                    : CompletableFuture.completedFuture(reply));
+    return eitherWay(
+        store -> store.transact(transaction),
+        reply -> reply instanceof TransactionReply.NotDone,
+        call,
+        StoreCallCodec::decodeTransaction);
   }
 
   @Override
   public CompletableFuture<Result<GrantedLease>> grantLease(Duration ttl) {
     StoreCall call = StoreCall.newBuilder().setGrantTtlMs(ttl.toMillis()).build();
-    return read(
+    return eitherWay(
         store -> store.grantLease(ttl),
         RelayingStore::isFailure,
         call,
@@ -295,7 +288,7 @@
   @Override
   public CompletableFuture<Result<LeaseId>> endLease(LeaseId lease) {
     StoreCall call = StoreCall.newBuilder().setEndLease(lease.value()).build();
-    return read(
+    return eitherWay(
         store -> store.endLease(lease),
         RelayingStore::isFailure,
         call,
--- a/amaranthstream/src/main/java/org/amaranthstream/jobs/ItemProgress.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/jobs/ItemProgress.java
@@ -68,10 +68,6 @@
     return state == State.WAITING && nowNanos >= notBeforeNanos;
   }
 
-  long notBeforeNanos() {
-    return notBeforeNanos;
-  }
-
   void begin(ItemRunner started) {
     state = State.RUNNING;
     runner = started;
--- a/amaranthstream/src/main/java/org/amaranthstream/jobs/JobDesk.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/jobs/JobDesk.java
@@ -61,10 +61,6 @@
   }
 
   /** Returns the body of an item. */
-  Result<byte[]> body(OwnedJob job, ItemId item) {
-    return bodyOf(job.spec(), item);
-  }
-
   static Result<byte[]> bodyOf(JobSpec spec, ItemId item) {
     Optional<ItemSpec> found =
         spec.items().stream().filter(candidate -> candidate.id().equals(item)).findFirst();
--- a/amaranthstream/src/main/java/org/amaranthstream/jobs/JobQuestions.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/jobs/JobQuestions.java
@@ -77,7 +77,7 @@
       case READ -> read(job.get(), question.getRead());
       case ITEM_BODY ->
           CompletableFuture.completedFuture(
-              body(desk.body(job.get(), ItemId.of(question.getItemBody().getItem()))));
+              body(JobDesk.bodyOf(job.get().spec(), ItemId.of(question.getItemBody().getItem()))));
       case END -> desk.end(job.get()).thenApply(JobQuestions::ended);
       case SUBMIT, HANDOVER, DEMAND, BODY_NOT_SET -> CompletableFuture.completedFuture(NOT_OWNER);
     };
--- a/amaranthstream/src/main/java/org/amaranthstream/jobs/JobService.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/jobs/JobService.java
@@ -7,8 +7,6 @@
 import com.google.errorprone.annotations.CanIgnoreReturnValue;
 import java.time.Duration;
 import java.time.InstantSource;
-import java.util.ArrayList;
-import java.util.List;
 import java.util.Optional;
 import java.util.Random;
 import java.util.concurrent.CompletableFuture;
@@ -23,7 +21,6 @@
 import org.amaranthstream.platform.TransactionReply;
 import org.amaranthstream.platform.TransactionRunner;
 import org.amaranthstream.platform.TransactionalStore;
-import org.amaranthstream.result.ErrorDetail;
 import org.amaranthstream.result.Result;
 import org.amaranthstream.result.ResultCode;
 import org.amaranthstream.routing.RoutingTable;
@@ -61,6 +58,7 @@
   private final ItemScheduler scheduler;
   private final ResultLister lister;
   private final RemoteJobs remote;
+  private final OwnerLookup lookup;
   private final DemandListener demand;
   private final Supplier<Optional<EntryVmId>> weightsHolder;
   private final TimerService timers;
@@ -85,6 +83,7 @@
             builder.timeOfDay,
             nonces);
     this.remote = new RemoteJobs(builder.self.vm(), checkNotNull(builder.peers, "peers"), fleet);
+    this.lookup = new OwnerLookup(store, book, keeper, remote);
     this.acceptor = new JobAcceptor(store, book, keeper, remote, timers);
     this.desk = new JobDesk(store, keeper, timers, nonces);
     this.lister = new ResultLister(store, timers, nonces, keeper::resolve);
@@ -172,7 +171,7 @@
     if (owned.isPresent()) {
       return desk.read(owned.get(), position, wait, MAX_READ_BYTES);
     }
-    return withOwner(
+    return lookup.ask(
         job,
         vm -> remote.read(vm, job, position, wait, MAX_READ_BYTES),
         owner -> readStore(owner, position, wait));
@@ -182,9 +181,9 @@
   public CompletableFuture<Result<byte[]>> body(JobId job, ItemId item) {
     Optional<OwnedJob> owned = book.owned(job);
     if (owned.isPresent()) {
-      return CompletableFuture.completedFuture(desk.body(owned.get(), item));
+      return CompletableFuture.completedFuture(JobDesk.bodyOf(owned.get().spec(), item));
     }
-    return withOwner(
+    return lookup.ask(
         job,
         vm -> remote.body(vm, job, item),
         owner -> store.job(owner).thenApply(r -> r.flatMap(spec -> JobDesk.bodyOf(spec, item))));
@@ -196,90 +195,7 @@
     if (owned.isPresent()) {
       return desk.end(owned.get());
     }
-    return withOwner(job, vm -> remote.end(vm, job), this::endInStore);
-  }
-
-  /** A question to a daemon. */
-  @FunctionalInterface
-  private interface AskPeer<T> {
-    CompletableFuture<Result<T>> ask(EntryVmId vm);
-  }
-
-  /** A question to the store in the owner's place. */
-  @FunctionalInterface
-  private interface AskStore<T> {
-    CompletableFuture<Result<T>> ask(StoredOwner owner);
-  }
-
-  private <T> CompletableFuture<Result<T>> withOwner(
-      JobId job, AskPeer<T> peer, AskStore<T> fallback) {
-    Optional<StoredOwner> known = book.owner(job);
-    if (known.isPresent()) {
-      return askOwner(known.get(), peer, fallback, true);
-    }
-    return lookUp(job, peer, owner -> askOwner(owner, peer, fallback, false));
-  }
-
-  private <T> CompletableFuture<Result<T>> lookUp(JobId job, AskPeer<T> peer, AskStore<T> next) {
-    return store
-        .owner(job)
-        .thenCompose(
-            result -> {
-              if (result instanceof Result.Failure<Optional<StoredOwner>> failure) {
-                return askAll(peer, failure.error());
-              }
-              Optional<StoredOwner> owner =
-                  ((Result.Success<Optional<StoredOwner>>) result).value();
-              if (owner.isEmpty()) {
-                return failed(ResultCode.UNKNOWN_JOB, "there is no job " + job);
-              }
-              book.learn(owner.get());
-              return next.ask(owner.get());
-            });
-  }
-
-  /** The store is away: one of the other daemons may be the owner. */
-  private <T> CompletableFuture<Result<T>> askAll(AskPeer<T> peer, ErrorDetail storeError) {
-    List<CompletableFuture<Result<T>>> replies = new ArrayList<>();
-    remote.others().forEach(vm -> replies.add(peer.ask(vm)));
-    return FirstSuccess.of(replies)
-        .thenApply(
-            result -> result instanceof Result.Success ? result : Result.failure(storeError));
-  }
-
-  private static <T> CompletableFuture<Result<T>> failed(ResultCode code, String message) {
-    return CompletableFuture.completedFuture(Result.failure(code, message));
-  }
-
-  private <T> CompletableFuture<Result<T>> askOwner(
-      StoredOwner owner, AskPeer<T> peer, AskStore<T> fallback, boolean mayBeOld) {
-    if (keeper.isOrphan(owner)) {
-      keeper.claim(owner);
-      return fallback.ask(owner);
-    }
-    return peer.ask(owner.owner().vm())
-        .thenCompose(
-            result -> {
-              if (!(result instanceof Result.Failure<T> failure) || isFinal(failure)) {
-                return CompletableFuture.completedFuture(result);
-              }
-              logger.atInfo().log(
-                  "event=owner_not_reached job=%s owner=%s error=\"%s\"",
-                  owner.job(), owner.owner().vm(), failure.error());
-              return mayBeOld
-                  ? lookUp(owner.job(), peer, fresh -> askFresh(owner, fresh, peer, fallback))
-                  : fallback.ask(owner);
-            });
-  }
-
-  private <T> CompletableFuture<Result<T>> askFresh(
-      StoredOwner before, StoredOwner fresh, AskPeer<T> peer, AskStore<T> fallback) {
-    boolean hasMoved = !fresh.owner().isHeldBy(before.owner().vm(), before.owner().incarnation());
-    return hasMoved ? askOwner(fresh, peer, fallback, false) : fallback.ask(fresh);
-  }
-
-  private static boolean isFinal(Result.Failure<?> failure) {
-    return failure.error().code() == ResultCode.UNKNOWN_ITEM;
+    return lookup.ask(job, vm -> remote.end(vm, job), this::endInStore);
   }
 
   private CompletableFuture<Result<ResultSlice>> readStore(
@@ -289,7 +205,7 @@
         .thenCompose(
             result -> {
               if (result instanceof Result.Failure<ImmutableList<ItemResult>> failure) {
-                return failed(failure.error().code(), failure.error().message());
+                return OwnerLookup.failed(failure.error().code(), failure.error().message());
               }
               ImmutableList<ItemResult> results =
                   ((Result.Success<ImmutableList<ItemResult>>) result).value();
@@ -327,7 +243,7 @@
                 return CompletableFuture.completedFuture(Result.success(JobDone.ENDED));
               }
               book.forget(owner.job());
-              return failed(
+              return OwnerLookup.failed(
                   ResultCode.PLATFORM_UNAVAILABLE, "the end could not be recorded: " + reply);
             });
   }
--- a/amaranthstream/src/main/java/org/amaranthstream/jobs/OwnedJob.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/jobs/OwnedJob.java
@@ -8,7 +8,6 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.Optional;
 import org.amaranthstream.ids.GroupId;
 import org.amaranthstream.ids.ItemId;
 import org.amaranthstream.ids.JobId;
@@ -114,15 +113,6 @@
     return items.values();
   }
 
-  Optional<ItemProgress> item(ItemId id) {
-    return Optional.ofNullable(items.get(id));
-  }
-
-  /** Returns the number of items of a group that have no result yet. */
-  int openInGroup(GroupId group) {
-    return openInGroup.getOrDefault(group, 0);
-  }
-
   /** Returns the number of groups all of whose items have a result. */
   long completeGroups() {
     return openInGroup.values().stream().filter(open -> open == 0).count();
--- a/amaranthstream/src/main/java/org/amaranthstream/jobs/RemoteJobs.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/jobs/RemoteJobs.java
@@ -5,7 +5,6 @@
 import java.time.Duration;
 import java.util.concurrent.CompletableFuture;
 import org.amaranthstream.fleet.Fleet;
-import org.amaranthstream.fleet.FleetNode;
 import org.amaranthstream.ids.EntryVmId;
 import org.amaranthstream.ids.ItemId;
 import org.amaranthstream.ids.JobId;
@@ -159,10 +158,7 @@
 
   /** Returns other daemons to ask when the owner is not known, at most {@link #MAX_ASKED}. */
   ImmutableList<EntryVmId> others() {
-    return fleet.nodes().stream()
-        .map(FleetNode::vm)
-        .filter(vm -> !vm.equals(self))
-        .sorted()
+    return fleet.othersThan(self).stream()
         .limit(MAX_ASKED)
         .collect(ImmutableList.toImmutableList());
   }
--- a/amaranthstream/src/main/java/org/amaranthstream/platform/PlatformErrors.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/platform/PlatformErrors.java
@@ -21,7 +21,7 @@
 
   /** Returns a failure that says how {@code reply} is not what was awaited. */
   static <T> Result<T> failure(PlatformReply reply) {
-    return Result.failure(ResultCode.PLATFORM_UNAVAILABLE, describe(reply));
+    return Result.failure(ResultCode.PLATFORM_UNAVAILABLE, reply.describe());
   }
 
   /** Returns the reply to a conditional write that neither succeeded nor met a conflict. */
@@ -30,22 +30,13 @@
       return new WriteReply.Unavailable(notSent.reason(), notSent.retryAfter());
     }
     if (reply instanceof PlatformReply.Answered answered && isWithoutEffect(answered.status())) {
-      return new WriteReply.Unavailable(describe(reply), answered.retryAfter());
+      return new WriteReply.Unavailable(reply.describe(), answered.retryAfter());
     }
-    return new WriteReply.Unknown(describe(reply));
+    return new WriteReply.Unknown(reply.describe());
   }
 
   private static boolean isWithoutEffect(int status) {
     boolean isRefused = status >= CLIENT_ERROR && status < SERVER_ERROR;
     return isRefused || status == UNAVAILABLE;
   }
-
-  private static String describe(PlatformReply reply) {
-    if (reply instanceof PlatformReply.Answered answered) {
-      return "the service answered HTTP " + answered.status();
-    }
-    return reply instanceof PlatformReply.NotSent notSent
-        ? notSent.reason()
-        : ((PlatformReply.Lost) reply).reason();
-  }
 }
--- a/amaranthstream/src/main/java/org/amaranthstream/platform/PlatformReply.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/platform/PlatformReply.java
@@ -8,6 +8,14 @@
 /** How a call to the platform ended. */
 public sealed interface PlatformReply {
 
+  /** Returns what was seen, as a sentence for a person. */
+  default String describe() {
+    if (this instanceof Answered answered) {
+      return "the service answered HTTP " + answered.status();
+    }
+    return this instanceof NotSent notSent ? notSent.reason() : ((Lost) this).reason();
+  }
+
   /**
    * The service answered whole.
    *
--- a/amaranthstream/src/main/java/org/amaranthstream/platform/PrefixMirror.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/platform/PrefixMirror.java
@@ -44,7 +44,6 @@
   private boolean hasCaughtUp;
   private boolean isStopped;
   private boolean isRefreshing;
-  private long heardNanos;
 
   private PrefixMirror(
       TransactionalStore store,
@@ -77,7 +76,6 @@
 
   /** Starts to follow the prefix. */
   public void start() {
-    heardNanos = timers.nowNanos();
     list();
   }
 
@@ -104,21 +102,11 @@
     isStopped = true;
   }
 
-  /** Returns the time since the store last answered. */
-  public Duration age() {
-    return Duration.ofNanos(timers.nowNanos() - heardNanos);
-  }
-
   /** Returns true if the prefix was listed whole at least once. */
   public boolean hasCaughtUp() {
     return hasCaughtUp;
   }
 
-  /** Returns true if the last call failed. */
-  public boolean isStoreAway() {
-    return isAway;
-  }
-
   private void list() {
     if (isStopped) {
       return;
@@ -214,7 +202,6 @@
   }
 
   private void onAnswer() {
-    heardNanos = timers.nowNanos();
     pause = timing.firstRetry();
     if (isAway || !hasCaughtUp) {
       isAway = false;
