--- /dev/null
+++ b/amaranthstream/src/main/java/org/amaranthstream/fleet/DutyStart.java
@@ -0,0 +1,51 @@
+package org.amaranthstream.fleet;
+
+import com.google.common.base.Splitter;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.Optional;
+import org.amaranthstream.ids.EntryVmId;
+import org.amaranthstream.ids.FencingNumber;
+
+/**
+ * The last holder of a duty that has started to act, as it noted in the store.
+ *
+ * @param vm the entry VM
+ * @param host the IP number of its peer link; a VM that replaces another has a different one
+ * @param fence the fencing number of its acts
+ */
+record DutyStart(EntryVmId vm, String host, FencingNumber fence) {
+  private static final char SEPARATOR = '/';
+  private static final int FIELDS = 3;
+
+  static DutyStart of(FleetNode node, FencingNumber fence) {
+    return new DutyStart(node.vm(), node.host(), fence);
+  }
+
+  /** Returns true if the holder was {@code node} or an earlier start of its process. */
+  boolean isOnVmOf(FleetNode node) {
+    return vm.equals(node.vm()) && host.equals(node.host());
+  }
+
+  byte[] encode() {
+    String text = "" + vm + SEPARATOR + host + SEPARATOR + fence.value();
+    return text.getBytes(StandardCharsets.UTF_8);
+  }
+
+  static Optional<DutyStart> decode(byte[] value) {
+    String text = new String(value, StandardCharsets.UTF_8);
+    List<String> fields = Splitter.on(SEPARATOR).splitToList(text);
+    if (fields.size() != FIELDS) {
+      return Optional.empty();
+    }
+    try {
+      return Optional.of(
+          new DutyStart(
+              EntryVmId.of(fields.get(0)),
+              fields.get(1),
+              FencingNumber.of(Long.parseLong(fields.get(2)))));
+    } catch (IllegalArgumentException e) {
+      return Optional.empty();
+    }
+  }
+}
--- a/amaranthstream/src/main/java/org/amaranthstream/fleet/Fleet.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/fleet/Fleet.java
@@ -34,6 +34,7 @@
   private final Map<EntryVmId, FleetNode> nodes = new HashMap<>();
   private final Map<String, KvEntry> duties = new HashMap<>();
   private final Map<String, KvEntry> releases = new HashMap<>();
+  private final Map<String, KvEntry> starts = new HashMap<>();
   private final List<FleetListener> listeners = new ArrayList<>();
 
   private Fleet(TransactionalStore store, TimerService timers) {
@@ -86,6 +87,11 @@
     return Optional.ofNullable(releases.get(duty));
   }
 
+  /** Returns the note that a holder of {@code duty} has started to act. */
+  Optional<KvEntry> lastStart(String duty) {
+    return Optional.ofNullable(starts.get(duty));
+  }
+
   /** Returns true once the registrations were read. */
   public boolean hasCaughtUp() {
     return mirror.hasCaughtUp();
@@ -107,6 +113,8 @@
       String duty = key.substring(FleetKeys.RELEASES.length());
       releases.put(duty, entry);
       listeners.forEach(listener -> listener.onReleased(duty));
+    } else if (key.startsWith(FleetKeys.STARTS)) {
+      starts.put(key.substring(FleetKeys.STARTS.length()), entry);
     } else if (key.equals(FleetKeys.SECRET)) {
       listeners.forEach(listener -> listener.onSecret(entry.value()));
     }
@@ -143,6 +151,8 @@
       listeners.forEach(listener -> listener.onDutyChanged(duty));
     } else if (key.startsWith(FleetKeys.RELEASES)) {
       releases.remove(key.substring(FleetKeys.RELEASES.length()));
+    } else if (key.startsWith(FleetKeys.STARTS)) {
+      starts.remove(key.substring(FleetKeys.STARTS.length()));
     }
   }
 
--- a/amaranthstream/src/main/java/org/amaranthstream/fleet/FleetKeys.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/fleet/FleetKeys.java
@@ -23,6 +23,9 @@
   /** What the releases of duties begin with. */
   static final String RELEASES = PREFIX + "releases/";
 
+  /** What the notes begin with that the holders of duties have started to act. */
+  static final String STARTS = PREFIX + "starts/";
+
   private FleetKeys() {}
 
   static String node(EntryVmId vm) {
@@ -37,6 +40,10 @@
     return RELEASES + duty;
   }
 
+  static String start(String duty) {
+    return STARTS + duty;
+  }
+
   /** Returns the key that tells the owner of {@code job} that the job has ended. */
   public static String endedJob(JobId job) {
     return ENDED_JOBS + job;
--- a/amaranthstream/src/main/java/org/amaranthstream/fleet/HeldDuty.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/fleet/HeldDuty.java
@@ -8,7 +8,6 @@
 import java.util.Arrays;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
-import org.amaranthstream.ids.EntryVmId;
 import org.amaranthstream.ids.FencingNumber;
 import org.amaranthstream.ids.LeaseId;
 import org.amaranthstream.ids.Revision;
@@ -26,13 +25,18 @@
  * <p>The fencing number is the revision at which the duty was taken. A daemon that takes the duty
  * waits before it acts, until acts of the holder before it can no longer happen; a holder stops to
  * act a while before its lease can have ended. A holder that leaves releases the duty with the age
- * of its last act, and the next one waits only as long as the acts of two holders must be apart.
- * Used on the thread of its timers.
+ * of its last act, and the next one waits only as long as the acts of two holders must be apart. A
+ * holder notes in the store that it starts to act, and acts only once that is acknowledged; so a
+ * process that starts anew on the VM of the last holder that acted goes on at once, also in the
+ * place of a holder that has not started. Used on the thread of its timers.
  */
 public final class HeldDuty implements FleetListener, DutyFence {
   private static final FluentLogger logger = FluentLogger.forEnclosingClass();
   private static final Duration RETRY_PAUSE = Duration.ofMillis(500);
 
+  /** The last acts of a process that was killed may still be on their way. */
+  private static final Duration RESTART_WAIT = Duration.ofMillis(500);
+
   private final String name;
   private final TransactionalStore store;
   private final TimerService timers;
@@ -42,6 +46,7 @@
   private @Nullable FencingNumber fence;
   private @Nullable LeaseId heldLease;
   private long actFromNanos;
+  private boolean hasStarted;
   private Optional<Long> lastActNanos = Optional.empty();
   private boolean isAsking;
   private boolean isResigned;
@@ -88,8 +93,7 @@
   public Optional<FencingNumber> current() {
     boolean isHeld = fence != null && session.lease().equals(Optional.ofNullable(heldLease));
     boolean isSafe = session.remaining().compareTo(timing.stopBefore()) > 0;
-    boolean isClear = timers.nowNanos() - actFromNanos >= 0;
-    return isHeld && isSafe && isClear && !isResigned ? Optional.of(fence) : Optional.empty();
+    return isHeld && isSafe && hasStarted && !isResigned ? Optional.of(fence) : Optional.empty();
   }
 
   @Override
@@ -167,21 +171,10 @@
     byte[] value = holderValue(lease.get());
     Optional<KvEntry> holder = fleet.holder(name);
     if (holder.isPresent()) {
-      adopt(holder.get(), value, lease.get());
+      takeFromHolder(holder.get(), value, lease.get());
     } else {
-      take(value, lease.get());
-    }
-  }
-
-  /** Returns the other daemon that holds the duty, empty if it is this one or nobody. */
-  public Optional<EntryVmId> otherHolder() {
-    if (fence != null) {
-      return Optional.empty();
+      takeFree(value, lease.get());
     }
-    return fleet
-        .holder(name)
-        .map(entry -> new String(entry.value(), StandardCharsets.UTF_8))
-        .map(text -> EntryVmId.of(text.substring(0, text.indexOf('/'))));
   }
 
   private byte[] holderValue(LeaseId lease) {
@@ -189,21 +182,47 @@
     return text.getBytes(StandardCharsets.UTF_8);
   }
 
-  /** The answer to an earlier take was lost, and the take had succeeded. */
-  private void adopt(KvEntry holder, byte[] ownValue, LeaseId lease) {
+  private void takeFromHolder(KvEntry holder, byte[] ownValue, LeaseId lease) {
     if (Arrays.equals(holder.value(), ownValue)) {
+      // The answer to an earlier take was lost, and the take had succeeded.
       begin(holder.revision(), lease, timing.startAfter());
+      return;
+    }
+    Optional<KvEntry> ownStart = ownStart();
+    if (ownStart.isPresent()) {
+      Transaction.Builder take =
+          Transaction.builder()
+              .expect(holder.key(), holder.revision())
+              .expect(ownStart.get().key(), ownStart.get().revision())
+              .put(holder.key(), ownValue, lease);
+      take(take, lease, RESTART_WAIT);
     }
   }
 
+  /** Returns the note of the last holder that acted if that was on this VM. */
+  private Optional<KvEntry> ownStart() {
+    return fleet.lastStart(name).filter(this::isOwnStart);
+  }
+
+  private boolean isOwnStart(KvEntry entry) {
+    Optional<DutyStart> start = DutyStart.decode(entry.value());
+    return start.isPresent() && start.get().isOnVmOf(session.self());
+  }
+
   /** Each take removes the release before it, so a release tells of the last holder. */
-  private void take(byte[] value, LeaseId lease) {
-    isAsking = true;
+  private void takeFree(byte[] value, LeaseId lease) {
     String key = FleetKeys.duty(name);
     Transaction.Builder take = Transaction.builder().expectAbsent(key).put(key, value, lease);
     Optional<KvEntry> release = fleet.release(name);
     release.ifPresent(entry -> take.expect(entry.key(), entry.revision()).remove(entry.key()));
+    Optional<KvEntry> ownStart = ownStart();
+    ownStart.ifPresent(entry -> take.expect(entry.key(), entry.revision()));
     Duration wait = release.map(this::waitAfter).orElse(timing.startAfter());
+    take(take, lease, ownStart.isPresent() ? RESTART_WAIT : wait);
+  }
+
+  private void take(Transaction.Builder take, LeaseId lease, Duration wait) {
+    isAsking = true;
     store.transact(take.build()).thenAccept(reply -> onReply(reply, lease, wait));
   }
 
@@ -222,13 +241,46 @@
   }
 
   private void begin(Revision revision, LeaseId lease, Duration wait) {
-    fence = FencingNumber.of(revision.value());
+    FencingNumber taken = FencingNumber.of(revision.value());
+    fence = taken;
     heldLease = lease;
+    hasStarted = false;
     lastActNanos = Optional.empty();
     actFromNanos = timers.nowNanos() + wait.toNanos();
     logger.atInfo().log(
         "event=duty_taken duty=%s fence=%s lease=%s wait_ms=%d",
         name, fence, lease, wait.toMillis());
+    timers.after(wait, () -> noteStart(taken));
+  }
+
+  private boolean isHeldAs(FencingNumber taken) {
+    return taken.equals(fence) && !isResigned;
+  }
+
+  private void noteStart(FencingNumber taken) {
+    if (!isHeldAs(taken)) {
+      return;
+    }
+    Transaction note =
+        Transaction.builder()
+            .expect(FleetKeys.duty(name), Revision.of(taken.value()))
+            .put(FleetKeys.start(name), DutyStart.of(session.self(), taken).encode())
+            .build();
+    store.transact(note).thenAccept(reply -> onNoted(taken, reply));
+  }
+
+  private void onNoted(FencingNumber taken, TransactionReply reply) {
+    if (!isHeldAs(taken)) {
+      return;
+    }
+    if (reply instanceof TransactionReply.Committed) {
+      hasStarted = true;
+      logger.atInfo().log("event=duty_started duty=%s fence=%s", name, taken);
+    } else {
+      logger.atInfo().log(
+          "event=duty_start_not_noted duty=%s fence=%s reply=\"%s\"", name, taken, reply);
+      timers.after(RETRY_PAUSE, () -> noteStart(taken));
+    }
   }
 
   private void lose(String reason) {
--- a/amaranthstream/src/main/java/org/amaranthstream/jobs/ItemScheduler.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/jobs/ItemScheduler.java
@@ -77,7 +77,7 @@
     }
     isPumping = true;
     long now = timers.nowNanos();
-    jobs.removeIf(job -> !job.isRunnable() || !hasOpenItems(job));
+    jobs.removeIf(job -> !job.isRunnable() || !job.hasOpenItems());
     jobs.sort(JobOrder.at(now));
     for (OwnedJob job : ImmutableList.copyOf(jobs)) {
       pumpJob(job, now);
@@ -94,15 +94,6 @@
     pump();
   }
 
-  private static boolean hasOpenItems(OwnedJob job) {
-    for (ItemProgress item : job.items()) {
-      if (!item.isFinished()) {
-        return true;
-      }
-    }
-    return false;
-  }
-
   private void pumpJob(OwnedJob job, long now) {
     Optional<RoutingConfig> config = routing.current();
     if (config.isEmpty()) {
--- a/amaranthstream/src/main/java/org/amaranthstream/jobs/ItemText.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/jobs/ItemText.java
@@ -2,8 +2,10 @@
 
 import com.google.common.collect.ImmutableSortedSet;
 import java.io.ByteArrayOutputStream;
+import java.util.Arrays;
 import java.util.Optional;
 import java.util.TreeSet;
+import org.amaranthstream.ids.ItemId;
 import org.amaranthstream.ids.WeightVersion;
 
 /**
@@ -17,6 +19,7 @@
   private final ByteArrayOutputStream text = new ByteArrayOutputStream();
   private final TreeSet<WeightVersion> versions = new TreeSet<>();
   private long lastEvent;
+  private int savedBytes;
 
   /** Adds an event that was generated under {@code version}; returns false if one is missing. */
   boolean add(ItemEvent event, Optional<WeightVersion> version) {
@@ -41,6 +44,24 @@
     text.reset();
     versions.clear();
     lastEvent = 0;
+    savedBytes = 0;
+  }
+
+  /** Returns the part of {@code item}'s text that is not saved yet, empty if all is. */
+  Optional<TextPart> unsaved(ItemId item) {
+    if (text.size() == savedBytes) {
+      return Optional.empty();
+    }
+    byte[] part = Arrays.copyOfRange(text.toByteArray(), savedBytes, text.size());
+    return Optional.of(new TextPart(item, savedBytes, part, lastEvent, versions()));
+  }
+
+  /** A part was saved. If the text was cleared meanwhile, its first part voids what was saved. */
+  void markSaved(TextPart part) {
+    boolean isNext = part.offset() == savedBytes && part.end() <= text.size();
+    if (isNext) {
+      savedBytes = part.end();
+    }
   }
 
   /** Goes on from what another owner had. */
--- a/amaranthstream/src/main/java/org/amaranthstream/jobs/JobCodec.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/jobs/JobCodec.java
@@ -20,8 +20,10 @@
 import org.amaranthstream.jobs.wire.JobRecord;
 import org.amaranthstream.jobs.wire.OwnerRecord;
 import org.amaranthstream.jobs.wire.PartialRecord;
+import org.amaranthstream.jobs.wire.ProgressPage;
 import org.amaranthstream.jobs.wire.ResultPage;
 import org.amaranthstream.jobs.wire.ResultRecord;
+import org.amaranthstream.jobs.wire.TextRecord;
 
 /** Turns batch jobs into the records of the store and of peer links, and back. */
 final class JobCodec {
@@ -161,6 +163,39 @@
         .collect(ImmutableSortedSet.toImmutableSortedSet(WeightVersion::compareTo));
   }
 
+  static byte[] encodeProgress(List<TextPart> parts, long nonce) {
+    ProgressPage.Builder page = ProgressPage.newBuilder().setNonce(nonce);
+    parts.forEach(part -> page.addText(encodeText(part)));
+    return page.build().toByteArray();
+  }
+
+  private static TextRecord encodeText(TextPart part) {
+    TextRecord.Builder builder =
+        TextRecord.newBuilder()
+            .setItem(part.item().value())
+            .setOffset(part.offset())
+            .setText(ByteString.copyFrom(part.text()))
+            .setLastEvent(part.lastEvent());
+    part.versions().forEach(version -> builder.addVersion(version.value()));
+    return builder.build();
+  }
+
+  static ImmutableList<TextPart> decodeProgress(byte[] value)
+      throws InvalidProtocolBufferException {
+    return ProgressPage.parseFrom(value).getTextList().stream()
+        .map(JobCodec::decodeText)
+        .collect(ImmutableList.toImmutableList());
+  }
+
+  private static TextPart decodeText(TextRecord text) {
+    return new TextPart(
+        ItemId.of(text.getItem()),
+        text.getOffset(),
+        text.getText().toByteArray(),
+        text.getLastEvent(),
+        versions(text.getVersionList()));
+  }
+
   static ResultRecord encodeResult(ItemResult result) {
     ResultRecord.Builder builder =
         ResultRecord.newBuilder()
--- a/amaranthstream/src/main/java/org/amaranthstream/jobs/JobKeeper.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/jobs/JobKeeper.java
@@ -35,6 +35,9 @@
   /** The time that the daemon with the first claim on a job has before the next one tries. */
   private static final Duration NEXT_CLAIM = Duration.ofMillis(1_500);
 
+  /** Jobs that have ended are taken over only to be removed in time, unless a caller asks. */
+  private static final Duration ENDED_CLAIM = Duration.ofSeconds(20);
+
   /** Daemons that try to take a job over when its owner is lost. */
   private static final int CLAIMANTS = 2;
 
@@ -101,14 +104,11 @@
 
   /** Takes a job that the store has just acknowledged as owned here. */
   OwnedJob own(
-      JobSpec spec,
-      StoredOwner owner,
-      ImmutableList<ItemResult> results,
-      ImmutableList<ItemPartial> partials) {
+      JobSpec spec, StoredOwner owner, ImmutableList<ItemResult> results, SavedProgress progress) {
     long sinceAccepted = Math.max(0, timeOfDay.millis() - owner.owner().acceptedMillis());
     OwnedJob job = new OwnedJob(spec, owner, timers.nowNanos(), Duration.ofMillis(sinceAccepted));
-    job.restore(results);
-    job.restorePartials(partials);
+    job.restoreResults(results);
+    job.restoreProgress(progress);
     book.add(job);
     if (endsNotApplied.remove(job.id())) {
       endNoticed(job);
@@ -185,7 +185,8 @@
     boolean wasOwn = orphan.owner().vm().equals(self.vm());
     int rank = wasOwn ? 0 : rank(orphan.job());
     if (rank < CLAIMANTS) {
-      timers.after(NEXT_CLAIM.multipliedBy(rank), () -> claimIfOrphan(orphan));
+      Duration first = orphan.owner().isEnded() ? ENDED_CLAIM : Duration.ZERO;
+      timers.after(first.plus(NEXT_CLAIM.multipliedBy(rank)), () -> claimIfOrphan(orphan));
     }
   }
 
@@ -264,14 +265,34 @@
         .thenAccept(
             result -> {
               if (result instanceof Result.Success<ImmutableList<ItemResult>> success) {
-                taking.remove(owner.job());
-                own(spec, owner, success.value(), partials);
+                loadProgress(owner, spec, success.value(), partials);
               } else {
                 timers.after(LOAD_RETRY, () -> loadResults(owner, spec, partials));
               }
             });
   }
 
+  private void loadProgress(
+      StoredOwner owner,
+      JobSpec spec,
+      ImmutableList<ItemResult> results,
+      ImmutableList<ItemPartial> partials) {
+    store
+        .progress(owner.job())
+        .thenAccept(
+            result -> {
+              if (result instanceof Result.Success<SavedProgress> success) {
+                taking.remove(owner.job());
+                logger.atInfo().log(
+                    "event=job_loaded job=%s listed=%d saved_texts=%d partials=%d",
+                    owner.job(), results.size(), success.value().texts().size(), partials.size());
+                own(spec, owner, results, success.value().plus(partials));
+              } else {
+                timers.after(LOAD_RETRY, () -> loadProgress(owner, spec, results, partials));
+              }
+            });
+  }
+
   /** Finds out what became of an owned job whose record was changed by somebody else. */
   void resolve(OwnedJob job) {
     store.owner(job.id()).thenAccept(result -> onResolved(job, result));
--- a/amaranthstream/src/main/java/org/amaranthstream/jobs/JobKeys.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/jobs/JobKeys.java
@@ -8,6 +8,8 @@
   private static final String JOBS = "amaranthstream/jobs/";
   private static final String RESULTS = "amaranthstream/results/";
 
+  private static final String PROGRESS = "amaranthstream/progress/";
+
   private JobKeys() {}
 
   static String owner(JobId job) {
@@ -26,6 +28,20 @@
     return RESULTS + job + "/";
   }
 
+  static String progress(JobId job) {
+    return PROGRESS + job + "/";
+  }
+
+  /** Returns the key of the page with the number {@code page} of saved texts. */
+  static String progressPage(JobId job, int page) {
+    return String.format("%s%06d", progress(job), page);
+  }
+
+  /** Returns the number of a page from its key. */
+  static int numberOfPage(String key) {
+    return Integer.parseInt(key.substring(key.lastIndexOf('/') + 1));
+  }
+
   /** Returns the key of the page whose first result has {@code position}. */
   static String page(JobId job, int position) {
     return String.format("%s%06d", results(job), position);
--- a/amaranthstream/src/main/java/org/amaranthstream/jobs/JobQuestions.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/jobs/JobQuestions.java
@@ -7,11 +7,8 @@
 import java.util.concurrent.CompletableFuture;
 import org.amaranthstream.ids.ItemId;
 import org.amaranthstream.ids.JobId;
-import org.amaranthstream.ids.ModelId;
 import org.amaranthstream.ids.Revision;
-import org.amaranthstream.ids.WeightVersion;
 import org.amaranthstream.jobs.wire.BodyAnswer;
-import org.amaranthstream.jobs.wire.DemandNotice;
 import org.amaranthstream.jobs.wire.EndAnswer;
 import org.amaranthstream.jobs.wire.HandoverAnswer;
 import org.amaranthstream.jobs.wire.HandoverQuestion;
@@ -61,11 +58,6 @@
     if (question.hasSubmit()) {
       return submit(question.getSubmit());
     }
-    if (question.hasDemand()) {
-      DemandNotice demand = question.getDemand();
-      service.onDemand(ModelId.of(demand.getModel()), WeightVersion.of(demand.getMinVersion()));
-      return CompletableFuture.completedFuture(JobAnswer.getDefaultInstance());
-    }
     if (question.hasHandover()) {
       return takeOver(JobId.of(question.getJob()), question.getHandover());
     }
@@ -79,7 +71,7 @@
           CompletableFuture.completedFuture(
               body(JobDesk.bodyOf(job.get().spec(), ItemId.of(question.getItemBody().getItem()))));
       case END -> desk.end(job.get()).thenApply(JobQuestions::ended);
-      case SUBMIT, HANDOVER, DEMAND, BODY_NOT_SET -> CompletableFuture.completedFuture(NOT_OWNER);
+      case SUBMIT, HANDOVER, BODY_NOT_SET -> CompletableFuture.completedFuture(NOT_OWNER);
     };
   }
 
--- a/amaranthstream/src/main/java/org/amaranthstream/jobs/JobService.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/jobs/JobService.java
@@ -10,14 +10,10 @@
 import java.util.Optional;
 import java.util.Random;
 import java.util.concurrent.CompletableFuture;
-import java.util.function.Supplier;
 import org.amaranthstream.fleet.Fleet;
 import org.amaranthstream.fleet.FleetNode;
-import org.amaranthstream.ids.EntryVmId;
 import org.amaranthstream.ids.ItemId;
 import org.amaranthstream.ids.JobId;
-import org.amaranthstream.ids.ModelId;
-import org.amaranthstream.ids.WeightVersion;
 import org.amaranthstream.platform.TransactionReply;
 import org.amaranthstream.platform.TransactionRunner;
 import org.amaranthstream.platform.TransactionalStore;
@@ -57,18 +53,15 @@
   private final JobDesk desk;
   private final ItemScheduler scheduler;
   private final ResultLister lister;
+  private final ProgressSaver saver;
   private final RemoteJobs remote;
   private final OwnerLookup lookup;
-  private final DemandListener demand;
-  private final Supplier<Optional<EntryVmId>> weightsHolder;
   private final TimerService timers;
   private final Random nonces = new Random();
   private boolean isLeaving;
 
   private JobService(Builder builder) {
     this.timers = checkNotNull(builder.timers, "timers");
-    this.demand = checkNotNull(builder.demand, "demand");
-    this.weightsHolder = checkNotNull(builder.weightsHolder, "weightsHolder");
     Fleet fleet = checkNotNull(builder.fleet, "fleet");
     this.store =
         new JobStore(
@@ -87,6 +80,7 @@
     this.acceptor = new JobAcceptor(store, book, keeper, remote, timers);
     this.desk = new JobDesk(store, keeper, timers, nonces);
     this.lister = new ResultLister(store, timers, nonces, keeper::resolve);
+    this.saver = new ProgressSaver(store, timers, nonces);
     this.scheduler =
         new ItemScheduler(
             checkNotNull(builder.routing, "routing"),
@@ -102,27 +96,14 @@
     return new Builder();
   }
 
-  /** What follows a job's demand for fresh weights. */
-  @FunctionalInterface
-  public interface DemandListener {
-    /** A job was accepted, here or elsewhere, that allows {@code minVersion} and newer. */
-    void onJob(ModelId model, WeightVersion minVersion);
-  }
-
-  void onDemand(ModelId model, WeightVersion minVersion) {
-    demand.onJob(model, minVersion);
+  /** Starts to run jobs and to take over those of daemons that are gone. */
+  public void start() {
+    keeper.start(this::run);
   }
 
-  private void start(OwnedJob job) {
+  private void run(OwnedJob job) {
     scheduler.add(job);
-    JobSpec spec = job.spec();
-    demand.onJob(spec.model(), spec.minVersion());
-    weightsHolder.get().ifPresent(vm -> remote.tellDemand(vm, spec));
-  }
-
-  /** Starts to run jobs and to take over those of daemons that are gone. */
-  public void start() {
-    keeper.start(this::start);
+    saver.add(job);
   }
 
   /**
@@ -266,8 +247,6 @@
     private @Nullable ServerChoice choice;
     private @Nullable ItemTransport transport;
     private @Nullable JobPeers peers;
-    private @Nullable DemandListener demand;
-    private @Nullable Supplier<Optional<EntryVmId>> weightsHolder;
     private InstantSource timeOfDay = InstantSource.system();
 
     private Builder() {}
@@ -323,14 +302,6 @@
       return this;
     }
 
-    /** Sets who hears of the jobs' demand for weights, here and at the daemon that orders. */
-    @CanIgnoreReturnValue
-    public Builder demand(DemandListener demand, Supplier<Optional<EntryVmId>> weightsHolder) {
-      this.demand = demand;
-      this.weightsHolder = weightsHolder;
-      return this;
-    }
-
     /** Sets how other daemons are asked. */
     @CanIgnoreReturnValue
     public Builder peers(JobPeers peers) {
--- a/amaranthstream/src/main/java/org/amaranthstream/jobs/JobStore.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/jobs/JobStore.java
@@ -172,18 +172,50 @@
     return entries(JobKeys.results(job)).thenApply(r -> r.flatMap(JobStore::decodePages));
   }
 
+  /** Saves texts of open items if the owner's record is unchanged. */
+  CompletableFuture<TransactionReply> saveProgress(
+      StoredOwner owner, int page, List<TextPart> parts, long nonce, Duration patience) {
+    String key = JobKeys.progressPage(owner.job(), page);
+    return runner.run(
+        Transaction.builder()
+            .expect(JobKeys.owner(owner.job()), owner.revision())
+            .expectAbsent(key)
+            .put(key, Compression.compress(JobCodec.encodeProgress(parts, nonce)))
+            .build(),
+        patience);
+  }
+
+  /** Reads the saved texts of open items. */
+  CompletableFuture<Result<SavedProgress>> progress(JobId job) {
+    return entries(JobKeys.progress(job)).thenApply(r -> r.flatMap(JobStore::decodeProgress));
+  }
+
+  private static Result<SavedProgress> decodeProgress(ImmutableList<KvEntry> pages) {
+    return decodeAll(pages, JobCodec::decodeProgress).map(parts -> SavedProgress.of(pages, parts));
+  }
+
   private static Result<ImmutableList<ItemResult>> decodePages(ImmutableList<KvEntry> pages) {
-    ImmutableList.Builder<ItemResult> results = ImmutableList.builder();
+    return decodeAll(pages, JobCodec::decodePage);
+  }
+
+  /** Decodes the records of a page. */
+  private interface PageDecoder<T> {
+    ImmutableList<T> decode(byte[] page) throws InvalidProtocolBufferException;
+  }
+
+  private static <T> Result<ImmutableList<T>> decodeAll(
+      ImmutableList<KvEntry> pages, PageDecoder<T> decoder) {
+    ImmutableList.Builder<T> records = ImmutableList.builder();
     try {
       for (KvEntry page : pages) {
-        results.addAll(JobCodec.decodePage(Compression.expand(page.value())));
+        records.addAll(decoder.decode(Compression.expand(page.value())));
       }
     } catch (InvalidProtocolBufferException e) {
-      return Result.failure(ResultCode.INTERNAL, "a page of results cannot be read: " + e);
+      return Result.failure(ResultCode.INTERNAL, "a page of a job cannot be read: " + e);
     } catch (IOException e) {
-      return Result.failure(ResultCode.INTERNAL, "a page of results is not compressed: " + e);
+      return Result.failure(ResultCode.INTERNAL, "a page of a job is not compressed: " + e);
     }
-    return Result.success(results.build());
+    return Result.success(records.build());
   }
 
   private CompletableFuture<Result<ImmutableList<KvEntry>>> entries(String prefix) {
@@ -212,6 +244,7 @@
   /** Removes a job that nobody may ask for any more. */
   void remove(StoredOwner owner) {
     entries(JobKeys.results(owner.job()))
+        .thenCombine(entries(JobKeys.progress(owner.job())), JobStore::both)
         .thenAccept(
             result -> {
               if (result instanceof Result.Success<ImmutableList<KvEntry>> success) {
@@ -220,6 +253,12 @@
             });
   }
 
+  private static Result<ImmutableList<KvEntry>> both(
+      Result<ImmutableList<KvEntry>> first, Result<ImmutableList<KvEntry>> second) {
+    return first.flatMap(
+        a -> second.map(b -> ImmutableList.<KvEntry>builder().addAll(a).addAll(b).build()));
+  }
+
   private void removeAll(StoredOwner owner, ImmutableList<KvEntry> pages) {
     int most = Transaction.MAX_ENTRIES - owner.owner().parts() - 2;
     Transaction.Builder builder =
--- a/amaranthstream/src/main/java/org/amaranthstream/jobs/OwnedJob.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/jobs/OwnedJob.java
@@ -8,6 +8,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import org.amaranthstream.ids.GroupId;
 import org.amaranthstream.ids.ItemId;
 import org.amaranthstream.ids.JobId;
@@ -31,6 +32,7 @@
   private boolean isEnded;
   private boolean isLost;
   private boolean isAppending;
+  private int nextProgressPage;
 
   /**
    * Creates a job.
@@ -49,22 +51,25 @@
   }
 
   /** Takes results that an owner before this one has listed. */
-  void restore(ImmutableList<ItemResult> results) {
+  void restoreResults(ImmutableList<ItemResult> results) {
     for (ItemResult result : results) {
       listed.add(result);
       close(items.get(result.item()));
     }
   }
 
-  /** Takes the texts that an owner before this one had not listed. */
-  void restorePartials(ImmutableList<ItemPartial> partials) {
-    for (ItemPartial partial : partials) {
-      ItemProgress item = items.get(partial.item());
-      if (item != null && item.isWaiting()) {
-        item.text().restore(partial);
-        if (partial.isWhole()) {
-          complete(item);
-        }
+  /** Takes what owners before this one have saved of open items. */
+  void restoreProgress(SavedProgress progress) {
+    progress.texts().forEach(this::restoreText);
+    nextProgressPage = progress.nextPage();
+  }
+
+  private void restoreText(ItemPartial partial) {
+    ItemProgress item = items.get(partial.item());
+    if (item != null && item.isWaiting()) {
+      item.text().restore(partial);
+      if (partial.isWhole()) {
+        complete(item);
       }
     }
   }
@@ -88,6 +93,36 @@
     return partials.build();
   }
 
+  /** Returns parts of the texts of open items that have at least {@code minEvents} events. */
+  ImmutableList<TextPart> unsavedTexts(int minEvents, int maxBytes) {
+    ImmutableList.Builder<TextPart> parts = ImmutableList.builder();
+    int bytes = 0;
+    for (ItemProgress item : items.values()) {
+      if (item.isFinished() || item.text().lastEvent() < minEvents || bytes >= maxBytes) {
+        continue;
+      }
+      Optional<TextPart> part = item.text().unsaved(item.spec().id());
+      part.ifPresent(parts::add);
+      bytes += part.map(p -> p.text().length).orElse(0);
+    }
+    return parts.build();
+  }
+
+  void markSaved(ImmutableList<TextPart> parts) {
+    parts.forEach(part -> items.get(part.item()).text().markSaved(part));
+  }
+
+  /** Returns the number of the next page of saved texts, a new one with each call. */
+  int takeProgressPage() {
+    int page = nextProgressPage;
+    nextProgressPage++;
+    return page;
+  }
+
+  boolean hasOpenItems() {
+    return items.values().stream().anyMatch(item -> !item.isFinished());
+  }
+
   JobSpec spec() {
     return spec;
   }
--- a/amaranthstream/src/main/java/org/amaranthstream/jobs/RemoteJobs.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/jobs/RemoteJobs.java
@@ -1,7 +1,6 @@
 package org.amaranthstream.jobs;
 
 import com.google.common.collect.ImmutableList;
-import com.google.common.flogger.FluentLogger;
 import java.time.Duration;
 import java.util.concurrent.CompletableFuture;
 import org.amaranthstream.fleet.Fleet;
@@ -9,7 +8,6 @@
 import org.amaranthstream.ids.ItemId;
 import org.amaranthstream.ids.JobId;
 import org.amaranthstream.jobs.wire.BodyQuestion;
-import org.amaranthstream.jobs.wire.DemandNotice;
 import org.amaranthstream.jobs.wire.EndQuestion;
 import org.amaranthstream.jobs.wire.HandoverQuestion;
 import org.amaranthstream.jobs.wire.JobAnswer;
@@ -21,7 +19,6 @@
 
 /** Asks the owners of jobs over peer links. */
 final class RemoteJobs {
-  private static final FluentLogger logger = FluentLogger.forEnclosingClass();
 
   /**
    * A peer that does not answer within this time, beside the wait it was asked for, is passed by.
@@ -125,19 +122,6 @@
     };
   }
 
-  /** Tells the daemon that orders engines what a new job allows. */
-  void tellDemand(EntryVmId vm, JobSpec spec) {
-    DemandNotice demand =
-        DemandNotice.newBuilder()
-            .setModel(spec.model().value())
-            .setMinVersion(spec.minVersion().value())
-            .build();
-    JobQuestion notice = question(spec.id()).setDemand(demand).build();
-    peers
-        .ask(vm, notice, ANSWER_TIMEOUT)
-        .thenAccept(reply -> logger.atFine().log("event=demand_told vm=%s reply=%s", vm, reply));
-  }
-
   /** Asks another daemon to take a job over. */
   CompletableFuture<Result<JobDone>> handOver(
       EntryVmId vm, StoredOwner owner, ImmutableList<ItemPartial> partials) {
--- a/amaranthstream/src/main/java/org/amaranthstream/jobs/ResultLister.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/jobs/ResultLister.java
@@ -14,7 +14,8 @@
  * Appends finished results to the store, in pages: one at a time for each job, so that positions
  * are fixed in the order of the pages.
  *
- * <p>Used on one thread.
+ * <p>Answers the load pattern of a trainer that goes on once it has read as many groups as it asked
+ * for: from then on nothing waits for more results to share its page. Used on one thread.
  */
 final class ResultLister {
   private static final FluentLogger logger = FluentLogger.forEnclosingClass();
@@ -49,7 +50,11 @@
     if (!job.hasUnlisted() || job.isAppending() || !gathering.add(job.id())) {
       return;
     }
-    timers.after(GATHER, () -> append(job));
+    timers.after(isAwaited(job) ? Duration.ZERO : GATHER, () -> append(job));
+  }
+
+  private static boolean isAwaited(OwnedJob job) {
+    return job.completeGroups() >= job.spec().wantedGroups();
   }
 
   private void append(OwnedJob job) {
--- a/amaranthstream/src/main/java/org/amaranthstream/jobs/wire/JobQuestion.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/jobs/wire/JobQuestion.java
@@ -64,7 +64,6 @@
     END(4),
     SUBMIT(5),
     HANDOVER(6),
-    DEMAND(7),
     BODY_NOT_SET(0);
     private final int value;
     private BodyCase(int value) {
@@ -87,7 +86,6 @@
         case 4: return END;
         case 5: return SUBMIT;
         case 6: return HANDOVER;
-        case 7: return DEMAND;
         case 0: return BODY_NOT_SET;
         default: return null;
       }
@@ -297,37 +295,6 @@
     return org.amaranthstream.jobs.wire.HandoverQuestion.getDefaultInstance();
   }
 
-  public static final int DEMAND_FIELD_NUMBER = 7;
-  /**
-   * <code>.amaranthstream.jobs.DemandNotice demand = 7;</code>
-   * @return Whether the demand field is set.
-   */
-  @java.lang.Override
-  public boolean hasDemand() {
-    return bodyCase_ == 7;
-  }
-  /**
-   * <code>.amaranthstream.jobs.DemandNotice demand = 7;</code>
-   * @return The demand.
-   */
-  @java.lang.Override
-  public org.amaranthstream.jobs.wire.DemandNotice getDemand() {
-    if (bodyCase_ == 7) {
-       return (org.amaranthstream.jobs.wire.DemandNotice) body_;
-    }
-    return org.amaranthstream.jobs.wire.DemandNotice.getDefaultInstance();
-  }
-  /**
-   * <code>.amaranthstream.jobs.DemandNotice demand = 7;</code>
-   */
-  @java.lang.Override
-  public org.amaranthstream.jobs.wire.DemandNoticeOrBuilder getDemandOrBuilder() {
-    if (bodyCase_ == 7) {
-       return (org.amaranthstream.jobs.wire.DemandNotice) body_;
-    }
-    return org.amaranthstream.jobs.wire.DemandNotice.getDefaultInstance();
-  }
-
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -360,9 +327,6 @@
     if (bodyCase_ == 6) {
       output.writeMessage(6, (org.amaranthstream.jobs.wire.HandoverQuestion) body_);
     }
-    if (bodyCase_ == 7) {
-      output.writeMessage(7, (org.amaranthstream.jobs.wire.DemandNotice) body_);
-    }
     getUnknownFields().writeTo(output);
   }
 
@@ -395,10 +359,6 @@
       size += com.google.protobuf.CodedOutputStream
         .computeMessageSize(6, (org.amaranthstream.jobs.wire.HandoverQuestion) body_);
     }
-    if (bodyCase_ == 7) {
-      size += com.google.protobuf.CodedOutputStream
-        .computeMessageSize(7, (org.amaranthstream.jobs.wire.DemandNotice) body_);
-    }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -438,10 +398,6 @@
         if (!getHandover()
             .equals(other.getHandover())) return false;
         break;
-      case 7:
-        if (!getDemand()
-            .equals(other.getDemand())) return false;
-        break;
       case 0:
       default:
     }
@@ -479,10 +435,6 @@
         hash = (37 * hash) + HANDOVER_FIELD_NUMBER;
         hash = (53 * hash) + getHandover().hashCode();
         break;
-      case 7:
-        hash = (37 * hash) + DEMAND_FIELD_NUMBER;
-        hash = (53 * hash) + getDemand().hashCode();
-        break;
       case 0:
       default:
     }
@@ -637,9 +589,6 @@
       if (handoverBuilder_ != null) {
         handoverBuilder_.clear();
       }
-      if (demandBuilder_ != null) {
-        demandBuilder_.clear();
-      }
       bodyCase_ = 0;
       body_ = null;
       return this;
@@ -704,10 +653,6 @@
           handoverBuilder_ != null) {
         result.body_ = handoverBuilder_.build();
       }
-      if (bodyCase_ == 7 &&
-          demandBuilder_ != null) {
-        result.body_ = demandBuilder_.build();
-      }
     }
 
     @java.lang.Override
@@ -748,10 +693,6 @@
           mergeHandover(other.getHandover());
           break;
         }
-        case DEMAND: {
-          mergeDemand(other.getDemand());
-          break;
-        }
         case BODY_NOT_SET: {
           break;
         }
@@ -822,13 +763,6 @@
               bodyCase_ = 6;
               break;
             } // case 50
-            case 58: {
-              input.readMessage(
-                  internalGetDemandFieldBuilder().getBuilder(),
-                  extensionRegistry);
-              bodyCase_ = 7;
-              break;
-            } // case 58
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -1643,148 +1577,6 @@
       return handoverBuilder_;
     }
 
-    private com.google.protobuf.SingleFieldBuilder<
-        org.amaranthstream.jobs.wire.DemandNotice, org.amaranthstream.jobs.wire.DemandNotice.Builder, org.amaranthstream.jobs.wire.DemandNoticeOrBuilder> demandBuilder_;
-    /**
-     * <code>.amaranthstream.jobs.DemandNotice demand = 7;</code>
-     * @return Whether the demand field is set.
-     */
-    @java.lang.Override
-    public boolean hasDemand() {
-      return bodyCase_ == 7;
-    }
-    /**
-     * <code>.amaranthstream.jobs.DemandNotice demand = 7;</code>
-     * @return The demand.
-     */
-    @java.lang.Override
-    public org.amaranthstream.jobs.wire.DemandNotice getDemand() {
-      if (demandBuilder_ == null) {
-        if (bodyCase_ == 7) {
-          return (org.amaranthstream.jobs.wire.DemandNotice) body_;
-        }
-        return org.amaranthstream.jobs.wire.DemandNotice.getDefaultInstance();
-      } else {
-        if (bodyCase_ == 7) {
-          return demandBuilder_.getMessage();
-        }
-        return org.amaranthstream.jobs.wire.DemandNotice.getDefaultInstance();
-      }
-    }
-    /**
-     * <code>.amaranthstream.jobs.DemandNotice demand = 7;</code>
-     */
-    public Builder setDemand(org.amaranthstream.jobs.wire.DemandNotice value) {
-      if (demandBuilder_ == null) {
-        if (value == null) {
-          throw new NullPointerException();
-        }
-        body_ = value;
-        onChanged();
-      } else {
-        demandBuilder_.setMessage(value);
-      }
-      bodyCase_ = 7;
-      return this;
-    }
-    /**
-     * <code>.amaranthstream.jobs.DemandNotice demand = 7;</code>
-     */
-    public Builder setDemand(
-        org.amaranthstream.jobs.wire.DemandNotice.Builder builderForValue) {
-      if (demandBuilder_ == null) {
-        body_ = builderForValue.build();
-        onChanged();
-      } else {
-        demandBuilder_.setMessage(builderForValue.build());
-      }
-      bodyCase_ = 7;
-      return this;
-    }
-    /**
-     * <code>.amaranthstream.jobs.DemandNotice demand = 7;</code>
-     */
-    public Builder mergeDemand(org.amaranthstream.jobs.wire.DemandNotice value) {
-      if (demandBuilder_ == null) {
-        if (bodyCase_ == 7 &&
-            body_ != org.amaranthstream.jobs.wire.DemandNotice.getDefaultInstance()) {
-          body_ = org.amaranthstream.jobs.wire.DemandNotice.newBuilder((org.amaranthstream.jobs.wire.DemandNotice) body_)
-              .mergeFrom(value).buildPartial();
-        } else {
-          body_ = value;
-        }
-        onChanged();
-      } else {
-        if (bodyCase_ == 7) {
-          demandBuilder_.mergeFrom(value);
-        } else {
-          demandBuilder_.setMessage(value);
-        }
-      }
-      bodyCase_ = 7;
-      return this;
-    }
-    /**
-     * <code>.amaranthstream.jobs.DemandNotice demand = 7;</code>
-     */
-    public Builder clearDemand() {
-      if (demandBuilder_ == null) {
-        if (bodyCase_ == 7) {
-          bodyCase_ = 0;
-          body_ = null;
-          onChanged();
-        }
-      } else {
-        if (bodyCase_ == 7) {
-          bodyCase_ = 0;
-          body_ = null;
-        }
-        demandBuilder_.clear();
-      }
-      return this;
-    }
-    /**
-     * <code>.amaranthstream.jobs.DemandNotice demand = 7;</code>
-     */
-    public org.amaranthstream.jobs.wire.DemandNotice.Builder getDemandBuilder() {
-      return internalGetDemandFieldBuilder().getBuilder();
-    }
-    /**
-     * <code>.amaranthstream.jobs.DemandNotice demand = 7;</code>
-     */
-    @java.lang.Override
-    public org.amaranthstream.jobs.wire.DemandNoticeOrBuilder getDemandOrBuilder() {
-      if ((bodyCase_ == 7) && (demandBuilder_ != null)) {
-        return demandBuilder_.getMessageOrBuilder();
-      } else {
-        if (bodyCase_ == 7) {
-          return (org.amaranthstream.jobs.wire.DemandNotice) body_;
-        }
-        return org.amaranthstream.jobs.wire.DemandNotice.getDefaultInstance();
-      }
-    }
-    /**
-     * <code>.amaranthstream.jobs.DemandNotice demand = 7;</code>
-     */
-    private com.google.protobuf.SingleFieldBuilder<
-        org.amaranthstream.jobs.wire.DemandNotice, org.amaranthstream.jobs.wire.DemandNotice.Builder, org.amaranthstream.jobs.wire.DemandNoticeOrBuilder> 
-        internalGetDemandFieldBuilder() {
-      if (demandBuilder_ == null) {
-        if (!(bodyCase_ == 7)) {
-          body_ = org.amaranthstream.jobs.wire.DemandNotice.getDefaultInstance();
-        }
-        demandBuilder_ = new com.google.protobuf.SingleFieldBuilder<
-            org.amaranthstream.jobs.wire.DemandNotice, org.amaranthstream.jobs.wire.DemandNotice.Builder, org.amaranthstream.jobs.wire.DemandNoticeOrBuilder>(
-                (org.amaranthstream.jobs.wire.DemandNotice) body_,
-                getParentForChildren(),
-                isClean());
-        body_ = null;
-      }
-      bodyCase_ = 7;
-      onChanged();
-      return demandBuilder_;
-    }
-
     // @@protoc_insertion_point(builder_scope:amaranthstream.jobs.JobQuestion)
   }
 
--- a/amaranthstream/src/main/java/org/amaranthstream/jobs/wire/JobQuestionOrBuilder.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/jobs/wire/JobQuestionOrBuilder.java
@@ -97,20 +97,5 @@
    */
   org.amaranthstream.jobs.wire.HandoverQuestionOrBuilder getHandoverOrBuilder();
 
-  /**
-   * <code>.amaranthstream.jobs.DemandNotice demand = 7;</code>
-   * @return Whether the demand field is set.
-   */
-  boolean hasDemand();
-  /**
-   * <code>.amaranthstream.jobs.DemandNotice demand = 7;</code>
-   * @return The demand.
-   */
-  org.amaranthstream.jobs.wire.DemandNotice getDemand();
-  /**
-   * <code>.amaranthstream.jobs.DemandNotice demand = 7;</code>
-   */
-  org.amaranthstream.jobs.wire.DemandNoticeOrBuilder getDemandOrBuilder();
-
   org.amaranthstream.jobs.wire.JobQuestion.BodyCase getBodyCase();
 }
--- a/amaranthstream/src/main/java/org/amaranthstream/jobs/wire/Jobs.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/jobs/wire/Jobs.java
@@ -122,15 +122,20 @@
     com.google.protobuf.GeneratedMessage.FieldAccessorTable
       internal_static_amaranthstream_jobs_PartialRecord_fieldAccessorTable;
   static final com.google.protobuf.Descriptors.Descriptor
-    internal_static_amaranthstream_jobs_HandoverAnswer_descriptor;
+    internal_static_amaranthstream_jobs_ProgressPage_descriptor;
   static final 
     com.google.protobuf.GeneratedMessage.FieldAccessorTable
-      internal_static_amaranthstream_jobs_HandoverAnswer_fieldAccessorTable;
+      internal_static_amaranthstream_jobs_ProgressPage_fieldAccessorTable;
   static final com.google.protobuf.Descriptors.Descriptor
-    internal_static_amaranthstream_jobs_DemandNotice_descriptor;
+    internal_static_amaranthstream_jobs_TextRecord_descriptor;
   static final 
     com.google.protobuf.GeneratedMessage.FieldAccessorTable
-      internal_static_amaranthstream_jobs_DemandNotice_fieldAccessorTable;
+      internal_static_amaranthstream_jobs_TextRecord_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_amaranthstream_jobs_HandoverAnswer_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_amaranthstream_jobs_HandoverAnswer_fieldAccessorTable;
 
   public static com.google.protobuf.Descriptors.FileDescriptor
       getDescriptor() {
@@ -158,43 +163,45 @@
       "nthstream.jobs.ResultRecord\022\r\n\005nonce\030\002 \001" +
       "(\003\"M\n\014ResultRecord\022\014\n\004item\030\001 \001(\t\022\020\n\010comp" +
       "lete\030\002 \001(\010\022\014\n\004text\030\003 \001(\014\022\017\n\007version\030\004 \003(" +
-      "\003\"\345\002\n\013JobQuestion\022\013\n\003job\030\001 \001(\t\0221\n\004read\030\002" +
+      "\003\"\260\002\n\013JobQuestion\022\013\n\003job\030\001 \001(\t\0221\n\004read\030\002" +
       " \001(\0132!.amaranthstream.jobs.ReadQuestionH" +
       "\000\0226\n\titem_body\030\003 \001(\0132!.amaranthstream.jo" +
       "bs.BodyQuestionH\000\022/\n\003end\030\004 \001(\0132 .amarant" +
       "hstream.jobs.EndQuestionH\000\0225\n\006submit\030\005 \001" +
       "(\0132#.amaranthstream.jobs.SubmitQuestionH" +
       "\000\0229\n\010handover\030\006 \001(\0132%.amaranthstream.job" +
-      "s.HandoverQuestionH\000\0223\n\006demand\030\007 \001(\0132!.a" +
-      "maranthstream.jobs.DemandNoticeH\000B\006\n\004bod" +
-      "y\"A\n\014ReadQuestion\022\r\n\005after\030\001 \001(\005\022\017\n\007wait" +
-      "_ms\030\002 \001(\003\022\021\n\tmax_bytes\030\003 \001(\005\"\034\n\014BodyQues" +
-      "tion\022\014\n\004item\030\001 \001(\t\"\r\n\013EndQuestion\"@\n\016Sub" +
-      "mitQuestion\022.\n\006record\030\001 \001(\0132\036.amaranthst" +
-      "ream.jobs.JobRecord\"\313\002\n\tJobAnswer\022/\n\004rea" +
-      "d\030\001 \001(\0132\037.amaranthstream.jobs.ReadAnswer" +
-      "H\000\0224\n\titem_body\030\002 \001(\0132\037.amaranthstream.j" +
-      "obs.BodyAnswerH\000\022-\n\003end\030\003 \001(\0132\036.amaranth" +
-      "stream.jobs.EndAnswerH\000\0223\n\006submit\030\004 \001(\0132" +
-      "!.amaranthstream.jobs.SubmitAnswerH\000\0222\n\t" +
-      "not_owner\030\005 \001(\0132\035.amaranthstream.jobs.No" +
-      "tOwnerH\000\0227\n\010handover\030\006 \001(\0132#.amaranthstr" +
-      "eam.jobs.HandoverAnswerH\000B\006\n\004body\"N\n\nRea" +
-      "dAnswer\022\r\n\005total\030\001 \001(\005\0221\n\006result\030\002 \003(\0132!" +
-      ".amaranthstream.jobs.ResultRecord\")\n\nBod" +
-      "yAnswer\022\r\n\005found\030\001 \001(\010\022\014\n\004body\030\002 \001(\014\"\032\n\t" +
-      "EndAnswer\022\r\n\005ended\030\001 \001(\010\"7\n\014SubmitAnswer" +
-      "\022\017\n\007outcome\030\001 \001(\005\022\026\n\016retry_after_ms\030\002 \001(" +
-      "\003\"\n\n\010NotOwner\"\212\001\n\020HandoverQuestion\022/\n\005ow" +
-      "ner\030\001 \001(\0132 .amaranthstream.jobs.OwnerRec" +
-      "ord\022\020\n\010revision\030\002 \001(\003\0223\n\007partial\030\003 \003(\0132\"" +
-      ".amaranthstream.jobs.PartialRecord\"_\n\rPa" +
-      "rtialRecord\022\014\n\004item\030\001 \001(\t\022\014\n\004text\030\002 \001(\014\022" +
-      "\022\n\nlast_event\030\003 \001(\003\022\017\n\007version\030\004 \003(\003\022\r\n\005" +
-      "whole\030\005 \001(\010\"\037\n\016HandoverAnswer\022\r\n\005taken\030\001" +
-      " \001(\010\"2\n\014DemandNotice\022\r\n\005model\030\001 \001(\t\022\023\n\013m" +
-      "in_version\030\002 \001(\003B \n\034org.amaranthstream.j" +
-      "obs.wireP\001b\006proto3"
+      "s.HandoverQuestionH\000B\006\n\004body\"A\n\014ReadQues" +
+      "tion\022\r\n\005after\030\001 \001(\005\022\017\n\007wait_ms\030\002 \001(\003\022\021\n\t" +
+      "max_bytes\030\003 \001(\005\"\034\n\014BodyQuestion\022\014\n\004item\030" +
+      "\001 \001(\t\"\r\n\013EndQuestion\"@\n\016SubmitQuestion\022." +
+      "\n\006record\030\001 \001(\0132\036.amaranthstream.jobs.Job" +
+      "Record\"\313\002\n\tJobAnswer\022/\n\004read\030\001 \001(\0132\037.ama" +
+      "ranthstream.jobs.ReadAnswerH\000\0224\n\titem_bo" +
+      "dy\030\002 \001(\0132\037.amaranthstream.jobs.BodyAnswe" +
+      "rH\000\022-\n\003end\030\003 \001(\0132\036.amaranthstream.jobs.E" +
+      "ndAnswerH\000\0223\n\006submit\030\004 \001(\0132!.amaranthstr" +
+      "eam.jobs.SubmitAnswerH\000\0222\n\tnot_owner\030\005 \001" +
+      "(\0132\035.amaranthstream.jobs.NotOwnerH\000\0227\n\010h" +
+      "andover\030\006 \001(\0132#.amaranthstream.jobs.Hand" +
+      "overAnswerH\000B\006\n\004body\"N\n\nReadAnswer\022\r\n\005to" +
+      "tal\030\001 \001(\005\0221\n\006result\030\002 \003(\0132!.amaranthstre" +
+      "am.jobs.ResultRecord\")\n\nBodyAnswer\022\r\n\005fo" +
+      "und\030\001 \001(\010\022\014\n\004body\030\002 \001(\014\"\032\n\tEndAnswer\022\r\n\005" +
+      "ended\030\001 \001(\010\"7\n\014SubmitAnswer\022\017\n\007outcome\030\001" +
+      " \001(\005\022\026\n\016retry_after_ms\030\002 \001(\003\"\n\n\010NotOwner" +
+      "\"\212\001\n\020HandoverQuestion\022/\n\005owner\030\001 \001(\0132 .a" +
+      "maranthstream.jobs.OwnerRecord\022\020\n\010revisi" +
+      "on\030\002 \001(\003\0223\n\007partial\030\003 \003(\0132\".amaranthstre" +
+      "am.jobs.PartialRecord\"_\n\rPartialRecord\022\014" +
+      "\n\004item\030\001 \001(\t\022\014\n\004text\030\002 \001(\014\022\022\n\nlast_event" +
+      "\030\003 \001(\003\022\017\n\007version\030\004 \003(\003\022\r\n\005whole\030\005 \001(\010\"L" +
+      "\n\014ProgressPage\022-\n\004text\030\001 \003(\0132\037.amaranths" +
+      "tream.jobs.TextRecord\022\r\n\005nonce\030\002 \001(\003\"]\n\n" +
+      "TextRecord\022\014\n\004item\030\001 \001(\t\022\016\n\006offset\030\002 \001(\005" +
+      "\022\014\n\004text\030\003 \001(\014\022\022\n\nlast_event\030\004 \001(\003\022\017\n\007ve" +
+      "rsion\030\005 \003(\003\"\037\n\016HandoverAnswer\022\r\n\005taken\030\001" +
+      " \001(\010B \n\034org.amaranthstream.jobs.wireP\001b\006" +
+      "proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -241,7 +248,7 @@
     internal_static_amaranthstream_jobs_JobQuestion_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_amaranthstream_jobs_JobQuestion_descriptor,
-        new java.lang.String[] { "Job", "Read", "ItemBody", "End", "Submit", "Handover", "Demand", "Body", });
+        new java.lang.String[] { "Job", "Read", "ItemBody", "End", "Submit", "Handover", "Body", });
     internal_static_amaranthstream_jobs_ReadQuestion_descriptor =
       getDescriptor().getMessageType(7);
     internal_static_amaranthstream_jobs_ReadQuestion_fieldAccessorTable = new
@@ -314,18 +321,24 @@
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_amaranthstream_jobs_PartialRecord_descriptor,
         new java.lang.String[] { "Item", "Text", "LastEvent", "Version", "Whole", });
-    internal_static_amaranthstream_jobs_HandoverAnswer_descriptor =
+    internal_static_amaranthstream_jobs_ProgressPage_descriptor =
       getDescriptor().getMessageType(19);
+    internal_static_amaranthstream_jobs_ProgressPage_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_amaranthstream_jobs_ProgressPage_descriptor,
+        new java.lang.String[] { "Text", "Nonce", });
+    internal_static_amaranthstream_jobs_TextRecord_descriptor =
+      getDescriptor().getMessageType(20);
+    internal_static_amaranthstream_jobs_TextRecord_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_amaranthstream_jobs_TextRecord_descriptor,
+        new java.lang.String[] { "Item", "Offset", "Text", "LastEvent", "Version", });
+    internal_static_amaranthstream_jobs_HandoverAnswer_descriptor =
+      getDescriptor().getMessageType(21);
     internal_static_amaranthstream_jobs_HandoverAnswer_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_amaranthstream_jobs_HandoverAnswer_descriptor,
         new java.lang.String[] { "Taken", });
-    internal_static_amaranthstream_jobs_DemandNotice_descriptor =
-      getDescriptor().getMessageType(20);
-    internal_static_amaranthstream_jobs_DemandNotice_fieldAccessorTable = new
-      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
-        internal_static_amaranthstream_jobs_DemandNotice_descriptor,
-        new java.lang.String[] { "Model", "MinVersion", });
     descriptor.resolveAllFeaturesImmutable();
   }
 
--- a/amaranthstream/src/main/java/org/amaranthstream/weights/EngineSwap.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/weights/EngineSwap.java
@@ -16,7 +16,7 @@
  */
 final class EngineSwap {
   private static final Duration LOAD_TIME = Duration.ofMillis(900);
-  private static final Duration POLL = Duration.ofMillis(250);
+  private static final Duration POLL = Duration.ofMillis(100);
   private static final Duration LONGEST = Duration.ofMillis(6_000);
 
   /** What follows the end of a swap. */
--- a/amaranthstream/src/main/java/org/amaranthstream/weights/SwapOrder.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/weights/SwapOrder.java
@@ -13,9 +13,10 @@
  * Chooses which engine loads the newest version next: the one with the oldest version, and of those
  * the one with the least work.
  *
- * <p>Pure. Answers the load pattern of a trainer that allows samples of the last two versions: an
- * engine with an older one idles until it is swapped, so it comes first; one whose version is still
- * allowed goes on working, so that each engine loads only every second version.
+ * <p>Pure. Answers the load pattern of a trainer that allows samples of the last two versions and
+ * asks for a step with each version that it names: an engine is brought to a version while the
+ * version before it is still allowed, so that the next step finds most engines usable. An engine
+ * with a version that is not allowed any more idles, so it comes first.
  */
 final class SwapOrder {
   private SwapOrder() {}
@@ -24,7 +25,7 @@
   static Optional<TrackedServer> next(
       Collection<TrackedServer> servers,
       ModelId model,
-      WeightVersion oldestUseful,
+      WeightVersion newest,
       Predicate<TrackedServer> isFree) {
     Comparator<TrackedServer> order =
         Comparator.comparing((TrackedServer server) -> versionOf(server, model))
@@ -32,7 +33,7 @@
     List<TrackedServer> old =
         servers.stream()
             .filter(server -> server.isOpen() && server.holds(model))
-            .filter(server -> oldestUseful.isAfter(versionOf(server, model)))
+            .filter(server -> newest.isAfter(versionOf(server, model)))
             .filter(isFree)
             .toList();
     return old.stream().min(order);
--- a/amaranthstream/src/main/java/org/amaranthstream/weights/WeightController.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/weights/WeightController.java
@@ -26,7 +26,6 @@
 
   private final EntryVmId self;
   private final NamedVersions named;
-  private final VersionDemand demand;
   private final ServerDirectory directory;
   private final SwapTransport transport;
   private final TimerService timers;
@@ -36,14 +35,12 @@
   private WeightController(
       EntryVmId self,
       NamedVersions named,
-      VersionDemand demand,
       ServerDirectory directory,
       SwapTransport transport,
       TimerService timers,
       DutyFence fence) {
     this.self = self;
     this.named = named;
-    this.demand = demand;
     this.directory = directory;
     this.transport = transport;
     this.timers = timers;
@@ -58,7 +55,6 @@
   public static WeightController create(
       EntryVmId self,
       NamedVersions named,
-      VersionDemand demand,
       ServerDirectory directory,
       SwapTransport transport,
       TimerService timers,
@@ -66,7 +62,6 @@
     return new WeightController(
         checkNotNull(self, "self"),
         checkNotNull(named, "named"),
-        checkNotNull(demand, "demand"),
         checkNotNull(directory, "directory"),
         checkNotNull(transport, "transport"),
         checkNotNull(timers, "timers"),
@@ -93,7 +88,7 @@
           SwapOrder.next(
               directory.all(),
               model,
-              demand.oldestUseful(model, newest).orElse(newest),
+              newest,
               server -> !swaps.containsKey(server) && !server.isAvoided(now));
       if (next.isEmpty()) {
         return;
--- a/amaranthstream/src/test/java/org/amaranthstream/fleet/HeldDutyTest.java
+++ b/amaranthstream/src/test/java/org/amaranthstream/fleet/HeldDutyTest.java
@@ -4,8 +4,10 @@
 
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
+import java.util.Set;
 import org.amaranthstream.ids.FencingNumber;
 import org.amaranthstream.platform.SimulatedStore;
 import org.amaranthstream.platform.SimulatedStoreClient.WriteFault;
@@ -22,6 +24,7 @@
   private final FleetTestNode first = new FleetTestNode("vm-1", "i1", store, timers);
   private final FleetTestNode second = new FleetTestNode("vm-2", "i2", store, timers);
   private final List<Act> acts = new ArrayList<>();
+  private final Set<FleetTestNode> killed = new HashSet<>();
 
   private record Act(String vm, long atNanos, FencingNumber fence) {}
 
@@ -40,7 +43,15 @@
     }
   }
 
+  private void kill(FleetTestNode node) {
+    killed.add(node);
+    node.store().setSilent(true);
+  }
+
   private void act(FleetTestNode node) {
+    if (killed.contains(node)) {
+      return;
+    }
     Optional<FencingNumber> fence = node.duty().act();
     fence.ifPresent(
         number -> acts.add(new Act(node.self().vm().value(), timers.nowNanos(), number)));
@@ -166,6 +177,102 @@
     }
   }
 
+  /** All processes are killed at once, or that of the holder alone. */
+  @Nested
+  class Restarts {
+    private final FleetTestNode restarted = new FleetTestNode("vm-1", "i1-again", store, timers);
+
+    @Test
+    void holdersVmGoesOnWithoutWaitingForTheLease() {
+      first.start();
+      runSeconds(10);
+      actAlways(first, restarted);
+      runSeconds(1);
+      kill(first);
+      runSeconds(1);
+      restarted.start();
+      runSeconds(1.5);
+
+      assertThat(restarted.duty().current()).isPresent();
+      assertThat(acts.get(acts.size() - 1).fence().value())
+          .isGreaterThan(acts.get(0).fence().value());
+    }
+
+    /** A process that starts late finds that its lease has ended and another holder waits. */
+    @Test
+    void vmThatActedLastGoesOnInThePlaceOfHolderThatHasNotStarted() {
+      first.start();
+      runSeconds(10);
+      second.start();
+      actAlways(first, second, restarted);
+      runSeconds(1);
+      kill(first);
+      runSeconds(4);
+      assertThat(second.duty().isHeld()).isTrue();
+      restarted.start();
+      runSeconds(1.5);
+
+      assertThat(restarted.duty().current()).isPresent();
+      runSeconds(10);
+      assertThat(holders()).isEqualTo(1);
+    }
+
+    @Test
+    void vmThatComesBackLeavesHolderThatHasStartedAlone() {
+      first.start();
+      runSeconds(10);
+      second.start();
+      actAlways(first, second, restarted);
+      runSeconds(1);
+      kill(first);
+      runSeconds(12);
+      restarted.start();
+      runSeconds(10);
+
+      assertThat(second.duty().current()).isPresent();
+      assertTurnsAreApart();
+    }
+
+    @Test
+    void holderThatWasStillWaitingPassesItsWaitOn() {
+      second.start();
+      runSeconds(10);
+      actAlways(second, restarted);
+      runSeconds(1);
+      second.store().setSilent(true);
+      store.expire(second.session().lease().get());
+      first.start();
+      runSeconds(1.5);
+      assertThat(first.duty().isHeld()).isTrue();
+      kill(first);
+      runSeconds(0.5);
+      restarted.start();
+      runSeconds(20);
+
+      assertThat(holders()).isEqualTo(2);
+      assertTurnsAreApart();
+    }
+
+    @Test
+    void otherVmWithTheNameOfTheHolderWaits() {
+      first.start();
+      runSeconds(10);
+      FleetTestNode replacement =
+          new FleetTestNode("vm-1", "10.0.9.9", "i9", store, timers, timers);
+      actAlways(first, replacement);
+      runSeconds(1);
+      kill(first);
+      long before = timers.nowNanos();
+      replacement.start();
+      runSeconds(20);
+
+      Act last = acts.get(acts.size() - 1);
+      Act firstOfReplacement =
+          acts.stream().filter(act -> act.fence().equals(last.fence())).findFirst().get();
+      assertThat(firstOfReplacement.atNanos() - before).isAtLeast(ORDER_TURN.toNanos());
+    }
+  }
+
   @Nested
   class Losses {
     @Test
--- a/amaranthstream/src/test/java/org/amaranthstream/jobs/JobServiceTest.java
+++ b/amaranthstream/src/test/java/org/amaranthstream/jobs/JobServiceTest.java
@@ -158,6 +158,16 @@
       assertThat(fleet.read(second, JOB)).isEmpty();
     }
 
+    /** The trainer of the job waits for one group of two items. */
+    @Test
+    void doNotWaitForOthersOnceTheTrainerHasAllItWaitsFor() {
+      JobSpec step = JobFleet.job("step", 1, 5, 40, 200, 200);
+      submit(first, step);
+      fleet.runMillis(40 * 20 + 60);
+
+      assertThat(fleet.read(first, step.id())).hasSize(2);
+    }
+
     @Test
     void nameTheVersionsThatMadeThem() {
       fleet.servers().setVersion("s1", 4);
@@ -349,6 +359,56 @@
       assertWhole(job, fleet.read(fleet.alive().get(0), JOB));
     }
 
+    /** All processes are killed while a step waits for its longest items. */
+    @Test
+    void longItemsGoOnWhereTheirSavedTextEnds() {
+      JobSpec step = JobFleet.job("step", 1, 200, 200);
+      submit(first, step);
+      fleet.runMillis(3_500);
+      first.kill();
+      second.kill();
+      fleet.runMillis(500);
+      fleet.start("vm-1");
+      fleet.start("vm-2");
+      fleet.addServer("s1", 4, 1);
+      fleet.addServer("s2", 4, 1);
+      fleet.runMillis(2_500);
+
+      assertWhole(step, fleet.read(fleet.alive().get(0), step.id()));
+    }
+
+    /** The texts are saved again from the start, by another owner, and that owner is killed too. */
+    @Test
+    void savedTextOutlivesSeveralOwners() {
+      JobSpec step = JobFleet.job("step", 1, 200, 200);
+      submit(first, step);
+      for (int i = 0; i < 3; i++) {
+        fleet.runMillis(2_000);
+        fleet.alive().forEach(JobFleet.Node::kill);
+        fleet.runMillis(500);
+        fleet.start("vm-1");
+        fleet.addServer("s1", 4, 1);
+      }
+      fleet.runMillis(1_500);
+
+      assertWhole(step, fleet.read(fleet.alive().get(0), step.id()));
+    }
+
+    /** After the end of all daemons, the open jobs of the moment come first. */
+    @Test
+    void endedJobsAreNotTakenOverAtOnce() {
+      submit(first, job);
+      fleet.await(first.jobs().end(JOB));
+      first.kill();
+      second.kill();
+      JobFleet.Node again = fleet.start("vm-1");
+      fleet.run(Duration.ofSeconds(5));
+
+      assertThat(again.owns(JOB)).isFalse();
+      fleet.run(Duration.ofSeconds(30));
+      assertThat(again.owns(JOB)).isTrue();
+    }
+
     @Test
     void ownerThatWasSuspendedListsNothingMore() {
       submit(first, job);
