Divide the engines among the models that are trained

Cause: with several trainers the controller went through the models in turn and loaded the first one's versions on all engines, two at a time; it never got to the others. Now each engine loads the versions of one model, shares are even and stay as they are; a daemon that takes the duty over finds them by what the engines hold. A quarter of the engines may load at a time (two of 8 as before, 7 of 31). Ruled out: lack of processor (0.039 cores at most) or of slots (engines idled with old versions). Tests: EngineSharesTest; SwapTest as before.

--- a/amaranthstream/src/main/java/org/amaranthstream/weights/SwapOrder.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/weights/SwapOrder.java
@@ -2,7 +2,7 @@
 
 import java.util.Collection;
 import java.util.Comparator;
-import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.function.Predicate;
 import org.amaranthstream.ids.ModelId;
@@ -10,8 +10,8 @@
 import org.amaranthstream.servers.TrackedServer;
 
 /**
- * Chooses which engine loads the newest version next: the one with the oldest version, and of those
- * the one with the least work.
+ * Chooses which engine loads the newest version of its model next: the one that is the most
+ * versions behind, and of those the one with the least work.
  *
  * <p>Pure. Answers the load pattern of a trainer that allows samples of the last two versions and
  * asks for a step with each version that it names: an engine is brought to a version while the
@@ -23,23 +23,21 @@
 
   /** Returns the engine to swap next, of those that {@code isFree}. */
   static Optional<TrackedServer> next(
-      Collection<TrackedServer> servers,
-      ModelId model,
-      WeightVersion newest,
+      Collection<TrackedServer> engines,
+      EngineShares shares,
+      Map<ModelId, WeightVersion> newest,
       Predicate<TrackedServer> isFree) {
     Comparator<TrackedServer> order =
-        Comparator.comparing((TrackedServer server) -> versionOf(server, model))
+        Comparator.comparingLong((TrackedServer engine) -> -lag(engine, shares, newest))
             .thenComparing(TrackedServer::load);
-    List<TrackedServer> old =
-        servers.stream()
-            .filter(server -> server.isOpen() && server.holds(model))
-            .filter(server -> newest.isAfter(versionOf(server, model)))
-            .filter(isFree)
-            .toList();
-    return old.stream().min(order);
+    return engines.stream()
+        .filter(isFree)
+        .filter(engine -> lag(engine, shares, newest) > 0)
+        .min(order);
   }
 
-  private static WeightVersion versionOf(TrackedServer server, ModelId model) {
-    return server.version(model).orElse(WeightVersion.of(0));
+  private static long lag(
+      TrackedServer engine, EngineShares shares, Map<ModelId, WeightVersion> newest) {
+    return shares.modelOf(engine).map(m -> EngineShares.lag(engine, m, newest)).orElse(0L);
   }
 }
--- a/amaranthstream/src/main/java/org/amaranthstream/weights/WeightController.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/weights/WeightController.java
@@ -4,6 +4,7 @@
 
 import com.google.common.flogger.FluentLogger;
 import java.time.Duration;
+import java.util.Collection;
 import java.util.HashMap;
 import java.util.Map;
 import java.util.Optional;
@@ -15,13 +16,18 @@
 import org.amaranthstream.time.TimerService;
 
 /**
- * Brings all engines to the newest weight version of their models, a few at a time.
+ * Brings each engine to the newest weight version of the model of which it has a share, a few at a
+ * time.
  *
  * <p>Acts only while this daemon holds the duty. Used on one thread.
  */
 public final class WeightController {
   private static final FluentLogger logger = FluentLogger.forEnclosingClass();
-  private static final int MAX_CONCURRENT = 2;
+
+  /** Of the engines, one in so many may load at a time; it starts no requests meanwhile. */
+  private static final int CONCURRENT_PART = 4;
+
+  private static final int MIN_CONCURRENT = 2;
   private static final Duration TICK = Duration.ofMillis(200);
 
   private final EntryVmId self;
@@ -30,6 +36,7 @@
   private final SwapTransport transport;
   private final TimerService timers;
   private final DutyFence fence;
+  private final EngineShares shares = new EngineShares();
   private final Map<TrackedServer, EngineSwap> swaps = new HashMap<>();
 
   private WeightController(
@@ -78,25 +85,24 @@
     if (fence.current().isEmpty()) {
       return;
     }
-    named.newest().forEach(this::planModel);
-  }
-
-  private void planModel(ModelId model, WeightVersion newest) {
-    while (swaps.size() < MAX_CONCURRENT) {
-      long now = timers.nowNanos();
-      Optional<TrackedServer> next =
-          SwapOrder.next(
-              directory.all(),
-              model,
-              newest,
-              server -> !swaps.containsKey(server) && !server.isAvoided(now));
+    Map<ModelId, WeightVersion> newest = named.newest();
+    Collection<TrackedServer> engines = directory.all();
+    shares.update(engines, newest);
+    int most = Math.max(MIN_CONCURRENT, shares.size() / CONCURRENT_PART);
+    while (swaps.size() < most) {
+      Optional<TrackedServer> next = SwapOrder.next(engines, shares, newest, this::isFree);
       if (next.isEmpty()) {
         return;
       }
-      startSwap(next.get(), model, newest);
+      ModelId model = shares.modelOf(next.get()).orElseThrow();
+      startSwap(next.get(), model, newest.get(model));
     }
   }
 
+  private boolean isFree(TrackedServer engine) {
+    return !swaps.containsKey(engine) && !engine.isAvoided(timers.nowNanos());
+  }
+
   private void startSwap(TrackedServer server, ModelId model, WeightVersion version) {
     logger.atInfo().log(
         "event=swap_started server=%s model=%s from=%s to=%s",
--- /dev/null
+++ b/amaranthstream/src/test/java/org/amaranthstream/weights/EngineSharesTest.java
@@ -0,0 +1,138 @@
+package org.amaranthstream.weights;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import com.google.common.collect.ImmutableMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import org.amaranthstream.ids.AvailabilityZoneId;
+import org.amaranthstream.ids.BackendServerId;
+import org.amaranthstream.ids.ModelId;
+import org.amaranthstream.ids.ServiceId;
+import org.amaranthstream.ids.WeightVersion;
+import org.amaranthstream.servers.ServerDirectory;
+import org.amaranthstream.servers.ServerEntry;
+import org.amaranthstream.servers.TrackedServer;
+import org.amaranthstream.time.VirtualTimerService;
+import org.junit.jupiter.api.Test;
+
+class EngineSharesTest {
+  private static final List<ModelId> MODELS =
+      List.of(ModelId.of("a"), ModelId.of("b"), ModelId.of("c"), ModelId.of("d"));
+
+  private final ServerDirectory directory =
+      ServerDirectory.create(VirtualTimerService.create(), () -> false);
+  private final Map<ModelId, WeightVersion> newest = new LinkedHashMap<>();
+  private EngineShares shares = new EngineShares();
+
+  private void addEngines(int from, int to) {
+    ImmutableMap.Builder<ModelId, WeightVersion> versions = ImmutableMap.builder();
+    MODELS.forEach(model -> versions.put(model, WeightVersion.of(1)));
+    for (int i = from; i < to; i++) {
+      directory.onEntry(
+          new ServerEntry(
+              BackendServerId.of("s" + i),
+              1,
+              ServiceId.of("engine"),
+              "10.0.0.9",
+              8080,
+              AvailabilityZoneId.of("a"),
+              4,
+              false,
+              versions.buildOrThrow()));
+    }
+  }
+
+  private void name(int model, long version) {
+    newest.put(MODELS.get(model), WeightVersion.of(version));
+    shares.update(directory.all(), newest);
+  }
+
+  private TrackedServer engine(String id) {
+    return directory.all().stream().filter(e -> e.id().value().equals(id)).findFirst().get();
+  }
+
+  private long count(int model) {
+    return directory.all().stream()
+        .filter(engine -> shares.modelOf(engine).equals(Optional.of(MODELS.get(model))))
+        .count();
+  }
+
+  private Map<TrackedServer, Optional<ModelId>> division() {
+    Map<TrackedServer, Optional<ModelId>> division = new LinkedHashMap<>();
+    directory.all().forEach(engine -> division.put(engine, shares.modelOf(engine)));
+    return division;
+  }
+
+  @Test
+  void giveAllEnginesToTheOnlyModelThatIsTrained() {
+    addEngines(0, 8);
+    name(0, 2);
+
+    assertThat(count(0)).isEqualTo(8);
+  }
+
+  @Test
+  void areEvenOnceAllModelsAreTrained() {
+    addEngines(0, 31);
+    for (int model = 0; model < MODELS.size(); model++) {
+      name(model, 2);
+    }
+
+    for (int model = 0; model < MODELS.size(); model++) {
+      assertThat(count(model)).isAtLeast(7);
+    }
+    assertThat(shares.size()).isEqualTo(31);
+  }
+
+  @Test
+  void stayAsTheyAreWhileVersionsAreNamed() {
+    addEngines(0, 31);
+    for (int model = 0; model < MODELS.size(); model++) {
+      name(model, 2);
+    }
+    final Map<TrackedServer, Optional<ModelId>> before = division();
+    name(2, 3);
+    name(0, 3);
+    name(0, 4);
+
+    assertThat(division()).isEqualTo(before);
+  }
+
+  @Test
+  void keepMostEnginesWhereTheyAreWhenOthersComeAndGo() {
+    addEngines(0, 16);
+    for (int model = 0; model < MODELS.size(); model++) {
+      name(model, 2);
+    }
+    final Map<TrackedServer, Optional<ModelId>> before = division();
+    directory.onReplaced(engine("s3"));
+    addEngines(20, 21);
+    name(1, 3);
+
+    long moved =
+        before.entrySet().stream()
+            .filter(e -> e.getKey().isOpen())
+            .filter(e -> !shares.modelOf(e.getKey()).equals(e.getValue()))
+            .count();
+    assertThat(moved).isEqualTo(0);
+    assertThat(shares.size()).isEqualTo(16);
+  }
+
+  /** A daemon that takes the duty over knows only what the engines hold. */
+  @Test
+  void areFoundAgainByTheVersionsThatEnginesHold() {
+    addEngines(0, 12);
+    for (int model = 0; model < MODELS.size(); model++) {
+      name(model, 2);
+    }
+    directory.all().forEach(e -> e.onVersion(shares.modelOf(e).orElseThrow(), WeightVersion.of(2)));
+    final Map<TrackedServer, Optional<ModelId>> before = division();
+    shares = new EngineShares();
+    shares.update(directory.all(), newest);
+
+    assertThat(division()).isEqualTo(before);
+  }
+}
