Count a release right after a restart from the restart

Cause, found by reading: a daemon that went on with the duty after its VM's restart knew nothing of the acts of its earlier start. If it released the duty at once, the next holder waited only for the rest of its 500 ms, and orders of two VMs could be less than a turn apart (ONE). The restart now counts as its last act.

--- a/amaranthstream/src/main/java/org/amaranthstream/fleet/HeldDuty.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/fleet/HeldDuty.java
@@ -245,8 +245,10 @@
     fence = taken;
     heldLease = lease;
     hasStarted = false;
-    lastActNanos = Optional.empty();
-    actFromNanos = timers.nowNanos() + wait.toNanos();
+    long now = timers.nowNanos();
+    // An earlier start of this process may have acted until just now.
+    lastActNanos = ownStart().isPresent() ? Optional.of(now) : Optional.empty();
+    actFromNanos = now + wait.toNanos();
     logger.atInfo().log(
         "event=duty_taken duty=%s fence=%s lease=%s wait_ms=%d",
         name, fence, lease, wait.toMillis());
--- a/amaranthstream/src/test/java/org/amaranthstream/fleet/HeldDutyTest.java
+++ b/amaranthstream/src/test/java/org/amaranthstream/fleet/HeldDutyTest.java
@@ -253,6 +253,25 @@
       assertTurnsAreApart();
     }
 
+    /** A rolling restart follows right after the kill. */
+    @Test
+    void releaseRightAfterTheRestartCountsFromTheKill() {
+      first.start();
+      runSeconds(10);
+      second.start();
+      actAlways(first, second);
+      runSeconds(1);
+      kill(first);
+      restarted.start();
+      runSeconds(1.2);
+      assertThat(restarted.duty().isHeld()).isTrue();
+      restarted.duty().resign();
+      runSeconds(20);
+
+      assertThat(holders()).isEqualTo(2);
+      assertTurnsAreApart();
+    }
+
     @Test
     void otherVmWithTheNameOfTheHolderWaits() {
       first.start();
