Do not take a text that was begun anew for the saved one

Cause, found by reading: a text that was given up while its part was on the way to the store, and had grown as long again when the answer came, counted as saved; the next owner would have joined the ends of two different texts.

--- a/amaranthstream/src/main/java/org/amaranthstream/jobs/ItemText.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/jobs/ItemText.java
@@ -20,6 +20,7 @@
   private final TreeSet<WeightVersion> versions = new TreeSet<>();
   private long lastEvent;
   private int savedBytes;
+  private int generation;
 
   /** Adds an event that was generated under {@code version}; returns false if one is missing. */
   boolean add(ItemEvent event, Optional<WeightVersion> version) {
@@ -45,6 +46,7 @@
     versions.clear();
     lastEvent = 0;
     savedBytes = 0;
+    generation++;
   }
 
   /** Returns the part of {@code item}'s text that is not saved yet, empty if all is. */
@@ -53,13 +55,12 @@
       return Optional.empty();
     }
     byte[] part = Arrays.copyOfRange(text.toByteArray(), savedBytes, text.size());
-    return Optional.of(new TextPart(item, savedBytes, part, lastEvent, versions()));
+    return Optional.of(new TextPart(item, savedBytes, part, lastEvent, versions(), generation));
   }
 
-  /** A part was saved. If the text was cleared meanwhile, its first part voids what was saved. */
+  /** A part was saved. If the text was begun anew meanwhile, its first part voids that one. */
   void markSaved(TextPart part) {
-    boolean isNext = part.offset() == savedBytes && part.end() <= text.size();
-    if (isNext) {
+    if (part.generation() == generation) {
       savedBytes = part.end();
     }
   }
--- a/amaranthstream/src/main/java/org/amaranthstream/jobs/JobCodec.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/jobs/JobCodec.java
@@ -28,6 +28,7 @@
 /** Turns batch jobs into the records of the store and of peer links, and back. */
 final class JobCodec {
   private static final long NO_ESTIMATE = 0;
+  private static final int UNKNOWN_GENERATION = -1;
 
   private JobCodec() {}
 
@@ -193,7 +194,8 @@
         text.getOffset(),
         text.getText().toByteArray(),
         text.getLastEvent(),
-        versions(text.getVersionList()));
+        versions(text.getVersionList()),
+        UNKNOWN_GENERATION);
   }
 
   static ResultRecord encodeResult(ItemResult result) {
--- a/amaranthstream/src/main/java/org/amaranthstream/jobs/ProgressSaver.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/jobs/ProgressSaver.java
@@ -42,8 +42,11 @@
   }
 
   private void save(OwnedJob job) {
+    if (!job.isRunnable()) {
+      return;
+    }
     ImmutableList<TextPart> parts = job.unsavedTexts(MIN_EVENTS, MAX_PAGE_BYTES);
-    if (!job.isRunnable() || parts.isEmpty()) {
+    if (parts.isEmpty()) {
       add(job);
       return;
     }
--- a/amaranthstream/src/main/java/org/amaranthstream/jobs/TextPart.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/jobs/TextPart.java
@@ -12,6 +12,7 @@
  * @param text the part; callers do not change it
  * @param lastEvent the number of the last event of the part
  * @param versions the weight versions that generated the whole text so far
+ * @param generation how often the text was begun anew; known to the saving owner only
  */
 @SuppressWarnings("ArrayRecordComponent")
 record TextPart(
@@ -19,7 +20,8 @@
     int offset,
     byte[] text,
     long lastEvent,
-    ImmutableSortedSet<WeightVersion> versions) {
+    ImmutableSortedSet<WeightVersion> versions,
+    int generation) {
 
   /** Returns the length of the text up to the end of the part, in bytes. */
   int end() {
--- /dev/null
+++ b/amaranthstream/src/test/java/org/amaranthstream/jobs/ItemTextTest.java
@@ -0,0 +1,57 @@
+package org.amaranthstream.jobs;
+
+import static com.google.common.truth.Truth.assertThat;
+import static java.nio.charset.StandardCharsets.UTF_8;
+
+import java.util.Optional;
+import org.amaranthstream.ids.ItemId;
+import org.amaranthstream.ids.WeightVersion;
+import org.junit.jupiter.api.Test;
+
+class ItemTextTest {
+  private static final ItemId ITEM = ItemId.of("i");
+
+  private final ItemText text = new ItemText();
+
+  private void generate(String... events) {
+    for (String data : events) {
+      long id = text.lastEvent() + 1;
+      text.add(
+          new ItemEvent(id, data.getBytes(UTF_8), Optional.empty()),
+          Optional.of(WeightVersion.of(1)));
+    }
+  }
+
+  private String unsaved() {
+    return text.unsaved(ITEM).map(part -> new String(part.text(), UTF_8)).orElse("");
+  }
+
+  @Test
+  void isSavedPartByPart() {
+    generate("a", "b");
+    text.markSaved(text.unsaved(ITEM).get());
+    generate("c");
+
+    assertThat(unsaved()).isEqualTo("\nc");
+  }
+
+  @Test
+  void partWhoseSavingFailedIsPartOfTheNext() {
+    generate("a", "b");
+    generate("c");
+
+    assertThat(unsaved()).isEqualTo("a\nb\nc");
+  }
+
+  /** The store answers only after the text was given up and as much was generated again. */
+  @Test
+  void textThatWasGeneratedAnewIsNotTakenForTheSavedOne() {
+    generate("a", "b");
+    TextPart old = text.unsaved(ITEM).get();
+    text.clear();
+    generate("x", "y");
+    text.markSaved(old);
+
+    assertThat(unsaved()).isEqualTo("x\ny");
+  }
+}
--- a/amaranthstream/src/test/java/org/amaranthstream/jobs/SavedTextsTest.java
+++ b/amaranthstream/src/test/java/org/amaranthstream/jobs/SavedTextsTest.java
@@ -17,7 +17,8 @@
         offset,
         text.getBytes(UTF_8),
         lastEvent,
-        ImmutableSortedSet.of(WeightVersion.of(lastEvent)));
+        ImmutableSortedSet.of(WeightVersion.of(lastEvent)),
+        0);
   }
 
   private static ItemPartial only(TextPart... parts) {
