--- a/amaranthstream/src/main/java/org/amaranthstream/fleet/Fleet.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/fleet/Fleet.java
@@ -32,9 +32,10 @@
 
   private final PrefixMirror mirror;
   private final Map<EntryVmId, FleetNode> nodes = new HashMap<>();
-  private final Map<String, KvEntry> duties = new HashMap<>();
-  private final Map<String, KvEntry> releases = new HashMap<>();
-  private final Map<String, KvEntry> starts = new HashMap<>();
+
+  /** Holders, releases and starts of duties by their keys. */
+  private final Map<String, KvEntry> dutyEntries = new HashMap<>();
+
   private final List<FleetListener> listeners = new ArrayList<>();
 
   private Fleet(TransactionalStore store, TimerService timers) {
@@ -79,17 +80,17 @@
 
   /** Returns the entry of the holder of {@code duty}, empty if nobody holds it. */
   public Optional<KvEntry> holder(String duty) {
-    return Optional.ofNullable(duties.get(duty));
+    return Optional.ofNullable(dutyEntries.get(FleetKeys.duty(duty)));
   }
 
   /** Returns the entry with which the last holder of {@code duty} has released it. */
   Optional<KvEntry> release(String duty) {
-    return Optional.ofNullable(releases.get(duty));
+    return Optional.ofNullable(dutyEntries.get(FleetKeys.release(duty)));
   }
 
   /** Returns the note that a holder of {@code duty} has started to act. */
   Optional<KvEntry> lastStart(String duty) {
-    return Optional.ofNullable(starts.get(duty));
+    return Optional.ofNullable(dutyEntries.get(FleetKeys.start(duty)));
   }
 
   /** Returns true once the registrations were read. */
@@ -103,18 +104,18 @@
     if (key.startsWith(FleetKeys.NODES)) {
       FleetNode.decode(entry.value()).ifPresent(this::onNode);
     } else if (key.startsWith(FleetKeys.DUTIES)) {
+      dutyEntries.put(key, entry);
       String duty = key.substring(FleetKeys.DUTIES.length());
-      duties.put(duty, entry);
       listeners.forEach(listener -> listener.onDutyChanged(duty));
     } else if (key.startsWith(FleetKeys.ENDED_JOBS)) {
       JobId job = JobId.of(key.substring(FleetKeys.ENDED_JOBS.length()));
       listeners.forEach(listener -> listener.onJobEnded(job));
     } else if (key.startsWith(FleetKeys.RELEASES)) {
+      dutyEntries.put(key, entry);
       String duty = key.substring(FleetKeys.RELEASES.length());
-      releases.put(duty, entry);
       listeners.forEach(listener -> listener.onReleased(duty));
     } else if (key.startsWith(FleetKeys.STARTS)) {
-      starts.put(key.substring(FleetKeys.STARTS.length()), entry);
+      dutyEntries.put(key, entry);
     } else if (key.equals(FleetKeys.SECRET)) {
       listeners.forEach(listener -> listener.onSecret(entry.value()));
     }
@@ -146,13 +147,11 @@
         lost(gone);
       }
     } else if (key.startsWith(FleetKeys.DUTIES)) {
+      dutyEntries.remove(key);
       String duty = key.substring(FleetKeys.DUTIES.length());
-      duties.remove(duty);
       listeners.forEach(listener -> listener.onDutyChanged(duty));
-    } else if (key.startsWith(FleetKeys.RELEASES)) {
-      releases.remove(key.substring(FleetKeys.RELEASES.length()));
-    } else if (key.startsWith(FleetKeys.STARTS)) {
-      starts.remove(key.substring(FleetKeys.STARTS.length()));
+    } else {
+      dutyEntries.remove(key);
     }
   }
 
--- a/amaranthstream/src/main/java/org/amaranthstream/jobs/ItemText.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/jobs/ItemText.java
@@ -20,7 +20,7 @@
   private final TreeSet<WeightVersion> versions = new TreeSet<>();
   private long lastEvent;
   private int savedBytes;
-  private int generation;
+  private int offeredBytes;
 
   /** Adds an event that was generated under {@code version}; returns false if one is missing. */
   boolean add(ItemEvent event, Optional<WeightVersion> version) {
@@ -46,23 +46,22 @@
     versions.clear();
     lastEvent = 0;
     savedBytes = 0;
-    generation++;
+    offeredBytes = 0;
   }
 
-  /** Returns the part of {@code item}'s text that is not saved yet, empty if all is. */
-  Optional<TextPart> unsaved(ItemId item) {
+  /** Returns the part of {@code item}'s text that is not saved yet, to save it; empty if all is. */
+  Optional<TextPart> takeUnsaved(ItemId item) {
     if (text.size() == savedBytes) {
       return Optional.empty();
     }
     byte[] part = Arrays.copyOfRange(text.toByteArray(), savedBytes, text.size());
-    return Optional.of(new TextPart(item, savedBytes, part, lastEvent, versions(), generation));
+    offeredBytes = text.size();
+    return Optional.of(new TextPart(item, savedBytes, part, lastEvent, versions()));
   }
 
-  /** A part was saved. If the text was begun anew meanwhile, its first part voids that one. */
-  void markSaved(TextPart part) {
-    if (part.generation() == generation) {
-      savedBytes = part.end();
-    }
+  /** The part taken last was saved. Nothing is, if the text was begun anew since. */
+  void markSaved() {
+    savedBytes = offeredBytes;
   }
 
   /** Goes on from what another owner had. */
--- a/amaranthstream/src/main/java/org/amaranthstream/jobs/JobCodec.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/jobs/JobCodec.java
@@ -28,7 +28,6 @@
 /** Turns batch jobs into the records of the store and of peer links, and back. */
 final class JobCodec {
   private static final long NO_ESTIMATE = 0;
-  private static final int UNKNOWN_GENERATION = -1;
 
   private JobCodec() {}
 
@@ -194,8 +193,7 @@
         text.getOffset(),
         text.getText().toByteArray(),
         text.getLastEvent(),
-        versions(text.getVersionList()),
-        UNKNOWN_GENERATION);
+        versions(text.getVersionList()));
   }
 
   static ResultRecord encodeResult(ItemResult result) {
--- a/amaranthstream/src/main/java/org/amaranthstream/jobs/JobKeeper.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/jobs/JobKeeper.java
@@ -10,6 +10,8 @@
 import java.util.Random;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
+import java.util.function.Consumer;
+import java.util.function.Supplier;
 import org.amaranthstream.fleet.Fleet;
 import org.amaranthstream.fleet.FleetListener;
 import org.amaranthstream.fleet.FleetNode;
@@ -247,29 +249,12 @@
   }
 
   private void load(StoredOwner owner, ImmutableList<ItemPartial> partials) {
-    store
-        .job(owner)
-        .thenAccept(
-            result -> {
-              if (result instanceof Result.Success<JobSpec> success) {
-                loadResults(owner, success.value(), partials);
-              } else {
-                timers.after(LOAD_RETRY, () -> load(owner, partials));
-              }
-            });
+    untilRead(() -> store.job(owner), spec -> loadResults(owner, spec, partials));
   }
 
   private void loadResults(StoredOwner owner, JobSpec spec, ImmutableList<ItemPartial> partials) {
-    store
-        .results(owner.job())
-        .thenAccept(
-            result -> {
-              if (result instanceof Result.Success<ImmutableList<ItemResult>> success) {
-                loadProgress(owner, spec, success.value(), partials);
-              } else {
-                timers.after(LOAD_RETRY, () -> loadResults(owner, spec, partials));
-              }
-            });
+    untilRead(
+        () -> store.results(owner.job()), results -> loadProgress(owner, spec, results, partials));
   }
 
   private void loadProgress(
@@ -277,18 +262,26 @@
       JobSpec spec,
       ImmutableList<ItemResult> results,
       ImmutableList<ItemPartial> partials) {
-    store
-        .progress(owner.job())
+    untilRead(
+        () -> store.progress(owner.job()),
+        progress -> {
+          taking.remove(owner.job());
+          logger.atInfo().log(
+              "event=job_loaded job=%s listed=%d saved_texts=%d partials=%d",
+              owner.job(), results.size(), progress.texts().size(), partials.size());
+          own(spec, owner, results, progress.plus(partials));
+        });
+  }
+
+  /** Reads from the store, again after each failure, and goes on with what was read. */
+  private <T> void untilRead(Supplier<CompletableFuture<Result<T>>> read, Consumer<T> next) {
+    read.get()
         .thenAccept(
             result -> {
-              if (result instanceof Result.Success<SavedProgress> success) {
-                taking.remove(owner.job());
-                logger.atInfo().log(
-                    "event=job_loaded job=%s listed=%d saved_texts=%d partials=%d",
-                    owner.job(), results.size(), success.value().texts().size(), partials.size());
-                own(spec, owner, results, success.value().plus(partials));
+              if (result instanceof Result.Success<T> success) {
+                next.accept(success.value());
               } else {
-                timers.after(LOAD_RETRY, () -> loadProgress(owner, spec, results, partials));
+                timers.after(LOAD_RETRY, () -> untilRead(read, next));
               }
             });
   }
--- a/amaranthstream/src/main/java/org/amaranthstream/jobs/JobKeys.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/jobs/JobKeys.java
@@ -7,7 +7,6 @@
   static final String OWNERS = "amaranthstream/owners/";
   private static final String JOBS = "amaranthstream/jobs/";
   private static final String RESULTS = "amaranthstream/results/";
-
   private static final String PROGRESS = "amaranthstream/progress/";
 
   private JobKeys() {}
--- a/amaranthstream/src/main/java/org/amaranthstream/jobs/JobStore.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/jobs/JobStore.java
@@ -95,14 +95,26 @@
   /** Appends results from {@code position} on if the owner's record is unchanged. */
   CompletableFuture<TransactionReply> append(
       StoredOwner owner, int position, List<ItemResult> results, long nonce) {
-    String page = JobKeys.page(owner.job(), position);
+    byte[] page = JobCodec.encodePage(results, nonce);
+    return addPage(owner, JobKeys.page(owner.job(), position), page, APPEND_PATIENCE);
+  }
+
+  /** Saves texts of open items if the owner's record is unchanged. */
+  CompletableFuture<TransactionReply> saveProgress(
+      StoredOwner owner, int page, List<TextPart> parts, long nonce, Duration patience) {
+    byte[] texts = JobCodec.encodeProgress(parts, nonce);
+    return addPage(owner, JobKeys.progressPage(owner.job(), page), texts, patience);
+  }
+
+  private CompletableFuture<TransactionReply> addPage(
+      StoredOwner owner, String key, byte[] page, Duration patience) {
     return runner.run(
         Transaction.builder()
             .expect(JobKeys.owner(owner.job()), owner.revision())
-            .expectAbsent(page)
-            .put(page, Compression.compress(JobCodec.encodePage(results, nonce)))
+            .expectAbsent(key)
+            .put(key, Compression.compress(page))
             .build(),
-        APPEND_PATIENCE);
+        patience);
   }
 
   /** Reads who owns a job; empty if there is no such job. */
@@ -172,19 +184,6 @@
     return entries(JobKeys.results(job)).thenApply(r -> r.flatMap(JobStore::decodePages));
   }
 
-  /** Saves texts of open items if the owner's record is unchanged. */
-  CompletableFuture<TransactionReply> saveProgress(
-      StoredOwner owner, int page, List<TextPart> parts, long nonce, Duration patience) {
-    String key = JobKeys.progressPage(owner.job(), page);
-    return runner.run(
-        Transaction.builder()
-            .expect(JobKeys.owner(owner.job()), owner.revision())
-            .expectAbsent(key)
-            .put(key, Compression.compress(JobCodec.encodeProgress(parts, nonce)))
-            .build(),
-        patience);
-  }
-
   /** Reads the saved texts of open items. */
   CompletableFuture<Result<SavedProgress>> progress(JobId job) {
     return entries(JobKeys.progress(job)).thenApply(r -> r.flatMap(JobStore::decodeProgress));
--- a/amaranthstream/src/main/java/org/amaranthstream/jobs/OwnedJob.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/jobs/OwnedJob.java
@@ -94,14 +94,14 @@
   }
 
   /** Returns parts of the texts of open items that have at least {@code minEvents} events. */
-  ImmutableList<TextPart> unsavedTexts(int minEvents, int maxBytes) {
+  ImmutableList<TextPart> takeUnsavedTexts(int minEvents, int maxBytes) {
     ImmutableList.Builder<TextPart> parts = ImmutableList.builder();
     int bytes = 0;
     for (ItemProgress item : items.values()) {
       if (item.isFinished() || item.text().lastEvent() < minEvents || bytes >= maxBytes) {
         continue;
       }
-      Optional<TextPart> part = item.text().unsaved(item.spec().id());
+      Optional<TextPart> part = item.text().takeUnsaved(item.spec().id());
       part.ifPresent(parts::add);
       bytes += part.map(p -> p.text().length).orElse(0);
     }
@@ -109,7 +109,7 @@
   }
 
   void markSaved(ImmutableList<TextPart> parts) {
-    parts.forEach(part -> items.get(part.item()).text().markSaved(part));
+    parts.forEach(part -> items.get(part.item()).text().markSaved());
   }
 
   /** Returns the number of the next page of saved texts, a new one with each call. */
--- a/amaranthstream/src/main/java/org/amaranthstream/jobs/ProgressSaver.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/jobs/ProgressSaver.java
@@ -45,7 +45,7 @@
     if (!job.isRunnable()) {
       return;
     }
-    ImmutableList<TextPart> parts = job.unsavedTexts(MIN_EVENTS, MAX_PAGE_BYTES);
+    ImmutableList<TextPart> parts = job.takeUnsavedTexts(MIN_EVENTS, MAX_PAGE_BYTES);
     if (parts.isEmpty()) {
       add(job);
       return;
--- a/amaranthstream/src/main/java/org/amaranthstream/jobs/RemoteJobs.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/jobs/RemoteJobs.java
@@ -19,7 +19,6 @@
 
 /** Asks the owners of jobs over peer links. */
 final class RemoteJobs {
-
   /**
    * A peer that does not answer within this time, beside the wait it was asked for, is passed by.
    */
--- a/amaranthstream/src/main/java/org/amaranthstream/jobs/TextPart.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/jobs/TextPart.java
@@ -12,7 +12,6 @@
  * @param text the part; callers do not change it
  * @param lastEvent the number of the last event of the part
  * @param versions the weight versions that generated the whole text so far
- * @param generation how often the text was begun anew; known to the saving owner only
  */
 @SuppressWarnings("ArrayRecordComponent")
 record TextPart(
@@ -20,8 +19,7 @@
     int offset,
     byte[] text,
     long lastEvent,
-    ImmutableSortedSet<WeightVersion> versions,
-    int generation) {
+    ImmutableSortedSet<WeightVersion> versions) {
 
   /** Returns the length of the text up to the end of the part, in bytes. */
   int end() {
--- a/amaranthstream/src/test/java/org/amaranthstream/jobs/ItemTextTest.java
+++ b/amaranthstream/src/test/java/org/amaranthstream/jobs/ItemTextTest.java
@@ -23,13 +23,14 @@
   }
 
   private String unsaved() {
-    return text.unsaved(ITEM).map(part -> new String(part.text(), UTF_8)).orElse("");
+    return text.takeUnsaved(ITEM).map(part -> new String(part.text(), UTF_8)).orElse("");
   }
 
   @Test
   void isSavedPartByPart() {
     generate("a", "b");
-    text.markSaved(text.unsaved(ITEM).get());
+    text.takeUnsaved(ITEM);
+    text.markSaved();
     generate("c");
 
     assertThat(unsaved()).isEqualTo("\nc");
@@ -47,10 +48,10 @@
   @Test
   void textThatWasGeneratedAnewIsNotTakenForTheSavedOne() {
     generate("a", "b");
-    TextPart old = text.unsaved(ITEM).get();
+    text.takeUnsaved(ITEM);
     text.clear();
     generate("x", "y");
-    text.markSaved(old);
+    text.markSaved();
 
     assertThat(unsaved()).isEqualTo("x\ny");
   }
--- a/amaranthstream/src/test/java/org/amaranthstream/jobs/SavedTextsTest.java
+++ b/amaranthstream/src/test/java/org/amaranthstream/jobs/SavedTextsTest.java
@@ -17,8 +17,7 @@
         offset,
         text.getBytes(UTF_8),
         lastEvent,
-        ImmutableSortedSet.of(WeightVersion.of(lastEvent)),
-        0);
+        ImmutableSortedSet.of(WeightVersion.of(lastEvent)));
   }
 
   private static ItemPartial only(TextPart... parts) {
