--- a/amaranthstream/src/test/java/org/amaranthstream/jobs/JobServiceTest.java
+++ b/amaranthstream/src/test/java/org/amaranthstream/jobs/JobServiceTest.java
@@ -8,57 +8,14 @@
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import org.amaranthstream.ids.ItemId;
-import org.amaranthstream.ids.JobId;
 import org.amaranthstream.ids.WeightVersion;
 import org.amaranthstream.platform.SimulatedStoreClient.WriteFault;
 import org.amaranthstream.result.Result;
 import org.amaranthstream.result.ResultCode;
-import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
 
-class JobServiceTest {
-  private static final Duration PATIENCE = Duration.ofSeconds(4);
-  private static final JobId JOB = JobId.of("job");
-
-  private final JobFleet fleet = new JobFleet();
-  private JobFleet.Node first;
-  private JobFleet.Node second;
-
-  @BeforeEach
-  void start() {
-    first = fleet.start("vm-1");
-    second = fleet.start("vm-2");
-    fleet.runMillis(500);
-    fleet.addServer("s1", 4, 1);
-    fleet.addServer("s2", 4, 1);
-  }
-
-  private Result<JobDone> submit(JobFleet.Node node, JobSpec job) {
-    return fleet.await(node.jobs().submit(job, PATIENCE));
-  }
-
-  private static boolean isAccepted(Result<JobDone> result) {
-    return result.equals(Result.success(JobDone.ACCEPTED));
-  }
-
-  private static ResultCode code(Result<?> result) {
-    return ((Result.Failure<?>) result).error().code();
-  }
-
-  private static void assertWhole(JobSpec job, List<ItemResult> results) {
-    assertThat(results).hasSize(job.items().size());
-    for (ItemResult result : results) {
-      ItemSpec item =
-          job.items().stream().filter(i -> i.id().equals(result.item())).findFirst().get();
-      assertThat(new String(result.text(), UTF_8)).isEqualTo(SimulatedServers.text(item));
-      assertThat(result.isComplete()).isTrue();
-    }
-  }
-
-  private static List<ItemId> ids(List<ItemResult> results) {
-    return results.stream().map(ItemResult::item).toList();
-  }
+class JobServiceTest extends JobServiceFixture {
 
   @Nested
   class Accepting {
@@ -327,112 +284,4 @@
       assertThat(fleet.await(second.jobs().end(JOB))).isEqualTo(Result.success(JobDone.ENDED));
     }
   }
-
-  @Nested
-  class Takeovers {
-    private final JobSpec job = JobFleet.job("job", 1, 5, 90, 90, 3);
-
-    @Test
-    void jobOfKilledDaemonIsFinishedByAnother() {
-      submit(first, job);
-      fleet.runMillis(800);
-      List<ItemId> before = ids(fleet.read(second, JOB));
-      first.kill();
-      fleet.run(Duration.ofSeconds(15));
-
-      assertThat(ids(fleet.read(second, JOB)).subList(0, before.size())).isEqualTo(before);
-      assertWhole(job, fleet.read(second, JOB));
-    }
-
-    @Test
-    void jobsSurviveTheEndOfAllDaemons() {
-      submit(first, job);
-      first.kill();
-      second.kill();
-      fleet.runMillis(800);
-      fleet.start("vm-1");
-      fleet.start("vm-2");
-      fleet.runMillis(500);
-      fleet.addServer("s1", 4, 1);
-      fleet.run(Duration.ofSeconds(15));
-
-      assertWhole(job, fleet.read(fleet.alive().get(0), JOB));
-    }
-
-    /** All processes are killed while a step waits for its longest items. */
-    @Test
-    void longItemsGoOnWhereTheirSavedTextEnds() {
-      JobSpec step = JobFleet.job("step", 1, 200, 200);
-      submit(first, step);
-      fleet.runMillis(3_500);
-      first.kill();
-      second.kill();
-      fleet.runMillis(500);
-      fleet.start("vm-1");
-      fleet.start("vm-2");
-      fleet.addServer("s1", 4, 1);
-      fleet.addServer("s2", 4, 1);
-      fleet.runMillis(2_500);
-
-      assertWhole(step, fleet.read(fleet.alive().get(0), step.id()));
-    }
-
-    /** The texts are saved again from the start, by another owner, and that owner is killed too. */
-    @Test
-    void savedTextOutlivesSeveralOwners() {
-      JobSpec step = JobFleet.job("step", 1, 200, 200);
-      submit(first, step);
-      for (int i = 0; i < 3; i++) {
-        fleet.runMillis(2_000);
-        fleet.alive().forEach(JobFleet.Node::kill);
-        fleet.runMillis(500);
-        fleet.start("vm-1");
-        fleet.addServer("s1", 4, 1);
-      }
-      fleet.runMillis(1_500);
-
-      assertWhole(step, fleet.read(fleet.alive().get(0), step.id()));
-    }
-
-    /** After the end of all daemons, the open jobs of the moment come first. */
-    @Test
-    void endedJobsAreNotTakenOverAtOnce() {
-      submit(first, job);
-      fleet.await(first.jobs().end(JOB));
-      first.kill();
-      second.kill();
-      JobFleet.Node again = fleet.start("vm-1");
-      fleet.run(Duration.ofSeconds(5));
-
-      assertThat(again.owns(JOB)).isFalse();
-      fleet.run(Duration.ofSeconds(30));
-      assertThat(again.owns(JOB)).isTrue();
-    }
-
-    @Test
-    void ownerThatWasSuspendedListsNothingMore() {
-      submit(first, job);
-      fleet.runMillis(800);
-      first.pause();
-      fleet.run(Duration.ofSeconds(12));
-      ImmutableList<ItemResult> taken = fleet.read(second, JOB);
-      first.resume();
-      fleet.run(Duration.ofSeconds(5));
-
-      assertWhole(job, taken);
-      assertThat(ids(fleet.read(second, JOB))).isEqualTo(ids(taken));
-      assertThat(first.owns(JOB)).isFalse();
-    }
-
-    @Test
-    void leavingDaemonPassesItsTextOn() {
-      submit(first, job);
-      fleet.runMillis(1_000);
-      first.leave();
-      fleet.run(Duration.ofMillis(1_600));
-
-      assertThat(second.owns(JOB)).isTrue();
-      assertWhole(job, fleet.read(second, JOB));
-    }
-  }
 }
--- /dev/null
+++ b/amaranthstream/src/test/java/org/amaranthstream/jobs/JobTakeoverTest.java
@@ -0,0 +1,117 @@
+package org.amaranthstream.jobs;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import com.google.common.collect.ImmutableList;
+import java.time.Duration;
+import java.util.List;
+import org.amaranthstream.ids.ItemId;
+import org.junit.jupiter.api.Test;
+
+/** Jobs whose owner is killed, suspended or leaves. */
+class JobTakeoverTest extends JobServiceFixture {
+  private final JobSpec job = JobFleet.job("job", 1, 5, 90, 90, 3);
+
+  @Test
+  void jobOfKilledDaemonIsFinishedByAnother() {
+    submit(first, job);
+    fleet.runMillis(800);
+    List<ItemId> before = ids(fleet.read(second, JOB));
+    first.kill();
+    fleet.run(Duration.ofSeconds(15));
+
+    assertThat(ids(fleet.read(second, JOB)).subList(0, before.size())).isEqualTo(before);
+    assertWhole(job, fleet.read(second, JOB));
+  }
+
+  @Test
+  void jobsSurviveTheEndOfAllDaemons() {
+    submit(first, job);
+    first.kill();
+    second.kill();
+    fleet.runMillis(800);
+    fleet.start("vm-1");
+    fleet.start("vm-2");
+    fleet.runMillis(500);
+    fleet.addServer("s1", 4, 1);
+    fleet.run(Duration.ofSeconds(15));
+
+    assertWhole(job, fleet.read(fleet.alive().get(0), JOB));
+  }
+
+  /** All processes are killed while a step waits for its longest items. */
+  @Test
+  void longItemsGoOnWhereTheirSavedTextEnds() {
+    JobSpec step = JobFleet.job("step", 1, 200, 200);
+    submit(first, step);
+    fleet.runMillis(3_500);
+    first.kill();
+    second.kill();
+    fleet.runMillis(500);
+    fleet.start("vm-1");
+    fleet.start("vm-2");
+    fleet.addServer("s1", 4, 1);
+    fleet.addServer("s2", 4, 1);
+    fleet.runMillis(2_500);
+
+    assertWhole(step, fleet.read(fleet.alive().get(0), step.id()));
+  }
+
+  /** The texts are saved again from the start, by another owner, and that owner is killed too. */
+  @Test
+  void savedTextOutlivesSeveralOwners() {
+    JobSpec step = JobFleet.job("step", 1, 200, 200);
+    submit(first, step);
+    for (int i = 0; i < 3; i++) {
+      fleet.runMillis(2_000);
+      fleet.alive().forEach(JobFleet.Node::kill);
+      fleet.runMillis(500);
+      fleet.start("vm-1");
+      fleet.addServer("s1", 4, 1);
+    }
+    fleet.runMillis(1_500);
+
+    assertWhole(step, fleet.read(fleet.alive().get(0), step.id()));
+  }
+
+  /** After the end of all daemons, the open jobs of the moment come first. */
+  @Test
+  void endedJobsAreNotTakenOverAtOnce() {
+    submit(first, job);
+    fleet.await(first.jobs().end(JOB));
+    first.kill();
+    second.kill();
+    JobFleet.Node again = fleet.start("vm-1");
+    fleet.run(Duration.ofSeconds(5));
+
+    assertThat(again.owns(JOB)).isFalse();
+    fleet.run(Duration.ofSeconds(30));
+    assertThat(again.owns(JOB)).isTrue();
+  }
+
+  @Test
+  void ownerThatWasSuspendedListsNothingMore() {
+    submit(first, job);
+    fleet.runMillis(800);
+    first.pause();
+    fleet.run(Duration.ofSeconds(12));
+    ImmutableList<ItemResult> taken = fleet.read(second, JOB);
+    first.resume();
+    fleet.run(Duration.ofSeconds(5));
+
+    assertWhole(job, taken);
+    assertThat(ids(fleet.read(second, JOB))).isEqualTo(ids(taken));
+    assertThat(first.owns(JOB)).isFalse();
+  }
+
+  @Test
+  void leavingDaemonPassesItsTextOn() {
+    submit(first, job);
+    fleet.runMillis(1_000);
+    first.leave();
+    fleet.run(Duration.ofMillis(1_600));
+
+    assertThat(second.owns(JOB)).isTrue();
+    assertWhole(job, fleet.read(second, JOB));
+  }
+}
--- a/amaranthstream/src/test/java/org/amaranthstream/weights/EngineSharesTest.java
+++ b/amaranthstream/src/test/java/org/amaranthstream/weights/EngineSharesTest.java
@@ -7,13 +7,9 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import org.amaranthstream.ids.AvailabilityZoneId;
-import org.amaranthstream.ids.BackendServerId;
 import org.amaranthstream.ids.ModelId;
-import org.amaranthstream.ids.ServiceId;
 import org.amaranthstream.ids.WeightVersion;
 import org.amaranthstream.servers.ServerDirectory;
-import org.amaranthstream.servers.ServerEntry;
 import org.amaranthstream.servers.TrackedServer;
 import org.amaranthstream.time.VirtualTimerService;
 import org.junit.jupiter.api.Test;
@@ -31,17 +27,7 @@
     ImmutableMap.Builder<ModelId, WeightVersion> versions = ImmutableMap.builder();
     MODELS.forEach(model -> versions.put(model, WeightVersion.of(1)));
     for (int i = from; i < to; i++) {
-      directory.onEntry(
-          new ServerEntry(
-              BackendServerId.of("s" + i),
-              1,
-              ServiceId.of("engine"),
-              "10.0.0.9",
-              8080,
-              AvailabilityZoneId.of("a"),
-              4,
-              false,
-              versions.buildOrThrow()));
+      directory.onEntry(TestEngines.entry("s" + i, versions.buildOrThrow()));
     }
   }
 
--- a/amaranthstream/src/test/java/org/amaranthstream/weights/SwapTest.java
+++ b/amaranthstream/src/test/java/org/amaranthstream/weights/SwapTest.java
@@ -10,16 +10,13 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
-import org.amaranthstream.ids.AvailabilityZoneId;
 import org.amaranthstream.ids.BackendServerId;
 import org.amaranthstream.ids.EntryVmId;
 import org.amaranthstream.ids.FencingNumber;
 import org.amaranthstream.ids.ModelId;
-import org.amaranthstream.ids.ServiceId;
 import org.amaranthstream.ids.WeightVersion;
 import org.amaranthstream.result.Result;
 import org.amaranthstream.servers.ServerDirectory;
-import org.amaranthstream.servers.ServerEntry;
 import org.amaranthstream.servers.TrackedServer;
 import org.amaranthstream.time.VirtualTimerService;
 import org.junit.jupiter.api.BeforeEach;
@@ -114,17 +111,7 @@
   @BeforeEach
   void addServers() {
     for (int i = 0; i < SERVERS; i++) {
-      directory.onEntry(
-          new ServerEntry(
-              BackendServerId.of("s" + i),
-              1,
-              ServiceId.of("engine"),
-              "10.0.0.9",
-              8080,
-              AvailabilityZoneId.of("a"),
-              4,
-              false,
-              ImmutableMap.of(MODEL, WeightVersion.of(1))));
+      directory.onEntry(TestEngines.entry("s" + i, ImmutableMap.of(MODEL, WeightVersion.of(1))));
     }
     controller.start();
   }
