--- a/amaranthstream/src/main/java/org/amaranthstream/calls/ActiveCall.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/calls/ActiveCall.java
@@ -98,7 +98,7 @@
     logger.atFine().log(
         "event=call_sent %s server=%s attempt=%d", this, server.id(), countedAttempts);
     attempt.start(service.transport(), call, timeLeft());
-    if (policy.isRepeatable() && !isOver && committed == null) {
+    if (policy.mayHedge() && !isOver && committed == null) {
       scheduleHedge();
     }
   }
--- a/amaranthstream/src/main/java/org/amaranthstream/calls/CallPolicy.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/calls/CallPolicy.java
@@ -24,6 +24,15 @@
 
   private static final double MILLION = 1e6;
 
+  private static final CallPolicy SINGLE_ATTEMPT = new CallPolicy(true, false, 1, Duration.ZERO);
+
+  /**
+   * Returns the policy for an idempotent request whose sender itself decides on each repetition.
+   */
+  public static CallPolicy singleAttempt() {
+    return SINGLE_ATTEMPT;
+  }
+
   /** Returns the policy for requests of {@code route}. */
   public static CallPolicy of(Route route) {
     boolean isRepeatable = route.kind() == RouteKind.IDEMPOTENT;
@@ -34,4 +43,9 @@
         isRepeatable ? route.maxAttempts() : 1,
         Duration.ofMillis(Math.max(1, hedgeMillis)));
   }
+
+  /** Returns true if a second server may receive the request while the first has not responded. */
+  boolean mayHedge() {
+    return isRepeatable && maxAttempts > 1;
+  }
 }
--- a/amaranthstream/src/main/java/org/amaranthstream/calls/CallService.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/calls/CallService.java
@@ -63,10 +63,23 @@
    * @param timeLeft the time until the caller's deadline
    */
   public void start(Route route, OutboundCall call, Duration timeLeft, CallerExchange exchange) {
+    start(route, CallPolicy.of(route), call, timeLeft, exchange);
+  }
+
+  /**
+   * Forwards a request to a backend server with a policy other than that of its route.
+   *
+   * @param timeLeft the time until the sender's deadline
+   */
+  public void start(
+      Route route,
+      CallPolicy policy,
+      OutboundCall call,
+      Duration timeLeft,
+      CallerExchange exchange) {
     Duration time = timeLeft.compareTo(route.timeout()) < 0 ? timeLeft : route.timeout();
     List<TrackedServer> servers = directory.available(chooseService(route).service());
-    ActiveCall activeCall =
-        new ActiveCall(this, CallPolicy.of(route), call, servers, time, exchange);
+    ActiveCall activeCall = new ActiveCall(this, policy, call, servers, time, exchange);
     active.add(activeCall);
     exchange.onCallerDisconnected(activeCall::cancel);
     activeCall.start();
--- a/amaranthstream/src/main/java/org/amaranthstream/calls/ResponseHead.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/calls/ResponseHead.java
@@ -1,6 +1,7 @@
 package org.amaranthstream.calls;
 
 import io.vertx.core.MultiMap;
+import java.util.Optional;
 import java.util.OptionalLong;
 
 /**
@@ -9,10 +10,19 @@
  * @param status the HTTP status
  * @param headers the end-to-end headers
  * @param length the length of the body in bytes, empty if the server did not send it
+ * @param signature the server's signature of the response, which is also among the headers
  */
-public record ResponseHead(int status, MultiMap headers, OptionalLong length) {
+public record ResponseHead(
+    int status, MultiMap headers, OptionalLong length, Optional<String> signature) {
+  private static final int MIN_SUCCESS = 200;
+  private static final int MIN_REDIRECT = 300;
   private static final int SERVER_ERROR = 500;
 
+  /** Returns true if the status is a success (2xx). */
+  public boolean isSuccess() {
+    return status >= MIN_SUCCESS && status < MIN_REDIRECT;
+  }
+
   /** Returns true if the status is a server error (5xx). */
   public boolean isServerError() {
     return status >= SERVER_ERROR;
--- a/amaranthstream/src/main/java/org/amaranthstream/fleet/FleetHeartbeatState.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/fleet/FleetHeartbeatState.java
@@ -4,16 +4,19 @@
 
 import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableMap;
+import com.google.common.primitives.Longs;
 import org.amaranthstream.dispatch.PoisonNotice;
 import org.amaranthstream.ids.ConfigGeneration;
 import org.amaranthstream.ids.EntryVmId;
 import org.amaranthstream.ids.ModelId;
 import org.amaranthstream.ids.PoolId;
 import org.amaranthstream.ids.WeightVersion;
+import org.amaranthstream.membership.LeavingServer;
 import org.amaranthstream.peer.HeartbeatSink;
 import org.amaranthstream.peer.HeartbeatSource;
 import org.amaranthstream.routing.RoutingConfig;
 import org.amaranthstream.routing.RoutingTable;
+import org.amaranthstream.servers.ServerDirectory;
 import org.amaranthstream.weights.AnnouncedVersions;
 
 /**
@@ -25,12 +28,17 @@
 public final class FleetHeartbeatState implements HeartbeatSource, HeartbeatSink {
   private final RoutingTable routing;
   private final AnnouncedVersions versions;
+  private final ServerDirectory directory;
   private final Runnable onOutdated;
 
   private FleetHeartbeatState(
-      RoutingTable routing, AnnouncedVersions versions, Runnable onOutdated) {
+      RoutingTable routing,
+      AnnouncedVersions versions,
+      ServerDirectory directory,
+      Runnable onOutdated) {
     this.routing = routing;
     this.versions = versions;
+    this.directory = directory;
     this.onOutdated = onOutdated;
   }
 
@@ -40,10 +48,14 @@
    * @param onOutdated called when a peer has a newer configuration; reads it from the store
    */
   public static FleetHeartbeatState create(
-      RoutingTable routing, AnnouncedVersions versions, Runnable onOutdated) {
+      RoutingTable routing,
+      AnnouncedVersions versions,
+      ServerDirectory directory,
+      Runnable onOutdated) {
     return new FleetHeartbeatState(
         checkNotNull(routing, "routing"),
         checkNotNull(versions, "versions"),
+        checkNotNull(directory, "directory"),
         checkNotNull(onOutdated, "onOutdated"));
   }
 
@@ -83,6 +95,15 @@
     versions.recordIfNewer(model, version);
   }
 
+  /** The incarnation in a report is the start time of the server, in Unix milliseconds. */
+  @Override
+  public void onLeavingServer(LeavingServer leaving) {
+    Long startMillis = Longs.tryParse(leaving.incarnation().value());
+    if (startMillis != null) {
+      directory.onLeavingReported(leaving.server(), startMillis);
+    }
+  }
+
   @Override
   public void onPoisonNotice(PoisonNotice notice) {}
 }
--- a/amaranthstream/src/main/java/org/amaranthstream/fleet/FleetLinks.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/fleet/FleetLinks.java
@@ -11,6 +11,8 @@
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import org.amaranthstream.ids.EntryVmId;
+import org.amaranthstream.ids.Incarnation;
+import org.amaranthstream.membership.LeavingServer;
 import org.amaranthstream.membership.LocalVm;
 import org.amaranthstream.membership.MembershipSettings;
 import org.amaranthstream.membership.MembershipTable;
@@ -25,6 +27,7 @@
 import org.amaranthstream.result.Result;
 import org.amaranthstream.result.ResultCode;
 import org.amaranthstream.ring.Duty;
+import org.amaranthstream.servers.TrackedServer;
 import org.amaranthstream.time.TimerService;
 import org.jspecify.annotations.Nullable;
 
@@ -160,6 +163,14 @@
         false);
   }
 
+  /** Passes on to the daemons of the zone that a backend server is leaving. */
+  public void onServerLeaving(TrackedServer server) {
+    if (table != null) {
+      Incarnation incarnation = Incarnation.of(Long.toString(server.registration().startMillis()));
+      table.onServerLeaving(new LeavingServer(server.id(), incarnation), timers.nowNanos());
+    }
+  }
+
   /** Sends a query to another daemon; the future never completes exceptionally. */
   public CompletableFuture<Result<byte[]>> query(
       EntryVmId to, QueryKind kind, byte[] body, Duration timeout) {
--- a/amaranthstream/src/main/java/org/amaranthstream/jobs/CheckpointAssembler.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/jobs/CheckpointAssembler.java
@@ -5,6 +5,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import org.amaranthstream.ids.ItemId;
 import org.jspecify.annotations.Nullable;
 
@@ -36,6 +37,7 @@
     byte[] text =
         previous == null ? new byte[part.end()] : Arrays.copyOf(previous.text(), part.end());
     System.arraycopy(part.text(), 0, text, part.offset(), part.text().length);
-    return new PartialOutput(part.item(), text, part.lastEvent(), part.versions(), false);
+    return new PartialOutput(
+        part.item(), text, part.lastEvent(), part.versions(), part.isComplete(), Optional.empty());
   }
 }
--- a/amaranthstream/src/main/java/org/amaranthstream/jobs/CheckpointPart.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/jobs/CheckpointPart.java
@@ -13,6 +13,7 @@
  * @param text the text of the part; must not be modified
  * @param lastEvent the sequence number of the last event of the part
  * @param versions the weight versions that generated the text up to the end of the part
+ * @param isComplete true if the text is complete at the end of the part
  */
 @SuppressWarnings("ArrayRecordComponent")
 record CheckpointPart(
@@ -20,7 +21,8 @@
     int offset,
     byte[] text,
     long lastEvent,
-    ImmutableSortedSet<WeightVersion> versions) {
+    ImmutableSortedSet<WeightVersion> versions,
+    boolean isComplete) {
 
   /** Returns the position of the end of the part in the text, in bytes. */
   int end() {
--- a/amaranthstream/src/main/java/org/amaranthstream/jobs/ItemProgress.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/jobs/ItemProgress.java
@@ -7,7 +7,7 @@
 import org.jspecify.annotations.Nullable;
 
 /**
- * Progress of one item of an owned job: its state, the text received so far, and its retries.
+ * Progress of one item of an owned job: its stage, the text received so far, and its retries.
  *
  * <p>Not thread safe. Callers pass times as monotonic nanoseconds.
  */
@@ -17,7 +17,7 @@
   private static final Duration MAX_BACKOFF = Duration.ofMillis(2_000);
   private static final int MAX_DOUBLINGS = 6;
 
-  /** State of an item. */
+  /** State of an item in its current stage. */
   enum State {
     WAITING,
     RUNNING,
@@ -27,11 +27,12 @@
   private final ItemSpec spec;
   private final long expectedTokens;
   private final ItemText text = new ItemText();
+  private ItemStage stage = ItemStage.GENERATE;
   private State state = State.WAITING;
   private int failures;
   private int consecutiveBreaks;
   private long notBeforeNanos = Long.MIN_VALUE;
-  private @Nullable ItemRunner runner;
+  private @Nullable StageRun run;
   private @Nullable BackendServerId lastServer;
 
   ItemProgress(ItemSpec spec, long expectedTokens) {
@@ -52,8 +53,8 @@
     return text;
   }
 
-  boolean isWaiting() {
-    return state == State.WAITING;
+  ItemStage stage() {
+    return stage;
   }
 
   boolean isRunning() {
@@ -64,37 +65,62 @@
     return state == State.FINISHED;
   }
 
-  boolean isReady(long nowNanos) {
-    return state == State.WAITING && nowNanos >= notBeforeNanos;
+  /** Returns true if work on {@code wanted} may start now. */
+  boolean isReady(ItemStage wanted, long nowNanos) {
+    return stage == wanted && state == State.WAITING && nowNanos >= notBeforeNanos;
   }
 
-  void onRunStarted(ItemRunner started) {
+  /** Moves the item to the next stage that it needs, with new counts of failures. */
+  void advance() {
+    stage = stage.next(spec);
+    state = State.WAITING;
+    run = null;
+    failures = 0;
+    consecutiveBreaks = 0;
+    notBeforeNanos = Long.MIN_VALUE;
+    logger.atFine().log(
+        "event=item_stage item=%s stage=%s last_event=%d", spec.id(), stage, text.lastEvent());
+  }
+
+  void onRunStarted(StageRun started) {
     state = State.RUNNING;
-    runner = started;
-    lastServer = started.server().id();
+    run = started;
+    if (started instanceof ItemRunner runner) {
+      lastServer = runner.server().id();
+    }
   }
 
-  /** Returns the current run, empty if the item is not running. */
+  /** Returns the current run at an engine, empty if the text is not being generated. */
   Optional<ItemRunner> runner() {
-    return Optional.ofNullable(runner);
+    return run instanceof ItemRunner runner ? Optional.of(runner) : Optional.empty();
   }
 
   /** Makes the item ready for its next run without a delay. */
   void retryImmediately() {
     state = State.WAITING;
-    runner = null;
+    run = null;
   }
 
   /** Delays the next run, with a backoff that doubles with each consecutive broken run. */
   void retryLater(long nowNanos, String reason) {
-    state = State.WAITING;
-    runner = null;
     long backoffNanos = INITIAL_BACKOFF.toNanos() << Math.min(consecutiveBreaks, MAX_DOUBLINGS);
-    notBeforeNanos = nowNanos + Math.min(backoffNanos, MAX_BACKOFF.toNanos());
     consecutiveBreaks++;
+    retryAfter(nowNanos, Duration.ofNanos(Math.min(backoffNanos, MAX_BACKOFF.toNanos())), reason);
+  }
+
+  /** Delays the next run by {@code delay}. */
+  void retryAfter(long nowNanos, Duration delay, String reason) {
+    state = State.WAITING;
+    run = null;
+    notBeforeNanos = nowNanos + delay.toNanos();
     logger.atInfo().log(
-        "event=item_broken item=%s server=%s last_event=%d breaks=%d reason=\"%s\"",
-        spec.id(), lastServer, text.lastEvent(), consecutiveBreaks, reason);
+        "event=item_broken item=%s stage=%s server=%s last_event=%d breaks=%d reason=\"%s\"",
+        spec.id(), stage, lastServer, text.lastEvent(), consecutiveBreaks, reason);
+  }
+
+  /** Returns the number of consecutive runs without a valid response. */
+  int consecutiveBreaks() {
+    return consecutiveBreaks;
   }
 
   /** Records that a run has generated text, which resets the backoff. */
@@ -110,13 +136,13 @@
 
   void finish() {
     state = State.FINISHED;
-    runner = null;
+    run = null;
   }
 
   /** Cancels the current run, if there is one. */
   void cancel() {
-    ItemRunner running = runner;
-    runner = null;
+    StageRun running = run;
+    run = null;
     if (running != null) {
       running.cancel();
     }
--- a/amaranthstream/src/main/java/org/amaranthstream/jobs/ItemRunner.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/jobs/ItemRunner.java
@@ -18,7 +18,7 @@
  * Aborts a stream that makes no progress, so that the item resumes at another server. Must be used
  * on one thread.
  */
-final class ItemRunner implements ItemListener {
+final class ItemRunner implements ItemListener, StageRun {
   private static final FluentLogger logger = FluentLogger.forEnclosingClass();
 
   /** Allows for a server that queues the item or loads weights before its response starts. */
@@ -152,8 +152,8 @@
     }
   }
 
-  /** Cancels the run without a retry, because the job does not need it any more. */
-  void cancel() {
+  @Override
+  public void cancel() {
     if (close() && run != null) {
       run.cancel();
     }
@@ -203,7 +203,7 @@
       item.retryLater(now, "the stream ended without an event");
       return;
     }
-    job.complete(item);
+    job.onTextComplete(item);
   }
 
   private void onFailed(ItemRunOutcome.Failed failed, long now) {
--- a/amaranthstream/src/main/java/org/amaranthstream/jobs/ItemSelector.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/jobs/ItemSelector.java
@@ -32,7 +32,7 @@
     ItemProgress best = null;
     for (ItemProgress item : items) {
       boolean isBetter = best == null || order.compare(item, best) > 0;
-      if (item.isReady(nowNanos) && isBetter) {
+      if (item.isReady(ItemStage.GENERATE, nowNanos) && isBetter) {
         best = item;
       }
     }
--- a/amaranthstream/src/main/java/org/amaranthstream/jobs/ItemSpec.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/jobs/ItemSpec.java
@@ -1,6 +1,7 @@
 package org.amaranthstream.jobs;
 
 import com.google.common.collect.ImmutableListMultimap;
+import java.util.Optional;
 import java.util.OptionalLong;
 import org.amaranthstream.ids.GroupId;
 import org.amaranthstream.ids.ItemId;
@@ -15,6 +16,7 @@
  * @param tokens the number of prompt tokens plus the maximum number of generated tokens
  * @param expectedTokens the caller's estimate of the number of generated tokens
  * @param group the group of items that share a prompt
+ * @param rewardCall the call that scores the complete text, empty if the item needs no score
  */
 @SuppressWarnings("ArrayRecordComponent")
 public record ItemSpec(
@@ -24,4 +26,5 @@
     byte[] body,
     long tokens,
     OptionalLong expectedTokens,
-    GroupId group) {}
+    GroupId group,
+    Optional<RewardCall> rewardCall) {}
--- a/amaranthstream/src/main/java/org/amaranthstream/jobs/ItemText.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/jobs/ItemText.java
@@ -19,8 +19,11 @@
   private final ByteArrayOutputStream text = new ByteArrayOutputStream();
   private final TreeSet<WeightVersion> versions = new TreeSet<>();
   private long lastEvent;
+  private boolean isComplete;
   private int savedBytes;
+  private boolean isCompletionSaved;
   private int pendingBytes;
+  private boolean isCompletionPending;
 
   /**
    * Appends an event that {@code version} generated.
@@ -44,23 +47,33 @@
     return lastEvent;
   }
 
+  /** Records that no event follows. */
+  void markComplete() {
+    isComplete = true;
+  }
+
   /** Discards the text, so that the next run starts at the first event. */
   void clear() {
     text.reset();
     versions.clear();
     lastEvent = 0;
+    isComplete = false;
     savedBytes = 0;
+    isCompletionSaved = false;
     pendingBytes = 0;
+    isCompletionPending = false;
   }
 
   /** Returns the part of the text that is not saved yet, empty if all of it is saved. */
   Optional<CheckpointPart> takeUnsaved(ItemId item) {
-    if (text.size() == savedBytes) {
+    if (text.size() == savedBytes && isComplete == isCompletionSaved) {
       return Optional.empty();
     }
     byte[] part = Arrays.copyOfRange(text.toByteArray(), savedBytes, text.size());
     pendingBytes = text.size();
-    return Optional.of(new CheckpointPart(item, savedBytes, part, lastEvent, versions()));
+    isCompletionPending = isComplete;
+    return Optional.of(
+        new CheckpointPart(item, savedBytes, part, lastEvent, versions(), isComplete));
   }
 
   /**
@@ -69,6 +82,7 @@
    */
   void markSaved() {
     savedBytes = pendingBytes;
+    isCompletionSaved = isCompletionPending;
   }
 
   /** Replaces the text with the partial output of another owner. */
@@ -77,6 +91,7 @@
     text.writeBytes(partial.text());
     versions.addAll(partial.versions());
     lastEvent = partial.lastEvent();
+    isComplete = partial.isComplete();
   }
 
   ImmutableSortedSet<WeightVersion> versions() {
--- a/amaranthstream/src/main/java/org/amaranthstream/jobs/JobCodec.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/jobs/JobCodec.java
@@ -14,6 +14,7 @@
 import org.amaranthstream.ids.ItemId;
 import org.amaranthstream.ids.JobId;
 import org.amaranthstream.ids.ModelId;
+import org.amaranthstream.ids.RewardCallId;
 import org.amaranthstream.ids.WeightVersion;
 import org.amaranthstream.jobs.wire.HeaderRecord;
 import org.amaranthstream.jobs.wire.ItemRecord;
@@ -23,6 +24,7 @@
 import org.amaranthstream.jobs.wire.ProgressPage;
 import org.amaranthstream.jobs.wire.ResultPage;
 import org.amaranthstream.jobs.wire.ResultRecord;
+import org.amaranthstream.jobs.wire.RewardCallRecord;
 import org.amaranthstream.jobs.wire.TextRecord;
 
 /** Codec between batch jobs and the protobuf records of the store and of peer links. */
@@ -59,9 +61,19 @@
         .forEach(
             (name, value) ->
                 builder.addHeader(HeaderRecord.newBuilder().setName(name).setValue(value)));
+    item.rewardCall().ifPresent(call -> builder.setRewardCall(encodeRewardCall(call)));
     return builder.build();
   }
 
+  private static RewardCallRecord encodeRewardCall(RewardCall call) {
+    return RewardCallRecord.newBuilder()
+        .setId(call.id().value())
+        .setHost(call.host())
+        .setPath(call.path())
+        .setBody(ByteString.copyFrom(call.body()))
+        .build();
+  }
+
   /**
    * Decodes a job.
    *
@@ -93,7 +105,22 @@
         item.getExpectedTokens() == NO_ESTIMATE
             ? OptionalLong.empty()
             : OptionalLong.of(item.getExpectedTokens()),
-        GroupId.of(item.getGroup()));
+        GroupId.of(item.getGroup()),
+        item.hasRewardCall()
+            ? Optional.of(decodeRewardCall(item.getRewardCall()))
+            : Optional.empty());
+  }
+
+  private static RewardCall decodeRewardCall(RewardCallRecord call) {
+    return new RewardCall(
+        RewardCallId.of(call.getId()),
+        call.getHost(),
+        call.getPath(),
+        call.getBody().toByteArray());
+  }
+
+  private static Optional<Score> decodeScore(String score) {
+    return score.isEmpty() ? Optional.empty() : Optional.of(new Score(score));
   }
 
   static byte[] encodeOwner(JobOwner owner) {
@@ -147,6 +174,7 @@
             .setLastEvent(partial.lastEvent())
             .setWhole(partial.isComplete());
     partial.versions().forEach(version -> builder.addVersion(version.value()));
+    partial.score().ifPresent(score -> builder.setScore(score.value()));
     return builder.build();
   }
 
@@ -156,7 +184,8 @@
         partial.getText().toByteArray(),
         partial.getLastEvent(),
         versions(partial.getVersionList()),
-        partial.getWhole());
+        partial.getWhole(),
+        decodeScore(partial.getScore()));
   }
 
   private static ImmutableSortedSet<WeightVersion> versions(List<Long> versions) {
@@ -177,7 +206,8 @@
             .setItem(part.item().value())
             .setOffset(part.offset())
             .setText(ByteString.copyFrom(part.text()))
-            .setLastEvent(part.lastEvent());
+            .setLastEvent(part.lastEvent())
+            .setWhole(part.isComplete());
     part.versions().forEach(version -> builder.addVersion(version.value()));
     return builder.build();
   }
@@ -195,7 +225,8 @@
         text.getOffset(),
         text.getText().toByteArray(),
         text.getLastEvent(),
-        versions(text.getVersionList()));
+        versions(text.getVersionList()),
+        text.getWhole());
   }
 
   static ResultRecord encodeResult(ItemResult result) {
@@ -205,6 +236,7 @@
             .setComplete(result.isComplete())
             .setText(ByteString.copyFrom(result.text()));
     result.versions().forEach(version -> builder.addVersion(version.value()));
+    result.score().ifPresent(score -> builder.setScore(score.value()));
     return builder.build();
   }
 
@@ -213,7 +245,8 @@
         ItemId.of(result.getItem()),
         result.getComplete(),
         result.getText().toByteArray(),
-        versions(result.getVersionList()));
+        versions(result.getVersionList()),
+        decodeScore(result.getScore()));
   }
 
   static byte[] encodePage(List<ItemResult> results, long nonce) {
--- a/amaranthstream/src/main/java/org/amaranthstream/jobs/JobDescription.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/jobs/JobDescription.java
@@ -10,6 +10,7 @@
  * @param ageMillis milliseconds since the job was accepted
  * @param items the number of items
  * @param running the number of items that are running
+ * @param unscored the number of items whose complete text has no score yet
  * @param listed the number of listed results
  * @param groupsComplete the number of groups whose items all have a result
  * @param isEnded true if the caller has ended the job
@@ -20,14 +21,17 @@
     long ageMillis,
     int items,
     int running,
+    int unscored,
     int listed,
     long groupsComplete,
     boolean isEnded) {
 
   static JobDescription of(OwnedJob job, long nowNanos) {
     int running = 0;
+    int unscored = 0;
     for (ItemProgress item : job.items()) {
-      running += item.isRunning() ? 1 : 0;
+      running += item.runner().isPresent() ? 1 : 0;
+      unscored += !item.isFinished() && item.stage() == ItemStage.SCORE ? 1 : 0;
     }
     Duration age = job.age(nowNanos);
     return new JobDescription(
@@ -36,6 +40,7 @@
         age.toMillis(),
         job.spec().items().size(),
         running,
+        unscored,
         job.listedCount(),
         job.completeGroups(),
         job.isEnded());
--- a/amaranthstream/src/main/java/org/amaranthstream/jobs/JobService.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/jobs/JobService.java
@@ -17,8 +17,10 @@
 import org.amaranthstream.platform.TransactionReply;
 import org.amaranthstream.platform.TransactionRunner;
 import org.amaranthstream.platform.TransactionalStore;
+import org.amaranthstream.result.ErrorDetail;
 import org.amaranthstream.result.Result;
 import org.amaranthstream.result.ResultCode;
+import org.amaranthstream.routing.RoutingConfig;
 import org.amaranthstream.routing.RoutingTable;
 import org.amaranthstream.servers.ServerChoice;
 import org.amaranthstream.servers.ServerDirectory;
@@ -54,6 +56,8 @@
   private final JobAcceptor acceptor;
   private final OwnedJobOperations operations;
   private final ItemScheduler scheduler;
+  private final RewardScheduler rewardScheduler;
+  private final RoutingTable routing;
   private final ResultAppender resultAppender;
   private final CheckpointWriter checkpointWriter;
   private final RemoteJobs remote;
@@ -92,6 +96,14 @@
             checkNotNull(builder.choice, "choice"),
             checkNotNull(builder.transport, "transport"),
             timers,
+            this::onItemsChanged);
+    this.routing = builder.routing;
+    this.rewardScheduler =
+        new RewardScheduler(
+            routing,
+            builder.directory,
+            checkNotNull(builder.rewardTransport, "rewardTransport"),
+            timers,
             resultAppender::schedule);
   }
 
@@ -107,9 +119,17 @@
 
   private void run(OwnedJob job) {
     scheduler.add(job);
+    rewardScheduler.add(job);
     checkpointWriter.add(job);
   }
 
+  private void onItemsChanged(OwnedJob job) {
+    resultAppender.schedule(job);
+    if (job.hasTextsToScore()) {
+      rewardScheduler.schedule();
+    }
+  }
+
   /**
    * Hands off all owned jobs to other daemons, because this one is shutting down.
    *
@@ -139,7 +159,8 @@
   }
 
   /**
-   * Accepts a job.
+   * Accepts a job. Rejects it with {@code NO_ROUTE} if no route matches one of its reward calls,
+   * because the items could never get their scores.
    *
    * @param timeout the time after which the outcome is reported as unknown if the store has not
    *     confirmed the job
@@ -147,9 +168,29 @@
    *     may
    */
   public CompletableFuture<Result<JobAcknowledgement>> submit(JobSpec spec, Duration timeout) {
+    Optional<ErrorDetail> unscorable = findUnscorableItem(spec);
+    if (unscorable.isPresent()) {
+      return CompletableFuture.completedFuture(Result.failure(unscorable.get()));
+    }
     return acceptor.submit(spec, timeout);
   }
 
+  private Optional<ErrorDetail> findUnscorableItem(JobSpec spec) {
+    Optional<RoutingConfig> config = routing.current();
+    if (config.isEmpty()) {
+      return Optional.empty();
+    }
+    return spec.items().stream()
+        .flatMap(item -> item.rewardCall().stream())
+        .filter(call -> config.get().find(call.host(), call.path()).isEmpty())
+        .findFirst()
+        .map(
+            call ->
+                ErrorDetail.of(
+                    ResultCode.NO_ROUTE,
+                    "no route of host " + call.host() + " matches path " + call.path()));
+  }
+
   /** Accepts a job that a peer has relayed. */
   CompletableFuture<Result<JobAcknowledgement>> submitForPeer(JobSpec spec, Duration timeout) {
     return acceptor.submitForPeer(spec, timeout);
@@ -259,6 +300,7 @@
     private @Nullable ServerDirectory directory;
     private @Nullable ServerChoice choice;
     private @Nullable ItemTransport transport;
+    private @Nullable RewardTransport rewardTransport;
     private @Nullable JobQueryTransport queryTransport;
     private InstantSource timeOfDay = InstantSource.system();
 
@@ -315,6 +357,13 @@
       return this;
     }
 
+    /** Sets the transport that sends the reward calls of items. */
+    @CanIgnoreReturnValue
+    public Builder rewardTransport(RewardTransport rewardTransport) {
+      this.rewardTransport = rewardTransport;
+      return this;
+    }
+
     /** Sets the transport of queries to other daemons. */
     @CanIgnoreReturnValue
     public Builder queryTransport(JobQueryTransport queryTransport) {
--- a/amaranthstream/src/main/java/org/amaranthstream/jobs/OwnedJob.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/jobs/OwnedJob.java
@@ -34,6 +34,7 @@
   private boolean isOwnershipLost;
   private boolean isAppending;
   private int nextProgressPage;
+  private int textsToScore;
 
   /**
    * Creates the state of a job that has no results yet.
@@ -67,12 +68,18 @@
 
   private void restoreText(PartialOutput partial) {
     ItemProgress item = items.get(partial.item());
-    if (item != null && item.isWaiting()) {
+    if (item == null || item.isFinished()) {
+      return;
+    }
+    if (item.stage() == ItemStage.GENERATE) {
       item.text().restore(partial);
       if (partial.isComplete()) {
-        complete(item);
+        onTextComplete(item);
       }
     }
+    if (item.stage() == ItemStage.SCORE && partial.isComplete()) {
+      partial.score().ifPresent(score -> onScored(item, score));
+    }
   }
 
   /** Returns the output that is not listed yet, for the next owner. */
@@ -80,7 +87,9 @@
     ImmutableList.Builder<PartialOutput> partials = ImmutableList.builder();
     for (ItemResult result : unlisted) {
       if (result.isComplete()) {
-        partials.add(new PartialOutput(result.item(), result.text(), 1, result.versions(), true));
+        partials.add(
+            new PartialOutput(
+                result.item(), result.text(), 1, result.versions(), true, result.score()));
       }
     }
     for (ItemProgress item : items.values()) {
@@ -88,21 +97,28 @@
       if (!item.isFinished() && text.lastEvent() > 0) {
         partials.add(
             new PartialOutput(
-                item.spec().id(), text.bytes(), text.lastEvent(), text.versions(), false));
+                item.spec().id(),
+                text.bytes(),
+                text.lastEvent(),
+                text.versions(),
+                item.stage() == ItemStage.SCORE,
+                Optional.empty()));
       }
     }
     return partials.build();
   }
 
   /**
-   * Returns the unsaved text of open items that have at least {@code minEvents} events. Stops once
-   * the parts amount to {@code maxBytes}.
+   * Returns the unsaved text of open items that are complete or have at least {@code minEvents}
+   * events. Stops once the parts amount to {@code maxBytes}.
    */
   ImmutableList<CheckpointPart> takeUnsavedTexts(int minEvents, int maxBytes) {
     ImmutableList.Builder<CheckpointPart> parts = ImmutableList.builder();
     int bytes = 0;
     for (ItemProgress item : items.values()) {
-      if (item.isFinished() || item.text().lastEvent() < minEvents || bytes >= maxBytes) {
+      boolean isLongEnough =
+          item.stage() == ItemStage.SCORE || item.text().lastEvent() >= minEvents;
+      if (item.isFinished() || !isLongEnough || bytes >= maxBytes) {
         continue;
       }
       Optional<CheckpointPart> part = item.text().takeUnsaved(item.spec().id());
@@ -124,6 +140,21 @@
     return page;
   }
 
+  /** Returns true if some items need a reward call. */
+  boolean hasRewardCalls() {
+    return spec.items().stream().anyMatch(item -> item.rewardCall().isPresent());
+  }
+
+  /** Returns true if complete texts wait for their score or for the response of their call. */
+  boolean hasTextsToScore() {
+    return textsToScore > 0;
+  }
+
+  /** Returns the number of items in the group of {@code item} that have no result yet. */
+  int openItemsInGroupOf(ItemProgress item) {
+    return openInGroup.getOrDefault(item.spec().group(), 0);
+  }
+
   boolean hasOpenItems() {
     return items.values().stream().anyMatch(item -> !item.isFinished());
   }
@@ -190,16 +221,34 @@
     items.values().forEach(ItemProgress::cancel);
   }
 
-  /** Completes an item with the text that it has. */
-  void complete(ItemProgress item) {
+  /** Records that the text of an item is complete, and moves the item to its next stage. */
+  void onTextComplete(ItemProgress item) {
+    item.text().markComplete();
+    item.advance();
+    if (item.stage() == ItemStage.SCORE) {
+      textsToScore++;
+    } else {
+      complete(item, Optional.empty());
+    }
+  }
+
+  /** Records the score of an item's text. */
+  void onScored(ItemProgress item, Score score) {
+    complete(item, Optional.of(score));
+  }
+
+  private void complete(ItemProgress item, Optional<Score> score) {
     ItemText text = item.text();
-    finish(item, new ItemResult(item.spec().id(), true, text.bytes(), text.versions()));
+    finish(item, new ItemResult(item.spec().id(), true, text.bytes(), text.versions(), score));
   }
 
   /** Gives up an item; its result is incomplete and has no text. */
   void giveUp(ItemProgress item) {
     item.cancel();
-    finish(item, new ItemResult(item.spec().id(), false, NO_TEXT, ImmutableSortedSet.of()));
+    finish(
+        item,
+        new ItemResult(
+            item.spec().id(), false, NO_TEXT, ImmutableSortedSet.of(), Optional.empty()));
   }
 
   private void finish(ItemProgress item, ItemResult result) {
@@ -212,6 +261,7 @@
 
   private void close(ItemProgress item) {
     if (!item.isFinished()) {
+      textsToScore -= item.stage() == ItemStage.SCORE ? 1 : 0;
       item.finish();
       openInGroup.merge(item.spec().group(), -1, Integer::sum);
     }
--- a/amaranthstream/src/main/java/org/amaranthstream/jobs/PartialOutput.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/jobs/PartialOutput.java
@@ -1,6 +1,7 @@
 package org.amaranthstream.jobs;
 
 import com.google.common.collect.ImmutableSortedSet;
+import java.util.Optional;
 import org.amaranthstream.ids.ItemId;
 import org.amaranthstream.ids.WeightVersion;
 
@@ -12,6 +13,7 @@
  * @param lastEvent the sequence number of the last of these events
  * @param versions the weight versions that generated the text
  * @param isComplete true if the text is complete and the item need not run again
+ * @param score the score of a complete text, empty if it has none yet
  */
 @SuppressWarnings("ArrayRecordComponent")
 record PartialOutput(
@@ -19,4 +21,5 @@
     byte[] text,
     long lastEvent,
     ImmutableSortedSet<WeightVersion> versions,
-    boolean isComplete) {}
+    boolean isComplete,
+    Optional<Score> score) {}
--- a/amaranthstream/src/main/java/org/amaranthstream/jobs/wire/ItemRecord.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/jobs/wire/ItemRecord.java
@@ -53,6 +53,7 @@
             org.amaranthstream.jobs.wire.ItemRecord.class, org.amaranthstream.jobs.wire.ItemRecord.Builder.class);
   }
 
+  private int bitField0_;
   public static final int ITEM_FIELD_NUMBER = 1;
   @SuppressWarnings("serial")
   private volatile java.lang.Object item_ = "";
@@ -248,6 +249,44 @@
     return expectedTokens_;
   }
 
+  public static final int REWARD_CALL_FIELD_NUMBER = 8;
+  private org.amaranthstream.jobs.wire.RewardCallRecord rewardCall_;
+  /**
+   * <pre>
+   * Absent if the item needs no score.
+   * </pre>
+   *
+   * <code>.amaranthstream.jobs.RewardCallRecord reward_call = 8;</code>
+   * @return Whether the rewardCall field is set.
+   */
+  @java.lang.Override
+  public boolean hasRewardCall() {
+    return ((bitField0_ & 0x00000001) != 0);
+  }
+  /**
+   * <pre>
+   * Absent if the item needs no score.
+   * </pre>
+   *
+   * <code>.amaranthstream.jobs.RewardCallRecord reward_call = 8;</code>
+   * @return The rewardCall.
+   */
+  @java.lang.Override
+  public org.amaranthstream.jobs.wire.RewardCallRecord getRewardCall() {
+    return rewardCall_ == null ? org.amaranthstream.jobs.wire.RewardCallRecord.getDefaultInstance() : rewardCall_;
+  }
+  /**
+   * <pre>
+   * Absent if the item needs no score.
+   * </pre>
+   *
+   * <code>.amaranthstream.jobs.RewardCallRecord reward_call = 8;</code>
+   */
+  @java.lang.Override
+  public org.amaranthstream.jobs.wire.RewardCallRecordOrBuilder getRewardCallOrBuilder() {
+    return rewardCall_ == null ? org.amaranthstream.jobs.wire.RewardCallRecord.getDefaultInstance() : rewardCall_;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -283,6 +322,9 @@
     if (expectedTokens_ != 0L) {
       output.writeInt64(7, expectedTokens_);
     }
+    if (((bitField0_ & 0x00000001) != 0)) {
+      output.writeMessage(8, getRewardCall());
+    }
     getUnknownFields().writeTo(output);
   }
 
@@ -322,6 +364,10 @@
       size += com.google.protobuf.CodedOutputStream
         .computeInt64Size(7, expectedTokens_);
     }
+    if (((bitField0_ & 0x00000001) != 0)) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeMessageSize(8, getRewardCall());
+    }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -351,6 +397,11 @@
         .equals(other.getGroup())) return false;
     if (getExpectedTokens()
         != other.getExpectedTokens()) return false;
+    if (hasRewardCall() != other.hasRewardCall()) return false;
+    if (hasRewardCall()) {
+      if (!getRewardCall()
+          .equals(other.getRewardCall())) return false;
+    }
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -380,6 +431,10 @@
     hash = (37 * hash) + EXPECTED_TOKENS_FIELD_NUMBER;
     hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
         getExpectedTokens());
+    if (hasRewardCall()) {
+      hash = (37 * hash) + REWARD_CALL_FIELD_NUMBER;
+      hash = (53 * hash) + getRewardCall().hashCode();
+    }
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -499,13 +554,20 @@
 
     // Construct using org.amaranthstream.jobs.wire.ItemRecord.newBuilder()
     private Builder() {
-
+      maybeForceBuilderInitialization();
     }
 
     private Builder(
         com.google.protobuf.GeneratedMessage.BuilderParent parent) {
       super(parent);
-
+      maybeForceBuilderInitialization();
+    }
+    private void maybeForceBuilderInitialization() {
+      if (com.google.protobuf.GeneratedMessage
+              .alwaysUseFieldBuilders) {
+        internalGetHeaderFieldBuilder();
+        internalGetRewardCallFieldBuilder();
+      }
     }
     @java.lang.Override
     public Builder clear() {
@@ -524,6 +586,11 @@
       tokens_ = 0L;
       group_ = "";
       expectedTokens_ = 0L;
+      rewardCall_ = null;
+      if (rewardCallBuilder_ != null) {
+        rewardCallBuilder_.dispose();
+        rewardCallBuilder_ = null;
+      }
       return this;
     }
 
@@ -588,6 +655,14 @@
       if (((from_bitField0_ & 0x00000040) != 0)) {
         result.expectedTokens_ = expectedTokens_;
       }
+      int to_bitField0_ = 0;
+      if (((from_bitField0_ & 0x00000080) != 0)) {
+        result.rewardCall_ = rewardCallBuilder_ == null
+            ? rewardCall_
+            : rewardCallBuilder_.build();
+        to_bitField0_ |= 0x00000001;
+      }
+      result.bitField0_ |= to_bitField0_;
     }
 
     @java.lang.Override
@@ -652,6 +727,9 @@
       if (other.getExpectedTokens() != 0L) {
         setExpectedTokens(other.getExpectedTokens());
       }
+      if (other.hasRewardCall()) {
+        mergeRewardCall(other.getRewardCall());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -721,6 +799,13 @@
               bitField0_ |= 0x00000040;
               break;
             } // case 56
+            case 66: {
+              input.readMessage(
+                  internalGetRewardCallFieldBuilder().getBuilder(),
+                  extensionRegistry);
+              bitField0_ |= 0x00000080;
+              break;
+            } // case 66
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -1302,6 +1387,163 @@
       return this;
     }
 
+    private org.amaranthstream.jobs.wire.RewardCallRecord rewardCall_;
+    private com.google.protobuf.SingleFieldBuilder<
+        org.amaranthstream.jobs.wire.RewardCallRecord, org.amaranthstream.jobs.wire.RewardCallRecord.Builder, org.amaranthstream.jobs.wire.RewardCallRecordOrBuilder> rewardCallBuilder_;
+    /**
+     * <pre>
+     * Absent if the item needs no score.
+     * </pre>
+     *
+     * <code>.amaranthstream.jobs.RewardCallRecord reward_call = 8;</code>
+     * @return Whether the rewardCall field is set.
+     */
+    public boolean hasRewardCall() {
+      return ((bitField0_ & 0x00000080) != 0);
+    }
+    /**
+     * <pre>
+     * Absent if the item needs no score.
+     * </pre>
+     *
+     * <code>.amaranthstream.jobs.RewardCallRecord reward_call = 8;</code>
+     * @return The rewardCall.
+     */
+    public org.amaranthstream.jobs.wire.RewardCallRecord getRewardCall() {
+      if (rewardCallBuilder_ == null) {
+        return rewardCall_ == null ? org.amaranthstream.jobs.wire.RewardCallRecord.getDefaultInstance() : rewardCall_;
+      } else {
+        return rewardCallBuilder_.getMessage();
+      }
+    }
+    /**
+     * <pre>
+     * Absent if the item needs no score.
+     * </pre>
+     *
+     * <code>.amaranthstream.jobs.RewardCallRecord reward_call = 8;</code>
+     */
+    public Builder setRewardCall(org.amaranthstream.jobs.wire.RewardCallRecord value) {
+      if (rewardCallBuilder_ == null) {
+        if (value == null) {
+          throw new NullPointerException();
+        }
+        rewardCall_ = value;
+      } else {
+        rewardCallBuilder_.setMessage(value);
+      }
+      bitField0_ |= 0x00000080;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Absent if the item needs no score.
+     * </pre>
+     *
+     * <code>.amaranthstream.jobs.RewardCallRecord reward_call = 8;</code>
+     */
+    public Builder setRewardCall(
+        org.amaranthstream.jobs.wire.RewardCallRecord.Builder builderForValue) {
+      if (rewardCallBuilder_ == null) {
+        rewardCall_ = builderForValue.build();
+      } else {
+        rewardCallBuilder_.setMessage(builderForValue.build());
+      }
+      bitField0_ |= 0x00000080;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Absent if the item needs no score.
+     * </pre>
+     *
+     * <code>.amaranthstream.jobs.RewardCallRecord reward_call = 8;</code>
+     */
+    public Builder mergeRewardCall(org.amaranthstream.jobs.wire.RewardCallRecord value) {
+      if (rewardCallBuilder_ == null) {
+        if (((bitField0_ & 0x00000080) != 0) &&
+          rewardCall_ != null &&
+          rewardCall_ != org.amaranthstream.jobs.wire.RewardCallRecord.getDefaultInstance()) {
+          getRewardCallBuilder().mergeFrom(value);
+        } else {
+          rewardCall_ = value;
+        }
+      } else {
+        rewardCallBuilder_.mergeFrom(value);
+      }
+      if (rewardCall_ != null) {
+        bitField0_ |= 0x00000080;
+        onChanged();
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Absent if the item needs no score.
+     * </pre>
+     *
+     * <code>.amaranthstream.jobs.RewardCallRecord reward_call = 8;</code>
+     */
+    public Builder clearRewardCall() {
+      bitField0_ = (bitField0_ & ~0x00000080);
+      rewardCall_ = null;
+      if (rewardCallBuilder_ != null) {
+        rewardCallBuilder_.dispose();
+        rewardCallBuilder_ = null;
+      }
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Absent if the item needs no score.
+     * </pre>
+     *
+     * <code>.amaranthstream.jobs.RewardCallRecord reward_call = 8;</code>
+     */
+    public org.amaranthstream.jobs.wire.RewardCallRecord.Builder getRewardCallBuilder() {
+      bitField0_ |= 0x00000080;
+      onChanged();
+      return internalGetRewardCallFieldBuilder().getBuilder();
+    }
+    /**
+     * <pre>
+     * Absent if the item needs no score.
+     * </pre>
+     *
+     * <code>.amaranthstream.jobs.RewardCallRecord reward_call = 8;</code>
+     */
+    public org.amaranthstream.jobs.wire.RewardCallRecordOrBuilder getRewardCallOrBuilder() {
+      if (rewardCallBuilder_ != null) {
+        return rewardCallBuilder_.getMessageOrBuilder();
+      } else {
+        return rewardCall_ == null ?
+            org.amaranthstream.jobs.wire.RewardCallRecord.getDefaultInstance() : rewardCall_;
+      }
+    }
+    /**
+     * <pre>
+     * Absent if the item needs no score.
+     * </pre>
+     *
+     * <code>.amaranthstream.jobs.RewardCallRecord reward_call = 8;</code>
+     */
+    private com.google.protobuf.SingleFieldBuilder<
+        org.amaranthstream.jobs.wire.RewardCallRecord, org.amaranthstream.jobs.wire.RewardCallRecord.Builder, org.amaranthstream.jobs.wire.RewardCallRecordOrBuilder> 
+        internalGetRewardCallFieldBuilder() {
+      if (rewardCallBuilder_ == null) {
+        rewardCallBuilder_ = new com.google.protobuf.SingleFieldBuilder<
+            org.amaranthstream.jobs.wire.RewardCallRecord, org.amaranthstream.jobs.wire.RewardCallRecord.Builder, org.amaranthstream.jobs.wire.RewardCallRecordOrBuilder>(
+                getRewardCall(),
+                getParentForChildren(),
+                isClean());
+        rewardCall_ = null;
+      }
+      return rewardCallBuilder_;
+    }
+
     // @@protoc_insertion_point(builder_scope:amaranthstream.jobs.ItemRecord)
   }
 
--- a/amaranthstream/src/main/java/org/amaranthstream/jobs/wire/ItemRecordOrBuilder.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/jobs/wire/ItemRecordOrBuilder.java
@@ -91,4 +91,31 @@
    * @return The expectedTokens.
    */
   long getExpectedTokens();
+
+  /**
+   * <pre>
+   * Absent if the item needs no score.
+   * </pre>
+   *
+   * <code>.amaranthstream.jobs.RewardCallRecord reward_call = 8;</code>
+   * @return Whether the rewardCall field is set.
+   */
+  boolean hasRewardCall();
+  /**
+   * <pre>
+   * Absent if the item needs no score.
+   * </pre>
+   *
+   * <code>.amaranthstream.jobs.RewardCallRecord reward_call = 8;</code>
+   * @return The rewardCall.
+   */
+  org.amaranthstream.jobs.wire.RewardCallRecord getRewardCall();
+  /**
+   * <pre>
+   * Absent if the item needs no score.
+   * </pre>
+   *
+   * <code>.amaranthstream.jobs.RewardCallRecord reward_call = 8;</code>
+   */
+  org.amaranthstream.jobs.wire.RewardCallRecordOrBuilder getRewardCallOrBuilder();
 }
--- a/amaranthstream/src/main/java/org/amaranthstream/jobs/wire/Jobs.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/jobs/wire/Jobs.java
@@ -36,6 +36,11 @@
   static final 
     com.google.protobuf.GeneratedMessage.FieldAccessorTable
       internal_static_amaranthstream_jobs_ItemRecord_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_amaranthstream_jobs_RewardCallRecord_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_amaranthstream_jobs_RewardCallRecord_fieldAccessorTable;
   static final com.google.protobuf.Descriptors.Descriptor
     internal_static_amaranthstream_jobs_HeaderRecord_descriptor;
   static final 
@@ -150,58 +155,62 @@
       "th\030\003 \001(\t\022\014\n\004step\030\004 \001(\003\022\r\n\005model\030\005 \001(\t\022\023\n" +
       "\013min_version\030\006 \001(\003\022\025\n\rwanted_groups\030\007 \001(" +
       "\005\022-\n\004item\030\010 \003(\0132\037.amaranthstream.jobs.It" +
-      "emRecord\"\241\001\n\nItemRecord\022\014\n\004item\030\001 \001(\t\022\014\n" +
+      "emRecord\"\335\001\n\nItemRecord\022\014\n\004item\030\001 \001(\t\022\014\n" +
       "\004path\030\002 \001(\t\0221\n\006header\030\003 \003(\0132!.amaranthst" +
       "ream.jobs.HeaderRecord\022\014\n\004body\030\004 \001(\014\022\016\n\006" +
       "tokens\030\005 \001(\003\022\r\n\005group\030\006 \001(\t\022\027\n\017expected_" +
-      "tokens\030\007 \001(\003\"+\n\014HeaderRecord\022\014\n\004name\030\001 \001" +
-      "(\t\022\r\n\005value\030\002 \001(\t\"\216\001\n\013OwnerRecord\022\n\n\002vm\030" +
-      "\001 \001(\t\022\023\n\013incarnation\030\002 \001(\t\022\r\n\005epoch\030\003 \001(" +
-      "\003\022\r\n\005ended\030\004 \001(\010\022\023\n\013accepted_ms\030\005 \001(\003\022\r\n" +
-      "\005items\030\006 \001(\005\022\r\n\005parts\030\007 \001(\005\022\r\n\005nonce\030\010 \001" +
-      "(\003\"N\n\nResultPage\0221\n\006result\030\001 \003(\0132!.amara" +
-      "nthstream.jobs.ResultRecord\022\r\n\005nonce\030\002 \001" +
-      "(\003\"M\n\014ResultRecord\022\014\n\004item\030\001 \001(\t\022\020\n\010comp" +
-      "lete\030\002 \001(\010\022\014\n\004text\030\003 \001(\014\022\017\n\007version\030\004 \003(" +
-      "\003\"\260\002\n\013JobQuestion\022\013\n\003job\030\001 \001(\t\0221\n\004read\030\002" +
-      " \001(\0132!.amaranthstream.jobs.ReadQuestionH" +
-      "\000\0226\n\titem_body\030\003 \001(\0132!.amaranthstream.jo" +
-      "bs.BodyQuestionH\000\022/\n\003end\030\004 \001(\0132 .amarant" +
-      "hstream.jobs.EndQuestionH\000\0225\n\006submit\030\005 \001" +
-      "(\0132#.amaranthstream.jobs.SubmitQuestionH" +
-      "\000\0229\n\010handover\030\006 \001(\0132%.amaranthstream.job" +
-      "s.HandoverQuestionH\000B\006\n\004body\"A\n\014ReadQues" +
-      "tion\022\r\n\005after\030\001 \001(\005\022\017\n\007wait_ms\030\002 \001(\003\022\021\n\t" +
-      "max_bytes\030\003 \001(\005\"\034\n\014BodyQuestion\022\014\n\004item\030" +
-      "\001 \001(\t\"\r\n\013EndQuestion\"@\n\016SubmitQuestion\022." +
-      "\n\006record\030\001 \001(\0132\036.amaranthstream.jobs.Job" +
-      "Record\"\313\002\n\tJobAnswer\022/\n\004read\030\001 \001(\0132\037.ama" +
-      "ranthstream.jobs.ReadAnswerH\000\0224\n\titem_bo" +
-      "dy\030\002 \001(\0132\037.amaranthstream.jobs.BodyAnswe" +
-      "rH\000\022-\n\003end\030\003 \001(\0132\036.amaranthstream.jobs.E" +
-      "ndAnswerH\000\0223\n\006submit\030\004 \001(\0132!.amaranthstr" +
-      "eam.jobs.SubmitAnswerH\000\0222\n\tnot_owner\030\005 \001" +
-      "(\0132\035.amaranthstream.jobs.NotOwnerH\000\0227\n\010h" +
-      "andover\030\006 \001(\0132#.amaranthstream.jobs.Hand" +
-      "overAnswerH\000B\006\n\004body\"N\n\nReadAnswer\022\r\n\005to" +
-      "tal\030\001 \001(\005\0221\n\006result\030\002 \003(\0132!.amaranthstre" +
-      "am.jobs.ResultRecord\")\n\nBodyAnswer\022\r\n\005fo" +
-      "und\030\001 \001(\010\022\014\n\004body\030\002 \001(\014\"\032\n\tEndAnswer\022\r\n\005" +
-      "ended\030\001 \001(\010\"7\n\014SubmitAnswer\022\017\n\007outcome\030\001" +
-      " \001(\005\022\026\n\016retry_after_ms\030\002 \001(\003\"\n\n\010NotOwner" +
-      "\"\212\001\n\020HandoverQuestion\022/\n\005owner\030\001 \001(\0132 .a" +
-      "maranthstream.jobs.OwnerRecord\022\020\n\010revisi" +
-      "on\030\002 \001(\003\0223\n\007partial\030\003 \003(\0132\".amaranthstre" +
-      "am.jobs.PartialRecord\"_\n\rPartialRecord\022\014" +
-      "\n\004item\030\001 \001(\t\022\014\n\004text\030\002 \001(\014\022\022\n\nlast_event" +
-      "\030\003 \001(\003\022\017\n\007version\030\004 \003(\003\022\r\n\005whole\030\005 \001(\010\"L" +
-      "\n\014ProgressPage\022-\n\004text\030\001 \003(\0132\037.amaranths" +
-      "tream.jobs.TextRecord\022\r\n\005nonce\030\002 \001(\003\"]\n\n" +
-      "TextRecord\022\014\n\004item\030\001 \001(\t\022\016\n\006offset\030\002 \001(\005" +
-      "\022\014\n\004text\030\003 \001(\014\022\022\n\nlast_event\030\004 \001(\003\022\017\n\007ve" +
-      "rsion\030\005 \003(\003\"\037\n\016HandoverAnswer\022\r\n\005taken\030\001" +
-      " \001(\010B \n\034org.amaranthstream.jobs.wireP\001b\006" +
-      "proto3"
+      "tokens\030\007 \001(\003\022:\n\013reward_call\030\010 \001(\0132%.amar" +
+      "anthstream.jobs.RewardCallRecord\"H\n\020Rewa" +
+      "rdCallRecord\022\n\n\002id\030\001 \001(\t\022\014\n\004host\030\002 \001(\t\022\014" +
+      "\n\004path\030\003 \001(\t\022\014\n\004body\030\004 \001(\014\"+\n\014HeaderReco" +
+      "rd\022\014\n\004name\030\001 \001(\t\022\r\n\005value\030\002 \001(\t\"\216\001\n\013Owne" +
+      "rRecord\022\n\n\002vm\030\001 \001(\t\022\023\n\013incarnation\030\002 \001(\t" +
+      "\022\r\n\005epoch\030\003 \001(\003\022\r\n\005ended\030\004 \001(\010\022\023\n\013accept" +
+      "ed_ms\030\005 \001(\003\022\r\n\005items\030\006 \001(\005\022\r\n\005parts\030\007 \001(" +
+      "\005\022\r\n\005nonce\030\010 \001(\003\"N\n\nResultPage\0221\n\006result" +
+      "\030\001 \003(\0132!.amaranthstream.jobs.ResultRecor" +
+      "d\022\r\n\005nonce\030\002 \001(\003\"\\\n\014ResultRecord\022\014\n\004item" +
+      "\030\001 \001(\t\022\020\n\010complete\030\002 \001(\010\022\014\n\004text\030\003 \001(\014\022\017" +
+      "\n\007version\030\004 \003(\003\022\r\n\005score\030\005 \001(\t\"\260\002\n\013JobQu" +
+      "estion\022\013\n\003job\030\001 \001(\t\0221\n\004read\030\002 \001(\0132!.amar" +
+      "anthstream.jobs.ReadQuestionH\000\0226\n\titem_b" +
+      "ody\030\003 \001(\0132!.amaranthstream.jobs.BodyQues" +
+      "tionH\000\022/\n\003end\030\004 \001(\0132 .amaranthstream.job" +
+      "s.EndQuestionH\000\0225\n\006submit\030\005 \001(\0132#.amaran" +
+      "thstream.jobs.SubmitQuestionH\000\0229\n\010handov" +
+      "er\030\006 \001(\0132%.amaranthstream.jobs.HandoverQ" +
+      "uestionH\000B\006\n\004body\"A\n\014ReadQuestion\022\r\n\005aft" +
+      "er\030\001 \001(\005\022\017\n\007wait_ms\030\002 \001(\003\022\021\n\tmax_bytes\030\003" +
+      " \001(\005\"\034\n\014BodyQuestion\022\014\n\004item\030\001 \001(\t\"\r\n\013En" +
+      "dQuestion\"@\n\016SubmitQuestion\022.\n\006record\030\001 " +
+      "\001(\0132\036.amaranthstream.jobs.JobRecord\"\313\002\n\t" +
+      "JobAnswer\022/\n\004read\030\001 \001(\0132\037.amaranthstream" +
+      ".jobs.ReadAnswerH\000\0224\n\titem_body\030\002 \001(\0132\037." +
+      "amaranthstream.jobs.BodyAnswerH\000\022-\n\003end\030" +
+      "\003 \001(\0132\036.amaranthstream.jobs.EndAnswerH\000\022" +
+      "3\n\006submit\030\004 \001(\0132!.amaranthstream.jobs.Su" +
+      "bmitAnswerH\000\0222\n\tnot_owner\030\005 \001(\0132\035.amaran" +
+      "thstream.jobs.NotOwnerH\000\0227\n\010handover\030\006 \001" +
+      "(\0132#.amaranthstream.jobs.HandoverAnswerH" +
+      "\000B\006\n\004body\"N\n\nReadAnswer\022\r\n\005total\030\001 \001(\005\0221" +
+      "\n\006result\030\002 \003(\0132!.amaranthstream.jobs.Res" +
+      "ultRecord\")\n\nBodyAnswer\022\r\n\005found\030\001 \001(\010\022\014" +
+      "\n\004body\030\002 \001(\014\"\032\n\tEndAnswer\022\r\n\005ended\030\001 \001(\010" +
+      "\"7\n\014SubmitAnswer\022\017\n\007outcome\030\001 \001(\005\022\026\n\016ret" +
+      "ry_after_ms\030\002 \001(\003\"\n\n\010NotOwner\"\212\001\n\020Handov" +
+      "erQuestion\022/\n\005owner\030\001 \001(\0132 .amaranthstre" +
+      "am.jobs.OwnerRecord\022\020\n\010revision\030\002 \001(\003\0223\n" +
+      "\007partial\030\003 \003(\0132\".amaranthstream.jobs.Par" +
+      "tialRecord\"n\n\rPartialRecord\022\014\n\004item\030\001 \001(" +
+      "\t\022\014\n\004text\030\002 \001(\014\022\022\n\nlast_event\030\003 \001(\003\022\017\n\007v" +
+      "ersion\030\004 \003(\003\022\r\n\005whole\030\005 \001(\010\022\r\n\005score\030\006 \001" +
+      "(\t\"L\n\014ProgressPage\022-\n\004text\030\001 \003(\0132\037.amara" +
+      "nthstream.jobs.TextRecord\022\r\n\005nonce\030\002 \001(\003" +
+      "\"l\n\nTextRecord\022\014\n\004item\030\001 \001(\t\022\016\n\006offset\030\002" +
+      " \001(\005\022\014\n\004text\030\003 \001(\014\022\022\n\nlast_event\030\004 \001(\003\022\017" +
+      "\n\007version\030\005 \003(\003\022\r\n\005whole\030\006 \001(\010\"\037\n\016Handov" +
+      "erAnswer\022\r\n\005taken\030\001 \001(\010B \n\034org.amaranths" +
+      "tream.jobs.wireP\001b\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -218,123 +227,129 @@
     internal_static_amaranthstream_jobs_ItemRecord_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_amaranthstream_jobs_ItemRecord_descriptor,
-        new java.lang.String[] { "Item", "Path", "Header", "Body", "Tokens", "Group", "ExpectedTokens", });
-    internal_static_amaranthstream_jobs_HeaderRecord_descriptor =
+        new java.lang.String[] { "Item", "Path", "Header", "Body", "Tokens", "Group", "ExpectedTokens", "RewardCall", });
+    internal_static_amaranthstream_jobs_RewardCallRecord_descriptor =
       getDescriptor().getMessageType(2);
+    internal_static_amaranthstream_jobs_RewardCallRecord_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_amaranthstream_jobs_RewardCallRecord_descriptor,
+        new java.lang.String[] { "Id", "Host", "Path", "Body", });
+    internal_static_amaranthstream_jobs_HeaderRecord_descriptor =
+      getDescriptor().getMessageType(3);
     internal_static_amaranthstream_jobs_HeaderRecord_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_amaranthstream_jobs_HeaderRecord_descriptor,
         new java.lang.String[] { "Name", "Value", });
     internal_static_amaranthstream_jobs_OwnerRecord_descriptor =
-      getDescriptor().getMessageType(3);
+      getDescriptor().getMessageType(4);
     internal_static_amaranthstream_jobs_OwnerRecord_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_amaranthstream_jobs_OwnerRecord_descriptor,
         new java.lang.String[] { "Vm", "Incarnation", "Epoch", "Ended", "AcceptedMs", "Items", "Parts", "Nonce", });
     internal_static_amaranthstream_jobs_ResultPage_descriptor =
-      getDescriptor().getMessageType(4);
+      getDescriptor().getMessageType(5);
     internal_static_amaranthstream_jobs_ResultPage_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_amaranthstream_jobs_ResultPage_descriptor,
         new java.lang.String[] { "Result", "Nonce", });
     internal_static_amaranthstream_jobs_ResultRecord_descriptor =
-      getDescriptor().getMessageType(5);
+      getDescriptor().getMessageType(6);
     internal_static_amaranthstream_jobs_ResultRecord_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_amaranthstream_jobs_ResultRecord_descriptor,
-        new java.lang.String[] { "Item", "Complete", "Text", "Version", });
+        new java.lang.String[] { "Item", "Complete", "Text", "Version", "Score", });
     internal_static_amaranthstream_jobs_JobQuestion_descriptor =
-      getDescriptor().getMessageType(6);
+      getDescriptor().getMessageType(7);
     internal_static_amaranthstream_jobs_JobQuestion_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_amaranthstream_jobs_JobQuestion_descriptor,
         new java.lang.String[] { "Job", "Read", "ItemBody", "End", "Submit", "Handover", "Body", });
     internal_static_amaranthstream_jobs_ReadQuestion_descriptor =
-      getDescriptor().getMessageType(7);
+      getDescriptor().getMessageType(8);
     internal_static_amaranthstream_jobs_ReadQuestion_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_amaranthstream_jobs_ReadQuestion_descriptor,
         new java.lang.String[] { "After", "WaitMs", "MaxBytes", });
     internal_static_amaranthstream_jobs_BodyQuestion_descriptor =
-      getDescriptor().getMessageType(8);
+      getDescriptor().getMessageType(9);
     internal_static_amaranthstream_jobs_BodyQuestion_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_amaranthstream_jobs_BodyQuestion_descriptor,
         new java.lang.String[] { "Item", });
     internal_static_amaranthstream_jobs_EndQuestion_descriptor =
-      getDescriptor().getMessageType(9);
+      getDescriptor().getMessageType(10);
     internal_static_amaranthstream_jobs_EndQuestion_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_amaranthstream_jobs_EndQuestion_descriptor,
         new java.lang.String[] { });
     internal_static_amaranthstream_jobs_SubmitQuestion_descriptor =
-      getDescriptor().getMessageType(10);
+      getDescriptor().getMessageType(11);
     internal_static_amaranthstream_jobs_SubmitQuestion_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_amaranthstream_jobs_SubmitQuestion_descriptor,
         new java.lang.String[] { "Record", });
     internal_static_amaranthstream_jobs_JobAnswer_descriptor =
-      getDescriptor().getMessageType(11);
+      getDescriptor().getMessageType(12);
     internal_static_amaranthstream_jobs_JobAnswer_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_amaranthstream_jobs_JobAnswer_descriptor,
         new java.lang.String[] { "Read", "ItemBody", "End", "Submit", "NotOwner", "Handover", "Body", });
     internal_static_amaranthstream_jobs_ReadAnswer_descriptor =
-      getDescriptor().getMessageType(12);
+      getDescriptor().getMessageType(13);
     internal_static_amaranthstream_jobs_ReadAnswer_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_amaranthstream_jobs_ReadAnswer_descriptor,
         new java.lang.String[] { "Total", "Result", });
     internal_static_amaranthstream_jobs_BodyAnswer_descriptor =
-      getDescriptor().getMessageType(13);
+      getDescriptor().getMessageType(14);
     internal_static_amaranthstream_jobs_BodyAnswer_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_amaranthstream_jobs_BodyAnswer_descriptor,
         new java.lang.String[] { "Found", "Body", });
     internal_static_amaranthstream_jobs_EndAnswer_descriptor =
-      getDescriptor().getMessageType(14);
+      getDescriptor().getMessageType(15);
     internal_static_amaranthstream_jobs_EndAnswer_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_amaranthstream_jobs_EndAnswer_descriptor,
         new java.lang.String[] { "Ended", });
     internal_static_amaranthstream_jobs_SubmitAnswer_descriptor =
-      getDescriptor().getMessageType(15);
+      getDescriptor().getMessageType(16);
     internal_static_amaranthstream_jobs_SubmitAnswer_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_amaranthstream_jobs_SubmitAnswer_descriptor,
         new java.lang.String[] { "Outcome", "RetryAfterMs", });
     internal_static_amaranthstream_jobs_NotOwner_descriptor =
-      getDescriptor().getMessageType(16);
+      getDescriptor().getMessageType(17);
     internal_static_amaranthstream_jobs_NotOwner_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_amaranthstream_jobs_NotOwner_descriptor,
         new java.lang.String[] { });
     internal_static_amaranthstream_jobs_HandoverQuestion_descriptor =
-      getDescriptor().getMessageType(17);
+      getDescriptor().getMessageType(18);
     internal_static_amaranthstream_jobs_HandoverQuestion_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_amaranthstream_jobs_HandoverQuestion_descriptor,
         new java.lang.String[] { "Owner", "Revision", "Partial", });
     internal_static_amaranthstream_jobs_PartialRecord_descriptor =
-      getDescriptor().getMessageType(18);
+      getDescriptor().getMessageType(19);
     internal_static_amaranthstream_jobs_PartialRecord_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_amaranthstream_jobs_PartialRecord_descriptor,
-        new java.lang.String[] { "Item", "Text", "LastEvent", "Version", "Whole", });
+        new java.lang.String[] { "Item", "Text", "LastEvent", "Version", "Whole", "Score", });
     internal_static_amaranthstream_jobs_ProgressPage_descriptor =
-      getDescriptor().getMessageType(19);
+      getDescriptor().getMessageType(20);
     internal_static_amaranthstream_jobs_ProgressPage_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_amaranthstream_jobs_ProgressPage_descriptor,
         new java.lang.String[] { "Text", "Nonce", });
     internal_static_amaranthstream_jobs_TextRecord_descriptor =
-      getDescriptor().getMessageType(20);
+      getDescriptor().getMessageType(21);
     internal_static_amaranthstream_jobs_TextRecord_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_amaranthstream_jobs_TextRecord_descriptor,
-        new java.lang.String[] { "Item", "Offset", "Text", "LastEvent", "Version", });
+        new java.lang.String[] { "Item", "Offset", "Text", "LastEvent", "Version", "Whole", });
     internal_static_amaranthstream_jobs_HandoverAnswer_descriptor =
-      getDescriptor().getMessageType(21);
+      getDescriptor().getMessageType(22);
     internal_static_amaranthstream_jobs_HandoverAnswer_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_amaranthstream_jobs_HandoverAnswer_descriptor,
--- a/amaranthstream/src/main/java/org/amaranthstream/jobs/wire/PartialRecord.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/jobs/wire/PartialRecord.java
@@ -35,6 +35,7 @@
     item_ = "";
     text_ = com.google.protobuf.ByteString.EMPTY;
     version_ = emptyLongList();
+    score_ = "";
   }
 
   public static final com.google.protobuf.Descriptors.Descriptor
@@ -157,6 +158,53 @@
     return whole_;
   }
 
+  public static final int SCORE_FIELD_NUMBER = 6;
+  @SuppressWarnings("serial")
+  private volatile java.lang.Object score_ = "";
+  /**
+   * <pre>
+   * Empty if the item has no score yet.
+   * </pre>
+   *
+   * <code>string score = 6;</code>
+   * @return The score.
+   */
+  @java.lang.Override
+  public java.lang.String getScore() {
+    java.lang.Object ref = score_;
+    if (ref instanceof java.lang.String) {
+      return (java.lang.String) ref;
+    } else {
+      com.google.protobuf.ByteString bs = 
+          (com.google.protobuf.ByteString) ref;
+      java.lang.String s = bs.toStringUtf8();
+      score_ = s;
+      return s;
+    }
+  }
+  /**
+   * <pre>
+   * Empty if the item has no score yet.
+   * </pre>
+   *
+   * <code>string score = 6;</code>
+   * @return The bytes for score.
+   */
+  @java.lang.Override
+  public com.google.protobuf.ByteString
+      getScoreBytes() {
+    java.lang.Object ref = score_;
+    if (ref instanceof java.lang.String) {
+      com.google.protobuf.ByteString b = 
+          com.google.protobuf.ByteString.copyFromUtf8(
+              (java.lang.String) ref);
+      score_ = b;
+      return b;
+    } else {
+      return (com.google.protobuf.ByteString) ref;
+    }
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -191,6 +239,9 @@
     if (whole_ != false) {
       output.writeBool(5, whole_);
     }
+    if (!com.google.protobuf.GeneratedMessage.isStringEmpty(score_)) {
+      com.google.protobuf.GeneratedMessage.writeString(output, 6, score_);
+    }
     getUnknownFields().writeTo(output);
   }
 
@@ -229,6 +280,9 @@
       size += com.google.protobuf.CodedOutputStream
         .computeBoolSize(5, whole_);
     }
+    if (!com.google.protobuf.GeneratedMessage.isStringEmpty(score_)) {
+      size += com.google.protobuf.GeneratedMessage.computeStringSize(6, score_);
+    }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -254,6 +308,8 @@
         .equals(other.getVersionList())) return false;
     if (getWhole()
         != other.getWhole()) return false;
+    if (!getScore()
+        .equals(other.getScore())) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -279,6 +335,8 @@
     hash = (37 * hash) + WHOLE_FIELD_NUMBER;
     hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(
         getWhole());
+    hash = (37 * hash) + SCORE_FIELD_NUMBER;
+    hash = (53 * hash) + getScore().hashCode();
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -419,6 +477,7 @@
       lastEvent_ = 0L;
       version_ = emptyLongList();
       whole_ = false;
+      score_ = "";
       return this;
     }
 
@@ -468,6 +527,9 @@
       if (((from_bitField0_ & 0x00000010) != 0)) {
         result.whole_ = whole_;
       }
+      if (((from_bitField0_ & 0x00000020) != 0)) {
+        result.score_ = score_;
+      }
     }
 
     @java.lang.Override
@@ -507,6 +569,11 @@
       if (other.getWhole() != false) {
         setWhole(other.getWhole());
       }
+      if (!other.getScore().isEmpty()) {
+        score_ = other.score_;
+        bitField0_ |= 0x00000020;
+        onChanged();
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -569,6 +636,11 @@
               bitField0_ |= 0x00000010;
               break;
             } // case 40
+            case 50: {
+              score_ = input.readStringRequireUtf8();
+              bitField0_ |= 0x00000020;
+              break;
+            } // case 50
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -838,6 +910,98 @@
       return this;
     }
 
+    private java.lang.Object score_ = "";
+    /**
+     * <pre>
+     * Empty if the item has no score yet.
+     * </pre>
+     *
+     * <code>string score = 6;</code>
+     * @return The score.
+     */
+    public java.lang.String getScore() {
+      java.lang.Object ref = score_;
+      if (!(ref instanceof java.lang.String)) {
+        com.google.protobuf.ByteString bs =
+            (com.google.protobuf.ByteString) ref;
+        java.lang.String s = bs.toStringUtf8();
+        score_ = s;
+        return s;
+      } else {
+        return (java.lang.String) ref;
+      }
+    }
+    /**
+     * <pre>
+     * Empty if the item has no score yet.
+     * </pre>
+     *
+     * <code>string score = 6;</code>
+     * @return The bytes for score.
+     */
+    public com.google.protobuf.ByteString
+        getScoreBytes() {
+      java.lang.Object ref = score_;
+      if (ref instanceof String) {
+        com.google.protobuf.ByteString b = 
+            com.google.protobuf.ByteString.copyFromUtf8(
+                (java.lang.String) ref);
+        score_ = b;
+        return b;
+      } else {
+        return (com.google.protobuf.ByteString) ref;
+      }
+    }
+    /**
+     * <pre>
+     * Empty if the item has no score yet.
+     * </pre>
+     *
+     * <code>string score = 6;</code>
+     * @param value The score to set.
+     * @return This builder for chaining.
+     */
+    public Builder setScore(
+        java.lang.String value) {
+      if (value == null) { throw new NullPointerException(); }
+      score_ = value;
+      bitField0_ |= 0x00000020;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Empty if the item has no score yet.
+     * </pre>
+     *
+     * <code>string score = 6;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearScore() {
+      score_ = getDefaultInstance().getScore();
+      bitField0_ = (bitField0_ & ~0x00000020);
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Empty if the item has no score yet.
+     * </pre>
+     *
+     * <code>string score = 6;</code>
+     * @param value The bytes for score to set.
+     * @return This builder for chaining.
+     */
+    public Builder setScoreBytes(
+        com.google.protobuf.ByteString value) {
+      if (value == null) { throw new NullPointerException(); }
+      checkByteStringIsUtf8(value);
+      score_ = value;
+      bitField0_ |= 0x00000020;
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:amaranthstream.jobs.PartialRecord)
   }
 
--- a/amaranthstream/src/main/java/org/amaranthstream/jobs/wire/PartialRecordOrBuilder.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/jobs/wire/PartialRecordOrBuilder.java
@@ -56,4 +56,24 @@
    * @return The whole.
    */
   boolean getWhole();
+
+  /**
+   * <pre>
+   * Empty if the item has no score yet.
+   * </pre>
+   *
+   * <code>string score = 6;</code>
+   * @return The score.
+   */
+  java.lang.String getScore();
+  /**
+   * <pre>
+   * Empty if the item has no score yet.
+   * </pre>
+   *
+   * <code>string score = 6;</code>
+   * @return The bytes for score.
+   */
+  com.google.protobuf.ByteString
+      getScoreBytes();
 }
--- a/amaranthstream/src/main/java/org/amaranthstream/jobs/wire/ResultRecord.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/jobs/wire/ResultRecord.java
@@ -31,6 +31,7 @@
     item_ = "";
     text_ = com.google.protobuf.ByteString.EMPTY;
     version_ = emptyLongList();
+    score_ = "";
   }
 
   public static final com.google.protobuf.Descriptors.Descriptor
@@ -142,6 +143,53 @@
   }
   private int versionMemoizedSerializedSize = -1;
 
+  public static final int SCORE_FIELD_NUMBER = 5;
+  @SuppressWarnings("serial")
+  private volatile java.lang.Object score_ = "";
+  /**
+   * <pre>
+   * Empty if the item has no score.
+   * </pre>
+   *
+   * <code>string score = 5;</code>
+   * @return The score.
+   */
+  @java.lang.Override
+  public java.lang.String getScore() {
+    java.lang.Object ref = score_;
+    if (ref instanceof java.lang.String) {
+      return (java.lang.String) ref;
+    } else {
+      com.google.protobuf.ByteString bs = 
+          (com.google.protobuf.ByteString) ref;
+      java.lang.String s = bs.toStringUtf8();
+      score_ = s;
+      return s;
+    }
+  }
+  /**
+   * <pre>
+   * Empty if the item has no score.
+   * </pre>
+   *
+   * <code>string score = 5;</code>
+   * @return The bytes for score.
+   */
+  @java.lang.Override
+  public com.google.protobuf.ByteString
+      getScoreBytes() {
+    java.lang.Object ref = score_;
+    if (ref instanceof java.lang.String) {
+      com.google.protobuf.ByteString b = 
+          com.google.protobuf.ByteString.copyFromUtf8(
+              (java.lang.String) ref);
+      score_ = b;
+      return b;
+    } else {
+      return (com.google.protobuf.ByteString) ref;
+    }
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -173,6 +221,9 @@
     for (int i = 0; i < version_.size(); i++) {
       output.writeInt64NoTag(version_.getLong(i));
     }
+    if (!com.google.protobuf.GeneratedMessage.isStringEmpty(score_)) {
+      com.google.protobuf.GeneratedMessage.writeString(output, 5, score_);
+    }
     getUnknownFields().writeTo(output);
   }
 
@@ -207,6 +258,9 @@
       }
       versionMemoizedSerializedSize = dataSize;
     }
+    if (!com.google.protobuf.GeneratedMessage.isStringEmpty(score_)) {
+      size += com.google.protobuf.GeneratedMessage.computeStringSize(5, score_);
+    }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -230,6 +284,8 @@
         .equals(other.getText())) return false;
     if (!getVersionList()
         .equals(other.getVersionList())) return false;
+    if (!getScore()
+        .equals(other.getScore())) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -252,6 +308,8 @@
       hash = (37 * hash) + VERSION_FIELD_NUMBER;
       hash = (53 * hash) + getVersionList().hashCode();
     }
+    hash = (37 * hash) + SCORE_FIELD_NUMBER;
+    hash = (53 * hash) + getScore().hashCode();
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -387,6 +445,7 @@
       complete_ = false;
       text_ = com.google.protobuf.ByteString.EMPTY;
       version_ = emptyLongList();
+      score_ = "";
       return this;
     }
 
@@ -433,6 +492,9 @@
         version_.makeImmutable();
         result.version_ = version_;
       }
+      if (((from_bitField0_ & 0x00000010) != 0)) {
+        result.score_ = score_;
+      }
     }
 
     @java.lang.Override
@@ -469,6 +531,11 @@
         }
         onChanged();
       }
+      if (!other.getScore().isEmpty()) {
+        score_ = other.score_;
+        bitField0_ |= 0x00000010;
+        onChanged();
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -526,6 +593,11 @@
               input.popLimit(limit);
               break;
             } // case 34
+            case 42: {
+              score_ = input.readStringRequireUtf8();
+              bitField0_ |= 0x00000010;
+              break;
+            } // case 42
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -763,6 +835,98 @@
       return this;
     }
 
+    private java.lang.Object score_ = "";
+    /**
+     * <pre>
+     * Empty if the item has no score.
+     * </pre>
+     *
+     * <code>string score = 5;</code>
+     * @return The score.
+     */
+    public java.lang.String getScore() {
+      java.lang.Object ref = score_;
+      if (!(ref instanceof java.lang.String)) {
+        com.google.protobuf.ByteString bs =
+            (com.google.protobuf.ByteString) ref;
+        java.lang.String s = bs.toStringUtf8();
+        score_ = s;
+        return s;
+      } else {
+        return (java.lang.String) ref;
+      }
+    }
+    /**
+     * <pre>
+     * Empty if the item has no score.
+     * </pre>
+     *
+     * <code>string score = 5;</code>
+     * @return The bytes for score.
+     */
+    public com.google.protobuf.ByteString
+        getScoreBytes() {
+      java.lang.Object ref = score_;
+      if (ref instanceof String) {
+        com.google.protobuf.ByteString b = 
+            com.google.protobuf.ByteString.copyFromUtf8(
+                (java.lang.String) ref);
+        score_ = b;
+        return b;
+      } else {
+        return (com.google.protobuf.ByteString) ref;
+      }
+    }
+    /**
+     * <pre>
+     * Empty if the item has no score.
+     * </pre>
+     *
+     * <code>string score = 5;</code>
+     * @param value The score to set.
+     * @return This builder for chaining.
+     */
+    public Builder setScore(
+        java.lang.String value) {
+      if (value == null) { throw new NullPointerException(); }
+      score_ = value;
+      bitField0_ |= 0x00000010;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Empty if the item has no score.
+     * </pre>
+     *
+     * <code>string score = 5;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearScore() {
+      score_ = getDefaultInstance().getScore();
+      bitField0_ = (bitField0_ & ~0x00000010);
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Empty if the item has no score.
+     * </pre>
+     *
+     * <code>string score = 5;</code>
+     * @param value The bytes for score to set.
+     * @return This builder for chaining.
+     */
+    public Builder setScoreBytes(
+        com.google.protobuf.ByteString value) {
+      if (value == null) { throw new NullPointerException(); }
+      checkByteStringIsUtf8(value);
+      score_ = value;
+      bitField0_ |= 0x00000010;
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:amaranthstream.jobs.ResultRecord)
   }
 
--- a/amaranthstream/src/main/java/org/amaranthstream/jobs/wire/ResultRecordOrBuilder.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/jobs/wire/ResultRecordOrBuilder.java
@@ -50,4 +50,24 @@
    * @return The version at the given index.
    */
   long getVersion(int index);
+
+  /**
+   * <pre>
+   * Empty if the item has no score.
+   * </pre>
+   *
+   * <code>string score = 5;</code>
+   * @return The score.
+   */
+  java.lang.String getScore();
+  /**
+   * <pre>
+   * Empty if the item has no score.
+   * </pre>
+   *
+   * <code>string score = 5;</code>
+   * @return The bytes for score.
+   */
+  com.google.protobuf.ByteString
+      getScoreBytes();
 }
--- a/amaranthstream/src/main/java/org/amaranthstream/jobs/wire/TextRecord.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/jobs/wire/TextRecord.java
@@ -177,6 +177,21 @@
   }
   private int versionMemoizedSerializedSize = -1;
 
+  public static final int WHOLE_FIELD_NUMBER = 6;
+  private boolean whole_ = false;
+  /**
+   * <pre>
+   * Whether the text ends with the part.
+   * </pre>
+   *
+   * <code>bool whole = 6;</code>
+   * @return The whole.
+   */
+  @java.lang.Override
+  public boolean getWhole() {
+    return whole_;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -211,6 +226,9 @@
     for (int i = 0; i < version_.size(); i++) {
       output.writeInt64NoTag(version_.getLong(i));
     }
+    if (whole_ != false) {
+      output.writeBool(6, whole_);
+    }
     getUnknownFields().writeTo(output);
   }
 
@@ -249,6 +267,10 @@
       }
       versionMemoizedSerializedSize = dataSize;
     }
+    if (whole_ != false) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeBoolSize(6, whole_);
+    }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -274,6 +296,8 @@
         != other.getLastEvent()) return false;
     if (!getVersionList()
         .equals(other.getVersionList())) return false;
+    if (getWhole()
+        != other.getWhole()) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -298,6 +322,9 @@
       hash = (37 * hash) + VERSION_FIELD_NUMBER;
       hash = (53 * hash) + getVersionList().hashCode();
     }
+    hash = (37 * hash) + WHOLE_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(
+        getWhole());
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -438,6 +465,7 @@
       text_ = com.google.protobuf.ByteString.EMPTY;
       lastEvent_ = 0L;
       version_ = emptyLongList();
+      whole_ = false;
       return this;
     }
 
@@ -487,6 +515,9 @@
         version_.makeImmutable();
         result.version_ = version_;
       }
+      if (((from_bitField0_ & 0x00000020) != 0)) {
+        result.whole_ = whole_;
+      }
     }
 
     @java.lang.Override
@@ -526,6 +557,9 @@
         }
         onChanged();
       }
+      if (other.getWhole() != false) {
+        setWhole(other.getWhole());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -588,6 +622,11 @@
               input.popLimit(limit);
               break;
             } // case 42
+            case 48: {
+              whole_ = input.readBool();
+              bitField0_ |= 0x00000020;
+              break;
+            } // case 48
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -909,6 +948,50 @@
       return this;
     }
 
+    private boolean whole_ ;
+    /**
+     * <pre>
+     * Whether the text ends with the part.
+     * </pre>
+     *
+     * <code>bool whole = 6;</code>
+     * @return The whole.
+     */
+    @java.lang.Override
+    public boolean getWhole() {
+      return whole_;
+    }
+    /**
+     * <pre>
+     * Whether the text ends with the part.
+     * </pre>
+     *
+     * <code>bool whole = 6;</code>
+     * @param value The whole to set.
+     * @return This builder for chaining.
+     */
+    public Builder setWhole(boolean value) {
+
+      whole_ = value;
+      bitField0_ |= 0x00000020;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Whether the text ends with the part.
+     * </pre>
+     *
+     * <code>bool whole = 6;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearWhole() {
+      bitField0_ = (bitField0_ & ~0x00000020);
+      whole_ = false;
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:amaranthstream.jobs.TextRecord)
   }
 
--- a/amaranthstream/src/main/java/org/amaranthstream/jobs/wire/TextRecordOrBuilder.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/jobs/wire/TextRecordOrBuilder.java
@@ -76,4 +76,14 @@
    * @return The version at the given index.
    */
   long getVersion(int index);
+
+  /**
+   * <pre>
+   * Whether the text ends with the part.
+   * </pre>
+   *
+   * <code>bool whole = 6;</code>
+   * @return The whole.
+   */
+  boolean getWhole();
 }
--- a/amaranthstream/src/main/java/org/amaranthstream/peer/HeartbeatExchange.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/peer/HeartbeatExchange.java
@@ -133,6 +133,7 @@
     ConfigGeneration generation = ConfigGeneration.of(heartbeat.getConfigGeneration());
     table.onHeartbeat(membership, now);
     sink.onConfigGeneration(from.id(), generation);
+    membership.leaving().forEach(sink::onLeavingServer);
     for (ModelVersion announced : heartbeat.getModelVersionList()) {
       sink.onWeightVersion(
           ModelId.of(announced.getModel()), WeightVersion.of(announced.getVersion()));
--- a/amaranthstream/src/main/java/org/amaranthstream/peer/HeartbeatSink.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/peer/HeartbeatSink.java
@@ -5,6 +5,7 @@
 import org.amaranthstream.ids.EntryVmId;
 import org.amaranthstream.ids.ModelId;
 import org.amaranthstream.ids.WeightVersion;
+import org.amaranthstream.membership.LeavingServer;
 
 /** Receiver of the heartbeat content besides membership. Called on the decision thread. */
 public interface HeartbeatSink {
@@ -17,6 +18,9 @@
    */
   void onWeightVersion(ModelId model, WeightVersion version);
 
+  /** Handles an incarnation of a backend server that is leaving according to a peer. */
+  default void onLeavingServer(LeavingServer leaving) {}
+
   /** Handles a peer's notice about content that was in flight when backend servers crashed. */
   void onPoisonNotice(PoisonNotice notice);
 }
--- a/amaranthstream/src/main/java/org/amaranthstream/servers/ServerDirectory.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/servers/ServerDirectory.java
@@ -31,7 +31,9 @@
   private final BooleanSupplier wasStoreUnavailable;
   private final Map<BackendServerId, TrackedServer> servers = new LinkedHashMap<>();
   private final Map<BackendServerId, Subscription> removalTimers = new LinkedHashMap<>();
+  private final LeavingIncarnations leaving = new LeavingIncarnations();
   private final List<ServerListener> listeners = new ArrayList<>();
+  private final List<LeavingListener> leavingListeners = new ArrayList<>();
 
   private ServerDirectory(TimerService timers, BooleanSupplier wasStoreUnavailable) {
     this.timers = timers;
@@ -54,12 +56,49 @@
     listeners.add(checkNotNull(listener, "listener"));
   }
 
+  /** Adds a listener that is called for each server that announces in a response that it leaves. */
+  public void addLeavingListener(LeavingListener listener) {
+    leavingListeners.add(checkNotNull(listener, "listener"));
+  }
+
+  /**
+   * Handles a response in which a server announces that it is leaving. Its incarnation gets no new
+   * requests from then on, whatever its registration says.
+   */
+  public void onLeavingAnnounced(TrackedServer server) {
+    server.markDraining();
+    long started = server.registration().startMillis();
+    if (leaving.add(server.id(), started)) {
+      logger.atInfo().log("event=server_leaving server=%s source=response", server.id());
+      leavingListeners.forEach(listener -> listener.onServerLeaving(server));
+      notifyListeners();
+    }
+  }
+
+  /**
+   * Handles a peer's report that the incarnation which started at {@code startMillis} is leaving.
+   */
+  public void onLeavingReported(BackendServerId id, long startMillis) {
+    if (!leaving.add(id, startMillis)) {
+      return;
+    }
+    logger.atInfo().log("event=server_leaving server=%s source=peer", id);
+    TrackedServer server = servers.get(id);
+    if (server != null && server.registration().startMillis() == startMillis) {
+      server.markDraining();
+      notifyListeners();
+    }
+  }
+
   /** Applies a registration that was read from the store. */
   public void onRegistration(ServerRegistration registration) {
     Subscription removalTimer = removalTimers.remove(registration.id());
     if (removalTimer != null) {
       removalTimer.cancel();
     }
+    if (registration.isDraining()) {
+      leaving.add(registration.id(), registration.startMillis());
+    }
     TrackedServer known = servers.get(registration.id());
     if (known != null && known.registration().isSameIncarnation(registration)) {
       boolean wasAvailable = known.isAvailable();
@@ -71,7 +110,11 @@
       if (known != null) {
         known.markRemoved();
       }
-      servers.put(registration.id(), new TrackedServer(registration));
+      TrackedServer added = new TrackedServer(registration);
+      if (leaving.contains(registration)) {
+        added.markDraining();
+      }
+      servers.put(registration.id(), added);
       logger.atInfo().log(
           "event=server_known server=%s service=%s address=%s:%d zone=%s slots=%d versions=%s",
           registration.id(),
--- a/amaranthstream/src/main/java/org/amaranthstream/servers/TrackedServer.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/servers/TrackedServer.java
@@ -44,6 +44,11 @@
     versions.putAll(newer.versions());
   }
 
+  /** Records that this incarnation accepts no new requests any more. */
+  void markDraining() {
+    isDraining = true;
+  }
+
   void markRemoved() {
     isRemoved = true;
   }
--- a/amaranthstream/src/test/java/org/amaranthstream/jobs/CheckpointAssemblerTest.java
+++ b/amaranthstream/src/test/java/org/amaranthstream/jobs/CheckpointAssemblerTest.java
@@ -17,7 +17,8 @@
         offset,
         text.getBytes(UTF_8),
         lastEvent,
-        ImmutableSortedSet.of(WeightVersion.of(lastEvent)));
+        ImmutableSortedSet.of(WeightVersion.of(lastEvent)),
+        false);
   }
 
   private static PartialOutput only(CheckpointPart... parts) {
--- a/amaranthstream/src/test/java/org/amaranthstream/jobs/JobFleet.java
+++ b/amaranthstream/src/test/java/org/amaranthstream/jobs/JobFleet.java
@@ -14,6 +14,7 @@
 import java.util.OptionalLong;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.BooleanSupplier;
+import java.util.function.Consumer;
 import org.amaranthstream.fleet.Fleet;
 import org.amaranthstream.fleet.FleetNode;
 import org.amaranthstream.fleet.FleetSession;
@@ -24,6 +25,7 @@
 import org.amaranthstream.ids.ItemId;
 import org.amaranthstream.ids.JobId;
 import org.amaranthstream.ids.RegionId;
+import org.amaranthstream.ids.RewardCallId;
 import org.amaranthstream.ids.RouteId;
 import org.amaranthstream.ids.WeightVersion;
 import org.amaranthstream.jobs.wire.JobAnswer;
@@ -46,11 +48,13 @@
 /** Daemons that run batch jobs on simulated engines, with one simulated store, in virtual time. */
 final class JobFleet {
   private static final String HOST = "host";
+  private static final String REWARD_HOST = "scores";
   private static final Duration ITEM_TIMEOUT = Duration.ofSeconds(40);
 
   private final VirtualTimerService timers = VirtualTimerService.create();
   private final SimulatedStore store = new SimulatedStore(timers);
   private final SimulatedServers servers = new SimulatedServers(timers);
+  private final SimulatedRewards rewards = new SimulatedRewards(timers, servers);
   private final Map<String, Node> nodes = new LinkedHashMap<>();
   private int incarnations;
 
@@ -90,6 +94,7 @@
               .routing(routing)
               .servers(directory, ServerChoice.in(self.zone(), zone -> Optional.empty()))
               .transport(this::start)
+              .rewardTransport(this::startRewardCall)
               .queryTransport(this::query)
               .build();
       queryHandler = jobs.queryHandler();
@@ -107,6 +112,19 @@
       return servers.start(server, request, new KillableListener(listener));
     }
 
+    private StageRun startRewardCall(
+        Route route, RewardCall call, Duration timeout, Consumer<RewardOutcome> listener) {
+      return rewards.start(
+          route,
+          call,
+          timeout,
+          outcome -> {
+            if (!isKilled) {
+              listener.accept(outcome);
+            }
+          });
+    }
+
     /** Listener that drops all events once the process has been killed. */
     private final class KillableListener implements ItemListener {
       private final ItemListener listener;
@@ -224,7 +242,17 @@
             .itemTimeout(ITEM_TIMEOUT)
             .services(ImmutableList.of(new WeightedService(SimulatedServers.SERVICE, 1)))
             .build();
-    return RoutingConfig.of(1, List.of(route), List.of(), RequestLimits.defaults());
+    Route rewardRoute =
+        Route.builder()
+            .id(RouteId.of("reward"))
+            .match(REWARD_HOST, "/")
+            .kind(RouteKind.IDEMPOTENT)
+            .maxAttempts(3)
+            .latencyObjective(SimulatedRewards.LATENCY_OBJECTIVE)
+            .timeout(SimulatedRewards.ROUTE_TIMEOUT)
+            .services(ImmutableList.of(new WeightedService(SimulatedRewards.SERVICE, 1)))
+            .build();
+    return RoutingConfig.of(1, List.of(route, rewardRoute), List.of(), RequestLimits.defaults());
   }
 
   /** Starts a daemon, or a new incarnation of it. */
@@ -242,6 +270,11 @@
             n -> n.directory.onRegistration(SimulatedServers.registration(id, slots, version)));
   }
 
+  /** Adds a server of the service that scores items to the directories of all daemons. */
+  void addRewardServer(String id, int slots) {
+    nodes.values().forEach(n -> n.directory.onRegistration(SimulatedRewards.server(id, slots)));
+  }
+
   List<Node> runningNodes() {
     return nodes.values().stream().filter(node -> !node.isKilled).toList();
   }
@@ -254,6 +287,10 @@
     return servers;
   }
 
+  SimulatedRewards rewards() {
+    return rewards;
+  }
+
   void run(Duration duration) {
     timers.advance(duration);
   }
@@ -298,7 +335,8 @@
               ("body of " + item).getBytes(StandardCharsets.UTF_8),
               100,
               OptionalLong.of(lengths[i]),
-              GroupId.of(id + "-g" + i / 2)));
+              GroupId.of(id + "-g" + i / 2),
+              Optional.empty()));
     }
     return new JobSpec(
         JobId.of(id),
@@ -311,6 +349,42 @@
         ImmutableList.copyOf(items));
   }
 
+  /** Returns a job like {@link #job}, each of whose items has a reward call. */
+  static JobSpec scoredJob(String id, int... lengths) {
+    JobSpec job = job(id, 1, lengths);
+    ImmutableList<ItemSpec> items =
+        job.items().stream()
+            .map(item -> withRewardCall(item, REWARD_HOST))
+            .collect(ImmutableList.toImmutableList());
+    return withItems(job, items);
+  }
+
+  static JobSpec withItems(JobSpec job, ImmutableList<ItemSpec> items) {
+    return new JobSpec(
+        job.id(),
+        job.host(),
+        job.path(),
+        job.step(),
+        job.model(),
+        job.minVersion(),
+        job.wantedGroups(),
+        items);
+  }
+
+  static ItemSpec withRewardCall(ItemSpec item, String host) {
+    RewardCall call =
+        new RewardCall(RewardCallId.of("call-" + item.id()), host, "/score", new byte[] {1, 2, 3});
+    return new ItemSpec(
+        item.id(),
+        item.path(),
+        item.headers(),
+        item.body(),
+        item.tokens(),
+        item.expectedTokens(),
+        item.group(),
+        Optional.of(call));
+  }
+
   /** Reads all results of a job at {@code node}; empty if the read fails. */
   ImmutableList<ItemResult> read(Node node, JobId job) {
     Result<ResultSlice> result = await(node.jobs().read(job, 0, Duration.ZERO));
--- a/amaranthstream/src/test/java/org/amaranthstream/jobs/JobPropertyTest.java
+++ b/amaranthstream/src/test/java/org/amaranthstream/jobs/JobPropertyTest.java
@@ -11,6 +11,7 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Random;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
@@ -72,6 +73,7 @@
     private void addServers() {
       fleet.addServer("s1", 3, 1);
       fleet.addServer("s2", 3, 1);
+      fleet.addRewardServer("r1", 6);
     }
 
     private JobFleet.Node anyNode() {
@@ -80,7 +82,7 @@
     }
 
     private void step() {
-      switch (random.nextInt(12)) {
+      switch (random.nextInt(13)) {
         case 0, 1 -> submitNew();
         case 2 -> submitAgain();
         case 3, 4, 5 -> jobs.values().forEach(this::read);
@@ -89,6 +91,7 @@
         case 8 -> rejectStoreCalls(anyNode());
         case 9 -> pause(anyNode());
         case 10 -> restart(anyNode());
+        case 11 -> silenceRewards();
         default -> endOne();
       }
       fleet.runMillis(100 + random.nextInt(900));
@@ -96,7 +99,9 @@
 
     private void submitNew() {
       String id = "job" + nextJob++;
-      JobSpec job = JobFleet.job(id, 1, 1 + random.nextInt(20), 1 + random.nextInt(20), 3, 60);
+      int[] lengths = {1 + random.nextInt(20), 1 + random.nextInt(20), 3, 60};
+      JobSpec job =
+          random.nextBoolean() ? JobFleet.scoredJob(id, lengths) : JobFleet.job(id, 1, lengths);
       ObservedJob observed = new ObservedJob(job);
       jobs.put(job.id(), observed);
       observed.replies.add(anyNode().jobs().submit(job, SUBMIT_TIMEOUT));
@@ -129,6 +134,7 @@
         assertThat(items.add(result.item())).isTrue();
         if (i < observed.results.size()) {
           assertThat(result.item()).isEqualTo(observed.results.get(i).item());
+          assertThat(result.score()).isEqualTo(observed.results.get(i).score());
         } else {
           observed.results.add(result);
         }
@@ -139,10 +145,17 @@
                   .findFirst()
                   .get();
           assertThat(new String(result.text(), UTF_8)).isEqualTo(SimulatedServers.text(item));
+          assertThat(result.score()).isEqualTo(expectedScore(item));
         }
       }
     }
 
+    private static Optional<Score> expectedScore(ItemSpec item) {
+      return item.rewardCall().isPresent()
+          ? Optional.of(SimulatedRewards.score(item))
+          : Optional.empty();
+    }
+
     private void fault(JobFleet.Node node, WriteFault fault) {
       node.store().setWriteFault(fault, Duration.ofMillis(500 + random.nextInt(5_000)));
       fleet.runMillis(random.nextInt(2_000));
@@ -157,6 +170,12 @@
       node.cutLinks(false);
     }
 
+    private void silenceRewards() {
+      fleet.rewards().setSilent(true);
+      fleet.runMillis(random.nextInt(4_000));
+      fleet.rewards().setSilent(false);
+    }
+
     private void pause(JobFleet.Node node) {
       node.pause();
       fleet.runMillis(random.nextInt(8_000));
--- a/amaranthstream/src/test/java/org/amaranthstream/jobs/SimulatedServers.java
+++ b/amaranthstream/src/test/java/org/amaranthstream/jobs/SimulatedServers.java
@@ -5,6 +5,7 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
@@ -33,6 +34,7 @@
   private final Map<ItemId, ItemRunOutcome> outcomes = new HashMap<>();
   private final Map<ItemId, Integer> starts = new HashMap<>();
   private final List<ItemId> order = new ArrayList<>();
+  private final Set<ItemId> completed = new HashSet<>();
 
   SimulatedServers(TimerService timers) {
     this.timers = timers;
@@ -88,6 +90,11 @@
     return starts.getOrDefault(item, 0);
   }
 
+  /** Returns true if an engine has made the last event of the item. */
+  boolean isTextComplete(ItemId item) {
+    return completed.contains(item);
+  }
+
   /** Returns the items in the order in which their runs started. */
   List<ItemId> order() {
     return order;
@@ -141,6 +148,7 @@
       }
       if (next > events(request.item())) {
         isOver = true;
+        completed.add(request.item().id());
         listener.onEnded(new ItemRunOutcome.Complete());
         return;
       }
--- a/amaranthstream/src/test/java/org/amaranthstream/servers/ServerDirectoryTest.java
+++ b/amaranthstream/src/test/java/org/amaranthstream/servers/ServerDirectoryTest.java
@@ -4,6 +4,8 @@
 
 import com.google.common.collect.ImmutableMap;
 import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
 import org.amaranthstream.ids.AvailabilityZoneId;
 import org.amaranthstream.ids.BackendServerId;
 import org.amaranthstream.ids.ServiceId;
@@ -73,6 +75,93 @@
     }
   }
 
+  @Nested
+  class LeavingServers {
+    private final ServerRegistration registration = registration("s", 1, false);
+
+    private TrackedServer announceLeaving() {
+      directory.onRegistration(registration);
+      TrackedServer server = directory.available(SERVICE).get(0);
+      directory.onLeavingAnnounced(server);
+      return server;
+    }
+
+    @Test
+    void areNotAvailableOnceTheyAnnounceIt() {
+      assertThat(announceLeaving().isAvailable()).isFalse();
+      assertThat(availableCount()).isEqualTo(0);
+    }
+
+    @Test
+    void areNotAvailableAgainThroughAnOlderRegistration() {
+      announceLeaving();
+      directory.onRegistration(registration);
+
+      assertThat(availableCount()).isEqualTo(0);
+    }
+
+    /** The registration expires while the store is away, and is written again afterwards. */
+    @Test
+    void areNotAvailableAgainAfterTheirRegistrationWasRemoved() {
+      announceLeaving();
+      directory.onRegistrationRemoved(registration.id());
+      directory.onRegistration(registration);
+
+      assertThat(availableCount()).isEqualTo(0);
+    }
+
+    @Test
+    void thatDrainedAreNotAvailableAgainAfterTheirRegistrationWasRemoved() {
+      directory.onRegistration(registration("s", 1, true));
+      directory.onRegistrationRemoved(registration.id());
+      directory.onRegistration(registration);
+
+      assertThat(availableCount()).isEqualTo(0);
+    }
+
+    @Test
+    void areAvailableAgainAsNewIncarnation() {
+      announceLeaving();
+      directory.onRegistration(registration("s", 2, false));
+
+      assertThat(availableCount()).isEqualTo(1);
+    }
+
+    @Test
+    void areNotAvailableIfAPeerReportsIt() {
+      directory.onRegistration(registration);
+      directory.onLeavingReported(registration.id(), 1);
+
+      assertThat(availableCount()).isEqualTo(0);
+    }
+
+    @Test
+    void areNotAvailableIfAPeerReportedItBeforeTheirRegistrationWasRead() {
+      directory.onLeavingReported(registration.id(), 1);
+      directory.onRegistration(registration);
+
+      assertThat(availableCount()).isEqualTo(0);
+    }
+
+    @Test
+    void ofAnEarlierIncarnationDoNotAffectTheCurrentOne() {
+      directory.onRegistration(registration("s", 2, false));
+      directory.onLeavingReported(registration.id(), 1);
+
+      assertThat(availableCount()).isEqualTo(1);
+    }
+
+    @Test
+    void areAnnouncedToListenersOnce() {
+      List<BackendServerId> announced = new ArrayList<>();
+      directory.addLeavingListener(server -> announced.add(server.id()));
+      TrackedServer server = announceLeaving();
+      directory.onLeavingAnnounced(server);
+
+      assertThat(announced).containsExactly(registration.id());
+    }
+  }
+
   @Nested
   class RemovedRegistrations {
     @Test
