Watch the store through two relays in each availability zone

Cause: each daemon watched configuration, servers and fleet by itself.

Change: ZoneWatchStore. Rendezvous hashing over the registered daemons of a zone names two relays; only they watch the store. The others send each watch to both relays, and the first answer counts; if neither answers, they watch the store themselves. WatchRelay keeps the recent changes of each prefix with their revisions. Revisions decide what is newer, so a relay that is behind takes nobody back. A relay that loses the store fails its waiting peers at once.

Ruled out: one relay (its loss delays the zone by the timeout of a query), pushing without a question (needs its own detection of silence), lists from the relay (an older list would remove newer keys; lists stay direct).

Tests: ZoneWatchStoreTest counts calls of 3 zones at 4 and 20 daemons, and plays suspended, cut and rejected relays, and random faults of them.

--- a/amaranthstream/src/main/java/org/amaranthstream/fleet/StoreCallCodec.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/fleet/StoreCallCodec.java
@@ -180,7 +180,8 @@
         list.getChangeList().stream()
             .map(StoreCallCodec::change)
             .collect(ImmutableList.toImmutableList()),
-        Revision.of(list.getRevision()));
+        Revision.of(list.getRevision()),
+        true);
   }
 
   static StoreAnswer encodeTransaction(TransactionReply reply) {
--- /dev/null
+++ b/amaranthstream/src/main/java/org/amaranthstream/fleet/WatchRelay.java
@@ -0,0 +1,152 @@
+package org.amaranthstream.fleet;
+
+import com.google.protobuf.InvalidProtocolBufferException;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import org.amaranthstream.fleet.wire.WatchCall;
+import org.amaranthstream.ids.Revision;
+import org.amaranthstream.membership.LocalVm;
+import org.amaranthstream.peer.QueryKind;
+import org.amaranthstream.platform.WatchReply;
+import org.amaranthstream.result.Result;
+import org.amaranthstream.result.ResultCode;
+import org.amaranthstream.time.Subscription;
+import org.amaranthstream.time.TimerService;
+
+/**
+ * Relay of this daemon's watches of the store to the daemons of its zone. They ask for the changes
+ * after a revision, and the answer waits until there are some.
+ *
+ * <p>If the daemon stops to watch a prefix, or loses the store, the waiting daemons get a failure
+ * at once, so that they can watch the store themselves. Not thread safe: used on the thread of its
+ * timers.
+ */
+final class WatchRelay {
+  private static final int MAX_WAITING = 4_096;
+
+  private final TimerService timers;
+  private final Map<String, WatchHistory> histories = new HashMap<>();
+  private final List<Waiter> waiters = new ArrayList<>();
+
+  WatchRelay(TimerService timers) {
+    this.timers = timers;
+  }
+
+  /** Registers this relay as the handler of watches of peers. */
+  void serve(FleetLinks links) {
+    links.register(QueryKind.WATCH, (LocalVm from, byte[] body, Duration timeout) -> handle(body));
+  }
+
+  /** Records that this daemon watches {@code prefix} itself for changes after {@code after}. */
+  void onWatchStarted(String prefix, Revision after) {
+    history(prefix).continueAt(after);
+  }
+
+  private WatchHistory history(String prefix) {
+    return histories.computeIfAbsent(prefix, unused -> new WatchHistory());
+  }
+
+  /** Passes on the reply to this daemon's own watch that began at {@code after}. */
+  void onReply(String prefix, Revision after, WatchReply reply) {
+    if (reply instanceof WatchReply.Changes changes) {
+      history(prefix).append(after, changes);
+      wake(prefix);
+    } else {
+      close(prefix);
+    }
+  }
+
+  /** Stops to relay a prefix, because this daemon does not watch it itself any more. */
+  void close(String prefix) {
+    WatchHistory history = histories.remove(prefix);
+    if (history != null) {
+      history.close();
+      wake(prefix);
+    }
+  }
+
+  private void wake(String prefix) {
+    for (Waiter waiter : List.copyOf(waiters)) {
+      if (waiter.prefix.equals(prefix)) {
+        waiter.tryComplete();
+      }
+    }
+  }
+
+  /** Handles an encoded watch of a peer. */
+  CompletableFuture<Result<byte[]>> handle(byte[] body) {
+    try {
+      WatchCall watch = WatchCall.parseFrom(body);
+      return handle(watch);
+    } catch (InvalidProtocolBufferException | IllegalArgumentException e) {
+      return CompletableFuture.completedFuture(
+          Result.failure(ResultCode.INVALID_REQUEST, "malformed watch: " + e));
+    }
+  }
+
+  private CompletableFuture<Result<byte[]>> handle(WatchCall watch) {
+    Waiter waiter = new Waiter(watch.getPrefix(), Revision.of(watch.getAfter()));
+    if (!waiter.tryComplete()) {
+      if (waiters.size() >= MAX_WAITING) {
+        waiter.fail(ResultCode.NOT_RUN_QUEUE_FULL, "the limit of waiting watches is reached");
+      } else {
+        waiter.await(Duration.ofMillis(watch.getWaitMs()));
+      }
+    }
+    return waiter.reply;
+  }
+
+  /** Watch of a peer that waits for changes. */
+  private final class Waiter {
+    private final String prefix;
+    private final Revision after;
+    private final CompletableFuture<Result<byte[]>> reply = new CompletableFuture<>();
+
+    private Waiter(String prefix, Revision after) {
+      this.prefix = prefix;
+      this.after = after;
+    }
+
+    private void await(Duration wait) {
+      waiters.add(this);
+      Subscription timeout = timers.after(wait, this::completeWithoutChanges);
+      reply.whenComplete(
+          (result, thrown) -> {
+            timeout.cancel();
+            waiters.remove(this);
+          });
+    }
+
+    /** Completes the watch if there are changes, or if this daemon cannot know of them. */
+    private boolean tryComplete() {
+      Optional<WatchReply.Changes> changes = changes();
+      if (changes.isEmpty()) {
+        fail(ResultCode.PLATFORM_UNAVAILABLE, "the prefix is not watched since that revision");
+      } else if (!changes.get().changes().isEmpty()) {
+        complete(changes.get());
+      }
+      return reply.isDone();
+    }
+
+    private void completeWithoutChanges() {
+      changes().ifPresent(this::complete);
+    }
+
+    private Optional<WatchReply.Changes> changes() {
+      return Optional.ofNullable(histories.get(prefix)).flatMap(history -> history.since(after));
+    }
+
+    private void complete(WatchReply.Changes changes) {
+      reply.complete(Result.success(StoreCallCodec.encodeWatch(changes).toByteArray()));
+    }
+
+    private void fail(ResultCode code, String message) {
+      reply.complete(Result.failure(code, message));
+    }
+  }
+}
--- /dev/null
+++ b/amaranthstream/src/main/java/org/amaranthstream/fleet/ZoneWatchStore.java
@@ -0,0 +1,236 @@
+package org.amaranthstream.fleet;
+
+import static com.google.common.base.Preconditions.checkNotNull;
+
+import com.google.common.collect.ImmutableList;
+import com.google.common.flogger.FluentLogger;
+import com.google.protobuf.InvalidProtocolBufferException;
+import java.time.Duration;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import org.amaranthstream.fleet.wire.StoreAnswer;
+import org.amaranthstream.fleet.wire.WatchCall;
+import org.amaranthstream.ids.EntryVmId;
+import org.amaranthstream.ids.LeaseId;
+import org.amaranthstream.ids.Revision;
+import org.amaranthstream.platform.GrantedLease;
+import org.amaranthstream.platform.KvEntry;
+import org.amaranthstream.platform.KvPage;
+import org.amaranthstream.platform.RenewalReply;
+import org.amaranthstream.platform.Transaction;
+import org.amaranthstream.platform.TransactionReply;
+import org.amaranthstream.platform.TransactionalStore;
+import org.amaranthstream.platform.WatchReply;
+import org.amaranthstream.result.Result;
+import org.amaranthstream.result.ResultCode;
+import org.amaranthstream.time.TimerService;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * Store client whose watches go through the relays of the zone. Only the relays watch the store, so
+ * that the number of watches grows with the number of zones and not with the number of daemons.
+ *
+ * <p>A watch is sent to both relays; the first answer counts. If neither relay answers, the daemon
+ * watches the store itself. The relays only save calls: revisions decide which change is newer, and
+ * a daemon that is ahead of a relay ignores what it has already seen. All other calls go directly
+ * to the store. Not thread safe: used on the thread of its timers.
+ */
+public final class ZoneWatchStore implements TransactionalStore, FleetListener {
+  private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+
+  /** Bounds the time for which a daemon can rely on relays that have stopped responding. */
+  private static final Duration MAX_RELAYED_WAIT = Duration.ofSeconds(2);
+
+  /** Allows for the round trip, and for a relay that is briefly busy. */
+  private static final Duration RESPONSE_MARGIN = Duration.ofMillis(500);
+
+  private final TransactionalStore store;
+  private final WatchRelay relay;
+  private @Nullable Fleet fleet;
+  private @Nullable FleetNode self;
+  private RelayClient client = RelayClient.NONE;
+  private Optional<ImmutableList<EntryVmId>> relays = Optional.empty();
+
+  /** Client for queries to the relays. */
+  @FunctionalInterface
+  public interface RelayClient {
+    /** A client without relays. */
+    RelayClient NONE =
+        (vm, watch, timeout) ->
+            CompletableFuture.completedFuture(
+                Result.failure(ResultCode.PEER_UNREACHABLE, "no relay is available"));
+
+    /** Sends an encoded watch to {@code vm}; the future never completes exceptionally. */
+    CompletableFuture<Result<byte[]>> watch(EntryVmId vm, byte[] watch, Duration timeout);
+  }
+
+  private ZoneWatchStore(TransactionalStore store, TimerService timers) {
+    this.store = store;
+    this.relay = new WatchRelay(timers);
+  }
+
+  /** Returns a client that watches {@code store} itself until {@link #attach} is called. */
+  public static ZoneWatchStore create(TransactionalStore store, TimerService timers) {
+    return new ZoneWatchStore(checkNotNull(store, "store"), checkNotNull(timers, "timers"));
+  }
+
+  /** Sets this daemon, the view of the fleet, and the client for queries to the relays. */
+  public void attach(FleetNode self, Fleet fleet, RelayClient client) {
+    this.self = checkNotNull(self, "self");
+    this.fleet = checkNotNull(fleet, "fleet");
+    this.client = checkNotNull(client, "client");
+    fleet.addListener(this);
+  }
+
+  /** Registers the handler of the watches of other daemons. */
+  public void serve(FleetLinks links) {
+    relay.serve(links);
+  }
+
+  /** Handles an encoded watch of another daemon. */
+  CompletableFuture<Result<byte[]>> handle(byte[] watch) {
+    return relay.handle(watch);
+  }
+
+  @Override
+  public void onNodeJoined(FleetNode node) {
+    relays = Optional.empty();
+  }
+
+  @Override
+  public void onNodeLost(FleetNode node) {
+    relays = Optional.empty();
+  }
+
+  private ImmutableList<EntryVmId> relays() {
+    if (fleet == null || self == null) {
+      return ImmutableList.of();
+    }
+    if (relays.isEmpty()) {
+      relays = Optional.of(WatchRelaySelection.relays(self.zone(), fleet.nodes()));
+    }
+    return relays.get();
+  }
+
+  @Override
+  public CompletableFuture<WatchReply> watch(String prefix, Revision after, Duration wait) {
+    ImmutableList<EntryVmId> current = relays();
+    if (self == null || current.isEmpty() || current.contains(self.vm())) {
+      return watchDirectly(prefix, after, wait);
+    }
+    relay.close(prefix);
+    CompletableFuture<WatchReply> reply = new CompletableFuture<>();
+    RelayedWatch relayed = new RelayedWatch(prefix, after, wait, current.size(), reply);
+    current.forEach(relayed::sendTo);
+    return reply;
+  }
+
+  private CompletableFuture<WatchReply> watchDirectly(
+      String prefix, Revision after, Duration wait) {
+    relay.onWatchStarted(prefix, after);
+    return store
+        .watch(prefix, after, wait)
+        .thenApply(
+            reply -> {
+              relay.onReply(prefix, after, reply);
+              return reply;
+            });
+  }
+
+  /** A watch that was sent to several relays. */
+  private final class RelayedWatch {
+    private final String prefix;
+    private final Revision after;
+    private final Duration wait;
+    private final CompletableFuture<WatchReply> reply;
+    private int unanswered;
+
+    private RelayedWatch(
+        String prefix,
+        Revision after,
+        Duration wait,
+        int relays,
+        CompletableFuture<WatchReply> reply) {
+      this.prefix = prefix;
+      this.after = after;
+      this.wait = wait;
+      this.reply = reply;
+      this.unanswered = relays;
+    }
+
+    private void sendTo(EntryVmId vm) {
+      Duration relayedWait = wait.compareTo(MAX_RELAYED_WAIT) < 0 ? wait : MAX_RELAYED_WAIT;
+      byte[] call =
+          WatchCall.newBuilder()
+              .setPrefix(prefix)
+              .setAfter(after.value())
+              .setWaitMs(relayedWait.toMillis())
+              .build()
+              .toByteArray();
+      client
+          .watch(vm, call, relayedWait.plus(RESPONSE_MARGIN))
+          .thenAccept(result -> onAnswer(vm, result));
+    }
+
+    private void onAnswer(EntryVmId vm, Result<byte[]> result) {
+      unanswered--;
+      Optional<WatchReply.Changes> changes = decode(vm, result);
+      if (reply.isDone()) {
+        return;
+      }
+      if (changes.isPresent()) {
+        reply.complete(changes.get());
+      } else if (unanswered == 0) {
+        logger.atFine().log("event=watch_relays_failed prefix=%s after=%s", prefix, after);
+        watchDirectly(prefix, after, wait).thenAccept(reply::complete);
+      }
+    }
+
+    private static Optional<WatchReply.Changes> decode(EntryVmId vm, Result<byte[]> result) {
+      if (result instanceof Result.Failure<byte[]> failure) {
+        logger.atFine().log("event=watch_relay_failed vm=%s error=\"%s\"", vm, failure.error());
+        return Optional.empty();
+      }
+      try {
+        byte[] body = ((Result.Success<byte[]>) result).value();
+        WatchReply decoded = StoreCallCodec.decodeWatch(StoreAnswer.parseFrom(body));
+        return decoded instanceof WatchReply.Changes changes
+            ? Optional.of(changes)
+            : Optional.empty();
+      } catch (InvalidProtocolBufferException | IllegalArgumentException e) {
+        logger.atWarning().log("event=watch_answer_invalid vm=%s cause=\"%s\"", vm, e);
+        return Optional.empty();
+      }
+    }
+  }
+
+  @Override
+  public CompletableFuture<Result<Optional<KvEntry>>> get(String key) {
+    return store.get(key);
+  }
+
+  @Override
+  public CompletableFuture<Result<KvPage>> range(String prefix, String after) {
+    return store.range(prefix, after);
+  }
+
+  @Override
+  public CompletableFuture<TransactionReply> transact(Transaction transaction) {
+    return store.transact(transaction);
+  }
+
+  @Override
+  public CompletableFuture<Result<GrantedLease>> grantLease(Duration ttl) {
+    return store.grantLease(ttl);
+  }
+
+  @Override
+  public CompletableFuture<RenewalReply> renewLease(LeaseId lease) {
+    return store.renewLease(lease);
+  }
+
+  @Override
+  public CompletableFuture<Result<LeaseId>> endLease(LeaseId lease) {
+    return store.endLease(lease);
+  }
+}
--- a/amaranthstream/src/main/java/org/amaranthstream/peer/QueryKind.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/peer/QueryKind.java
@@ -15,7 +15,10 @@
   /** Queries or changes a batch job that the other entry VM owns. */
   JOB(6),
   /** Relays a call to the store, which the sender cannot reach. */
-  STORE_CALL(7);
+  STORE_CALL(7),
+
+  /** Waits for changes of the store that the other entry VM watches for its zone. */
+  WATCH(8);
 
   private final int number;
 
--- a/amaranthstream/src/main/java/org/amaranthstream/platform/PrefixMirror.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/platform/PrefixMirror.java
@@ -175,7 +175,7 @@
     }
     after = changes.revision();
     onSuccess();
-    if (changes.changes().isEmpty()) {
+    if (changes.changes().isEmpty() || changes.isRelayed()) {
       watch();
     } else {
       timers.after(timing.debounce(), this::watch);
--- a/amaranthstream/src/main/java/org/amaranthstream/platform/WatchReply.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/platform/WatchReply.java
@@ -12,8 +12,17 @@
    *
    * @param changes the changes, oldest first
    * @param revision the revision to continue from
+   * @param isRelayed true if a peer passed on changes that it had already collected, so that a
+   *     delay before the next watch saves no call to the store
    */
-  record Changes(ImmutableList<KvChange> changes, Revision revision) implements WatchReply {}
+  record Changes(ImmutableList<KvChange> changes, Revision revision, boolean isRelayed)
+      implements WatchReply {
+
+    /** Creates a reply of the store itself. */
+    public Changes(ImmutableList<KvChange> changes, Revision revision) {
+      this(changes, revision, false);
+    }
+  }
 
   /** The store has compacted changes after the given revision; the prefix must be listed again. */
   record HistoryLost() implements WatchReply {}
