Let three daemons look for the jobs of a lost one, and spread relayed store calls over the peers

Cause: after each loss of a daemon every daemon read the ownership records of all jobs, and again every 550 ms while the store rejected it; daemons without access to the store all relayed their calls to the same three peers, the first by name. Both grow with the square of the fleet.

RelayingStore goes on to the next three peers when none of the last ones reaches the store; FleetLinks gives each daemon its own order of the peers.

Ruled out: candidates by job instead of by lost daemon (then every daemon must read the jobs to know).

--- a/amaranthstream/src/main/java/org/amaranthstream/fleet/FleetLinks.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/fleet/FleetLinks.java
@@ -16,6 +16,7 @@
 import org.amaranthstream.membership.LocalVm;
 import org.amaranthstream.membership.MembershipSettings;
 import org.amaranthstream.membership.MembershipTable;
+import org.amaranthstream.membership.RendezvousHash;
 import org.amaranthstream.peer.PeerCredentials;
 import org.amaranthstream.peer.PeerLinkSettings;
 import org.amaranthstream.peer.PeerNode;
@@ -53,6 +54,7 @@
   private final Duty duty;
   private final FleetHeartbeatState heartbeatState;
   private final Map<QueryKind, QueryHandler> handlers = new EnumMap<>(QueryKind.class);
+  private Optional<ImmutableList<EntryVmId>> others = Optional.empty();
   private @Nullable MembershipTable table;
   private @Nullable PeerNode node;
 
@@ -137,6 +139,7 @@
 
   @Override
   public void onNodeJoined(FleetNode joined) {
+    others = Optional.empty();
     update();
   }
 
@@ -183,9 +186,21 @@
     return queries.query(to, kind, body, timeout);
   }
 
+  /**
+   * Returns the other daemons, in an order that differs between daemons, so that many daemons
+   * without access to the store do not all choose the same peers.
+   */
   @Override
   public ImmutableList<EntryVmId> others() {
-    return fleet.othersThan(self.vm());
+    if (others.isEmpty()) {
+      others = Optional.of(RendezvousHash.order(self.vm().value(), fleet.othersThan(self.vm())));
+    }
+    return others.get();
+  }
+
+  @Override
+  public void onNodeLost(FleetNode lost) {
+    others = Optional.empty();
   }
 
   @Override
--- a/amaranthstream/src/main/java/org/amaranthstream/fleet/RelayingStore.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/fleet/RelayingStore.java
@@ -6,8 +6,8 @@
 import com.google.common.flogger.FluentLogger;
 import com.google.protobuf.InvalidProtocolBufferException;
 import java.time.Duration;
-import java.util.ArrayList;
 import java.util.HashSet;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
@@ -60,6 +60,7 @@
   private final Set<CompletableFuture<WatchReply>> watches = new HashSet<>();
   private PeerStoreClient peers = PeerStoreClient.NONE;
   private Optional<EntryVmId> lastWorkingPeer = Optional.empty();
+  private int firstPeer;
 
   /** A client for store calls through other daemons. */
   public interface PeerStoreClient {
@@ -79,7 +80,7 @@
           }
         };
 
-    /** Returns the daemons that can relay calls. */
+    /** Returns the daemons that can relay calls, in the order in which this daemon tries them. */
     ImmutableList<EntryVmId> others();
 
     /** Sends an encoded call to {@code vm}; the future never completes exceptionally. */
@@ -108,10 +109,19 @@
   }
 
   private ImmutableList<EntryVmId> peers() {
-    List<EntryVmId> order = new ArrayList<>();
+    ImmutableList<EntryVmId> others = peers.others();
+    Set<EntryVmId> order = new LinkedHashSet<>();
     lastWorkingPeer.ifPresent(order::add);
-    peers.others().stream().filter(vm -> !order.contains(vm)).forEach(order::add);
-    return order.stream().limit(MAX_PEERS).collect(ImmutableList.toImmutableList());
+    for (int i = 0; i < others.size() && order.size() < MAX_PEERS; i++) {
+      order.add(others.get((firstPeer + i) % others.size()));
+    }
+    return ImmutableList.copyOf(order);
+  }
+
+  /** Makes the next call try other peers, because none of the last ones reaches the store. */
+  private void onNoPeerWorking() {
+    lastWorkingPeer = Optional.empty();
+    firstPeer = (firstPeer + MAX_PEERS) % Math.max(1, peers.others().size());
   }
 
   private void failOpenWatches() {
@@ -134,6 +144,7 @@
       int next,
       CompletableFuture<StoreAnswer> response) {
     if (next == order.size()) {
+      onNoPeerWorking();
       response.complete(StoreAnswer.newBuilder().setNotDone("no peer reaches the store").build());
       return;
     }
--- a/amaranthstream/src/main/java/org/amaranthstream/jobs/JobOwnershipManager.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/jobs/JobOwnershipManager.java
@@ -7,6 +7,7 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalInt;
 import java.util.Random;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
@@ -17,7 +18,6 @@
 import org.amaranthstream.fleet.FleetNode;
 import org.amaranthstream.ids.EntryVmId;
 import org.amaranthstream.ids.JobId;
-import org.amaranthstream.membership.RendezvousHash;
 import org.amaranthstream.platform.TransactionReply;
 import org.amaranthstream.result.Result;
 import org.amaranthstream.time.TimerService;
@@ -43,8 +43,13 @@
    */
   private static final Duration ENDED_JOB_TAKEOVER_DELAY = Duration.ofSeconds(20);
 
-  /** Number of daemons that try to take over a job whose owner is lost. */
-  private static final int MAX_TAKEOVER_CANDIDATES = 2;
+  /**
+   * Interval at which one daemon sweeps for jobs that no candidate has taken over, because all
+   * candidates were lost or cut off as well.
+   */
+  private static final Duration BACKSTOP_INTERVAL = Duration.ofSeconds(5);
+
+  private static final EntryVmId BACKSTOP = EntryVmId.of("backstop");
 
   private static final Duration TAKEOVER_TIMEOUT = Duration.ofSeconds(5);
 
@@ -95,6 +100,7 @@
   void start(Starter starter) {
     this.starter = starter;
     fleet.addListener(this);
+    timers.every(BACKSTOP_INTERVAL, this::sweepAsBackstop);
   }
 
   FleetNode self() {
@@ -139,12 +145,27 @@
 
   @Override
   public void onNodeLost(FleetNode node) {
-    scheduleOrphanSweep();
+    if (rank(node.vm()).isPresent()) {
+      scheduleOrphanSweep();
+    }
   }
 
   @Override
   public void onCaughtUp() {
-    scheduleOrphanSweep();
+    sweepAsBackstop();
+  }
+
+  private void sweepAsBackstop() {
+    if (rank(BACKSTOP).isPresent()) {
+      scheduleOrphanSweep();
+    }
+  }
+
+  /** Returns the rank of this daemon among the candidates for the jobs of {@code lost}. */
+  private OptionalInt rank(EntryVmId lost) {
+    List<EntryVmId> registered = fleet.nodes().stream().map(FleetNode::vm).toList();
+    int rank = TakeoverCandidates.of(lost, registered).indexOf(self.vm());
+    return rank < 0 ? OptionalInt.empty() : OptionalInt.of(rank);
   }
 
   /**
@@ -194,20 +215,15 @@
   }
 
   private void takeOverInTurn(StoredOwner orphan) {
-    boolean wasOwnedHere = orphan.owner().vm().equals(self.vm());
-    int rank = wasOwnedHere ? 0 : rank(orphan.job());
-    if (rank < MAX_TAKEOVER_CANDIDATES) {
+    EntryVmId former = orphan.owner().vm();
+    OptionalInt rank = former.equals(self.vm()) ? OptionalInt.of(0) : rank(former);
+    if (rank.isPresent()) {
       Duration first = orphan.owner().isEnded() ? ENDED_JOB_TAKEOVER_DELAY : Duration.ZERO;
-      timers.after(first.plus(TAKEOVER_STAGGER.multipliedBy(rank)), () -> takeOverIfOrphan(orphan));
+      Duration delay = first.plus(TAKEOVER_STAGGER.multipliedBy(rank.getAsInt()));
+      timers.after(delay, () -> takeOverIfOrphan(orphan));
     }
   }
 
-  private int rank(JobId job) {
-    List<EntryVmId> registered = fleet.nodes().stream().map(FleetNode::vm).sorted().toList();
-    int rank = RendezvousHash.order(job.value(), registered).indexOf(self.vm());
-    return rank < 0 ? MAX_TAKEOVER_CANDIDATES : rank;
-  }
-
   private void takeOverIfOrphan(StoredOwner orphan) {
     boolean isKnownTakenOver =
         registry
--- a/amaranthstream/src/main/java/org/amaranthstream/platform/SimulatedStore.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/platform/SimulatedStore.java
@@ -27,6 +27,8 @@
   private long nextLease = 100;
   private int calls;
 
+  private final Map<String, Integer> listings = new HashMap<>();
+
   private record Item(KvEntry entry, Optional<LeaseId> lease) {}
 
   private static final class Lease {
@@ -44,6 +46,11 @@
     return new SimulatedStoreClient(this, timers);
   }
 
+  /** Returns how often the entries with {@code prefix} were listed. */
+  public int listings(String prefix) {
+    return listings.getOrDefault(prefix, 0);
+  }
+
   /** Returns the number of calls that reached the store. */
   public int calls() {
     return calls;
@@ -97,6 +104,7 @@
   }
 
   KvPage range(String prefix, String after, int pageSize) {
+    listings.merge(prefix, 1, Integer::sum);
     ImmutableList.Builder<KvEntry> page = ImmutableList.builder();
     int taken = 0;
     for (Item item : items.tailMap(after.isEmpty() ? prefix : after, after.isEmpty()).values()) {
--- a/amaranthstream/src/test/java/org/amaranthstream/fleet/RelayingStoreTest.java
+++ b/amaranthstream/src/test/java/org/amaranthstream/fleet/RelayingStoreTest.java
@@ -5,8 +5,11 @@
 
 import com.google.common.collect.ImmutableList;
 import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
+import java.util.stream.IntStream;
 import org.amaranthstream.fleet.wire.StoreAnswer;
 import org.amaranthstream.ids.EntryVmId;
 import org.amaranthstream.ids.Revision;
@@ -41,6 +44,8 @@
   private final RelayingStore store = RelayingStore.create(direct, monitor);
   private boolean isPeerLinkLost;
   private int relayed;
+  private final List<EntryVmId> asked = new ArrayList<>();
+  private ImmutableList<EntryVmId> others = ImmutableList.of(PEER);
 
   @BeforeEach
   void attach() {
@@ -48,13 +53,14 @@
         new RelayingStore.PeerStoreClient() {
           @Override
           public ImmutableList<EntryVmId> others() {
-            return ImmutableList.of(PEER);
+            return others;
           }
 
           @Override
           public CompletableFuture<Result<byte[]>> call(
               EntryVmId vm, byte[] call, Duration timeout) {
             relayed++;
+            asked.add(vm);
             return isPeerLinkLost
                 ? CompletableFuture.completedFuture(
                     Result.failure(ResultCode.OUTCOME_UNKNOWN_PEER_LOST, "lost"))
@@ -72,6 +78,25 @@
     return Transaction.builder().expectAbsent(key).put(key, "v".getBytes(UTF_8)).build();
   }
 
+  /** A third of the daemons are rejected by the store, so the first peers may all be among them. */
+  @Nested
+  class ManyPeers {
+    @Test
+    void areTriedInTurnUntilOneReachesTheStore() {
+      others =
+          IntStream.range(0, 9)
+              .mapToObj(i -> EntryVmId.of("vm-" + i))
+              .collect(ImmutableList.toImmutableList());
+      direct.setRefused(true);
+      isPeerStoreUnavailable = true;
+      for (int i = 0; i < 3; i++) {
+        await(store.transact(create("a")));
+      }
+
+      assertThat(asked).containsAtLeastElementsIn(others);
+    }
+  }
+
   @Nested
   class StoreReachable {
     @Test
--- a/amaranthstream/src/test/java/org/amaranthstream/jobs/JobTakeoverTest.java
+++ b/amaranthstream/src/test/java/org/amaranthstream/jobs/JobTakeoverTest.java
@@ -5,6 +5,7 @@
 import com.google.common.collect.ImmutableList;
 import java.time.Duration;
 import java.util.List;
+import org.amaranthstream.ids.EntryVmId;
 import org.amaranthstream.ids.ItemId;
 import org.junit.jupiter.api.Test;
 
@@ -60,6 +61,50 @@
     assertAllComplete(step, fleet.read(fleet.runningNodes().get(0), step.id()));
   }
 
+  /** With a read by each daemon, the reads after many losses grow with the square of the fleet. */
+  @Test
+  void onlyTheCandidatesReadTheJobsAfterALoss() {
+    for (int i = 3; i <= 15; i++) {
+      fleet.start("vm-" + i);
+    }
+    fleet.run(Duration.ofSeconds(12));
+    fleet.addServer("s1", 4, 1);
+    fleet.addServer("s2", 4, 1);
+    submit(first, job);
+    int before = fleet.store().listings(JobKeys.OWNERS);
+    first.kill();
+    fleet.run(Duration.ofSeconds(15));
+
+    int candidates = 3;
+    int backstopSweeps = 3 * candidates;
+    assertThat(fleet.store().listings(JobKeys.OWNERS) - before)
+        .isAtMost(candidates + backstopSweeps);
+    assertAllComplete(job, fleet.read(second, JOB));
+  }
+
+  /** The candidates are lost in the same moment as the owner, so nobody is left to act at once. */
+  @Test
+  void jobIsTakenOverIfItsCandidatesAreLostAsWell() {
+    for (int i = 3; i <= 8; i++) {
+      fleet.start("vm-" + i);
+    }
+    fleet.run(Duration.ofSeconds(3));
+    fleet.addServer("s1", 4, 1);
+    fleet.addServer("s2", 4, 1);
+    submit(first, job);
+    List<EntryVmId> candidates =
+        TakeoverCandidates.of(
+            EntryVmId.of("vm-1"),
+            fleet.runningNodes().stream().map(node -> EntryVmId.of(node.name())).toList());
+    fleet.runningNodes().stream()
+        .filter(node -> candidates.contains(EntryVmId.of(node.name())))
+        .forEach(JobFleet.Node::kill);
+    first.kill();
+    fleet.run(Duration.ofSeconds(20));
+
+    assertAllComplete(job, fleet.read(fleet.runningNodes().get(0), JOB));
+  }
+
   /** Each owner saves the texts anew from the start before it is killed in turn. */
   @Test
   void checkpointsSurviveSeveralOwners() {
