Keep links between relays, and from each daemon to the relays of its zone

Cause: each daemon kept a link to every daemon of its zone and to two of each other zone: 22 outbound links for 80 daemons in 6 zones, each with a handshake at the start and after each restart, and a heartbeat every 2 s.

Change: RelayLinks. The relays of a zone link to all daemons of their zone and to the relays of the other zones, any other daemon to the relays of its zone; links to others open for a query, as before. PeerNode takes a LinkSelection; serve keeps the selection of its membership table.

Found by PeerLinkFaultsTest while changing it: a link to a known target must take over a changed address.

Before and after, by RelayLinksTest: at most 16 links a daemon on average at 300 daemons, and two for all but relays. Tests of peer, membership and the links passed.

--- a/amaranthstream/src/main/java/org/amaranthstream/fleet/FleetLinks.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/fleet/FleetLinks.java
@@ -55,6 +55,7 @@
   private final FleetHeartbeatState heartbeatState;
   private final Map<QueryKind, QueryHandler> handlers = new EnumMap<>(QueryKind.class);
   private Optional<ImmutableList<EntryVmId>> others = Optional.empty();
+  private Optional<ImmutableList<EntryVmId>> linkTargets = Optional.empty();
   private @Nullable MembershipTable table;
   private @Nullable PeerNode node;
 
@@ -112,6 +113,7 @@
             .decisions(duty)
             .source(heartbeatState)
             .sink(heartbeatState)
+            .links(this::linkTargets)
             .build();
     handlers.forEach(node.queries()::register);
     Result<Integer> port = node.start(NoForwardedWork.INSTANCE);
@@ -140,6 +142,7 @@
   @Override
   public void onNodeJoined(FleetNode joined) {
     others = Optional.empty();
+    linkTargets = Optional.empty();
     update();
   }
 
@@ -166,6 +169,13 @@
         false);
   }
 
+  private ImmutableList<EntryVmId> linkTargets() {
+    if (linkTargets.isEmpty()) {
+      linkTargets = Optional.of(RelayLinks.targets(self, fleet.nodes()));
+    }
+    return linkTargets.get();
+  }
+
   /** Passes on to the daemons of the zone that a backend server is leaving. */
   public void onServerLeaving(TrackedServer server) {
     if (table != null) {
@@ -201,6 +211,7 @@
   @Override
   public void onNodeLost(FleetNode lost) {
     others = Optional.empty();
+    linkTargets = Optional.empty();
   }
 
   @Override
--- a/amaranthstream/src/main/java/org/amaranthstream/membership/MembershipTable.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/membership/MembershipTable.java
@@ -275,12 +275,13 @@
    * Returns the entry VMs that the local daemon keeps links to: all of the local zone and a few of
    * each other zone.
    */
-  public ImmutableList<EntryVmView> linkTargets() {
-    ImmutableList.Builder<EntryVmView> targets = ImmutableList.builder();
+  public ImmutableList<EntryVmId> linkTargets() {
+    ImmutableList.Builder<EntryVmId> targets = ImmutableList.builder();
     entryVms.views(self.zone(), nowNanos).stream()
         .filter(EntryVmView::listed)
+        .map(EntryVmView::id)
         .forEach(targets::add);
-    crossZone.targets().forEach(vm -> entryVm(vm).ifPresent(targets::add));
+    targets.addAll(crossZone.targets());
     return targets.build();
   }
 
--- a/amaranthstream/src/main/java/org/amaranthstream/peer/PeerLinks.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/peer/PeerLinks.java
@@ -16,7 +16,7 @@
 import org.jspecify.annotations.Nullable;
 
 /**
- * Outbound links: those that the membership table requires, and others that are closed one minute
+ * Outbound links: those that the link selection requires, and others that are closed one minute
  * after their last use.
  *
  * <p>Used on the decision thread only.
@@ -26,6 +26,7 @@
   private static final int MAX_LINKS = 512;
 
   private final MembershipTable table;
+  private final LinkSelection selection;
   private final PeerConnector connector;
   private final PeerLinkSettings settings;
   private final TimerService timers;
@@ -36,12 +37,14 @@
 
   PeerLinks(
       MembershipTable table,
+      LinkSelection selection,
       PeerConnector connector,
       PeerLinkSettings settings,
       TimerService timers,
       Duty decisions,
       LinkListener listener) {
     this.table = table;
+    this.selection = selection;
     this.connector = connector;
     this.settings = settings;
     this.timers = timers;
@@ -52,9 +55,9 @@
   /** Opens the required links, closes unused ones and applies the timeouts of the others. */
   void tick() {
     Set<EntryVmId> required = new HashSet<>();
-    for (EntryVmView vm : table.linkTargets()) {
-      required.add(vm.id());
-      getOrOpen(vm);
+    for (EntryVmId vm : selection.targets()) {
+      required.add(vm);
+      table.entryVm(vm).ifPresent(this::openOrUpdate);
     }
     for (PeerLink link : List.copyOf(links.values())) {
       boolean unused = link.unusedDuration().compareTo(UNUSED_TIMEOUT) >= 0;
@@ -73,10 +76,11 @@
     if (existing != null) {
       return Optional.of(existing);
     }
-    return table.entryVm(vm).map(this::getOrOpen);
+    return table.entryVm(vm).map(this::openOrUpdate);
   }
 
-  private @Nullable PeerLink getOrOpen(EntryVmView vm) {
+  /** Opens the link to {@code vm}, or sets the address of the existing link. */
+  private @Nullable PeerLink openOrUpdate(EntryVmView vm) {
     PeerLink link = links.get(vm.id());
     if (vm.host().isEmpty() || (link == null && links.size() >= MAX_LINKS)) {
       return link;
--- a/amaranthstream/src/main/java/org/amaranthstream/peer/PeerNode.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/peer/PeerNode.java
@@ -76,7 +76,14 @@
     this.heartbeats = new HeartbeatExchange(self, table, source, sink, timers);
     this.inbound = new InboundLinks(settings, timers, decisions, new InboundFrameHandler());
     this.links =
-        new PeerLinks(table, connector, settings, timers, decisions, new OutboundFrameHandler());
+        new PeerLinks(
+            table,
+            builder.links == null ? table::linkTargets : builder.links,
+            connector,
+            settings,
+            timers,
+            decisions,
+            new OutboundFrameHandler());
     this.queries = new PeerQueryClient(self, links, handlers, settings, timers, decisions);
     this.queryServer = new QueryServer(handlers, decisions);
     this.forwarder = new PeerForwarder(table, links, timers);
@@ -262,7 +269,7 @@
     }
   }
 
-  /** Builder of {@link PeerNode}. All properties are required. */
+  /** Builder of {@link PeerNode}. All properties but the link selection are required. */
   public static final class Builder {
     private @Nullable LocalVm self;
     private @Nullable PeerLinkSettings settings;
@@ -271,6 +278,7 @@
     private @Nullable Duty decisions;
     private @Nullable HeartbeatSource source;
     private @Nullable HeartbeatSink sink;
+    private @Nullable LinkSelection links;
 
     private Builder() {}
 
@@ -323,6 +331,13 @@
       return this;
     }
 
+    /** Sets the links to keep open instead of those that the membership table selects. */
+    @CanIgnoreReturnValue
+    public Builder links(LinkSelection links) {
+      this.links = links;
+      return this;
+    }
+
     /**
      * Returns the node, which is not started yet.
      *
