--- a/amaranthstream/src/test/java/org/amaranthstream/fleet/RelayLinksTest.java
+++ b/amaranthstream/src/test/java/org/amaranthstream/fleet/RelayLinksTest.java
@@ -35,7 +35,7 @@
   }
 
   @Test
-  void growInProportionToTheDaemonsOfAZone() {
+  void growInProportionToTheDaemonsOfZone() {
     int small = links(fleet(6, 10));
     int large = links(fleet(6, 50));
 
@@ -44,7 +44,7 @@
   }
 
   @Test
-  void ofADaemonThatIsNoRelayAreTwo() {
+  void ofDaemonThatIsNoRelayAreTwo() {
     List<FleetNode> fleet = fleet(6, 14);
     List<FleetNode> withTwo =
         fleet.stream().filter(node -> RelayLinks.targets(node, fleet).size() == 2).toList();
@@ -71,7 +71,7 @@
   }
 
   @Test
-  void ofASingleDaemonAreNone() {
+  void ofSingleDaemonAreNone() {
     List<FleetNode> fleet = fleet(1, 1);
 
     assertThat(RelayLinks.targets(fleet.get(0), fleet)).isEmpty();
--- a/amaranthstream/src/test/java/org/amaranthstream/fleet/ZoneWatchStoreTest.java
+++ b/amaranthstream/src/test/java/org/amaranthstream/fleet/ZoneWatchStoreTest.java
@@ -40,7 +40,7 @@
      * minute depend on the number of zones only.
      */
     @Test
-    void ofAQuietMinuteDoNotGrowWithTheDaemonsOfAZone() {
+    void ofQuietMinuteDoNotGrowWithTheDaemonsOfZone() {
       ZoneWatchFixture small = started(3, 4);
       ZoneWatchFixture large = started(3, 20);
       long renewalsSmall = Math.round(12 / 0.9);
@@ -53,7 +53,7 @@
     }
 
     @Test
-    void ofAChangeAreMadeByRelaysOnly() {
+    void ofChangeAreMadeByRelaysOnly() {
       ZoneWatchFixture fleet = started(2, 15);
       long quiet = callsPerSecondAndDaemon(fleet);
       int before = fleet.store().calls();
@@ -125,7 +125,7 @@
     }
 
     @Test
-    void reachesAFollowerThatIsCutOffFromTheStore() {
+    void reachesFollowerThatIsCutOffFromTheStore() {
       ZoneWatchFixture.Node follower = fleet.followers().get(0);
       follower.store().setSilent(true);
 
@@ -133,7 +133,7 @@
     }
 
     @Test
-    void includesChangesOfTheTimeInWhichADaemonWasSuspended() {
+    void includesChangesOfTheTimeInWhichDaemonWasSuspended() {
       ZoneWatchFixture.Node follower = fleet.followers().get(0);
       follower.pause();
       fleet.write(2);
--- a/amaranthstream/src/test/java/org/amaranthstream/jobs/JobRewardTest.java
+++ b/amaranthstream/src/test/java/org/amaranthstream/jobs/JobRewardTest.java
@@ -98,7 +98,7 @@
   @Nested
   class Submissions {
     @Test
-    void areRejectedAsAWholeIfARewardCallHasNoRoute() {
+    void areRejectedAsWholeIfRewardCallHasNoRoute() {
       ItemSpec item = JobFleet.job("job", 1, 5, 5).items().get(1);
       JobSpec job =
           JobFleet.withItems(
@@ -140,7 +140,7 @@
 
     /** Only failures that the service itself reports may end an item before its timeout. */
     @Test
-    void withoutAResponseOfTheServiceAreRepeatedUntilItResponds() {
+    void withoutResponseOfTheServiceAreRepeatedUntilItResponds() {
       fleet.rewards().setOutcome("job-0", new RewardOutcome.Broken("not a response"));
       submit(first, job);
       fleet.run(Duration.ofSeconds(10));
@@ -163,7 +163,7 @@
 
     /** A slow service gets more time with each repetition, so that its work is not wasted. */
     @Test
-    void ofASlowServiceEndOnceItsResponsesFitTheGrowingTimeout() {
+    void ofSlowServiceEndOnceItsResponsesFitTheGrowingTimeout() {
       fleet.rewards().setResponseDelay(Duration.ofMillis(1_200));
       submit(first, job);
       fleet.run(Duration.ofSeconds(5));
@@ -267,7 +267,7 @@
     }
 
     @Test
-    void neverChangesAListedScore() {
+    void neverChangesListedScore() {
       submit(first, job);
       fleet.run(Duration.ofSeconds(3));
       ImmutableList<ItemResult> before = fleet.read(first, JOB);
--- a/amaranthstream/src/test/java/org/amaranthstream/jobs/JobTakeoverTest.java
+++ b/amaranthstream/src/test/java/org/amaranthstream/jobs/JobTakeoverTest.java
@@ -63,7 +63,7 @@
 
   /** With a read by each daemon, the reads after many losses grow with the square of the fleet. */
   @Test
-  void onlyTheCandidatesReadTheJobsAfterALoss() {
+  void onlyTheCandidatesReadTheJobsAfterLoss() {
     for (int i = 3; i <= 15; i++) {
       fleet.start("vm-" + i);
     }
--- a/amaranthstream/src/test/java/org/amaranthstream/jobs/RewardCallPolicyTest.java
+++ b/amaranthstream/src/test/java/org/amaranthstream/jobs/RewardCallPolicyTest.java
@@ -45,7 +45,7 @@
     }
 
     @Test
-    void isZeroWithoutAServer() {
+    void isZeroWithoutServer() {
       assertThat(RewardCallPolicy.maxConcurrent(servers())).isEqualTo(0);
     }
   }
--- a/amaranthstream/src/test/java/org/amaranthstream/jobs/TakeoverCandidatesTest.java
+++ b/amaranthstream/src/test/java/org/amaranthstream/jobs/TakeoverCandidatesTest.java
@@ -16,7 +16,7 @@
       IntStream.range(0, 80).mapToObj(i -> EntryVmId.of("vm-" + i)).toList();
 
   @Test
-  void areThreeOfALargeFleet() {
+  void areThreeOfLargeFleet() {
     assertThat(TakeoverCandidates.of(EntryVmId.of("lost"), FLEET)).hasSize(3);
   }
 
@@ -41,7 +41,7 @@
   }
 
   @Test
-  void areAllDaemonsOfASmallFleet() {
+  void areAllDaemonsOfSmallFleet() {
     ImmutableList<EntryVmId> two = ImmutableList.copyOf(FLEET.subList(0, 2));
 
     assertThat(TakeoverCandidates.of(EntryVmId.of("lost"), two)).containsExactlyElementsIn(two);
--- a/amaranthstream/src/test/java/org/amaranthstream/servers/ServerDirectoryTest.java
+++ b/amaranthstream/src/test/java/org/amaranthstream/servers/ServerDirectoryTest.java
@@ -128,7 +128,7 @@
     }
 
     @Test
-    void areNotAvailableIfAPeerReportsIt() {
+    void areNotAvailableIfPeerReportsIt() {
       directory.onRegistration(registration);
       directory.onLeavingReported(registration.id(), 1);
 
@@ -136,7 +136,7 @@
     }
 
     @Test
-    void areNotAvailableIfAPeerReportedItBeforeTheirRegistrationWasRead() {
+    void areNotAvailableIfPeerReportedItBeforeTheirRegistrationWasRead() {
       directory.onLeavingReported(registration.id(), 1);
       directory.onRegistration(registration);
 
