--- a/amaranthstream/src/main/java/org/amaranthstream/fleet/WatchRelay.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/fleet/WatchRelay.java
@@ -22,7 +22,7 @@
  * Relay of this daemon's watches of the store to the daemons of its zone. They ask for the changes
  * after a revision, and the answer waits until there are some.
  *
- * <p>If the daemon stops to watch a prefix, or loses the store, the waiting daemons get a failure
+ * <p>If the daemon stops watching a prefix, or loses the store, the waiting daemons get a failure
  * at once, so that they can watch the store themselves. Not thread safe: used on the thread of its
  * timers.
  */
@@ -61,7 +61,7 @@
     }
   }
 
-  /** Stops to relay a prefix, because this daemon does not watch it itself any more. */
+  /** Stops relaying a prefix, because this daemon does not watch it itself any more. */
   void close(String prefix) {
     WatchHistory history = histories.remove(prefix);
     if (history != null) {
--- a/amaranthstream/src/main/java/org/amaranthstream/jobs/JobOwnershipManager.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/jobs/JobOwnershipManager.java
@@ -44,11 +44,12 @@
   private static final Duration ENDED_JOB_TAKEOVER_DELAY = Duration.ofSeconds(20);
 
   /**
-   * Interval at which one daemon sweeps for jobs that no candidate has taken over, because all
+   * Interval at which three daemons sweep for jobs that no candidate has taken over, because all
    * candidates were lost or cut off as well.
    */
   private static final Duration BACKSTOP_INTERVAL = Duration.ofSeconds(5);
 
+  /** Name, not of a VM, that selects the daemons which sweep for all others. */
   private static final EntryVmId BACKSTOP = EntryVmId.of("backstop");
 
   private static final Duration TAKEOVER_TIMEOUT = Duration.ofSeconds(5);
--- a/amaranthstream/src/main/java/org/amaranthstream/jobs/RewardCallPolicy.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/jobs/RewardCallPolicy.java
@@ -11,10 +11,10 @@
  *
  * <p>The methods are pure functions. They are made for a service that also handles lookups of
  * callers, while the items of a group end within a short time, so that many reward calls become
- * ready at once. Half of the slots stay free for lookups, which have shorter latency objectives. A
- * call that its server does not answer is repeated at another one after a short timeout, because a
- * step waits for it; the timeout grows with each repetition, so that a service that is slow
- * throughout is not loaded with calls that it cannot finish.
+ * ready at once. A daemon uses at most half of the slots, so that lookups, which have shorter
+ * latency objectives, find free ones. A call that its server does not answer is repeated at another
+ * one after a short timeout, because a step waits for it; the timeout grows with each repetition,
+ * so that a service that is slow throughout is not loaded with calls that it cannot finish.
  */
 final class RewardCallPolicy {
   private static final int OBJECTIVES_PER_FIRST_TIMEOUT = 2;
--- a/amaranthstream/src/main/java/org/amaranthstream/jobs/RewardScheduler.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/jobs/RewardScheduler.java
@@ -108,6 +108,7 @@
     return item.spec().rewardCall().flatMap(call -> config.find(call.host(), call.path()));
   }
 
+  /** Starts the calls of one job; {@code running} counts the calls of each route. */
   private void scheduleJob(
       RoutingConfig config, OwnedJob job, Map<RouteId, Integer> running, long now) {
     Optional<Route> batchRoute =
