Log the content of calls whose connection broke, and move the quarantine to a package of its own

The digest is the fingerprint of the product's own dispatcher. Fingerprint, Crash, PoisonNotice and PoisonRegistry move from dispatch to quarantine, below calls; their behaviour and the digests of work are unchanged.

Checked: tests of dispatch, quarantine, peer forwarding and import directions.

--- a/amaranthstream/src/main/java/org/amaranthstream/calls/ActiveCall.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/calls/ActiveCall.java
@@ -31,6 +31,7 @@
   private final CallService service;
   private final CallPolicy policy;
   private final OutboundCall call;
+  private final CallContent content;
   private final List<TrackedServer> servers;
   private final CallerExchange exchange;
   private final long deadlineNanos;
@@ -50,12 +51,14 @@
       CallService service,
       CallPolicy policy,
       OutboundCall call,
+      CallContent content,
       List<TrackedServer> servers,
       Duration timeLeft,
       CallerExchange exchange) {
     this.service = service;
     this.policy = policy;
     this.call = call;
+    this.content = content;
     this.servers = servers;
     this.exchange = exchange;
     this.deadlineNanos = service.timers().nowNanos() + timeLeft.toNanos();
@@ -168,8 +171,9 @@
   void onFailed(CallAttempt attempt, AttemptFailure failure) {
     running.remove(attempt);
     lastFailure = attempt.serverId() + ": " + failure;
-    if (failure instanceof AttemptFailure.Broken) {
+    if (failure instanceof AttemptFailure.Broken broken) {
       mayHaveRun = true;
+      logBroken(attempt, broken);
     } else {
       countedAttempts--;
       refusals++;
@@ -182,6 +186,16 @@
     attemptNext();
   }
 
+  private void logBroken(CallAttempt attempt, AttemptFailure.Broken broken) {
+    logger.atInfo().log(
+        "event=call_broken request=%s server=%s started=%d content=%s reason=\"%s\"",
+        call.id(),
+        attempt.serverId(),
+        attempt.serverStartMillis(),
+        content.fingerprint(),
+        broken.reason());
+  }
+
   private void giveUp() {
     if (lastErrorResponse != null) {
       exchange.sendResponse(lastErrorResponse.head(), lastErrorResponse.body());
--- a/amaranthstream/src/main/java/org/amaranthstream/calls/CallAttempt.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/calls/CallAttempt.java
@@ -32,6 +32,11 @@
     return server.id();
   }
 
+  /** Returns the start time of the server's incarnation in Unix milliseconds. */
+  long serverStartMillis() {
+    return server.registration().startMillis();
+  }
+
   ResponseHead head() {
     if (head == null) {
       throw new IllegalStateException("the head of the response has not arrived yet");
--- a/amaranthstream/src/main/java/org/amaranthstream/calls/CallService.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/calls/CallService.java
@@ -79,7 +79,8 @@
       CallerExchange exchange) {
     Duration time = timeLeft.compareTo(route.timeout()) < 0 ? timeLeft : route.timeout();
     List<TrackedServer> servers = directory.available(chooseService(route).service());
-    ActiveCall activeCall = new ActiveCall(this, policy, call, servers, time, exchange);
+    CallContent content = new CallContent(route.host(), call);
+    ActiveCall activeCall = new ActiveCall(this, policy, call, content, servers, time, exchange);
     active.add(activeCall);
     exchange.onCallerDisconnected(activeCall::cancel);
     activeCall.start();
--- a/amaranthstream/src/main/java/org/amaranthstream/dispatch/ActiveRequest.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/dispatch/ActiveRequest.java
@@ -6,6 +6,7 @@
 import org.amaranthstream.admission.Priority;
 import org.amaranthstream.ids.AvailabilityZoneId;
 import org.amaranthstream.ids.BackendServerId;
+import org.amaranthstream.quarantine.Fingerprint;
 import org.amaranthstream.result.ErrorDetail;
 import org.amaranthstream.time.Subscription;
 import org.jspecify.annotations.Nullable;
@@ -54,7 +55,7 @@
     this.listener = listener;
     this.arrival = arrival;
     this.partial = new PartialResponse(work, listener);
-    this.fingerprint = Fingerprint.of(work);
+    this.fingerprint = WorkFingerprints.of(work);
   }
 
   @Override
--- a/amaranthstream/src/main/java/org/amaranthstream/dispatch/CandidateFinder.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/dispatch/CandidateFinder.java
@@ -9,6 +9,8 @@
 import org.amaranthstream.membership.LoadReport;
 import org.amaranthstream.placement.Candidate;
 import org.amaranthstream.placement.ServerHealth.State;
+import org.amaranthstream.quarantine.Fingerprint;
+import org.amaranthstream.quarantine.PoisonRegistry;
 
 /**
  * Finder of the servers and availability zones that can run a request.
--- a/amaranthstream/src/main/java/org/amaranthstream/dispatch/DispatchContext.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/dispatch/DispatchContext.java
@@ -2,6 +2,7 @@
 
 import org.amaranthstream.membership.BackendDirectory;
 import org.amaranthstream.placement.LinkBudget;
+import org.amaranthstream.quarantine.PoisonRegistry;
 
 /** The tables, estimates and helpers that the components of one dispatcher share. */
 record DispatchContext(
--- a/amaranthstream/src/main/java/org/amaranthstream/dispatch/Dispatcher.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/dispatch/Dispatcher.java
@@ -14,6 +14,7 @@
 import org.amaranthstream.ids.PoolId;
 import org.amaranthstream.ids.RequestId;
 import org.amaranthstream.placement.Candidate;
+import org.amaranthstream.quarantine.PoisonRegistry;
 import org.amaranthstream.result.ErrorDetail;
 import org.amaranthstream.result.ResultCode;
 import org.amaranthstream.time.Subscription;
--- a/amaranthstream/src/main/java/org/amaranthstream/dispatch/ServerAttempt.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/dispatch/ServerAttempt.java
@@ -3,6 +3,7 @@
 import java.util.Optional;
 import org.amaranthstream.ids.AttemptId;
 import org.amaranthstream.ids.Incarnation;
+import org.amaranthstream.quarantine.Crash;
 import org.jspecify.annotations.Nullable;
 
 /**
--- a/amaranthstream/src/main/java/org/amaranthstream/dispatch/ServerAttempts.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/dispatch/ServerAttempts.java
@@ -7,6 +7,8 @@
 import java.util.function.Predicate;
 import org.amaranthstream.ids.AttemptId;
 import org.amaranthstream.ids.Incarnation;
+import org.amaranthstream.quarantine.Crash;
+import org.amaranthstream.quarantine.PoisonRegistry;
 import org.amaranthstream.result.ResultCode;
 import org.amaranthstream.time.TimerService;
 
--- a/amaranthstream/src/main/java/org/amaranthstream/dispatch/ServerState.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/dispatch/ServerState.java
@@ -9,6 +9,7 @@
 import org.amaranthstream.membership.LoadReport;
 import org.amaranthstream.placement.ConcurrencyLimit;
 import org.amaranthstream.placement.ServerHealth;
+import org.amaranthstream.quarantine.Crash;
 import org.jspecify.annotations.Nullable;
 
 /** This daemon's state of one backend server. Used on the decision thread only. */
--- a/amaranthstream/src/main/java/org/amaranthstream/peer/HeartbeatSink.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/peer/HeartbeatSink.java
@@ -1,11 +1,11 @@
 package org.amaranthstream.peer;
 
-import org.amaranthstream.dispatch.PoisonNotice;
 import org.amaranthstream.ids.ConfigGeneration;
 import org.amaranthstream.ids.EntryVmId;
 import org.amaranthstream.ids.ModelId;
 import org.amaranthstream.ids.WeightVersion;
 import org.amaranthstream.membership.LeavingServer;
+import org.amaranthstream.quarantine.PoisonNotice;
 
 /** Receiver of the heartbeat content besides membership. Called on the decision thread. */
 public interface HeartbeatSink {
--- a/amaranthstream/src/main/java/org/amaranthstream/peer/HeartbeatSource.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/peer/HeartbeatSource.java
@@ -2,11 +2,11 @@
 
 import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableMap;
-import org.amaranthstream.dispatch.PoisonNotice;
 import org.amaranthstream.ids.ConfigGeneration;
 import org.amaranthstream.ids.ModelId;
 import org.amaranthstream.ids.PoolId;
 import org.amaranthstream.ids.WeightVersion;
+import org.amaranthstream.quarantine.PoisonNotice;
 
 /** Source of the heartbeat content besides membership. Called on the decision thread. */
 public interface HeartbeatSource {
--- a/amaranthstream/src/main/java/org/amaranthstream/peer/PoisonCodec.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/peer/PoisonCodec.java
@@ -2,13 +2,13 @@
 
 import com.google.common.collect.ImmutableSet;
 import java.util.Optional;
-import org.amaranthstream.dispatch.Crash;
-import org.amaranthstream.dispatch.Fingerprint;
-import org.amaranthstream.dispatch.PoisonNotice;
 import org.amaranthstream.ids.BackendServerId;
 import org.amaranthstream.ids.Incarnation;
 import org.amaranthstream.peer.wire.PoisonContent;
 import org.amaranthstream.peer.wire.ServerCrash;
+import org.amaranthstream.quarantine.Crash;
+import org.amaranthstream.quarantine.Fingerprint;
+import org.amaranthstream.quarantine.PoisonNotice;
 
 /** Codec of notices about content that was in flight when backend servers crashed. */
 final class PoisonCodec {
--- a/amaranthstream/src/main/java/org/amaranthstream/dispatch/Crash.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/quarantine/Crash.java
@@ -1,4 +1,4 @@
-package org.amaranthstream.dispatch;
+package org.amaranthstream.quarantine;
 
 import java.util.Optional;
 import org.amaranthstream.ids.BackendServerId;
--- a/amaranthstream/src/main/java/org/amaranthstream/dispatch/Fingerprint.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/quarantine/Fingerprint.java
@@ -1,4 +1,4 @@
-package org.amaranthstream.dispatch;
+package org.amaranthstream.quarantine;
 
 import static com.google.common.base.Preconditions.checkArgument;
 
@@ -15,6 +15,7 @@
  */
 public record Fingerprint(String value) {
   private static final int LENGTH_CHARS = 32;
+  private static final byte SEPARATOR = 0;
 
   /**
    * Creates a fingerprint.
@@ -25,17 +26,22 @@
     checkArgument(value.length() == LENGTH_CHARS, "fingerprint must have 32 characters: %s", value);
   }
 
-  /** Returns the fingerprint of the pool and payload of {@code work}. */
-  public static Fingerprint of(Work work) {
-    Hasher hasher = Hashing.sha256().newHasher();
-    hasher.putString(work.pool().value(), StandardCharsets.UTF_8).putByte((byte) 0);
-    if (work.payload() instanceof Payload.Generate generate) {
-      hasher.putString(generate.prompt(), StandardCharsets.UTF_8);
-    } else {
-      Payload.Call call = (Payload.Call) work.payload();
-      hasher.putString(call.path(), StandardCharsets.UTF_8).putByte((byte) 0);
-      hasher.putBytes(call.body());
-    }
+  /** Returns the fingerprint of a generation with {@code prompt} in {@code pool}. */
+  public static Fingerprint ofPrompt(String pool, String prompt) {
+    return of(hasherFor(pool).putString(prompt, StandardCharsets.UTF_8));
+  }
+
+  /** Returns the fingerprint of a call of {@code path} with {@code body} in {@code pool}. */
+  public static Fingerprint ofCall(String pool, String path, byte[] body) {
+    Hasher hasher = hasherFor(pool).putString(path, StandardCharsets.UTF_8).putByte(SEPARATOR);
+    return of(hasher.putBytes(body));
+  }
+
+  private static Hasher hasherFor(String pool) {
+    return Hashing.sha256().newHasher().putString(pool, StandardCharsets.UTF_8).putByte(SEPARATOR);
+  }
+
+  private static Fingerprint of(Hasher hasher) {
     return new Fingerprint(hasher.hash().toString().substring(0, LENGTH_CHARS));
   }
 
--- a/amaranthstream/src/main/java/org/amaranthstream/dispatch/PoisonNotice.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/quarantine/PoisonNotice.java
@@ -1,4 +1,4 @@
-package org.amaranthstream.dispatch;
+package org.amaranthstream.quarantine;
 
 import com.google.common.collect.ImmutableSet;
 import java.time.Duration;
--- /dev/null
+++ b/amaranthstream/src/main/java/org/amaranthstream/quarantine/package-info.java
@@ -0,0 +1,2 @@
+/** Quarantine of content that was in flight when backend servers crashed. */
+package org.amaranthstream.quarantine;
--- a/amaranthstream/src/test/java/org/amaranthstream/ImportDirectionTest.java
+++ b/amaranthstream/src/test/java/org/amaranthstream/ImportDirectionTest.java
@@ -26,7 +26,7 @@
           ImmutableList.of("ids", "result", "time", "ring", "logs"),
           ImmutableList.of("yaml", "auth", "routing"),
           ImmutableList.of("platform", "config", "membership", "decisions", "settings"),
-          ImmutableList.of("admission", "placement", "servers", "calls"),
+          ImmutableList.of("admission", "placement", "servers", "calls", "quarantine"),
           ImmutableList.of("dispatch"),
           ImmutableList.of("peer", "rollout", "once", "idempotency", "weights"),
           ImmutableList.of("fleet"),
--- a/amaranthstream/src/test/java/org/amaranthstream/dispatch/InvariantChecker.java
+++ b/amaranthstream/src/test/java/org/amaranthstream/dispatch/InvariantChecker.java
@@ -85,7 +85,7 @@
     return fixture
         .dispatcher
         .poisonRegistry()
-        .isSuspect(Fingerprint.of(attempt.work), fixture.timers.nowNanos());
+        .isSuspect(WorkFingerprints.of(attempt.work), fixture.timers.nowNanos());
   }
 
   /** Checks the invariants that hold at any time. */
--- a/amaranthstream/src/test/java/org/amaranthstream/peer/TestNode.java
+++ b/amaranthstream/src/test/java/org/amaranthstream/peer/TestNode.java
@@ -5,7 +5,6 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
-import org.amaranthstream.dispatch.PoisonNotice;
 import org.amaranthstream.ids.AvailabilityZoneId;
 import org.amaranthstream.ids.ConfigGeneration;
 import org.amaranthstream.ids.EntryVmId;
@@ -19,6 +18,7 @@
 import org.amaranthstream.membership.MembershipTable;
 import org.amaranthstream.platform.VmEntry;
 import org.amaranthstream.platform.VmKind;
+import org.amaranthstream.quarantine.PoisonNotice;
 import org.amaranthstream.result.Result;
 import org.amaranthstream.time.VirtualTimerService;
 
--- a/amaranthstream/src/test/java/org/amaranthstream/dispatch/PoisonRegistryTest.java
+++ b/amaranthstream/src/test/java/org/amaranthstream/quarantine/PoisonRegistryTest.java
@@ -1,4 +1,4 @@
-package org.amaranthstream.dispatch;
+package org.amaranthstream.quarantine;
 
 import static com.google.common.truth.Truth.assertThat;
 
