Quarantine content under which two backend servers crashed, also for forwarded calls

Class: a safeguard that one of two request paths lacks.

Change: the one registry serves both paths. A lost connection counts as a crash of the server's incarnation, until the incarnation responds to a later request. Content with one crash runs on one server at a time, without hedging, and on a server without another suspect if there is one; with crashes of two incarnations it is rejected at once with NOT_RUN_QUARANTINED, or with OUTCOME_UNKNOWN_BACKEND_LOST if this request itself may have run. Daemons announce each crash to their peers after 100 ms, relays pass it on, and a link that becomes ready carries the whole state, so that a restarted daemon knows it. Reward calls are owed to their items and are exempt.

--- a/amaranthstream/src/main/java/org/amaranthstream/calls/ActiveCall.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/calls/ActiveCall.java
@@ -65,6 +65,11 @@
   }
 
   void start() {
+    Optional<Duration> quarantine = content.remainingQuarantine();
+    if (quarantine.isPresent()) {
+      failQuarantined(quarantine.get());
+      return;
+    }
     timeout = service.timers().after(max(timeLeft(), Duration.ZERO), this::onTimeout);
     attemptNext();
   }
@@ -77,10 +82,16 @@
     return Duration.ofNanos(deadlineNanos - service.timers().nowNanos());
   }
 
-  /** Tries the next server. If there is none and no attempt is running, fails the request. */
+  /**
+   * Tries the next server. If there is none and no attempt is running, fails the request. Content
+   * that is suspected of crashing servers runs on one server at a time.
+   */
   private void attemptNext() {
+    if (!running.isEmpty() && content.isSuspect()) {
+      return;
+    }
     Optional<TrackedServer> server =
-        mayTryAnother() ? service.choose(servers, tried) : Optional.empty();
+        mayTryAnother() ? service.choose(servers, tried, content.isSuspect()) : Optional.empty();
     if (server.isPresent()) {
       attempt(server.get());
     } else if (running.isEmpty()) {
@@ -90,7 +101,14 @@
 
   private boolean mayTryAnother() {
     boolean isWithinLimits = countedAttempts < policy.maxAttempts() && refusals < MAX_REFUSALS;
-    return isWithinLimits && (policy.isRepeatable() || !mayHaveRun);
+    boolean mayRepeat = policy.isRepeatable() || !mayHaveRun;
+    return isWithinLimits && mayRepeat && content.remainingQuarantine().isEmpty();
+  }
+
+  /** Returns true if {@code server} runs this request and may crash because of it. */
+  boolean runsSuspectOn(TrackedServer server) {
+    boolean runs = running.stream().anyMatch(attempt -> attempt.isOn(server));
+    return runs && content.isSuspect();
   }
 
   private void attempt(TrackedServer server) {
@@ -146,6 +164,7 @@
   /** Handles an attempt whose buffered response is complete. */
   void onBufferedResponse(CallAttempt attempt) {
     running.remove(attempt);
+    content.onCompleted();
     if (attempt.head().isServerError() && policy.isRepeatable() && mayTryAnother()) {
       mayHaveRun = true;
       lastErrorResponse = attempt;
@@ -164,6 +183,7 @@
   /** Handles an attempt whose streamed response is complete. */
   void onStreamedResponse(CallAttempt attempt) {
     running.remove(attempt);
+    content.onCompleted();
     exchange.end();
     close(ResultCode.OK, "");
   }
@@ -171,13 +191,16 @@
   void onFailed(CallAttempt attempt, AttemptFailure failure) {
     running.remove(attempt);
     lastFailure = attempt.serverId() + ": " + failure;
-    if (failure instanceof AttemptFailure.Broken broken) {
+    if (failure.mayHaveRun()) {
       mayHaveRun = true;
-      logBroken(attempt, broken);
+      logBroken(attempt, failure);
     } else {
       countedAttempts--;
       refusals++;
     }
+    if (failure instanceof AttemptFailure.ConnectionLost) {
+      content.onConnectionLost(attempt.server());
+    }
     if (committed == attempt) {
       exchange.abort();
       close(ResultCode.OUTCOME_UNKNOWN_BACKEND_LOST, lastFailure);
@@ -186,27 +209,37 @@
     attemptNext();
   }
 
-  private void logBroken(CallAttempt attempt, AttemptFailure.Broken broken) {
+  private void logBroken(CallAttempt attempt, AttemptFailure failure) {
     logger.atInfo().log(
         "event=call_broken request=%s server=%s started=%d content=%s reason=\"%s\"",
         call.id(),
         attempt.serverId(),
-        attempt.serverStartMillis(),
-        content.fingerprint(),
-        broken.reason());
+        attempt.server().registration().startMillis(),
+        content.describe(),
+        failure);
   }
 
   private void giveUp() {
+    Optional<Duration> quarantine = content.remainingQuarantine();
     if (lastErrorResponse != null) {
       exchange.sendResponse(lastErrorResponse.head(), lastErrorResponse.body());
       close(ResultCode.BACKEND_FAILED, lastFailure);
     } else if (mayHaveRun) {
       fail(ResultCode.OUTCOME_UNKNOWN_BACKEND_LOST, lastFailure);
+    } else if (quarantine.isPresent()) {
+      failQuarantined(quarantine.get());
     } else {
       fail(ResultCode.NOT_RUN_NO_BACKEND, lastFailure);
     }
   }
 
+  private void failQuarantined(Duration remaining) {
+    fail(
+        ResultCode.NOT_RUN_QUARANTINED,
+        "this content was in flight at two crashes of backend servers",
+        remaining);
+  }
+
   private void onTimeout() {
     if (isOver) {
       return;
@@ -240,7 +273,11 @@
   }
 
   private void fail(ResultCode code, String message) {
-    exchange.fail(ErrorDetail.of(code, message), RetryAfterDelays.NO_SERVER);
+    fail(code, message, RetryAfterDelays.NO_SERVER);
+  }
+
+  private void fail(ResultCode code, String message, Duration retryAfter) {
+    exchange.fail(ErrorDetail.of(code, message), retryAfter);
     close(code, message);
   }
 
--- a/amaranthstream/src/main/java/org/amaranthstream/calls/AttemptFailure.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/calls/AttemptFailure.java
@@ -21,9 +21,22 @@
   record ServerReplaced() implements AttemptFailure {}
 
   /**
-   * The request may have run, and the response is missing or incomplete.
+   * The request may have run, and the connection was lost before the response was complete. The
+   * server may have crashed.
+   *
+   * @param reason the observed failure
+   */
+  record ConnectionLost(String reason) implements AttemptFailure {}
+
+  /**
+   * The request may have run, and the response is invalid.
    *
    * @param reason the observed failure
    */
   record Broken(String reason) implements AttemptFailure {}
+
+  /** Returns true if the server may have run the request. */
+  default boolean mayHaveRun() {
+    return this instanceof Broken || this instanceof ConnectionLost;
+  }
 }
--- a/amaranthstream/src/main/java/org/amaranthstream/calls/CallAttempt.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/calls/CallAttempt.java
@@ -16,6 +16,7 @@
   private final Buffer bufferedBody = Buffer.buffer();
   private CallTransport.@Nullable Attempt attempt;
   private @Nullable ResponseHead head;
+  private long sentNanos;
   private boolean isOver;
 
   CallAttempt(ActiveCall activeCall, TrackedServer server) {
@@ -25,6 +26,7 @@
 
   void start(CallTransport transport, OutboundCall call, Duration timeLeft) {
     server.onRequestSent();
+    sentNanos = activeCall.service().timers().nowNanos();
     attempt = transport.send(server, call, timeLeft, this);
   }
 
@@ -32,9 +34,12 @@
     return server.id();
   }
 
-  /** Returns the start time of the server's incarnation in Unix milliseconds. */
-  long serverStartMillis() {
-    return server.registration().startMillis();
+  TrackedServer server() {
+    return server;
+  }
+
+  boolean isOn(TrackedServer other) {
+    return server == other;
   }
 
   ResponseHead head() {
@@ -61,6 +66,7 @@
     }
     head = received;
     server.onResponse();
+    activeCall.service().crashes().onResponse(server, sentNanos);
     if (activeCall.shouldStream(this)) {
       startStreaming();
     }
@@ -118,6 +124,7 @@
     long now = activeCall.service().timers().nowNanos();
     if (failure instanceof AttemptFailure.NotRun) {
       server.onFull(now);
+      activeCall.service().crashes().onResponse(server, sentNanos);
     } else if (failure instanceof AttemptFailure.ServerReplaced) {
       activeCall.service().directory().onIncarnationReplaced(server);
     } else {
--- a/amaranthstream/src/main/java/org/amaranthstream/calls/CallContent.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/calls/CallContent.java
@@ -1,27 +1,27 @@
 package org.amaranthstream.calls;
 
-import org.amaranthstream.quarantine.Fingerprint;
-import org.jspecify.annotations.Nullable;
+import java.time.Duration;
+import java.util.Optional;
+import org.amaranthstream.servers.TrackedServer;
 
 /**
- * The content of one call: what is equal when a caller sends the same request again under a new
- * request id. The fingerprint is computed when it is first needed. Not thread safe.
+ * Content of one call, which decides whether servers that crash under it count against it. Must be
+ * used on one thread.
  */
-final class CallContent {
-  private final String host;
-  private final OutboundCall call;
-  private @Nullable Fingerprint fingerprint;
+interface CallContent {
 
-  CallContent(String host, OutboundCall call) {
-    this.host = host;
-    this.call = call;
-  }
+  /** Returns how long the content must not be sent to any server, empty if it may be sent. */
+  Optional<Duration> remainingQuarantine();
 
-  Fingerprint fingerprint() {
-    if (fingerprint == null) {
-      fingerprint =
-          Fingerprint.ofCall(host, call.method() + " " + call.uri(), call.body().getBytes());
-    }
-    return fingerprint;
-  }
+  /** Returns true if a server may have crashed because of this content. */
+  boolean isSuspect();
+
+  /** Records that the connection to {@code server} was lost while the server ran the call. */
+  void onConnectionLost(TrackedServer server);
+
+  /** Records that a server completed its response. */
+  void onCompleted();
+
+  /** Returns the digest of the content for the log. */
+  String describe();
 }
--- a/amaranthstream/src/main/java/org/amaranthstream/calls/CallPolicy.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/calls/CallPolicy.java
@@ -15,22 +15,29 @@
  * @param isStream true if the response is streamed to the caller as it arrives
  * @param maxAttempts the maximum number of attempts, without those that servers refuse or never
  *     receive
+ * @param isQuarantinable true if the request may be rejected because servers crashed under its
+ *     content
  * @param hedgeAfter the time without a response after which a hedged attempt goes to another server
  */
 public record CallPolicy(
-    boolean isRepeatable, boolean isStream, int maxAttempts, Duration hedgeAfter) {
+    boolean isRepeatable,
+    boolean isStream,
+    int maxAttempts,
+    boolean isQuarantinable,
+    Duration hedgeAfter) {
   /** The share of the latency objective before the first hedged attempt. */
   private static final double HEDGE_SHARE = 0.5;
 
   private static final double MILLION = 1e6;
 
-  private static final CallPolicy SINGLE_ATTEMPT = new CallPolicy(true, false, 1, Duration.ZERO);
+  private static final CallPolicy OWED = new CallPolicy(true, false, 1, false, Duration.ZERO);
 
   /**
-   * Returns the policy for an idempotent request whose sender itself decides on each repetition.
+   * Returns the policy for an idempotent request that is owed a response. Its sender itself decides
+   * on each repetition.
    */
-  public static CallPolicy singleAttempt() {
-    return SINGLE_ATTEMPT;
+  public static CallPolicy owed() {
+    return OWED;
   }
 
   /** Returns the policy for requests of {@code route}. */
@@ -41,6 +48,7 @@
         isRepeatable,
         route.kind() == RouteKind.STREAMING,
         isRepeatable ? route.maxAttempts() : 1,
+        true,
         Duration.ofMillis(Math.max(1, hedgeMillis)));
   }
 
--- a/amaranthstream/src/main/java/org/amaranthstream/calls/CallService.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/calls/CallService.java
@@ -10,6 +10,8 @@
 import java.util.Optional;
 import java.util.Random;
 import java.util.Set;
+import java.util.function.Predicate;
+import org.amaranthstream.quarantine.PoisonRegistry;
 import org.amaranthstream.result.ResultCode;
 import org.amaranthstream.routing.Route;
 import org.amaranthstream.routing.WeightedService;
@@ -30,6 +32,7 @@
   private final ServerChoice choice;
   private final CallTransport transport;
   private final TimerService timers;
+  private final CrashTracker crashes;
   private final Random random = new Random();
   private final Set<ActiveCall> active = new HashSet<>();
 
@@ -37,24 +40,32 @@
       ServerDirectory directory,
       ServerChoice choice,
       CallTransport transport,
-      TimerService timers) {
+      TimerService timers,
+      PoisonRegistry poison) {
     this.directory = directory;
     this.choice = choice;
     this.transport = transport;
     this.timers = timers;
+    this.crashes = new CrashTracker(poison, timers);
   }
 
-  /** Returns a service that sends requests over {@code transport}. */
+  /**
+   * Returns a service that sends requests over {@code transport}.
+   *
+   * @param poison the content that servers crashed under, which is kept in sync with other daemons
+   */
   public static CallService create(
       ServerDirectory directory,
       ServerChoice choice,
       CallTransport transport,
-      TimerService timers) {
+      TimerService timers,
+      PoisonRegistry poison) {
     return new CallService(
         checkNotNull(directory, "directory"),
         checkNotNull(choice, "choice"),
         checkNotNull(transport, "transport"),
-        checkNotNull(timers, "timers"));
+        checkNotNull(timers, "timers"),
+        checkNotNull(poison, "poison"));
   }
 
   /**
@@ -79,7 +90,10 @@
       CallerExchange exchange) {
     Duration time = timeLeft.compareTo(route.timeout()) < 0 ? timeLeft : route.timeout();
     List<TrackedServer> servers = directory.available(chooseService(route).service());
-    CallContent content = new CallContent(route.host(), call);
+    CallContent content =
+        policy.isQuarantinable()
+            ? new QuarantinableContent(crashes, route.host(), call)
+            : ExemptContent.INSTANCE;
     ActiveCall activeCall = new ActiveCall(this, policy, call, content, servers, time, exchange);
     active.add(activeCall);
     exchange.onCallerDisconnected(activeCall::cancel);
@@ -116,9 +130,28 @@
     return transport;
   }
 
-  Optional<TrackedServer> choose(List<TrackedServer> servers, Set<TrackedServer> excluded) {
-    return choice.choose(
-        servers, server -> server.isAvailable() && !excluded.contains(server), timers.nowNanos());
+  CrashTracker crashes() {
+    return crashes;
+  }
+
+  /**
+   * Chooses a server for the next attempt of a request. A suspect goes to a server that runs no
+   * other suspect, if there is one, so that the next crash shows which of them is the cause.
+   */
+  Optional<TrackedServer> choose(
+      List<TrackedServer> servers, Set<TrackedServer> excluded, boolean isSuspect) {
+    long now = timers.nowNanos();
+    Predicate<TrackedServer> isAllowed =
+        server -> server.isAvailable() && !excluded.contains(server);
+    Optional<TrackedServer> isolated =
+        isSuspect
+            ? choice.choose(servers, isAllowed.and(server -> !runsSuspect(server)), now)
+            : Optional.empty();
+    return isolated.isPresent() ? isolated : choice.choose(servers, isAllowed, now);
+  }
+
+  private boolean runsSuspect(TrackedServer server) {
+    return active.stream().anyMatch(call -> call.runsSuspectOn(server));
   }
 
   void onCallEnded(ActiveCall activeCall, ResultCode code, String detail) {
--- a/amaranthstream/src/main/java/org/amaranthstream/fleet/FleetHeartbeatState.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/fleet/FleetHeartbeatState.java
@@ -14,14 +14,16 @@
 import org.amaranthstream.peer.HeartbeatSink;
 import org.amaranthstream.peer.HeartbeatSource;
 import org.amaranthstream.quarantine.PoisonNotice;
+import org.amaranthstream.quarantine.PoisonRegistry;
 import org.amaranthstream.routing.RoutingConfig;
 import org.amaranthstream.routing.RoutingTable;
 import org.amaranthstream.servers.ServerDirectory;
+import org.amaranthstream.time.TimerService;
 import org.amaranthstream.weights.AnnouncedVersions;
 
 /**
- * The state that daemons exchange in heartbeats: the version of the active configuration and the
- * newest weight version of each model.
+ * The state that daemons exchange in heartbeats: the version of the active configuration, the
+ * newest weight version of each model, and the content that backend servers crashed under.
  *
  * <p>Not thread safe: used on one thread.
  */
@@ -29,33 +31,44 @@
   private final RoutingTable routing;
   private final AnnouncedVersions versions;
   private final ServerDirectory directory;
+  private final PoisonRegistry poison;
+  private final TimerService timers;
   private final Runnable onOutdated;
 
   private FleetHeartbeatState(
       RoutingTable routing,
       AnnouncedVersions versions,
       ServerDirectory directory,
+      PoisonRegistry poison,
+      TimerService timers,
       Runnable onOutdated) {
     this.routing = routing;
     this.versions = versions;
     this.directory = directory;
+    this.poison = poison;
+    this.timers = timers;
     this.onOutdated = onOutdated;
   }
 
   /**
    * Returns the heartbeat state of this daemon.
    *
+   * @param poison the content that servers crashed under
    * @param onOutdated called when a peer has a newer configuration; reads it from the store
    */
   public static FleetHeartbeatState create(
       RoutingTable routing,
       AnnouncedVersions versions,
       ServerDirectory directory,
+      PoisonRegistry poison,
+      TimerService timers,
       Runnable onOutdated) {
     return new FleetHeartbeatState(
         checkNotNull(routing, "routing"),
         checkNotNull(versions, "versions"),
         checkNotNull(directory, "directory"),
+        checkNotNull(poison, "poison"),
+        checkNotNull(timers, "timers"),
         checkNotNull(onOutdated, "onOutdated"));
   }
 
@@ -75,7 +88,7 @@
 
   @Override
   public ImmutableList<PoisonNotice> poisonNotices() {
-    return ImmutableList.of();
+    return poison.export(timers.nowNanos());
   }
 
   @Override
@@ -105,5 +118,7 @@
   }
 
   @Override
-  public void onPoisonNotice(PoisonNotice notice) {}
+  public void onPoisonNotice(PoisonNotice notice) {
+    poison.merge(notice, timers.nowNanos());
+  }
 }
--- a/amaranthstream/src/main/java/org/amaranthstream/fleet/FleetLinks.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/fleet/FleetLinks.java
@@ -45,6 +45,10 @@
   private static final Duration CONNECT_TIMEOUT = Duration.ofMillis(700);
   private static final Duration BACKOFF_MAX = Duration.ofSeconds(1);
   private static final Duration BACKOFF_MIN = Duration.ofMillis(100);
+
+  /** Lets sound requests complete on another server first, so that they are not announced. */
+  private static final Duration ANNOUNCE_DELAY = Duration.ofMillis(100);
+
   private static final int MAX_FRAME_BYTES = 2 << 20;
   private static final int FRAMES_PER_LINK = 4;
 
@@ -58,6 +62,7 @@
   private Optional<ImmutableList<EntryVmId>> linkTargets = Optional.empty();
   private @Nullable MembershipTable table;
   private @Nullable PeerNode node;
+  private boolean isAnnouncePlanned;
 
   private FleetLinks(
       FleetNode self,
@@ -184,6 +189,21 @@
     }
   }
 
+  /** Sends heartbeats after a short delay, because their content has changed. */
+  public void announceSoon() {
+    if (!isAnnouncePlanned) {
+      isAnnouncePlanned = true;
+      timers.after(ANNOUNCE_DELAY, this::announce);
+    }
+  }
+
+  private void announce() {
+    isAnnouncePlanned = false;
+    if (node != null) {
+      node.announce();
+    }
+  }
+
   /** Sends a query to another daemon; the future never completes exceptionally. */
   public CompletableFuture<Result<byte[]>> query(
       EntryVmId to, QueryKind kind, byte[] body, Duration timeout) {
--- a/amaranthstream/src/main/java/org/amaranthstream/jobs/CallServiceRewardTransport.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/jobs/CallServiceRewardTransport.java
@@ -47,7 +47,7 @@
             headers,
             Buffer.buffer(call.body()));
     RewardExchange exchange = new RewardExchange(listener);
-    calls.start(route, CallPolicy.singleAttempt(), outbound, timeout, exchange);
+    calls.start(route, CallPolicy.owed(), outbound, timeout, exchange);
     return exchange::cancel;
   }
 
--- a/amaranthstream/src/main/java/org/amaranthstream/peer/HeartbeatExchange.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/peer/HeartbeatExchange.java
@@ -46,13 +46,18 @@
 
   /** Sends one heartbeat or ping on each ready link. */
   void send(PeerLinks links, InboundLinks inbound) {
+    send(links.ready(), inbound);
+  }
+
+  /** Sends one heartbeat or ping on each of {@code links}. */
+  void send(Iterable<PeerLink> links, InboundLinks inbound) {
     sequence++;
     table.setWaitingRequests(source.waitingRequests());
     Heartbeat inZone = buildInZone();
     Optional<Heartbeat> crossZone =
         table.isSpeaker() ? Optional.of(buildCrossZone()) : Optional.empty();
     Frame ping = Frame.newBuilder().setPing(Ping.newBuilder().setSequence(sequence)).build();
-    for (PeerLink link : links.ready()) {
+    for (PeerLink link : links) {
       boolean sameZone = link.peer().map(peer -> peer.zone().equals(self.zone())).orElse(false);
       Optional<Heartbeat> body = sameZone ? Optional.of(inZone) : crossZone;
       // If the link is full, the heartbeat is dropped. The next one contains the current state.
--- a/amaranthstream/src/main/java/org/amaranthstream/peer/PeerNode.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/peer/PeerNode.java
@@ -5,12 +5,12 @@
 import com.google.common.flogger.FluentLogger;
 import com.google.errorprone.annotations.CanIgnoreReturnValue;
 import java.time.Duration;
+import java.util.List;
 import org.amaranthstream.dispatch.WorkRunner;
 import org.amaranthstream.dispatch.ZoneForwarder;
 import org.amaranthstream.membership.LocalVm;
 import org.amaranthstream.membership.MembershipTable;
 import org.amaranthstream.peer.wire.Frame;
-import org.amaranthstream.peer.wire.Ping;
 import org.amaranthstream.peer.wire.Pong;
 import org.amaranthstream.result.Result;
 import org.amaranthstream.ring.Duty;
@@ -193,7 +193,7 @@
     @Override
     public void onLinkReady(PeerLink link) {
       queries.onLinkReady(link);
-      SendResult unused = link.send(Frame.newBuilder().setPing(Ping.getDefaultInstance()).build());
+      heartbeats.send(List.of(link), inbound);
     }
 
     @Override
--- a/amaranthstream/src/main/java/org/amaranthstream/quarantine/PoisonRegistry.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/quarantine/PoisonRegistry.java
@@ -1,13 +1,17 @@
 package org.amaranthstream.quarantine;
 
 import static com.google.common.base.Preconditions.checkArgument;
+import static com.google.common.base.Preconditions.checkNotNull;
 
 import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableMap;
 import com.google.common.collect.ImmutableSet;
+import com.google.common.flogger.FluentLogger;
 import java.time.Duration;
+import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
@@ -25,8 +29,11 @@
   private static final int CRASHES_TO_QUARANTINE = 2;
   private static final int MAX_ENTRIES = 4096;
 
+  private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+
   private final long quarantineNanos;
   private final Map<Fingerprint, Entry> entries = new LinkedHashMap<>();
+  private final List<CrashListener> listeners = new ArrayList<>();
 
   private PoisonRegistry(long quarantineNanos) {
     this.quarantineNanos = quarantineNanos;
@@ -38,6 +45,16 @@
     return new PoisonRegistry(quarantine.toNanos());
   }
 
+  /** Adds a listener that is called for each crash that is recorded. */
+  public void addListener(CrashListener listener) {
+    listeners.add(checkNotNull(listener, "listener"));
+  }
+
+  /** Returns true if no content was in flight at a crash. */
+  public boolean isEmpty() {
+    return entries.isEmpty();
+  }
+
   /**
    * Records that {@code fingerprint} was in flight at {@code crash}. A crash that was cleared for
    * it has no effect.
@@ -47,11 +64,18 @@
     if (entry == null) {
       entry = new Entry();
     }
-    if (!entry.cleared.contains(crash) && entry.crashes.add(crash)) {
+    boolean isNew = !entry.cleared.contains(crash) && entry.crashes.add(crash);
+    if (isNew) {
       entry.newestNanos = nowNanos;
     }
     entries.put(fingerprint, entry);
     trim();
+    if (isNew) {
+      logger.atInfo().log(
+          "event=crash_recorded content=%s server=%s crashes=%d",
+          fingerprint, crash.server(), entry.crashes.size());
+      listeners.forEach(CrashListener::onCrashRecorded);
+    }
   }
 
   private void trim() {
