--- a/amaranthstream/src/test/java/org/amaranthstream/peer/PeerLinkFaultsTest.java
+++ b/amaranthstream/src/test/java/org/amaranthstream/peer/PeerLinkFaultsTest.java
@@ -2,17 +2,23 @@
 
 import static com.google.common.truth.Truth.assertThat;
 
+import com.google.common.collect.ImmutableSet;
 import java.time.Duration;
 import java.util.List;
+import java.util.Optional;
 import org.amaranthstream.admission.Priority;
 import org.amaranthstream.dispatch.Outcome;
 import org.amaranthstream.dispatch.Payload;
 import org.amaranthstream.dispatch.Work;
+import org.amaranthstream.ids.BackendServerId;
 import org.amaranthstream.ids.ConfigGeneration;
 import org.amaranthstream.ids.PoolId;
 import org.amaranthstream.ids.RequestId;
 import org.amaranthstream.ids.WorkClassId;
 import org.amaranthstream.membership.Reachability;
+import org.amaranthstream.quarantine.Crash;
+import org.amaranthstream.quarantine.Fingerprint;
+import org.amaranthstream.quarantine.PoisonNotice;
 import org.amaranthstream.result.ResultCode;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
@@ -21,6 +27,11 @@
 
 class PeerLinkFaultsTest {
   private static final Duration SECOND = Duration.ofSeconds(1);
+  private static final PoisonNotice NOTICE =
+      new PoisonNotice(
+          new Fingerprint("0123456789abcdef0123456789abcdef"),
+          ImmutableSet.of(new Crash(BackendServerId.of("server"), Optional.empty())),
+          Duration.ZERO);
 
   private final TestMesh mesh = new TestMesh();
   private TestNode near;
@@ -85,6 +96,19 @@
       return of.table.entryVm(to.self.id()).orElseThrow().takesWork();
     }
 
+    /** No time passes, so that neither side sends a periodic heartbeat. */
+    @Test
+    void readyLinkCarriesWhatThePeerDoesNotKnowYet() {
+      mesh.runUntil("generation", () -> far.receivedGenerations.contains(ConfigGeneration.of(1)));
+    }
+
+    @Test
+    void announcementCarriesNoticesBeforeTheNextHeartbeat() {
+      near.notices.add(NOTICE);
+      near.node.announce();
+      mesh.runUntil("notice", () -> far.receivedNotices.contains(NOTICE));
+    }
+
     @Test
     void silentConnectionIsReplaced() {
       advanceWithBothLinks(2);
--- a/amaranthstream/src/test/java/org/amaranthstream/peer/TestNode.java
+++ b/amaranthstream/src/test/java/org/amaranthstream/peer/TestNode.java
@@ -29,6 +29,8 @@
   final PeerNode node;
   final RecordingRunner runner = new RecordingRunner();
   final List<ConfigGeneration> receivedGenerations = new ArrayList<>();
+  final List<PoisonNotice> notices = new ArrayList<>();
+  final List<PoisonNotice> receivedNotices = new ArrayList<>();
   long generation = 1;
   int port;
 
@@ -112,7 +114,7 @@
 
   @Override
   public ImmutableList<PoisonNotice> poisonNotices() {
-    return ImmutableList.of();
+    return ImmutableList.copyOf(notices);
   }
 
   @Override
@@ -129,5 +131,7 @@
   public void onWeightVersion(ModelId model, WeightVersion version) {}
 
   @Override
-  public void onPoisonNotice(PoisonNotice notice) {}
+  public void onPoisonNotice(PoisonNotice notice) {
+    receivedNotices.add(notice);
+  }
 }
