Run samples of training steps whatever servers crashed under them

Found by reading the path of serve for it.

Cause: the quarantine looked at the content only, not at whether somebody is owed the response. Change: the samples of steps are exempt, also where they are forwarded to another zone (their priority goes with them); their crashes count against nothing.

Evidence: DispatcherTest runsSampleAgainHoweverManyServersCrashedUnderIt failed before (NotRun) and passes.

--- a/amaranthstream/src/main/java/org/amaranthstream/dispatch/CandidateFinder.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/dispatch/CandidateFinder.java
@@ -10,7 +10,6 @@
 import org.amaranthstream.placement.Candidate;
 import org.amaranthstream.placement.ServerHealth.State;
 import org.amaranthstream.quarantine.Fingerprint;
-import org.amaranthstream.quarantine.PoisonRegistry;
 
 /**
  * Finder of the servers and availability zones that can run a request.
@@ -24,14 +23,14 @@
 
   private final ServerTable servers;
   private final ZoneTable zones;
-  private final PoisonRegistry poison;
+  private final RequestQuarantine quarantine;
   private final long reportMaxAgeNanos;
 
   CandidateFinder(
-      ServerTable servers, ZoneTable zones, PoisonRegistry poison, long reportMaxAgeNanos) {
+      ServerTable servers, ZoneTable zones, RequestQuarantine quarantine, long reportMaxAgeNanos) {
     this.servers = servers;
     this.zones = zones;
-    this.poison = poison;
+    this.quarantine = quarantine;
     this.reportMaxAgeNanos = reportMaxAgeNanos;
   }
 
@@ -46,7 +45,7 @@
   ImmutableList<Candidate> candidates(ActiveRequest request, long nowNanos) {
     ImmutableList<ServerState> eligible = eligible(request);
     ImmutableList.Builder<Candidate> candidates = ImmutableList.builder();
-    boolean isSuspect = poison.isSuspect(request.fingerprint, nowNanos);
+    boolean isSuspect = quarantine.isSuspect(request, nowNanos);
     boolean ignoresEjection = isMostlyEjected(eligible, nowNanos);
     boolean suspectIsRunning = isSuspect && isRunning(request.fingerprint, eligible);
     for (ServerState state : eligible) {
@@ -126,7 +125,7 @@
 
   private boolean runsSuspectedPoison(ServerState state, long nowNanos) {
     return state.running.stream()
-        .anyMatch(attempt -> poison.isSuspect(attempt.request.fingerprint, nowNanos));
+        .anyMatch(attempt -> quarantine.isSuspect(attempt.request, nowNanos));
   }
 
   private static boolean isRunning(Fingerprint fingerprint, List<ServerState> states) {
--- a/amaranthstream/src/main/java/org/amaranthstream/dispatch/DispatchContext.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/dispatch/DispatchContext.java
@@ -8,7 +8,7 @@
 record DispatchContext(
     ServerTable servers,
     ZoneTable zones,
-    PoisonRegistry poison,
+    RequestQuarantine quarantine,
     ServiceEstimates estimates,
     CandidateFinder finder,
     DecisionRecorder recorder) {
@@ -20,13 +20,14 @@
     long reportMaxAge = parts.settings().reportMaxAge().toNanos();
     ServerTable servers = new ServerTable(directory, parts.limits(), parts.healths());
     ZoneTable zones = new ZoneTable(directory, parts.region(), budget, reportMaxAge);
-    PoisonRegistry poison = PoisonRegistry.create(parts.settings().quarantineDuration());
+    RequestQuarantine quarantine =
+        new RequestQuarantine(PoisonRegistry.create(parts.settings().quarantineDuration()));
     return new DispatchContext(
         servers,
         zones,
-        poison,
+        quarantine,
         new ServiceEstimates(),
-        new CandidateFinder(servers, zones, poison, reportMaxAge),
+        new CandidateFinder(servers, zones, quarantine, reportMaxAge),
         new DecisionRecorder(parts.decisionLog(), parts.timers()));
   }
 }
--- a/amaranthstream/src/main/java/org/amaranthstream/dispatch/Dispatcher.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/dispatch/Dispatcher.java
@@ -80,7 +80,7 @@
 
   /** Returns the registry of poison requests, which is kept in sync with other entry VMs. */
   public PoisonRegistry poisonRegistry() {
-    return context.poison();
+    return context.quarantine().registry();
   }
 
   /** Returns the number of queued requests in all pools. */
@@ -97,8 +97,7 @@
   public void submit(Work work, WorkListener listener) {
     checkState(!active.containsKey(work.id()), "request %s is already active", work.id());
     ActiveRequest request = new ActiveRequest(work, listener, nextArrival++);
-    Optional<Duration> quarantine =
-        context.poison().remainingQuarantine(request.fingerprint, timers.nowNanos());
+    Optional<Duration> quarantine = context.quarantine().remaining(request, timers.nowNanos());
     if (quarantine.isPresent()) {
       rejectQuarantined(request, quarantine.get());
       return;
@@ -351,10 +350,7 @@
 
     private RetryPolicy.Decision decide(ActiveRequest request, AttemptFailure failure) {
       if (failure.error().code() == ResultCode.NOT_RUN_QUARANTINED
-          || context
-              .poison()
-              .remainingQuarantine(request.fingerprint, timers.nowNanos())
-              .isPresent()) {
+          || context.quarantine().remaining(request, timers.nowNanos()).isPresent()) {
         return new RetryPolicy.Decision.GiveUp(
             ResultCode.NOT_RUN_QUARANTINED, "its content is quarantined");
       }
--- a/amaranthstream/src/main/java/org/amaranthstream/dispatch/QueueScheduler.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/dispatch/QueueScheduler.java
@@ -89,7 +89,7 @@
   }
 
   private boolean isSuspect(ActiveRequest request, long nowNanos) {
-    return context.poison().isSuspect(request.fingerprint, nowNanos);
+    return context.quarantine().isSuspect(request, nowNanos);
   }
 
   private void send(
--- a/amaranthstream/src/main/java/org/amaranthstream/dispatch/ServerAttempts.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/dispatch/ServerAttempts.java
@@ -8,7 +8,6 @@
 import org.amaranthstream.ids.AttemptId;
 import org.amaranthstream.ids.Incarnation;
 import org.amaranthstream.quarantine.Crash;
-import org.amaranthstream.quarantine.PoisonRegistry;
 import org.amaranthstream.result.ResultCode;
 import org.amaranthstream.time.TimerService;
 
@@ -20,7 +19,7 @@
   private final TimerService timers;
   private final BackendTransport transport;
   private final ServerTable servers;
-  private final PoisonRegistry poison;
+  private final RequestQuarantine quarantine;
   private final ServerFeedback feedback;
   private final ServiceEstimates estimates;
   private final StalledAttemptDetector stalledAttemptDetector;
@@ -37,7 +36,7 @@
     this.settings = parts.settings();
     this.daemonIncarnation = parts.incarnation();
     this.servers = context.servers();
-    this.poison = context.poison();
+    this.quarantine = context.quarantine();
     this.estimates = context.estimates();
     this.stalledAttemptDetector = new StalledAttemptDetector(settings, estimates);
     this.prober = new StalledAttemptProber(parts, this::onProbeResult);
@@ -132,7 +131,7 @@
     attempt.server.health.onOutcome(true, now);
     estimates.onRemainder(
         attempt.request.work, attempt.startOffset, now - attempt.firstChunkNanos());
-    poison.onCompleted(attempt.request.fingerprint);
+    quarantine.onCompleted(attempt.request);
     lifecycle.onCompleted(attempt.request, response);
   }
 
@@ -182,7 +181,7 @@
     if (attempt.server.running.isEmpty()) {
       attempt.server.backOff(now + settings.unreachableBackoff().toNanos());
     }
-    poison.onCrash(attempt.request.fingerprint, crash, now);
+    quarantine.onCrash(attempt.request, crash, now);
     fail(attempt, ResultCode.OUTCOME_UNKNOWN_BACKEND_LOST, reason);
   }
 
@@ -253,7 +252,7 @@
   /** Clears the suspected crashes that newer load reports refute. */
   void checkCrashes() {
     for (ServerState state : servers.all()) {
-      state.takeRefutedCrash().ifPresent(poison::onCrashRefuted);
+      state.takeRefutedCrash().ifPresent(quarantine.registry()::onCrashRefuted);
     }
   }
 }
--- a/amaranthstream/src/main/java/org/amaranthstream/dispatch/Work.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/dispatch/Work.java
@@ -79,6 +79,13 @@
     return priority;
   }
 
+  /**
+   * Returns true if a trainer is owed the response, whatever happens to the servers that run it.
+   */
+  public boolean isOwed() {
+    return priority == Priority.TRAINING;
+  }
+
   /** Returns false if the request may run at most once. */
   public boolean idempotent() {
     return idempotent;
--- a/amaranthstream/src/main/java/org/amaranthstream/rollout/StepGenerator.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/rollout/StepGenerator.java
@@ -370,9 +370,7 @@
     }
     Duration delay = notRun.retryAfter().orElse(pacing.backoff(slot));
     retryLater(slot, delay);
-    if (code != ResultCode.NOT_RUN_QUARANTINED) {
-      pacing.pauseStep(delay, context.timers().nowNanos());
-    }
+    pacing.pauseStep(delay, context.timers().nowNanos());
   }
 
   private void retryLater(int slot, Duration delay) {
--- a/amaranthstream/src/test/java/org/amaranthstream/dispatch/DispatcherTest.java
+++ b/amaranthstream/src/test/java/org/amaranthstream/dispatch/DispatcherTest.java
@@ -351,5 +351,26 @@
       assertThat(notRunCode(again)).isEqualTo(ResultCode.NOT_RUN_QUARANTINED);
       assertThat(fixture.transport.attempts).hasSize(2);
     }
+
+    /** A burst of crashes must not leave a sound sample of a training step behind. */
+    @Test
+    void runsSampleAgainHoweverManyServersCrashedUnderIt() {
+      for (int i = 1; i <= 8; i++) {
+        fixture.directory.add("e" + i, 4, 7);
+      }
+      Payload sample = new Payload.Generate("sample", 8, 0);
+      for (int i = 0; i < 3; i++) {
+        fixture.submit(fixture.work().priority(Priority.TRAINING).payload(sample).build());
+        fixture.transport.last().crash();
+        fixture.transport.last().crash();
+        fixture.advanceMillis(1_000);
+      }
+      RecordingWorkListener again =
+          fixture.submit(fixture.work().priority(Priority.TRAINING).payload(sample).build());
+      fixture.transport.last().tokens(8, 7);
+      fixture.transport.last().finish();
+
+      assertCompleted(again, 8);
+    }
   }
 }
