Share the request limit that a backend server names among the daemons

Cause: the header was not read; only the server's own rejections slowed a daemon down, each daemon for itself.

Change: the responses' limit is kept with the server's incarnation, and each request to a limited server needs a permit.

Ruled out: equal shares without coordination (an only user gets a sixth of the limit, and bursts of one request a daemon break it on large fleets); raising shares by the server's rejections (overshoots by what is learned late).

--- a/amaranthstream/src/main/java/org/amaranthstream/calls/ActiveCall.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/calls/ActiveCall.java
@@ -44,6 +44,7 @@
   private @Nullable CallAttempt lastErrorResponse;
   private @Nullable Subscription timeout;
   private @Nullable Subscription hedge;
+  private boolean isAwaitingPermit;
   private boolean isOver;
   private String lastFailure = "the service has no available backend server";
 
@@ -84,21 +85,45 @@
 
   /**
    * Tries the next server. If there is none and no attempt is running, fails the request. Content
-   * that is suspected of crashing servers runs on one server at a time.
+   * that is suspected of crashing servers runs on one server at a time, and no hedged attempt uses
+   * up the limit of a server.
    */
   private void attemptNext() {
-    if (!running.isEmpty() && content.isSuspect()) {
+    if (isAwaitingPermit || (!running.isEmpty() && content.isSuspect())) {
       return;
     }
     Optional<TrackedServer> server =
         mayTryAnother() ? service.choose(servers, tried, content.isSuspect()) : Optional.empty();
-    if (server.isPresent()) {
+    if (server.isPresent() && server.get().isLimited()) {
+      if (running.isEmpty()) {
+        awaitPermit(server.get());
+      }
+    } else if (server.isPresent()) {
       attempt(server.get());
     } else if (running.isEmpty()) {
       giveUp();
     }
   }
 
+  private void awaitPermit(TrackedServer server) {
+    isAwaitingPermit = true;
+    service.permits().acquire(server, timeLeft(), isGranted -> onPermit(server, isGranted));
+  }
+
+  private void onPermit(TrackedServer server, boolean isGranted) {
+    isAwaitingPermit = false;
+    if (isOver || committed != null) {
+      return;
+    }
+    if (isGranted && server.isAvailable() && mayTryAnother()) {
+      attempt(server);
+      return;
+    }
+    tried.add(server);
+    lastFailure = server.id() + ": its limit is used up";
+    attemptNext();
+  }
+
   private boolean mayTryAnother() {
     boolean isWithinLimits = countedAttempts < policy.maxAttempts() && refusals < MAX_REFUSALS;
     boolean mayRepeat = policy.isRepeatable() || !mayHaveRun;
--- a/amaranthstream/src/main/java/org/amaranthstream/calls/CallService.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/calls/CallService.java
@@ -15,6 +15,7 @@
 import org.amaranthstream.result.ResultCode;
 import org.amaranthstream.routing.Route;
 import org.amaranthstream.routing.WeightedService;
+import org.amaranthstream.servers.RequestPermits;
 import org.amaranthstream.servers.ServerChoice;
 import org.amaranthstream.servers.ServerDirectory;
 import org.amaranthstream.servers.TrackedServer;
@@ -33,6 +34,7 @@
   private final CallTransport transport;
   private final TimerService timers;
   private final CrashTracker crashes;
+  private final RequestPermits permits;
   private final Random random = new Random();
   private final Set<ActiveCall> active = new HashSet<>();
 
@@ -41,31 +43,36 @@
       ServerChoice choice,
       CallTransport transport,
       TimerService timers,
-      PoisonRegistry poison) {
+      PoisonRegistry poison,
+      RequestPermits permits) {
     this.directory = directory;
     this.choice = choice;
     this.transport = transport;
     this.timers = timers;
     this.crashes = new CrashTracker(poison, timers);
+    this.permits = permits;
   }
 
   /**
    * Returns a service that sends requests over {@code transport}.
    *
    * @param poison the content that servers crashed under, which is kept in sync with other daemons
+   * @param permits the permits for servers that limit their rate
    */
   public static CallService create(
       ServerDirectory directory,
       ServerChoice choice,
       CallTransport transport,
       TimerService timers,
-      PoisonRegistry poison) {
+      PoisonRegistry poison,
+      RequestPermits permits) {
     return new CallService(
         checkNotNull(directory, "directory"),
         checkNotNull(choice, "choice"),
         checkNotNull(transport, "transport"),
         checkNotNull(timers, "timers"),
-        checkNotNull(poison, "poison"));
+        checkNotNull(poison, "poison"),
+        checkNotNull(permits, "permits"));
   }
 
   /**
@@ -130,13 +137,18 @@
     return transport;
   }
 
+  RequestPermits permits() {
+    return permits;
+  }
+
   CrashTracker crashes() {
     return crashes;
   }
 
   /**
    * Chooses a server for the next attempt of a request. A suspect goes to a server that runs no
-   * other suspect, if there is one, so that the next crash shows which of them is the cause.
+   * other suspect, if there is one, so that the next crash shows which of them is the cause. A
+   * server without a limit is preferred.
    */
   Optional<TrackedServer> choose(
       List<TrackedServer> servers, Set<TrackedServer> excluded, boolean isSuspect) {
@@ -145,9 +157,16 @@
         server -> server.isAvailable() && !excluded.contains(server);
     Optional<TrackedServer> isolated =
         isSuspect
-            ? choice.choose(servers, isAllowed.and(server -> !runsSuspect(server)), now)
+            ? chooseUnlimitedFirst(servers, isAllowed.and(server -> !runsSuspect(server)), now)
             : Optional.empty();
-    return isolated.isPresent() ? isolated : choice.choose(servers, isAllowed, now);
+    return isolated.isPresent() ? isolated : chooseUnlimitedFirst(servers, isAllowed, now);
+  }
+
+  private Optional<TrackedServer> chooseUnlimitedFirst(
+      List<TrackedServer> servers, Predicate<TrackedServer> isAllowed, long now) {
+    Optional<TrackedServer> unlimited =
+        choice.choose(servers, isAllowed.and(server -> !server.isLimited()), now);
+    return unlimited.isPresent() ? unlimited : choice.choose(servers, isAllowed, now);
   }
 
   private boolean runsSuspect(TrackedServer server) {
--- a/amaranthstream/src/main/java/org/amaranthstream/jobs/ItemScheduler.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/jobs/ItemScheduler.java
@@ -11,6 +11,7 @@
 import org.amaranthstream.routing.RouteKind;
 import org.amaranthstream.routing.RoutingConfig;
 import org.amaranthstream.routing.RoutingTable;
+import org.amaranthstream.servers.RequestPermits;
 import org.amaranthstream.servers.ServerChoice;
 import org.amaranthstream.servers.ServerDirectory;
 import org.amaranthstream.servers.SlowServers;
@@ -31,6 +32,7 @@
   private final ServerChoice choice;
   private final ItemTransport transport;
   private final TimerService timers;
+  private final ItemPermits permits;
   private final Observer observer;
   private final List<OwnedJob> jobs = new ArrayList<>();
   private boolean isScheduling;
@@ -48,6 +50,7 @@
       ServerDirectory directory,
       ServerChoice choice,
       ItemTransport transport,
+      RequestPermits permits,
       TimerService timers,
       Observer observer) {
     this.routing = routing;
@@ -55,6 +58,7 @@
     this.choice = choice;
     this.transport = transport;
     this.timers = timers;
+    this.permits = new ItemPermits(permits, timers, this::schedule);
     this.observer = observer;
     directory.addListener(this::schedule);
   }
@@ -121,6 +125,7 @@
     while (job.isRunnable()) {
       Optional<TrackedServer> server = chooseServer(job, route, slow, now);
       if (server.isEmpty()) {
+        requestPermits(job, route, now);
         return;
       }
       boolean isSlow = slow.contains(server.get());
@@ -132,6 +137,7 @@
         moveItemFromSlowServer(job, slow, server.get());
         return;
       }
+      permits.onStarted(server.get());
       new ItemRunner(job, item.get(), server.get(), rules, directory, timers, this)
           .start(transport);
     }
@@ -168,11 +174,24 @@
   /** Returns a server with a free slot, a slow one only if there is no other. */
   private Optional<TrackedServer> chooseServer(
       OwnedJob job, Route route, SlowServers slow, long now) {
-    List<TrackedServer> free = withFreeSlots(servers(route), job, now);
+    List<TrackedServer> free =
+        withFreeSlots(servers(route), job, now).stream()
+            .filter(server -> permits.mayStart(server, now))
+            .toList();
     Optional<TrackedServer> fast = choice.choose(free, server -> !slow.contains(server), now);
     return fast.isPresent() ? fast : choice.choose(free, server -> true, now);
   }
 
+  /** Asks for permits for the servers that could run the items that wait. */
+  private void requestPermits(OwnedJob job, Route route, long now) {
+    if (ItemSelector.longestReady(job.items(), now).isEmpty()) {
+      return;
+    }
+    withFreeSlots(servers(route), job, now).stream()
+        .filter(server -> !permits.mayStart(server, now))
+        .forEach(permits::request);
+  }
+
   private List<TrackedServer> withFreeSlots(List<TrackedServer> servers, OwnedJob job, long now) {
     return servers.stream()
         .filter(server -> server.inFlight() < server.registration().slots())
--- a/amaranthstream/src/main/java/org/amaranthstream/jobs/JobService.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/jobs/JobService.java
@@ -22,6 +22,7 @@
 import org.amaranthstream.result.ResultCode;
 import org.amaranthstream.routing.RoutingConfig;
 import org.amaranthstream.routing.RoutingTable;
+import org.amaranthstream.servers.RequestPermits;
 import org.amaranthstream.servers.ServerChoice;
 import org.amaranthstream.servers.ServerDirectory;
 import org.amaranthstream.time.TimerService;
@@ -95,6 +96,7 @@
             checkNotNull(builder.directory, "directory"),
             checkNotNull(builder.choice, "choice"),
             checkNotNull(builder.transport, "transport"),
+            checkNotNull(builder.permits, "permits"),
             timers,
             this::onItemsChanged);
     this.routing = builder.routing;
@@ -300,6 +302,7 @@
     private @Nullable ServerDirectory directory;
     private @Nullable ServerChoice choice;
     private @Nullable ItemTransport transport;
+    private @Nullable RequestPermits permits;
     private @Nullable RewardTransport rewardTransport;
     private @Nullable JobQueryTransport queryTransport;
     private InstantSource timeOfDay = InstantSource.system();
@@ -357,6 +360,13 @@
       return this;
     }
 
+    /** Sets the source of permits for servers that limit their rate. */
+    @CanIgnoreReturnValue
+    public Builder permits(RequestPermits permits) {
+      this.permits = permits;
+      return this;
+    }
+
     /** Sets the transport that sends the reward calls of items. */
     @CanIgnoreReturnValue
     public Builder rewardTransport(RewardTransport rewardTransport) {
--- a/amaranthstream/src/main/java/org/amaranthstream/peer/QueryKind.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/peer/QueryKind.java
@@ -18,7 +18,10 @@
   STORE_CALL(7),
 
   /** Waits for changes of the store that the other entry VM watches for its zone. */
-  WATCH(8);
+  WATCH(8),
+
+  /** Asks for a permit for one request to a rate-limited backend server. */
+  PERMIT(9);
 
   private final int number;
 
--- a/amaranthstream/src/main/java/org/amaranthstream/servers/TrackedServer.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/servers/TrackedServer.java
@@ -22,11 +22,15 @@
   private static final Duration MAX_AVOIDANCE = Duration.ofSeconds(4);
   private static final Duration FULL_AVOIDANCE = Duration.ofMillis(60);
 
+  /** Bounds the interval between requests to a server that names a limit of zero. */
+  private static final double MIN_REQUESTS_PER_SECOND = 0.001;
+
   private ServerRegistration registration;
   private boolean isDraining;
   private boolean isRemoved;
   private int inFlight;
   private int failures;
+  private OptionalDouble requestsPerSecond = OptionalDouble.empty();
   private long avoidUntilNanos = Long.MIN_VALUE;
   private long fullUntilNanos = Long.MIN_VALUE;
   private final EventIntervalAverage eventInterval = new EventIntervalAverage();
@@ -88,6 +92,30 @@
     return (double) inFlight / registration.slots();
   }
 
+  /**
+   * Records the limit that a response of the server names.
+   *
+   * @param limit the requests a second that the server takes from all daemons, empty for no limit
+   */
+  public void onLimit(OptionalDouble limit) {
+    if (!limit.equals(requestsPerSecond)) {
+      logger.atInfo().log("event=server_limit server=%s requests_per_second=%s", id(), limit);
+    }
+    requestsPerSecond = limit;
+  }
+
+  /** Returns true if a request to the server needs a permit. */
+  public boolean isLimited() {
+    return requestsPerSecond.isPresent();
+  }
+
+  /** Returns the time between two requests that the server takes; zero without a limit. */
+  public Duration requestInterval() {
+    double perSecond =
+        Math.max(requestsPerSecond.orElse(Double.MAX_VALUE), MIN_REQUESTS_PER_SECOND);
+    return Duration.ofNanos((long) (Duration.ofSeconds(1).toNanos() / perSecond));
+  }
+
   /** Records that a request is sent to the server. */
   public void onRequestSent() {
     inFlight++;
--- a/amaranthstream/src/test/java/org/amaranthstream/calls/CrashingContentTest.java
+++ b/amaranthstream/src/test/java/org/amaranthstream/calls/CrashingContentTest.java
@@ -52,7 +52,8 @@
               ServerChoice.in(AvailabilityZoneId.of("a"), unused -> Optional.empty()),
               servers,
               timers,
-              registry));
+              registry,
+              (server, patience, listener) -> listener.accept(true)));
       registry.addListener(() -> timers.after(PEER_DELAY, () -> announce(registry)));
     }
     servers.start("s1");
--- a/amaranthstream/src/test/java/org/amaranthstream/jobs/JobFleet.java
+++ b/amaranthstream/src/test/java/org/amaranthstream/jobs/JobFleet.java
@@ -87,6 +87,7 @@
       session = FleetSession.create(client, clock, JobFleet.this::now, self);
       jobs =
           JobService.builder()
+              .permits((server, patience, listener) -> listener.accept(true))
               .fleet(self, fleet)
               .store(client)
               .timers(clock)
