Detect silent connections to the store before they hide a change of the operators

Cause, by reading and by test: a watch waited 3 s and timed out after 1.2 s more, so a change acknowledged right after the silence began could be missing for 4.2 s; daemons count as in touch again after 3 s. A call that had timed out replaced the pool, but the watches that waited on the old pool went on waiting for their own deadline.

--- a/amaranthstream/src/main/java/org/amaranthstream/platform/PlatformHttp.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/platform/PlatformHttp.java
@@ -13,7 +13,9 @@
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
 import org.amaranthstream.time.Subscription;
 import org.amaranthstream.time.TimerService;
@@ -23,7 +25,8 @@
  *
  * <p>A call times out when its connection has become unresponsive without being closed. The other
  * pooled connections may be affected too, so the pool is replaced by a new one, and the old pool is
- * closed once its calls have ended.
+ * closed once its calls have ended. Calls whose response the service may delay are ended with it,
+ * because they would reveal an unresponsive connection only at their own, later deadline.
  *
  * <p>Thread safe.
  */
@@ -42,9 +45,14 @@
   private final CallBudget budget;
   private final CallCounts counts = new CallCounts();
 
+  private final Set<WaitingCall> waiting = ConcurrentHashMap.newKeySet();
+
   @GuardedBy("this")
   private HttpClientAgent client;
 
+  /** A call whose response the service may delay, and the pool of its connection. */
+  private record WaitingCall(PlatformCall call, HttpClientAgent pool) {}
+
   /** Creates a client that opens connections on demand. */
   public PlatformHttp(Vertx vertx, TimerService timers, PlatformOptions options) {
     this.vertx = vertx;
@@ -101,8 +109,17 @@
     HttpClientAgent used = client();
     PlatformCall call = new PlatformCall(body);
     Subscription deadline = timers.after(options.timeout().plus(wait), () -> expire(call, used));
+    WaitingCall waitingCall = new WaitingCall(call, used);
+    if (!wait.isZero()) {
+      waiting.add(waitingCall);
+    }
     CompletableFuture<PlatformReply> counted =
-        call.reply().thenApply(reply -> end(kind, reply, deadline));
+        call.reply()
+            .thenApply(
+                reply -> {
+                  waiting.remove(waitingCall);
+                  return end(kind, reply, deadline);
+                });
     used.request(request(method, uri)).onComplete(call::onConnected);
     return counted;
   }
@@ -119,6 +136,11 @@
   private void expire(PlatformCall call, HttpClientAgent used) {
     replace(used);
     call.expire();
+    for (WaitingCall waitingCall : waiting) {
+      if (waitingCall.pool() == used) {
+        waitingCall.call().expire();
+      }
+    }
   }
 
   private synchronized HttpClientAgent client() {
--- a/amaranthstream/src/test/java/org/amaranthstream/platform/PlatformClientTest.java
+++ b/amaranthstream/src/test/java/org/amaranthstream/platform/PlatformClientTest.java
@@ -17,6 +17,7 @@
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.TimeUnit;
 import org.amaranthstream.auth.Secret;
 import org.amaranthstream.ids.LeaseId;
 import org.amaranthstream.ids.Revision;
@@ -222,6 +223,15 @@
       assertThat(swap()).isInstanceOf(WriteReply.Written.class);
     }
 
+    /** Such a watch would hold back the changes of its key until its own deadline. */
+    @Test
+    void endsTheWatchesThatWaitOnItsPool() {
+      handler = request -> {};
+      CompletableFuture<?> watch = client.store().watch("config", REVISION, Duration.ofMinutes(10));
+      await(client.store().get("config"));
+      assertThat(await(watch.orTimeout(30, TimeUnit.SECONDS))).isInstanceOf(Result.Failure.class);
+    }
+
     private void holdUntilTwoAreOpen(HttpServerRequest request) {
       old.add(request.connection());
       held.add(request);
