--- a/amaranthstream/src/test/java/org/amaranthstream/jobs/ItemPermitsTest.java
+++ b/amaranthstream/src/test/java/org/amaranthstream/jobs/ItemPermitsTest.java
@@ -52,7 +52,7 @@
   }
 
   @Test
-  void areRequestedOneAtATime() {
+  void areRequestedOneByOne() {
     permits.request(server);
     permits.request(server);
     assertThat(calls).hasSize(1);
