Save up a few unused requests to a limited server

With strict spacing the servers of coder-lm idled between steps and then took one request a second each, although the items of a step arrive together. The daemon that paces a server now saves up three requests; with the one permit that daemons may hold for a second, a window of 4 s stays within 5 L + 4, below the 6 L + 5 that are allowed.

--- a/amaranthstream/src/main/java/org/amaranthstream/fleet/FleetPermits.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/fleet/FleetPermits.java
@@ -37,6 +37,9 @@
   private static final FluentLogger logger = FluentLogger.forEnclosingClass();
   private static final int MAX_PACERS = 4_096;
 
+  /** The unused requests to a server that are saved up; fewer than what servers tolerate. */
+  private static final int BURST = 3;
+
   /** Allows for the round trip to the daemon that paces the server. */
   private static final Duration RESPONSE_MARGIN = Duration.ofMillis(300);
 
@@ -121,7 +124,7 @@
     Duration interval = server.requestInterval();
     EntryVmId coordinator = coordinatorOf(server.id());
     if (coordinator.equals(self)) {
-      reserve(pacers, server.id(), interval, patience)
+      reserve(pacers, BURST, server.id(), interval, patience)
           .ifPresentOrElse(
               wait -> timers.after(wait, () -> listener.accept(true)),
               () -> listener.accept(false));
@@ -156,18 +159,19 @@
     }
     logger.atFine().log("event=permit_coordinator_lost server=%s code=%s", server.id(), code);
     Duration ownInterval = interval.multipliedBy(OWN_SHARE_DIVISOR * fleet.nodes().size());
-    reserve(ownPacers, server.id(), ownInterval, patience)
+    reserve(ownPacers, 0, server.id(), ownInterval, patience)
         .ifPresentOrElse(
             wait -> timers.after(wait, () -> listener.accept(true)), () -> listener.accept(false));
   }
 
   private Optional<Duration> reserve(
       Map<BackendServerId, RequestPacer> from,
+      int burst,
       BackendServerId server,
       Duration interval,
       Duration patience) {
     long now = timers.nowNanos();
-    return from.computeIfAbsent(server, unused -> RequestPacer.startingAt(now))
+    return from.computeIfAbsent(server, unused -> RequestPacer.startingAt(now, burst))
         .reserve(interval, patience, now);
   }
 
@@ -178,7 +182,7 @@
       PermitCall call = PermitCall.parseFrom(body);
       Duration interval = Duration.ofNanos(call.getIntervalMicros() * 1_000);
       Duration patience = Duration.ofMillis(call.getPatienceMs());
-      reserve(pacers, BackendServerId.of(call.getServer()), interval, patience)
+      reserve(pacers, BURST, BackendServerId.of(call.getServer()), interval, patience)
           .ifPresentOrElse(
               wait -> timers.after(wait, () -> answer.complete(Result.success(new byte[0]))),
               () -> answer.complete(denied()));
--- a/amaranthstream/src/main/java/org/amaranthstream/servers/RequestPacer.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/servers/RequestPacer.java
@@ -10,19 +10,26 @@
  *
  * <p>Made for a load of more requests than the server takes. Each granted request reserves the next
  * free time; a request that would have to wait longer than its patience is denied at once and
- * reserves nothing. Unused time is not saved up, so that a burst does not follow a pause. Not
- * thread safe. Callers pass times as monotonic nanoseconds.
+ * reserves nothing. A few unused requests are saved up, because the items of a step arrive
+ * together. Not thread safe. Callers pass times as monotonic nanoseconds.
  */
 public final class RequestPacer {
+  private final int burst;
   private long nextFreeNanos;
 
-  private RequestPacer(long nowNanos) {
+  private RequestPacer(int burst, long nowNanos) {
+    this.burst = burst;
     this.nextFreeNanos = nowNanos;
   }
 
-  /** Returns a pacer that grants the first request at once. */
-  public static RequestPacer startingAt(long nowNanos) {
-    return new RequestPacer(nowNanos);
+  /**
+   * Returns a pacer that has no requests saved up.
+   *
+   * @param burst the number of unused requests that are saved up
+   */
+  public static RequestPacer startingAt(long nowNanos, int burst) {
+    checkArgument(burst >= 0, "burst is negative: %s", burst);
+    return new RequestPacer(burst, nowNanos);
   }
 
   /**
@@ -34,11 +41,12 @@
    */
   public Optional<Duration> reserve(Duration interval, Duration patience, long nowNanos) {
     checkArgument(!interval.isNegative(), "interval is negative: %s", interval);
-    long waitNanos = Math.max(0, nextFreeNanos - nowNanos);
+    long savedNanos = Math.min(nowNanos - nextFreeNanos, burst * interval.toNanos());
+    long waitNanos = Math.max(0, -savedNanos);
     if (waitNanos > patience.toNanos()) {
       return Optional.empty();
     }
-    nextFreeNanos = nowNanos + waitNanos + interval.toNanos();
+    nextFreeNanos = nowNanos - savedNanos + interval.toNanos();
     return Optional.of(Duration.ofNanos(waitNanos));
   }
 }
