End unused permits by a timer, so that the scheduler keeps no server that is gone

The map of permits kept the incarnations whose permit was never used. Found by reading the diff; ItemPermitsTest covers the expiry as before.

--- a/amaranthstream/src/main/java/org/amaranthstream/jobs/ItemPermits.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/jobs/ItemPermits.java
@@ -7,6 +7,7 @@
 import java.util.Set;
 import org.amaranthstream.servers.RequestPermits;
 import org.amaranthstream.servers.TrackedServer;
+import org.amaranthstream.time.Subscription;
 import org.amaranthstream.time.TimerService;
 
 /**
@@ -25,7 +26,10 @@
   private final RequestPermits permits;
   private final TimerService timers;
   private final Runnable onGranted;
-  private final Map<TrackedServer, Long> expiryNanos = new HashMap<>();
+
+  /** The permits that may be used, each with the timer that ends it. */
+  private final Map<TrackedServer, Subscription> granted = new HashMap<>();
+
   private final Set<TrackedServer> requested = new HashSet<>();
 
   /**
@@ -40,17 +44,16 @@
   }
 
   /** Returns true if a run may start at {@code server} now. */
-  boolean mayStart(TrackedServer server, long nowNanos) {
-    if (!server.isLimited()) {
-      return true;
-    }
-    Long expiry = expiryNanos.get(server);
-    return expiry != null && nowNanos - expiry < 0;
+  boolean mayStart(TrackedServer server) {
+    return !server.isLimited() || granted.containsKey(server);
   }
 
   /** Records that a run starts at {@code server}, which uses up its permit. */
   void onStarted(TrackedServer server) {
-    expiryNanos.remove(server);
+    Subscription expiry = granted.remove(server);
+    if (expiry != null) {
+      expiry.cancel();
+    }
   }
 
   /** Asks for a permit, unless one is requested already. */
@@ -66,7 +69,7 @@
       return;
     }
     requested.remove(server);
-    expiryNanos.put(server, timers.nowNanos() + VALIDITY.toNanos());
+    granted.put(server, timers.after(VALIDITY, () -> granted.remove(server)));
     onGranted.run();
   }
 }
--- a/amaranthstream/src/main/java/org/amaranthstream/jobs/ItemScheduler.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/jobs/ItemScheduler.java
@@ -176,7 +176,7 @@
       OwnedJob job, Route route, SlowServers slow, long now) {
     List<TrackedServer> free =
         withFreeSlots(servers(route), job, now).stream()
-            .filter(server -> permits.mayStart(server, now))
+            .filter(server -> permits.mayStart(server))
             .toList();
     Optional<TrackedServer> fast = choice.choose(free, server -> !slow.contains(server), now);
     return fast.isPresent() ? fast : choice.choose(free, server -> true, now);
@@ -188,7 +188,7 @@
       return;
     }
     withFreeSlots(servers(route), job, now).stream()
-        .filter(server -> !permits.mayStart(server, now))
+        .filter(server -> !permits.mayStart(server))
         .forEach(permits::request);
   }
 
--- a/amaranthstream/src/test/java/org/amaranthstream/jobs/ItemPermitsTest.java
+++ b/amaranthstream/src/test/java/org/amaranthstream/jobs/ItemPermitsTest.java
@@ -31,7 +31,7 @@
   }
 
   private boolean mayStart() {
-    return permits.mayStart(server, timers.nowNanos());
+    return permits.mayStart(server);
   }
 
   @Test
