Quarantine content whose runs are lost again and again, whatever refuted its crashes

On a platform whose servers restart under the id that they had, one request would go on ending servers.

Cause: a lost connection counts as a crash until the server responds to a later request. A server that restarted under its id responds as soon as it listens, but daemons read its new registration up to 0.7 s later (they collect changes of registrations). The response of the new incarnation was taken for one of the old incarnation, and refuted a crash that had happened. Each restart repeats this, so the content was never quarantined. A daemon that the store does not answer would stay in that state for as long.

Change: the registry counts the runs that were lost in a row, and quarantines the content after three, refuted or not. A completed request clears the count. Content with a lost run stays suspect: one server at a time, no hedging. crash_refuted is logged, as the logs could not show this.

Ruled out: waiting for the new registration before refuting (a daemon without the store never gets it); refuting only by connections older than the loss (with few requests a second there is rarely one, and servers that merely reset connections would have their requests quarantined).

--- a/amaranthstream/src/main/java/org/amaranthstream/calls/CrashTracker.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/calls/CrashTracker.java
@@ -15,8 +15,8 @@
  * Tracker of the crashes of backend servers and of the content that was in flight.
  *
  * <p>A lost connection counts as a crash of the server's incarnation, unless that incarnation
- * responds to a request that was sent later: then only the connection failed. Must be used on one
- * thread.
+ * responds to a request that was sent later: then only the connection failed. That is no proof, as
+ * a server may restart under its id, so lost runs are counted as well. Must be used on one thread.
  */
 final class CrashTracker {
   private static final int MAX_SUSPECTED_CRASHES = 1_024;
@@ -57,6 +57,7 @@
     Crash crash = crashOf(server);
     detectedNanos.put(crash, now);
     registry.onCrash(fingerprint, crash, now);
+    registry.onRunLost(fingerprint, now);
   }
 
   /** Records that a server responded to a request that was sent at {@code sentNanos}. */
--- a/amaranthstream/src/main/java/org/amaranthstream/quarantine/PoisonRegistry.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/quarantine/PoisonRegistry.java
@@ -20,13 +20,22 @@
 /**
  * A registry of content that was in flight when backend servers crashed.
  *
- * <p>Content with one crash is suspect: the dispatcher runs at most one suspect at a time on a
- * server. Content with crashes of two distinct incarnations is quarantined for a time. A crash is
- * cleared when a request with the content completes, or when a load report shows that the server
- * did not crash. The registry is bounded and evicts the oldest entries first. Not thread safe.
+ * <p>Content with one crash is suspect: a server runs at most one suspect at a time. Content with
+ * crashes of two distinct incarnations is quarantined for a time, and so is content whose runs are
+ * lost again and again. A crash is cleared when a request with the content completes, or when the
+ * server proves not to have crashed. The registry is bounded and evicts the oldest entries first.
+ * Not thread safe.
  */
 public final class PoisonRegistry {
   private static final int CRASHES_TO_QUARANTINE = 2;
+
+  /**
+   * Lost runs in a row after which content is quarantined, even if their crashes were refuted. A
+   * server that restarted under its id may respond before its registration is known, and so refute
+   * a crash that happened.
+   */
+  private static final int LOST_RUNS_TO_QUARANTINE = 3;
+
   private static final int MAX_ENTRIES = 4096;
 
   private static final FluentLogger logger = FluentLogger.forEnclosingClass();
@@ -84,10 +93,22 @@
     }
   }
 
-  /** Clears all crashes of content whose request completed. */
+  /**
+   * Records that this process lost the connection to a server that ran {@code fingerprint}. Only
+   * for callers that cannot tell a crash from a failed connection for certain.
+   */
+  public void onRunLost(Fingerprint fingerprint, long nowNanos) {
+    Entry entry = entries.computeIfAbsent(fingerprint, f -> new Entry());
+    entry.lostRuns++;
+    entry.newestNanos = nowNanos;
+    trim();
+  }
+
+  /** Clears all crashes and lost runs of content whose request completed. */
   public void onCompleted(Fingerprint fingerprint) {
     Entry entry = entries.get(fingerprint);
     if (entry != null) {
+      entry.lostRuns = 0;
       entry.cleared.addAll(entry.crashes);
       entry.crashes.clear();
     }
@@ -95,14 +116,17 @@
 
   /** Clears a suspected crash that did not happen, for all content. */
   public void onCrashRefuted(Crash crash) {
+    int contents = 0;
     for (Entry entry : entries.values()) {
       if (entry.crashes.remove(crash)) {
         entry.cleared.add(crash);
+        contents++;
       }
     }
+    logger.atInfo().log("event=crash_refuted server=%s contents=%d", crash.server(), contents);
   }
 
-  /** Returns true if {@code fingerprint} has a recent crash that was not cleared. */
+  /** Returns true if {@code fingerprint} has a recent crash or lost run that was not cleared. */
   public boolean isSuspect(Fingerprint fingerprint, long nowNanos) {
     return findUnexpired(fingerprint, nowNanos) != null;
   }
@@ -114,7 +138,7 @@
       return Optional.empty();
     }
     long remainingNanos = entry.adopted ? entry.adoptedEndNanos - nowNanos : 0;
-    if (entry.crashes.size() >= CRASHES_TO_QUARANTINE) {
+    if (entry.shouldQuarantine()) {
       remainingNanos = Math.max(remainingNanos, entry.newestNanos + quarantineNanos - nowNanos);
     }
     return remainingNanos > 0 ? Optional.of(Duration.ofNanos(remainingNanos)) : Optional.empty();
@@ -169,7 +193,7 @@
 
   private @Nullable Entry findUnexpired(Fingerprint fingerprint, long nowNanos) {
     Entry entry = entries.get(fingerprint);
-    if (entry == null || entry.crashes.isEmpty()) {
+    if (entry == null || !entry.isSuspect()) {
       return null;
     }
     return isExpired(entry, nowNanos) ? null : entry;
@@ -187,8 +211,17 @@
   private static final class Entry {
     private final Set<Crash> crashes = new HashSet<>();
     private final Set<Crash> cleared = new HashSet<>();
+    private int lostRuns;
     private long newestNanos;
     private boolean adopted;
     private long adoptedEndNanos;
+
+    private boolean isSuspect() {
+      return !crashes.isEmpty() || lostRuns > 0;
+    }
+
+    private boolean shouldQuarantine() {
+      return crashes.size() >= CRASHES_TO_QUARANTINE || lostRuns >= LOST_RUNS_TO_QUARANTINE;
+    }
   }
 }
--- a/amaranthstream/src/test/java/org/amaranthstream/calls/CrashingContentTest.java
+++ b/amaranthstream/src/test/java/org/amaranthstream/calls/CrashingContentTest.java
@@ -126,6 +126,22 @@
       assertThat(servers.crashes()).isEqualTo(2);
     }
 
+    /** The new incarnations respond to sound requests before the daemon knows them. */
+    @Test
+    void survivesResponsesOfRestartedServers() {
+      servers.setKeepsIds(true);
+      for (int i = 0; i < 20; i++) {
+        send(0, "crash" + i, CrashingServers.CRASHING_BODY);
+        timers.advance(Duration.ofMillis(1_900));
+        for (int j = 0; j < 9; j++) {
+          send(0, "sound" + i + "-" + j, "sound" + i + "-" + j);
+        }
+        timers.advance(Duration.ofMillis(100));
+      }
+
+      assertThat(servers.crashes()).isAtMost(3);
+    }
+
     @Test
     void rejectsAtOnceWithTheTimeThatRemains() {
       send(0, "first", CrashingServers.CRASHING_BODY);
--- a/amaranthstream/src/test/java/org/amaranthstream/calls/CrashingServers.java
+++ b/amaranthstream/src/test/java/org/amaranthstream/calls/CrashingServers.java
@@ -30,6 +30,7 @@
   private static final Duration RESPONSE_TIME = Duration.ofMillis(36);
   private static final Duration CRASH_TIME = Duration.ofMillis(100);
   private static final Duration RESTART_TIME = Duration.ofMillis(1_500);
+  private static final Duration LATE_REGISTRATION = Duration.ofMillis(700);
 
   private final TimerService timers;
   private final List<ServerDirectory> directories;
@@ -39,6 +40,7 @@
   private final List<String> started = new ArrayList<>();
   private int crashes;
   private boolean resetsConnections;
+  private boolean keepsIds;
 
   CrashingServers(TimerService timers, List<ServerDirectory> directories) {
     this.timers = timers;
@@ -49,6 +51,14 @@
     BackendServerId id = BackendServerId.of(name);
     down.remove(id);
     long incarnation = incarnations.merge(id, 1L, Long::sum);
+    if (keepsIds) {
+      timers.after(LATE_REGISTRATION, () -> register(id, incarnation));
+    } else {
+      register(id, incarnation);
+    }
+  }
+
+  private void register(BackendServerId id, long incarnation) {
     ServerRegistration registration =
         new ServerRegistration(
             id,
@@ -63,6 +73,13 @@
     directories.forEach(directory -> directory.onRegistration(registration));
   }
 
+  /**
+   * Makes restarted servers respond under the id that they had, before their registration is known.
+   */
+  void setKeepsIds(boolean keepsIds) {
+    this.keepsIds = keepsIds;
+  }
+
   /** Makes the servers lose the connection of each request, and stay alive. */
   void setResetsConnections(boolean resetsConnections) {
     this.resetsConnections = resetsConnections;
@@ -114,7 +131,8 @@
         listener.onFailed(new AttemptFailure.NotSent("connection refused"));
         return;
       }
-      if (server.registration().startMillis() != incarnations.get(server.id())) {
+      boolean isKnown = server.registration().startMillis() == incarnations.get(server.id());
+      if (!isKnown && !keepsIds) {
         isOver = true;
         listener.onFailed(new AttemptFailure.ServerReplaced());
         return;
--- a/amaranthstream/src/test/java/org/amaranthstream/quarantine/PoisonRegistryTest.java
+++ b/amaranthstream/src/test/java/org/amaranthstream/quarantine/PoisonRegistryTest.java
@@ -44,6 +44,30 @@
       assertThat(registry.isSuspect(CONTENT, 11)).isTrue();
     }
 
+    @Test
+    void followsThreeLostRunsAlthoughTheirCrashesWereRefuted() {
+      for (int i = 0; i < 3; i++) {
+        assertThat(registry.remainingQuarantine(CONTENT, 10 + i)).isEmpty();
+        registry.onCrash(CONTENT, crash("e1", "a"), 10 + i);
+        registry.onRunLost(CONTENT, 10 + i);
+        registry.onCrashRefuted(crash("e1", "a"));
+      }
+
+      assertThat(registry.remainingQuarantine(CONTENT, 12)).hasValue(QUARANTINE);
+    }
+
+    @Test
+    void needsLostRunsWithoutCompletionBetweenThem() {
+      for (int i = 0; i < 6; i++) {
+        registry.onRunLost(CONTENT, 10 + i);
+        if (i % 2 == 1) {
+          registry.onCompleted(CONTENT);
+        }
+      }
+
+      assertThat(registry.remainingQuarantine(CONTENT, 15)).isEmpty();
+    }
+
     @Test
     void isAdoptedFromAnotherVm() {
       registry.adoptQuarantine(CONTENT, Duration.ofNanos(30), 0);
