Clear content of its crashes at all daemons when it completes at one of them

What callers would see: a request that many callers send alike (a popular lookup) is in flight at many crashes, whatever causes them. After two crashes at different daemons all daemons reject it for ten minutes with NOT_RUN_QUARANTINED, although it completed between the crashes.

Cause: daemons exchanged crashes, but the completion that clears them stayed at the daemon that saw it.

Change: notices name the crashes that a completion cleared as well (two sets that only grow; cleared goes first), for `serve` and the platform's program. Refutations stay local, because they can be wrong.

Evidence: CrashingContentTest.isServedByAllDaemonsIfItCompletesBetweenCrashes (third daemon rejected before), PoisonRegistryTest.clearsTheCrashesOfContentThatCompletedAtTheOtherVm; both failed before. ignoresClearedCrashes asserted that no notice goes out after a completion; it now asserts that the notice holds no crash and the cleared one.

Left: content that completes nowhere between two crashes under it is still quarantined.

--- a/amaranthstream/src/main/java/org/amaranthstream/peer/PoisonCodec.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/peer/PoisonCodec.java
@@ -1,6 +1,7 @@
 package org.amaranthstream.peer;
 
 import com.google.common.collect.ImmutableSet;
+import java.util.List;
 import java.util.Optional;
 import org.amaranthstream.ids.BackendServerId;
 import org.amaranthstream.ids.Incarnation;
@@ -20,6 +21,7 @@
             .setFingerprint(notice.fingerprint().value())
             .setAgeMs(WireDurations.toMillis(notice.age()));
     notice.crashes().forEach(crash -> content.addCrash(encode(crash)));
+    notice.cleared().forEach(crash -> content.addCleared(encode(crash)));
     return content.build();
   }
 
@@ -37,12 +39,15 @@
   static PoisonNotice decode(PoisonContent content) {
     return new PoisonNotice(
         new Fingerprint(content.getFingerprint()),
-        content.getCrashList().stream()
-            .map(PoisonCodec::decode)
-            .collect(ImmutableSet.toImmutableSet()),
+        decode(content.getCrashList()),
+        decode(content.getClearedList()),
         WireDurations.fromMillis(content.getAgeMs()));
   }
 
+  private static ImmutableSet<Crash> decode(List<ServerCrash> crashes) {
+    return crashes.stream().map(PoisonCodec::decode).collect(ImmutableSet.toImmutableSet());
+  }
+
   private static Crash decode(ServerCrash crash) {
     Optional<Incarnation> incarnation =
         crash.getIncarnation().isEmpty()
--- a/amaranthstream/src/main/java/org/amaranthstream/peer/wire/Peer.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/peer/wire/Peer.java
@@ -217,48 +217,50 @@
       "ued\030\005 \001(\r\022\r\n\005slots\030\006 \001(\r\022\020\n\010draining\030\007 \001" +
       "(\010\022\016\n\006age_ms\030\010 \001(\rB\n\n\010_version\"4\n\rLeavin" +
       "gServer\022\016\n\006server\030\001 \001(\t\022\023\n\013incarnation\030\002" +
-      " \001(\t\"e\n\rPoisonContent\022\023\n\013fingerprint\030\001 \001" +
-      "(\t\022/\n\005crash\030\002 \003(\0132 .amaranthstream.peer." +
-      "ServerCrash\022\016\n\006age_ms\030\003 \001(\r\"2\n\013ServerCra" +
-      "sh\022\016\n\006server\030\001 \001(\t\022\023\n\013incarnation\030\002 \001(\t\"" +
-      "\256\001\n\rZoneAggregate\022\014\n\004zone\030\001 \001(\t\022\016\n\006regio" +
-      "n\030\002 \001(\t\022\014\n\004pool\030\003 \001(\t\022\017\n\007servers\030\004 \001(\r\022\017" +
-      "\n\007running\030\005 \001(\r\022\016\n\006queued\030\006 \001(\r\022\r\n\005slots" +
-      "\030\007 \001(\r\022\024\n\007version\030\010 \001(\004H\000\210\001\001\022\016\n\006age_ms\030\t" +
-      " \001(\rB\n\n\010_version\")\n\tPoolQueue\022\014\n\004pool\030\001 " +
-      "\001(\t\022\016\n\006queued\030\002 \001(\r\"C\n\005Query\022\n\n\002id\030\001 \001(\004" +
-      "\022\014\n\004kind\030\002 \001(\r\022\014\n\004body\030\003 \001(\014\022\022\n\ntimeout_" +
-      "ms\030\004 \001(\r\"`\n\nQueryReply\022\n\n\002id\030\001 \001(\004\022\016\n\004bo" +
-      "dy\030\002 \001(\014H\000\022+\n\005error\030\003 \001(\0132\032.amaranthstre" +
-      "am.peer.ErrorH\000B\t\n\007outcome\"&\n\005Error\022\014\n\004c" +
-      "ode\030\001 \001(\r\022\017\n\007message\030\002 \001(\t\"\303\002\n\007Forward\022\n" +
-      "\n\002id\030\001 \001(\004\022\017\n\007request\030\002 \001(\t\022\022\n\nwork_clas" +
-      "s\030\003 \001(\t\022\014\n\004pool\030\004 \001(\t\022\020\n\010priority\030\005 \001(\r\022" +
-      "\022\n\nidempotent\030\006 \001(\010\022\025\n\010affinity\030\007 \001(\tH\001\210" +
-      "\001\001\022\034\n\017minimum_version\030\010 \001(\004H\002\210\001\001\022\024\n\014rema" +
-      "ining_ms\030\t \001(\r\0221\n\010generate\030\n \001(\0132\035.amara" +
-      "nthstream.peer.GenerateH\000\022)\n\004call\030\013 \001(\0132" +
-      "\031.amaranthstream.peer.CallH\000B\t\n\007payloadB" +
-      "\013\n\t_affinityB\022\n\020_minimum_version\"<\n\010Gene" +
-      "rate\022\016\n\006prompt\030\001 \001(\t\022\022\n\nmax_tokens\030\002 \001(\r" +
-      "\022\014\n\004seed\030\003 \001(\003\"8\n\004Call\022\014\n\004path\030\001 \001(\t\022\024\n\014" +
-      "content_type\030\002 \001(\t\022\014\n\004body\030\003 \001(\014\"\224\001\n\014For" +
-      "wardChunk\022\n\n\002id\030\001 \001(\004\022\016\n\006offset\030\002 \001(\004\022\016\n" +
-      "\006tokens\030\003 \001(\r\022\014\n\004text\030\004 \001(\t\022\024\n\007version\030\005" +
-      " \001(\004H\000\210\001\001\022\030\n\013incarnation\030\006 \001(\tH\001\210\001\001B\n\n\010_" +
-      "versionB\016\n\014_incarnation\"\270\001\n\016ForwardOutco" +
-      "me\022\n\n\002id\030\001 \001(\004\0220\n\tcompleted\030\002 \001(\0132\033.amar" +
-      "anthstream.peer.AnswerH\000\022.\n\007not_run\030\003 \001(" +
-      "\0132\033.amaranthstream.peer.NotRunH\000\022-\n\007unkn" +
-      "own\030\004 \001(\0132\032.amaranthstream.peer.ErrorH\000B" +
-      "\t\n\007outcome\"e\n\006Answer\022\016\n\006server\030\001 \001(\t\022\016\n\006" +
-      "status\030\002 \001(\r\022\024\n\014content_type\030\003 \001(\t\022\016\n\006to" +
-      "kens\030\004 \001(\004\022\025\n\rfinish_reason\030\005 \001(\t\"c\n\006Not" +
-      "Run\022)\n\005error\030\001 \001(\0132\032.amaranthstream.peer" +
-      ".Error\022\033\n\016retry_after_ms\030\002 \001(\rH\000\210\001\001B\021\n\017_" +
-      "retry_after_ms\"\033\n\rForwardCancel\022\n\n\002id\030\001 " +
-      "\001(\004*\037\n\005Phase\022\t\n\005READY\020\000\022\013\n\007LEAVING\020\001B \n\034" +
-      "org.amaranthstream.peer.wireP\001b\006proto3"
+      " \001(\t\"\230\001\n\rPoisonContent\022\023\n\013fingerprint\030\001 " +
+      "\001(\t\022/\n\005crash\030\002 \003(\0132 .amaranthstream.peer" +
+      ".ServerCrash\022\016\n\006age_ms\030\003 \001(\r\0221\n\007cleared\030" +
+      "\004 \003(\0132 .amaranthstream.peer.ServerCrash\"" +
+      "2\n\013ServerCrash\022\016\n\006server\030\001 \001(\t\022\023\n\013incarn" +
+      "ation\030\002 \001(\t\"\256\001\n\rZoneAggregate\022\014\n\004zone\030\001 " +
+      "\001(\t\022\016\n\006region\030\002 \001(\t\022\014\n\004pool\030\003 \001(\t\022\017\n\007ser" +
+      "vers\030\004 \001(\r\022\017\n\007running\030\005 \001(\r\022\016\n\006queued\030\006 " +
+      "\001(\r\022\r\n\005slots\030\007 \001(\r\022\024\n\007version\030\010 \001(\004H\000\210\001\001" +
+      "\022\016\n\006age_ms\030\t \001(\rB\n\n\010_version\")\n\tPoolQueu" +
+      "e\022\014\n\004pool\030\001 \001(\t\022\016\n\006queued\030\002 \001(\r\"C\n\005Query" +
+      "\022\n\n\002id\030\001 \001(\004\022\014\n\004kind\030\002 \001(\r\022\014\n\004body\030\003 \001(\014" +
+      "\022\022\n\ntimeout_ms\030\004 \001(\r\"`\n\nQueryReply\022\n\n\002id" +
+      "\030\001 \001(\004\022\016\n\004body\030\002 \001(\014H\000\022+\n\005error\030\003 \001(\0132\032." +
+      "amaranthstream.peer.ErrorH\000B\t\n\007outcome\"&" +
+      "\n\005Error\022\014\n\004code\030\001 \001(\r\022\017\n\007message\030\002 \001(\t\"\303" +
+      "\002\n\007Forward\022\n\n\002id\030\001 \001(\004\022\017\n\007request\030\002 \001(\t\022" +
+      "\022\n\nwork_class\030\003 \001(\t\022\014\n\004pool\030\004 \001(\t\022\020\n\010pri" +
+      "ority\030\005 \001(\r\022\022\n\nidempotent\030\006 \001(\010\022\025\n\010affin" +
+      "ity\030\007 \001(\tH\001\210\001\001\022\034\n\017minimum_version\030\010 \001(\004H" +
+      "\002\210\001\001\022\024\n\014remaining_ms\030\t \001(\r\0221\n\010generate\030\n" +
+      " \001(\0132\035.amaranthstream.peer.GenerateH\000\022)\n" +
+      "\004call\030\013 \001(\0132\031.amaranthstream.peer.CallH\000" +
+      "B\t\n\007payloadB\013\n\t_affinityB\022\n\020_minimum_ver" +
+      "sion\"<\n\010Generate\022\016\n\006prompt\030\001 \001(\t\022\022\n\nmax_" +
+      "tokens\030\002 \001(\r\022\014\n\004seed\030\003 \001(\003\"8\n\004Call\022\014\n\004pa" +
+      "th\030\001 \001(\t\022\024\n\014content_type\030\002 \001(\t\022\014\n\004body\030\003" +
+      " \001(\014\"\224\001\n\014ForwardChunk\022\n\n\002id\030\001 \001(\004\022\016\n\006off" +
+      "set\030\002 \001(\004\022\016\n\006tokens\030\003 \001(\r\022\014\n\004text\030\004 \001(\t\022" +
+      "\024\n\007version\030\005 \001(\004H\000\210\001\001\022\030\n\013incarnation\030\006 \001" +
+      "(\tH\001\210\001\001B\n\n\010_versionB\016\n\014_incarnation\"\270\001\n\016" +
+      "ForwardOutcome\022\n\n\002id\030\001 \001(\004\0220\n\tcompleted\030" +
+      "\002 \001(\0132\033.amaranthstream.peer.AnswerH\000\022.\n\007" +
+      "not_run\030\003 \001(\0132\033.amaranthstream.peer.NotR" +
+      "unH\000\022-\n\007unknown\030\004 \001(\0132\032.amaranthstream.p" +
+      "eer.ErrorH\000B\t\n\007outcome\"e\n\006Answer\022\016\n\006serv" +
+      "er\030\001 \001(\t\022\016\n\006status\030\002 \001(\r\022\024\n\014content_type" +
+      "\030\003 \001(\t\022\016\n\006tokens\030\004 \001(\004\022\025\n\rfinish_reason\030" +
+      "\005 \001(\t\"c\n\006NotRun\022)\n\005error\030\001 \001(\0132\032.amarant" +
+      "hstream.peer.Error\022\033\n\016retry_after_ms\030\002 \001" +
+      "(\rH\000\210\001\001B\021\n\017_retry_after_ms\"\033\n\rForwardCan" +
+      "cel\022\n\n\002id\030\001 \001(\004*\037\n\005Phase\022\t\n\005READY\020\000\022\013\n\007L" +
+      "EAVING\020\001B \n\034org.amaranthstream.peer.wire" +
+      "P\001b\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -341,7 +343,7 @@
     internal_static_amaranthstream_peer_PoisonContent_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_amaranthstream_peer_PoisonContent_descriptor,
-        new java.lang.String[] { "Fingerprint", "Crash", "AgeMs", });
+        new java.lang.String[] { "Fingerprint", "Crash", "AgeMs", "Cleared", });
     internal_static_amaranthstream_peer_ServerCrash_descriptor =
       getDescriptor().getMessageType(13);
     internal_static_amaranthstream_peer_ServerCrash_fieldAccessorTable = new
--- a/amaranthstream/src/main/java/org/amaranthstream/peer/wire/PoisonContent.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/peer/wire/PoisonContent.java
@@ -34,6 +34,7 @@
   private PoisonContent() {
     fingerprint_ = "";
     crash_ = java.util.Collections.emptyList();
+    cleared_ = java.util.Collections.emptyList();
   }
 
   public static final com.google.protobuf.Descriptors.Descriptor
@@ -145,6 +146,67 @@
     return ageMs_;
   }
 
+  public static final int CLEARED_FIELD_NUMBER = 4;
+  @SuppressWarnings("serial")
+  private java.util.List<org.amaranthstream.peer.wire.ServerCrash> cleared_;
+  /**
+   * <pre>
+   * Crashes after which the content completed.
+   * </pre>
+   *
+   * <code>repeated .amaranthstream.peer.ServerCrash cleared = 4;</code>
+   */
+  @java.lang.Override
+  public java.util.List<org.amaranthstream.peer.wire.ServerCrash> getClearedList() {
+    return cleared_;
+  }
+  /**
+   * <pre>
+   * Crashes after which the content completed.
+   * </pre>
+   *
+   * <code>repeated .amaranthstream.peer.ServerCrash cleared = 4;</code>
+   */
+  @java.lang.Override
+  public java.util.List<? extends org.amaranthstream.peer.wire.ServerCrashOrBuilder> 
+      getClearedOrBuilderList() {
+    return cleared_;
+  }
+  /**
+   * <pre>
+   * Crashes after which the content completed.
+   * </pre>
+   *
+   * <code>repeated .amaranthstream.peer.ServerCrash cleared = 4;</code>
+   */
+  @java.lang.Override
+  public int getClearedCount() {
+    return cleared_.size();
+  }
+  /**
+   * <pre>
+   * Crashes after which the content completed.
+   * </pre>
+   *
+   * <code>repeated .amaranthstream.peer.ServerCrash cleared = 4;</code>
+   */
+  @java.lang.Override
+  public org.amaranthstream.peer.wire.ServerCrash getCleared(int index) {
+    return cleared_.get(index);
+  }
+  /**
+   * <pre>
+   * Crashes after which the content completed.
+   * </pre>
+   *
+   * <code>repeated .amaranthstream.peer.ServerCrash cleared = 4;</code>
+   */
+  @java.lang.Override
+  public org.amaranthstream.peer.wire.ServerCrashOrBuilder getClearedOrBuilder(
+      int index) {
+    return cleared_.get(index);
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -168,6 +230,9 @@
     if (ageMs_ != 0) {
       output.writeUInt32(3, ageMs_);
     }
+    for (int i = 0; i < cleared_.size(); i++) {
+      output.writeMessage(4, cleared_.get(i));
+    }
     getUnknownFields().writeTo(output);
   }
 
@@ -193,6 +258,15 @@
       size += com.google.protobuf.CodedOutputStream
         .computeUInt32Size(3, ageMs_);
     }
+
+        {
+          final int count = cleared_.size();
+          for (int i = 0; i < count; i++) {
+            size += com.google.protobuf.CodedOutputStream
+              .computeMessageSizeNoTag(cleared_.get(i));
+          }
+          size += 1 * count;
+        }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -214,6 +288,8 @@
         .equals(other.getCrashList())) return false;
     if (getAgeMs()
         != other.getAgeMs()) return false;
+    if (!getClearedList()
+        .equals(other.getClearedList())) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -233,6 +309,10 @@
     }
     hash = (37 * hash) + AGE_MS_FIELD_NUMBER;
     hash = (53 * hash) + getAgeMs();
+    if (getClearedCount() > 0) {
+      hash = (37 * hash) + CLEARED_FIELD_NUMBER;
+      hash = (53 * hash) + getClearedList().hashCode();
+    }
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -377,6 +457,13 @@
       }
       bitField0_ = (bitField0_ & ~0x00000002);
       ageMs_ = 0;
+      if (clearedBuilder_ == null) {
+        cleared_ = java.util.Collections.emptyList();
+      } else {
+        cleared_ = null;
+        clearedBuilder_.clear();
+      }
+      bitField0_ = (bitField0_ & ~0x00000008);
       return this;
     }
 
@@ -419,6 +506,15 @@
       } else {
         result.crash_ = crashBuilder_.build();
       }
+      if (clearedBuilder_ == null) {
+        if (((bitField0_ & 0x00000008) != 0)) {
+          cleared_ = java.util.Collections.unmodifiableList(cleared_);
+          bitField0_ = (bitField0_ & ~0x00000008);
+        }
+        result.cleared_ = cleared_;
+      } else {
+        result.cleared_ = clearedBuilder_.build();
+      }
     }
 
     private void buildPartial0(org.amaranthstream.peer.wire.PoisonContent result) {
@@ -477,6 +573,32 @@
       if (other.getAgeMs() != 0) {
         setAgeMs(other.getAgeMs());
       }
+      if (clearedBuilder_ == null) {
+        if (!other.cleared_.isEmpty()) {
+          if (cleared_.isEmpty()) {
+            cleared_ = other.cleared_;
+            bitField0_ = (bitField0_ & ~0x00000008);
+          } else {
+            ensureClearedIsMutable();
+            cleared_.addAll(other.cleared_);
+          }
+          onChanged();
+        }
+      } else {
+        if (!other.cleared_.isEmpty()) {
+          if (clearedBuilder_.isEmpty()) {
+            clearedBuilder_.dispose();
+            clearedBuilder_ = null;
+            cleared_ = other.cleared_;
+            bitField0_ = (bitField0_ & ~0x00000008);
+            clearedBuilder_ = 
+              com.google.protobuf.GeneratedMessage.alwaysUseFieldBuilders ?
+                 internalGetClearedFieldBuilder() : null;
+          } else {
+            clearedBuilder_.addAllMessages(other.cleared_);
+          }
+        }
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -526,6 +648,19 @@
               bitField0_ |= 0x00000004;
               break;
             } // case 24
+            case 34: {
+              org.amaranthstream.peer.wire.ServerCrash m =
+                  input.readMessage(
+                      org.amaranthstream.peer.wire.ServerCrash.parser(),
+                      extensionRegistry);
+              if (clearedBuilder_ == null) {
+                ensureClearedIsMutable();
+                cleared_.add(m);
+              } else {
+                clearedBuilder_.addMessage(m);
+              }
+              break;
+            } // case 34
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -887,6 +1022,318 @@
       return this;
     }
 
+    private java.util.List<org.amaranthstream.peer.wire.ServerCrash> cleared_ =
+      java.util.Collections.emptyList();
+    private void ensureClearedIsMutable() {
+      if (!((bitField0_ & 0x00000008) != 0)) {
+        cleared_ = new java.util.ArrayList<org.amaranthstream.peer.wire.ServerCrash>(cleared_);
+        bitField0_ |= 0x00000008;
+       }
+    }
+
+    private com.google.protobuf.RepeatedFieldBuilder<
+        org.amaranthstream.peer.wire.ServerCrash, org.amaranthstream.peer.wire.ServerCrash.Builder, org.amaranthstream.peer.wire.ServerCrashOrBuilder> clearedBuilder_;
+
+    /**
+     * <pre>
+     * Crashes after which the content completed.
+     * </pre>
+     *
+     * <code>repeated .amaranthstream.peer.ServerCrash cleared = 4;</code>
+     */
+    public java.util.List<org.amaranthstream.peer.wire.ServerCrash> getClearedList() {
+      if (clearedBuilder_ == null) {
+        return java.util.Collections.unmodifiableList(cleared_);
+      } else {
+        return clearedBuilder_.getMessageList();
+      }
+    }
+    /**
+     * <pre>
+     * Crashes after which the content completed.
+     * </pre>
+     *
+     * <code>repeated .amaranthstream.peer.ServerCrash cleared = 4;</code>
+     */
+    public int getClearedCount() {
+      if (clearedBuilder_ == null) {
+        return cleared_.size();
+      } else {
+        return clearedBuilder_.getCount();
+      }
+    }
+    /**
+     * <pre>
+     * Crashes after which the content completed.
+     * </pre>
+     *
+     * <code>repeated .amaranthstream.peer.ServerCrash cleared = 4;</code>
+     */
+    public org.amaranthstream.peer.wire.ServerCrash getCleared(int index) {
+      if (clearedBuilder_ == null) {
+        return cleared_.get(index);
+      } else {
+        return clearedBuilder_.getMessage(index);
+      }
+    }
+    /**
+     * <pre>
+     * Crashes after which the content completed.
+     * </pre>
+     *
+     * <code>repeated .amaranthstream.peer.ServerCrash cleared = 4;</code>
+     */
+    public Builder setCleared(
+        int index, org.amaranthstream.peer.wire.ServerCrash value) {
+      if (clearedBuilder_ == null) {
+        if (value == null) {
+          throw new NullPointerException();
+        }
+        ensureClearedIsMutable();
+        cleared_.set(index, value);
+        onChanged();
+      } else {
+        clearedBuilder_.setMessage(index, value);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Crashes after which the content completed.
+     * </pre>
+     *
+     * <code>repeated .amaranthstream.peer.ServerCrash cleared = 4;</code>
+     */
+    public Builder setCleared(
+        int index, org.amaranthstream.peer.wire.ServerCrash.Builder builderForValue) {
+      if (clearedBuilder_ == null) {
+        ensureClearedIsMutable();
+        cleared_.set(index, builderForValue.build());
+        onChanged();
+      } else {
+        clearedBuilder_.setMessage(index, builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Crashes after which the content completed.
+     * </pre>
+     *
+     * <code>repeated .amaranthstream.peer.ServerCrash cleared = 4;</code>
+     */
+    public Builder addCleared(org.amaranthstream.peer.wire.ServerCrash value) {
+      if (clearedBuilder_ == null) {
+        if (value == null) {
+          throw new NullPointerException();
+        }
+        ensureClearedIsMutable();
+        cleared_.add(value);
+        onChanged();
+      } else {
+        clearedBuilder_.addMessage(value);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Crashes after which the content completed.
+     * </pre>
+     *
+     * <code>repeated .amaranthstream.peer.ServerCrash cleared = 4;</code>
+     */
+    public Builder addCleared(
+        int index, org.amaranthstream.peer.wire.ServerCrash value) {
+      if (clearedBuilder_ == null) {
+        if (value == null) {
+          throw new NullPointerException();
+        }
+        ensureClearedIsMutable();
+        cleared_.add(index, value);
+        onChanged();
+      } else {
+        clearedBuilder_.addMessage(index, value);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Crashes after which the content completed.
+     * </pre>
+     *
+     * <code>repeated .amaranthstream.peer.ServerCrash cleared = 4;</code>
+     */
+    public Builder addCleared(
+        org.amaranthstream.peer.wire.ServerCrash.Builder builderForValue) {
+      if (clearedBuilder_ == null) {
+        ensureClearedIsMutable();
+        cleared_.add(builderForValue.build());
+        onChanged();
+      } else {
+        clearedBuilder_.addMessage(builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Crashes after which the content completed.
+     * </pre>
+     *
+     * <code>repeated .amaranthstream.peer.ServerCrash cleared = 4;</code>
+     */
+    public Builder addCleared(
+        int index, org.amaranthstream.peer.wire.ServerCrash.Builder builderForValue) {
+      if (clearedBuilder_ == null) {
+        ensureClearedIsMutable();
+        cleared_.add(index, builderForValue.build());
+        onChanged();
+      } else {
+        clearedBuilder_.addMessage(index, builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Crashes after which the content completed.
+     * </pre>
+     *
+     * <code>repeated .amaranthstream.peer.ServerCrash cleared = 4;</code>
+     */
+    public Builder addAllCleared(
+        java.lang.Iterable<? extends org.amaranthstream.peer.wire.ServerCrash> values) {
+      if (clearedBuilder_ == null) {
+        ensureClearedIsMutable();
+        com.google.protobuf.AbstractMessageLite.Builder.addAll(
+            values, cleared_);
+        onChanged();
+      } else {
+        clearedBuilder_.addAllMessages(values);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Crashes after which the content completed.
+     * </pre>
+     *
+     * <code>repeated .amaranthstream.peer.ServerCrash cleared = 4;</code>
+     */
+    public Builder clearCleared() {
+      if (clearedBuilder_ == null) {
+        cleared_ = java.util.Collections.emptyList();
+        bitField0_ = (bitField0_ & ~0x00000008);
+        onChanged();
+      } else {
+        clearedBuilder_.clear();
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Crashes after which the content completed.
+     * </pre>
+     *
+     * <code>repeated .amaranthstream.peer.ServerCrash cleared = 4;</code>
+     */
+    public Builder removeCleared(int index) {
+      if (clearedBuilder_ == null) {
+        ensureClearedIsMutable();
+        cleared_.remove(index);
+        onChanged();
+      } else {
+        clearedBuilder_.remove(index);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Crashes after which the content completed.
+     * </pre>
+     *
+     * <code>repeated .amaranthstream.peer.ServerCrash cleared = 4;</code>
+     */
+    public org.amaranthstream.peer.wire.ServerCrash.Builder getClearedBuilder(
+        int index) {
+      return internalGetClearedFieldBuilder().getBuilder(index);
+    }
+    /**
+     * <pre>
+     * Crashes after which the content completed.
+     * </pre>
+     *
+     * <code>repeated .amaranthstream.peer.ServerCrash cleared = 4;</code>
+     */
+    public org.amaranthstream.peer.wire.ServerCrashOrBuilder getClearedOrBuilder(
+        int index) {
+      if (clearedBuilder_ == null) {
+        return cleared_.get(index);  } else {
+        return clearedBuilder_.getMessageOrBuilder(index);
+      }
+    }
+    /**
+     * <pre>
+     * Crashes after which the content completed.
+     * </pre>
+     *
+     * <code>repeated .amaranthstream.peer.ServerCrash cleared = 4;</code>
+     */
+    public java.util.List<? extends org.amaranthstream.peer.wire.ServerCrashOrBuilder> 
+         getClearedOrBuilderList() {
+      if (clearedBuilder_ != null) {
+        return clearedBuilder_.getMessageOrBuilderList();
+      } else {
+        return java.util.Collections.unmodifiableList(cleared_);
+      }
+    }
+    /**
+     * <pre>
+     * Crashes after which the content completed.
+     * </pre>
+     *
+     * <code>repeated .amaranthstream.peer.ServerCrash cleared = 4;</code>
+     */
+    public org.amaranthstream.peer.wire.ServerCrash.Builder addClearedBuilder() {
+      return internalGetClearedFieldBuilder().addBuilder(
+          org.amaranthstream.peer.wire.ServerCrash.getDefaultInstance());
+    }
+    /**
+     * <pre>
+     * Crashes after which the content completed.
+     * </pre>
+     *
+     * <code>repeated .amaranthstream.peer.ServerCrash cleared = 4;</code>
+     */
+    public org.amaranthstream.peer.wire.ServerCrash.Builder addClearedBuilder(
+        int index) {
+      return internalGetClearedFieldBuilder().addBuilder(
+          index, org.amaranthstream.peer.wire.ServerCrash.getDefaultInstance());
+    }
+    /**
+     * <pre>
+     * Crashes after which the content completed.
+     * </pre>
+     *
+     * <code>repeated .amaranthstream.peer.ServerCrash cleared = 4;</code>
+     */
+    public java.util.List<org.amaranthstream.peer.wire.ServerCrash.Builder> 
+         getClearedBuilderList() {
+      return internalGetClearedFieldBuilder().getBuilderList();
+    }
+    private com.google.protobuf.RepeatedFieldBuilder<
+        org.amaranthstream.peer.wire.ServerCrash, org.amaranthstream.peer.wire.ServerCrash.Builder, org.amaranthstream.peer.wire.ServerCrashOrBuilder> 
+        internalGetClearedFieldBuilder() {
+      if (clearedBuilder_ == null) {
+        clearedBuilder_ = new com.google.protobuf.RepeatedFieldBuilder<
+            org.amaranthstream.peer.wire.ServerCrash, org.amaranthstream.peer.wire.ServerCrash.Builder, org.amaranthstream.peer.wire.ServerCrashOrBuilder>(
+                cleared_,
+                ((bitField0_ & 0x00000008) != 0),
+                getParentForChildren(),
+                isClean());
+        cleared_ = null;
+      }
+      return clearedBuilder_;
+    }
+
     // @@protoc_insertion_point(builder_scope:amaranthstream.peer.PoisonContent)
   }
 
--- a/amaranthstream/src/main/java/org/amaranthstream/peer/wire/PoisonContentOrBuilder.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/peer/wire/PoisonContentOrBuilder.java
@@ -51,4 +51,48 @@
    * @return The ageMs.
    */
   int getAgeMs();
+
+  /**
+   * <pre>
+   * Crashes after which the content completed.
+   * </pre>
+   *
+   * <code>repeated .amaranthstream.peer.ServerCrash cleared = 4;</code>
+   */
+  java.util.List<org.amaranthstream.peer.wire.ServerCrash> 
+      getClearedList();
+  /**
+   * <pre>
+   * Crashes after which the content completed.
+   * </pre>
+   *
+   * <code>repeated .amaranthstream.peer.ServerCrash cleared = 4;</code>
+   */
+  org.amaranthstream.peer.wire.ServerCrash getCleared(int index);
+  /**
+   * <pre>
+   * Crashes after which the content completed.
+   * </pre>
+   *
+   * <code>repeated .amaranthstream.peer.ServerCrash cleared = 4;</code>
+   */
+  int getClearedCount();
+  /**
+   * <pre>
+   * Crashes after which the content completed.
+   * </pre>
+   *
+   * <code>repeated .amaranthstream.peer.ServerCrash cleared = 4;</code>
+   */
+  java.util.List<? extends org.amaranthstream.peer.wire.ServerCrashOrBuilder> 
+      getClearedOrBuilderList();
+  /**
+   * <pre>
+   * Crashes after which the content completed.
+   * </pre>
+   *
+   * <code>repeated .amaranthstream.peer.ServerCrash cleared = 4;</code>
+   */
+  org.amaranthstream.peer.wire.ServerCrashOrBuilder getClearedOrBuilder(
+      int index);
 }
--- a/amaranthstream/src/main/java/org/amaranthstream/quarantine/CrashListener.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/quarantine/CrashListener.java
@@ -1,9 +1,9 @@
 package org.amaranthstream.quarantine;
 
-/** Listener for crashes that a {@link PoisonRegistry} records. */
+/** Listener for changes of the crashes that a {@link PoisonRegistry} holds. */
 @FunctionalInterface
 public interface CrashListener {
 
-  /** Called when content was in flight at a crash that was not recorded for it before. */
-  void onCrashRecorded();
+  /** Called when a crash was recorded for content, or content was cleared of its crashes. */
+  void onCrashesChanged();
 }
--- a/amaranthstream/src/main/java/org/amaranthstream/quarantine/PoisonRegistry.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/quarantine/PoisonRegistry.java
@@ -71,9 +71,9 @@
   public void onCrash(Fingerprint fingerprint, Crash crash, long nowNanos) {
     Entry entry = entries.remove(fingerprint);
     if (entry == null) {
-      entry = new Entry();
+      entry = new Entry(nowNanos);
     }
-    boolean isNew = !entry.cleared.contains(crash) && entry.crashes.add(crash);
+    boolean isNew = !entry.isCleared(crash) && entry.crashes.add(crash);
     if (isNew) {
       entry.newestNanos = nowNanos;
     }
@@ -83,10 +83,14 @@
       logger.atInfo().log(
           "event=crash_recorded content=%s server=%s crashes=%d",
           fingerprint, crash.server(), entry.crashes.size());
-      listeners.forEach(CrashListener::onCrashRecorded);
+      notifyListeners();
     }
   }
 
+  private void notifyListeners() {
+    listeners.forEach(CrashListener::onCrashesChanged);
+  }
+
   private void trim() {
     if (entries.size() > MAX_ENTRIES) {
       entries.remove(entries.keySet().iterator().next());
@@ -98,7 +102,7 @@
    * for callers that cannot tell a crash from a failed connection for certain.
    */
   public void onRunLost(Fingerprint fingerprint, long nowNanos) {
-    Entry entry = entries.computeIfAbsent(fingerprint, f -> new Entry());
+    Entry entry = entries.computeIfAbsent(fingerprint, f -> new Entry(nowNanos));
     entry.lostRuns++;
     entry.newestNanos = nowNanos;
     trim();
@@ -107,10 +111,14 @@
   /** Clears all crashes and lost runs of content whose request completed. */
   public void onCompleted(Fingerprint fingerprint) {
     Entry entry = entries.get(fingerprint);
-    if (entry != null) {
-      entry.lostRuns = 0;
-      entry.cleared.addAll(entry.crashes);
+    if (entry == null) {
+      return;
+    }
+    entry.lostRuns = 0;
+    if (!entry.crashes.isEmpty()) {
+      entry.completed.addAll(entry.crashes);
       entry.crashes.clear();
+      notifyListeners();
     }
   }
 
@@ -119,7 +127,7 @@
     int contents = 0;
     for (Entry entry : entries.values()) {
       if (entry.crashes.remove(crash)) {
-        entry.cleared.add(crash);
+        entry.refuted.add(crash);
         contents++;
       }
     }
@@ -146,7 +154,7 @@
 
   /** Quarantines {@code fingerprint} for the time that remains of another entry VM's quarantine. */
   public void adoptQuarantine(Fingerprint fingerprint, Duration remaining, long nowNanos) {
-    Entry entry = entries.computeIfAbsent(fingerprint, f -> new Entry());
+    Entry entry = entries.computeIfAbsent(fingerprint, f -> new Entry(nowNanos));
     long endNanos = nowNanos + Math.min(remaining.toNanos(), quarantineNanos);
     if (!entry.adopted || endNanos - entry.adoptedEndNanos > 0) {
       entry.adopted = true;
@@ -172,25 +180,40 @@
     ImmutableList.Builder<PoisonNotice> notices = ImmutableList.builder();
     entries.forEach(
         (fingerprint, entry) -> {
-          if (!entry.crashes.isEmpty()) {
-            Duration age = Duration.ofNanos(nowNanos - entry.newestNanos);
-            notices.add(new PoisonNotice(fingerprint, ImmutableSet.copyOf(entry.crashes), age));
+          if (!entry.crashes.isEmpty() || !entry.completed.isEmpty()) {
+            notices.add(entry.toNotice(fingerprint, nowNanos));
           }
         });
     return notices.build();
   }
 
-  /** Merges the crashes of another entry VM's notice, unless they have expired. */
+  /**
+   * Merges the crashes of another entry VM's notice, unless they have expired. Content that
+   * completed at one VM is cleared of the same crashes at all of them.
+   */
   public void merge(PoisonNotice notice, long nowNanos) {
     long seenNanos = nowNanos - notice.age().toNanos();
     if (nowNanos - seenNanos >= quarantineNanos) {
       return;
     }
+    if (!notice.cleared().isEmpty()) {
+      clear(notice.fingerprint(), notice.cleared(), seenNanos);
+    }
     for (Crash crash : notice.crashes()) {
       onCrash(notice.fingerprint(), crash, seenNanos);
     }
   }
 
+  private void clear(Fingerprint fingerprint, Set<Crash> cleared, long seenNanos) {
+    Entry entry = entries.computeIfAbsent(fingerprint, f -> new Entry(seenNanos));
+    if (entry.completed.addAll(cleared)) {
+      entry.crashes.removeAll(cleared);
+      entry.lostRuns = 0;
+      notifyListeners();
+    }
+    trim();
+  }
+
   private @Nullable Entry findUnexpired(Fingerprint fingerprint, long nowNanos) {
     Entry entry = entries.get(fingerprint);
     if (entry == null || !entry.isSuspect()) {
@@ -210,12 +233,32 @@
 
   private static final class Entry {
     private final Set<Crash> crashes = new HashSet<>();
-    private final Set<Crash> cleared = new HashSet<>();
+    private final Set<Crash> refuted = new HashSet<>();
+
+    /** Crashes after which a request with the content completed. */
+    private final Set<Crash> completed = new HashSet<>();
+
     private int lostRuns;
     private long newestNanos;
     private boolean adopted;
     private long adoptedEndNanos;
 
+    private Entry(long newestNanos) {
+      this.newestNanos = newestNanos;
+    }
+
+    private boolean isCleared(Crash crash) {
+      return refuted.contains(crash) || completed.contains(crash);
+    }
+
+    private PoisonNotice toNotice(Fingerprint fingerprint, long nowNanos) {
+      return new PoisonNotice(
+          fingerprint,
+          ImmutableSet.copyOf(crashes),
+          ImmutableSet.copyOf(completed),
+          Duration.ofNanos(nowNanos - newestNanos));
+    }
+
     private boolean isSuspect() {
       return !crashes.isEmpty() || lostRuns > 0;
     }
--- a/amaranthstream/src/test/java/org/amaranthstream/calls/CrashingContentTest.java
+++ b/amaranthstream/src/test/java/org/amaranthstream/calls/CrashingContentTest.java
@@ -189,6 +189,20 @@
       sound.forEach(exchange -> assertThat(exchange.status()).isEqualTo(200));
     }
 
+    /** Popular content is in flight at many crashes, at one daemon after the other. */
+    @Test
+    void isServedByAllDaemonsIfItCompletesBetweenCrashes() {
+      for (int i = 0; i < 12; i++) {
+        send(i, RouteKind.NON_IDEMPOTENT, "popular" + i, "popular");
+        timers.advance(Duration.ofMillis(20));
+        servers.crashServersOf("popular" + i);
+        timers.advance(Duration.ofSeconds(5));
+        RecordingExchange again = send(i, "again" + i, "popular");
+        timers.advance(Duration.ofSeconds(5));
+        assertThat(again.status()).isEqualTo(200);
+      }
+    }
+
     /** Connections that are reset are not crashes, as the same incarnation goes on responding. */
     @Test
     void isSentAgainAfterItsConnectionsWereReset() {
--- a/amaranthstream/src/test/java/org/amaranthstream/calls/CrashingServers.java
+++ b/amaranthstream/src/test/java/org/amaranthstream/calls/CrashingServers.java
@@ -102,6 +102,16 @@
     return run;
   }
 
+  /** Crashes the servers that run a request with this id, for a reason of their own. */
+  void crashServersOf(String requestId) {
+    List<BackendServerId> crashed =
+        runs.entrySet().stream()
+            .filter(entry -> entry.getValue().stream().anyMatch(run -> run.isOf(requestId)))
+            .map(Map.Entry::getKey)
+            .toList();
+    crashed.forEach(this::crash);
+  }
+
   private void crash(BackendServerId id) {
     crashes++;
     down.add(id);
@@ -122,6 +132,10 @@
       this.listener = listener;
     }
 
+    private boolean isOf(String requestId) {
+      return call.id().equals(requestId);
+    }
+
     private void begin() {
       if (isOver) {
         return;
--- a/amaranthstream/src/test/java/org/amaranthstream/peer/PeerLinkFaultsTest.java
+++ b/amaranthstream/src/test/java/org/amaranthstream/peer/PeerLinkFaultsTest.java
@@ -31,6 +31,7 @@
       new PoisonNotice(
           new Fingerprint("0123456789abcdef0123456789abcdef"),
           ImmutableSet.of(new Crash(BackendServerId.of("server"), Optional.empty())),
+          ImmutableSet.of(new Crash(BackendServerId.of("other"), Optional.empty())),
           Duration.ZERO);
 
   private final TestMesh mesh = new TestMesh();
--- a/amaranthstream/src/test/java/org/amaranthstream/quarantine/PoisonRegistryTest.java
+++ b/amaranthstream/src/test/java/org/amaranthstream/quarantine/PoisonRegistryTest.java
@@ -2,6 +2,7 @@
 
 import static com.google.common.truth.Truth.assertThat;
 
+import com.google.common.collect.Iterables;
 import java.time.Duration;
 import java.util.Optional;
 import org.amaranthstream.ids.BackendServerId;
@@ -90,6 +91,28 @@
       assertThat(registry.remainingQuarantine(CONTENT, 20)).isPresent();
     }
 
+    @Test
+    void clearsTheCrashesOfContentThatCompletedAtTheOtherVm() {
+      PoisonRegistry other = PoisonRegistry.create(QUARANTINE);
+      registry.onCrash(CONTENT, crash("e1", "a"), 10);
+      registry.export(10).forEach(notice -> other.merge(notice, 10));
+      registry.onCompleted(CONTENT);
+      registry.export(11).forEach(notice -> other.merge(notice, 11));
+
+      assertThat(other.isSuspect(CONTENT, 11)).isFalse();
+    }
+
+    @Test
+    void keepsCrashesThatOnlyTheOtherVmTakesForRefuted() {
+      PoisonRegistry other = PoisonRegistry.create(QUARANTINE);
+      registry.onCrash(CONTENT, crash("e1", "a"), 10);
+      registry.export(10).forEach(notice -> other.merge(notice, 10));
+      registry.onCrashRefuted(crash("e1", "a"));
+      registry.export(11).forEach(notice -> other.merge(notice, 11));
+
+      assertThat(other.isSuspect(CONTENT, 11)).isTrue();
+    }
+
     @Test
     void ignoresClearedCrashes() {
       registry.onCrash(CONTENT, crash("e1", "a"), 10);
@@ -98,7 +121,9 @@
       registry.merge(notice, 20);
 
       assertThat(registry.isSuspect(CONTENT, 20)).isFalse();
-      assertThat(registry.export(20)).isEmpty();
+      PoisonNotice later = Iterables.getOnlyElement(registry.export(20));
+      assertThat(later.crashes()).isEmpty();
+      assertThat(later.cleared()).containsExactly(crash("e1", "a"));
     }
   }
 }
