Log the limit of a server as a number, and introduce the coordinator of permits

The event server_limit printed Java's form of an optional value (requests_per_second=OptionalDouble[4.4]), which a reader of key=value lines has to take apart. The class comment of FleetPermits used "coordinator" without saying what it is. No decision changes.

--- a/amaranthstream/src/main/java/org/amaranthstream/fleet/FleetPermits.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/fleet/FleetPermits.java
@@ -29,9 +29,10 @@
 /**
  * Permits that the daemons share for each rate-limited server.
  *
- * <p>Rendezvous hashing names one daemon for each server; it paces the requests of all daemons, so
- * that a daemon without requests takes no share. While that daemon cannot be reached, each daemon
- * paces its own requests at a fixed share of the limit. Must be used on the thread of its timers.
+ * <p>Rendezvous hashing names one daemon for each server, its coordinator, which paces the requests
+ * of all daemons, so that a daemon without requests takes no share. While the coordinator cannot be
+ * reached, each daemon paces its own requests at a fixed share of the limit. Must be used on the
+ * thread of its timers.
  */
 public final class FleetPermits implements RequestPermits, FleetListener {
   private static final FluentLogger logger = FluentLogger.forEnclosingClass();
--- a/amaranthstream/src/main/java/org/amaranthstream/servers/TrackedServer.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/servers/TrackedServer.java
@@ -99,7 +99,8 @@
    */
   public void onLimit(OptionalDouble limit) {
     if (!limit.equals(requestsPerSecond)) {
-      logger.atInfo().log("event=server_limit server=%s requests_per_second=%s", id(), limit);
+      String text = limit.isPresent() ? Double.toString(limit.getAsDouble()) : "unlimited";
+      logger.atInfo().log("event=server_limit server=%s requests_per_second=%s", id(), text);
     }
     requestsPerSecond = limit;
   }
