--- a/amaranthstream/src/test/java/org/amaranthstream/jobs/JobRewardTest.java
+++ b/amaranthstream/src/test/java/org/amaranthstream/jobs/JobRewardTest.java
@@ -151,14 +151,21 @@
       assertScored(job, fleet.read(first, JOB));
     }
 
+    /** Neither an unexpected status nor a rejection may end the item earlier. */
     @Test
     void thatNeverEndGiveTheItemUpAtTheItemTimeout() {
-      fleet.rewards().setOutcome("job-0", new RewardOutcome.Failed(422));
+      fleet.rewards().setOutcome("job-0", new RewardOutcome.Broken("HTTP 422"));
       fleet.rewards().setOutcome("job-1", new RewardOutcome.NotRun("full", Duration.ofSeconds(1)));
       submit(first, job);
-      fleet.run(Duration.ofSeconds(42));
-
-      assertThat(result(first, "job-1").isComplete()).isFalse();
+      fleet.run(Duration.ofSeconds(30));
+      assertThat(fleet.read(first, JOB)).hasSize(2);
+
+      fleet.run(Duration.ofSeconds(12));
+      for (String item : List.of("job-0", "job-1")) {
+        assertThat(result(first, item).isComplete()).isFalse();
+        assertThat(result(first, item).score()).isEmpty();
+        assertThat(fleet.servers().starts(ItemId.of(item))).isEqualTo(1);
+      }
     }
 
     /** A slow service gets more time with each repetition, so that its work is not wasted. */
