--- a/amaranthstream/src/main/java/org/amaranthstream/jobs/ItemRunner.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/jobs/ItemRunner.java
@@ -66,9 +66,7 @@
     item.onRunStarted(this);
     server.onRequestSent();
     restartTimeout(START_TIMEOUT);
-    logger.atFine().log(
-        "event=item_started job=%s item=%s server=%s last_event=%d",
-        job.id(), item.spec().id(), server.id(), item.text().lastEvent());
+    logStart();
     ItemRequest request = new ItemRequest(job.spec().host(), item.spec(), item.text().lastEvent());
     ItemTransport.Run started = transport.start(server, request, this);
     if (isOver) {
@@ -77,6 +75,21 @@
     run = started;
   }
 
+  private void logStart() {
+    if (item.text().lastEvent() > 0) {
+      logger.atInfo().log(
+          "event=item_resumed job=%s item=%s server=%s software=%s last_event=%d",
+          job.id(),
+          item.spec().id(),
+          server.id(),
+          server.registration().softwareVersion(),
+          item.text().lastEvent());
+    } else {
+      logger.atFine().log(
+          "event=item_started job=%s item=%s server=%s", job.id(), item.spec().id(), server.id());
+    }
+  }
+
   private void restartTimeout(Duration timeout) {
     if (progressTimeout != null) {
       progressTimeout.cancel();
--- a/amaranthstream/src/main/java/org/amaranthstream/servers/ServerDirectory.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/servers/ServerDirectory.java
@@ -116,9 +116,11 @@
       }
       servers.put(registration.id(), added);
       logger.atInfo().log(
-          "event=server_known server=%s service=%s address=%s:%d zone=%s slots=%d versions=%s",
+          "event=server_known server=%s service=%s software=%s address=%s:%d zone=%s slots=%d"
+              + " versions=%s",
           registration.id(),
           registration.service(),
+          registration.softwareVersion(),
           registration.host(),
           registration.port(),
           registration.zone(),
--- a/amaranthstream/src/main/java/org/amaranthstream/servers/ServerRegistration.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/servers/ServerRegistration.java
@@ -7,6 +7,7 @@
 import org.amaranthstream.ids.BackendServerId;
 import org.amaranthstream.ids.ModelId;
 import org.amaranthstream.ids.ServiceId;
+import org.amaranthstream.ids.SoftwareVersion;
 import org.amaranthstream.ids.WeightVersion;
 
 /**
@@ -16,6 +17,7 @@
  * @param startMillis the start time in Unix milliseconds; together with the id it identifies an
  *     incarnation
  * @param service the service that the server provides
+ * @param softwareVersion the version of the server's software; streams continue at equal ones only
  * @param host the IP address of the server
  * @param port the port of the server
  * @param zone the availability zone of the server
@@ -27,6 +29,7 @@
     BackendServerId id,
     long startMillis,
     ServiceId service,
+    SoftwareVersion softwareVersion,
     String host,
     int port,
     AvailabilityZoneId zone,
--- a/amaranthstream/src/test/java/org/amaranthstream/calls/CrashingServers.java
+++ b/amaranthstream/src/test/java/org/amaranthstream/calls/CrashingServers.java
@@ -15,6 +15,7 @@
 import org.amaranthstream.ids.AvailabilityZoneId;
 import org.amaranthstream.ids.BackendServerId;
 import org.amaranthstream.ids.ServiceId;
+import org.amaranthstream.ids.SoftwareVersion;
 import org.amaranthstream.servers.ServerDirectory;
 import org.amaranthstream.servers.ServerRegistration;
 import org.amaranthstream.servers.TrackedServer;
@@ -64,6 +65,7 @@
             id,
             incarnation,
             SERVICE,
+            SoftwareVersion.of("v1"),
             "10.0.0.9",
             8080,
             AvailabilityZoneId.of("a"),
--- a/amaranthstream/src/test/java/org/amaranthstream/fleet/FleetPermitsTest.java
+++ b/amaranthstream/src/test/java/org/amaranthstream/fleet/FleetPermitsTest.java
@@ -14,6 +14,7 @@
 import org.amaranthstream.ids.BackendServerId;
 import org.amaranthstream.ids.EntryVmId;
 import org.amaranthstream.ids.ServiceId;
+import org.amaranthstream.ids.SoftwareVersion;
 import org.amaranthstream.peer.QueryKind;
 import org.amaranthstream.platform.SimulatedStore;
 import org.amaranthstream.result.Result;
@@ -47,6 +48,7 @@
             BackendServerId.of("server"),
             1,
             ServiceId.of("engine"),
+            SoftwareVersion.of("v1"),
             "10.0.0.9",
             8080,
             AvailabilityZoneId.of("a"),
--- a/amaranthstream/src/test/java/org/amaranthstream/jobs/SimulatedRewards.java
+++ b/amaranthstream/src/test/java/org/amaranthstream/jobs/SimulatedRewards.java
@@ -14,6 +14,7 @@
 import org.amaranthstream.ids.ItemId;
 import org.amaranthstream.ids.RewardCallId;
 import org.amaranthstream.ids.ServiceId;
+import org.amaranthstream.ids.SoftwareVersion;
 import org.amaranthstream.routing.Route;
 import org.amaranthstream.servers.ServerRegistration;
 import org.amaranthstream.time.TimerService;
@@ -46,6 +47,7 @@
         BackendServerId.of(id),
         1,
         SERVICE,
+        SoftwareVersion.of("v1"),
         "10.0.0.8",
         8080,
         AvailabilityZoneId.of("a"),
--- a/amaranthstream/src/test/java/org/amaranthstream/jobs/SimulatedServers.java
+++ b/amaranthstream/src/test/java/org/amaranthstream/jobs/SimulatedServers.java
@@ -16,6 +16,7 @@
 import org.amaranthstream.ids.ItemId;
 import org.amaranthstream.ids.ModelId;
 import org.amaranthstream.ids.ServiceId;
+import org.amaranthstream.ids.SoftwareVersion;
 import org.amaranthstream.ids.WeightVersion;
 import org.amaranthstream.servers.ServerRegistration;
 import org.amaranthstream.servers.TrackedServer;
@@ -45,6 +46,7 @@
         BackendServerId.of(id),
         1,
         SERVICE,
+        SoftwareVersion.of("v1"),
         "10.0.0.9",
         8080,
         AvailabilityZoneId.of("a"),
--- a/amaranthstream/src/test/java/org/amaranthstream/servers/ServerChoiceTest.java
+++ b/amaranthstream/src/test/java/org/amaranthstream/servers/ServerChoiceTest.java
@@ -9,6 +9,7 @@
 import org.amaranthstream.ids.BackendServerId;
 import org.amaranthstream.ids.RegionId;
 import org.amaranthstream.ids.ServiceId;
+import org.amaranthstream.ids.SoftwareVersion;
 import org.junit.jupiter.api.Test;
 
 class ServerChoiceTest {
@@ -25,6 +26,7 @@
                 BackendServerId.of("s-" + zone + "-" + inFlight),
                 1,
                 ServiceId.of("portal"),
+                SoftwareVersion.of("v1"),
                 "10.0.0.9",
                 8080,
                 AvailabilityZoneId.of(zone),
--- a/amaranthstream/src/test/java/org/amaranthstream/servers/ServerDirectoryTest.java
+++ b/amaranthstream/src/test/java/org/amaranthstream/servers/ServerDirectoryTest.java
@@ -9,6 +9,7 @@
 import org.amaranthstream.ids.AvailabilityZoneId;
 import org.amaranthstream.ids.BackendServerId;
 import org.amaranthstream.ids.ServiceId;
+import org.amaranthstream.ids.SoftwareVersion;
 import org.amaranthstream.time.VirtualTimerService;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
@@ -27,6 +28,7 @@
         BackendServerId.of(id),
         startMillis,
         SERVICE,
+        SoftwareVersion.of("v1"),
         "10.0.0.9",
         PORT,
         AvailabilityZoneId.of("a"),
--- a/amaranthstream/src/test/java/org/amaranthstream/weights/TestEngines.java
+++ b/amaranthstream/src/test/java/org/amaranthstream/weights/TestEngines.java
@@ -5,6 +5,7 @@
 import org.amaranthstream.ids.BackendServerId;
 import org.amaranthstream.ids.ModelId;
 import org.amaranthstream.ids.ServiceId;
+import org.amaranthstream.ids.SoftwareVersion;
 import org.amaranthstream.ids.WeightVersion;
 import org.amaranthstream.servers.ServerRegistration;
 
@@ -17,6 +18,7 @@
         BackendServerId.of(id),
         1,
         ServiceId.of("engine"),
+        SoftwareVersion.of("v1"),
         "10.0.0.9",
         8080,
         AvailabilityZoneId.of("a"),
