Continue an item's text only at servers with the software that generated it

Cause: a run that broke off resumed at any server, also after a handoff, a takeover from a checkpoint, or a move from a slow server.

Change: a text knows the software that generated it; checkpoints and handoffs carry it. ItemAssignment starts an item with a text only at a server with that software. A text whose software is unknown, saved by an older daemon, begins anew. While a service has several versions, a server that failed within the last second continues nothing, since it may have restarted under its id with other software. Ruled out: marking whole jobs with one version (a release would halt them).

--- a/amaranthstream/src/main/java/org/amaranthstream/jobs/CheckpointAssembler.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/jobs/CheckpointAssembler.java
@@ -38,6 +38,12 @@
         previous == null ? new byte[part.end()] : Arrays.copyOf(previous.text(), part.end());
     System.arraycopy(part.text(), 0, text, part.offset(), part.text().length);
     return new PartialOutput(
-        part.item(), text, part.lastEvent(), part.versions(), part.isComplete(), Optional.empty());
+        part.item(),
+        text,
+        part.lastEvent(),
+        part.versions(),
+        part.softwareVersion(),
+        part.isComplete(),
+        Optional.empty());
   }
 }
--- a/amaranthstream/src/main/java/org/amaranthstream/jobs/CheckpointPart.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/jobs/CheckpointPart.java
@@ -1,7 +1,9 @@
 package org.amaranthstream.jobs;
 
 import com.google.common.collect.ImmutableSortedSet;
+import java.util.Optional;
 import org.amaranthstream.ids.ItemId;
+import org.amaranthstream.ids.SoftwareVersion;
 import org.amaranthstream.ids.WeightVersion;
 
 /**
@@ -13,6 +15,7 @@
  * @param text the text of the part; must not be modified
  * @param lastEvent the sequence number of the last event of the part
  * @param versions the weight versions that generated the text up to the end of the part
+ * @param softwareVersion the software version of the servers that generated the text
  * @param isComplete true if the text is complete at the end of the part
  */
 @SuppressWarnings("ArrayRecordComponent")
@@ -22,6 +25,7 @@
     byte[] text,
     long lastEvent,
     ImmutableSortedSet<WeightVersion> versions,
+    Optional<SoftwareVersion> softwareVersion,
     boolean isComplete) {
 
   /** Returns the position of the end of the part in the text, in bytes. */
--- a/amaranthstream/src/main/java/org/amaranthstream/jobs/ItemProgress.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/jobs/ItemProgress.java
@@ -3,7 +3,9 @@
 import com.google.common.flogger.FluentLogger;
 import java.time.Duration;
 import java.util.Optional;
+import java.util.OptionalLong;
 import org.amaranthstream.ids.BackendServerId;
+import org.amaranthstream.ids.SoftwareVersion;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -32,6 +34,7 @@
   private int failures;
   private int consecutiveBreaks;
   private long notBeforeNanos = Long.MIN_VALUE;
+  private OptionalLong blockedSinceNanos = OptionalLong.empty();
   private @Nullable StageRun run;
   private @Nullable BackendServerId lastServer;
 
@@ -85,16 +88,36 @@
   void onRunStarted(StageRun started) {
     state = State.RUNNING;
     run = started;
+    blockedSinceNanos = OptionalLong.empty();
     if (started instanceof ItemRunner runner) {
       lastServer = runner.server().id();
     }
   }
 
+  /**
+   * Returns for how long the item has been blocked since its last run: ready to start, but not at
+   * the servers with free slots. The time starts with the first call.
+   */
+  Duration blockedTime(long nowNanos) {
+    if (blockedSinceNanos.isEmpty()) {
+      blockedSinceNanos = OptionalLong.of(nowNanos);
+    }
+    return Duration.ofNanos(nowNanos - blockedSinceNanos.getAsLong());
+  }
+
   /** Returns the current run at an engine, empty if the text is not being generated. */
   Optional<ItemRunner> runner() {
     return run instanceof ItemRunner runner ? Optional.of(runner) : Optional.empty();
   }
 
+  /** Discards the text, so that the item can start at any server. */
+  void restart() {
+    logger.atInfo().log(
+        "event=item_restarted item=%s software=%s last_event=%d",
+        spec.id(), text.softwareVersion().map(SoftwareVersion::value).orElse(""), text.lastEvent());
+    text.clear();
+  }
+
   /** Makes the item ready for its next run without a delay. */
   void retryImmediately() {
     state = State.WAITING;
--- a/amaranthstream/src/main/java/org/amaranthstream/jobs/ItemRunner.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/jobs/ItemRunner.java
@@ -126,7 +126,7 @@
       return;
     }
     recordEventInterval();
-    if (!item.text().add(event, version)) {
+    if (!item.text().add(event, version, server.registration().softwareVersion())) {
       abort("event " + event.id() + " arrived after event " + item.text().lastEvent());
       return;
     }
--- a/amaranthstream/src/main/java/org/amaranthstream/jobs/ItemScheduler.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/jobs/ItemScheduler.java
@@ -122,30 +122,29 @@
   private void startItems(OwnedJob job, Route route, long now) {
     ItemRules rules = new ItemRules(route.maxAttempts(), route.isSingleVersion());
     SlowServers slow = SlowServers.among(servers(route), now);
+    ItemAssignment assignment = ItemAssignment.of(job, servers(route), slow, now);
+    List<TrackedServer> idle = new ArrayList<>();
     while (job.isRunnable()) {
-      Optional<TrackedServer> server = chooseServer(job, route, slow, now);
+      Optional<TrackedServer> server = chooseServer(job, route, slow, assignment, now);
       if (server.isEmpty()) {
-        requestPermits(job, route, now);
-        return;
+        break;
       }
-      boolean isSlow = slow.contains(server.get());
-      Optional<ItemProgress> item =
-          isSlow
-              ? ItemSelector.shortestReady(job.items(), now)
-              : ItemSelector.longestReady(job.items(), now);
+      Optional<ItemProgress> item = assignment.takeItemFor(server.get());
       if (item.isEmpty()) {
-        moveItemFromSlowServer(job, slow, server.get());
-        return;
+        idle.add(server.get());
+        continue;
       }
       permits.onStarted(server.get());
       new ItemRunner(job, item.get(), server.get(), rules, directory, timers, this)
           .start(transport);
     }
+    requestPermits(job, route, assignment, now);
+    idle.forEach(server -> moveItemFromSlowServer(job, slow, server));
   }
 
   /**
-   * Cancels one run at a slow server, because no item waits and {@code free} has a free slot. The
-   * item resumes when the job is scheduled next.
+   * Cancels one run at a slow server, because no item waits and {@code free} has a free slot and
+   * can continue the item's text. The item resumes when the job is scheduled next.
    */
   private void moveItemFromSlowServer(OwnedJob job, SlowServers slow, TrackedServer free) {
     if (slow.contains(free)) {
@@ -153,7 +152,8 @@
     }
     for (ItemProgress item : job.items()) {
       Optional<ItemRunner> runner = item.runner();
-      if (runner.isPresent() && slow.contains(runner.get().server())) {
+      boolean isMovable = item.text().canContinueAt(free.registration().softwareVersion());
+      if (runner.isPresent() && isMovable && slow.contains(runner.get().server())) {
         logger.atInfo().log(
             "event=item_moved job=%s item=%s from=%s last_event=%d",
             job.id(), item.spec().id(), runner.get().server().id(), item.text().lastEvent());
@@ -173,22 +173,19 @@
 
   /** Returns a server with a free slot, a slow one only if there is no other. */
   private Optional<TrackedServer> chooseServer(
-      OwnedJob job, Route route, SlowServers slow, long now) {
+      OwnedJob job, Route route, SlowServers slow, ItemAssignment assignment, long now) {
     List<TrackedServer> free =
         withFreeSlots(servers(route), job, now).stream()
-            .filter(server -> permits.mayStart(server))
+            .filter(server -> !assignment.isIdle(server) && permits.mayStart(server))
             .toList();
     Optional<TrackedServer> fast = choice.choose(free, server -> !slow.contains(server), now);
     return fast.isPresent() ? fast : choice.choose(free, server -> true, now);
   }
 
   /** Asks for permits for the servers that could run the items that wait. */
-  private void requestPermits(OwnedJob job, Route route, long now) {
-    if (ItemSelector.longestReady(job.items(), now).isEmpty()) {
-      return;
-    }
+  private void requestPermits(OwnedJob job, Route route, ItemAssignment assignment, long now) {
     withFreeSlots(servers(route), job, now).stream()
-        .filter(server -> !permits.mayStart(server))
+        .filter(server -> !permits.mayStart(server) && assignment.hasItemFor(server))
         .forEach(permits::request);
   }
 
--- a/amaranthstream/src/main/java/org/amaranthstream/jobs/ItemSelector.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/jobs/ItemSelector.java
@@ -2,6 +2,7 @@
 
 import java.util.Comparator;
 import java.util.Optional;
+import java.util.function.Predicate;
 
 /**
  * Selection of the item of a job that starts next: the one with the greatest expected length at a
@@ -17,22 +18,21 @@
 
   private ItemSelector() {}
 
-  /** Returns the longest item that is ready, for a fast server; empty if none is ready. */
-  static Optional<ItemProgress> longestReady(Iterable<ItemProgress> items, long nowNanos) {
-    return firstReady(items, BY_EXPECTED_TOKENS, nowNanos);
-  }
-
-  /** Returns the shortest item that is ready, for a slow server; empty if none is ready. */
-  static Optional<ItemProgress> shortestReady(Iterable<ItemProgress> items, long nowNanos) {
-    return firstReady(items, BY_EXPECTED_TOKENS.reversed(), nowNanos);
-  }
-
-  private static Optional<ItemProgress> firstReady(
-      Iterable<ItemProgress> items, Comparator<ItemProgress> order, long nowNanos) {
+  /**
+   * Returns the best of the ready items that satisfy {@code isAllowed}, empty if none does.
+   *
+   * @param isSlow true if the item is to start at a slow server
+   */
+  static Optional<ItemProgress> select(
+      Iterable<ItemProgress> items,
+      boolean isSlow,
+      Predicate<ItemProgress> isAllowed,
+      long nowNanos) {
+    Comparator<ItemProgress> order = isSlow ? BY_EXPECTED_TOKENS.reversed() : BY_EXPECTED_TOKENS;
     ItemProgress best = null;
     for (ItemProgress item : items) {
       boolean isBetter = best == null || order.compare(item, best) > 0;
-      if (item.isReady(ItemStage.GENERATE, nowNanos) && isBetter) {
+      if (isBetter && item.isReady(ItemStage.GENERATE, nowNanos) && isAllowed.test(item)) {
         best = item;
       }
     }
--- a/amaranthstream/src/main/java/org/amaranthstream/jobs/ItemText.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/jobs/ItemText.java
@@ -6,6 +6,7 @@
 import java.util.Optional;
 import java.util.TreeSet;
 import org.amaranthstream.ids.ItemId;
+import org.amaranthstream.ids.SoftwareVersion;
 import org.amaranthstream.ids.WeightVersion;
 
 /**
@@ -18,6 +19,7 @@
 
   private final ByteArrayOutputStream text = new ByteArrayOutputStream();
   private final TreeSet<WeightVersion> versions = new TreeSet<>();
+  private Optional<SoftwareVersion> softwareVersion = Optional.empty();
   private long lastEvent;
   private boolean isComplete;
   private int savedBytes;
@@ -26,14 +28,15 @@
   private boolean isCompletionPending;
 
   /**
-   * Appends an event that {@code version} generated.
+   * Appends an event that {@code version} generated at a server with {@code software}.
    *
    * @return false if the event does not directly follow the last one; it is not appended
    */
-  boolean add(ItemEvent event, Optional<WeightVersion> version) {
+  boolean add(ItemEvent event, Optional<WeightVersion> version, SoftwareVersion software) {
     if (event.id() != lastEvent + 1) {
       return false;
     }
+    softwareVersion = Optional.of(software);
     if (lastEvent > 0) {
       text.write(SEPARATOR);
     }
@@ -56,6 +59,7 @@
   void clear() {
     text.reset();
     versions.clear();
+    softwareVersion = Optional.empty();
     lastEvent = 0;
     isComplete = false;
     savedBytes = 0;
@@ -73,7 +77,8 @@
     pendingBytes = text.size();
     isCompletionPending = isComplete;
     return Optional.of(
-        new CheckpointPart(item, savedBytes, part, lastEvent, versions(), isComplete));
+        new CheckpointPart(
+            item, savedBytes, part, lastEvent, versions(), softwareVersion, isComplete));
   }
 
   /**
@@ -90,6 +95,7 @@
     clear();
     text.writeBytes(partial.text());
     versions.addAll(partial.versions());
+    softwareVersion = partial.softwareVersion();
     lastEvent = partial.lastEvent();
     isComplete = partial.isComplete();
   }
@@ -98,6 +104,16 @@
     return ImmutableSortedSet.copyOfSorted(versions);
   }
 
+  /** Returns the software version of the servers that generated the text, empty without a text. */
+  Optional<SoftwareVersion> softwareVersion() {
+    return softwareVersion;
+  }
+
+  /** Returns true if a server with {@code software} can generate the next event. */
+  boolean canContinueAt(SoftwareVersion software) {
+    return lastEvent == 0 || softwareVersion.equals(Optional.of(software));
+  }
+
   byte[] bytes() {
     return text.toByteArray();
   }
--- a/amaranthstream/src/main/java/org/amaranthstream/jobs/JobCodec.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/jobs/JobCodec.java
@@ -15,6 +15,7 @@
 import org.amaranthstream.ids.JobId;
 import org.amaranthstream.ids.ModelId;
 import org.amaranthstream.ids.RewardCallId;
+import org.amaranthstream.ids.SoftwareVersion;
 import org.amaranthstream.ids.WeightVersion;
 import org.amaranthstream.jobs.wire.HeaderRecord;
 import org.amaranthstream.jobs.wire.ItemRecord;
@@ -123,6 +124,10 @@
     return score.isEmpty() ? Optional.empty() : Optional.of(new Score(score));
   }
 
+  private static Optional<SoftwareVersion> decodeSoftware(String software) {
+    return software.isEmpty() ? Optional.empty() : Optional.of(SoftwareVersion.of(software));
+  }
+
   static byte[] encodeOwner(JobOwner owner) {
     return ownerRecord(owner).toByteArray();
   }
@@ -174,6 +179,7 @@
             .setLastEvent(partial.lastEvent())
             .setWhole(partial.isComplete());
     partial.versions().forEach(version -> builder.addVersion(version.value()));
+    partial.softwareVersion().ifPresent(software -> builder.setSoftware(software.value()));
     partial.score().ifPresent(score -> builder.setScore(score.value()));
     return builder.build();
   }
@@ -184,6 +190,7 @@
         partial.getText().toByteArray(),
         partial.getLastEvent(),
         versions(partial.getVersionList()),
+        decodeSoftware(partial.getSoftware()),
         partial.getWhole(),
         decodeScore(partial.getScore()));
   }
@@ -209,6 +216,7 @@
             .setLastEvent(part.lastEvent())
             .setWhole(part.isComplete());
     part.versions().forEach(version -> builder.addVersion(version.value()));
+    part.softwareVersion().ifPresent(software -> builder.setSoftware(software.value()));
     return builder.build();
   }
 
@@ -226,6 +234,7 @@
         text.getText().toByteArray(),
         text.getLastEvent(),
         versions(text.getVersionList()),
+        decodeSoftware(text.getSoftware()),
         text.getWhole());
   }
 
--- a/amaranthstream/src/main/java/org/amaranthstream/jobs/OwnedJob.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/jobs/OwnedJob.java
@@ -71,7 +71,8 @@
     if (item == null || item.isFinished()) {
       return;
     }
-    if (item.stage() == ItemStage.GENERATE) {
+    boolean isUsable = partial.isComplete() || partial.softwareVersion().isPresent();
+    if (item.stage() == ItemStage.GENERATE && isUsable) {
       item.text().restore(partial);
       if (partial.isComplete()) {
         onTextComplete(item);
@@ -89,7 +90,13 @@
       if (result.isComplete()) {
         partials.add(
             new PartialOutput(
-                result.item(), result.text(), 1, result.versions(), true, result.score()));
+                result.item(),
+                result.text(),
+                1,
+                result.versions(),
+                Optional.empty(),
+                true,
+                result.score()));
       }
     }
     for (ItemProgress item : items.values()) {
@@ -101,6 +108,7 @@
                 text.bytes(),
                 text.lastEvent(),
                 text.versions(),
+                text.softwareVersion(),
                 item.stage() == ItemStage.SCORE,
                 Optional.empty()));
       }
--- a/amaranthstream/src/main/java/org/amaranthstream/jobs/wire/Jobs.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/jobs/wire/Jobs.java
@@ -201,16 +201,17 @@
       "erQuestion\022/\n\005owner\030\001 \001(\0132 .amaranthstre" +
       "am.jobs.OwnerRecord\022\020\n\010revision\030\002 \001(\003\0223\n" +
       "\007partial\030\003 \003(\0132\".amaranthstream.jobs.Par" +
-      "tialRecord\"n\n\rPartialRecord\022\014\n\004item\030\001 \001(" +
-      "\t\022\014\n\004text\030\002 \001(\014\022\022\n\nlast_event\030\003 \001(\003\022\017\n\007v" +
-      "ersion\030\004 \003(\003\022\r\n\005whole\030\005 \001(\010\022\r\n\005score\030\006 \001" +
-      "(\t\"L\n\014ProgressPage\022-\n\004text\030\001 \003(\0132\037.amara" +
-      "nthstream.jobs.TextRecord\022\r\n\005nonce\030\002 \001(\003" +
-      "\"l\n\nTextRecord\022\014\n\004item\030\001 \001(\t\022\016\n\006offset\030\002" +
-      " \001(\005\022\014\n\004text\030\003 \001(\014\022\022\n\nlast_event\030\004 \001(\003\022\017" +
-      "\n\007version\030\005 \003(\003\022\r\n\005whole\030\006 \001(\010\"\037\n\016Handov" +
-      "erAnswer\022\r\n\005taken\030\001 \001(\010B \n\034org.amaranths" +
-      "tream.jobs.wireP\001b\006proto3"
+      "tialRecord\"\200\001\n\rPartialRecord\022\014\n\004item\030\001 \001" +
+      "(\t\022\014\n\004text\030\002 \001(\014\022\022\n\nlast_event\030\003 \001(\003\022\017\n\007" +
+      "version\030\004 \003(\003\022\r\n\005whole\030\005 \001(\010\022\r\n\005score\030\006 " +
+      "\001(\t\022\020\n\010software\030\007 \001(\t\"L\n\014ProgressPage\022-\n" +
+      "\004text\030\001 \003(\0132\037.amaranthstream.jobs.TextRe" +
+      "cord\022\r\n\005nonce\030\002 \001(\003\"~\n\nTextRecord\022\014\n\004ite" +
+      "m\030\001 \001(\t\022\016\n\006offset\030\002 \001(\005\022\014\n\004text\030\003 \001(\014\022\022\n" +
+      "\nlast_event\030\004 \001(\003\022\017\n\007version\030\005 \003(\003\022\r\n\005wh" +
+      "ole\030\006 \001(\010\022\020\n\010software\030\007 \001(\t\"\037\n\016HandoverA" +
+      "nswer\022\r\n\005taken\030\001 \001(\010B \n\034org.amaranthstre" +
+      "am.jobs.wireP\001b\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -335,7 +336,7 @@
     internal_static_amaranthstream_jobs_PartialRecord_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_amaranthstream_jobs_PartialRecord_descriptor,
-        new java.lang.String[] { "Item", "Text", "LastEvent", "Version", "Whole", "Score", });
+        new java.lang.String[] { "Item", "Text", "LastEvent", "Version", "Whole", "Score", "Software", });
     internal_static_amaranthstream_jobs_ProgressPage_descriptor =
       getDescriptor().getMessageType(20);
     internal_static_amaranthstream_jobs_ProgressPage_fieldAccessorTable = new
@@ -347,7 +348,7 @@
     internal_static_amaranthstream_jobs_TextRecord_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_amaranthstream_jobs_TextRecord_descriptor,
-        new java.lang.String[] { "Item", "Offset", "Text", "LastEvent", "Version", "Whole", });
+        new java.lang.String[] { "Item", "Offset", "Text", "LastEvent", "Version", "Whole", "Software", });
     internal_static_amaranthstream_jobs_HandoverAnswer_descriptor =
       getDescriptor().getMessageType(22);
     internal_static_amaranthstream_jobs_HandoverAnswer_fieldAccessorTable = new
--- a/amaranthstream/src/main/java/org/amaranthstream/jobs/wire/PartialRecord.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/jobs/wire/PartialRecord.java
@@ -36,6 +36,7 @@
     text_ = com.google.protobuf.ByteString.EMPTY;
     version_ = emptyLongList();
     score_ = "";
+    software_ = "";
   }
 
   public static final com.google.protobuf.Descriptors.Descriptor
@@ -205,6 +206,53 @@
     }
   }
 
+  public static final int SOFTWARE_FIELD_NUMBER = 7;
+  @SuppressWarnings("serial")
+  private volatile java.lang.Object software_ = "";
+  /**
+   * <pre>
+   * The software version of the servers that generated the text.
+   * </pre>
+   *
+   * <code>string software = 7;</code>
+   * @return The software.
+   */
+  @java.lang.Override
+  public java.lang.String getSoftware() {
+    java.lang.Object ref = software_;
+    if (ref instanceof java.lang.String) {
+      return (java.lang.String) ref;
+    } else {
+      com.google.protobuf.ByteString bs = 
+          (com.google.protobuf.ByteString) ref;
+      java.lang.String s = bs.toStringUtf8();
+      software_ = s;
+      return s;
+    }
+  }
+  /**
+   * <pre>
+   * The software version of the servers that generated the text.
+   * </pre>
+   *
+   * <code>string software = 7;</code>
+   * @return The bytes for software.
+   */
+  @java.lang.Override
+  public com.google.protobuf.ByteString
+      getSoftwareBytes() {
+    java.lang.Object ref = software_;
+    if (ref instanceof java.lang.String) {
+      com.google.protobuf.ByteString b = 
+          com.google.protobuf.ByteString.copyFromUtf8(
+              (java.lang.String) ref);
+      software_ = b;
+      return b;
+    } else {
+      return (com.google.protobuf.ByteString) ref;
+    }
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -242,6 +290,9 @@
     if (!com.google.protobuf.GeneratedMessage.isStringEmpty(score_)) {
       com.google.protobuf.GeneratedMessage.writeString(output, 6, score_);
     }
+    if (!com.google.protobuf.GeneratedMessage.isStringEmpty(software_)) {
+      com.google.protobuf.GeneratedMessage.writeString(output, 7, software_);
+    }
     getUnknownFields().writeTo(output);
   }
 
@@ -283,6 +334,9 @@
     if (!com.google.protobuf.GeneratedMessage.isStringEmpty(score_)) {
       size += com.google.protobuf.GeneratedMessage.computeStringSize(6, score_);
     }
+    if (!com.google.protobuf.GeneratedMessage.isStringEmpty(software_)) {
+      size += com.google.protobuf.GeneratedMessage.computeStringSize(7, software_);
+    }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -310,6 +364,8 @@
         != other.getWhole()) return false;
     if (!getScore()
         .equals(other.getScore())) return false;
+    if (!getSoftware()
+        .equals(other.getSoftware())) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -337,6 +393,8 @@
         getWhole());
     hash = (37 * hash) + SCORE_FIELD_NUMBER;
     hash = (53 * hash) + getScore().hashCode();
+    hash = (37 * hash) + SOFTWARE_FIELD_NUMBER;
+    hash = (53 * hash) + getSoftware().hashCode();
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -478,6 +536,7 @@
       version_ = emptyLongList();
       whole_ = false;
       score_ = "";
+      software_ = "";
       return this;
     }
 
@@ -530,6 +589,9 @@
       if (((from_bitField0_ & 0x00000020) != 0)) {
         result.score_ = score_;
       }
+      if (((from_bitField0_ & 0x00000040) != 0)) {
+        result.software_ = software_;
+      }
     }
 
     @java.lang.Override
@@ -574,6 +636,11 @@
         bitField0_ |= 0x00000020;
         onChanged();
       }
+      if (!other.getSoftware().isEmpty()) {
+        software_ = other.software_;
+        bitField0_ |= 0x00000040;
+        onChanged();
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -641,6 +708,11 @@
               bitField0_ |= 0x00000020;
               break;
             } // case 50
+            case 58: {
+              software_ = input.readStringRequireUtf8();
+              bitField0_ |= 0x00000040;
+              break;
+            } // case 58
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -1002,6 +1074,98 @@
       return this;
     }
 
+    private java.lang.Object software_ = "";
+    /**
+     * <pre>
+     * The software version of the servers that generated the text.
+     * </pre>
+     *
+     * <code>string software = 7;</code>
+     * @return The software.
+     */
+    public java.lang.String getSoftware() {
+      java.lang.Object ref = software_;
+      if (!(ref instanceof java.lang.String)) {
+        com.google.protobuf.ByteString bs =
+            (com.google.protobuf.ByteString) ref;
+        java.lang.String s = bs.toStringUtf8();
+        software_ = s;
+        return s;
+      } else {
+        return (java.lang.String) ref;
+      }
+    }
+    /**
+     * <pre>
+     * The software version of the servers that generated the text.
+     * </pre>
+     *
+     * <code>string software = 7;</code>
+     * @return The bytes for software.
+     */
+    public com.google.protobuf.ByteString
+        getSoftwareBytes() {
+      java.lang.Object ref = software_;
+      if (ref instanceof String) {
+        com.google.protobuf.ByteString b = 
+            com.google.protobuf.ByteString.copyFromUtf8(
+                (java.lang.String) ref);
+        software_ = b;
+        return b;
+      } else {
+        return (com.google.protobuf.ByteString) ref;
+      }
+    }
+    /**
+     * <pre>
+     * The software version of the servers that generated the text.
+     * </pre>
+     *
+     * <code>string software = 7;</code>
+     * @param value The software to set.
+     * @return This builder for chaining.
+     */
+    public Builder setSoftware(
+        java.lang.String value) {
+      if (value == null) { throw new NullPointerException(); }
+      software_ = value;
+      bitField0_ |= 0x00000040;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * The software version of the servers that generated the text.
+     * </pre>
+     *
+     * <code>string software = 7;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearSoftware() {
+      software_ = getDefaultInstance().getSoftware();
+      bitField0_ = (bitField0_ & ~0x00000040);
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * The software version of the servers that generated the text.
+     * </pre>
+     *
+     * <code>string software = 7;</code>
+     * @param value The bytes for software to set.
+     * @return This builder for chaining.
+     */
+    public Builder setSoftwareBytes(
+        com.google.protobuf.ByteString value) {
+      if (value == null) { throw new NullPointerException(); }
+      checkByteStringIsUtf8(value);
+      software_ = value;
+      bitField0_ |= 0x00000040;
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:amaranthstream.jobs.PartialRecord)
   }
 
--- a/amaranthstream/src/main/java/org/amaranthstream/jobs/wire/TextRecord.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/jobs/wire/TextRecord.java
@@ -35,6 +35,7 @@
     item_ = "";
     text_ = com.google.protobuf.ByteString.EMPTY;
     version_ = emptyLongList();
+    software_ = "";
   }
 
   public static final com.google.protobuf.Descriptors.Descriptor
@@ -192,6 +193,53 @@
     return whole_;
   }
 
+  public static final int SOFTWARE_FIELD_NUMBER = 7;
+  @SuppressWarnings("serial")
+  private volatile java.lang.Object software_ = "";
+  /**
+   * <pre>
+   * The software version of the servers that generated the text.
+   * </pre>
+   *
+   * <code>string software = 7;</code>
+   * @return The software.
+   */
+  @java.lang.Override
+  public java.lang.String getSoftware() {
+    java.lang.Object ref = software_;
+    if (ref instanceof java.lang.String) {
+      return (java.lang.String) ref;
+    } else {
+      com.google.protobuf.ByteString bs = 
+          (com.google.protobuf.ByteString) ref;
+      java.lang.String s = bs.toStringUtf8();
+      software_ = s;
+      return s;
+    }
+  }
+  /**
+   * <pre>
+   * The software version of the servers that generated the text.
+   * </pre>
+   *
+   * <code>string software = 7;</code>
+   * @return The bytes for software.
+   */
+  @java.lang.Override
+  public com.google.protobuf.ByteString
+      getSoftwareBytes() {
+    java.lang.Object ref = software_;
+    if (ref instanceof java.lang.String) {
+      com.google.protobuf.ByteString b = 
+          com.google.protobuf.ByteString.copyFromUtf8(
+              (java.lang.String) ref);
+      software_ = b;
+      return b;
+    } else {
+      return (com.google.protobuf.ByteString) ref;
+    }
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -229,6 +277,9 @@
     if (whole_ != false) {
       output.writeBool(6, whole_);
     }
+    if (!com.google.protobuf.GeneratedMessage.isStringEmpty(software_)) {
+      com.google.protobuf.GeneratedMessage.writeString(output, 7, software_);
+    }
     getUnknownFields().writeTo(output);
   }
 
@@ -271,6 +322,9 @@
       size += com.google.protobuf.CodedOutputStream
         .computeBoolSize(6, whole_);
     }
+    if (!com.google.protobuf.GeneratedMessage.isStringEmpty(software_)) {
+      size += com.google.protobuf.GeneratedMessage.computeStringSize(7, software_);
+    }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -298,6 +352,8 @@
         .equals(other.getVersionList())) return false;
     if (getWhole()
         != other.getWhole()) return false;
+    if (!getSoftware()
+        .equals(other.getSoftware())) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -325,6 +381,8 @@
     hash = (37 * hash) + WHOLE_FIELD_NUMBER;
     hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(
         getWhole());
+    hash = (37 * hash) + SOFTWARE_FIELD_NUMBER;
+    hash = (53 * hash) + getSoftware().hashCode();
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -466,6 +524,7 @@
       lastEvent_ = 0L;
       version_ = emptyLongList();
       whole_ = false;
+      software_ = "";
       return this;
     }
 
@@ -518,6 +577,9 @@
       if (((from_bitField0_ & 0x00000020) != 0)) {
         result.whole_ = whole_;
       }
+      if (((from_bitField0_ & 0x00000040) != 0)) {
+        result.software_ = software_;
+      }
     }
 
     @java.lang.Override
@@ -560,6 +622,11 @@
       if (other.getWhole() != false) {
         setWhole(other.getWhole());
       }
+      if (!other.getSoftware().isEmpty()) {
+        software_ = other.software_;
+        bitField0_ |= 0x00000040;
+        onChanged();
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -627,6 +694,11 @@
               bitField0_ |= 0x00000020;
               break;
             } // case 48
+            case 58: {
+              software_ = input.readStringRequireUtf8();
+              bitField0_ |= 0x00000040;
+              break;
+            } // case 58
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -992,6 +1064,98 @@
       return this;
     }
 
+    private java.lang.Object software_ = "";
+    /**
+     * <pre>
+     * The software version of the servers that generated the text.
+     * </pre>
+     *
+     * <code>string software = 7;</code>
+     * @return The software.
+     */
+    public java.lang.String getSoftware() {
+      java.lang.Object ref = software_;
+      if (!(ref instanceof java.lang.String)) {
+        com.google.protobuf.ByteString bs =
+            (com.google.protobuf.ByteString) ref;
+        java.lang.String s = bs.toStringUtf8();
+        software_ = s;
+        return s;
+      } else {
+        return (java.lang.String) ref;
+      }
+    }
+    /**
+     * <pre>
+     * The software version of the servers that generated the text.
+     * </pre>
+     *
+     * <code>string software = 7;</code>
+     * @return The bytes for software.
+     */
+    public com.google.protobuf.ByteString
+        getSoftwareBytes() {
+      java.lang.Object ref = software_;
+      if (ref instanceof String) {
+        com.google.protobuf.ByteString b = 
+            com.google.protobuf.ByteString.copyFromUtf8(
+                (java.lang.String) ref);
+        software_ = b;
+        return b;
+      } else {
+        return (com.google.protobuf.ByteString) ref;
+      }
+    }
+    /**
+     * <pre>
+     * The software version of the servers that generated the text.
+     * </pre>
+     *
+     * <code>string software = 7;</code>
+     * @param value The software to set.
+     * @return This builder for chaining.
+     */
+    public Builder setSoftware(
+        java.lang.String value) {
+      if (value == null) { throw new NullPointerException(); }
+      software_ = value;
+      bitField0_ |= 0x00000040;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * The software version of the servers that generated the text.
+     * </pre>
+     *
+     * <code>string software = 7;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearSoftware() {
+      software_ = getDefaultInstance().getSoftware();
+      bitField0_ = (bitField0_ & ~0x00000040);
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * The software version of the servers that generated the text.
+     * </pre>
+     *
+     * <code>string software = 7;</code>
+     * @param value The bytes for software to set.
+     * @return This builder for chaining.
+     */
+    public Builder setSoftwareBytes(
+        com.google.protobuf.ByteString value) {
+      if (value == null) { throw new NullPointerException(); }
+      checkByteStringIsUtf8(value);
+      software_ = value;
+      bitField0_ |= 0x00000040;
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:amaranthstream.jobs.TextRecord)
   }
 
--- a/amaranthstream/src/main/java/org/amaranthstream/jobs/wire/TextRecordOrBuilder.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/jobs/wire/TextRecordOrBuilder.java
@@ -86,4 +86,24 @@
    * @return The whole.
    */
   boolean getWhole();
+
+  /**
+   * <pre>
+   * The software version of the servers that generated the text.
+   * </pre>
+   *
+   * <code>string software = 7;</code>
+   * @return The software.
+   */
+  java.lang.String getSoftware();
+  /**
+   * <pre>
+   * The software version of the servers that generated the text.
+   * </pre>
+   *
+   * <code>string software = 7;</code>
+   * @return The bytes for software.
+   */
+  com.google.protobuf.ByteString
+      getSoftwareBytes();
 }
--- a/amaranthstream/src/main/java/org/amaranthstream/servers/TrackedServer.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/servers/TrackedServer.java
@@ -6,6 +6,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalDouble;
+import java.util.OptionalLong;
 import org.amaranthstream.ids.BackendServerId;
 import org.amaranthstream.ids.ModelId;
 import org.amaranthstream.ids.WeightVersion;
@@ -22,6 +23,9 @@
   private static final Duration MAX_AVOIDANCE = Duration.ofSeconds(4);
   private static final Duration FULL_AVOIDANCE = Duration.ofMillis(60);
 
+  /** The time within which the registration of a server that has restarted is read. */
+  private static final Duration REGISTRATION_DELAY = Duration.ofMillis(1_000);
+
   /** Bounds the interval between requests to a server that names a limit of zero. */
   private static final double MIN_REQUESTS_PER_SECOND = 0.001;
 
@@ -31,6 +35,7 @@
   private int inFlight;
   private int failures;
   private OptionalDouble requestsPerSecond = OptionalDouble.empty();
+  private OptionalLong lastFailureNanos = OptionalLong.empty();
   private long avoidUntilNanos = Long.MIN_VALUE;
   private long fullUntilNanos = Long.MIN_VALUE;
   private final EventIntervalAverage eventInterval = new EventIntervalAverage();
@@ -140,6 +145,7 @@
 
   /** Records a failure of the server or its connection: no response, or an incomplete one. */
   public void onFailed(long nowNanos, String reason) {
+    lastFailureNanos = OptionalLong.of(nowNanos);
     failures = Math.min(failures + 1, 8);
     long avoidance = INITIAL_AVOIDANCE.toNanos() << (failures - 1);
     avoidUntilNanos = nowNanos + Math.min(avoidance, MAX_AVOIDANCE.toNanos());
@@ -148,6 +154,15 @@
         id(), failures, (avoidUntilNanos - nowNanos) / 1_000_000, reason);
   }
 
+  /**
+   * Returns true if the server failed so recently that it may have restarted under its id, perhaps
+   * with other software, and that its new registration has not been read yet.
+   */
+  public boolean mayHaveRestarted(long nowNanos) {
+    return lastFailureNanos.isPresent()
+        && nowNanos - lastFailureNanos.getAsLong() < REGISTRATION_DELAY.toNanos();
+  }
+
   /** Records the interval between two consecutive events of a stream. */
   public void onEventInterval(long intervalNanos, long nowNanos) {
     eventInterval.add(intervalNanos, nowNanos);
--- a/amaranthstream/src/test/java/org/amaranthstream/jobs/CheckpointAssemblerTest.java
+++ b/amaranthstream/src/test/java/org/amaranthstream/jobs/CheckpointAssemblerTest.java
@@ -5,7 +5,9 @@
 
 import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableSortedSet;
+import java.util.Optional;
 import org.amaranthstream.ids.ItemId;
+import org.amaranthstream.ids.SoftwareVersion;
 import org.amaranthstream.ids.WeightVersion;
 import org.junit.jupiter.api.Test;
 
@@ -18,6 +20,7 @@
         text.getBytes(UTF_8),
         lastEvent,
         ImmutableSortedSet.of(WeightVersion.of(lastEvent)),
+        Optional.of(SoftwareVersion.of("v1")),
         false);
   }
 
--- a/amaranthstream/src/test/java/org/amaranthstream/jobs/ItemTextTest.java
+++ b/amaranthstream/src/test/java/org/amaranthstream/jobs/ItemTextTest.java
@@ -5,6 +5,7 @@
 
 import java.util.Optional;
 import org.amaranthstream.ids.ItemId;
+import org.amaranthstream.ids.SoftwareVersion;
 import org.amaranthstream.ids.WeightVersion;
 import org.junit.jupiter.api.Test;
 
@@ -18,7 +19,8 @@
       long id = text.lastEvent() + 1;
       text.add(
           new ItemEvent(id, data.getBytes(UTF_8), Optional.empty()),
-          Optional.of(WeightVersion.of(1)));
+          Optional.of(WeightVersion.of(1)),
+          SoftwareVersion.of("v1"));
     }
   }
 
--- a/amaranthstream/src/test/java/org/amaranthstream/jobs/JobFleet.java
+++ b/amaranthstream/src/test/java/org/amaranthstream/jobs/JobFleet.java
@@ -19,6 +19,7 @@
 import org.amaranthstream.fleet.FleetNode;
 import org.amaranthstream.fleet.FleetSession;
 import org.amaranthstream.ids.AvailabilityZoneId;
+import org.amaranthstream.ids.BackendServerId;
 import org.amaranthstream.ids.EntryVmId;
 import org.amaranthstream.ids.GroupId;
 import org.amaranthstream.ids.Incarnation;
@@ -271,6 +272,22 @@
             n -> n.directory.onRegistration(SimulatedServers.registration(id, slots, version)));
   }
 
+  /** Adds a backend server with the given software to the directories of all daemons. */
+  void addServer(String id, int slots, long version, String software) {
+    nodes
+        .values()
+        .forEach(
+            n ->
+                n.directory.onRegistration(
+                    SimulatedServers.registration(id, slots, version, software)));
+  }
+
+  /** Crashes a backend server, whose registration ends at once. */
+  void crashServer(String id) {
+    nodes.values().forEach(n -> n.directory.onRegistrationRemoved(BackendServerId.of(id)));
+    servers.crash(id);
+  }
+
   /** Adds a server of the service that scores items to the directories of all daemons. */
   void addRewardServer(String id, int slots) {
     nodes.values().forEach(n -> n.directory.onRegistration(SimulatedRewards.server(id, slots)));
--- a/amaranthstream/src/test/java/org/amaranthstream/jobs/SimulatedServers.java
+++ b/amaranthstream/src/test/java/org/amaranthstream/jobs/SimulatedServers.java
@@ -36,17 +36,25 @@
   private final Map<ItemId, Integer> starts = new HashMap<>();
   private final List<ItemId> order = new ArrayList<>();
   private final Set<ItemId> completed = new HashSet<>();
+  private final Map<ItemId, SoftwareVersion> software = new HashMap<>();
+  private final List<ItemRequest> continuedAtOtherSoftware = new ArrayList<>();
+  private final List<ItemRequest> continued = new ArrayList<>();
+  private final List<Stream> streams = new ArrayList<>();
 
   SimulatedServers(TimerService timers) {
     this.timers = timers;
   }
 
   static ServerRegistration registration(String id, int slots, long version) {
+    return registration(id, slots, version, "v1");
+  }
+
+  static ServerRegistration registration(String id, int slots, long version, String software) {
     return new ServerRegistration(
         BackendServerId.of(id),
         1,
         SERVICE,
-        SoftwareVersion.of("v1"),
+        SoftwareVersion.of(software),
         "10.0.0.9",
         8080,
         AvailabilityZoneId.of("a"),
@@ -82,6 +90,24 @@
     silent.add(BackendServerId.of(server));
   }
 
+  /** Ends all runs at the server as a crash does. */
+  void crash(String server) {
+    BackendServerId id = BackendServerId.of(server);
+    List.copyOf(streams).stream()
+        .filter(stream -> stream.server.id().equals(id))
+        .forEach(Stream::crash);
+  }
+
+  /** Returns the runs that continued the text of a server with other software. */
+  List<ItemRequest> continuedAtOtherSoftware() {
+    return continuedAtOtherSoftware;
+  }
+
+  /** Returns the runs that continued a text. */
+  List<ItemRequest> continued() {
+    return continued;
+  }
+
   /** Makes every run of the item end with {@code outcome} and without an event. */
   void setOutcome(ItemId item, ItemRunOutcome outcome) {
     outcomes.put(item, outcome);
@@ -106,7 +132,14 @@
   public Run start(TrackedServer server, ItemRequest request, ItemListener listener) {
     starts.merge(request.item().id(), 1, Integer::sum);
     order.add(request.item().id());
+    if (request.lastEvent() > 0) {
+      continued.add(request);
+      if (!server.registration().softwareVersion().equals(software.get(request.item().id()))) {
+        continuedAtOtherSoftware.add(request);
+      }
+    }
     Stream stream = new Stream(server, request, listener);
+    streams.add(stream);
     timers.after(RESPONSE_DELAY, stream::begin);
     return stream;
   }
@@ -154,6 +187,7 @@
         listener.onEnded(new ItemRunOutcome.Complete());
         return;
       }
+      software.put(request.item().id(), server.registration().softwareVersion());
       String data = request.item().id() + "." + next;
       listener.onEvent(
           new ItemEvent(next, data.getBytes(StandardCharsets.UTF_8), Optional.of(version())));
@@ -161,6 +195,13 @@
       timers.after(eventIntervals.getOrDefault(server.id(), Duration.ofMillis(20)), this::step);
     }
 
+    private void crash() {
+      if (!isOver) {
+        isOver = true;
+        listener.onEnded(new ItemRunOutcome.Broken("the server crashed"));
+      }
+    }
+
     @Override
     public void cancel() {
       isOver = true;
