Resume callers' streams only at servers with the software that began them

A request that resumes a stream went to any server, at the daemon that had served it and at others.

Change: where a stream begins is recorded under the request that brought its first event, at the daemon and at three others (the relays of its zone, one of another zone), with one message for all streams within 10 ms. A resumed stream is looked up at those, then at the relays of the other zones. Unknown streams continue only if one version alone can have begun them; else they are rejected at once, as are those without a server of their version. CallService is created by a builder, as it has more parts now.

Ruled out: choosing the version by a hash of the request (changes while versions come and go, and a full version would need exceptions that somebody remembers); a store call or a message to all daemons for each stream.

--- a/amaranthstream/src/main/java/org/amaranthstream/calls/ActiveCall.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/calls/ActiveCall.java
@@ -8,7 +8,9 @@
 import java.util.Optional;
 import java.util.Set;
 import org.amaranthstream.result.ErrorDetail;
+import org.amaranthstream.result.Result;
 import org.amaranthstream.result.ResultCode;
+import org.amaranthstream.routing.Route;
 import org.amaranthstream.servers.TrackedServer;
 import org.amaranthstream.time.Subscription;
 import org.jspecify.annotations.Nullable;
@@ -29,10 +31,11 @@
   private static final int MAX_REFUSALS = 6;
 
   private final CallService service;
+  private final Route route;
   private final CallPolicy policy;
   private final OutboundCall call;
   private final CallContent content;
-  private final List<TrackedServer> servers;
+  private List<TrackedServer> servers;
   private final CallerExchange exchange;
   private final long deadlineNanos;
   private final Set<TrackedServer> tried = new HashSet<>();
@@ -50,6 +53,7 @@
 
   ActiveCall(
       CallService service,
+      Route route,
       CallPolicy policy,
       OutboundCall call,
       CallContent content,
@@ -57,6 +61,7 @@
       Duration timeLeft,
       CallerExchange exchange) {
     this.service = service;
+    this.route = route;
     this.policy = policy;
     this.call = call;
     this.content = content;
@@ -72,9 +77,33 @@
       return;
     }
     timeout = service.timers().after(max(timeLeft(), Duration.ZERO), this::onTimeout);
+    if (policy.isResumable() && call.resumption().isPresent()) {
+      service.resumptions().find(route, call, timeLeft(), this::onResumable);
+    } else {
+      attemptNext();
+    }
+  }
+
+  /** Continues once it is known which servers can resume the caller's stream. */
+  private void onResumable(Result<List<TrackedServer>> compatible) {
+    if (isOver) {
+      return;
+    }
+    if (compatible instanceof Result.Failure<List<TrackedServer>> failure) {
+      fail(failure.error().code(), failure.error().message());
+      return;
+    }
+    servers = ((Result.Success<List<TrackedServer>>) compatible).value();
     attemptNext();
   }
 
+  /** Records which software generates the caller's stream, so that it can be resumed. */
+  void onStreamBegins(CallAttempt attempt) {
+    if (policy.isResumable()) {
+      service.resumptions().record(call, attempt.server());
+    }
+  }
+
   private static Duration max(Duration a, Duration b) {
     return a.compareTo(b) > 0 ? a : b;
   }
--- a/amaranthstream/src/main/java/org/amaranthstream/calls/CallAttempt.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/calls/CallAttempt.java
@@ -74,6 +74,7 @@
 
   private void startStreaming() {
     activeCall.commit(this);
+    activeCall.onStreamBegins(this);
     activeCall.exchange().beginResponse(head());
     if (bufferedBody.length() > 0) {
       activeCall.exchange().write(bufferedBody);
--- a/amaranthstream/src/main/java/org/amaranthstream/calls/CallPolicy.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/calls/CallPolicy.java
@@ -13,6 +13,7 @@
  *
  * @param isRepeatable true if the request may run more than once
  * @param isStream true if the response is streamed to the caller as it arrives
+ * @param isResumable true if the caller may resume an interrupted stream
  * @param maxAttempts the maximum number of attempts, without those that servers refuse or never
  *     receive
  * @param isQuarantinable true if the request may be rejected because servers crashed under its
@@ -22,6 +23,7 @@
 public record CallPolicy(
     boolean isRepeatable,
     boolean isStream,
+    boolean isResumable,
     int maxAttempts,
     boolean isQuarantinable,
     Duration hedgeAfter) {
@@ -30,7 +32,8 @@
 
   private static final double MILLION = 1e6;
 
-  private static final CallPolicy OWED = new CallPolicy(true, false, 1, false, Duration.ZERO);
+  private static final CallPolicy OWED =
+      new CallPolicy(true, false, false, 1, false, Duration.ZERO);
 
   /**
    * Returns the policy for an idempotent request that is owed a response. Its sender itself decides
@@ -44,9 +47,11 @@
   public static CallPolicy of(Route route) {
     boolean isRepeatable = route.kind() == RouteKind.IDEMPOTENT;
     long hedgeMillis = (long) (route.latencyObjective().toNanos() * HEDGE_SHARE / MILLION);
+    boolean isStream = route.kind() == RouteKind.STREAMING;
     return new CallPolicy(
         isRepeatable,
-        route.kind() == RouteKind.STREAMING,
+        isStream,
+        isStream && route.isResumable(),
         isRepeatable ? route.maxAttempts() : 1,
         true,
         Duration.ofMillis(Math.max(1, hedgeMillis)));
--- a/amaranthstream/src/main/java/org/amaranthstream/calls/CallService.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/calls/CallService.java
@@ -4,6 +4,7 @@
 
 import com.google.common.collect.ImmutableList;
 import com.google.common.flogger.FluentLogger;
+import com.google.errorprone.annotations.CanIgnoreReturnValue;
 import java.time.Duration;
 import java.util.HashSet;
 import java.util.List;
@@ -20,6 +21,7 @@
 import org.amaranthstream.servers.ServerDirectory;
 import org.amaranthstream.servers.TrackedServer;
 import org.amaranthstream.time.TimerService;
+import org.jspecify.annotations.Nullable;
 
 /**
  * Service that forwards requests of callers to backend servers.
@@ -35,44 +37,23 @@
   private final TimerService timers;
   private final CrashTracker crashes;
   private final RequestPermits permits;
+  private final StreamResumptions resumptions;
   private final Random random = new Random();
   private final Set<ActiveCall> active = new HashSet<>();
 
-  private CallService(
-      ServerDirectory directory,
-      ServerChoice choice,
-      CallTransport transport,
-      TimerService timers,
-      PoisonRegistry poison,
-      RequestPermits permits) {
-    this.directory = directory;
-    this.choice = choice;
-    this.transport = transport;
-    this.timers = timers;
-    this.crashes = new CrashTracker(poison, timers);
-    this.permits = permits;
+  private CallService(Builder builder) {
+    this.directory = checkNotNull(builder.directory, "directory");
+    this.choice = checkNotNull(builder.choice, "choice");
+    this.transport = checkNotNull(builder.transport, "transport");
+    this.timers = checkNotNull(builder.timers, "timers");
+    this.crashes = new CrashTracker(checkNotNull(builder.poison, "poison"), timers);
+    this.permits = checkNotNull(builder.permits, "permits");
+    this.resumptions = new StreamResumptions(builder.origins, directory, timers);
   }
 
-  /**
-   * Returns a service that sends requests over {@code transport}.
-   *
-   * @param poison the content that servers crashed under, which is kept in sync with other daemons
-   * @param permits the permits for servers that limit their rate
-   */
-  public static CallService create(
-      ServerDirectory directory,
-      ServerChoice choice,
-      CallTransport transport,
-      TimerService timers,
-      PoisonRegistry poison,
-      RequestPermits permits) {
-    return new CallService(
-        checkNotNull(directory, "directory"),
-        checkNotNull(choice, "choice"),
-        checkNotNull(transport, "transport"),
-        checkNotNull(timers, "timers"),
-        checkNotNull(poison, "poison"),
-        checkNotNull(permits, "permits"));
+  /** Returns a builder. */
+  public static Builder builder() {
+    return new Builder();
   }
 
   /**
@@ -101,7 +82,8 @@
         policy.isQuarantinable()
             ? new QuarantinableContent(crashes, route.host(), call)
             : ExemptContent.INSTANCE;
-    ActiveCall activeCall = new ActiveCall(this, policy, call, content, servers, time, exchange);
+    ActiveCall activeCall =
+        new ActiveCall(this, route, policy, call, content, servers, time, exchange);
     active.add(activeCall);
     exchange.onCallerDisconnected(activeCall::cancel);
     activeCall.start();
@@ -141,6 +123,10 @@
     return permits;
   }
 
+  StreamResumptions resumptions() {
+    return resumptions;
+  }
+
   CrashTracker crashes() {
     return crashes;
   }
@@ -179,4 +165,69 @@
       logger.atInfo().log("event=call_ended %s code=%s detail=\"%s\"", activeCall, code, detail);
     }
   }
+
+  /** Builder of {@link CallService}. All properties but the stream origins are required. */
+  public static final class Builder {
+    private @Nullable ServerDirectory directory;
+    private @Nullable ServerChoice choice;
+    private @Nullable CallTransport transport;
+    private @Nullable TimerService timers;
+    private @Nullable PoisonRegistry poison;
+    private @Nullable RequestPermits permits;
+    private StreamOrigins origins = LocalStreamOrigins.create();
+
+    private Builder() {}
+
+    /** Sets the known servers and the choice among them. */
+    @CanIgnoreReturnValue
+    public Builder servers(ServerDirectory directory, ServerChoice choice) {
+      this.directory = directory;
+      this.choice = choice;
+      return this;
+    }
+
+    /** Sets the transport to the servers. */
+    @CanIgnoreReturnValue
+    public Builder transport(CallTransport transport) {
+      this.transport = transport;
+      return this;
+    }
+
+    /** Sets the timers, on whose thread the service is used. */
+    @CanIgnoreReturnValue
+    public Builder timers(TimerService timers) {
+      this.timers = timers;
+      return this;
+    }
+
+    /** Sets the content that servers crashed under, which is kept in sync with other daemons. */
+    @CanIgnoreReturnValue
+    public Builder poison(PoisonRegistry poison) {
+      this.poison = poison;
+      return this;
+    }
+
+    /** Sets the permits for servers that limit their rate. */
+    @CanIgnoreReturnValue
+    public Builder permits(RequestPermits permits) {
+      this.permits = permits;
+      return this;
+    }
+
+    /** Sets the registry of streams; without it, only the streams of this process are known. */
+    @CanIgnoreReturnValue
+    public Builder origins(StreamOrigins origins) {
+      this.origins = checkNotNull(origins, "origins");
+      return this;
+    }
+
+    /**
+     * Returns the service.
+     *
+     * @throws NullPointerException if a required property was not set
+     */
+    public CallService build() {
+      return new CallService(this);
+    }
+  }
 }
--- a/amaranthstream/src/main/java/org/amaranthstream/calls/OutboundCall.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/calls/OutboundCall.java
@@ -2,6 +2,7 @@
 
 import io.vertx.core.MultiMap;
 import io.vertx.core.buffer.Buffer;
+import java.util.Optional;
 
 /**
  * Request of a caller in the form in which it is forwarded.
@@ -11,5 +12,12 @@
  * @param uri the path and query
  * @param headers the end-to-end headers; must not be modified
  * @param body the complete body; must not be modified
+ * @param resumption the stream that the request resumes, empty if it begins a new response
  */
-public record OutboundCall(String id, String method, String uri, MultiMap headers, Buffer body) {}
+public record OutboundCall(
+    String id,
+    String method,
+    String uri,
+    MultiMap headers,
+    Buffer body,
+    Optional<StreamResumption> resumption) {}
--- a/amaranthstream/src/main/java/org/amaranthstream/fleet/FleetPermits.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/fleet/FleetPermits.java
@@ -58,14 +58,6 @@
   private final Map<BackendServerId, RequestPacer> ownPacers = newPacers();
   private final Map<BackendServerId, EntryVmId> coordinators = new HashMap<>();
 
-  /** Client for queries to other daemons. */
-  @FunctionalInterface
-  public interface PeerQuery {
-    /** Sends a query; the future never completes exceptionally. */
-    CompletableFuture<Result<byte[]>> query(
-        EntryVmId to, QueryKind kind, byte[] body, Duration timeout);
-  }
-
   private FleetPermits(EntryVmId self, Fleet fleet, TimerService timers, PeerQuery peers) {
     this.self = self;
     this.fleet = fleet;
--- a/amaranthstream/src/main/java/org/amaranthstream/jobs/CallServiceRewardTransport.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/jobs/CallServiceRewardTransport.java
@@ -7,6 +7,7 @@
 import io.vertx.core.http.HttpHeaders;
 import io.vertx.core.http.HttpMethod;
 import java.time.Duration;
+import java.util.Optional;
 import java.util.function.Consumer;
 import org.amaranthstream.calls.CallPolicy;
 import org.amaranthstream.calls.CallService;
@@ -45,7 +46,8 @@
             HttpMethod.POST.name(),
             call.path(),
             headers,
-            Buffer.buffer(call.body()));
+            Buffer.buffer(call.body()),
+            Optional.empty());
     RewardExchange exchange = new RewardExchange(listener);
     calls.start(route, CallPolicy.owed(), outbound, timeout, exchange);
     return exchange::cancel;
--- a/amaranthstream/src/main/java/org/amaranthstream/peer/QueryKind.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/peer/QueryKind.java
@@ -21,7 +21,13 @@
   WATCH(8),
 
   /** Asks for a permit for one request to a rate-limited backend server. */
-  PERMIT(9);
+  PERMIT(9),
+
+  /** Stores the software versions of the servers that began streams at the sender. */
+  STREAM_RECORD(10),
+
+  /** Looks up the software version of the server that began a stream. */
+  STREAM_LOOKUP(11);
 
   private final int number;
 
--- a/amaranthstream/src/main/java/org/amaranthstream/servers/ServerDirectory.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/servers/ServerDirectory.java
@@ -9,9 +9,11 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.function.BooleanSupplier;
 import org.amaranthstream.ids.BackendServerId;
 import org.amaranthstream.ids.ServiceId;
+import org.amaranthstream.ids.SoftwareVersion;
 import org.amaranthstream.time.Subscription;
 import org.amaranthstream.time.TimerService;
 
@@ -32,12 +34,14 @@
   private final Map<BackendServerId, TrackedServer> servers = new LinkedHashMap<>();
   private final Map<BackendServerId, Subscription> removalTimers = new LinkedHashMap<>();
   private final LeavingIncarnations leaving = new LeavingIncarnations();
+  private final SoftwareHistory software;
   private final List<ServerListener> listeners = new ArrayList<>();
   private final List<LeavingListener> leavingListeners = new ArrayList<>();
 
   private ServerDirectory(TimerService timers, BooleanSupplier wasStoreUnavailable) {
     this.timers = timers;
     this.wasStoreUnavailable = wasStoreUnavailable;
+    this.software = new SoftwareHistory(timers.nowNanos());
   }
 
   /**
@@ -96,6 +100,7 @@
     if (removalTimer != null) {
       removalTimer.cancel();
     }
+    software.onSeen(registration, timers.nowNanos());
     if (registration.isDraining()) {
       leaving.add(registration.id(), registration.startMillis());
     }
@@ -109,6 +114,7 @@
     } else {
       if (known != null) {
         known.markRemoved();
+        software.onSeen(known.registration(), timers.nowNanos());
       }
       TrackedServer added = new TrackedServer(registration);
       if (leaving.contains(registration)) {
@@ -148,6 +154,7 @@
     TrackedServer removed = servers.remove(id);
     if (removed != null) {
       removed.markRemoved();
+      software.onSeen(removed.registration(), timers.nowNanos());
       logger.atInfo().log("event=server_gone server=%s", id);
       notifyListeners();
     }
@@ -172,6 +179,16 @@
     return available.build();
   }
 
+  /**
+   * Returns the only software version that the servers of a service have had for at least {@code
+   * period}, empty if there were several or this directory has not existed for so long.
+   */
+  public Optional<SoftwareVersion> onlySoftware(ServiceId service, Duration period) {
+    long now = timers.nowNanos();
+    servers.values().forEach(server -> software.onSeen(server.registration(), now));
+    return software.onlyVersion(service, period, now);
+  }
+
   /** Returns all registered servers. */
   public ImmutableList<TrackedServer> all() {
     return ImmutableList.copyOf(servers.values());
--- a/amaranthstream/src/test/java/org/amaranthstream/calls/CrashingContentTest.java
+++ b/amaranthstream/src/test/java/org/amaranthstream/calls/CrashingContentTest.java
@@ -47,13 +47,15 @@
       directories.add(directory);
       registries.add(registry);
       daemons.add(
-          CallService.create(
-              directory,
-              ServerChoice.in(AvailabilityZoneId.of("a"), unused -> Optional.empty()),
-              servers,
-              timers,
-              registry,
-              (server, patience, listener) -> listener.accept(true)));
+          CallService.builder()
+              .servers(
+                  directory,
+                  ServerChoice.in(AvailabilityZoneId.of("a"), unused -> Optional.empty()))
+              .transport(servers)
+              .timers(timers)
+              .poison(registry)
+              .permits((server, patience, listener) -> listener.accept(true))
+              .build());
       registry.addListener(() -> timers.after(PEER_DELAY, () -> announce(registry)));
     }
     servers.start("s1");
@@ -90,7 +92,12 @@
     RecordingExchange exchange = new RecordingExchange();
     OutboundCall call =
         new OutboundCall(
-            id, "POST", "/lookup/x", MultiMap.caseInsensitiveMultiMap(), Buffer.buffer(body));
+            id,
+            "POST",
+            "/lookup/x",
+            MultiMap.caseInsensitiveMultiMap(),
+            Buffer.buffer(body),
+            Optional.empty());
     daemons.get(daemon % DAEMONS).start(route(kind), policy, call, TIMEOUT, exchange);
     return exchange;
   }
--- a/amaranthstream/src/test/java/org/amaranthstream/jobs/CallServiceRewardTransportTest.java
+++ b/amaranthstream/src/test/java/org/amaranthstream/jobs/CallServiceRewardTransportTest.java
@@ -45,13 +45,14 @@
           return new IgnoredAttempt();
         };
     CallService calls =
-        CallService.create(
-            directory,
-            ServerChoice.in(AvailabilityZoneId.of("a"), unused -> Optional.empty()),
-            transport,
-            timers,
-            PoisonRegistry.create(Duration.ofMinutes(10)),
-            (limited, patience, listener) -> listener.accept(true));
+        CallService.builder()
+            .servers(
+                directory, ServerChoice.in(AvailabilityZoneId.of("a"), unused -> Optional.empty()))
+            .transport(transport)
+            .timers(timers)
+            .poison(PoisonRegistry.create(Duration.ofMinutes(10)))
+            .permits((limited, patience, listener) -> listener.accept(true))
+            .build();
     Route route =
         Route.builder()
             .id(RouteId.of("score"))
