--- a/amaranthstream/src/main/java/org/amaranthstream/calls/ActiveCall.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/calls/ActiveCall.java
@@ -42,6 +42,11 @@
   private final List<CallAttempt> running = new ArrayList<>();
   private int countedAttempts;
   private int refusals;
+  private int relays;
+
+  /** The attempts that ended because no connection to their server could be opened. */
+  private int notConnected;
+
   private boolean mayHaveRun;
   private @Nullable CallAttempt committed;
   private @Nullable CallAttempt lastErrorResponse;
@@ -100,7 +105,7 @@
   /** Records which software generates the caller's stream, so that it can be resumed. */
   void onStreamBegins(CallAttempt attempt) {
     if (policy.isResumable()) {
-      service.resumptions().record(call, attempt.server());
+      attempt.server().ifPresent(server -> service.resumptions().record(call, server));
     }
   }
 
@@ -123,12 +128,14 @@
     }
     Optional<TrackedServer> server =
         mayTryAnother() ? service.choose(servers, tried, content.isSuspect()) : Optional.empty();
-    if (server.isPresent() && server.get().isLimited()) {
+    if (shouldRelay(server.isPresent())) {
+      relay();
+    } else if (server.isPresent() && server.get().isLimited()) {
       if (running.isEmpty()) {
         awaitPermit(server.get());
       }
     } else if (server.isPresent()) {
-      attempt(server.get());
+      attemptAt(server.get());
     } else if (running.isEmpty()) {
       giveUp();
     }
@@ -145,7 +152,7 @@
       return;
     }
     if (isGranted && server.isAvailable() && mayTryAnother()) {
-      attempt(server);
+      attemptAt(server);
       return;
     }
     tried.add(server);
@@ -154,7 +161,11 @@
   }
 
   private boolean mayTryAnother() {
-    boolean isWithinLimits = countedAttempts < policy.maxAttempts() && refusals < MAX_REFUSALS;
+    return mayTryAnotherAfter(countedAttempts);
+  }
+
+  private boolean mayTryAnotherAfter(int attempts) {
+    boolean isWithinLimits = attempts < policy.maxAttempts() && refusals < MAX_REFUSALS;
     boolean mayRepeat = policy.isRepeatable() || !mayHaveRun;
     return isWithinLimits && mayRepeat && content.remainingQuarantine().isEmpty();
   }
@@ -165,15 +176,50 @@
     return runs && content.isSuspect();
   }
 
-  private void attempt(TrackedServer server) {
+  private boolean shouldRelay(boolean hasServer) {
+    int connecting = connectingCount();
+    return policy.mayRelay()
+        && mayTryAnotherAfter(countedAttempts - connecting)
+        && RelayPolicy.shouldRelay(
+            relays, service.isLost(servers), connecting, notConnected, hasServer)
+        && service.relay().isAvailable();
+  }
+
+  private int connectingCount() {
+    return (int) running.stream().filter(CallAttempt::isConnecting).count();
+  }
+
+  /** Sends the request to a peer, in place of the attempts that still wait for a connection. */
+  private void relay() {
+    cancelConnecting();
+    relays++;
+    int attemptsLeft = policy.maxAttempts() - countedAttempts;
+    start(new PeerTarget(service.relay(), attemptsLeft, !policy.isQuarantinable()));
+  }
+
+  private void cancelConnecting() {
+    for (CallAttempt attempt : List.copyOf(running)) {
+      if (attempt.isConnecting()) {
+        running.remove(attempt);
+        countedAttempts--;
+        notConnected++;
+        attempt.cancel();
+      }
+    }
+  }
+
+  private void attemptAt(TrackedServer server) {
     tried.add(server);
+    start(new ServerTarget(service, server));
+  }
+
+  private void start(AttemptTarget target) {
     countedAttempts++;
-    CallAttempt attempt = new CallAttempt(this, server);
+    CallAttempt attempt = new CallAttempt(this, target);
     running.add(attempt);
-    logger.atFine().log(
-        "event=call_sent %s server=%s attempt=%d", this, server.id(), countedAttempts);
-    attempt.start(service.transport(), call, timeLeft());
-    if (policy.mayHedge() && !isOver && committed == null) {
+    logger.atFine().log("event=call_sent %s to=%s attempt=%d", this, target, countedAttempts);
+    attempt.start(call, timeLeft());
+    if (!isOver && committed == null && !policy.hedgeAfter().isZero()) {
       scheduleHedge();
     }
   }
@@ -185,8 +231,20 @@
     hedge = service.timers().after(policy.hedgeAfter(), this::hedge);
   }
 
+  /**
+   * Starts a further attempt, because there is no response yet. A request that may run only once
+   * goes elsewhere only if it still waits for its connection.
+   */
   private void hedge() {
-    if (!isOver && committed == null && mayTryAnother()) {
+    if (isOver || committed != null) {
+      return;
+    }
+    if (policy.mayHedge()) {
+      if (mayTryAnother() || connectingCount() > 0) {
+        attemptNext();
+      }
+    } else if (!running.isEmpty() && connectingCount() == running.size()) {
+      cancelConnecting();
       attemptNext();
     }
   }
@@ -244,7 +302,7 @@
 
   void onFailed(CallAttempt attempt, AttemptFailure failure) {
     running.remove(attempt);
-    lastFailure = attempt.serverId() + ": " + failure;
+    lastFailure = attempt + ": " + failure;
     if (failure.mayHaveRun()) {
       mayHaveRun = true;
       logBroken(attempt, failure);
@@ -252,8 +310,11 @@
       countedAttempts--;
       refusals++;
     }
+    if (failure instanceof AttemptFailure.NotSent) {
+      notConnected++;
+    }
     if (failure instanceof AttemptFailure.ConnectionLost) {
-      content.onConnectionLost(attempt.server());
+      attempt.server().ifPresent(content::onConnectionLost);
     }
     if (committed == attempt) {
       exchange.abort();
@@ -267,8 +328,8 @@
     logger.atInfo().log(
         "event=call_broken request=%s server=%s started=%d content=%s reason=\"%s\"",
         call.id(),
-        attempt.serverId(),
-        attempt.server().registration().startMillis(),
+        attempt,
+        attempt.server().map(server -> server.registration().startMillis()).orElse(0L),
         content.describe(),
         failure);
   }
@@ -298,7 +359,7 @@
     if (isOver) {
       return;
     }
-    boolean isNotRun = running.isEmpty() && !mayHaveRun;
+    boolean isNotRun = connectingCount() == running.size() && !mayHaveRun;
     cancelAll();
     if (committed != null) {
       exchange.abort();
--- /dev/null
+++ b/amaranthstream/src/main/java/org/amaranthstream/calls/AttemptTarget.java
@@ -0,0 +1,24 @@
+package org.amaranthstream.calls;
+
+import java.time.Duration;
+import java.util.Optional;
+import org.amaranthstream.servers.TrackedServer;
+
+/** Target of an attempt: a server, or a peer that forwards the call to one. */
+interface AttemptTarget {
+
+  /** Returns the server, empty if the target is a peer. */
+  Optional<TrackedServer> server();
+
+  /** Sends the call. */
+  CallTransport.Attempt send(OutboundCall call, Duration timeLeft, AttemptListener listener);
+
+  /** Records that the head or a part of the response has arrived. */
+  void onProgress();
+
+  /** Records why the attempt has failed. */
+  void onFailed(AttemptFailure failure);
+
+  /** Records that the attempt has ended, in any way. */
+  void onEnded();
+}
--- a/amaranthstream/src/main/java/org/amaranthstream/calls/CallAttempt.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/calls/CallAttempt.java
@@ -2,44 +2,43 @@
 
 import io.vertx.core.buffer.Buffer;
 import java.time.Duration;
-import org.amaranthstream.ids.BackendServerId;
+import java.util.Optional;
 import org.amaranthstream.servers.TrackedServer;
 import org.jspecify.annotations.Nullable;
 
-/** Attempt to send a request to one server. Must be used on one thread. */
+/** Attempt to send a request to one target. Must be used on one thread. */
 final class CallAttempt implements AttemptListener {
   /** A longer response is streamed to the caller as it arrives. */
   private static final int MAX_BUFFERED_BYTES = 1 << 20;
 
   private final ActiveCall activeCall;
-  private final TrackedServer server;
+  private final AttemptTarget target;
   private final Buffer bufferedBody = Buffer.buffer();
   private CallTransport.@Nullable Attempt attempt;
   private @Nullable ResponseHead head;
-  private long sentNanos;
   private boolean isOver;
 
-  CallAttempt(ActiveCall activeCall, TrackedServer server) {
+  CallAttempt(ActiveCall activeCall, AttemptTarget target) {
     this.activeCall = activeCall;
-    this.server = server;
+    this.target = target;
   }
 
-  void start(CallTransport transport, OutboundCall call, Duration timeLeft) {
-    server.onRequestSent();
-    sentNanos = activeCall.service().timers().nowNanos();
-    attempt = transport.send(server, call, timeLeft, this);
+  void start(OutboundCall call, Duration timeLeft) {
+    attempt = target.send(call, timeLeft, this);
   }
 
-  BackendServerId serverId() {
-    return server.id();
+  /** Returns the server that runs the request, empty if a peer forwards it to one. */
+  Optional<TrackedServer> server() {
+    return target.server();
   }
 
-  TrackedServer server() {
-    return server;
+  boolean isOn(TrackedServer other) {
+    return server().filter(server -> server == other).isPresent();
   }
 
-  boolean isOn(TrackedServer other) {
-    return server == other;
+  /** Returns true if the attempt still waits for a connection, so that it has not run. */
+  boolean isConnecting() {
+    return attempt != null && !attempt.isSent();
   }
 
   ResponseHead head() {
@@ -65,8 +64,7 @@
       return;
     }
     head = received;
-    server.onResponse();
-    activeCall.service().crashes().onResponse(server, sentNanos);
+    target.onProgress();
     if (activeCall.shouldStream(this)) {
       startStreaming();
     }
@@ -86,6 +84,7 @@
     if (isOver) {
       return;
     }
+    target.onProgress();
     if (activeCall.isCommitted(this)) {
       forward(data);
       return;
@@ -122,15 +121,7 @@
     if (!close()) {
       return;
     }
-    long now = activeCall.service().timers().nowNanos();
-    if (failure instanceof AttemptFailure.NotRun) {
-      server.onFull(now);
-      activeCall.service().crashes().onResponse(server, sentNanos);
-    } else if (failure instanceof AttemptFailure.ServerReplaced) {
-      activeCall.service().directory().onIncarnationReplaced(server);
-    } else {
-      server.onFailed(now, failure.toString());
-    }
+    target.onFailed(failure);
     activeCall.onFailed(this, failure);
   }
 
@@ -146,7 +137,12 @@
       return false;
     }
     isOver = true;
-    server.onRequestEnded();
+    target.onEnded();
     return true;
   }
+
+  @Override
+  public String toString() {
+    return target.toString();
+  }
 }
--- a/amaranthstream/src/main/java/org/amaranthstream/calls/CallPolicy.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/calls/CallPolicy.java
@@ -18,6 +18,7 @@
  *     receive
  * @param isQuarantinable true if the request may be rejected because servers crashed under its
  *     content
+ * @param mayRelay true if the request may go through a peer, which is not relayed again
  * @param hedgeAfter the time without a response after which a hedged attempt goes to another server
  */
 public record CallPolicy(
@@ -26,6 +27,7 @@
     boolean isResumable,
     int maxAttempts,
     boolean isQuarantinable,
+    boolean mayRelay,
     Duration hedgeAfter) {
   /** The share of the latency objective before the first hedged attempt. */
   private static final double HEDGE_SHARE = 0.5;
@@ -33,7 +35,7 @@
   private static final double MILLION = 1e6;
 
   private static final CallPolicy OWED =
-      new CallPolicy(true, false, false, 1, false, Duration.ZERO);
+      new CallPolicy(true, false, false, 1, false, true, Duration.ZERO);
 
   /**
    * Returns the policy for an idempotent request that is owed a response. Its sender itself decides
@@ -54,9 +56,16 @@
         isStream && route.isResumable(),
         isRepeatable ? route.maxAttempts() : 1,
         true,
+        true,
         Duration.ofMillis(Math.max(1, hedgeMillis)));
   }
 
+  /** Returns the policy for a request that a peer has relayed, for its remaining attempts. */
+  CallPolicy relayed(int attempts) {
+    return new CallPolicy(
+        isRepeatable, isStream, isResumable, attempts, isQuarantinable, false, hedgeAfter);
+  }
+
   /** Returns true if a second server may receive the request while the first has not responded. */
   boolean mayHedge() {
     return isRepeatable && maxAttempts > 1;
--- a/amaranthstream/src/main/java/org/amaranthstream/calls/CallService.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/calls/CallService.java
@@ -16,6 +16,7 @@
 import org.amaranthstream.result.ResultCode;
 import org.amaranthstream.routing.Route;
 import org.amaranthstream.routing.WeightedService;
+import org.amaranthstream.servers.ReachMonitor;
 import org.amaranthstream.servers.RequestPermits;
 import org.amaranthstream.servers.ServerChoice;
 import org.amaranthstream.servers.ServerDirectory;
@@ -38,6 +39,8 @@
   private final CrashTracker crashes;
   private final RequestPermits permits;
   private final StreamResumptions resumptions;
+  private final Optional<ReachMonitor> reach;
+  private final CallRelay relay;
   private final Random random = new Random();
   private final Set<ActiveCall> active = new HashSet<>();
 
@@ -48,6 +51,8 @@
     this.timers = checkNotNull(builder.timers, "timers");
     this.crashes = new CrashTracker(checkNotNull(builder.poison, "poison"), timers);
     this.permits = checkNotNull(builder.permits, "permits");
+    this.reach = builder.reach;
+    this.relay = builder.relay;
     this.resumptions = new StreamResumptions(builder.origins, directory, timers);
   }
 
@@ -89,6 +94,18 @@
     activeCall.start();
   }
 
+  /**
+   * Forwards a request that a peer has relayed. It is not relayed again.
+   *
+   * @param timeLeft the time until the sender's deadline
+   */
+  public void startRelayed(
+      Route route, RelayedCall relayed, Duration timeLeft, CallerExchange exchange) {
+    CallPolicy policy = relayed.isOwed() ? CallPolicy.owed() : CallPolicy.of(route);
+    int attempts = Math.min(policy.maxAttempts(), relayed.maxAttempts());
+    start(route, policy.relayed(attempts), relayed.call(), timeLeft, exchange);
+  }
+
   private WeightedService chooseService(Route route) {
     ImmutableList<WeightedService> services = route.services();
     int total = services.stream().mapToInt(WeightedService::weight).sum();
@@ -123,6 +140,17 @@
     return permits;
   }
 
+  CallRelay relay() {
+    return relay;
+  }
+
+  /** Returns true if this daemon reaches none of {@code servers}, which provide one service. */
+  boolean isLost(List<TrackedServer> servers) {
+    return !servers.isEmpty()
+        && reach.isPresent()
+        && reach.get().isLost(servers.get(0).registration().service());
+  }
+
   StreamResumptions resumptions() {
     return resumptions;
   }
@@ -166,7 +194,10 @@
     }
   }
 
-  /** Builder of {@link CallService}. All properties but the stream origins are required. */
+  /**
+   * Builder of {@link CallService}. All properties but the stream origins and the relay are
+   * required.
+   */
   public static final class Builder {
     private @Nullable ServerDirectory directory;
     private @Nullable ServerChoice choice;
@@ -174,6 +205,8 @@
     private @Nullable TimerService timers;
     private @Nullable PoisonRegistry poison;
     private @Nullable RequestPermits permits;
+    private Optional<ReachMonitor> reach = Optional.empty();
+    private CallRelay relay = CallRelay.NONE;
     private StreamOrigins origins = LocalStreamOrigins.create();
 
     private Builder() {}
@@ -221,6 +254,14 @@
       return this;
     }
 
+    /** Sets the relay through peers, and the monitor that decides when it is used at once. */
+    @CanIgnoreReturnValue
+    public Builder relay(ReachMonitor reach, CallRelay relay) {
+      this.reach = Optional.of(reach);
+      this.relay = checkNotNull(relay, "relay");
+      return this;
+    }
+
     /**
      * Returns the service.
      *
--- a/amaranthstream/src/main/java/org/amaranthstream/calls/CallTransport.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/calls/CallTransport.java
@@ -12,6 +12,14 @@
     /** Cancels the attempt at the server. Its listener is not called any more. */
     void cancel();
 
+    /**
+     * Returns false if no byte of the request has been sent, so that a cancelled attempt does not
+     * run.
+     */
+    default boolean isSent() {
+      return true;
+    }
+
     /** Pauses or resumes reading of the response. */
     void setPaused(boolean isPaused);
   }
--- /dev/null
+++ b/amaranthstream/src/main/java/org/amaranthstream/calls/RelayedCall.java
@@ -0,0 +1,10 @@
+package org.amaranthstream.calls;
+
+/**
+ * Call that one daemon sends to another, which forwards it to a server.
+ *
+ * @param call the call
+ * @param maxAttempts the number of servers to which the peer may send it
+ * @param isOwed true if the call is owed a response whatever happened to the servers that ran it
+ */
+public record RelayedCall(OutboundCall call, int maxAttempts, boolean isOwed) {}
--- /dev/null
+++ b/amaranthstream/src/main/java/org/amaranthstream/calls/ServerTarget.java
@@ -0,0 +1,65 @@
+package org.amaranthstream.calls;
+
+import java.time.Duration;
+import java.util.Optional;
+import org.amaranthstream.servers.TrackedServer;
+
+/** Backend server to which an attempt is sent. Must be used on one thread. */
+final class ServerTarget implements AttemptTarget {
+  private final CallService service;
+  private final TrackedServer server;
+  private long sentNanos;
+  private boolean hasResponded;
+
+  ServerTarget(CallService service, TrackedServer server) {
+    this.service = service;
+    this.server = server;
+  }
+
+  @Override
+  public Optional<TrackedServer> server() {
+    return Optional.of(server);
+  }
+
+  @Override
+  public CallTransport.Attempt send(
+      OutboundCall call, Duration timeLeft, AttemptListener listener) {
+    server.onRequestSent();
+    sentNanos = service.timers().nowNanos();
+    return service.transport().send(server, call, timeLeft, listener);
+  }
+
+  @Override
+  public void onProgress() {
+    if (hasResponded) {
+      server.onProgress();
+      return;
+    }
+    hasResponded = true;
+    server.onResponse();
+    service.crashes().onResponse(server, sentNanos);
+  }
+
+  @Override
+  public void onFailed(AttemptFailure failure) {
+    long now = service.timers().nowNanos();
+    if (failure instanceof AttemptFailure.NotRun) {
+      server.onFull(now);
+      service.crashes().onResponse(server, sentNanos);
+    } else if (failure instanceof AttemptFailure.ServerReplaced) {
+      service.directory().onIncarnationReplaced(server);
+    } else {
+      server.onFailed(now, failure.toString());
+    }
+  }
+
+  @Override
+  public void onEnded() {
+    server.onRequestEnded();
+  }
+
+  @Override
+  public String toString() {
+    return server.id().toString();
+  }
+}
--- /dev/null
+++ b/amaranthstream/src/main/java/org/amaranthstream/fleet/CallCodec.java
@@ -0,0 +1,117 @@
+package org.amaranthstream.fleet;
+
+import com.google.protobuf.ByteString;
+import com.google.protobuf.InvalidProtocolBufferException;
+import com.google.protobuf.UnsafeByteOperations;
+import io.vertx.core.MultiMap;
+import io.vertx.core.buffer.Buffer;
+import java.util.List;
+import java.util.Optional;
+import java.util.OptionalLong;
+import org.amaranthstream.calls.OutboundCall;
+import org.amaranthstream.calls.RelayedCall;
+import org.amaranthstream.calls.ResponseHead;
+import org.amaranthstream.calls.StreamResumption;
+import org.amaranthstream.fleet.wire.CallHead;
+import org.amaranthstream.fleet.wire.CallHeader;
+import org.amaranthstream.fleet.wire.CallPart;
+import org.amaranthstream.fleet.wire.CallRequest;
+import org.amaranthstream.fleet.wire.CallResumption;
+
+/** Codec of relayed calls and of the parts of their responses. */
+final class CallCodec {
+  private CallCodec() {}
+
+  static byte[] encode(RelayedCall relayed, long configVersion) {
+    OutboundCall call = relayed.call();
+    CallRequest.Builder request =
+        CallRequest.newBuilder()
+            .setId(call.id())
+            .setMethod(call.method())
+            .setUri(call.uri())
+            .setBody(UnsafeByteOperations.unsafeWrap(call.body().getBytes()))
+            .setMaxAttempts(relayed.maxAttempts())
+            .setOwed(relayed.isOwed())
+            .setConfigVersion(configVersion);
+    call.headers().forEach((name, value) -> request.addHeader(header(name, value)));
+    call.resumption().ifPresent(resumption -> request.setResumption(encode(resumption)));
+    return request.build().toByteArray();
+  }
+
+  private static CallHeader header(String name, String value) {
+    return CallHeader.newBuilder().setName(name).setValue(value).build();
+  }
+
+  private static CallResumption encode(StreamResumption resumption) {
+    CallResumption.Builder encoded = CallResumption.newBuilder();
+    resumption.firstRequest().ifPresent(encoded::setFirstRequest);
+    return encoded.build();
+  }
+
+  static RelayedCall decode(CallRequest request) {
+    OutboundCall call =
+        new OutboundCall(
+            request.getId(),
+            request.getMethod(),
+            request.getUri(),
+            headers(request.getHeaderList()),
+            Buffer.buffer(request.getBody().toByteArray()),
+            request.hasResumption()
+                ? Optional.of(decode(request.getResumption()))
+                : Optional.empty());
+    return new RelayedCall(call, request.getMaxAttempts(), request.getOwed());
+  }
+
+  private static StreamResumption decode(CallResumption resumption) {
+    return new StreamResumption(
+        resumption.hasFirstRequest()
+            ? Optional.of(resumption.getFirstRequest())
+            : Optional.empty());
+  }
+
+  private static MultiMap headers(List<CallHeader> headers) {
+    MultiMap decoded = MultiMap.caseInsensitiveMultiMap();
+    headers.forEach(header -> decoded.add(header.getName(), header.getValue()));
+    return decoded;
+  }
+
+  static byte[] encode(ResponseHead head) {
+    CallHead.Builder encoded = CallHead.newBuilder().setStatus(head.status());
+    head.headers().forEach((name, value) -> encoded.addHeader(header(name, value)));
+    head.length().ifPresent(encoded::setLength);
+    head.signature().ifPresent(encoded::setSignature);
+    return CallPart.newBuilder().setHead(encoded).build().toByteArray();
+  }
+
+  static byte[] encode(Buffer data) {
+    return CallPart.newBuilder()
+        .setData(UnsafeByteOperations.unsafeWrap(data.getBytes()))
+        .build()
+        .toByteArray();
+  }
+
+  static ResponseHead decode(CallHead head) {
+    return new ResponseHead(
+        head.getStatus(),
+        headers(head.getHeaderList()),
+        head.hasLength() ? OptionalLong.of(head.getLength()) : OptionalLong.empty(),
+        head.hasSignature() ? Optional.of(head.getSignature()) : Optional.empty());
+  }
+
+  static Buffer decode(ByteString data) {
+    return Buffer.buffer(data.toByteArray());
+  }
+
+  /**
+   * Decodes a part of a response.
+   *
+   * @throws IllegalArgumentException if it is malformed
+   */
+  static CallPart decodePart(byte[] part) {
+    try {
+      return CallPart.parseFrom(part);
+    } catch (InvalidProtocolBufferException e) {
+      throw new IllegalArgumentException("malformed part of a relayed call: " + e, e);
+    }
+  }
+}
--- a/amaranthstream/src/main/java/org/amaranthstream/fleet/FleetLinks.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/fleet/FleetLinks.java
@@ -17,7 +17,9 @@
 import org.amaranthstream.membership.MembershipSettings;
 import org.amaranthstream.membership.MembershipTable;
 import org.amaranthstream.membership.RendezvousHash;
+import org.amaranthstream.peer.ExchangeHandler;
 import org.amaranthstream.peer.PeerCredentials;
+import org.amaranthstream.peer.PeerExchanges;
 import org.amaranthstream.peer.PeerLinkSettings;
 import org.amaranthstream.peer.PeerNode;
 import org.amaranthstream.peer.PeerQueryService;
@@ -62,6 +64,7 @@
   private Optional<ImmutableList<EntryVmId>> linkTargets = Optional.empty();
   private @Nullable MembershipTable table;
   private @Nullable PeerNode node;
+  private ExchangeHandler exchangeHandler = ExchangeHandler.REJECTING;
   private boolean isAnnouncePlanned;
 
   private FleetLinks(
@@ -100,6 +103,16 @@
     handlers.put(kind, handler);
   }
 
+  /** Sets the handler of exchanges. Must be called before {@link #open}. */
+  public void setExchangeHandler(ExchangeHandler handler) {
+    exchangeHandler = checkNotNull(handler, "handler");
+  }
+
+  /** Returns the exchanges with other daemons, empty while the links are not open. */
+  public Optional<PeerExchanges> exchanges() {
+    return Optional.ofNullable(node).map(PeerNode::exchanges);
+  }
+
   /** Starts to listen, and to connect to the registered daemons, with the shared {@code key}. */
   public void open(byte[] key) {
     LocalVm local = new LocalVm(self.vm(), self.incarnation(), self.region(), self.zone());
@@ -119,6 +132,7 @@
             .source(heartbeatState)
             .sink(heartbeatState)
             .links(this::linkTargets)
+            .exchangeHandler(exchangeHandler)
             .build();
     handlers.forEach(node.queries()::register);
     Result<Integer> port = node.start(NoForwardedWork.INSTANCE);
--- a/amaranthstream/src/main/java/org/amaranthstream/jobs/ItemRunner.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/jobs/ItemRunner.java
@@ -119,6 +119,7 @@
       return;
     }
     restartTimeout(EVENT_TIMEOUT);
+    server.onProgress();
     event.newVersion().ifPresent(this::onVersion);
     if (version.isEmpty() || !rules.allows(job.spec(), item.text().versions(), version.get())) {
       item.text().clear();
--- a/amaranthstream/src/main/java/org/amaranthstream/peer/ForwardServer.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/peer/ForwardServer.java
@@ -34,6 +34,7 @@
 
   private final MembershipTable table;
   private final WorkRunner runner;
+  private final ExchangeHandler exchangeHandler;
   private final TimerService timers;
   private final Map<RequestId, RunningForward> running = new HashMap<>();
   private final Map<LocalVm, Long> highestIds =
@@ -44,9 +45,14 @@
         }
       };
 
-  ForwardServer(MembershipTable table, WorkRunner runner, TimerService timers) {
+  ForwardServer(
+      MembershipTable table,
+      WorkRunner runner,
+      ExchangeHandler exchangeHandler,
+      TimerService timers) {
     this.table = table;
     this.runner = runner;
+    this.exchangeHandler = exchangeHandler;
     this.timers = timers;
   }
 
@@ -65,6 +71,8 @@
           id,
           ResultCode.NOT_RUN_QUEUE_FULL,
           "the limit of open forwarded requests on the link is reached");
+    } else if (forward.getPayloadCase() == Forward.PayloadCase.EXCHANGE) {
+      new IncomingExchange(link, forward.getId()).start(exchangeHandler, forward);
     } else {
       run(link, forward);
     }
@@ -83,11 +91,11 @@
     }
     RunningForward earlier = running.get(work.id());
     if (earlier != null) {
-      stop(earlier);
+      earlier.stop();
     }
     RunningForward started = new RunningForward(link, id, work.id());
     running.put(work.id(), started);
-    link.forwards().put(id, work.id());
+    link.forwards().put(id, started);
     runner.submit(work, started);
   }
 
@@ -109,20 +117,15 @@
   }
 
   void onCancel(InboundLink link, long id) {
-    RequestId request = link.forwards().get(id);
-    if (request != null) {
-      stop(running.get(request));
+    IncomingForward forward = link.forwards().get(id);
+    if (forward != null) {
+      forward.stop();
     }
   }
 
   /** Cancels the work that was forwarded on a closed connection. */
   void onLinkClosed(InboundLink link) {
-    List.copyOf(link.forwards().values()).forEach(request -> stop(running.get(request)));
-  }
-
-  private void stop(RunningForward stopped) {
-    stopped.end();
-    runner.cancel(stopped.request);
+    List.copyOf(link.forwards().values()).forEach(IncomingForward::stop);
   }
 
   int runningCount() {
@@ -130,7 +133,7 @@
   }
 
   /** Listener that sends the response of one forwarded request to the sender. */
-  private final class RunningForward implements WorkListener {
+  private final class RunningForward implements WorkListener, IncomingForward {
     private final InboundLink link;
     private final long id;
     private final RequestId request;
@@ -142,6 +145,12 @@
       this.request = request;
     }
 
+    @Override
+    public void stop() {
+      end();
+      runner.cancel(request);
+    }
+
     private void end() {
       ended = true;
       running.remove(request, this);
@@ -156,7 +165,7 @@
       Frame frame = Frame.newBuilder().setForwardChunk(WorkCodec.encodeChunk(id, chunk)).build();
       SendResult sent = link.send(frame);
       if (sent == SendResult.TOO_LARGE) {
-        stop(this);
+        stop();
         sendOutcome(
             link,
             id,
@@ -165,7 +174,7 @@
                     ResultCode.BACKEND_ANSWER_INVALID,
                     "a chunk of the response exceeds the maximum frame size")));
       } else if (sent != SendResult.SENT) {
-        stop(this);
+        stop();
         link.close();
       }
     }
--- a/amaranthstream/src/main/java/org/amaranthstream/peer/InboundLink.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/peer/InboundLink.java
@@ -5,7 +5,6 @@
 import java.util.LinkedHashMap;
 import java.util.Map;
 import java.util.OptionalLong;
-import org.amaranthstream.ids.RequestId;
 import org.amaranthstream.membership.LocalVm;
 import org.amaranthstream.peer.wire.Frame;
 
@@ -21,7 +20,7 @@
 
   private final LocalVm peer;
   private final FrameChannel channel;
-  private final Map<Long, RequestId> forwards = new HashMap<>();
+  private final Map<Long, IncomingForward> forwards = new HashMap<>();
   private final Map<Long, Long> respondedAtNanos =
       new LinkedHashMap<>() {
         @Override
@@ -44,7 +43,7 @@
   }
 
   /** Returns the running requests that the peer forwarded to this process, by forward id. */
-  Map<Long, RequestId> forwards() {
+  Map<Long, IncomingForward> forwards() {
     return forwards;
   }
 
--- /dev/null
+++ b/amaranthstream/src/main/java/org/amaranthstream/peer/IncomingForward.java
@@ -0,0 +1,7 @@
+package org.amaranthstream.peer;
+
+/** Request that a peer forwarded and that runs at this process. */
+interface IncomingForward {
+  /** Cancels the request; the peer gets nothing more. */
+  void stop();
+}
--- a/amaranthstream/src/main/java/org/amaranthstream/peer/OutcomeCodec.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/peer/OutcomeCodec.java
@@ -52,7 +52,7 @@
       case UNKNOWN ->
           new Outcome.OutcomeUnknown(
               ErrorCodec.decode(outcome.getUnknown(), ResultCode.OUTCOME_UNKNOWN_BACKEND_LOST));
-      case OUTCOME_NOT_SET -> invalidResponse("it has no outcome");
+      case EXCHANGE_END, OUTCOME_NOT_SET -> invalidResponse("it has no outcome");
     };
   }
 
--- a/amaranthstream/src/main/java/org/amaranthstream/peer/PeerForwarder.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/peer/PeerForwarder.java
@@ -2,10 +2,8 @@
 
 import com.google.common.collect.ImmutableList;
 import java.time.Duration;
-import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.HashMap;
-import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import org.amaranthstream.dispatch.Outcome;
@@ -13,13 +11,10 @@
 import org.amaranthstream.dispatch.WorkListener;
 import org.amaranthstream.dispatch.ZoneForwarder;
 import org.amaranthstream.ids.AvailabilityZoneId;
-import org.amaranthstream.ids.EntryVmId;
 import org.amaranthstream.ids.RequestId;
 import org.amaranthstream.membership.MembershipTable;
-import org.amaranthstream.peer.wire.ForwardCancel;
 import org.amaranthstream.peer.wire.ForwardChunk;
 import org.amaranthstream.peer.wire.ForwardOutcome;
-import org.amaranthstream.peer.wire.Frame;
 import org.amaranthstream.result.ErrorDetail;
 import org.amaranthstream.result.ResultCode;
 import org.amaranthstream.time.TimerService;
@@ -29,26 +24,24 @@
  * has the fewest requests in flight from this process.
  *
  * <p>The outcome is {@link Outcome.NotRun} only if no link accepts the frame or the other entry VM
- * returns it. Once a link has accepted the frame, a lost link or a timeout gives {@link
- * Outcome.OutcomeUnknown}. The listener of cancelled work gets no further call.
+ * returns it. The listener of cancelled work gets no further call.
  *
  * <p>Used on the decision thread only.
  */
 final class PeerForwarder implements ZoneForwarder {
-  private static final Duration DEADLINE_GRACE = Duration.ofSeconds(1);
   private static final Duration RETRY_AFTER = Duration.ofSeconds(1);
 
   private final MembershipTable table;
   private final PeerLinks links;
+  private final OutgoingForwards forwards;
   private final TimerService timers;
-  private final Map<Long, OpenForward> openForwards = new HashMap<>();
   private final Map<RequestId, Long> idsByRequest = new HashMap<>();
-  private final Map<EntryVmId, Integer> inFlight = new HashMap<>();
-  private long nextId = 1;
 
-  PeerForwarder(MembershipTable table, PeerLinks links, TimerService timers) {
+  PeerForwarder(
+      MembershipTable table, PeerLinks links, OutgoingForwards forwards, TimerService timers) {
     this.table = table;
     this.links = links;
+    this.forwards = forwards;
     this.timers = timers;
   }
 
@@ -57,12 +50,15 @@
     ResultCode code = ResultCode.NOT_RUN_ZONE_UNREACHABLE;
     String reason = "no link to an entry VM of zone " + zone;
     for (PeerLink link : candidates(zone)) {
-      long id = nextId++;
-      Frame frame =
-          Frame.newBuilder().setForward(WorkCodec.encodeWork(id, work, timers.nowNanos())).build();
-      SendResult sent = link.send(frame);
+      long id = forwards.newId();
+      SendResult sent =
+          forwards.send(
+              link,
+              WorkCodec.encodeWork(id, work, timers.nowNanos()),
+              work.deadlineNanos(),
+              new Forwarding(id, work.id(), listener));
       if (sent == SendResult.SENT) {
-        add(id, new OpenForward(link.target(), work, listener));
+        idsByRequest.put(work.id(), id);
         return;
       }
       if (sent == SendResult.FULL) {
@@ -76,120 +72,48 @@
   private ImmutableList<PeerLink> candidates(AvailabilityZoneId zone) {
     return table.forwardTargets(zone).stream()
         .flatMap(vm -> links.ready(vm).stream())
-        .sorted(Comparator.comparingInt(link -> inFlight.getOrDefault(link.target(), 0)))
+        .sorted(Comparator.comparingInt(link -> forwards.inFlight(link.target())))
         .collect(ImmutableList.toImmutableList());
   }
 
-  private void add(long id, OpenForward forward) {
-    openForwards.put(id, forward);
-    idsByRequest.put(forward.work.id(), id);
-    inFlight.merge(forward.to, 1, Integer::sum);
-  }
-
-  private void remove(long id, OpenForward forward) {
-    openForwards.remove(id);
-    idsByRequest.remove(forward.work.id(), id);
-    inFlight.computeIfPresent(forward.to, (vm, count) -> count > 1 ? count - 1 : null);
-  }
-
   @Override
   public void cancel(RequestId request) {
-    Long id = idsByRequest.get(request);
+    Long id = idsByRequest.remove(request);
     if (id != null) {
-      OpenForward forward = openForwards.get(id);
-      remove(id, forward);
-      sendCancel(id, forward.to);
+      forwards.cancel(id);
     }
   }
 
-  private void sendCancel(long id, EntryVmId to) {
-    Frame frame = Frame.newBuilder().setForwardCancel(ForwardCancel.newBuilder().setId(id)).build();
-    // If the cancel is not sent, the work runs until its deadline at the latest.
-    links.ready(to).ifPresent(link -> link.send(frame));
-  }
-
-  /** Passes a chunk of a response to its listener. A chunk of an unknown forward is ignored. */
-  void onChunk(PeerLink link, ForwardChunk chunk) {
-    OpenForward forward = openForwards.get(chunk.getId());
-    if (forward == null || !forward.to.equals(link.target())) {
-      return;
-    }
-    try {
-      forward.listener.onChunk(WorkCodec.decodeChunk(chunk));
-    } catch (IllegalArgumentException e) {
-      sendCancel(chunk.getId(), forward.to);
-      complete(
-          chunk.getId(),
-          forward,
-          unknown(
-              ResultCode.BACKEND_ANSWER_INVALID,
-              "response of the peer is invalid: " + e.getMessage()));
-    }
-  }
+  /** Work that a peer runs. */
+  private final class Forwarding implements OutgoingForwards.Listener {
+    private final long id;
+    private final RequestId request;
+    private final WorkListener listener;
 
-  /** Completes a forward. The outcome of an unknown forward is ignored. */
-  void onOutcome(PeerLink link, ForwardOutcome outcome) {
-    OpenForward forward = openForwards.get(outcome.getId());
-    if (forward != null && forward.to.equals(link.target())) {
-      complete(outcome.getId(), forward, OutcomeCodec.decode(outcome));
+    private Forwarding(long id, RequestId request, WorkListener listener) {
+      this.id = id;
+      this.request = request;
+      this.listener = listener;
     }
-  }
 
-  /** Completes the forwards sent on a lost connection, with an unknown outcome. */
-  void onLinkLost(PeerLink link, String reason) {
-    Outcome outcome =
-        unknown(
-            ResultCode.OUTCOME_UNKNOWN_PEER_LOST,
-            "the link to entry VM " + link.target() + " was lost: " + reason);
-    for (Map.Entry<Long, OpenForward> entry : openEntries()) {
-      if (entry.getValue().to.equals(link.target())) {
-        complete(entry.getKey(), entry.getValue(), outcome);
-      }
+    @Override
+    public void onChunk(ForwardChunk chunk) {
+      listener.onChunk(WorkCodec.decodeChunk(chunk));
     }
-  }
 
-  /** Completes the forwards that are overdue, with an unknown outcome. */
-  void tick() {
-    long now = timers.nowNanos();
-    Outcome outcome =
-        unknown(ResultCode.OUTCOME_UNKNOWN_DEADLINE, "no outcome from the peer by the deadline");
-    for (Map.Entry<Long, OpenForward> entry : openEntries()) {
-      long overdue = now - entry.getValue().work.deadlineNanos();
-      if (overdue >= DEADLINE_GRACE.toNanos()) {
-        sendCancel(entry.getKey(), entry.getValue().to);
-        complete(entry.getKey(), entry.getValue(), outcome);
-      }
+    @Override
+    public void onOutcome(ForwardOutcome outcome) {
+      complete(OutcomeCodec.decode(outcome));
     }
-  }
 
-  private List<Map.Entry<Long, OpenForward>> openEntries() {
-    return new ArrayList<>(Map.copyOf(openForwards).entrySet());
-  }
-
-  private void complete(long id, OpenForward forward, Outcome outcome) {
-    if (openForwards.get(id) == forward) {
-      remove(id, forward);
-      forward.listener.onOutcome(outcome);
+    @Override
+    public void onOutcomeUnknown(Outcome.OutcomeUnknown outcome) {
+      complete(outcome);
     }
-  }
 
-  private static Outcome unknown(ResultCode code, String message) {
-    return new Outcome.OutcomeUnknown(ErrorDetail.of(code, message));
-  }
-
-  int openCount() {
-    return openForwards.size();
-  }
-
-  private static final class OpenForward {
-    private final EntryVmId to;
-    private final Work work;
-    private final WorkListener listener;
-
-    private OpenForward(EntryVmId to, Work work, WorkListener listener) {
-      this.to = to;
-      this.work = work;
-      this.listener = listener;
+    private void complete(Outcome outcome) {
+      idsByRequest.remove(request, id);
+      listener.onOutcome(outcome);
     }
   }
 }
--- a/amaranthstream/src/main/java/org/amaranthstream/peer/PeerNode.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/peer/PeerNode.java
@@ -56,7 +56,10 @@
   private final InboundLinks inbound;
   private final PeerLinks links;
   private final PeerQueryClient queries;
+  private final OutgoingForwards forwards;
   private final PeerForwarder forwarder;
+  private final LinkExchanges exchanges;
+  private final ExchangeHandler exchangeHandler;
   private final QueryServer queryServer;
   private final DelegatingConnector connector = new DelegatingConnector();
   private @Nullable ForwardServer forwardServer;
@@ -86,7 +89,10 @@
             new OutboundFrameHandler());
     this.queries = new PeerQueryClient(self, links, handlers, settings, timers, decisions);
     this.queryServer = new QueryServer(handlers, decisions);
-    this.forwarder = new PeerForwarder(table, links, timers);
+    this.forwards = new OutgoingForwards(links, timers);
+    this.forwarder = new PeerForwarder(table, links, forwards, timers);
+    this.exchanges = new LinkExchanges(links, forwards, timers, settings.connectTimeout());
+    this.exchangeHandler = builder.exchangeHandler;
   }
 
   /** Returns a builder. */
@@ -105,7 +111,7 @@
     if (tls instanceof Result.Failure<PeerTls> failure) {
       return Result.failure(failure.error());
     }
-    forwardServer = new ForwardServer(table, runner, timers);
+    forwardServer = new ForwardServer(table, runner, exchangeHandler, timers);
     transport = newTransport(((Result.Success<PeerTls>) tls).value());
     connector.set(transport);
     Result<Integer> port = transport.listen(inbound::newListener);
@@ -134,7 +140,8 @@
     links.tick();
     inbound.tick();
     queries.tick();
-    forwarder.tick();
+    forwards.tick();
+    exchanges.tick();
     if (transport != null) {
       transport.tick();
     }
@@ -150,6 +157,11 @@
     return forwarder;
   }
 
+  /** Returns the exchanges with other entry VMs. */
+  public PeerExchanges exchanges() {
+    return exchanges;
+  }
+
   /** Returns the byte counters of the links. */
   public LinkBytes bytes() {
     return counters;
@@ -161,7 +173,7 @@
         links.views(),
         inbound.views(),
         queries.openCount(),
-        forwarder.openCount(),
+        forwards.openCount(),
         budget.waitingBytes());
   }
 
@@ -193,6 +205,7 @@
     @Override
     public void onLinkReady(PeerLink link) {
       queries.onLinkReady(link);
+      exchanges.onLinkReady(link);
       heartbeats.send(List.of(link), inbound);
     }
 
@@ -205,8 +218,8 @@
                 HeartbeatCodec.decodePhase(frame.getPong().getPhase()),
                 timers.nowNanos());
         case QUERY_REPLY -> queries.onResponse(link, frame.getQueryReply());
-        case FORWARD_CHUNK -> forwarder.onChunk(link, frame.getForwardChunk());
-        case FORWARD_OUTCOME -> forwarder.onOutcome(link, frame.getForwardOutcome());
+        case FORWARD_CHUNK -> forwards.onChunk(link, frame.getForwardChunk());
+        case FORWARD_OUTCOME -> forwards.onOutcome(link, frame.getForwardOutcome());
         default ->
             logger.atWarning().log(
                 "event=peer_frame_unexpected vm=%s kind=%s", link.target(), frame.getBodyCase());
@@ -216,7 +229,7 @@
     @Override
     public void onLinkLost(PeerLink link, String reason) {
       queries.onLinkLost(link, reason);
-      forwarder.onLinkLost(link, reason);
+      forwards.onLinkLost(link, reason);
     }
   }
 
@@ -269,7 +282,10 @@
     }
   }
 
-  /** Builder of {@link PeerNode}. All properties but the link selection are required. */
+  /**
+   * Builder of {@link PeerNode}. All properties but the link selection and the handler of exchanges
+   * are required.
+   */
   public static final class Builder {
     private @Nullable LocalVm self;
     private @Nullable PeerLinkSettings settings;
@@ -279,6 +295,7 @@
     private @Nullable HeartbeatSource source;
     private @Nullable HeartbeatSink sink;
     private @Nullable LinkSelection links;
+    private ExchangeHandler exchangeHandler = ExchangeHandler.REJECTING;
 
     private Builder() {}
 
@@ -338,6 +355,13 @@
       return this;
     }
 
+    /** Sets the handler of exchanges, without which they are rejected. */
+    @CanIgnoreReturnValue
+    public Builder exchangeHandler(ExchangeHandler exchangeHandler) {
+      this.exchangeHandler = checkNotNull(exchangeHandler, "exchangeHandler");
+      return this;
+    }
+
     /**
      * Returns the node, which is not started yet.
      *
--- a/amaranthstream/src/main/java/org/amaranthstream/peer/WorkCodec.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/peer/WorkCodec.java
@@ -110,7 +110,7 @@
         Call call = forward.getCall();
         yield new Payload.Call(call.getPath(), call.getContentType(), call.getBody().toByteArray());
       }
-      case PAYLOAD_NOT_SET ->
+      case EXCHANGE, PAYLOAD_NOT_SET ->
           throw new IllegalArgumentException("the forwarded work has no payload");
     };
   }
--- a/amaranthstream/src/main/java/org/amaranthstream/peer/wire/Forward.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/peer/wire/Forward.java
@@ -61,6 +61,7 @@
           com.google.protobuf.AbstractMessage.InternalOneOfEnum {
     GENERATE(10),
     CALL(11),
+    EXCHANGE(12),
     PAYLOAD_NOT_SET(0);
     private final int value;
     private PayloadCase(int value) {
@@ -80,6 +81,7 @@
       switch (value) {
         case 10: return GENERATE;
         case 11: return CALL;
+        case 12: return EXCHANGE;
         case 0: return PAYLOAD_NOT_SET;
         default: return null;
       }
@@ -384,6 +386,35 @@
     return org.amaranthstream.peer.wire.Call.getDefaultInstance();
   }
 
+  public static final int EXCHANGE_FIELD_NUMBER = 12;
+  /**
+   * <pre>
+   * A request whose content only the handlers on both sides read.
+   * </pre>
+   *
+   * <code>bytes exchange = 12;</code>
+   * @return Whether the exchange field is set.
+   */
+  @java.lang.Override
+  public boolean hasExchange() {
+    return payloadCase_ == 12;
+  }
+  /**
+   * <pre>
+   * A request whose content only the handlers on both sides read.
+   * </pre>
+   *
+   * <code>bytes exchange = 12;</code>
+   * @return The exchange.
+   */
+  @java.lang.Override
+  public com.google.protobuf.ByteString getExchange() {
+    if (payloadCase_ == 12) {
+      return (com.google.protobuf.ByteString) payload_;
+    }
+    return com.google.protobuf.ByteString.EMPTY;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -431,6 +462,10 @@
     if (payloadCase_ == 11) {
       output.writeMessage(11, (org.amaranthstream.peer.wire.Call) payload_);
     }
+    if (payloadCase_ == 12) {
+      output.writeBytes(
+          12, (com.google.protobuf.ByteString) payload_);
+    }
     getUnknownFields().writeTo(output);
   }
 
@@ -480,6 +515,11 @@
       size += com.google.protobuf.CodedOutputStream
         .computeMessageSize(11, (org.amaranthstream.peer.wire.Call) payload_);
     }
+    if (payloadCase_ == 12) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeBytesSize(
+            12, (com.google.protobuf.ByteString) payload_);
+    }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -529,6 +569,10 @@
         if (!getCall()
             .equals(other.getCall())) return false;
         break;
+      case 12:
+        if (!getExchange()
+            .equals(other.getExchange())) return false;
+        break;
       case 0:
       default:
     }
@@ -577,6 +621,10 @@
         hash = (37 * hash) + CALL_FIELD_NUMBER;
         hash = (53 * hash) + getCall().hashCode();
         break;
+      case 12:
+        hash = (37 * hash) + EXCHANGE_FIELD_NUMBER;
+        hash = (53 * hash) + getExchange().hashCode();
+        break;
       case 0:
       default:
     }
@@ -864,6 +912,10 @@
           mergeCall(other.getCall());
           break;
         }
+        case EXCHANGE: {
+          setExchange(other.getExchange());
+          break;
+        }
         case PAYLOAD_NOT_SET: {
           break;
         }
@@ -953,6 +1005,11 @@
               payloadCase_ = 11;
               break;
             } // case 90
+            case 98: {
+              payload_ = input.readBytes();
+              payloadCase_ = 12;
+              break;
+            } // case 98
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -1732,6 +1789,64 @@
       return callBuilder_;
     }
 
+    /**
+     * <pre>
+     * A request whose content only the handlers on both sides read.
+     * </pre>
+     *
+     * <code>bytes exchange = 12;</code>
+     * @return Whether the exchange field is set.
+     */
+    public boolean hasExchange() {
+      return payloadCase_ == 12;
+    }
+    /**
+     * <pre>
+     * A request whose content only the handlers on both sides read.
+     * </pre>
+     *
+     * <code>bytes exchange = 12;</code>
+     * @return The exchange.
+     */
+    public com.google.protobuf.ByteString getExchange() {
+      if (payloadCase_ == 12) {
+        return (com.google.protobuf.ByteString) payload_;
+      }
+      return com.google.protobuf.ByteString.EMPTY;
+    }
+    /**
+     * <pre>
+     * A request whose content only the handlers on both sides read.
+     * </pre>
+     *
+     * <code>bytes exchange = 12;</code>
+     * @param value The exchange to set.
+     * @return This builder for chaining.
+     */
+    public Builder setExchange(com.google.protobuf.ByteString value) {
+      if (value == null) { throw new NullPointerException(); }
+      payloadCase_ = 12;
+      payload_ = value;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * A request whose content only the handlers on both sides read.
+     * </pre>
+     *
+     * <code>bytes exchange = 12;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearExchange() {
+      if (payloadCase_ == 12) {
+        payloadCase_ = 0;
+        payload_ = null;
+        onChanged();
+      }
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:amaranthstream.peer.Forward)
   }
 
--- a/amaranthstream/src/main/java/org/amaranthstream/peer/wire/ForwardChunk.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/peer/wire/ForwardChunk.java
@@ -30,6 +30,7 @@
   private ForwardChunk() {
     text_ = "";
     incarnation_ = "";
+    part_ = com.google.protobuf.ByteString.EMPTY;
   }
 
   public static final com.google.protobuf.Descriptors.Descriptor
@@ -189,6 +190,21 @@
     }
   }
 
+  public static final int PART_FIELD_NUMBER = 7;
+  private com.google.protobuf.ByteString part_ = com.google.protobuf.ByteString.EMPTY;
+  /**
+   * <pre>
+   * A part of the response to an exchange; the other fields but the id are unset.
+   * </pre>
+   *
+   * <code>bytes part = 7;</code>
+   * @return The part.
+   */
+  @java.lang.Override
+  public com.google.protobuf.ByteString getPart() {
+    return part_;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -221,6 +237,9 @@
     if (((bitField0_ & 0x00000002) != 0)) {
       com.google.protobuf.GeneratedMessage.writeString(output, 6, incarnation_);
     }
+    if (!part_.isEmpty()) {
+      output.writeBytes(7, part_);
+    }
     getUnknownFields().writeTo(output);
   }
 
@@ -252,6 +271,10 @@
     if (((bitField0_ & 0x00000002) != 0)) {
       size += com.google.protobuf.GeneratedMessage.computeStringSize(6, incarnation_);
     }
+    if (!part_.isEmpty()) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeBytesSize(7, part_);
+    }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -285,6 +308,8 @@
       if (!getIncarnation()
           .equals(other.getIncarnation())) return false;
     }
+    if (!getPart()
+        .equals(other.getPart())) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -315,6 +340,8 @@
       hash = (37 * hash) + INCARNATION_FIELD_NUMBER;
       hash = (53 * hash) + getIncarnation().hashCode();
     }
+    hash = (37 * hash) + PART_FIELD_NUMBER;
+    hash = (53 * hash) + getPart().hashCode();
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -452,6 +479,7 @@
       text_ = "";
       version_ = 0L;
       incarnation_ = "";
+      part_ = com.google.protobuf.ByteString.EMPTY;
       return this;
     }
 
@@ -506,6 +534,9 @@
         result.incarnation_ = incarnation_;
         to_bitField0_ |= 0x00000002;
       }
+      if (((from_bitField0_ & 0x00000040) != 0)) {
+        result.part_ = part_;
+      }
       result.bitField0_ |= to_bitField0_;
     }
 
@@ -543,6 +574,9 @@
         bitField0_ |= 0x00000020;
         onChanged();
       }
+      if (!other.getPart().isEmpty()) {
+        setPart(other.getPart());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -599,6 +633,11 @@
               bitField0_ |= 0x00000020;
               break;
             } // case 50
+            case 58: {
+              part_ = input.readBytes();
+              bitField0_ |= 0x00000040;
+              break;
+            } // case 58
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -903,6 +942,50 @@
       return this;
     }
 
+    private com.google.protobuf.ByteString part_ = com.google.protobuf.ByteString.EMPTY;
+    /**
+     * <pre>
+     * A part of the response to an exchange; the other fields but the id are unset.
+     * </pre>
+     *
+     * <code>bytes part = 7;</code>
+     * @return The part.
+     */
+    @java.lang.Override
+    public com.google.protobuf.ByteString getPart() {
+      return part_;
+    }
+    /**
+     * <pre>
+     * A part of the response to an exchange; the other fields but the id are unset.
+     * </pre>
+     *
+     * <code>bytes part = 7;</code>
+     * @param value The part to set.
+     * @return This builder for chaining.
+     */
+    public Builder setPart(com.google.protobuf.ByteString value) {
+      if (value == null) { throw new NullPointerException(); }
+      part_ = value;
+      bitField0_ |= 0x00000040;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * A part of the response to an exchange; the other fields but the id are unset.
+     * </pre>
+     *
+     * <code>bytes part = 7;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearPart() {
+      bitField0_ = (bitField0_ & ~0x00000040);
+      part_ = getDefaultInstance().getPart();
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:amaranthstream.peer.ForwardChunk)
   }
 
--- a/amaranthstream/src/main/java/org/amaranthstream/peer/wire/ForwardChunkOrBuilder.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/peer/wire/ForwardChunkOrBuilder.java
@@ -67,4 +67,14 @@
    */
   com.google.protobuf.ByteString
       getIncarnationBytes();
+
+  /**
+   * <pre>
+   * A part of the response to an exchange; the other fields but the id are unset.
+   * </pre>
+   *
+   * <code>bytes part = 7;</code>
+   * @return The part.
+   */
+  com.google.protobuf.ByteString getPart();
 }
--- a/amaranthstream/src/main/java/org/amaranthstream/peer/wire/ForwardOrBuilder.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/peer/wire/ForwardOrBuilder.java
@@ -128,5 +128,24 @@
    */
   org.amaranthstream.peer.wire.CallOrBuilder getCallOrBuilder();
 
+  /**
+   * <pre>
+   * A request whose content only the handlers on both sides read.
+   * </pre>
+   *
+   * <code>bytes exchange = 12;</code>
+   * @return Whether the exchange field is set.
+   */
+  boolean hasExchange();
+  /**
+   * <pre>
+   * A request whose content only the handlers on both sides read.
+   * </pre>
+   *
+   * <code>bytes exchange = 12;</code>
+   * @return The exchange.
+   */
+  com.google.protobuf.ByteString getExchange();
+
   org.amaranthstream.peer.wire.Forward.PayloadCase getPayloadCase();
 }
--- a/amaranthstream/src/main/java/org/amaranthstream/peer/wire/ForwardOutcome.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/peer/wire/ForwardOutcome.java
@@ -57,6 +57,7 @@
     COMPLETED(2),
     NOT_RUN(3),
     UNKNOWN(4),
+    EXCHANGE_END(5),
     OUTCOME_NOT_SET(0);
     private final int value;
     private OutcomeCase(int value) {
@@ -77,6 +78,7 @@
         case 2: return COMPLETED;
         case 3: return NOT_RUN;
         case 4: return UNKNOWN;
+        case 5: return EXCHANGE_END;
         case 0: return OUTCOME_NOT_SET;
         default: return null;
       }
@@ -196,6 +198,37 @@
     return org.amaranthstream.peer.wire.Error.getDefaultInstance();
   }
 
+  public static final int EXCHANGE_END_FIELD_NUMBER = 5;
+  /**
+   * <code>.amaranthstream.peer.ExchangeEnd exchange_end = 5;</code>
+   * @return Whether the exchangeEnd field is set.
+   */
+  @java.lang.Override
+  public boolean hasExchangeEnd() {
+    return outcomeCase_ == 5;
+  }
+  /**
+   * <code>.amaranthstream.peer.ExchangeEnd exchange_end = 5;</code>
+   * @return The exchangeEnd.
+   */
+  @java.lang.Override
+  public org.amaranthstream.peer.wire.ExchangeEnd getExchangeEnd() {
+    if (outcomeCase_ == 5) {
+       return (org.amaranthstream.peer.wire.ExchangeEnd) outcome_;
+    }
+    return org.amaranthstream.peer.wire.ExchangeEnd.getDefaultInstance();
+  }
+  /**
+   * <code>.amaranthstream.peer.ExchangeEnd exchange_end = 5;</code>
+   */
+  @java.lang.Override
+  public org.amaranthstream.peer.wire.ExchangeEndOrBuilder getExchangeEndOrBuilder() {
+    if (outcomeCase_ == 5) {
+       return (org.amaranthstream.peer.wire.ExchangeEnd) outcome_;
+    }
+    return org.amaranthstream.peer.wire.ExchangeEnd.getDefaultInstance();
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -222,6 +255,9 @@
     if (outcomeCase_ == 4) {
       output.writeMessage(4, (org.amaranthstream.peer.wire.Error) outcome_);
     }
+    if (outcomeCase_ == 5) {
+      output.writeMessage(5, (org.amaranthstream.peer.wire.ExchangeEnd) outcome_);
+    }
     getUnknownFields().writeTo(output);
   }
 
@@ -247,6 +283,10 @@
       size += com.google.protobuf.CodedOutputStream
         .computeMessageSize(4, (org.amaranthstream.peer.wire.Error) outcome_);
     }
+    if (outcomeCase_ == 5) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeMessageSize(5, (org.amaranthstream.peer.wire.ExchangeEnd) outcome_);
+    }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -278,6 +318,10 @@
         if (!getUnknown()
             .equals(other.getUnknown())) return false;
         break;
+      case 5:
+        if (!getExchangeEnd()
+            .equals(other.getExchangeEnd())) return false;
+        break;
       case 0:
       default:
     }
@@ -308,6 +352,10 @@
         hash = (37 * hash) + UNKNOWN_FIELD_NUMBER;
         hash = (53 * hash) + getUnknown().hashCode();
         break;
+      case 5:
+        hash = (37 * hash) + EXCHANGE_END_FIELD_NUMBER;
+        hash = (53 * hash) + getExchangeEnd().hashCode();
+        break;
       case 0:
       default:
     }
@@ -452,6 +500,9 @@
       if (unknownBuilder_ != null) {
         unknownBuilder_.clear();
       }
+      if (exchangeEndBuilder_ != null) {
+        exchangeEndBuilder_.clear();
+      }
       outcomeCase_ = 0;
       outcome_ = null;
       return this;
@@ -508,6 +559,10 @@
           unknownBuilder_ != null) {
         result.outcome_ = unknownBuilder_.build();
       }
+      if (outcomeCase_ == 5 &&
+          exchangeEndBuilder_ != null) {
+        result.outcome_ = exchangeEndBuilder_.build();
+      }
     }
 
     @java.lang.Override
@@ -538,6 +593,10 @@
           mergeUnknown(other.getUnknown());
           break;
         }
+        case EXCHANGE_END: {
+          mergeExchangeEnd(other.getExchangeEnd());
+          break;
+        }
         case OUTCOME_NOT_SET: {
           break;
         }
@@ -594,6 +653,13 @@
               outcomeCase_ = 4;
               break;
             } // case 34
+            case 42: {
+              input.readMessage(
+                  internalGetExchangeEndFieldBuilder().getBuilder(),
+                  extensionRegistry);
+              outcomeCase_ = 5;
+              break;
+            } // case 42
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -1084,6 +1150,148 @@
       return unknownBuilder_;
     }
 
+    private com.google.protobuf.SingleFieldBuilder<
+        org.amaranthstream.peer.wire.ExchangeEnd, org.amaranthstream.peer.wire.ExchangeEnd.Builder, org.amaranthstream.peer.wire.ExchangeEndOrBuilder> exchangeEndBuilder_;
+    /**
+     * <code>.amaranthstream.peer.ExchangeEnd exchange_end = 5;</code>
+     * @return Whether the exchangeEnd field is set.
+     */
+    @java.lang.Override
+    public boolean hasExchangeEnd() {
+      return outcomeCase_ == 5;
+    }
+    /**
+     * <code>.amaranthstream.peer.ExchangeEnd exchange_end = 5;</code>
+     * @return The exchangeEnd.
+     */
+    @java.lang.Override
+    public org.amaranthstream.peer.wire.ExchangeEnd getExchangeEnd() {
+      if (exchangeEndBuilder_ == null) {
+        if (outcomeCase_ == 5) {
+          return (org.amaranthstream.peer.wire.ExchangeEnd) outcome_;
+        }
+        return org.amaranthstream.peer.wire.ExchangeEnd.getDefaultInstance();
+      } else {
+        if (outcomeCase_ == 5) {
+          return exchangeEndBuilder_.getMessage();
+        }
+        return org.amaranthstream.peer.wire.ExchangeEnd.getDefaultInstance();
+      }
+    }
+    /**
+     * <code>.amaranthstream.peer.ExchangeEnd exchange_end = 5;</code>
+     */
+    public Builder setExchangeEnd(org.amaranthstream.peer.wire.ExchangeEnd value) {
+      if (exchangeEndBuilder_ == null) {
+        if (value == null) {
+          throw new NullPointerException();
+        }
+        outcome_ = value;
+        onChanged();
+      } else {
+        exchangeEndBuilder_.setMessage(value);
+      }
+      outcomeCase_ = 5;
+      return this;
+    }
+    /**
+     * <code>.amaranthstream.peer.ExchangeEnd exchange_end = 5;</code>
+     */
+    public Builder setExchangeEnd(
+        org.amaranthstream.peer.wire.ExchangeEnd.Builder builderForValue) {
+      if (exchangeEndBuilder_ == null) {
+        outcome_ = builderForValue.build();
+        onChanged();
+      } else {
+        exchangeEndBuilder_.setMessage(builderForValue.build());
+      }
+      outcomeCase_ = 5;
+      return this;
+    }
+    /**
+     * <code>.amaranthstream.peer.ExchangeEnd exchange_end = 5;</code>
+     */
+    public Builder mergeExchangeEnd(org.amaranthstream.peer.wire.ExchangeEnd value) {
+      if (exchangeEndBuilder_ == null) {
+        if (outcomeCase_ == 5 &&
+            outcome_ != org.amaranthstream.peer.wire.ExchangeEnd.getDefaultInstance()) {
+          outcome_ = org.amaranthstream.peer.wire.ExchangeEnd.newBuilder((org.amaranthstream.peer.wire.ExchangeEnd) outcome_)
+              .mergeFrom(value).buildPartial();
+        } else {
+          outcome_ = value;
+        }
+        onChanged();
+      } else {
+        if (outcomeCase_ == 5) {
+          exchangeEndBuilder_.mergeFrom(value);
+        } else {
+          exchangeEndBuilder_.setMessage(value);
+        }
+      }
+      outcomeCase_ = 5;
+      return this;
+    }
+    /**
+     * <code>.amaranthstream.peer.ExchangeEnd exchange_end = 5;</code>
+     */
+    public Builder clearExchangeEnd() {
+      if (exchangeEndBuilder_ == null) {
+        if (outcomeCase_ == 5) {
+          outcomeCase_ = 0;
+          outcome_ = null;
+          onChanged();
+        }
+      } else {
+        if (outcomeCase_ == 5) {
+          outcomeCase_ = 0;
+          outcome_ = null;
+        }
+        exchangeEndBuilder_.clear();
+      }
+      return this;
+    }
+    /**
+     * <code>.amaranthstream.peer.ExchangeEnd exchange_end = 5;</code>
+     */
+    public org.amaranthstream.peer.wire.ExchangeEnd.Builder getExchangeEndBuilder() {
+      return internalGetExchangeEndFieldBuilder().getBuilder();
+    }
+    /**
+     * <code>.amaranthstream.peer.ExchangeEnd exchange_end = 5;</code>
+     */
+    @java.lang.Override
+    public org.amaranthstream.peer.wire.ExchangeEndOrBuilder getExchangeEndOrBuilder() {
+      if ((outcomeCase_ == 5) && (exchangeEndBuilder_ != null)) {
+        return exchangeEndBuilder_.getMessageOrBuilder();
+      } else {
+        if (outcomeCase_ == 5) {
+          return (org.amaranthstream.peer.wire.ExchangeEnd) outcome_;
+        }
+        return org.amaranthstream.peer.wire.ExchangeEnd.getDefaultInstance();
+      }
+    }
+    /**
+     * <code>.amaranthstream.peer.ExchangeEnd exchange_end = 5;</code>
+     */
+    private com.google.protobuf.SingleFieldBuilder<
+        org.amaranthstream.peer.wire.ExchangeEnd, org.amaranthstream.peer.wire.ExchangeEnd.Builder, org.amaranthstream.peer.wire.ExchangeEndOrBuilder> 
+        internalGetExchangeEndFieldBuilder() {
+      if (exchangeEndBuilder_ == null) {
+        if (!(outcomeCase_ == 5)) {
+          outcome_ = org.amaranthstream.peer.wire.ExchangeEnd.getDefaultInstance();
+        }
+        exchangeEndBuilder_ = new com.google.protobuf.SingleFieldBuilder<
+            org.amaranthstream.peer.wire.ExchangeEnd, org.amaranthstream.peer.wire.ExchangeEnd.Builder, org.amaranthstream.peer.wire.ExchangeEndOrBuilder>(
+                (org.amaranthstream.peer.wire.ExchangeEnd) outcome_,
+                getParentForChildren(),
+                isClean());
+        outcome_ = null;
+      }
+      outcomeCase_ = 5;
+      onChanged();
+      return exchangeEndBuilder_;
+    }
+
     // @@protoc_insertion_point(builder_scope:amaranthstream.peer.ForwardOutcome)
   }
 
--- a/amaranthstream/src/main/java/org/amaranthstream/peer/wire/ForwardOutcomeOrBuilder.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/peer/wire/ForwardOutcomeOrBuilder.java
@@ -61,5 +61,20 @@
    */
   org.amaranthstream.peer.wire.ErrorOrBuilder getUnknownOrBuilder();
 
+  /**
+   * <code>.amaranthstream.peer.ExchangeEnd exchange_end = 5;</code>
+   * @return Whether the exchangeEnd field is set.
+   */
+  boolean hasExchangeEnd();
+  /**
+   * <code>.amaranthstream.peer.ExchangeEnd exchange_end = 5;</code>
+   * @return The exchangeEnd.
+   */
+  org.amaranthstream.peer.wire.ExchangeEnd getExchangeEnd();
+  /**
+   * <code>.amaranthstream.peer.ExchangeEnd exchange_end = 5;</code>
+   */
+  org.amaranthstream.peer.wire.ExchangeEndOrBuilder getExchangeEndOrBuilder();
+
   org.amaranthstream.peer.wire.ForwardOutcome.OutcomeCase getOutcomeCase();
 }
--- a/amaranthstream/src/main/java/org/amaranthstream/peer/wire/Peer.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/peer/wire/Peer.java
@@ -146,6 +146,11 @@
   static final 
     com.google.protobuf.GeneratedMessage.FieldAccessorTable
       internal_static_amaranthstream_peer_ForwardOutcome_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_amaranthstream_peer_ExchangeEnd_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_amaranthstream_peer_ExchangeEnd_fieldAccessorTable;
   static final com.google.protobuf.Descriptors.Descriptor
     internal_static_amaranthstream_peer_Answer_descriptor;
   static final 
@@ -232,7 +237,7 @@
       "\022\022\n\ntimeout_ms\030\004 \001(\r\"`\n\nQueryReply\022\n\n\002id" +
       "\030\001 \001(\004\022\016\n\004body\030\002 \001(\014H\000\022+\n\005error\030\003 \001(\0132\032." +
       "amaranthstream.peer.ErrorH\000B\t\n\007outcome\"&" +
-      "\n\005Error\022\014\n\004code\030\001 \001(\r\022\017\n\007message\030\002 \001(\t\"\303" +
+      "\n\005Error\022\014\n\004code\030\001 \001(\r\022\017\n\007message\030\002 \001(\t\"\327" +
       "\002\n\007Forward\022\n\n\002id\030\001 \001(\004\022\017\n\007request\030\002 \001(\t\022" +
       "\022\n\nwork_class\030\003 \001(\t\022\014\n\004pool\030\004 \001(\t\022\020\n\010pri" +
       "ority\030\005 \001(\r\022\022\n\nidempotent\030\006 \001(\010\022\025\n\010affin" +
@@ -240,27 +245,29 @@
       "\002\210\001\001\022\024\n\014remaining_ms\030\t \001(\r\0221\n\010generate\030\n" +
       " \001(\0132\035.amaranthstream.peer.GenerateH\000\022)\n" +
       "\004call\030\013 \001(\0132\031.amaranthstream.peer.CallH\000" +
-      "B\t\n\007payloadB\013\n\t_affinityB\022\n\020_minimum_ver" +
-      "sion\"<\n\010Generate\022\016\n\006prompt\030\001 \001(\t\022\022\n\nmax_" +
-      "tokens\030\002 \001(\r\022\014\n\004seed\030\003 \001(\003\"8\n\004Call\022\014\n\004pa" +
-      "th\030\001 \001(\t\022\024\n\014content_type\030\002 \001(\t\022\014\n\004body\030\003" +
-      " \001(\014\"\224\001\n\014ForwardChunk\022\n\n\002id\030\001 \001(\004\022\016\n\006off" +
-      "set\030\002 \001(\004\022\016\n\006tokens\030\003 \001(\r\022\014\n\004text\030\004 \001(\t\022" +
-      "\024\n\007version\030\005 \001(\004H\000\210\001\001\022\030\n\013incarnation\030\006 \001" +
-      "(\tH\001\210\001\001B\n\n\010_versionB\016\n\014_incarnation\"\270\001\n\016" +
-      "ForwardOutcome\022\n\n\002id\030\001 \001(\004\0220\n\tcompleted\030" +
-      "\002 \001(\0132\033.amaranthstream.peer.AnswerH\000\022.\n\007" +
-      "not_run\030\003 \001(\0132\033.amaranthstream.peer.NotR" +
-      "unH\000\022-\n\007unknown\030\004 \001(\0132\032.amaranthstream.p" +
-      "eer.ErrorH\000B\t\n\007outcome\"e\n\006Answer\022\016\n\006serv" +
-      "er\030\001 \001(\t\022\016\n\006status\030\002 \001(\r\022\024\n\014content_type" +
-      "\030\003 \001(\t\022\016\n\006tokens\030\004 \001(\004\022\025\n\rfinish_reason\030" +
-      "\005 \001(\t\"c\n\006NotRun\022)\n\005error\030\001 \001(\0132\032.amarant" +
-      "hstream.peer.Error\022\033\n\016retry_after_ms\030\002 \001" +
-      "(\rH\000\210\001\001B\021\n\017_retry_after_ms\"\033\n\rForwardCan" +
-      "cel\022\n\n\002id\030\001 \001(\004*\037\n\005Phase\022\t\n\005READY\020\000\022\013\n\007L" +
-      "EAVING\020\001B \n\034org.amaranthstream.peer.wire" +
-      "P\001b\006proto3"
+      "\022\022\n\010exchange\030\014 \001(\014H\000B\t\n\007payloadB\013\n\t_affi" +
+      "nityB\022\n\020_minimum_version\"<\n\010Generate\022\016\n\006" +
+      "prompt\030\001 \001(\t\022\022\n\nmax_tokens\030\002 \001(\r\022\014\n\004seed" +
+      "\030\003 \001(\003\"8\n\004Call\022\014\n\004path\030\001 \001(\t\022\024\n\014content_" +
+      "type\030\002 \001(\t\022\014\n\004body\030\003 \001(\014\"\242\001\n\014ForwardChun" +
+      "k\022\n\n\002id\030\001 \001(\004\022\016\n\006offset\030\002 \001(\004\022\016\n\006tokens\030" +
+      "\003 \001(\r\022\014\n\004text\030\004 \001(\t\022\024\n\007version\030\005 \001(\004H\000\210\001" +
+      "\001\022\030\n\013incarnation\030\006 \001(\tH\001\210\001\001\022\014\n\004part\030\007 \001(" +
+      "\014B\n\n\010_versionB\016\n\014_incarnation\"\362\001\n\016Forwar" +
+      "dOutcome\022\n\n\002id\030\001 \001(\004\0220\n\tcompleted\030\002 \001(\0132" +
+      "\033.amaranthstream.peer.AnswerH\000\022.\n\007not_ru" +
+      "n\030\003 \001(\0132\033.amaranthstream.peer.NotRunH\000\022-" +
+      "\n\007unknown\030\004 \001(\0132\032.amaranthstream.peer.Er" +
+      "rorH\000\0228\n\014exchange_end\030\005 \001(\0132 .amaranthst" +
+      "ream.peer.ExchangeEndH\000B\t\n\007outcome\"\r\n\013Ex" +
+      "changeEnd\"e\n\006Answer\022\016\n\006server\030\001 \001(\t\022\016\n\006s" +
+      "tatus\030\002 \001(\r\022\024\n\014content_type\030\003 \001(\t\022\016\n\006tok" +
+      "ens\030\004 \001(\004\022\025\n\rfinish_reason\030\005 \001(\t\"c\n\006NotR" +
+      "un\022)\n\005error\030\001 \001(\0132\032.amaranthstream.peer." +
+      "Error\022\033\n\016retry_after_ms\030\002 \001(\rH\000\210\001\001B\021\n\017_r" +
+      "etry_after_ms\"\033\n\rForwardCancel\022\n\n\002id\030\001 \001" +
+      "(\004*\037\n\005Phase\022\t\n\005READY\020\000\022\013\n\007LEAVING\020\001B \n\034o" +
+      "rg.amaranthstream.peer.wireP\001b\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -385,7 +392,7 @@
     internal_static_amaranthstream_peer_Forward_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_amaranthstream_peer_Forward_descriptor,
-        new java.lang.String[] { "Id", "Request", "WorkClass", "Pool", "Priority", "Idempotent", "Affinity", "MinimumVersion", "RemainingMs", "Generate", "Call", "Payload", });
+        new java.lang.String[] { "Id", "Request", "WorkClass", "Pool", "Priority", "Idempotent", "Affinity", "MinimumVersion", "RemainingMs", "Generate", "Call", "Exchange", "Payload", });
     internal_static_amaranthstream_peer_Generate_descriptor =
       getDescriptor().getMessageType(20);
     internal_static_amaranthstream_peer_Generate_fieldAccessorTable = new
@@ -403,27 +410,33 @@
     internal_static_amaranthstream_peer_ForwardChunk_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_amaranthstream_peer_ForwardChunk_descriptor,
-        new java.lang.String[] { "Id", "Offset", "Tokens", "Text", "Version", "Incarnation", });
+        new java.lang.String[] { "Id", "Offset", "Tokens", "Text", "Version", "Incarnation", "Part", });
     internal_static_amaranthstream_peer_ForwardOutcome_descriptor =
       getDescriptor().getMessageType(23);
     internal_static_amaranthstream_peer_ForwardOutcome_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_amaranthstream_peer_ForwardOutcome_descriptor,
-        new java.lang.String[] { "Id", "Completed", "NotRun", "Unknown", "Outcome", });
-    internal_static_amaranthstream_peer_Answer_descriptor =
+        new java.lang.String[] { "Id", "Completed", "NotRun", "Unknown", "ExchangeEnd", "Outcome", });
+    internal_static_amaranthstream_peer_ExchangeEnd_descriptor =
       getDescriptor().getMessageType(24);
+    internal_static_amaranthstream_peer_ExchangeEnd_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_amaranthstream_peer_ExchangeEnd_descriptor,
+        new java.lang.String[] { });
+    internal_static_amaranthstream_peer_Answer_descriptor =
+      getDescriptor().getMessageType(25);
     internal_static_amaranthstream_peer_Answer_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_amaranthstream_peer_Answer_descriptor,
         new java.lang.String[] { "Server", "Status", "ContentType", "Tokens", "FinishReason", });
     internal_static_amaranthstream_peer_NotRun_descriptor =
-      getDescriptor().getMessageType(25);
+      getDescriptor().getMessageType(26);
     internal_static_amaranthstream_peer_NotRun_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_amaranthstream_peer_NotRun_descriptor,
         new java.lang.String[] { "Error", "RetryAfterMs", });
     internal_static_amaranthstream_peer_ForwardCancel_descriptor =
-      getDescriptor().getMessageType(26);
+      getDescriptor().getMessageType(27);
     internal_static_amaranthstream_peer_ForwardCancel_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_amaranthstream_peer_ForwardCancel_descriptor,
--- a/amaranthstream/src/main/java/org/amaranthstream/result/ResultCode.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/result/ResultCode.java
@@ -53,6 +53,9 @@
   BACKEND_ANSWER_INVALID(505, 502),
   RECORD_LOST(506, 410);
 
+  private static final int NOT_RUN_GROUP = 2;
+  private static final int GROUP_SIZE = 100;
+
   private final int number;
   private final int httpStatus;
 
@@ -66,6 +69,11 @@
     return number;
   }
 
+  /** Returns true if the code promises that the work was not run and will not be. */
+  public boolean isNotRun() {
+    return number / GROUP_SIZE == NOT_RUN_GROUP;
+  }
+
   /** Returns the HTTP status of responses with this code. */
   public int httpStatus() {
     return httpStatus;
--- a/amaranthstream/src/main/java/org/amaranthstream/servers/ServerDirectory.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/servers/ServerDirectory.java
@@ -35,6 +35,7 @@
   private final Map<BackendServerId, Subscription> removalTimers = new LinkedHashMap<>();
   private final LeavingIncarnations leaving = new LeavingIncarnations();
   private final SoftwareHistory software;
+  private Optional<ReachMonitor> reachMonitor = Optional.empty();
   private final List<ServerListener> listeners = new ArrayList<>();
   private final List<LeavingListener> leavingListeners = new ArrayList<>();
 
@@ -55,6 +56,15 @@
         checkNotNull(timers, "timers"), checkNotNull(wasStoreUnavailable, "wasStoreUnavailable"));
   }
 
+  /** Sets the monitor that is told of the requests to the servers that register from now on. */
+  void setReachMonitor(ReachMonitor monitor) {
+    reachMonitor = Optional.of(monitor);
+  }
+
+  private Optional<ServiceReach> reachOf(ServiceId service) {
+    return reachMonitor.map(monitor -> monitor.of(service));
+  }
+
   /** Adds a listener that is called on each change. */
   public void addListener(ServerListener listener) {
     listeners.add(checkNotNull(listener, "listener"));
@@ -116,7 +126,7 @@
         known.markRemoved();
         software.onSeen(known.registration(), timers.nowNanos());
       }
-      TrackedServer added = new TrackedServer(registration);
+      TrackedServer added = new TrackedServer(registration, reachOf(registration.service()));
       if (leaving.contains(registration)) {
         added.markDraining();
       }
@@ -162,6 +172,7 @@
 
   /** Removes an incarnation, because another one responded at its address. */
   public void onIncarnationReplaced(TrackedServer server) {
+    server.onProgress();
     if (servers.get(server.id()) == server) {
       remove(server.id());
     }
--- /dev/null
+++ b/amaranthstream/src/main/java/org/amaranthstream/servers/ServiceReach.java
@@ -0,0 +1,137 @@
+package org.amaranthstream.servers;
+
+import com.google.common.flogger.FluentLogger;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.function.Supplier;
+import org.amaranthstream.ids.ServiceId;
+import org.amaranthstream.time.TimerService;
+
+/**
+ * Detector of the loss of all servers of one service, as this process sees it.
+ *
+ * <p>Made for a partition between this VM and all servers, during which connections hang, are
+ * refused, or are open but silent. A single slow or crashed server is no reason: some other server
+ * responds. When no server has responded to any request for a while, a few servers are probed, and
+ * if none responds, the service counts as lost until one does. Whether the servers are down for all
+ * daemons only a peer can tell. Must be used on the thread of its timers.
+ */
+public final class ServiceReach {
+  private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+  private static final Duration MAX_SILENCE = Duration.ofMillis(400);
+  private static final Duration PROBE_TIMEOUT = Duration.ofMillis(300);
+  private static final Duration MIN_PROBE_DELAY = Duration.ofMillis(300);
+  private static final Duration MAX_PROBE_DELAY = Duration.ofMillis(1_200);
+  private static final int PROBED_SERVERS = 2;
+
+  private final ServiceId service;
+  private final Supplier<? extends Collection<TrackedServer>> servers;
+  private final ServerProbe probe;
+  private final TimerService timers;
+  private final Runnable onChange;
+  private final SilenceClock clock = new SilenceClock();
+  private boolean isCheckPlanned;
+  private boolean isProbing;
+  private boolean isLost;
+  private Duration probeDelay = MIN_PROBE_DELAY;
+  private int nextProbed;
+
+  ServiceReach(
+      ServiceId service,
+      Supplier<? extends Collection<TrackedServer>> servers,
+      ServerProbe probe,
+      TimerService timers,
+      Runnable onChange) {
+    this.service = service;
+    this.servers = servers;
+    this.probe = probe;
+    this.timers = timers;
+    this.onChange = onChange;
+  }
+
+  /** Returns true if this process reaches none of the servers. */
+  public boolean isLost() {
+    return isLost;
+  }
+
+  void onRequestSent() {
+    clock.onRequestSent(timers.nowNanos());
+    planCheck(MAX_SILENCE);
+  }
+
+  void onRequestEnded() {
+    clock.onRequestEnded();
+  }
+
+  void onResponse() {
+    clock.onResponse(timers.nowNanos());
+    if (isLost) {
+      isLost = false;
+      probeDelay = MIN_PROBE_DELAY;
+      logger.atInfo().log("event=service_reached service=%s", service);
+      onChange.run();
+    }
+  }
+
+  private void planCheck(Duration delay) {
+    if (!isCheckPlanned) {
+      isCheckPlanned = true;
+      timers.after(delay, this::check);
+    }
+  }
+
+  private void check() {
+    isCheckPlanned = false;
+    Duration silence = clock.silence(timers.nowNanos());
+    if (silence.compareTo(MAX_SILENCE) >= 0 || isLost) {
+      probeServers();
+    } else if (!silence.isZero()) {
+      planCheck(MAX_SILENCE.minus(silence));
+    }
+  }
+
+  private void probeServers() {
+    List<TrackedServer> all = List.copyOf(servers.get());
+    if (isProbing) {
+      return;
+    }
+    isProbing = true;
+    List<CompletableFuture<?>> probes = new ArrayList<>();
+    for (int i = 0; i < Math.min(PROBED_SERVERS, all.size()); i++) {
+      TrackedServer server = all.get(nextProbed % all.size());
+      nextProbed++;
+      probes.add(probe.responds(server, PROBE_TIMEOUT).thenAccept(this::onProbed));
+    }
+    CompletableFuture.allOf(probes.toArray(CompletableFuture<?>[]::new))
+        .thenRun(() -> onAllProbed(all.size()));
+  }
+
+  private void onProbed(boolean hasResponded) {
+    if (hasResponded) {
+      onResponse();
+    }
+  }
+
+  private void onAllProbed(int available) {
+    isProbing = false;
+    Duration silence = clock.silence(timers.nowNanos());
+    boolean isSilent = silence.compareTo(MAX_SILENCE) >= 0;
+    if (isSilent && !isLost && available > 0) {
+      isLost = true;
+      logger.atWarning().log(
+          "event=service_lost service=%s silent_ms=%d servers=%d",
+          service, silence.toMillis(), available);
+      onChange.run();
+    }
+    if (isLost) {
+      planCheck(probeDelay);
+      Duration doubled = probeDelay.multipliedBy(2);
+      probeDelay = doubled.compareTo(MAX_PROBE_DELAY) < 0 ? doubled : MAX_PROBE_DELAY;
+    } else if (!silence.isZero()) {
+      planCheck(MAX_SILENCE);
+    }
+  }
+}
--- a/amaranthstream/src/main/java/org/amaranthstream/servers/TrackedServer.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/servers/TrackedServer.java
@@ -29,6 +29,7 @@
   /** Bounds the interval between requests to a server that names a limit of zero. */
   private static final double MIN_REQUESTS_PER_SECOND = 0.001;
 
+  private final Optional<ServiceReach> reach;
   private ServerRegistration registration;
   private boolean isDraining;
   private boolean isRemoved;
@@ -42,7 +43,17 @@
   private final Map<ModelId, WeightVersion> versions = new HashMap<>();
 
   TrackedServer(ServerRegistration registration) {
+    this(registration, Optional.empty());
+  }
+
+  /**
+   * Creates the state of a newly registered incarnation.
+   *
+   * @param reach is told of requests and responses
+   */
+  TrackedServer(ServerRegistration registration, Optional<ServiceReach> reach) {
     this.registration = registration;
+    this.reach = reach;
     update(registration);
   }
 
@@ -125,21 +136,25 @@
   /** Records that a request is sent to the server. */
   public void onRequestSent() {
     inFlight++;
+    reach.ifPresent(ServiceReach::onRequestSent);
   }
 
   /** Records that a request that was sent has ended. */
   public void onRequestEnded() {
     inFlight--;
+    reach.ifPresent(ServiceReach::onRequestEnded);
   }
 
   /** Records that the server responded, which ends its avoidance after failures. */
   public void onResponse() {
+    reach.ifPresent(ServiceReach::onResponse);
     failures = 0;
     avoidUntilNanos = Long.MIN_VALUE;
   }
 
   /** Records that the server refused a request because it is full. */
   public void onFull(long nowNanos) {
+    reach.ifPresent(ServiceReach::onResponse);
     fullUntilNanos = nowNanos + FULL_AVOIDANCE.toNanos();
   }
 
@@ -163,6 +178,11 @@
         && nowNanos - lastFailureNanos.getAsLong() < REGISTRATION_DELAY.toNanos();
   }
 
+  /** Records that a part of a response has arrived. */
+  public void onProgress() {
+    reach.ifPresent(ServiceReach::onResponse);
+  }
+
   /** Records the interval between two consecutive events of a stream. */
   public void onEventInterval(long intervalNanos, long nowNanos) {
     eventInterval.add(intervalNanos, nowNanos);
--- /dev/null
+++ b/amaranthstream/src/test/java/org/amaranthstream/fleet/CuttableServers.java
@@ -0,0 +1,155 @@
+package org.amaranthstream.fleet;
+
+import io.vertx.core.MultiMap;
+import io.vertx.core.buffer.Buffer;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.concurrent.CompletableFuture;
+import org.amaranthstream.calls.AttemptFailure;
+import org.amaranthstream.calls.AttemptListener;
+import org.amaranthstream.calls.CallTransport;
+import org.amaranthstream.calls.OutboundCall;
+import org.amaranthstream.calls.ResponseHead;
+import org.amaranthstream.servers.ServerProbe;
+import org.amaranthstream.time.VirtualTimerService;
+
+/** Simulated servers in virtual time, from which single daemons can be cut off. */
+final class CuttableServers {
+  private static final Duration RESPONSE_TIME = Duration.ofMillis(36);
+  private static final Duration CONNECT_TIMEOUT = Duration.ofMillis(600);
+
+  private final VirtualTimerService timers;
+  private final Map<String, Cut> cuts = new HashMap<>();
+  private final List<String> runs = new ArrayList<>();
+  private final List<String> cancelled = new ArrayList<>();
+  private boolean isSlow;
+
+  /** State of the connections between a daemon and all servers. */
+  enum Cut {
+    NONE,
+    /** New connections hang until their timeout. */
+    HANGING,
+    /** New connections are refused. */
+    REFUSED,
+    /** Open connections accept requests, and nothing comes back. */
+    SILENT
+  }
+
+  CuttableServers(VirtualTimerService timers) {
+    this.timers = timers;
+  }
+
+  void cut(String vm, Cut cut) {
+    cuts.put(vm, cut);
+  }
+
+  /** Makes the servers take seconds for each request. */
+  void slowDown() {
+    isSlow = true;
+  }
+
+  /** Returns the ids of the requests that ran, once for each run. */
+  List<String> runs() {
+    return runs;
+  }
+
+  /** Returns the ids of the requests whose run was cancelled. */
+  List<String> cancelled() {
+    return cancelled;
+  }
+
+  private Cut cutOf(String vm) {
+    return cuts.getOrDefault(vm, Cut.NONE);
+  }
+
+  CallTransport transportOf(String vm) {
+    return (server, call, timeLeft, listener) -> new Run(vm, call, listener);
+  }
+
+  ServerProbe probeOf(String vm) {
+    return (server, timeout) -> probe(vm, timeout);
+  }
+
+  private CompletableFuture<Boolean> probe(String vm, Duration timeout) {
+    CompletableFuture<Boolean> responds = new CompletableFuture<>();
+    boolean isReached = cutOf(vm) == Cut.NONE;
+    timers.after(isReached ? Duration.ofMillis(5) : timeout, () -> responds.complete(isReached));
+    return responds;
+  }
+
+  private final class Run implements CallTransport.Attempt {
+    private final String vm;
+    private final OutboundCall call;
+    private final AttemptListener listener;
+    private boolean isSent;
+    private boolean isOver;
+
+    private Run(String vm, OutboundCall call, AttemptListener listener) {
+      this.vm = vm;
+      this.call = call;
+      this.listener = listener;
+      timers.after(Duration.ofMillis(1), this::connect);
+    }
+
+    private void connect() {
+      if (isOver) {
+        return;
+      }
+      switch (cutOf(vm)) {
+        case NONE -> run();
+        case HANGING -> timers.after(CONNECT_TIMEOUT, this::failToConnect);
+        case REFUSED -> failToConnect();
+        case SILENT -> isSent = true;
+      }
+    }
+
+    private void failToConnect() {
+      if (!isOver) {
+        isOver = true;
+        listener.onFailed(new AttemptFailure.NotSent("no connection"));
+      }
+    }
+
+    private void run() {
+      isSent = true;
+      runs.add(call.id());
+      timers.after(isSlow ? Duration.ofSeconds(5) : RESPONSE_TIME, this::respond);
+    }
+
+    private void respond() {
+      if (isOver) {
+        return;
+      }
+      isOver = true;
+      listener.onHead(
+          new ResponseHead(
+              200,
+              MultiMap.caseInsensitiveMultiMap().add("name", "value"),
+              OptionalLong.empty(),
+              Optional.of("seal-" + call.id())));
+      listener.onData(Buffer.buffer("response to " + call.id()));
+      listener.onEnd();
+    }
+
+    @Override
+    public void cancel() {
+      if (!isOver && isSent) {
+        cancelled.add(call.id());
+      }
+      isOver = true;
+    }
+
+    @Override
+    public boolean isSent() {
+      return isSent;
+    }
+
+    @Override
+    public void setPaused(boolean isPaused) {}
+  }
+}
--- /dev/null
+++ b/amaranthstream/src/test/java/org/amaranthstream/peer/PeerExchangesTest.java
@@ -0,0 +1,125 @@
+package org.amaranthstream.peer;
+
+import static com.google.common.truth.Truth.assertThat;
+import static java.nio.charset.StandardCharsets.UTF_8;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import org.amaranthstream.dispatch.Outcome;
+import org.amaranthstream.ids.EntryVmId;
+import org.amaranthstream.result.ErrorDetail;
+import org.amaranthstream.result.ResultCode;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+
+class PeerExchangesTest {
+  private static final Duration TIME_LEFT = Duration.ofSeconds(2);
+
+  private final TestMesh mesh = new TestMesh();
+  private final TestNode near = mesh.start("vm-a", "zone-a");
+  private final TestNode far = mesh.start("vm-b", "zone-b");
+  private final List<String> events = new ArrayList<>();
+
+  @AfterEach
+  void close() {
+    mesh.close();
+  }
+
+  private final ExchangeListener listener =
+      new ExchangeListener() {
+        @Override
+        public void onPart(byte[] part) {
+          events.add("part " + new String(part, UTF_8));
+        }
+
+        @Override
+        public void onEnd() {
+          events.add("end");
+        }
+
+        @Override
+        public void onNotRun(Outcome.NotRun outcome) {
+          events.add("not run " + outcome.error().code());
+        }
+
+        @Override
+        public void onOutcomeUnknown(Outcome.OutcomeUnknown outcome) {
+          events.add("unknown " + outcome.error().code());
+        }
+      };
+
+  private Runnable start() {
+    return near.node
+        .exchanges()
+        .start(far.self.id(), "request".getBytes(UTF_8), TIME_LEFT, listener);
+  }
+
+  private void startAndAwaitArrival() {
+    mesh.connect(near, far);
+    start();
+    mesh.runUntil("arrival", () -> !far.exchanges.isEmpty());
+  }
+
+  private void awaitEvents(int count) {
+    mesh.runUntil("events", () -> events.size() >= count);
+  }
+
+  @Test
+  void transfersRequestAndPartsOfTheResponse() {
+    startAndAwaitArrival();
+    TestNode.ReceivedExchange received = far.exchanges.get(0);
+    received.responder().sendPart("one".getBytes(UTF_8));
+    received.responder().sendPart("two".getBytes(UTF_8));
+    received.responder().end();
+    awaitEvents(3);
+
+    assertThat(received.request()).isEqualTo("request");
+    assertThat(received.timeLeft()).isAtMost(TIME_LEFT);
+    assertThat(events).containsExactly("part one", "part two", "end").inOrder();
+  }
+
+  @Test
+  void passesOnThatTheRequestDidNotRun() {
+    startAndAwaitArrival();
+    far.exchanges
+        .get(0)
+        .responder()
+        .fail(
+            new Outcome.NotRun(
+                ErrorDetail.of(ResultCode.NOT_RUN_NO_BACKEND, "none"), Optional.empty()));
+    awaitEvents(1);
+
+    assertThat(events).containsExactly("not run NOT_RUN_NO_BACKEND");
+  }
+
+  @Test
+  void lostLinkLeavesTheOutcomeUnknown() {
+    startAndAwaitArrival();
+    far.node.close();
+    awaitEvents(1);
+
+    assertThat(events).containsExactly("unknown OUTCOME_UNKNOWN_PEER_LOST");
+  }
+
+  @Test
+  void cancelReachesThePeerAndSilencesTheListener() {
+    mesh.connect(near, far);
+    Runnable canceller = start();
+    mesh.runUntil("arrival", () -> !far.exchanges.isEmpty());
+    canceller.run();
+    mesh.runUntil("cancel", () -> far.cancelledExchanges > 0);
+    far.exchanges.get(0).responder().end();
+    mesh.tick();
+
+    assertThat(events).isEmpty();
+  }
+
+  @Test
+  void unknownPeerIsReportedAsNotRun() {
+    near.node.exchanges().start(EntryVmId.of("nobody"), new byte[0], TIME_LEFT, listener);
+
+    assertThat(events).containsExactly("not run PEER_UNREACHABLE");
+  }
+}
--- a/amaranthstream/src/test/java/org/amaranthstream/peer/TestNode.java
+++ b/amaranthstream/src/test/java/org/amaranthstream/peer/TestNode.java
@@ -2,6 +2,8 @@
 
 import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableMap;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
@@ -30,10 +32,15 @@
   final RecordingRunner runner = new RecordingRunner();
   final List<ConfigGeneration> receivedGenerations = new ArrayList<>();
   final List<PoisonNotice> notices = new ArrayList<>();
+  final List<ReceivedExchange> exchanges = new ArrayList<>();
+  int cancelledExchanges;
   final List<PoisonNotice> receivedNotices = new ArrayList<>();
   long generation = 1;
   int port;
 
+  /** Exchange that a peer has started. */
+  record ReceivedExchange(String request, Duration timeLeft, ExchangeResponder responder) {}
+
   private TestNode(
       LocalVm self, PeerLinkSettings settings, VirtualTimerService timers, ManualDuty duty) {
     this.self = self;
@@ -49,9 +56,17 @@
             .decisions(duty)
             .source(this)
             .sink(this)
+            .exchangeHandler(this::onExchange)
             .build();
   }
 
+  private Runnable onExchange(
+      LocalVm from, byte[] request, Duration timeLeft, ExchangeResponder responder) {
+    String text = new String(request, StandardCharsets.UTF_8);
+    exchanges.add(new ReceivedExchange(text, timeLeft, responder));
+    return () -> cancelledExchanges++;
+  }
+
   /** Starts an entry VM. Each zone is the only one of its region. */
   static TestNode start(
       String name,
--- a/amaranthstream/src/test/java/org/amaranthstream/servers/ServerDirectoryTest.java
+++ b/amaranthstream/src/test/java/org/amaranthstream/servers/ServerDirectoryTest.java
@@ -15,7 +15,7 @@
 import org.junit.jupiter.api.Test;
 
 class ServerDirectoryTest {
-  private static final ServiceId SERVICE = ServiceId.of("portal");
+  static final ServiceId SERVICE = ServiceId.of("portal");
   private static final int PORT = 8080;
 
   private final VirtualTimerService timers = VirtualTimerService.create();
