Hand off jobs whose servers their owner does not reach to peers that reach them

Cause: only a shutdown hands jobs off.

Change: when ServiceReach reports the services of a job as lost, the owner offers it to peers, each of which accepts only after it has verified that it reaches a server (a recent response, or a probe).

Ruled out: running the items through a peer (each event would cross two links, and the peer's choice of engines would not know the owner's).

--- a/amaranthstream/src/main/java/org/amaranthstream/jobs/JobHandoff.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/jobs/JobHandoff.java
@@ -9,8 +9,8 @@
 import org.amaranthstream.result.Result;
 
 /**
- * Handoff of all owned jobs to peers when this daemon shuts down, with the output that is not
- * listed yet.
+ * Handoff of owned jobs to peers, with the output that is not listed yet, when this daemon shuts
+ * down or reaches none of the servers of a job.
  *
  * <p>In a rolling restart each daemon owns jobs with long items. An item that restarted from the
  * beginning would finish too late for its step, so the partial output goes to the next owner. Used
@@ -36,24 +36,39 @@
    */
   CompletableFuture<Void> start() {
     return CompletableFuture.allOf(
-        registry.owned().stream().map(this::handOff).toArray(CompletableFuture<?>[]::new));
+        registry.owned().stream()
+            .map(job -> handOff(job, HandoffCondition.NONE))
+            .toArray(CompletableFuture<?>[]::new));
   }
 
-  private CompletableFuture<Void> handOff(OwnedJob job) {
+  /**
+   * Offers a job to the peers in turn, each of which accepts only if it reaches the job's servers.
+   *
+   * @return completes once the job has a new owner or no peer has taken it over
+   */
+  CompletableFuture<Void> handOffToReachingPeer(OwnedJob job) {
+    return handOff(job, HandoffCondition.REACHES_SERVERS);
+  }
+
+  private CompletableFuture<Void> handOff(OwnedJob job, HandoffCondition condition) {
     CompletableFuture<Void> done = new CompletableFuture<>();
     List<EntryVmId> candidates = RendezvousHash.order(job.id().value(), remote.peers());
-    offer(job, candidates.iterator(), done);
+    offer(job, condition, candidates.iterator(), done);
     return done;
   }
 
-  private void offer(OwnedJob job, Iterator<EntryVmId> peers, CompletableFuture<Void> done) {
+  private void offer(
+      OwnedJob job,
+      HandoffCondition condition,
+      Iterator<EntryVmId> peers,
+      CompletableFuture<Void> done) {
     if (!peers.hasNext() || job.isOwnershipLost()) {
       done.complete(null);
       return;
     }
     EntryVmId vm = peers.next();
     remote
-        .handOff(vm, job.owner(), job.partials())
+        .handOff(vm, job, condition)
         .thenAccept(
             result -> {
               logger.atInfo().log(
@@ -62,7 +77,7 @@
                 ownership.release(job);
                 done.complete(null);
               } else {
-                offer(job, peers, done);
+                offer(job, condition, peers, done);
               }
             });
   }
--- a/amaranthstream/src/main/java/org/amaranthstream/jobs/JobQueryHandler.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/jobs/JobQueryHandler.java
@@ -115,8 +115,16 @@
         query.getPartialList().stream()
             .map(JobCodec::decodePartial)
             .collect(ImmutableList.toImmutableList());
-    return service
-        .takeOver(before, partials)
+    CompletableFuture<Boolean> mayTakeOver =
+        query.getMustReachServers()
+            ? service.reachesServers(query.getHost(), query.getPath())
+            : CompletableFuture.completedFuture(true);
+    return mayTakeOver
+        .thenCompose(
+            isAllowed ->
+                isAllowed
+                    ? service.takeOver(before, partials)
+                    : CompletableFuture.completedFuture(false))
         .thenApply(
             isTakenOver ->
                 JobAnswer.newBuilder()
--- a/amaranthstream/src/main/java/org/amaranthstream/jobs/JobService.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/jobs/JobService.java
@@ -7,6 +7,7 @@
 import com.google.errorprone.annotations.CanIgnoreReturnValue;
 import java.time.Duration;
 import java.time.InstantSource;
+import java.util.List;
 import java.util.Optional;
 import java.util.Random;
 import java.util.concurrent.CompletableFuture;
@@ -20,8 +21,10 @@
 import org.amaranthstream.result.ErrorDetail;
 import org.amaranthstream.result.Result;
 import org.amaranthstream.result.ResultCode;
+import org.amaranthstream.routing.Route;
 import org.amaranthstream.routing.RoutingConfig;
 import org.amaranthstream.routing.RoutingTable;
+import org.amaranthstream.servers.ReachMonitor;
 import org.amaranthstream.servers.RequestPermits;
 import org.amaranthstream.servers.ServerChoice;
 import org.amaranthstream.servers.ServerDirectory;
@@ -59,6 +62,9 @@
   private final ItemScheduler scheduler;
   private final RewardScheduler rewardScheduler;
   private final RoutingTable routing;
+  private final ReachMonitor reach;
+  private final JobHandoff handoff;
+  private final UnreachableJobs unreachableJobs;
   private final ResultAppender resultAppender;
   private final CheckpointWriter checkpointWriter;
   private final RemoteJobs remote;
@@ -100,6 +106,9 @@
             timers,
             this::onItemsChanged);
     this.routing = builder.routing;
+    this.reach = checkNotNull(builder.reach, "reach");
+    this.handoff = new JobHandoff(registry, ownership, remote);
+    this.unreachableJobs = new UnreachableJobs(registry, handoff, routing, reach, timers);
     this.rewardScheduler =
         new RewardScheduler(
             routing,
@@ -121,6 +130,7 @@
 
   private void run(OwnedJob job) {
     scheduler.add(job);
+    unreachableJobs.check();
     rewardScheduler.add(job);
     checkpointWriter.add(job);
   }
@@ -140,7 +150,7 @@
   public CompletableFuture<Void> handOff() {
     isShuttingDown = true;
     acceptor.stopAccepting();
-    return new JobHandoff(registry, ownership, remote).start();
+    return handoff.start();
   }
 
   /** Takes over a job that a peer hands off, unless this daemon is itself shutting down. */
@@ -150,6 +160,24 @@
         : ownership.takeOver(before, partials);
   }
 
+  /**
+   * Verifies that this daemon reaches a server that can run the items of a job.
+   *
+   * @return a future that never completes exceptionally
+   */
+  CompletableFuture<Boolean> reachesServers(String host, String path) {
+    Optional<Route> route = routing.current().flatMap(config -> config.find(host, path));
+    List<CompletableFuture<Boolean>> services =
+        route.map(Route::services).orElse(ImmutableList.of()).stream()
+            .filter(service -> service.weight() > 0)
+            .map(service -> reach.of(service.service()).verify())
+            .toList();
+    return services.stream()
+        .reduce(
+            CompletableFuture.completedFuture(false),
+            (first, second) -> first.thenCombine(second, Boolean::logicalOr));
+  }
+
   /** Schedules a sweep for jobs whose owner no longer runs. */
   public void sweep() {
     ownership.scheduleOrphanSweep();
@@ -301,6 +329,7 @@
     private @Nullable RoutingTable routing;
     private @Nullable ServerDirectory directory;
     private @Nullable ServerChoice choice;
+    private @Nullable ReachMonitor reach;
     private @Nullable ItemTransport transport;
     private @Nullable RequestPermits permits;
     private @Nullable RewardTransport rewardTransport;
@@ -345,6 +374,13 @@
       return this;
     }
 
+    /** Sets the monitor of the services whose servers this daemon reaches. */
+    @CanIgnoreReturnValue
+    public Builder reach(ReachMonitor reach) {
+      this.reach = reach;
+      return this;
+    }
+
     /** Sets the backend servers and the policy that chooses among them. */
     @CanIgnoreReturnValue
     public Builder servers(ServerDirectory directory, ServerChoice choice) {
--- a/amaranthstream/src/main/java/org/amaranthstream/jobs/RemoteJobs.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/jobs/RemoteJobs.java
@@ -130,12 +130,16 @@
 
   /** Offers a job to another daemon for takeover. */
   CompletableFuture<Result<JobAcknowledgement>> handOff(
-      EntryVmId vm, StoredOwner owner, ImmutableList<PartialOutput> partials) {
+      EntryVmId vm, OwnedJob job, HandoffCondition condition) {
+    StoredOwner owner = job.owner();
     HandoverQuestion.Builder handover =
         HandoverQuestion.newBuilder()
+            .setHost(job.spec().host())
+            .setPath(job.spec().path())
+            .setMustReachServers(condition == HandoffCondition.REACHES_SERVERS)
             .setOwner(JobCodec.ownerRecord(owner.owner()))
             .setRevision(owner.revision().value());
-    partials.forEach(partial -> handover.addPartial(JobCodec.encodePartial(partial)));
+    job.partials().forEach(partial -> handover.addPartial(JobCodec.encodePartial(partial)));
     JobQuestion query = newQuery(owner.job()).setHandover(handover).build();
     return transport
         .query(vm, query, HANDOFF_TIMEOUT)
--- a/amaranthstream/src/main/java/org/amaranthstream/jobs/wire/HandoverQuestion.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/jobs/wire/HandoverQuestion.java
@@ -33,6 +33,8 @@
   }
   private HandoverQuestion() {
     partial_ = java.util.Collections.emptyList();
+    host_ = "";
+    path_ = "";
   }
 
   public static final com.google.protobuf.Descriptors.Descriptor
@@ -132,6 +134,107 @@
     return partial_.get(index);
   }
 
+  public static final int MUST_REACH_SERVERS_FIELD_NUMBER = 4;
+  private boolean mustReachServers_ = false;
+  /**
+   * <pre>
+   * True if the asked entry VM must reach a backend server of the job, as the owner reaches none.
+   * </pre>
+   *
+   * <code>bool must_reach_servers = 4;</code>
+   * @return The mustReachServers.
+   */
+  @java.lang.Override
+  public boolean getMustReachServers() {
+    return mustReachServers_;
+  }
+
+  public static final int HOST_FIELD_NUMBER = 5;
+  @SuppressWarnings("serial")
+  private volatile java.lang.Object host_ = "";
+  /**
+   * <pre>
+   * The host and path of the job, by which its servers are found.
+   * </pre>
+   *
+   * <code>string host = 5;</code>
+   * @return The host.
+   */
+  @java.lang.Override
+  public java.lang.String getHost() {
+    java.lang.Object ref = host_;
+    if (ref instanceof java.lang.String) {
+      return (java.lang.String) ref;
+    } else {
+      com.google.protobuf.ByteString bs = 
+          (com.google.protobuf.ByteString) ref;
+      java.lang.String s = bs.toStringUtf8();
+      host_ = s;
+      return s;
+    }
+  }
+  /**
+   * <pre>
+   * The host and path of the job, by which its servers are found.
+   * </pre>
+   *
+   * <code>string host = 5;</code>
+   * @return The bytes for host.
+   */
+  @java.lang.Override
+  public com.google.protobuf.ByteString
+      getHostBytes() {
+    java.lang.Object ref = host_;
+    if (ref instanceof java.lang.String) {
+      com.google.protobuf.ByteString b = 
+          com.google.protobuf.ByteString.copyFromUtf8(
+              (java.lang.String) ref);
+      host_ = b;
+      return b;
+    } else {
+      return (com.google.protobuf.ByteString) ref;
+    }
+  }
+
+  public static final int PATH_FIELD_NUMBER = 6;
+  @SuppressWarnings("serial")
+  private volatile java.lang.Object path_ = "";
+  /**
+   * <code>string path = 6;</code>
+   * @return The path.
+   */
+  @java.lang.Override
+  public java.lang.String getPath() {
+    java.lang.Object ref = path_;
+    if (ref instanceof java.lang.String) {
+      return (java.lang.String) ref;
+    } else {
+      com.google.protobuf.ByteString bs = 
+          (com.google.protobuf.ByteString) ref;
+      java.lang.String s = bs.toStringUtf8();
+      path_ = s;
+      return s;
+    }
+  }
+  /**
+   * <code>string path = 6;</code>
+   * @return The bytes for path.
+   */
+  @java.lang.Override
+  public com.google.protobuf.ByteString
+      getPathBytes() {
+    java.lang.Object ref = path_;
+    if (ref instanceof java.lang.String) {
+      com.google.protobuf.ByteString b = 
+          com.google.protobuf.ByteString.copyFromUtf8(
+              (java.lang.String) ref);
+      path_ = b;
+      return b;
+    } else {
+      return (com.google.protobuf.ByteString) ref;
+    }
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -155,6 +258,15 @@
     for (int i = 0; i < partial_.size(); i++) {
       output.writeMessage(3, partial_.get(i));
     }
+    if (mustReachServers_ != false) {
+      output.writeBool(4, mustReachServers_);
+    }
+    if (!com.google.protobuf.GeneratedMessage.isStringEmpty(host_)) {
+      com.google.protobuf.GeneratedMessage.writeString(output, 5, host_);
+    }
+    if (!com.google.protobuf.GeneratedMessage.isStringEmpty(path_)) {
+      com.google.protobuf.GeneratedMessage.writeString(output, 6, path_);
+    }
     getUnknownFields().writeTo(output);
   }
 
@@ -181,6 +293,16 @@
           }
           size += 1 * count;
         }
+    if (mustReachServers_ != false) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeBoolSize(4, mustReachServers_);
+    }
+    if (!com.google.protobuf.GeneratedMessage.isStringEmpty(host_)) {
+      size += com.google.protobuf.GeneratedMessage.computeStringSize(5, host_);
+    }
+    if (!com.google.protobuf.GeneratedMessage.isStringEmpty(path_)) {
+      size += com.google.protobuf.GeneratedMessage.computeStringSize(6, path_);
+    }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -205,6 +327,12 @@
         != other.getRevision()) return false;
     if (!getPartialList()
         .equals(other.getPartialList())) return false;
+    if (getMustReachServers()
+        != other.getMustReachServers()) return false;
+    if (!getHost()
+        .equals(other.getHost())) return false;
+    if (!getPath()
+        .equals(other.getPath())) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -227,6 +355,13 @@
       hash = (37 * hash) + PARTIAL_FIELD_NUMBER;
       hash = (53 * hash) + getPartialList().hashCode();
     }
+    hash = (37 * hash) + MUST_REACH_SERVERS_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(
+        getMustReachServers());
+    hash = (37 * hash) + HOST_FIELD_NUMBER;
+    hash = (53 * hash) + getHost().hashCode();
+    hash = (37 * hash) + PATH_FIELD_NUMBER;
+    hash = (53 * hash) + getPath().hashCode();
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -382,6 +517,9 @@
         partialBuilder_.clear();
       }
       bitField0_ = (bitField0_ & ~0x00000004);
+      mustReachServers_ = false;
+      host_ = "";
+      path_ = "";
       return this;
     }
 
@@ -438,6 +576,15 @@
       if (((from_bitField0_ & 0x00000002) != 0)) {
         result.revision_ = revision_;
       }
+      if (((from_bitField0_ & 0x00000008) != 0)) {
+        result.mustReachServers_ = mustReachServers_;
+      }
+      if (((from_bitField0_ & 0x00000010) != 0)) {
+        result.host_ = host_;
+      }
+      if (((from_bitField0_ & 0x00000020) != 0)) {
+        result.path_ = path_;
+      }
       result.bitField0_ |= to_bitField0_;
     }
 
@@ -485,6 +632,19 @@
           }
         }
       }
+      if (other.getMustReachServers() != false) {
+        setMustReachServers(other.getMustReachServers());
+      }
+      if (!other.getHost().isEmpty()) {
+        host_ = other.host_;
+        bitField0_ |= 0x00000010;
+        onChanged();
+      }
+      if (!other.getPath().isEmpty()) {
+        path_ = other.path_;
+        bitField0_ |= 0x00000020;
+        onChanged();
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -536,6 +696,21 @@
               }
               break;
             } // case 26
+            case 32: {
+              mustReachServers_ = input.readBool();
+              bitField0_ |= 0x00000008;
+              break;
+            } // case 32
+            case 42: {
+              host_ = input.readStringRequireUtf8();
+              bitField0_ |= 0x00000010;
+              break;
+            } // case 42
+            case 50: {
+              path_ = input.readStringRequireUtf8();
+              bitField0_ |= 0x00000020;
+              break;
+            } // case 50
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -946,6 +1121,214 @@
       return partialBuilder_;
     }
 
+    private boolean mustReachServers_ ;
+    /**
+     * <pre>
+     * True if the asked entry VM must reach a backend server of the job, as the owner reaches none.
+     * </pre>
+     *
+     * <code>bool must_reach_servers = 4;</code>
+     * @return The mustReachServers.
+     */
+    @java.lang.Override
+    public boolean getMustReachServers() {
+      return mustReachServers_;
+    }
+    /**
+     * <pre>
+     * True if the asked entry VM must reach a backend server of the job, as the owner reaches none.
+     * </pre>
+     *
+     * <code>bool must_reach_servers = 4;</code>
+     * @param value The mustReachServers to set.
+     * @return This builder for chaining.
+     */
+    public Builder setMustReachServers(boolean value) {
+
+      mustReachServers_ = value;
+      bitField0_ |= 0x00000008;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * True if the asked entry VM must reach a backend server of the job, as the owner reaches none.
+     * </pre>
+     *
+     * <code>bool must_reach_servers = 4;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearMustReachServers() {
+      bitField0_ = (bitField0_ & ~0x00000008);
+      mustReachServers_ = false;
+      onChanged();
+      return this;
+    }
+
+    private java.lang.Object host_ = "";
+    /**
+     * <pre>
+     * The host and path of the job, by which its servers are found.
+     * </pre>
+     *
+     * <code>string host = 5;</code>
+     * @return The host.
+     */
+    public java.lang.String getHost() {
+      java.lang.Object ref = host_;
+      if (!(ref instanceof java.lang.String)) {
+        com.google.protobuf.ByteString bs =
+            (com.google.protobuf.ByteString) ref;
+        java.lang.String s = bs.toStringUtf8();
+        host_ = s;
+        return s;
+      } else {
+        return (java.lang.String) ref;
+      }
+    }
+    /**
+     * <pre>
+     * The host and path of the job, by which its servers are found.
+     * </pre>
+     *
+     * <code>string host = 5;</code>
+     * @return The bytes for host.
+     */
+    public com.google.protobuf.ByteString
+        getHostBytes() {
+      java.lang.Object ref = host_;
+      if (ref instanceof String) {
+        com.google.protobuf.ByteString b = 
+            com.google.protobuf.ByteString.copyFromUtf8(
+                (java.lang.String) ref);
+        host_ = b;
+        return b;
+      } else {
+        return (com.google.protobuf.ByteString) ref;
+      }
+    }
+    /**
+     * <pre>
+     * The host and path of the job, by which its servers are found.
+     * </pre>
+     *
+     * <code>string host = 5;</code>
+     * @param value The host to set.
+     * @return This builder for chaining.
+     */
+    public Builder setHost(
+        java.lang.String value) {
+      if (value == null) { throw new NullPointerException(); }
+      host_ = value;
+      bitField0_ |= 0x00000010;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * The host and path of the job, by which its servers are found.
+     * </pre>
+     *
+     * <code>string host = 5;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearHost() {
+      host_ = getDefaultInstance().getHost();
+      bitField0_ = (bitField0_ & ~0x00000010);
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * The host and path of the job, by which its servers are found.
+     * </pre>
+     *
+     * <code>string host = 5;</code>
+     * @param value The bytes for host to set.
+     * @return This builder for chaining.
+     */
+    public Builder setHostBytes(
+        com.google.protobuf.ByteString value) {
+      if (value == null) { throw new NullPointerException(); }
+      checkByteStringIsUtf8(value);
+      host_ = value;
+      bitField0_ |= 0x00000010;
+      onChanged();
+      return this;
+    }
+
+    private java.lang.Object path_ = "";
+    /**
+     * <code>string path = 6;</code>
+     * @return The path.
+     */
+    public java.lang.String getPath() {
+      java.lang.Object ref = path_;
+      if (!(ref instanceof java.lang.String)) {
+        com.google.protobuf.ByteString bs =
+            (com.google.protobuf.ByteString) ref;
+        java.lang.String s = bs.toStringUtf8();
+        path_ = s;
+        return s;
+      } else {
+        return (java.lang.String) ref;
+      }
+    }
+    /**
+     * <code>string path = 6;</code>
+     * @return The bytes for path.
+     */
+    public com.google.protobuf.ByteString
+        getPathBytes() {
+      java.lang.Object ref = path_;
+      if (ref instanceof String) {
+        com.google.protobuf.ByteString b = 
+            com.google.protobuf.ByteString.copyFromUtf8(
+                (java.lang.String) ref);
+        path_ = b;
+        return b;
+      } else {
+        return (com.google.protobuf.ByteString) ref;
+      }
+    }
+    /**
+     * <code>string path = 6;</code>
+     * @param value The path to set.
+     * @return This builder for chaining.
+     */
+    public Builder setPath(
+        java.lang.String value) {
+      if (value == null) { throw new NullPointerException(); }
+      path_ = value;
+      bitField0_ |= 0x00000020;
+      onChanged();
+      return this;
+    }
+    /**
+     * <code>string path = 6;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearPath() {
+      path_ = getDefaultInstance().getPath();
+      bitField0_ = (bitField0_ & ~0x00000020);
+      onChanged();
+      return this;
+    }
+    /**
+     * <code>string path = 6;</code>
+     * @param value The bytes for path to set.
+     * @return This builder for chaining.
+     */
+    public Builder setPathBytes(
+        com.google.protobuf.ByteString value) {
+      if (value == null) { throw new NullPointerException(); }
+      checkByteStringIsUtf8(value);
+      path_ = value;
+      bitField0_ |= 0x00000020;
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:amaranthstream.jobs.HandoverQuestion)
   }
 
--- a/amaranthstream/src/main/java/org/amaranthstream/jobs/wire/HandoverQuestionOrBuilder.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/jobs/wire/HandoverQuestionOrBuilder.java
@@ -54,4 +54,46 @@
    */
   org.amaranthstream.jobs.wire.PartialRecordOrBuilder getPartialOrBuilder(
       int index);
+
+  /**
+   * <pre>
+   * True if the asked entry VM must reach a backend server of the job, as the owner reaches none.
+   * </pre>
+   *
+   * <code>bool must_reach_servers = 4;</code>
+   * @return The mustReachServers.
+   */
+  boolean getMustReachServers();
+
+  /**
+   * <pre>
+   * The host and path of the job, by which its servers are found.
+   * </pre>
+   *
+   * <code>string host = 5;</code>
+   * @return The host.
+   */
+  java.lang.String getHost();
+  /**
+   * <pre>
+   * The host and path of the job, by which its servers are found.
+   * </pre>
+   *
+   * <code>string host = 5;</code>
+   * @return The bytes for host.
+   */
+  com.google.protobuf.ByteString
+      getHostBytes();
+
+  /**
+   * <code>string path = 6;</code>
+   * @return The path.
+   */
+  java.lang.String getPath();
+  /**
+   * <code>string path = 6;</code>
+   * @return The bytes for path.
+   */
+  com.google.protobuf.ByteString
+      getPathBytes();
 }
--- a/amaranthstream/src/main/java/org/amaranthstream/jobs/wire/Jobs.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/jobs/wire/Jobs.java
@@ -197,21 +197,22 @@
       "ultRecord\")\n\nBodyAnswer\022\r\n\005found\030\001 \001(\010\022\014" +
       "\n\004body\030\002 \001(\014\"\032\n\tEndAnswer\022\r\n\005ended\030\001 \001(\010" +
       "\"7\n\014SubmitAnswer\022\017\n\007outcome\030\001 \001(\005\022\026\n\016ret" +
-      "ry_after_ms\030\002 \001(\003\"\n\n\010NotOwner\"\212\001\n\020Handov" +
+      "ry_after_ms\030\002 \001(\003\"\n\n\010NotOwner\"\302\001\n\020Handov" +
       "erQuestion\022/\n\005owner\030\001 \001(\0132 .amaranthstre" +
       "am.jobs.OwnerRecord\022\020\n\010revision\030\002 \001(\003\0223\n" +
       "\007partial\030\003 \003(\0132\".amaranthstream.jobs.Par" +
-      "tialRecord\"\200\001\n\rPartialRecord\022\014\n\004item\030\001 \001" +
-      "(\t\022\014\n\004text\030\002 \001(\014\022\022\n\nlast_event\030\003 \001(\003\022\017\n\007" +
-      "version\030\004 \003(\003\022\r\n\005whole\030\005 \001(\010\022\r\n\005score\030\006 " +
-      "\001(\t\022\020\n\010software\030\007 \001(\t\"L\n\014ProgressPage\022-\n" +
-      "\004text\030\001 \003(\0132\037.amaranthstream.jobs.TextRe" +
-      "cord\022\r\n\005nonce\030\002 \001(\003\"~\n\nTextRecord\022\014\n\004ite" +
-      "m\030\001 \001(\t\022\016\n\006offset\030\002 \001(\005\022\014\n\004text\030\003 \001(\014\022\022\n" +
-      "\nlast_event\030\004 \001(\003\022\017\n\007version\030\005 \003(\003\022\r\n\005wh" +
-      "ole\030\006 \001(\010\022\020\n\010software\030\007 \001(\t\"\037\n\016HandoverA" +
-      "nswer\022\r\n\005taken\030\001 \001(\010B \n\034org.amaranthstre" +
-      "am.jobs.wireP\001b\006proto3"
+      "tialRecord\022\032\n\022must_reach_servers\030\004 \001(\010\022\014" +
+      "\n\004host\030\005 \001(\t\022\014\n\004path\030\006 \001(\t\"\200\001\n\rPartialRe" +
+      "cord\022\014\n\004item\030\001 \001(\t\022\014\n\004text\030\002 \001(\014\022\022\n\nlast" +
+      "_event\030\003 \001(\003\022\017\n\007version\030\004 \003(\003\022\r\n\005whole\030\005" +
+      " \001(\010\022\r\n\005score\030\006 \001(\t\022\020\n\010software\030\007 \001(\t\"L\n" +
+      "\014ProgressPage\022-\n\004text\030\001 \003(\0132\037.amaranthst" +
+      "ream.jobs.TextRecord\022\r\n\005nonce\030\002 \001(\003\"~\n\nT" +
+      "extRecord\022\014\n\004item\030\001 \001(\t\022\016\n\006offset\030\002 \001(\005\022" +
+      "\014\n\004text\030\003 \001(\014\022\022\n\nlast_event\030\004 \001(\003\022\017\n\007ver" +
+      "sion\030\005 \003(\003\022\r\n\005whole\030\006 \001(\010\022\020\n\010software\030\007 " +
+      "\001(\t\"\037\n\016HandoverAnswer\022\r\n\005taken\030\001 \001(\010B \n\034" +
+      "org.amaranthstream.jobs.wireP\001b\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -330,7 +331,7 @@
     internal_static_amaranthstream_jobs_HandoverQuestion_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_amaranthstream_jobs_HandoverQuestion_descriptor,
-        new java.lang.String[] { "Owner", "Revision", "Partial", });
+        new java.lang.String[] { "Owner", "Revision", "Partial", "MustReachServers", "Host", "Path", });
     internal_static_amaranthstream_jobs_PartialRecord_descriptor =
       getDescriptor().getMessageType(19);
     internal_static_amaranthstream_jobs_PartialRecord_fieldAccessorTable = new
--- a/amaranthstream/src/main/java/org/amaranthstream/servers/ServiceReach.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/servers/ServiceReach.java
@@ -2,7 +2,6 @@
 
 import com.google.common.flogger.FluentLogger;
 import java.time.Duration;
-import java.util.ArrayList;
 import java.util.Collection;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
@@ -52,6 +51,32 @@
     this.onChange = onChange;
   }
 
+  /**
+   * Verifies that this process reaches a server: one has responded just now, or responds to a
+   * probe.
+   *
+   * @return a future that never completes exceptionally
+   */
+  public CompletableFuture<Boolean> verify() {
+    if (isLost || clock.hasRespondedWithin(MAX_SILENCE, timers.nowNanos())) {
+      return CompletableFuture.completedFuture(!isLost);
+    }
+    return probeSome(List.copyOf(servers.get()));
+  }
+
+  /** Probes a few servers, other ones each time. */
+  private CompletableFuture<Boolean> probeSome(List<TrackedServer> all) {
+    CompletableFuture<Boolean> anyResponds = CompletableFuture.completedFuture(false);
+    for (int i = 0; i < Math.min(PROBED_SERVERS, all.size()); i++) {
+      TrackedServer server = all.get(nextProbed % all.size());
+      nextProbed++;
+      anyResponds =
+          anyResponds.thenCombine(
+              probe.responds(server, PROBE_TIMEOUT).thenApply(this::onProbed), Boolean::logicalOr);
+    }
+    return anyResponds;
+  }
+
   /** Returns true if this process reaches none of the servers. */
   public boolean isLost() {
     return isLost;
@@ -94,25 +119,19 @@
   }
 
   private void probeServers() {
-    List<TrackedServer> all = List.copyOf(servers.get());
     if (isProbing) {
       return;
     }
     isProbing = true;
-    List<CompletableFuture<?>> probes = new ArrayList<>();
-    for (int i = 0; i < Math.min(PROBED_SERVERS, all.size()); i++) {
-      TrackedServer server = all.get(nextProbed % all.size());
-      nextProbed++;
-      probes.add(probe.responds(server, PROBE_TIMEOUT).thenAccept(this::onProbed));
-    }
-    CompletableFuture.allOf(probes.toArray(CompletableFuture<?>[]::new))
-        .thenRun(() -> onAllProbed(all.size()));
+    List<TrackedServer> all = List.copyOf(servers.get());
+    probeSome(all).thenAccept(unused -> onAllProbed(all.size()));
   }
 
-  private void onProbed(boolean hasResponded) {
+  private boolean onProbed(boolean hasResponded) {
     if (hasResponded) {
       onResponse();
     }
+    return hasResponded;
   }
 
   private void onAllProbed(int available) {
--- a/amaranthstream/src/main/java/org/amaranthstream/servers/SilenceClock.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/servers/SilenceClock.java
@@ -10,6 +10,7 @@
  */
 final class SilenceClock {
   private int inFlight;
+  private boolean hasResponded;
   private long lastResponseNanos;
 
   /** The time of the first request since the last response, empty if there is none. */
@@ -28,10 +29,16 @@
 
   /** Records a response of any server, or a part of one. */
   void onResponse(long nowNanos) {
+    hasResponded = true;
     lastResponseNanos = nowNanos;
     firstUnansweredNanos = OptionalLong.empty();
   }
 
+  /** Returns true if a server has responded within {@code period}. */
+  boolean hasRespondedWithin(Duration period, long nowNanos) {
+    return hasResponded && nowNanos - lastResponseNanos < period.toNanos();
+  }
+
   /** Returns the time without a response, zero if no request waits or has failed since the last. */
   Duration silence(long nowNanos) {
     if (firstUnansweredNanos.isPresent()) {
--- a/amaranthstream/src/test/java/org/amaranthstream/jobs/JobFleet.java
+++ b/amaranthstream/src/test/java/org/amaranthstream/jobs/JobFleet.java
@@ -41,6 +41,7 @@
 import org.amaranthstream.routing.RoutingConfig;
 import org.amaranthstream.routing.RoutingTable;
 import org.amaranthstream.routing.WeightedService;
+import org.amaranthstream.servers.ReachMonitor;
 import org.amaranthstream.servers.ServerChoice;
 import org.amaranthstream.servers.ServerDirectory;
 import org.amaranthstream.time.PausableTimerService;
@@ -50,6 +51,7 @@
 final class JobFleet {
   private static final String HOST = "host";
   private static final String REWARD_HOST = "scores";
+  private static final Duration CONNECT_TIMEOUT = Duration.ofMillis(600);
   private static final Duration ITEM_TIMEOUT = Duration.ofSeconds(40);
 
   private final VirtualTimerService timers = VirtualTimerService.create();
@@ -71,6 +73,7 @@
     private final FleetSession session;
     private final FleetNode self;
     private boolean isCut;
+    private boolean areServersCut;
     private boolean isKilled;
 
     private Node(String name) {
@@ -95,6 +98,7 @@
               .timeOfDay(JobFleet.this::now)
               .routing(routing)
               .servers(directory, ServerChoice.in(self.zone(), zone -> Optional.empty()))
+              .reach(ReachMonitor.create(directory, this::probe, clock))
               .transport(this::start)
               .rewardTransport(this::startRewardCall)
               .queryTransport(this::query)
@@ -107,10 +111,29 @@
       session.start(jobs::sweep);
     }
 
+    private CompletableFuture<Boolean> probe(
+        org.amaranthstream.servers.TrackedServer server, Duration timeout) {
+      CompletableFuture<Boolean> responds = new CompletableFuture<>();
+      boolean isReached = !areServersCut && servers.responds(server);
+      clock.after(isReached ? Duration.ofMillis(5) : timeout, () -> responds.complete(isReached));
+      return responds;
+    }
+
+    /** Cuts all links between this daemon and the backend servers. */
+    void cutServers() {
+      areServersCut = true;
+    }
+
     private ItemTransport.Run start(
         org.amaranthstream.servers.TrackedServer server,
         ItemRequest request,
         ItemListener listener) {
+      if (areServersCut) {
+        timers.after(
+            CONNECT_TIMEOUT,
+            () -> listener.onEnded(new ItemRunOutcome.Broken("connection timed out")));
+        return () -> {};
+      }
       return servers.start(server, request, new KillableListener(listener));
     }
 
@@ -144,14 +167,14 @@
 
       @Override
       public void onEvent(ItemEvent event) {
-        if (!isKilled) {
+        if (!isKilled && !areServersCut) {
           listener.onEvent(event);
         }
       }
 
       @Override
       public void onEnded(ItemRunOutcome end) {
-        if (!isKilled) {
+        if (!isKilled && !areServersCut) {
           listener.onEnded(end);
         }
       }
--- a/amaranthstream/src/test/java/org/amaranthstream/jobs/SimulatedServers.java
+++ b/amaranthstream/src/test/java/org/amaranthstream/jobs/SimulatedServers.java
@@ -85,6 +85,11 @@
     eventIntervals.put(BackendServerId.of(server), perEvent);
   }
 
+  /** Returns true if the server responds to a probe. */
+  boolean responds(TrackedServer server) {
+    return !silent.contains(server.id());
+  }
+
   /** Makes the server stop sending. */
   void silence(String server) {
     silent.add(BackendServerId.of(server));
