Let a leader of the weights that reaches no engine pass on its lease

The successor keeps the gap of a release. A daemon is not a candidate while it reaches no engine, and afterwards acquires like any other.

Ruled out: keeping the lease and relaying orders (two machines would count as holders).

--- a/amaranthstream/src/main/java/org/amaranthstream/fleet/LeaderLease.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/fleet/LeaderLease.java
@@ -55,6 +55,10 @@
   private Optional<Long> lastActNanos = Optional.empty();
   private boolean isAcquiring;
   private boolean isReleased;
+  private boolean isEligible = true;
+
+  /** True from the moment this daemon became ineligible until its lease is released. */
+  private boolean isYielding;
 
   private LeaderLease(
       String name,
@@ -102,7 +106,7 @@
   public Optional<FencingNumber> current() {
     boolean isHeld = fence != null && session.lease().equals(Optional.ofNullable(heldLease));
     boolean isBeforeExpiryMargin = session.remaining().compareTo(timing.expiryMargin()) > 0;
-    return isHeld && isBeforeExpiryMargin && hasStarted && !isReleased
+    return isHeld && isBeforeExpiryMargin && hasStarted && !isReleased && !isYielding
         ? Optional.of(fence)
         : Optional.empty();
   }
@@ -121,6 +125,30 @@
     return fence != null;
   }
 
+  /**
+   * Sets whether this daemon can do the work of the leader. A holder that cannot stops acting at
+   * once and releases the lease, until the release is confirmed; it acquires the lease again only
+   * as any other daemon does.
+   */
+  public void setEligible(boolean isEligible) {
+    if (this.isEligible == isEligible) {
+      return;
+    }
+    this.isEligible = isEligible;
+    logger.atInfo().log("event=duty_eligible duty=%s eligible=%s", name, isEligible);
+    if (!isEligible && fence != null) {
+      isYielding = true;
+      yieldLease();
+    }
+  }
+
+  private void yieldLease() {
+    FencingNumber held = fence;
+    if (held != null) {
+      CompletableFuture<Void> unused = releaseHeld(held);
+    }
+  }
+
   /**
    * Stops acting, releases the leader lease, and does not acquire it again.
    *
@@ -130,9 +158,10 @@
   public CompletableFuture<Void> release() {
     isReleased = true;
     FencingNumber held = fence;
-    if (held == null) {
-      return CompletableFuture.completedFuture(null);
-    }
+    return held == null ? CompletableFuture.completedFuture(null) : releaseHeld(held);
+  }
+
+  private CompletableFuture<Void> releaseHeld(FencingNumber held) {
     Duration timeSinceLastAct = timeSinceLastAct();
     Transaction release =
         Transaction.builder()
@@ -178,7 +207,11 @@
     if (fence != null && !lease.equals(Optional.ofNullable(heldLease))) {
       markLost("the lease has ended");
     }
-    if (isReleased || isAcquiring || fence != null || lease.isEmpty() || !fleet.hasCaughtUp()) {
+    if (isYielding) {
+      yieldLease();
+    }
+    boolean mayAcquire = isEligible && !isReleased && !isAcquiring && fence == null;
+    if (!mayAcquire || lease.isEmpty() || !fleet.hasCaughtUp()) {
       return;
     }
     byte[] value = holderValue(lease.get());
@@ -269,10 +302,11 @@
         "event=duty_taken duty=%s fence=%s lease=%s wait_ms=%d",
         name, fence, lease, wait.toMillis());
     timers.after(wait, () -> recordStart(acquired));
+    isYielding = !isEligible;
   }
 
   private boolean isHeldWith(FencingNumber acquired) {
-    return acquired.equals(fence) && !isReleased;
+    return acquired.equals(fence) && !isReleased && !isYielding;
   }
 
   private void recordStart(FencingNumber acquired) {
@@ -305,6 +339,7 @@
     logger.atWarning().log("event=duty_lost duty=%s fence=%s reason=\"%s\"", name, fence, reason);
     fence = null;
     heldLease = null;
+    isYielding = false;
   }
 
   /** Drops the lease if its entry was removed or belongs to another holder. */
--- a/amaranthstream/src/main/java/org/amaranthstream/servers/TrackedServer.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/servers/TrackedServer.java
@@ -178,6 +178,23 @@
         && nowNanos - lastFailureNanos.getAsLong() < REGISTRATION_DELAY.toNanos();
   }
 
+  /** Records that a report or order, which needs no slot, is sent to the server. */
+  public void onControlSent() {
+    reach.ifPresent(ServiceReach::onRequestSent);
+  }
+
+  /**
+   * Records that a report or order has ended.
+   *
+   * @param hasResponded true if the server sent any response
+   */
+  public void onControlEnded(boolean hasResponded) {
+    if (hasResponded) {
+      reach.ifPresent(ServiceReach::onResponse);
+    }
+    reach.ifPresent(ServiceReach::onRequestEnded);
+  }
+
   /** Records that a part of a response has arrived. */
   public void onProgress() {
     reach.ifPresent(ServiceReach::onResponse);
--- a/amaranthstream/src/main/java/org/amaranthstream/weights/WeightSwap.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/weights/WeightSwap.java
@@ -73,10 +73,12 @@
       finish("timed out");
       return;
     }
+    server.onControlSent();
     transport.report(server).thenAccept(this::onReport);
   }
 
   private void onReport(Result<ServerReport> result) {
+    server.onControlEnded(result instanceof Result.Success);
     if (result instanceof Result.Failure<ServerReport> failure) {
       server.onFailed(timers.nowNanos(), failure.error().toString());
       finish("no report: " + failure.error());
