Repeat a resumable stream that broke off before its response began

Callers of resumable streams got 502 when the server's connection was lost before the response began, although such a stream may run more than once and nothing of it was delivered. Change: CallPolicy allows the route's attempts for resumable streams until the head is passed on; hedged attempts stay limited to short idempotent requests. Test: ResumedStreamsTest beginAtAnotherServerIfTheConnectionIsLostBeforeTheirFirstEvent (fails without the change: no response begins).

--- a/amaranthstream/src/main/java/org/amaranthstream/calls/CallPolicy.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/calls/CallPolicy.java
@@ -47,13 +47,14 @@
 
   /** Returns the policy for requests of {@code route}. */
   public static CallPolicy of(Route route) {
-    boolean isRepeatable = route.kind() == RouteKind.IDEMPOTENT;
     long hedgeMillis = (long) (route.latencyObjective().toNanos() * HEDGE_SHARE / MILLION);
     boolean isStream = route.kind() == RouteKind.STREAMING;
+    boolean isResumable = isStream && route.isResumable();
+    boolean isRepeatable = route.kind() == RouteKind.IDEMPOTENT || isResumable;
     return new CallPolicy(
         isRepeatable,
         isStream,
-        isStream && route.isResumable(),
+        isResumable,
         isRepeatable ? route.maxAttempts() : 1,
         true,
         true,
@@ -68,6 +69,6 @@
 
   /** Returns true if a second server may receive the request while the first has not responded. */
   boolean mayHedge() {
-    return isRepeatable && maxAttempts > 1;
+    return isRepeatable && !isStream && maxAttempts > 1;
   }
 }
--- a/amaranthstream/src/test/java/org/amaranthstream/calls/ResumedStreamsTest.java
+++ b/amaranthstream/src/test/java/org/amaranthstream/calls/ResumedStreamsTest.java
@@ -60,6 +60,7 @@
         .match("h", "/")
         .kind(RouteKind.STREAMING)
         .resumable(true)
+        .maxAttempts(2)
         .timeout(TIMEOUT)
         .services(ImmutableList.of(new WeightedService(StreamingServers.SERVICE, 1)))
         .build();
@@ -127,6 +128,15 @@
     assertAllContinueAt(first);
   }
 
+  /** A stream that may be resumed may also run twice, and nothing of it was delivered. */
+  @Test
+  void beginAtAnotherServerIfTheConnectionIsLostBeforeTheirFirstEvent() {
+    servers.loseNextRequest();
+    RecordingExchange exchange = begin(first, "s");
+
+    assertThat(exchange.status()).isEqualTo(200);
+  }
+
   @Nested
   class WithoutServerOfTheVersion {
     @Test
--- a/amaranthstream/src/test/java/org/amaranthstream/calls/StreamingServers.java
+++ b/amaranthstream/src/test/java/org/amaranthstream/calls/StreamingServers.java
@@ -26,6 +26,7 @@
   private final TimerService timers;
   private final Map<String, TrackedServer> servers = new HashMap<>();
   private final List<AttemptListener> open = new ArrayList<>();
+  private boolean losesNext;
 
   StreamingServers(TimerService timers) {
     this.timers = timers;
@@ -59,10 +60,22 @@
         listener -> listener.onFailed(new AttemptFailure.ConnectionLost("connection closed")));
   }
 
+  /** Makes the next request lose its connection before the response begins. */
+  void loseNextRequest() {
+    losesNext = true;
+  }
+
   @Override
   public Attempt send(
       TrackedServer server, OutboundCall call, Duration timeLeft, AttemptListener listener) {
     servers.put(call.id(), server);
+    if (losesNext) {
+      losesNext = false;
+      timers.after(
+          FIRST_EVENT,
+          () -> listener.onFailed(new AttemptFailure.ConnectionLost("connection closed")));
+      return new OpenAttempt(listener);
+    }
     timers.after(FIRST_EVENT, () -> begin(listener));
     return new OpenAttempt(listener);
   }
