Split the attempts of a call, the stored jobs, and large tests into files of their own

No logic changes. LeaderLeaseTest and JobFleet are split in the same way (LeaderLeaseFixture, LeaderLeaseEligibilityTest, JobRoutes, DetachableItemListener); no check changes.

--- a/amaranthstream/src/main/java/org/amaranthstream/calls/ActiveCall.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/calls/ActiveCall.java
@@ -2,11 +2,8 @@
 
 import com.google.common.flogger.FluentLogger;
 import java.time.Duration;
-import java.util.ArrayList;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
-import java.util.Set;
 import org.amaranthstream.result.ErrorDetail;
 import org.amaranthstream.result.Result;
 import org.amaranthstream.result.ResultCode;
@@ -25,11 +22,6 @@
 final class ActiveCall {
   private static final FluentLogger logger = FluentLogger.forEnclosingClass();
 
-  /**
-   * The limit on attempts that servers refuse or never receive, which the policy does not count.
-   */
-  private static final int MAX_REFUSALS = 6;
-
   private final CallService service;
   private final Route route;
   private final CallPolicy policy;
@@ -38,16 +30,7 @@
   private List<TrackedServer> servers;
   private final CallerExchange exchange;
   private final long deadlineNanos;
-  private final Set<TrackedServer> tried = new HashSet<>();
-  private final List<CallAttempt> running = new ArrayList<>();
-  private int countedAttempts;
-  private int refusals;
-  private int relays;
-
-  /** The attempts that ended because no connection to their server could be opened. */
-  private int notConnected;
-
-  private boolean mayHaveRun;
+  private final CallAttempts attempts;
   private @Nullable CallAttempt committed;
   private @Nullable CallAttempt lastErrorResponse;
   private @Nullable Subscription timeout;
@@ -72,6 +55,7 @@
     this.content = content;
     this.servers = servers;
     this.exchange = exchange;
+    this.attempts = new CallAttempts(policy);
     this.deadlineNanos = service.timers().nowNanos() + timeLeft.toNanos();
   }
 
@@ -123,20 +107,22 @@
    * up the limit of a server.
    */
   private void attemptNext() {
-    if (isAwaitingPermit || (!running.isEmpty() && content.isSuspect())) {
+    if (isAwaitingPermit || (!attempts.isEmpty() && content.isSuspect())) {
       return;
     }
     Optional<TrackedServer> server =
-        mayTryAnother() ? service.choose(servers, tried, content.isSuspect()) : Optional.empty();
+        mayTryAnother()
+            ? service.choose(servers, attempts.tried(), content.isSuspect())
+            : Optional.empty();
     if (shouldRelay(server.isPresent())) {
       relay();
     } else if (server.isPresent() && server.get().isLimited()) {
-      if (running.isEmpty()) {
+      if (attempts.isEmpty()) {
         awaitPermit(server.get());
       }
     } else if (server.isPresent()) {
       attemptAt(server.get());
-    } else if (running.isEmpty()) {
+    } else if (attempts.isEmpty()) {
       giveUp();
     }
   }
@@ -155,69 +141,50 @@
       attemptAt(server);
       return;
     }
-    tried.add(server);
+    attempts.addTried(server);
     lastFailure = server.id() + ": its limit is used up";
     attemptNext();
   }
 
   private boolean mayTryAnother() {
-    return mayTryAnotherAfter(countedAttempts);
-  }
-
-  private boolean mayTryAnotherAfter(int attempts) {
-    boolean isWithinLimits = attempts < policy.maxAttempts() && refusals < MAX_REFUSALS;
-    boolean mayRepeat = policy.isRepeatable() || !mayHaveRun;
-    return isWithinLimits && mayRepeat && content.remainingQuarantine().isEmpty();
+    return attempts.mayAdd() && content.remainingQuarantine().isEmpty();
   }
 
   /** Returns true if {@code server} runs this request and may crash because of it. */
   boolean runsSuspectOn(TrackedServer server) {
-    boolean runs = running.stream().anyMatch(attempt -> attempt.isOn(server));
-    return runs && content.isSuspect();
+    return attempts.isRunningOn(server) && content.isSuspect();
   }
 
   private boolean shouldRelay(boolean hasServer) {
-    int connecting = connectingCount();
     return policy.mayRelay()
-        && mayTryAnotherAfter(countedAttempts - connecting)
+        && attempts.mayReplaceConnecting()
+        && content.remainingQuarantine().isEmpty()
         && RelayPolicy.shouldRelay(
-            relays, service.isLost(servers), connecting, notConnected, hasServer)
+            attempts.relays(),
+            service.isLost(servers),
+            attempts.connectingCount(),
+            attempts.notConnected(),
+            hasServer)
         && service.relay().isAvailable();
   }
 
-  private int connectingCount() {
-    return (int) running.stream().filter(CallAttempt::isConnecting).count();
-  }
-
   /** Sends the request to a peer, in place of the attempts that still wait for a connection. */
   private void relay() {
-    cancelConnecting();
-    relays++;
-    int attemptsLeft = policy.maxAttempts() - countedAttempts;
+    attempts.cancelConnecting();
+    attempts.onRelayed();
+    int attemptsLeft = policy.maxAttempts() - attempts.counted();
     start(new PeerTarget(service.relay(), attemptsLeft, !policy.isQuarantinable()));
   }
 
-  private void cancelConnecting() {
-    for (CallAttempt attempt : List.copyOf(running)) {
-      if (attempt.isConnecting()) {
-        running.remove(attempt);
-        countedAttempts--;
-        notConnected++;
-        attempt.cancel();
-      }
-    }
-  }
-
   private void attemptAt(TrackedServer server) {
-    tried.add(server);
+    attempts.addTried(server);
     start(new ServerTarget(service, server));
   }
 
   private void start(AttemptTarget target) {
-    countedAttempts++;
     CallAttempt attempt = new CallAttempt(this, target);
-    running.add(attempt);
-    logger.atFine().log("event=call_sent %s to=%s attempt=%d", this, target, countedAttempts);
+    attempts.add(attempt);
+    logger.atFine().log("event=call_sent %s to=%s attempt=%d", this, target, attempts.counted());
     attempt.start(call, timeLeft());
     if (!isOver && committed == null && !policy.hedgeAfter().isZero()) {
       scheduleHedge();
@@ -240,11 +207,11 @@
       return;
     }
     if (policy.mayHedge()) {
-      if (mayTryAnother() || connectingCount() > 0) {
+      if (mayTryAnother() || attempts.connectingCount() > 0) {
         attemptNext();
       }
-    } else if (!running.isEmpty() && connectingCount() == running.size()) {
-      cancelConnecting();
+    } else if (!attempts.isEmpty() && attempts.areAllConnecting()) {
+      attempts.cancelConnecting();
       attemptNext();
     }
   }
@@ -261,12 +228,7 @@
   /** Selects the attempt whose response the caller receives, and cancels the others. */
   void commit(CallAttempt attempt) {
     committed = attempt;
-    for (CallAttempt other : List.copyOf(running)) {
-      if (other != attempt) {
-        running.remove(other);
-        other.cancel();
-      }
-    }
+    attempts.cancelAllExcept(attempt);
   }
 
   CallerExchange exchange() {
@@ -275,15 +237,15 @@
 
   /** Handles an attempt whose buffered response is complete. */
   void onBufferedResponse(CallAttempt attempt) {
-    running.remove(attempt);
+    attempts.remove(attempt);
     content.onCompleted();
     if (attempt.head().isServerError() && policy.isRepeatable() && mayTryAnother()) {
-      mayHaveRun = true;
+      attempts.markRun();
       lastErrorResponse = attempt;
       attemptNext();
       return;
     }
-    if (attempt.head().isServerError() && !running.isEmpty()) {
+    if (attempt.head().isServerError() && !attempts.isEmpty()) {
       lastErrorResponse = attempt;
       return;
     }
@@ -294,24 +256,17 @@
 
   /** Handles an attempt whose streamed response is complete. */
   void onStreamedResponse(CallAttempt attempt) {
-    running.remove(attempt);
+    attempts.remove(attempt);
     content.onCompleted();
     exchange.end();
     close(ResultCode.OK, "");
   }
 
   void onFailed(CallAttempt attempt, AttemptFailure failure) {
-    running.remove(attempt);
+    attempts.onFailed(attempt, failure);
     lastFailure = attempt + ": " + failure;
     if (failure.mayHaveRun()) {
-      mayHaveRun = true;
       logBroken(attempt, failure);
-    } else {
-      countedAttempts--;
-      refusals++;
-    }
-    if (failure instanceof AttemptFailure.NotSent) {
-      notConnected++;
     }
     if (failure instanceof AttemptFailure.ConnectionLost) {
       attempt.server().ifPresent(content::onConnectionLost);
@@ -339,7 +294,7 @@
     if (lastErrorResponse != null) {
       exchange.sendResponse(lastErrorResponse.head(), lastErrorResponse.body());
       close(ResultCode.BACKEND_FAILED, lastFailure);
-    } else if (mayHaveRun) {
+    } else if (attempts.mayHaveRun()) {
       fail(ResultCode.OUTCOME_UNKNOWN_BACKEND_LOST, lastFailure);
     } else if (quarantine.isPresent()) {
       failQuarantined(quarantine.get());
@@ -359,8 +314,8 @@
     if (isOver) {
       return;
     }
-    boolean isNotRun = connectingCount() == running.size() && !mayHaveRun;
-    cancelAll();
+    boolean isNotRun = attempts.areAllConnecting() && !attempts.mayHaveRun();
+    attempts.cancelAll();
     if (committed != null) {
       exchange.abort();
       close(
@@ -376,17 +331,11 @@
   /** Cancels all attempts without a response, because the caller disconnected. */
   void cancel() {
     if (!isOver) {
-      cancelAll();
+      attempts.cancelAll();
       close(ResultCode.OUTCOME_UNKNOWN_CANCELLED, "the caller disconnected");
     }
   }
 
-  private void cancelAll() {
-    List<CallAttempt> all = List.copyOf(running);
-    running.clear();
-    all.forEach(CallAttempt::cancel);
-  }
-
   private void fail(ResultCode code, String message) {
     fail(code, message, RetryAfterDelays.NO_SERVER);
   }
--- a/amaranthstream/src/main/java/org/amaranthstream/jobs/JobService.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/jobs/JobService.java
@@ -3,7 +3,6 @@
 import static com.google.common.base.Preconditions.checkNotNull;
 
 import com.google.common.collect.ImmutableList;
-import com.google.common.flogger.FluentLogger;
 import com.google.errorprone.annotations.CanIgnoreReturnValue;
 import java.time.Duration;
 import java.time.InstantSource;
@@ -15,7 +14,6 @@
 import org.amaranthstream.fleet.FleetNode;
 import org.amaranthstream.ids.ItemId;
 import org.amaranthstream.ids.JobId;
-import org.amaranthstream.platform.TransactionReply;
 import org.amaranthstream.platform.TransactionRunner;
 import org.amaranthstream.platform.TransactionalStore;
 import org.amaranthstream.result.ErrorDetail;
@@ -44,16 +42,9 @@
  * }</pre>
  */
 public final class JobService {
-  private static final FluentLogger logger = FluentLogger.forEnclosingClass();
-
   /** Maximum size of the texts that a read returns; leaves room for their encoding. */
   private static final int MAX_READ_BYTES = 700_000;
 
-  /** Delay before results are read from the store again for a caller that waits. */
-  private static final Duration STORE_REREAD_DELAY = Duration.ofMillis(500);
-
-  private static final Duration END_TIMEOUT = Duration.ofSeconds(3);
-
   private final JobStore store;
   private final JobRegistry registry = new JobRegistry();
   private final JobOwnershipManager ownership;
@@ -69,6 +60,7 @@
   private final CheckpointWriter checkpointWriter;
   private final RemoteJobs remote;
   private final OwnerRouter router;
+  private final StoredJobs storedJobs;
   private final TimerService timers;
   private final Random nonces = new Random();
   private boolean isShuttingDown;
@@ -92,6 +84,7 @@
         new RemoteJobs(
             builder.self.vm(), checkNotNull(builder.queryTransport, "queryTransport"), fleet);
     this.router = new OwnerRouter(store, registry, ownership, remote);
+    this.storedJobs = new StoredJobs(store, registry, timers, nonces, MAX_READ_BYTES);
     this.acceptor = new JobAcceptor(store, registry, ownership, remote, timers);
     this.operations = new OwnedJobOperations(store, ownership, timers, nonces);
     this.resultAppender = new ResultAppender(store, timers, nonces, ownership::refreshOwner);
@@ -235,7 +228,7 @@
     return router.route(
         job,
         vm -> remote.read(vm, job, position, wait, MAX_READ_BYTES),
-        owner -> readStore(owner, position, wait));
+        owner -> storedJobs.read(owner, position, wait));
   }
 
   /** Returns the request body of an item. */
@@ -259,58 +252,7 @@
     if (owned.isPresent()) {
       return operations.end(owned.get());
     }
-    return router.route(job, vm -> remote.end(vm, job), this::endInStore);
-  }
-
-  private CompletableFuture<Result<ResultSlice>> readStore(
-      StoredOwner owner, int position, Duration wait) {
-    return store
-        .results(owner.job())
-        .thenCompose(
-            result -> {
-              if (result instanceof Result.Failure<ImmutableList<ItemResult>> failure) {
-                return OwnerRouter.failed(failure.error().code(), failure.error().message());
-              }
-              ImmutableList<ItemResult> results =
-                  ((Result.Success<ImmutableList<ItemResult>>) result).value();
-              int total = owner.owner().items();
-              boolean canGrow = results.size() < total && !owner.owner().isEnded();
-              if (results.size() <= position && canGrow && !wait.isZero()) {
-                return readStoreLater(owner, position);
-              }
-              ImmutableList<ItemResult> page = ResultPages.limit(results, position, MAX_READ_BYTES);
-              return CompletableFuture.completedFuture(
-                  Result.success(new ResultSlice(total, position, page)));
-            });
-  }
-
-  private CompletableFuture<Result<ResultSlice>> readStoreLater(StoredOwner owner, int position) {
-    CompletableFuture<Result<ResultSlice>> reply = new CompletableFuture<>();
-    timers.after(
-        STORE_REREAD_DELAY,
-        () -> readStore(owner, position, Duration.ZERO).thenAccept(reply::complete));
-    return reply;
-  }
-
-  private CompletableFuture<Result<JobAcknowledgement>> endInStore(StoredOwner owner) {
-    if (owner.owner().isEnded()) {
-      return CompletableFuture.completedFuture(Result.success(JobAcknowledgement.ENDED));
-    }
-    JobOwner ended = owner.owner().ended(nonces.nextLong());
-    return store
-        .endWithNotice(owner, ended, END_TIMEOUT)
-        .thenCompose(
-            reply -> {
-              if (reply instanceof TransactionReply.Committed committed) {
-                logger.atInfo().log("event=job_ended_for_owner job=%s", owner.job());
-                registry.cacheOwner(new StoredOwner(owner.job(), ended, committed.revision()));
-                return CompletableFuture.completedFuture(Result.success(JobAcknowledgement.ENDED));
-              }
-              registry.evictOwner(owner.job());
-              return OwnerRouter.failed(
-                  ResultCode.PLATFORM_UNAVAILABLE,
-                  "the end of the job could not be stored: " + reply);
-            });
+    return router.route(job, vm -> remote.end(vm, job), storedJobs::end);
   }
 
   /** Returns the state of all owned jobs for the state dump. */
--- a/amaranthstream/src/test/java/org/amaranthstream/fleet/LeaderLeaseTest.java
+++ b/amaranthstream/src/test/java/org/amaranthstream/fleet/LeaderLeaseTest.java
@@ -3,74 +3,12 @@
 import static com.google.common.truth.Truth.assertThat;
 
 import java.time.Duration;
-import java.util.ArrayList;
-import java.util.HashSet;
-import java.util.List;
-import java.util.Optional;
-import java.util.Set;
-import org.amaranthstream.ids.FencingNumber;
-import org.amaranthstream.platform.SimulatedStore;
 import org.amaranthstream.platform.SimulatedStoreClient.WriteFault;
 import org.amaranthstream.time.PausableTimerService;
-import org.amaranthstream.time.VirtualTimerService;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
 
-class LeaderLeaseTest {
-  private static final Duration ORDER_TURN = Duration.ofSeconds(3);
-
-  private final VirtualTimerService timers = VirtualTimerService.create();
-  private final SimulatedStore store = new SimulatedStore(timers);
-  private final FleetTestNode first = new FleetTestNode("vm-1", "i1", store, timers);
-  private final FleetTestNode second = new FleetTestNode("vm-2", "i2", store, timers);
-  private final List<Act> acts = new ArrayList<>();
-  private final Set<FleetTestNode> killed = new HashSet<>();
-
-  private record Act(String vm, long atNanos, FencingNumber fence) {}
-
-  private void run(Duration duration) {
-    timers.advance(duration);
-  }
-
-  private void runSeconds(double seconds) {
-    run(Duration.ofMillis((long) (seconds * 1000)));
-  }
-
-  /** Lets each node act every 100 ms whenever it is allowed to. */
-  private void actPeriodically(FleetTestNode... nodes) {
-    for (FleetTestNode node : nodes) {
-      timers.every(Duration.ofMillis(100), () -> act(node));
-    }
-  }
-
-  private void kill(FleetTestNode node) {
-    killed.add(node);
-    node.store().setSilent(true);
-  }
-
-  private void act(FleetTestNode node) {
-    if (killed.contains(node)) {
-      return;
-    }
-    Optional<FencingNumber> fence = node.leaderLease().issueForAction();
-    fence.ifPresent(
-        number -> acts.add(new Act(node.self().vm().value(), timers.nowNanos(), number)));
-  }
-
-  private void assertActsOfHoldersAreApart() {
-    for (int i = 1; i < acts.size(); i++) {
-      Act before = acts.get(i - 1);
-      Act after = acts.get(i);
-      if (!before.vm().equals(after.vm())) {
-        assertThat(after.atNanos() - before.atNanos()).isAtLeast(ORDER_TURN.toNanos());
-        assertThat(after.fence().value()).isGreaterThan(before.fence().value());
-      }
-    }
-  }
-
-  private long distinctHolders() {
-    return acts.stream().map(Act::vm).distinct().count();
-  }
+class LeaderLeaseTest extends LeaderLeaseFixture {
 
   @Nested
   class Acquisition {
@@ -292,72 +230,6 @@
     }
   }
 
-  /** The leader's links to the engines may fail while its lease is renewed in the store. */
-  @Nested
-  class Ineligibility {
-    @Test
-    void holderStopsAtOnceAndTheNextOneActsAfterTheGap() {
-      first.start();
-      runSeconds(10);
-      second.start();
-      actPeriodically(first, second);
-      runSeconds(2);
-      first.leaderLease().setEligible(false);
-
-      assertThat(first.leaderLease().current()).isEmpty();
-      runSeconds(4.5);
-      assertThat(distinctHolders()).isEqualTo(2);
-      assertActsOfHoldersAreApart();
-    }
-
-    @Test
-    void daemonThatIsEligibleAgainWaitsItsTurn() {
-      first.start();
-      runSeconds(10);
-      second.start();
-      actPeriodically(first, second);
-      runSeconds(2);
-      first.leaderLease().setEligible(false);
-      runSeconds(0.1);
-      first.leaderLease().setEligible(true);
-      runSeconds(10);
-      second.leaderLease().setEligible(false);
-      runSeconds(10);
-
-      assertActsOfHoldersAreApart();
-      assertThat(first.leaderLease().current()).isPresent();
-    }
-
-    @Test
-    void releaseIsRepeatedUntilTheStoreConfirmsIt() {
-      first.start();
-      runSeconds(10);
-      second.start();
-      actPeriodically(first, second);
-      runSeconds(2);
-      first.store().setRefused(true);
-      first.leaderLease().setEligible(false);
-      runSeconds(1);
-      first.store().setRefused(false);
-      runSeconds(6);
-
-      assertThat(second.leaderLease().current()).isPresent();
-      assertActsOfHoldersAreApart();
-    }
-
-    @Test
-    void ineligibleDaemonsLeaveTheLeaseAlone() {
-      first.leaderLease().setEligible(false);
-      first.start();
-      runSeconds(10);
-
-      assertThat(first.leaderLease().isHeld()).isFalse();
-      first.leaderLease().setEligible(true);
-      runSeconds(10);
-      assertThat(first.leaderLease().current()).isPresent();
-    }
-  }
-
   @Nested
   class Loss {
     @Test
--- a/amaranthstream/src/test/java/org/amaranthstream/jobs/JobFleet.java
+++ b/amaranthstream/src/test/java/org/amaranthstream/jobs/JobFleet.java
@@ -27,7 +27,6 @@
 import org.amaranthstream.ids.JobId;
 import org.amaranthstream.ids.RegionId;
 import org.amaranthstream.ids.RewardCallId;
-import org.amaranthstream.ids.RouteId;
 import org.amaranthstream.ids.WeightVersion;
 import org.amaranthstream.jobs.wire.JobAnswer;
 import org.amaranthstream.jobs.wire.JobQuestion;
@@ -35,12 +34,8 @@
 import org.amaranthstream.platform.SimulatedStoreClient;
 import org.amaranthstream.result.Result;
 import org.amaranthstream.result.ResultCode;
-import org.amaranthstream.routing.RequestLimits;
 import org.amaranthstream.routing.Route;
-import org.amaranthstream.routing.RouteKind;
-import org.amaranthstream.routing.RoutingConfig;
 import org.amaranthstream.routing.RoutingTable;
-import org.amaranthstream.routing.WeightedService;
 import org.amaranthstream.servers.ReachMonitor;
 import org.amaranthstream.servers.ServerChoice;
 import org.amaranthstream.servers.ServerDirectory;
@@ -49,10 +44,7 @@
 
 /** Daemons that run batch jobs on simulated engines, with one simulated store, in virtual time. */
 final class JobFleet {
-  private static final String HOST = "host";
-  private static final String REWARD_HOST = "scores";
   private static final Duration CONNECT_TIMEOUT = Duration.ofMillis(600);
-  private static final Duration ITEM_TIMEOUT = Duration.ofSeconds(40);
 
   private final VirtualTimerService timers = VirtualTimerService.create();
   private final SimulatedStore store = new SimulatedStore(timers);
@@ -104,7 +96,7 @@
               .queryTransport(this::query)
               .build();
       queryHandler = jobs.queryHandler();
-      routing.apply(config());
+      routing.apply(JobRoutes.config());
       fleet.addListener(session);
       fleet.start();
       jobs.start();
@@ -134,7 +126,8 @@
             () -> listener.onEnded(new ItemRunOutcome.Broken("connection timed out")));
         return () -> {};
       }
-      return servers.start(server, request, new KillableListener(listener));
+      return servers.start(
+          server, request, new DetachableItemListener(listener, () -> isKilled || areServersCut));
     }
 
     private StageRun startRewardCall(
@@ -150,36 +143,6 @@
           });
     }
 
-    /** Listener that drops all events once the process has been killed. */
-    private final class KillableListener implements ItemListener {
-      private final ItemListener listener;
-
-      private KillableListener(ItemListener listener) {
-        this.listener = listener;
-      }
-
-      @Override
-      public void onStarted(Optional<WeightVersion> version) {
-        if (!isKilled) {
-          listener.onStarted(version);
-        }
-      }
-
-      @Override
-      public void onEvent(ItemEvent event) {
-        if (!isKilled && !areServersCut) {
-          listener.onEvent(event);
-        }
-      }
-
-      @Override
-      public void onEnded(ItemRunOutcome end) {
-        if (!isKilled && !areServersCut) {
-          listener.onEnded(end);
-        }
-      }
-    }
-
     private CompletableFuture<Result<JobAnswer>> query(
         EntryVmId vm, JobQuestion query, Duration timeout) {
       CompletableFuture<Result<JobAnswer>> reply = new CompletableFuture<>();
@@ -257,29 +220,6 @@
     return Instant.ofEpochMilli(timers.nowNanos() / 1_000_000);
   }
 
-  private static RoutingConfig config() {
-    Route route =
-        Route.builder()
-            .id(RouteId.of("batch"))
-            .match(HOST, "/")
-            .kind(RouteKind.BATCH)
-            .maxAttempts(3)
-            .itemTimeout(ITEM_TIMEOUT)
-            .services(ImmutableList.of(new WeightedService(SimulatedServers.SERVICE, 1)))
-            .build();
-    Route rewardRoute =
-        Route.builder()
-            .id(RouteId.of("reward"))
-            .match(REWARD_HOST, "/")
-            .kind(RouteKind.IDEMPOTENT)
-            .maxAttempts(3)
-            .latencyObjective(SimulatedRewards.LATENCY_OBJECTIVE)
-            .timeout(SimulatedRewards.ROUTE_TIMEOUT)
-            .services(ImmutableList.of(new WeightedService(SimulatedRewards.SERVICE, 1)))
-            .build();
-    return RoutingConfig.of(1, List.of(route, rewardRoute), List.of(), RequestLimits.defaults());
-  }
-
   /** Starts a daemon, or a new incarnation of it. */
   Node start(String name) {
     Node node = new Node(name);
@@ -381,7 +321,7 @@
     }
     return new JobSpec(
         JobId.of(id),
-        HOST,
+        JobRoutes.HOST,
         "/" + id,
         0,
         SimulatedServers.MODEL,
@@ -395,7 +335,7 @@
     JobSpec job = job(id, 1, lengths);
     ImmutableList<ItemSpec> items =
         job.items().stream()
-            .map(item -> withRewardCall(item, REWARD_HOST))
+            .map(item -> withRewardCall(item, JobRoutes.REWARD_HOST))
             .collect(ImmutableList.toImmutableList());
     return withItems(job, items);
   }
