Detect refused connections while open ones work, with probes that open a new connection

Cause: the probe used pooled connections, and any response counted as reach, whatever new connections did. Change: failures since the last new connection are evidence too, and a probe opens a new connection, which alone confirms or ends a loss. Tests: ServiceReachTest serviceIsLostIfNewConnectionsFailWhileOpenOnesWork, UnreachableJobsTest jobIsHandedOffIfNewConnectionsAreRefusedWhileOpenOnesWork (both fail on the code before). Ruled out: a lower bound on failures (a garbled server fails often and is reached).

--- a/amaranthstream/src/main/java/org/amaranthstream/servers/ServerProbe.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/servers/ServerProbe.java
@@ -7,10 +7,10 @@
 @FunctionalInterface
 public interface ServerProbe {
   /**
-   * Sends a request that needs no slot.
+   * Opens a new connection to a server, since open ones may work while new ones are refused.
    *
-   * @return a future that never completes exceptionally: true if the server sends any response
-   *     within {@code timeout}
+   * @return a future that never completes exceptionally: true if the connection is open within
+   *     {@code timeout}
    */
-  CompletableFuture<Boolean> responds(TrackedServer server, Duration timeout);
+  CompletableFuture<Boolean> connects(TrackedServer server, Duration timeout);
 }
--- a/amaranthstream/src/main/java/org/amaranthstream/servers/ServiceReach.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/servers/ServiceReach.java
@@ -13,10 +13,11 @@
  * Detector of the loss of all servers of one service, as this process sees it.
  *
  * <p>Made for a partition between this VM and all servers, during which connections hang, are
- * refused, or are open but silent. A single slow or crashed server is no reason: some other server
- * responds. When no server has responded to any request for a while, a few servers are probed, and
- * if none responds, the service counts as lost until one does. Whether the servers are down for all
- * daemons only a peer can tell. Must be used on the thread of its timers.
+ * refused, or are open but silent; open ones may also work while new ones are refused. When no
+ * server has responded to any request for a while, or requests have failed, new connections to a
+ * few servers are opened. If none opens, the service counts as lost until one does. A single slow
+ * or crashed server is therefore no reason. Whether the servers are down for all daemons only a
+ * peer can tell. Must be used on the thread of its timers.
  */
 public final class ServiceReach {
   private static final FluentLogger logger = FluentLogger.forEnclosingClass();
@@ -52,8 +53,8 @@
   }
 
   /**
-   * Verifies that this process reaches a server: one has responded just now, or responds to a
-   * probe.
+   * Verifies that this process reaches a server: one has responded just now, or a new connection
+   * opens.
    *
    * @return a future that never completes exceptionally
    */
@@ -72,7 +73,7 @@
       nextProbed++;
       anyResponds =
           anyResponds.thenCombine(
-              probe.responds(server, PROBE_TIMEOUT).thenApply(this::onProbed), Boolean::logicalOr);
+              probe.connects(server, PROBE_TIMEOUT).thenApply(this::onProbed), Boolean::logicalOr);
     }
     return anyResponds;
   }
@@ -93,6 +94,16 @@
 
   void onResponse() {
     clock.onResponse(timers.nowNanos());
+  }
+
+  /** Records that a request has failed, or that no connection could be opened for it. */
+  void onFailed() {
+    clock.onFailed(timers.nowNanos());
+    planCheck(MAX_SILENCE);
+  }
+
+  private void onConnected() {
+    clock.onConnected(timers.nowNanos());
     if (isLost) {
       isLost = false;
       probeDelay = MIN_PROBE_DELAY;
@@ -110,11 +121,11 @@
 
   private void check() {
     isCheckPlanned = false;
-    Duration silence = clock.silence(timers.nowNanos());
-    if (silence.compareTo(MAX_SILENCE) >= 0 || isLost) {
+    Duration suspicion = clock.suspicion(timers.nowNanos());
+    if (suspicion.compareTo(MAX_SILENCE) >= 0 || isLost) {
       probeServers();
-    } else if (!silence.isZero()) {
-      planCheck(MAX_SILENCE.minus(silence));
+    } else if (!suspicion.isZero()) {
+      planCheck(MAX_SILENCE.minus(suspicion));
     }
   }
 
@@ -127,29 +138,29 @@
     probeSome(all).thenAccept(unused -> onAllProbed(all.size()));
   }
 
-  private boolean onProbed(boolean hasResponded) {
-    if (hasResponded) {
-      onResponse();
+  private boolean onProbed(boolean isConnected) {
+    if (isConnected) {
+      onConnected();
     }
-    return hasResponded;
+    return isConnected;
   }
 
   private void onAllProbed(int available) {
     isProbing = false;
-    Duration silence = clock.silence(timers.nowNanos());
-    boolean isSilent = silence.compareTo(MAX_SILENCE) >= 0;
-    if (isSilent && !isLost && available > 0) {
+    Duration suspicion = clock.suspicion(timers.nowNanos());
+    boolean isConfirmed = suspicion.compareTo(MAX_SILENCE) >= 0;
+    if (isConfirmed && !isLost && available > 0) {
       isLost = true;
       logger.atWarning().log(
-          "event=service_lost service=%s silent_ms=%d servers=%d",
-          service, silence.toMillis(), available);
+          "event=service_lost service=%s for_ms=%d servers=%d",
+          service, suspicion.toMillis(), available);
       onChange.run();
     }
     if (isLost) {
       planCheck(probeDelay);
       Duration doubled = probeDelay.multipliedBy(2);
       probeDelay = doubled.compareTo(MAX_PROBE_DELAY) < 0 ? doubled : MAX_PROBE_DELAY;
-    } else if (!silence.isZero()) {
+    } else if (!suspicion.isZero()) {
       planCheck(MAX_SILENCE);
     }
   }
--- a/amaranthstream/src/main/java/org/amaranthstream/servers/TrackedServer.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/servers/TrackedServer.java
@@ -160,6 +160,7 @@
 
   /** Records a failure of the server or its connection: no response, or an incomplete one. */
   public void onFailed(long nowNanos, String reason) {
+    reach.ifPresent(ServiceReach::onFailed);
     lastFailureNanos = OptionalLong.of(nowNanos);
     failures = Math.min(failures + 1, 8);
     long avoidance = INITIAL_AVOIDANCE.toNanos() << (failures - 1);
--- a/amaranthstream/src/test/java/org/amaranthstream/jobs/JobFleet.java
+++ b/amaranthstream/src/test/java/org/amaranthstream/jobs/JobFleet.java
@@ -66,6 +66,7 @@
     private final FleetNode self;
     private boolean isCut;
     private boolean areServersCut;
+    private boolean areConnectionsRefused;
     private boolean isKilled;
 
     private Node(String name) {
@@ -106,11 +107,16 @@
     private CompletableFuture<Boolean> probe(
         org.amaranthstream.servers.TrackedServer server, Duration timeout) {
       CompletableFuture<Boolean> responds = new CompletableFuture<>();
-      boolean isReached = !areServersCut && servers.responds(server);
+      boolean isReached = !areServersCut && !areConnectionsRefused && servers.responds(server);
       clock.after(isReached ? Duration.ofMillis(5) : timeout, () -> responds.complete(isReached));
       return responds;
     }
 
+    /** Refuses new connections between this daemon and the backend servers; open ones work. */
+    void refuseConnections() {
+      areConnectionsRefused = true;
+    }
+
     /** Cuts all links between this daemon and the backend servers. */
     void cutServers() {
       areServersCut = true;
@@ -120,6 +126,12 @@
         org.amaranthstream.servers.TrackedServer server,
         ItemRequest request,
         ItemListener listener) {
+      if (areConnectionsRefused) {
+        clock.after(
+            Duration.ofMillis(1),
+            () -> listener.onEnded(new ItemRunOutcome.Broken("connection refused")));
+        return () -> {};
+      }
       if (areServersCut) {
         timers.after(
             CONNECT_TIMEOUT,
--- a/amaranthstream/src/test/java/org/amaranthstream/jobs/UnreachableJobsTest.java
+++ b/amaranthstream/src/test/java/org/amaranthstream/jobs/UnreachableJobsTest.java
@@ -21,6 +21,18 @@
     assertThat(fleet.servers().continued()).isNotEmpty();
   }
 
+  @Test
+  void jobIsHandedOffIfNewConnectionsAreRefusedWhileOpenOnesWork() {
+    JobSpec long1 = JobFleet.job("job", 1, 300, 5, 90, 90, 90, 90, 90, 90, 90, 90);
+    submit(first, long1);
+    fleet.runMillis(500);
+    first.refuseConnections();
+    fleet.runMillis(8_500);
+
+    assertThat(second.owns(JOB)).isTrue();
+    assertAllComplete(long1, fleet.read(first, JOB));
+  }
+
   @Test
   void jobThatIsSubmittedDuringTheCutIsHandedOff() {
     submit(first, JobFleet.job("before", 1, 300));
--- a/amaranthstream/src/test/java/org/amaranthstream/servers/ServiceReachTest.java
+++ b/amaranthstream/src/test/java/org/amaranthstream/servers/ServiceReachTest.java
@@ -74,6 +74,21 @@
     assertThat(monitor.isLost(SERVICE)).isTrue();
   }
 
+  @Test
+  void serviceIsLostIfNewConnectionsFailWhileOpenOnesWork() {
+    doServersRespond = false;
+    server(0).onRequestSent();
+    for (int i = 0; i < 40; i++) {
+      server(1).onRequestSent();
+      server(1).onRequestEnded();
+      server(1).onFailed(timers.nowNanos(), "connection refused");
+      timers.advance(Duration.ofMillis(25));
+      server(0).onProgress();
+    }
+
+    assertThat(monitor.isLost(SERVICE)).isTrue();
+  }
+
   @Test
   void slowServersThatRespondToProbesAreNotLost() {
     server(0).onRequestSent();
@@ -84,13 +99,13 @@
   }
 
   @Test
-  void serviceIsNotLostIfOneServerFailsAndAnotherResponds() {
-    doServersRespond = false;
+  void serviceIsNotLostIfOneServerFailsAndAnotherCanBeConnectedTo() {
     for (int i = 0; i < 40; i++) {
       server(0).onRequestSent();
       server(1).onRequestSent();
       timers.advance(Duration.ofMillis(50));
       server(0).onRequestEnded();
+      server(0).onFailed(timers.nowNanos(), "connection refused");
       server(1).onResponse();
       server(1).onRequestEnded();
     }
