--- a/amaranthstream/src/main/java/org/amaranthstream/calls/LocalStreamOrigins.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/calls/LocalStreamOrigins.java
@@ -9,7 +9,7 @@
 import java.util.concurrent.CompletableFuture;
 
 /**
- * Registry of the streams that one process knows of. Bounded, so that the oldest streams are
+ * Registry of streams in the memory of one process. Bounded, so that the oldest streams are
  * forgotten first.
  *
  * <p>Not thread safe.
--- a/amaranthstream/src/main/java/org/amaranthstream/calls/RelayPolicy.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/calls/RelayPolicy.java
@@ -4,7 +4,7 @@
  * Decision whether the next attempt of a call goes through a peer.
  *
  * <p>Made for a VM that is partitioned from all servers while its peers reach them. A daemon that
- * knows of the loss relays at once, so that callers wait for no timeout. Before that, two
+ * has detected the loss relays at once, so that callers wait for no timeout. Before that, two
  * connections that hang, or no server that can be connected to, are reason enough. A call that
  * servers reject because they are full is not relayed, since a peer would meet the same servers.
  * The methods are pure functions.
--- a/amaranthstream/src/main/java/org/amaranthstream/fleet/FleetCallRelay.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/fleet/FleetCallRelay.java
@@ -41,6 +41,7 @@
   private final TimerService timers;
   private final LongSupplier configVersion;
   private final RelayPeers peers;
+  private boolean arePeersStale = true;
 
   private FleetCallRelay(
       FleetNode self,
@@ -81,12 +82,21 @@
 
   @Override
   public void onNodeJoined(FleetNode node) {
-    peers.setNodes(fleet.nodes());
+    arePeersStale = true;
   }
 
   @Override
   public void onNodeLost(FleetNode node) {
-    peers.setNodes(fleet.nodes());
+    arePeersStale = true;
+  }
+
+  /** Returns the peers, selected anew only if the fleet has changed since the last use. */
+  private RelayPeers peers() {
+    if (arePeersStale) {
+      arePeersStale = false;
+      peers.setNodes(fleet.nodes());
+    }
+    return peers;
   }
 
   /** Opens links to the peers that would be used first. */
@@ -95,7 +105,7 @@
         .get()
         .ifPresent(
             exchanges ->
-                peers.available(timers.nowNanos()).stream()
+                peers().available(timers.nowNanos()).stream()
                     .limit(PREPARED_LINKS)
                     .forEach(exchanges::prepare));
   }
@@ -108,7 +118,7 @@
   private Optional<EntryVmId> choose() {
     return peerExchanges
         .get()
-        .flatMap(exchanges -> peers.choose(exchanges::isReady, timers.nowNanos()));
+        .flatMap(exchanges -> peers().choose(exchanges::isReady, timers.nowNanos()));
   }
 
   @Override
--- a/amaranthstream/src/main/java/org/amaranthstream/fleet/FleetStreamOrigins.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/fleet/FleetStreamOrigins.java
@@ -34,10 +34,10 @@
  * <p>Each daemon sends the streams that begin at it to a few replicas: the watch relays of its
  * availability zone, to which it has links, and one relay of another zone. The streams that begin
  * within a short time share one message, so the cost for each stream does not depend on the size of
- * the fleet. A lookup asks the replicas of the own zone, and only if none knows the stream the
- * relays of the other zones. Must be used on the thread of its timers.
+ * the fleet. A lookup queries the replicas of the own zone, and only if none has a record of the
+ * stream the relays of the other zones. Must be used on the thread of its timers.
  */
-public final class FleetStreamOrigins implements StreamOrigins {
+public final class FleetStreamOrigins implements StreamOrigins, FleetListener {
   private static final FluentLogger logger = FluentLogger.forEnclosingClass();
   private static final int REPLICAS = 3;
 
@@ -51,6 +51,7 @@
   private final TimerService timers;
   private final PeerQuery peers;
   private final LocalStreamOrigins local = LocalStreamOrigins.create();
+  private Optional<ImmutableList<EntryVmId>> candidates = Optional.empty();
   private StreamRecords.Builder unsent = StreamRecords.newBuilder();
 
   private FleetStreamOrigins(FleetNode self, Fleet fleet, TimerService timers, PeerQuery peers) {
@@ -63,11 +64,24 @@
   /** Returns the registry of the daemon {@code self}. */
   public static FleetStreamOrigins create(
       FleetNode self, Fleet fleet, TimerService timers, PeerQuery peers) {
-    return new FleetStreamOrigins(
-        checkNotNull(self, "self"),
-        checkNotNull(fleet, "fleet"),
-        checkNotNull(timers, "timers"),
-        checkNotNull(peers, "peers"));
+    FleetStreamOrigins origins =
+        new FleetStreamOrigins(
+            checkNotNull(self, "self"),
+            checkNotNull(fleet, "fleet"),
+            checkNotNull(timers, "timers"),
+            checkNotNull(peers, "peers"));
+    fleet.addListener(origins);
+    return origins;
+  }
+
+  @Override
+  public void onNodeJoined(FleetNode node) {
+    candidates = Optional.empty();
+  }
+
+  @Override
+  public void onNodeLost(FleetNode node) {
+    candidates = Optional.empty();
   }
 
   /** Registers the handlers of the calls of other daemons. */
@@ -129,9 +143,14 @@
 
   /** Returns the other daemons that keep records, those that keep the streams of this one first. */
   private ImmutableList<EntryVmId> replicaCandidates() {
-    return StreamReplicaSelection.order(self.zone(), fleet.nodes()).stream()
-        .filter(vm -> !vm.equals(self.vm()))
-        .collect(ImmutableList.toImmutableList());
+    if (candidates.isEmpty()) {
+      candidates =
+          Optional.of(
+              StreamReplicaSelection.order(self.zone(), fleet.nodes()).stream()
+                  .filter(vm -> !vm.equals(self.vm()))
+                  .collect(ImmutableList.toImmutableList()));
+    }
+    return candidates.get();
   }
 
   @Override
@@ -143,17 +162,19 @@
     ImmutableList<EntryVmId> all = replicaCandidates();
     int near = Math.min(REPLICAS, all.size());
     Duration timeoutOfRound = timeout.dividedBy(2);
-    return ask(all.subList(0, near), request, timeoutOfRound)
+    return query(all.subList(0, near), request, timeoutOfRound)
         .thenCompose(
             found ->
                 found.isPresent()
                     ? CompletableFuture.completedFuture(found)
-                    : ask(all.subList(near, all.size()), request, timeoutOfRound))
+                    : query(all.subList(near, all.size()), request, timeoutOfRound))
         .whenComplete((found, unused) -> found.ifPresent(origin -> local.record(request, origin)));
   }
 
-  /** Asks several daemons at once; completes with the first record, or once all have responded. */
-  private CompletableFuture<Optional<StreamOrigin>> ask(
+  /**
+   * Queries several daemons at once; completes with the first record, or once all have responded.
+   */
+  private CompletableFuture<Optional<StreamOrigin>> query(
       List<EntryVmId> vms, String request, Duration timeout) {
     byte[] lookup = StreamLookup.newBuilder().setRequest(request).build().toByteArray();
     CompletableFuture<Optional<StreamOrigin>> first = new CompletableFuture<>();
--- a/amaranthstream/src/main/java/org/amaranthstream/jobs/RestartPolicy.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/jobs/RestartPolicy.java
@@ -7,10 +7,10 @@
  * at a server with other software instead.
  *
  * <p>Made for servers of two software versions, of which one loses servers while the other has free
- * slots. To wait is better if a slot becomes free soon, to begin anew if not, and nobody knows
- * which. An item that waits for as long as its text took to generate loses at most twice that time,
- * whatever happens. If no server with that software is registered, the wait is shorter. The methods
- * are pure functions.
+ * slots. To wait is better if a slot becomes free soon, to begin anew if not, which cannot be
+ * foreseen. An item that waits for as long as its text took to generate loses at most twice that
+ * time, whatever happens. If no server with that software is registered, the wait is shorter. The
+ * methods are pure functions.
  */
 final class RestartPolicy {
   private static final Duration TIME_PER_EVENT = Duration.ofMillis(25);
--- a/amaranthstream/src/main/java/org/amaranthstream/jobs/UnreachableJobs.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/jobs/UnreachableJobs.java
@@ -15,10 +15,10 @@
 /**
  * Handoff of the jobs whose backend servers this daemon does not reach to peers that reach them.
  *
- * <p>Made for a partition between this VM and all servers of a job, during which its items stand
- * still although the peers could run them. A peer takes a job over only after it has verified that
- * it reaches the servers, so that no job is handed on in circles while the servers are down for
- * all. Must be used on one thread.
+ * <p>Made for a partition between this VM and all servers of a job, during which its items make no
+ * progress although the peers could run them. A peer takes a job over only after it has verified
+ * that it reaches the servers, so that no job is handed on in circles while the servers are down
+ * for all. Must be used on one thread.
  */
 final class UnreachableJobs {
   private static final FluentLogger logger = FluentLogger.forEnclosingClass();
--- a/amaranthstream/src/main/java/org/amaranthstream/servers/ServerDirectory.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/servers/ServerDirectory.java
@@ -56,7 +56,7 @@
         checkNotNull(timers, "timers"), checkNotNull(wasStoreUnavailable, "wasStoreUnavailable"));
   }
 
-  /** Sets the monitor that is told of the requests to the servers that register from now on. */
+  /** Sets the monitor that is notified of the requests to servers that register from now on. */
   void setReachMonitor(ReachMonitor monitor) {
     reachMonitor = Optional.of(monitor);
   }
--- a/amaranthstream/src/main/java/org/amaranthstream/servers/ServiceReach.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/servers/ServiceReach.java
@@ -16,8 +16,8 @@
  * refused, or are open but silent; open ones may also work while new ones are refused. When no
  * server has responded to any request for a while, or requests have failed, new connections to a
  * few servers are opened. If none opens, the service counts as lost until one does. A single slow
- * or crashed server is therefore no reason. Whether the servers are down for all daemons only a
- * peer can tell. Must be used on the thread of its timers.
+ * or crashed server is therefore no reason. Only the view of a peer shows whether the servers are
+ * down for all daemons. Must be used on the thread of its timers.
  */
 public final class ServiceReach {
   private static final FluentLogger logger = FluentLogger.forEnclosingClass();
--- a/amaranthstream/src/main/java/org/amaranthstream/servers/TrackedServer.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/servers/TrackedServer.java
@@ -49,7 +49,7 @@
   /**
    * Creates the state of a newly registered incarnation.
    *
-   * @param reach is told of requests and responses
+   * @param reach the detector that is notified of requests and responses, empty for none
    */
   TrackedServer(ServerRegistration registration, Optional<ServiceReach> reach) {
     this.registration = registration;
--- a/amaranthstream/src/test/java/org/amaranthstream/jobs/JobFleet.java
+++ b/amaranthstream/src/test/java/org/amaranthstream/jobs/JobFleet.java
@@ -39,6 +39,7 @@
 import org.amaranthstream.servers.ReachMonitor;
 import org.amaranthstream.servers.ServerChoice;
 import org.amaranthstream.servers.ServerDirectory;
+import org.amaranthstream.servers.TrackedServer;
 import org.amaranthstream.time.PausableTimerService;
 import org.amaranthstream.time.VirtualTimerService;
 
@@ -104,8 +105,7 @@
       session.start(jobs::sweep);
     }
 
-    private CompletableFuture<Boolean> probe(
-        org.amaranthstream.servers.TrackedServer server, Duration timeout) {
+    private CompletableFuture<Boolean> probe(TrackedServer server, Duration timeout) {
       CompletableFuture<Boolean> responds = new CompletableFuture<>();
       boolean isReached = !areServersCut && !areConnectionsRefused && servers.responds(server);
       clock.after(isReached ? Duration.ofMillis(5) : timeout, () -> responds.complete(isReached));
@@ -123,9 +123,7 @@
     }
 
     private ItemTransport.Run start(
-        org.amaranthstream.servers.TrackedServer server,
-        ItemRequest request,
-        ItemListener listener) {
+        TrackedServer server, ItemRequest request, ItemListener listener) {
       if (areConnectionsRefused) {
         clock.after(
             Duration.ofMillis(1),
