--- a/amaranthstream/src/main/java/org/amaranthstream/calls/ActiveCall.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/calls/ActiveCall.java
@@ -173,15 +173,15 @@
     attempts.cancelConnecting();
     attempts.onRelayed();
     int attemptsLeft = policy.maxAttempts() - attempts.counted();
-    start(new PeerTarget(service.relay(), attemptsLeft, !policy.isQuarantinable()));
+    startAttempt(new PeerTarget(service.relay(), attemptsLeft, !policy.isQuarantinable()));
   }
 
   private void attemptAt(TrackedServer server) {
     attempts.addTried(server);
-    start(new ServerTarget(service, server));
+    startAttempt(new ServerTarget(service, server));
   }
 
-  private void start(AttemptTarget target) {
+  private void startAttempt(AttemptTarget target) {
     CallAttempt attempt = new CallAttempt(this, target);
     attempts.add(attempt);
     logger.atFine().log("event=call_sent %s to=%s attempt=%d", this, target, attempts.counted());
--- a/amaranthstream/src/main/java/org/amaranthstream/fleet/CallCodec.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/fleet/CallCodec.java
@@ -22,7 +22,7 @@
 final class CallCodec {
   private CallCodec() {}
 
-  static byte[] encode(RelayedCall relayed, long configVersion) {
+  static byte[] encodeCall(RelayedCall relayed, long configVersion) {
     OutboundCall call = relayed.call();
     CallRequest.Builder request =
         CallRequest.newBuilder()
@@ -34,7 +34,7 @@
             .setOwed(relayed.isOwed())
             .setConfigVersion(configVersion);
     call.headers().forEach((name, value) -> request.addHeader(header(name, value)));
-    call.resumption().ifPresent(resumption -> request.setResumption(encode(resumption)));
+    call.resumption().ifPresent(resumption -> request.setResumption(encodeResumption(resumption)));
     return request.build().toByteArray();
   }
 
@@ -42,13 +42,13 @@
     return CallHeader.newBuilder().setName(name).setValue(value).build();
   }
 
-  private static CallResumption encode(StreamResumption resumption) {
+  private static CallResumption encodeResumption(StreamResumption resumption) {
     CallResumption.Builder encoded = CallResumption.newBuilder();
     resumption.firstRequest().ifPresent(encoded::setFirstRequest);
     return encoded.build();
   }
 
-  static RelayedCall decode(CallRequest request) {
+  static RelayedCall decodeCall(CallRequest request) {
     OutboundCall call =
         new OutboundCall(
             request.getId(),
@@ -57,12 +57,12 @@
             headers(request.getHeaderList()),
             Buffer.buffer(request.getBody().toByteArray()),
             request.hasResumption()
-                ? Optional.of(decode(request.getResumption()))
+                ? Optional.of(decodeResumption(request.getResumption()))
                 : Optional.empty());
     return new RelayedCall(call, request.getMaxAttempts(), request.getOwed());
   }
 
-  private static StreamResumption decode(CallResumption resumption) {
+  private static StreamResumption decodeResumption(CallResumption resumption) {
     return new StreamResumption(
         resumption.hasFirstRequest()
             ? Optional.of(resumption.getFirstRequest())
@@ -75,7 +75,7 @@
     return decoded;
   }
 
-  static byte[] encode(ResponseHead head) {
+  static byte[] encodeHead(ResponseHead head) {
     CallHead.Builder encoded = CallHead.newBuilder().setStatus(head.status());
     head.headers().forEach((name, value) -> encoded.addHeader(header(name, value)));
     head.length().ifPresent(encoded::setLength);
@@ -83,14 +83,14 @@
     return CallPart.newBuilder().setHead(encoded).build().toByteArray();
   }
 
-  static byte[] encode(Buffer data) {
+  static byte[] encodeData(Buffer data) {
     return CallPart.newBuilder()
         .setData(UnsafeByteOperations.unsafeWrap(data.getBytes()))
         .build()
         .toByteArray();
   }
 
-  static ResponseHead decode(CallHead head) {
+  static ResponseHead decodeHead(CallHead head) {
     return new ResponseHead(
         head.getStatus(),
         headers(head.getHeaderList()),
@@ -98,7 +98,7 @@
         head.hasSignature() ? Optional.of(head.getSignature()) : Optional.empty());
   }
 
-  static Buffer decode(ByteString data) {
+  static Buffer decodeData(ByteString data) {
     return Buffer.buffer(data.toByteArray());
   }
 
--- a/amaranthstream/src/main/java/org/amaranthstream/fleet/FleetCallRelay.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/fleet/FleetCallRelay.java
@@ -126,7 +126,7 @@
     EntryVmId peer = choose().orElseThrow(() -> new IllegalStateException("no peer is available"));
     PeerExchanges exchanges = peerExchanges.get().orElseThrow();
     logger.atInfo().log("event=call_relayed request=%s vm=%s", call.call().id(), peer);
-    byte[] request = CallCodec.encode(call, configVersion.getAsLong());
+    byte[] request = CallCodec.encodeCall(call, configVersion.getAsLong());
     return new RelayedAttempt(
         exchanges.start(peer, request, timeLeft, new RelayedResponse(peer, listener)));
   }
@@ -158,9 +158,9 @@
       CallPart part = CallCodec.decodePart(encoded);
       if (part.hasHead()) {
         peers.onServed(peer);
-        listener.onHead(CallCodec.decode(part.getHead()));
+        listener.onHead(CallCodec.decodeHead(part.getHead()));
       } else {
-        listener.onData(CallCodec.decode(part.getData()));
+        listener.onData(CallCodec.decodeData(part.getData()));
       }
     }
 
--- a/amaranthstream/src/main/java/org/amaranthstream/fleet/RelayedCallHandler.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/fleet/RelayedCallHandler.java
@@ -78,7 +78,7 @@
           ResultCode.NOT_RUN_STALE,
           "the configuration is older than " + request.getConfigVersion());
     }
-    RelayedCall call = CallCodec.decode(request);
+    RelayedCall call = CallCodec.decodeCall(request);
     Optional<Route> route = RelayedRoute.find(config.get(), call.call());
     if (route.isEmpty()) {
       return reject(responder, ResultCode.NO_ROUTE, "no route matches " + call.call().uri());
@@ -128,13 +128,13 @@
 
     @Override
     public void beginResponse(ResponseHead head) {
-      send(CallCodec.encode(head));
+      send(CallCodec.encodeHead(head));
     }
 
     @Override
     public void write(Buffer data) {
       if (data.length() > 0) {
-        send(CallCodec.encode(data));
+        send(CallCodec.encodeData(data));
       }
     }
 
--- a/amaranthstream/src/test/java/org/amaranthstream/fleet/CuttableServers.java
+++ b/amaranthstream/src/test/java/org/amaranthstream/fleet/CuttableServers.java
@@ -100,11 +100,15 @@
       if (isOver) {
         return;
       }
-      switch (cutOf(vm)) {
-        case NONE -> run();
-        case HANGING -> timers.after(CONNECT_TIMEOUT, this::failToConnect);
-        case REFUSED -> failToConnect();
-        case SILENT -> isSent = true;
+      Cut cut = cutOf(vm);
+      if (cut == Cut.NONE) {
+        run();
+      } else if (cut == Cut.HANGING) {
+        timers.after(CONNECT_TIMEOUT, this::failToConnect);
+      } else if (cut == Cut.REFUSED) {
+        failToConnect();
+      } else {
+        isSent = true;
       }
     }
 
