--- a/amaranthstream/src/main/java/org/amaranthstream/calls/OutboundCall.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/calls/OutboundCall.java
@@ -3,6 +3,7 @@
 import io.vertx.core.MultiMap;
 import io.vertx.core.buffer.Buffer;
 import java.util.Optional;
+import org.amaranthstream.ids.WorkspaceId;
 
 /**
  * Request of a caller in the form in which it is forwarded.
@@ -12,6 +13,7 @@
  * @param uri the path and query
  * @param headers the end-to-end headers; must not be modified
  * @param body the complete body; must not be modified
+ * @param workspace the workspace of the caller, empty without a key
  * @param resumption the stream that the request resumes, empty if it begins a new response
  */
 public record OutboundCall(
@@ -20,4 +22,5 @@
     String uri,
     MultiMap headers,
     Buffer body,
+    Optional<WorkspaceId> workspace,
     Optional<StreamResumption> resumption) {}
--- a/amaranthstream/src/main/java/org/amaranthstream/fleet/CallCodec.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/fleet/CallCodec.java
@@ -56,6 +56,7 @@
             request.getUri(),
             headers(request.getHeaderList()),
             Buffer.buffer(request.getBody().toByteArray()),
+            Optional.empty(),
             request.hasResumption()
                 ? Optional.of(decodeResumption(request.getResumption()))
                 : Optional.empty());
--- a/amaranthstream/src/main/java/org/amaranthstream/jobs/CallServiceRewardTransport.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/jobs/CallServiceRewardTransport.java
@@ -47,6 +47,7 @@
             call.path(),
             headers,
             Buffer.buffer(call.body()),
+            Optional.empty(),
             Optional.empty());
     RewardExchange exchange = new RewardExchange(listener);
     calls.start(route, CallPolicy.owed(), outbound, timeout, exchange);
--- a/amaranthstream/src/main/java/org/amaranthstream/routing/Route.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/routing/Route.java
@@ -35,6 +35,8 @@
   private final ImmutableList<WeightedService> services;
   private final int maxAttempts;
   private final boolean isResumable;
+  private final boolean isPublic;
+  private final boolean isSharingPrompts;
   private final boolean isSingleVersion;
   private final Duration itemTimeout;
   private final Duration runObjective;
@@ -50,6 +52,8 @@
     this.services = builder.services;
     this.maxAttempts = builder.maxAttempts;
     this.isResumable = builder.isResumable;
+    this.isPublic = builder.isPublic;
+    this.isSharingPrompts = builder.isSharingPrompts;
     this.isSingleVersion = builder.isSingleVersion;
     this.itemTimeout = builder.itemTimeout;
     this.runObjective = builder.runObjective;
@@ -110,6 +114,16 @@
     return isResumable;
   }
 
+  /** Returns true if requests need no key of a workspace. */
+  public boolean isPublic() {
+    return isPublic;
+  }
+
+  /** Returns true if requests name the parts of their prompts, which other requests may share. */
+  public boolean isSharingPrompts() {
+    return isSharingPrompts;
+  }
+
   /** Returns true if one weight version must generate all of an item's text. */
   public boolean isSingleVersion() {
     return isSingleVersion;
@@ -142,6 +156,8 @@
     private ImmutableList<WeightedService> services = ImmutableList.of();
     private int maxAttempts = 1;
     private boolean isResumable;
+    private boolean isPublic;
+    private boolean isSharingPrompts;
     private boolean isSingleVersion;
     private Duration itemTimeout = Duration.ofSeconds(40);
     private Duration runObjective = Duration.ofSeconds(10);
@@ -212,6 +228,20 @@
       return this;
     }
 
+    /** Sets whether requests need no key of a workspace. */
+    @CanIgnoreReturnValue
+    public Builder publicAccess(boolean isPublic) {
+      this.isPublic = isPublic;
+      return this;
+    }
+
+    /** Sets whether requests name the parts of their prompts. */
+    @CanIgnoreReturnValue
+    public Builder sharingPrompts(boolean isSharingPrompts) {
+      this.isSharingPrompts = isSharingPrompts;
+      return this;
+    }
+
     /** Sets whether one weight version must generate all of an item's text. */
     @CanIgnoreReturnValue
     public Builder singleVersion(boolean isSingleVersion) {
--- a/amaranthstream/src/test/java/org/amaranthstream/calls/CrashingContentTest.java
+++ b/amaranthstream/src/test/java/org/amaranthstream/calls/CrashingContentTest.java
@@ -97,6 +97,7 @@
             "/lookup/x",
             MultiMap.caseInsensitiveMultiMap(),
             Buffer.buffer(body),
+            Optional.empty(),
             Optional.empty());
     daemons.get(daemon % DAEMONS).start(route(kind), policy, call, TIMEOUT, exchange);
     return exchange;
--- a/amaranthstream/src/test/java/org/amaranthstream/calls/ResumedStreamsTest.java
+++ b/amaranthstream/src/test/java/org/amaranthstream/calls/ResumedStreamsTest.java
@@ -76,6 +76,7 @@
             "/x",
             MultiMap.caseInsensitiveMultiMap(),
             Buffer.buffer(resumption.flatMap(StreamResumption::firstRequest).orElse(id)),
+            Optional.empty(),
             resumption);
     daemon.start(route(), call, TIMEOUT, exchange);
     timers.advance(Duration.ofMillis(50));
--- a/amaranthstream/src/test/java/org/amaranthstream/fleet/RelayedCallsTest.java
+++ b/amaranthstream/src/test/java/org/amaranthstream/fleet/RelayedCallsTest.java
@@ -41,6 +41,7 @@
             "/" + kind + "/x?q=1",
             MultiMap.caseInsensitiveMultiMap().add("Host", "h:80"),
             Buffer.buffer("body"),
+            Optional.empty(),
             Optional.empty());
     daemons.daemon(vm).calls().start(RelayingDaemons.route(kind), call, DEADLINE, response);
     return response;
