Weigh the prompts that engines still hold against the wait there, for calls

Operators wish that a server which still holds the beginning of a prompt is used while that pays. The placement of calls knew only load and distance, so a session went on at any engine, which read its prompt again.

The view of what an engine holds comes from the requests that this daemon sent there: bounded by the engine's memory, discarded with the weights, the incarnation, and for rejected requests. The time to read a token is learned from the delays of first events. It is on where the settings say weighPrompts, the route's requests describe their prompts, and the configuration states the engines' memory; all else takes the path as before.

--- a/amaranthstream/src/main/java/org/amaranthstream/calls/ActiveCall.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/calls/ActiveCall.java
@@ -4,6 +4,7 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.Optional;
+import org.amaranthstream.prompts.Prompt;
 import org.amaranthstream.result.ErrorDetail;
 import org.amaranthstream.result.Result;
 import org.amaranthstream.result.ResultCode;
@@ -26,6 +27,7 @@
   private final Route route;
   private final CallPolicy policy;
   private final OutboundCall call;
+  private final Optional<Prompt> prompt;
   private final CallContent content;
   private List<TrackedServer> servers;
   private final CallerExchange exchange;
@@ -52,6 +54,7 @@
     this.route = route;
     this.policy = policy;
     this.call = call;
+    this.prompt = service.promptOf(route, call);
     this.content = content;
     this.servers = servers;
     this.exchange = exchange;
@@ -112,7 +115,7 @@
     }
     Optional<TrackedServer> server =
         mayTryAnother()
-            ? service.choose(servers, attempts.tried(), content.isSuspect())
+            ? service.choose(servers, attempts.tried(), content.isSuspect(), prompt)
             : Optional.empty();
     if (shouldRelay(server.isPresent())) {
       relay();
@@ -178,7 +181,7 @@
 
   private void attemptAt(TrackedServer server) {
     attempts.addTried(server);
-    startAttempt(new ServerTarget(service, server));
+    startAttempt(new ServerTarget(service, server, prompt));
   }
 
   private void startAttempt(AttemptTarget target) {
--- a/amaranthstream/src/main/java/org/amaranthstream/calls/CallService.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/calls/CallService.java
@@ -12,6 +12,10 @@
 import java.util.Random;
 import java.util.Set;
 import java.util.function.Predicate;
+import java.util.function.ToDoubleFunction;
+import org.amaranthstream.prompts.Prompt;
+import org.amaranthstream.prompts.PromptCosts;
+import org.amaranthstream.prompts.PromptReader;
 import org.amaranthstream.quarantine.PoisonRegistry;
 import org.amaranthstream.result.ResultCode;
 import org.amaranthstream.routing.Route;
@@ -41,6 +45,8 @@
   private final StreamResumptions resumptions;
   private final Optional<ReachMonitor> reach;
   private final CallRelay relay;
+  private final PromptReader promptReader;
+  private final PromptCosts promptCosts;
   private final Random random = new Random();
   private final Set<ActiveCall> active = new HashSet<>();
 
@@ -53,6 +59,8 @@
     this.permits = checkNotNull(builder.permits, "permits");
     this.reach = builder.reach;
     this.relay = builder.relay;
+    this.promptReader = builder.promptReader;
+    this.promptCosts = builder.promptCosts;
     this.resumptions = new StreamResumptions(builder.origins, directory, timers);
   }
 
@@ -144,6 +152,15 @@
     return relay;
   }
 
+  PromptCosts promptCosts() {
+    return promptCosts;
+  }
+
+  /** Returns the prompt of a call, empty if the route's requests do not describe prompts. */
+  Optional<Prompt> promptOf(Route route, OutboundCall call) {
+    return route.isSharingPrompts() ? promptReader.read(call.headers()) : Optional.empty();
+  }
+
   /** Returns true if this daemon reaches none of {@code servers}, which provide one service. */
   boolean isLost(List<TrackedServer> servers) {
     return !servers.isEmpty()
@@ -162,25 +179,31 @@
   /**
    * Chooses a server for the next attempt of a request. A suspect goes to a server that runs no
    * other suspect, if there is one, so that the next crash shows which of them is the cause. A
-   * server without a limit is preferred.
+   * server without a limit is preferred. What a server holds of the prompt is weighed against its
+   * load.
    */
   Optional<TrackedServer> choose(
-      List<TrackedServer> servers, Set<TrackedServer> excluded, boolean isSuspect) {
-    long now = timers.nowNanos();
+      List<TrackedServer> servers,
+      Set<TrackedServer> excluded,
+      boolean isSuspect,
+      Optional<Prompt> prompt) {
     Predicate<TrackedServer> isAllowed =
         server -> server.isAvailable() && !excluded.contains(server);
     Optional<TrackedServer> isolated =
         isSuspect
-            ? chooseUnlimitedFirst(servers, isAllowed.and(server -> !runsSuspect(server)), now)
+            ? chooseUnlimitedFirst(servers, isAllowed.and(server -> !runsSuspect(server)), prompt)
             : Optional.empty();
-    return isolated.isPresent() ? isolated : chooseUnlimitedFirst(servers, isAllowed, now);
+    return isolated.isPresent() ? isolated : chooseUnlimitedFirst(servers, isAllowed, prompt);
   }
 
   private Optional<TrackedServer> chooseUnlimitedFirst(
-      List<TrackedServer> servers, Predicate<TrackedServer> isAllowed, long now) {
+      List<TrackedServer> servers, Predicate<TrackedServer> isAllowed, Optional<Prompt> prompt) {
+    long now = timers.nowNanos();
+    ToDoubleFunction<TrackedServer> cost =
+        server -> prompt.map(p -> promptCosts.readTimeAsLoad(server, p)).orElse(0.0);
     Optional<TrackedServer> unlimited =
-        choice.choose(servers, isAllowed.and(server -> !server.isLimited()), now);
-    return unlimited.isPresent() ? unlimited : choice.choose(servers, isAllowed, now);
+        choice.choose(servers, isAllowed.and(server -> !server.isLimited()), cost, now);
+    return unlimited.isPresent() ? unlimited : choice.choose(servers, isAllowed, cost, now);
   }
 
   private boolean runsSuspect(TrackedServer server) {
@@ -195,8 +218,8 @@
   }
 
   /**
-   * Builder of {@link CallService}. All properties but the stream origins and the relay are
-   * required.
+   * Builder of {@link CallService}. All properties but the stream origins, the relay and the
+   * prompts are required.
    */
   public static final class Builder {
     private @Nullable ServerDirectory directory;
@@ -208,6 +231,8 @@
     private Optional<ReachMonitor> reach = Optional.empty();
     private CallRelay relay = CallRelay.NONE;
     private StreamOrigins origins = LocalStreamOrigins.create();
+    private PromptReader promptReader = PromptReader.NONE;
+    private PromptCosts promptCosts = PromptCosts.NONE;
 
     private Builder() {}
 
@@ -254,6 +279,14 @@
       return this;
     }
 
+    /** Sets how prompts are read, and what their reading costs at each server. */
+    @CanIgnoreReturnValue
+    public Builder prompts(PromptReader reader, PromptCosts costs) {
+      this.promptReader = checkNotNull(reader, "reader");
+      this.promptCosts = checkNotNull(costs, "costs");
+      return this;
+    }
+
     /** Sets the relay through peers, and the monitor that decides when it is used at once. */
     @CanIgnoreReturnValue
     public Builder relay(ReachMonitor reach, CallRelay relay) {
--- a/amaranthstream/src/main/java/org/amaranthstream/calls/ServerTarget.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/calls/ServerTarget.java
@@ -2,18 +2,23 @@
 
 import java.time.Duration;
 import java.util.Optional;
+import org.amaranthstream.prompts.Prompt;
+import org.amaranthstream.prompts.PromptRun;
 import org.amaranthstream.servers.TrackedServer;
 
 /** Backend server to which an attempt is sent. Must be used on one thread. */
 final class ServerTarget implements AttemptTarget {
   private final CallService service;
   private final TrackedServer server;
+  private final Optional<Prompt> prompt;
+  private PromptRun promptRun = PromptRun.UNTRACKED;
   private long sentNanos;
   private boolean hasResponded;
 
-  ServerTarget(CallService service, TrackedServer server) {
+  ServerTarget(CallService service, TrackedServer server, Optional<Prompt> prompt) {
     this.service = service;
     this.server = server;
+    this.prompt = prompt;
   }
 
   @Override
@@ -26,6 +31,7 @@
       OutboundCall call, Duration timeLeft, AttemptListener listener) {
     server.onRequestSent();
     sentNanos = service.timers().nowNanos();
+    prompt.ifPresent(read -> promptRun = service.promptCosts().begin(server, read));
     return service.transport().send(server, call, timeLeft, listener);
   }
 
@@ -36,6 +42,7 @@
       return;
     }
     hasResponded = true;
+    promptRun.onEvent();
     server.onResponse();
     service.crashes().onResponse(server, sentNanos);
   }
@@ -56,6 +63,7 @@
   @Override
   public void onEnded() {
     server.onRequestEnded();
+    promptRun.onEnded(hasResponded);
   }
 
   @Override
--- a/amaranthstream/src/main/java/org/amaranthstream/routing/RoutingConfig.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/routing/RoutingConfig.java
@@ -95,6 +95,11 @@
     return services;
   }
 
+  /** Returns the capacity of the engines of a service, empty if the configuration has none. */
+  public Optional<EngineCapacity> engineCapacity(ServiceId service) {
+    return Optional.ofNullable(services.get(service)).flatMap(ServicePolicy::engine);
+  }
+
   /** Returns the limits on the requests of callers. */
   public RequestLimits limits() {
     return limits;
--- a/amaranthstream/src/main/java/org/amaranthstream/servers/ServerChoice.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/servers/ServerChoice.java
@@ -5,6 +5,7 @@
 import java.util.Collection;
 import java.util.Optional;
 import java.util.function.Predicate;
+import java.util.function.ToDoubleFunction;
 import org.amaranthstream.ids.AvailabilityZoneId;
 import org.amaranthstream.ids.RegionId;
 
@@ -49,10 +50,24 @@
   /** Returns the best of the servers that satisfy {@code isAllowed}, empty if none does. */
   public Optional<TrackedServer> choose(
       Collection<TrackedServer> servers, Predicate<TrackedServer> isAllowed, long nowNanos) {
+    return choose(servers, isAllowed, server -> 0, nowNanos);
+  }
+
+  /**
+   * Returns the best of the servers that satisfy {@code isAllowed}, empty if none does.
+   *
+   * @param requestCost what the request costs at a server beside the server's load and distance, as
+   *     a share of the time of a run
+   */
+  public Optional<TrackedServer> choose(
+      Collection<TrackedServer> servers,
+      Predicate<TrackedServer> isAllowed,
+      ToDoubleFunction<TrackedServer> requestCost,
+      long nowNanos) {
     TrackedServer best = null;
     double bestCost = Double.MAX_VALUE;
     for (TrackedServer server : servers) {
-      double cost = cost(server, nowNanos);
+      double cost = cost(server, nowNanos) + requestCost.applyAsDouble(server);
       if (cost < bestCost && isAllowed.test(server)) {
         best = server;
         bestCost = cost;
