Pause relayed responses while their caller does not read them

Cause: the exchange between daemons had no flow control; the serving side always reported that there was room. Change: a frame that pauses or resumes the response to one exchange. The relaying daemon sends it when its caller's write queue is full or has drained, and the serving daemon passes it on to the connection of the server. Parts that are on their way still arrive, so the link holds a round trip of one response at most.

Tests: PeerExchangesTest.pausesAndResumesTheResponse over real links, RelayedCallsTest.pauseWhileTheCallerDoesNotRead in virtual time.

--- a/amaranthstream/src/main/java/org/amaranthstream/fleet/FleetCallRelay.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/fleet/FleetCallRelay.java
@@ -17,6 +17,7 @@
 import org.amaranthstream.fleet.wire.CallPart;
 import org.amaranthstream.ids.EntryVmId;
 import org.amaranthstream.peer.ExchangeListener;
+import org.amaranthstream.peer.PeerExchange;
 import org.amaranthstream.peer.PeerExchanges;
 import org.amaranthstream.result.ResultCode;
 import org.amaranthstream.time.TimerService;
@@ -132,15 +133,16 @@
   }
 
   /** Attempt that a peer runs. */
-  private record RelayedAttempt(Runnable canceller) implements CallTransport.Attempt {
+  private record RelayedAttempt(PeerExchange exchange) implements CallTransport.Attempt {
     @Override
     public void cancel() {
-      canceller.run();
+      exchange.cancel();
     }
 
-    /** The response is buffered instead, within the bounds of the link. */
     @Override
-    public void setPaused(boolean isPaused) {}
+    public void setPaused(boolean isPaused) {
+      exchange.setPaused(isPaused);
+    }
   }
 
   /** Response that a peer passes on. */
--- a/amaranthstream/src/main/java/org/amaranthstream/fleet/RelayedCallHandler.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/fleet/RelayedCallHandler.java
@@ -146,11 +146,13 @@
 
     @Override
     public boolean isFull() {
-      return false;
+      return responder.isPaused();
     }
 
     @Override
-    public void onDrained(Runnable task) {}
+    public void onDrained(Runnable task) {
+      responder.onResumed(task);
+    }
 
     @Override
     public void end() {
--- a/amaranthstream/src/main/java/org/amaranthstream/peer/ExchangeResponder.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/peer/ExchangeResponder.java
@@ -11,6 +11,12 @@
    */
   boolean sendPart(byte[] part);
 
+  /** Returns true while the peer asks for no further parts. */
+  boolean isPaused();
+
+  /** Registers a task to run once the peer asks for further parts. */
+  void onResumed(Runnable task);
+
   /** Ends a response that is complete. */
   void end();
 
--- a/amaranthstream/src/main/java/org/amaranthstream/peer/ForwardServer.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/peer/ForwardServer.java
@@ -16,6 +16,7 @@
 import org.amaranthstream.membership.MembershipTable;
 import org.amaranthstream.membership.VmPhase;
 import org.amaranthstream.peer.wire.Forward;
+import org.amaranthstream.peer.wire.ForwardFlow;
 import org.amaranthstream.peer.wire.Frame;
 import org.amaranthstream.result.ErrorDetail;
 import org.amaranthstream.result.ResultCode;
@@ -123,6 +124,13 @@
     }
   }
 
+  void onFlow(InboundLink link, ForwardFlow flow) {
+    IncomingForward forward = link.forwards().get(flow.getId());
+    if (forward != null) {
+      forward.setPaused(flow.getPaused());
+    }
+  }
+
   /** Cancels the work that was forwarded on a closed connection. */
   void onLinkClosed(InboundLink link) {
     List.copyOf(link.forwards().values()).forEach(IncomingForward::stop);
--- a/amaranthstream/src/main/java/org/amaranthstream/peer/IncomingExchange.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/peer/IncomingExchange.java
@@ -13,6 +13,8 @@
   private final InboundLink link;
   private final long id;
   private Runnable canceller = () -> {};
+  private Runnable onResumed = () -> {};
+  private boolean isPaused;
   private boolean isOver;
 
   IncomingExchange(InboundLink link, long id) {
@@ -63,6 +65,24 @@
     return isSent;
   }
 
+  @Override
+  public void setPaused(boolean isPaused) {
+    this.isPaused = isPaused;
+    if (!isPaused && !isOver) {
+      onResumed.run();
+    }
+  }
+
+  @Override
+  public boolean isPaused() {
+    return isPaused;
+  }
+
+  @Override
+  public void onResumed(Runnable task) {
+    onResumed = task;
+  }
+
   @Override
   public void end() {
     if (close()) {
--- a/amaranthstream/src/main/java/org/amaranthstream/peer/IncomingForward.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/peer/IncomingForward.java
@@ -4,4 +4,7 @@
 interface IncomingForward {
   /** Cancels the request; the peer gets nothing more. */
   void stop();
+
+  /** Pauses or resumes the response; only exchanges support it. */
+  default void setPaused(boolean isPaused) {}
 }
--- a/amaranthstream/src/main/java/org/amaranthstream/peer/LinkExchanges.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/peer/LinkExchanges.java
@@ -46,7 +46,7 @@
   }
 
   @Override
-  public Runnable start(
+  public PeerExchange start(
       EntryVmId vm, byte[] request, Duration timeLeft, ExchangeListener listener) {
     WaitingExchange exchange =
         new WaitingExchange(vm, request, timers.nowNanos(), timeLeft, listener);
@@ -59,7 +59,7 @@
     } else {
       exchange.failNotSent("its address is unknown");
     }
-    return exchange::cancel;
+    return exchange;
   }
 
   /** Sends the requests that wait for {@code link}. */
@@ -81,13 +81,14 @@
   }
 
   /** Exchange that is sent once its link is ready. */
-  private final class WaitingExchange {
+  private final class WaitingExchange implements PeerExchange {
     private final EntryVmId vm;
     private final byte[] request;
     private final long startNanos;
     private final Duration timeLeft;
     private final ExchangeListener listener;
     private OptionalLong id = OptionalLong.empty();
+    private boolean isPaused;
 
     private WaitingExchange(
         EntryVmId vm,
@@ -134,10 +135,19 @@
       listener.onNotRun(new Outcome.NotRun(error, Optional.empty()));
     }
 
-    private void cancel() {
+    @Override
+    public void cancel() {
       waiting.remove(this);
       id.ifPresent(forwards::cancel);
     }
+
+    @Override
+    public void setPaused(boolean shouldPause) {
+      if (isPaused != shouldPause) {
+        isPaused = shouldPause;
+        id.ifPresent(sent -> forwards.setPaused(sent, shouldPause));
+      }
+    }
   }
 
   /** Exchange whose response has not ended. */
--- a/amaranthstream/src/main/java/org/amaranthstream/peer/OutgoingForwards.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/peer/OutgoingForwards.java
@@ -10,6 +10,7 @@
 import org.amaranthstream.peer.wire.Forward;
 import org.amaranthstream.peer.wire.ForwardCancel;
 import org.amaranthstream.peer.wire.ForwardChunk;
+import org.amaranthstream.peer.wire.ForwardFlow;
 import org.amaranthstream.peer.wire.ForwardOutcome;
 import org.amaranthstream.peer.wire.Frame;
 import org.amaranthstream.result.ErrorDetail;
@@ -91,6 +92,17 @@
     links.ready(to).ifPresent(link -> link.send(frame));
   }
 
+  /** Pauses or resumes the response to a request. Unknown ids are ignored. */
+  void setPaused(long id, boolean isPaused) {
+    OpenForward forward = openForwards.get(id);
+    if (forward != null) {
+      ForwardFlow flow = ForwardFlow.newBuilder().setId(id).setPaused(isPaused).build();
+      Frame frame = Frame.newBuilder().setForwardFlow(flow).build();
+      // If the frame is not sent, the link is lost or full, and the request fails with it.
+      links.ready(forward.to).ifPresent(link -> link.send(frame));
+    }
+  }
+
   /** Passes a part of a response to its listener. A part for an unknown id is ignored. */
   void onChunk(PeerLink link, ForwardChunk chunk) {
     OpenForward forward = openForwards.get(chunk.getId());
--- a/amaranthstream/src/main/java/org/amaranthstream/peer/PeerExchanges.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/peer/PeerExchanges.java
@@ -20,7 +20,7 @@
    * Sends a request to a peer. It waits for a link up to the connect timeout; without one, it fails
    * as not run.
    *
-   * @return a task that cancels the exchange
+   * @return the exchange
    */
-  Runnable start(EntryVmId vm, byte[] request, Duration timeLeft, ExchangeListener listener);
+  PeerExchange start(EntryVmId vm, byte[] request, Duration timeLeft, ExchangeListener listener);
 }
--- a/amaranthstream/src/main/java/org/amaranthstream/peer/PeerNode.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/peer/PeerNode.java
@@ -244,6 +244,7 @@
         case QUERY -> queryServer.onQuery(link, frame.getQuery());
         case FORWARD -> forwards.onForward(link, frame.getForward());
         case FORWARD_CANCEL -> forwards.onCancel(link, frame.getForwardCancel().getId());
+        case FORWARD_FLOW -> forwards.onFlow(link, frame.getForwardFlow());
         default -> {
           logger.atWarning().log(
               "event=peer_frame_unexpected vm=%s kind=%s", link.peer().id(), frame.getBodyCase());
--- a/amaranthstream/src/main/java/org/amaranthstream/peer/wire/Frame.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/peer/wire/Frame.java
@@ -71,6 +71,7 @@
     FORWARD_CHUNK(11),
     FORWARD_OUTCOME(12),
     FORWARD_CANCEL(13),
+    FORWARD_FLOW(14),
     BODY_NOT_SET(0);
     private final int value;
     private BodyCase(int value) {
@@ -101,6 +102,7 @@
         case 11: return FORWARD_CHUNK;
         case 12: return FORWARD_OUTCOME;
         case 13: return FORWARD_CANCEL;
+        case 14: return FORWARD_FLOW;
         case 0: return BODY_NOT_SET;
         default: return null;
       }
@@ -519,6 +521,37 @@
     return org.amaranthstream.peer.wire.ForwardCancel.getDefaultInstance();
   }
 
+  public static final int FORWARD_FLOW_FIELD_NUMBER = 14;
+  /**
+   * <code>.amaranthstream.peer.ForwardFlow forward_flow = 14;</code>
+   * @return Whether the forwardFlow field is set.
+   */
+  @java.lang.Override
+  public boolean hasForwardFlow() {
+    return bodyCase_ == 14;
+  }
+  /**
+   * <code>.amaranthstream.peer.ForwardFlow forward_flow = 14;</code>
+   * @return The forwardFlow.
+   */
+  @java.lang.Override
+  public org.amaranthstream.peer.wire.ForwardFlow getForwardFlow() {
+    if (bodyCase_ == 14) {
+       return (org.amaranthstream.peer.wire.ForwardFlow) body_;
+    }
+    return org.amaranthstream.peer.wire.ForwardFlow.getDefaultInstance();
+  }
+  /**
+   * <code>.amaranthstream.peer.ForwardFlow forward_flow = 14;</code>
+   */
+  @java.lang.Override
+  public org.amaranthstream.peer.wire.ForwardFlowOrBuilder getForwardFlowOrBuilder() {
+    if (bodyCase_ == 14) {
+       return (org.amaranthstream.peer.wire.ForwardFlow) body_;
+    }
+    return org.amaranthstream.peer.wire.ForwardFlow.getDefaultInstance();
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -572,6 +605,9 @@
     if (bodyCase_ == 13) {
       output.writeMessage(13, (org.amaranthstream.peer.wire.ForwardCancel) body_);
     }
+    if (bodyCase_ == 14) {
+      output.writeMessage(14, (org.amaranthstream.peer.wire.ForwardFlow) body_);
+    }
     getUnknownFields().writeTo(output);
   }
 
@@ -633,6 +669,10 @@
       size += com.google.protobuf.CodedOutputStream
         .computeMessageSize(13, (org.amaranthstream.peer.wire.ForwardCancel) body_);
     }
+    if (bodyCase_ == 14) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeMessageSize(14, (org.amaranthstream.peer.wire.ForwardFlow) body_);
+    }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -702,6 +742,10 @@
         if (!getForwardCancel()
             .equals(other.getForwardCancel())) return false;
         break;
+      case 14:
+        if (!getForwardFlow()
+            .equals(other.getForwardFlow())) return false;
+        break;
       case 0:
       default:
     }
@@ -769,6 +813,10 @@
         hash = (37 * hash) + FORWARD_CANCEL_FIELD_NUMBER;
         hash = (53 * hash) + getForwardCancel().hashCode();
         break;
+      case 14:
+        hash = (37 * hash) + FORWARD_FLOW_FIELD_NUMBER;
+        hash = (53 * hash) + getForwardFlow().hashCode();
+        break;
       case 0:
       default:
     }
@@ -946,6 +994,9 @@
       if (forwardCancelBuilder_ != null) {
         forwardCancelBuilder_.clear();
       }
+      if (forwardFlowBuilder_ != null) {
+        forwardFlowBuilder_.clear();
+      }
       bodyCase_ = 0;
       body_ = null;
       return this;
@@ -1039,6 +1090,10 @@
           forwardCancelBuilder_ != null) {
         result.body_ = forwardCancelBuilder_.build();
       }
+      if (bodyCase_ == 14 &&
+          forwardFlowBuilder_ != null) {
+        result.body_ = forwardFlowBuilder_.build();
+      }
     }
 
     @java.lang.Override
@@ -1106,6 +1161,10 @@
           mergeForwardCancel(other.getForwardCancel());
           break;
         }
+        case FORWARD_FLOW: {
+          mergeForwardFlow(other.getForwardFlow());
+          break;
+        }
         case BODY_NOT_SET: {
           break;
         }
@@ -1227,6 +1286,13 @@
               bodyCase_ = 13;
               break;
             } // case 106
+            case 114: {
+              input.readMessage(
+                  internalGetForwardFlowFieldBuilder().getBuilder(),
+                  extensionRegistry);
+              bodyCase_ = 14;
+              break;
+            } // case 114
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -3105,6 +3171,148 @@
       return forwardCancelBuilder_;
     }
 
+    private com.google.protobuf.SingleFieldBuilder<
+        org.amaranthstream.peer.wire.ForwardFlow, org.amaranthstream.peer.wire.ForwardFlow.Builder, org.amaranthstream.peer.wire.ForwardFlowOrBuilder> forwardFlowBuilder_;
+    /**
+     * <code>.amaranthstream.peer.ForwardFlow forward_flow = 14;</code>
+     * @return Whether the forwardFlow field is set.
+     */
+    @java.lang.Override
+    public boolean hasForwardFlow() {
+      return bodyCase_ == 14;
+    }
+    /**
+     * <code>.amaranthstream.peer.ForwardFlow forward_flow = 14;</code>
+     * @return The forwardFlow.
+     */
+    @java.lang.Override
+    public org.amaranthstream.peer.wire.ForwardFlow getForwardFlow() {
+      if (forwardFlowBuilder_ == null) {
+        if (bodyCase_ == 14) {
+          return (org.amaranthstream.peer.wire.ForwardFlow) body_;
+        }
+        return org.amaranthstream.peer.wire.ForwardFlow.getDefaultInstance();
+      } else {
+        if (bodyCase_ == 14) {
+          return forwardFlowBuilder_.getMessage();
+        }
+        return org.amaranthstream.peer.wire.ForwardFlow.getDefaultInstance();
+      }
+    }
+    /**
+     * <code>.amaranthstream.peer.ForwardFlow forward_flow = 14;</code>
+     */
+    public Builder setForwardFlow(org.amaranthstream.peer.wire.ForwardFlow value) {
+      if (forwardFlowBuilder_ == null) {
+        if (value == null) {
+          throw new NullPointerException();
+        }
+        body_ = value;
+        onChanged();
+      } else {
+        forwardFlowBuilder_.setMessage(value);
+      }
+      bodyCase_ = 14;
+      return this;
+    }
+    /**
+     * <code>.amaranthstream.peer.ForwardFlow forward_flow = 14;</code>
+     */
+    public Builder setForwardFlow(
+        org.amaranthstream.peer.wire.ForwardFlow.Builder builderForValue) {
+      if (forwardFlowBuilder_ == null) {
+        body_ = builderForValue.build();
+        onChanged();
+      } else {
+        forwardFlowBuilder_.setMessage(builderForValue.build());
+      }
+      bodyCase_ = 14;
+      return this;
+    }
+    /**
+     * <code>.amaranthstream.peer.ForwardFlow forward_flow = 14;</code>
+     */
+    public Builder mergeForwardFlow(org.amaranthstream.peer.wire.ForwardFlow value) {
+      if (forwardFlowBuilder_ == null) {
+        if (bodyCase_ == 14 &&
+            body_ != org.amaranthstream.peer.wire.ForwardFlow.getDefaultInstance()) {
+          body_ = org.amaranthstream.peer.wire.ForwardFlow.newBuilder((org.amaranthstream.peer.wire.ForwardFlow) body_)
+              .mergeFrom(value).buildPartial();
+        } else {
+          body_ = value;
+        }
+        onChanged();
+      } else {
+        if (bodyCase_ == 14) {
+          forwardFlowBuilder_.mergeFrom(value);
+        } else {
+          forwardFlowBuilder_.setMessage(value);
+        }
+      }
+      bodyCase_ = 14;
+      return this;
+    }
+    /**
+     * <code>.amaranthstream.peer.ForwardFlow forward_flow = 14;</code>
+     */
+    public Builder clearForwardFlow() {
+      if (forwardFlowBuilder_ == null) {
+        if (bodyCase_ == 14) {
+          bodyCase_ = 0;
+          body_ = null;
+          onChanged();
+        }
+      } else {
+        if (bodyCase_ == 14) {
+          bodyCase_ = 0;
+          body_ = null;
+        }
+        forwardFlowBuilder_.clear();
+      }
+      return this;
+    }
+    /**
+     * <code>.amaranthstream.peer.ForwardFlow forward_flow = 14;</code>
+     */
+    public org.amaranthstream.peer.wire.ForwardFlow.Builder getForwardFlowBuilder() {
+      return internalGetForwardFlowFieldBuilder().getBuilder();
+    }
+    /**
+     * <code>.amaranthstream.peer.ForwardFlow forward_flow = 14;</code>
+     */
+    @java.lang.Override
+    public org.amaranthstream.peer.wire.ForwardFlowOrBuilder getForwardFlowOrBuilder() {
+      if ((bodyCase_ == 14) && (forwardFlowBuilder_ != null)) {
+        return forwardFlowBuilder_.getMessageOrBuilder();
+      } else {
+        if (bodyCase_ == 14) {
+          return (org.amaranthstream.peer.wire.ForwardFlow) body_;
+        }
+        return org.amaranthstream.peer.wire.ForwardFlow.getDefaultInstance();
+      }
+    }
+    /**
+     * <code>.amaranthstream.peer.ForwardFlow forward_flow = 14;</code>
+     */
+    private com.google.protobuf.SingleFieldBuilder<
+        org.amaranthstream.peer.wire.ForwardFlow, org.amaranthstream.peer.wire.ForwardFlow.Builder, org.amaranthstream.peer.wire.ForwardFlowOrBuilder> 
+        internalGetForwardFlowFieldBuilder() {
+      if (forwardFlowBuilder_ == null) {
+        if (!(bodyCase_ == 14)) {
+          body_ = org.amaranthstream.peer.wire.ForwardFlow.getDefaultInstance();
+        }
+        forwardFlowBuilder_ = new com.google.protobuf.SingleFieldBuilder<
+            org.amaranthstream.peer.wire.ForwardFlow, org.amaranthstream.peer.wire.ForwardFlow.Builder, org.amaranthstream.peer.wire.ForwardFlowOrBuilder>(
+                (org.amaranthstream.peer.wire.ForwardFlow) body_,
+                getParentForChildren(),
+                isClean());
+        body_ = null;
+      }
+      bodyCase_ = 14;
+      onChanged();
+      return forwardFlowBuilder_;
+    }
+
     // @@protoc_insertion_point(builder_scope:amaranthstream.peer.Frame)
   }
 
--- a/amaranthstream/src/main/java/org/amaranthstream/peer/wire/FrameOrBuilder.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/peer/wire/FrameOrBuilder.java
@@ -205,5 +205,20 @@
    */
   org.amaranthstream.peer.wire.ForwardCancelOrBuilder getForwardCancelOrBuilder();
 
+  /**
+   * <code>.amaranthstream.peer.ForwardFlow forward_flow = 14;</code>
+   * @return Whether the forwardFlow field is set.
+   */
+  boolean hasForwardFlow();
+  /**
+   * <code>.amaranthstream.peer.ForwardFlow forward_flow = 14;</code>
+   * @return The forwardFlow.
+   */
+  org.amaranthstream.peer.wire.ForwardFlow getForwardFlow();
+  /**
+   * <code>.amaranthstream.peer.ForwardFlow forward_flow = 14;</code>
+   */
+  org.amaranthstream.peer.wire.ForwardFlowOrBuilder getForwardFlowOrBuilder();
+
   org.amaranthstream.peer.wire.Frame.BodyCase getBodyCase();
 }
--- a/amaranthstream/src/main/java/org/amaranthstream/peer/wire/Peer.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/peer/wire/Peer.java
@@ -166,6 +166,11 @@
   static final 
     com.google.protobuf.GeneratedMessage.FieldAccessorTable
       internal_static_amaranthstream_peer_ForwardCancel_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_amaranthstream_peer_ForwardFlow_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_amaranthstream_peer_ForwardFlow_fieldAccessorTable;
 
   public static com.google.protobuf.Descriptors.FileDescriptor
       getDescriptor() {
@@ -175,7 +180,7 @@
       descriptor;
   static {
     java.lang.String[] descriptorData = {
-      "\n\npeer.proto\022\023amaranthstream.peer\"\252\005\n\005Fr" +
+      "\n\npeer.proto\022\023amaranthstream.peer\"\344\005\n\005Fr" +
       "ame\022+\n\005hello\030\001 \001(\0132\032.amaranthstream.peer" +
       ".HelloH\000\0223\n\tchallenge\030\002 \001(\0132\036.amaranthst" +
       "ream.peer.ChallengeH\000\022+\n\005proof\030\003 \001(\0132\032.a" +
@@ -192,82 +197,85 @@
       "ream.peer.ForwardChunkH\000\022>\n\017forward_outc" +
       "ome\030\014 \001(\0132#.amaranthstream.peer.ForwardO" +
       "utcomeH\000\022<\n\016forward_cancel\030\r \001(\0132\".amara" +
-      "nthstream.peer.ForwardCancelH\000B\006\n\004body\"a" +
-      "\n\005Hello\022\030\n\020protocol_version\030\001 \001(\r\022/\n\010ide" +
-      "ntity\030\002 \001(\0132\035.amaranthstream.peer.Identi" +
-      "ty\022\r\n\005nonce\030\003 \001(\014\"I\n\010Identity\022\n\n\002vm\030\001 \001(" +
-      "\t\022\023\n\013incarnation\030\002 \001(\t\022\016\n\006region\030\003 \001(\t\022\014" +
-      "\n\004zone\030\004 \001(\t\"r\n\tChallenge\022\030\n\020protocol_ve" +
+      "nthstream.peer.ForwardCancelH\000\0228\n\014forwar" +
+      "d_flow\030\016 \001(\0132 .amaranthstream.peer.Forwa" +
+      "rdFlowH\000B\006\n\004body\"a\n\005Hello\022\030\n\020protocol_ve" +
       "rsion\030\001 \001(\r\022/\n\010identity\030\002 \001(\0132\035.amaranth" +
-      "stream.peer.Identity\022\r\n\005nonce\030\003 \001(\014\022\013\n\003m" +
-      "ac\030\004 \001(\014\"\024\n\005Proof\022\013\n\003mac\030\001 \001(\014\"\t\n\007Welcom" +
-      "e\"\030\n\004Ping\022\020\n\010sequence\030\001 \001(\004\"C\n\004Pong\022\020\n\010s" +
-      "equence\030\001 \001(\004\022)\n\005phase\030\002 \001(\0162\032.amaranths" +
-      "tream.peer.Phase\"\337\003\n\tHeartbeat\022\020\n\010sequen" +
-      "ce\030\001 \001(\004\022)\n\005phase\030\002 \001(\0162\032.amaranthstream" +
-      ".peer.Phase\022\031\n\021config_generation\030\003 \001(\004\022\032" +
-      "\n\rlast_heard_ms\030\004 \001(\rH\000\210\001\001\0228\n\rmodel_vers" +
-      "ion\030\005 \003(\0132!.amaranthstream.peer.ModelVer" +
-      "sion\022+\n\006report\030\006 \003(\0132\033.amaranthstream.pe" +
-      "er.Report\0223\n\007leaving\030\007 \003(\0132\".amaranthstr" +
-      "eam.peer.LeavingServer\0222\n\006poison\030\010 \003(\0132\"" +
-      ".amaranthstream.peer.PoisonContent\0225\n\tag" +
-      "gregate\030\t \003(\0132\".amaranthstream.peer.Zone" +
-      "Aggregate\022-\n\005queue\030\n \003(\0132\036.amaranthstrea" +
-      "m.peer.PoolQueue\022\026\n\016acked_sequence\030\013 \001(\004" +
-      "B\020\n\016_last_heard_ms\".\n\014ModelVersion\022\r\n\005mo" +
-      "del\030\001 \001(\t\022\017\n\007version\030\002 \001(\004\"\241\001\n\006Report\022\016\n" +
-      "\006server\030\001 \001(\t\022\023\n\013incarnation\030\002 \001(\t\022\024\n\007ve" +
-      "rsion\030\003 \001(\004H\000\210\001\001\022\017\n\007running\030\004 \001(\r\022\016\n\006que" +
-      "ued\030\005 \001(\r\022\r\n\005slots\030\006 \001(\r\022\020\n\010draining\030\007 \001" +
-      "(\010\022\016\n\006age_ms\030\010 \001(\rB\n\n\010_version\"4\n\rLeavin" +
-      "gServer\022\016\n\006server\030\001 \001(\t\022\023\n\013incarnation\030\002" +
-      " \001(\t\"\230\001\n\rPoisonContent\022\023\n\013fingerprint\030\001 " +
-      "\001(\t\022/\n\005crash\030\002 \003(\0132 .amaranthstream.peer" +
-      ".ServerCrash\022\016\n\006age_ms\030\003 \001(\r\0221\n\007cleared\030" +
-      "\004 \003(\0132 .amaranthstream.peer.ServerCrash\"" +
-      "2\n\013ServerCrash\022\016\n\006server\030\001 \001(\t\022\023\n\013incarn" +
-      "ation\030\002 \001(\t\"\256\001\n\rZoneAggregate\022\014\n\004zone\030\001 " +
-      "\001(\t\022\016\n\006region\030\002 \001(\t\022\014\n\004pool\030\003 \001(\t\022\017\n\007ser" +
-      "vers\030\004 \001(\r\022\017\n\007running\030\005 \001(\r\022\016\n\006queued\030\006 " +
-      "\001(\r\022\r\n\005slots\030\007 \001(\r\022\024\n\007version\030\010 \001(\004H\000\210\001\001" +
-      "\022\016\n\006age_ms\030\t \001(\rB\n\n\010_version\")\n\tPoolQueu" +
-      "e\022\014\n\004pool\030\001 \001(\t\022\016\n\006queued\030\002 \001(\r\"C\n\005Query" +
-      "\022\n\n\002id\030\001 \001(\004\022\014\n\004kind\030\002 \001(\r\022\014\n\004body\030\003 \001(\014" +
-      "\022\022\n\ntimeout_ms\030\004 \001(\r\"`\n\nQueryReply\022\n\n\002id" +
-      "\030\001 \001(\004\022\016\n\004body\030\002 \001(\014H\000\022+\n\005error\030\003 \001(\0132\032." +
-      "amaranthstream.peer.ErrorH\000B\t\n\007outcome\"&" +
-      "\n\005Error\022\014\n\004code\030\001 \001(\r\022\017\n\007message\030\002 \001(\t\"\327" +
-      "\002\n\007Forward\022\n\n\002id\030\001 \001(\004\022\017\n\007request\030\002 \001(\t\022" +
-      "\022\n\nwork_class\030\003 \001(\t\022\014\n\004pool\030\004 \001(\t\022\020\n\010pri" +
-      "ority\030\005 \001(\r\022\022\n\nidempotent\030\006 \001(\010\022\025\n\010affin" +
-      "ity\030\007 \001(\tH\001\210\001\001\022\034\n\017minimum_version\030\010 \001(\004H" +
-      "\002\210\001\001\022\024\n\014remaining_ms\030\t \001(\r\0221\n\010generate\030\n" +
-      " \001(\0132\035.amaranthstream.peer.GenerateH\000\022)\n" +
-      "\004call\030\013 \001(\0132\031.amaranthstream.peer.CallH\000" +
-      "\022\022\n\010exchange\030\014 \001(\014H\000B\t\n\007payloadB\013\n\t_affi" +
-      "nityB\022\n\020_minimum_version\"<\n\010Generate\022\016\n\006" +
-      "prompt\030\001 \001(\t\022\022\n\nmax_tokens\030\002 \001(\r\022\014\n\004seed" +
-      "\030\003 \001(\003\"8\n\004Call\022\014\n\004path\030\001 \001(\t\022\024\n\014content_" +
-      "type\030\002 \001(\t\022\014\n\004body\030\003 \001(\014\"\242\001\n\014ForwardChun" +
-      "k\022\n\n\002id\030\001 \001(\004\022\016\n\006offset\030\002 \001(\004\022\016\n\006tokens\030" +
-      "\003 \001(\r\022\014\n\004text\030\004 \001(\t\022\024\n\007version\030\005 \001(\004H\000\210\001" +
-      "\001\022\030\n\013incarnation\030\006 \001(\tH\001\210\001\001\022\014\n\004part\030\007 \001(" +
-      "\014B\n\n\010_versionB\016\n\014_incarnation\"\362\001\n\016Forwar" +
-      "dOutcome\022\n\n\002id\030\001 \001(\004\0220\n\tcompleted\030\002 \001(\0132" +
-      "\033.amaranthstream.peer.AnswerH\000\022.\n\007not_ru" +
-      "n\030\003 \001(\0132\033.amaranthstream.peer.NotRunH\000\022-" +
-      "\n\007unknown\030\004 \001(\0132\032.amaranthstream.peer.Er" +
-      "rorH\000\0228\n\014exchange_end\030\005 \001(\0132 .amaranthst" +
-      "ream.peer.ExchangeEndH\000B\t\n\007outcome\"\r\n\013Ex" +
-      "changeEnd\"e\n\006Answer\022\016\n\006server\030\001 \001(\t\022\016\n\006s" +
-      "tatus\030\002 \001(\r\022\024\n\014content_type\030\003 \001(\t\022\016\n\006tok" +
-      "ens\030\004 \001(\004\022\025\n\rfinish_reason\030\005 \001(\t\"c\n\006NotR" +
-      "un\022)\n\005error\030\001 \001(\0132\032.amaranthstream.peer." +
-      "Error\022\033\n\016retry_after_ms\030\002 \001(\rH\000\210\001\001B\021\n\017_r" +
-      "etry_after_ms\"\033\n\rForwardCancel\022\n\n\002id\030\001 \001" +
-      "(\004*\037\n\005Phase\022\t\n\005READY\020\000\022\013\n\007LEAVING\020\001B \n\034o" +
-      "rg.amaranthstream.peer.wireP\001b\006proto3"
+      "stream.peer.Identity\022\r\n\005nonce\030\003 \001(\014\"I\n\010I" +
+      "dentity\022\n\n\002vm\030\001 \001(\t\022\023\n\013incarnation\030\002 \001(\t" +
+      "\022\016\n\006region\030\003 \001(\t\022\014\n\004zone\030\004 \001(\t\"r\n\tChalle" +
+      "nge\022\030\n\020protocol_version\030\001 \001(\r\022/\n\010identit" +
+      "y\030\002 \001(\0132\035.amaranthstream.peer.Identity\022\r" +
+      "\n\005nonce\030\003 \001(\014\022\013\n\003mac\030\004 \001(\014\"\024\n\005Proof\022\013\n\003m" +
+      "ac\030\001 \001(\014\"\t\n\007Welcome\"\030\n\004Ping\022\020\n\010sequence\030" +
+      "\001 \001(\004\"C\n\004Pong\022\020\n\010sequence\030\001 \001(\004\022)\n\005phase" +
+      "\030\002 \001(\0162\032.amaranthstream.peer.Phase\"\337\003\n\tH" +
+      "eartbeat\022\020\n\010sequence\030\001 \001(\004\022)\n\005phase\030\002 \001(" +
+      "\0162\032.amaranthstream.peer.Phase\022\031\n\021config_" +
+      "generation\030\003 \001(\004\022\032\n\rlast_heard_ms\030\004 \001(\rH" +
+      "\000\210\001\001\0228\n\rmodel_version\030\005 \003(\0132!.amaranthst" +
+      "ream.peer.ModelVersion\022+\n\006report\030\006 \003(\0132\033" +
+      ".amaranthstream.peer.Report\0223\n\007leaving\030\007" +
+      " \003(\0132\".amaranthstream.peer.LeavingServer" +
+      "\0222\n\006poison\030\010 \003(\0132\".amaranthstream.peer.P" +
+      "oisonContent\0225\n\taggregate\030\t \003(\0132\".amaran" +
+      "thstream.peer.ZoneAggregate\022-\n\005queue\030\n \003" +
+      "(\0132\036.amaranthstream.peer.PoolQueue\022\026\n\016ac" +
+      "ked_sequence\030\013 \001(\004B\020\n\016_last_heard_ms\".\n\014" +
+      "ModelVersion\022\r\n\005model\030\001 \001(\t\022\017\n\007version\030\002" +
+      " \001(\004\"\241\001\n\006Report\022\016\n\006server\030\001 \001(\t\022\023\n\013incar" +
+      "nation\030\002 \001(\t\022\024\n\007version\030\003 \001(\004H\000\210\001\001\022\017\n\007ru" +
+      "nning\030\004 \001(\r\022\016\n\006queued\030\005 \001(\r\022\r\n\005slots\030\006 \001" +
+      "(\r\022\020\n\010draining\030\007 \001(\010\022\016\n\006age_ms\030\010 \001(\rB\n\n\010" +
+      "_version\"4\n\rLeavingServer\022\016\n\006server\030\001 \001(" +
+      "\t\022\023\n\013incarnation\030\002 \001(\t\"\230\001\n\rPoisonContent" +
+      "\022\023\n\013fingerprint\030\001 \001(\t\022/\n\005crash\030\002 \003(\0132 .a" +
+      "maranthstream.peer.ServerCrash\022\016\n\006age_ms" +
+      "\030\003 \001(\r\0221\n\007cleared\030\004 \003(\0132 .amaranthstream" +
+      ".peer.ServerCrash\"2\n\013ServerCrash\022\016\n\006serv" +
+      "er\030\001 \001(\t\022\023\n\013incarnation\030\002 \001(\t\"\256\001\n\rZoneAg" +
+      "gregate\022\014\n\004zone\030\001 \001(\t\022\016\n\006region\030\002 \001(\t\022\014\n" +
+      "\004pool\030\003 \001(\t\022\017\n\007servers\030\004 \001(\r\022\017\n\007running\030" +
+      "\005 \001(\r\022\016\n\006queued\030\006 \001(\r\022\r\n\005slots\030\007 \001(\r\022\024\n\007" +
+      "version\030\010 \001(\004H\000\210\001\001\022\016\n\006age_ms\030\t \001(\rB\n\n\010_v" +
+      "ersion\")\n\tPoolQueue\022\014\n\004pool\030\001 \001(\t\022\016\n\006que" +
+      "ued\030\002 \001(\r\"C\n\005Query\022\n\n\002id\030\001 \001(\004\022\014\n\004kind\030\002" +
+      " \001(\r\022\014\n\004body\030\003 \001(\014\022\022\n\ntimeout_ms\030\004 \001(\r\"`" +
+      "\n\nQueryReply\022\n\n\002id\030\001 \001(\004\022\016\n\004body\030\002 \001(\014H\000" +
+      "\022+\n\005error\030\003 \001(\0132\032.amaranthstream.peer.Er" +
+      "rorH\000B\t\n\007outcome\"&\n\005Error\022\014\n\004code\030\001 \001(\r\022" +
+      "\017\n\007message\030\002 \001(\t\"\327\002\n\007Forward\022\n\n\002id\030\001 \001(\004" +
+      "\022\017\n\007request\030\002 \001(\t\022\022\n\nwork_class\030\003 \001(\t\022\014\n" +
+      "\004pool\030\004 \001(\t\022\020\n\010priority\030\005 \001(\r\022\022\n\nidempot" +
+      "ent\030\006 \001(\010\022\025\n\010affinity\030\007 \001(\tH\001\210\001\001\022\034\n\017mini" +
+      "mum_version\030\010 \001(\004H\002\210\001\001\022\024\n\014remaining_ms\030\t" +
+      " \001(\r\0221\n\010generate\030\n \001(\0132\035.amaranthstream." +
+      "peer.GenerateH\000\022)\n\004call\030\013 \001(\0132\031.amaranth" +
+      "stream.peer.CallH\000\022\022\n\010exchange\030\014 \001(\014H\000B\t" +
+      "\n\007payloadB\013\n\t_affinityB\022\n\020_minimum_versi" +
+      "on\"<\n\010Generate\022\016\n\006prompt\030\001 \001(\t\022\022\n\nmax_to" +
+      "kens\030\002 \001(\r\022\014\n\004seed\030\003 \001(\003\"8\n\004Call\022\014\n\004path" +
+      "\030\001 \001(\t\022\024\n\014content_type\030\002 \001(\t\022\014\n\004body\030\003 \001" +
+      "(\014\"\242\001\n\014ForwardChunk\022\n\n\002id\030\001 \001(\004\022\016\n\006offse" +
+      "t\030\002 \001(\004\022\016\n\006tokens\030\003 \001(\r\022\014\n\004text\030\004 \001(\t\022\024\n" +
+      "\007version\030\005 \001(\004H\000\210\001\001\022\030\n\013incarnation\030\006 \001(\t" +
+      "H\001\210\001\001\022\014\n\004part\030\007 \001(\014B\n\n\010_versionB\016\n\014_inca" +
+      "rnation\"\362\001\n\016ForwardOutcome\022\n\n\002id\030\001 \001(\004\0220" +
+      "\n\tcompleted\030\002 \001(\0132\033.amaranthstream.peer." +
+      "AnswerH\000\022.\n\007not_run\030\003 \001(\0132\033.amaranthstre" +
+      "am.peer.NotRunH\000\022-\n\007unknown\030\004 \001(\0132\032.amar" +
+      "anthstream.peer.ErrorH\000\0228\n\014exchange_end\030" +
+      "\005 \001(\0132 .amaranthstream.peer.ExchangeEndH" +
+      "\000B\t\n\007outcome\"\r\n\013ExchangeEnd\"e\n\006Answer\022\016\n" +
+      "\006server\030\001 \001(\t\022\016\n\006status\030\002 \001(\r\022\024\n\014content" +
+      "_type\030\003 \001(\t\022\016\n\006tokens\030\004 \001(\004\022\025\n\rfinish_re" +
+      "ason\030\005 \001(\t\"c\n\006NotRun\022)\n\005error\030\001 \001(\0132\032.am" +
+      "aranthstream.peer.Error\022\033\n\016retry_after_m" +
+      "s\030\002 \001(\rH\000\210\001\001B\021\n\017_retry_after_ms\"\033\n\rForwa" +
+      "rdCancel\022\n\n\002id\030\001 \001(\004\")\n\013ForwardFlow\022\n\n\002i" +
+      "d\030\001 \001(\004\022\016\n\006paused\030\002 \001(\010*\037\n\005Phase\022\t\n\005READ" +
+      "Y\020\000\022\013\n\007LEAVING\020\001B \n\034org.amaranthstream.p" +
+      "eer.wireP\001b\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -278,7 +286,7 @@
     internal_static_amaranthstream_peer_Frame_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_amaranthstream_peer_Frame_descriptor,
-        new java.lang.String[] { "Hello", "Challenge", "Proof", "Welcome", "Ping", "Pong", "Heartbeat", "Query", "QueryReply", "Forward", "ForwardChunk", "ForwardOutcome", "ForwardCancel", "Body", });
+        new java.lang.String[] { "Hello", "Challenge", "Proof", "Welcome", "Ping", "Pong", "Heartbeat", "Query", "QueryReply", "Forward", "ForwardChunk", "ForwardOutcome", "ForwardCancel", "ForwardFlow", "Body", });
     internal_static_amaranthstream_peer_Hello_descriptor =
       getDescriptor().getMessageType(1);
     internal_static_amaranthstream_peer_Hello_fieldAccessorTable = new
@@ -441,6 +449,12 @@
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_amaranthstream_peer_ForwardCancel_descriptor,
         new java.lang.String[] { "Id", });
+    internal_static_amaranthstream_peer_ForwardFlow_descriptor =
+      getDescriptor().getMessageType(28);
+    internal_static_amaranthstream_peer_ForwardFlow_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_amaranthstream_peer_ForwardFlow_descriptor,
+        new java.lang.String[] { "Id", "Paused", });
     descriptor.resolveAllFeaturesImmutable();
   }
 
--- a/amaranthstream/src/test/java/org/amaranthstream/fleet/CuttableServers.java
+++ b/amaranthstream/src/test/java/org/amaranthstream/fleet/CuttableServers.java
@@ -21,6 +21,7 @@
 /** Simulated servers in virtual time, from which single daemons can be cut off. */
 final class CuttableServers {
   private static final Duration RESPONSE_TIME = Duration.ofMillis(36);
+  static final Duration PART_INTERVAL = Duration.ofMillis(10);
   private static final Duration CONNECT_TIMEOUT = Duration.ofMillis(600);
 
   private final VirtualTimerService timers;
@@ -28,6 +29,7 @@
   private final List<String> runs = new ArrayList<>();
   private final List<String> cancelled = new ArrayList<>();
   private boolean isSlow;
+  private int streamedParts;
 
   /** State of the connections between a daemon and all servers. */
   enum Cut {
@@ -53,6 +55,11 @@
     isSlow = true;
   }
 
+  /** Makes the servers respond with {@code parts} parts, one after another. */
+  void streamParts(int parts) {
+    streamedParts = parts;
+  }
+
   /** Returns the ids of the requests that ran, once for each run. */
   List<String> runs() {
     return runs;
@@ -88,6 +95,8 @@
     private final AttemptListener listener;
     private boolean isSent;
     private boolean isOver;
+    private boolean isPaused;
+    private int sentParts;
 
     private Run(String vm, OutboundCall call, AttemptListener listener) {
       this.vm = vm;
@@ -129,17 +138,37 @@
       if (isOver) {
         return;
       }
-      isOver = true;
+      isOver = streamedParts == 0;
       listener.onHead(
           new ResponseHead(
               200,
               MultiMap.caseInsensitiveMultiMap().add("name", "value"),
               OptionalLong.empty(),
               Optional.of("seal-" + call.id())));
+      if (streamedParts > 0) {
+        stream();
+        return;
+      }
       listener.onData(Buffer.buffer("response to " + call.id()));
       listener.onEnd();
     }
 
+    private void stream() {
+      if (isOver) {
+        return;
+      }
+      if (!isPaused) {
+        sentParts++;
+        listener.onData(Buffer.buffer("p"));
+      }
+      if (sentParts == streamedParts) {
+        isOver = true;
+        listener.onEnd();
+      } else {
+        timers.after(PART_INTERVAL, this::stream);
+      }
+    }
+
     @Override
     public void cancel() {
       if (!isOver && isSent) {
@@ -154,6 +183,8 @@
     }
 
     @Override
-    public void setPaused(boolean isPaused) {}
+    public void setPaused(boolean shouldPause) {
+      isPaused = shouldPause;
+    }
   }
 }
--- a/amaranthstream/src/test/java/org/amaranthstream/fleet/RecordedResponse.java
+++ b/amaranthstream/src/test/java/org/amaranthstream/fleet/RecordedResponse.java
@@ -17,6 +17,8 @@
   private Runnable onDisconnect = () -> {};
   private @Nullable ErrorDetail error;
   private boolean isComplete;
+  private boolean isReading = true;
+  private Runnable onDrained = () -> {};
   private long endNanos;
 
   RecordedResponse(String id, TimerService timers) {
@@ -72,13 +74,23 @@
     body.appendBuffer(data);
   }
 
+  /** Sets whether the caller reads the response. */
+  void setReading(boolean isReading) {
+    this.isReading = isReading;
+    if (isReading) {
+      onDrained.run();
+    }
+  }
+
   @Override
   public boolean isFull() {
-    return false;
+    return !isReading;
   }
 
   @Override
-  public void onDrained(Runnable task) {}
+  public void onDrained(Runnable task) {
+    onDrained = task;
+  }
 
   @Override
   public void end() {
--- a/amaranthstream/src/test/java/org/amaranthstream/fleet/RelayedCallsTest.java
+++ b/amaranthstream/src/test/java/org/amaranthstream/fleet/RelayedCallsTest.java
@@ -115,6 +115,28 @@
     assertThat(daemons.exchanges()).isEqualTo(relayed);
   }
 
+  /** A caller that does not read must not fill the link, which other calls share. */
+  @Test
+  void pauseWhileTheCallerDoesNotRead() {
+    servers.cut("a1", Cut.REFUSED);
+    sendAll(List.of("a1"), RouteKind.IDEMPOTENT);
+    servers.streamParts(100);
+    RecordedResponse response = send("a1", RouteKind.STREAMING);
+    response.setReading(false);
+    timers.advance(Duration.ofSeconds(1));
+    int received = response.body().length();
+    timers.advance(Duration.ofMillis(200));
+    int receivedLater = response.body().length();
+    response.setReading(true);
+    timers.advance(Duration.ofMillis(1_200));
+
+    assertThat(received).isAtLeast(1);
+    assertThat(received).isLessThan(10);
+    assertThat(receivedLater).isEqualTo(received);
+    assertThat(response.isComplete()).isTrue();
+    assertThat(response.body()).hasLength(100);
+  }
+
   @Test
   void areNotRelayedWhileTheServersRespond() {
     List<RecordedResponse> responses = sendAll(daemons.names(), RouteKind.IDEMPOTENT);
--- a/amaranthstream/src/test/java/org/amaranthstream/fleet/RelayingDaemons.java
+++ b/amaranthstream/src/test/java/org/amaranthstream/fleet/RelayingDaemons.java
@@ -22,6 +22,7 @@
 import org.amaranthstream.membership.LocalVm;
 import org.amaranthstream.peer.ExchangeListener;
 import org.amaranthstream.peer.ExchangeResponder;
+import org.amaranthstream.peer.PeerExchange;
 import org.amaranthstream.peer.PeerExchanges;
 import org.amaranthstream.platform.SimulatedStore;
 import org.amaranthstream.quarantine.PoisonRegistry;
@@ -146,7 +147,10 @@
       routing.apply(
           RoutingConfig.of(
               version,
-              List.of(route(RouteKind.IDEMPOTENT), route(RouteKind.NON_IDEMPOTENT)),
+              List.of(
+                  route(RouteKind.IDEMPOTENT),
+                  route(RouteKind.NON_IDEMPOTENT),
+                  route(RouteKind.STREAMING)),
               List.of(),
               RequestLimits.defaults()));
     }
@@ -168,21 +172,23 @@
     public void prepare(EntryVmId vm) {}
 
     @Override
-    public Runnable start(
+    public PeerExchange start(
         EntryVmId vm, byte[] request, Duration timeLeft, ExchangeListener listener) {
       exchanges++;
       SimulatedExchange exchange = new SimulatedExchange(listener);
       timers.after(
           LINK_DELAY, () -> exchange.begin(daemons.get(vm).handler, local, request, timeLeft));
-      return exchange::cancel;
+      return exchange;
     }
   }
 
   /** Exchange between two daemons over a link with a delay. */
-  private final class SimulatedExchange implements ExchangeResponder {
+  private final class SimulatedExchange implements ExchangeResponder, PeerExchange {
     private final ExchangeListener listener;
     private final List<Runnable> cancellers = new ArrayList<>();
+    private Runnable onResumed = () -> {};
     private boolean isCancelled;
+    private boolean isPaused;
 
     private SimulatedExchange(ExchangeListener listener) {
       this.listener = listener;
@@ -195,7 +201,30 @@
       }
     }
 
-    private void cancel() {
+    @Override
+    public void setPaused(boolean shouldPause) {
+      timers.after(
+          LINK_DELAY,
+          () -> {
+            isPaused = shouldPause;
+            if (!shouldPause) {
+              onResumed.run();
+            }
+          });
+    }
+
+    @Override
+    public boolean isPaused() {
+      return isPaused;
+    }
+
+    @Override
+    public void onResumed(Runnable task) {
+      onResumed = task;
+    }
+
+    @Override
+    public void cancel() {
       isCancelled = true;
       timers.after(LINK_DELAY, () -> cancellers.forEach(Runnable::run));
     }
--- a/amaranthstream/src/test/java/org/amaranthstream/peer/PeerExchangesTest.java
+++ b/amaranthstream/src/test/java/org/amaranthstream/peer/PeerExchangesTest.java
@@ -50,7 +50,7 @@
         }
       };
 
-  private Runnable start() {
+  private PeerExchange start() {
     return near.node
         .exchanges()
         .start(far.self.id(), "request".getBytes(UTF_8), TIME_LEFT, listener);
@@ -106,9 +106,9 @@
   @Test
   void cancelReachesThePeerAndSilencesTheListener() {
     mesh.connect(near, far);
-    Runnable canceller = start();
+    PeerExchange exchange = start();
     mesh.runUntil("arrival", () -> !far.exchanges.isEmpty());
-    canceller.run();
+    exchange.cancel();
     mesh.runUntil("cancel", () -> far.cancelledExchanges > 0);
     far.exchanges.get(0).responder().end();
     mesh.tick();
@@ -116,6 +116,23 @@
     assertThat(events).isEmpty();
   }
 
+  /** A receiver that passes parts on too slowly must not fill the link, which others share. */
+  @Test
+  void pausesAndResumesTheResponse() {
+    mesh.connect(near, far);
+    PeerExchange exchange = start();
+    mesh.runUntil("arrival", () -> !far.exchanges.isEmpty());
+    ExchangeResponder responder = far.exchanges.get(0).responder();
+    List<String> resumed = new ArrayList<>();
+    responder.onResumed(() -> resumed.add("resumed"));
+    exchange.setPaused(true);
+    mesh.runUntil("pause", responder::isPaused);
+    exchange.setPaused(false);
+    mesh.runUntil("resumption", () -> !resumed.isEmpty());
+
+    assertThat(responder.isPaused()).isFalse();
+  }
+
   @Test
   void unknownPeerIsReportedAsNotRun() {
     near.node.exchanges().start(EntryVmId.of("nobody"), new byte[0], TIME_LEFT, listener);
