--- a/amaranthstream/src/main/java/org/amaranthstream/jobs/ItemScheduler.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/jobs/ItemScheduler.java
@@ -108,7 +108,7 @@
       giveUpOpenItems(job, "no batch route matches the host and path of the job");
       return;
     }
-    if (job.age(now).compareTo(route.get().itemTimeout()) >= 0) {
+    if (job.ownedTime(now).compareTo(route.get().itemTimeout()) >= 0) {
       giveUpOpenItems(job, "the item timeout of the route has expired");
       return;
     }
--- a/amaranthstream/src/main/java/org/amaranthstream/jobs/OwnedJob.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/jobs/OwnedJob.java
@@ -23,6 +23,7 @@
   private static final byte[] NO_TEXT = new byte[0];
 
   private final JobSpec spec;
+  private final long ownedSinceNanos;
   private final long startNanos;
   private final Map<ItemId, ItemProgress> items = new LinkedHashMap<>();
   private final Map<GroupId, Integer> openInGroup = new LinkedHashMap<>();
@@ -39,11 +40,13 @@
   /**
    * Creates the state of a job that has no results yet.
    *
-   * @param sinceAccepted the time since the job was accepted
+   * @param sinceAccepted the time since the job was accepted, as the times of day of the VMs that
+   *     accepted it and that own it now tell
    */
   OwnedJob(JobSpec spec, StoredOwner owner, long nowNanos, Duration sinceAccepted) {
     this.spec = spec;
     this.owner = owner;
+    this.ownedSinceNanos = nowNanos;
     this.startNanos = nowNanos - sinceAccepted.toNanos();
     this.isEnded = owner.owner().isEnded();
     for (ItemSpec item : spec.items()) {
@@ -184,10 +187,22 @@
     this.isEnded |= owner.owner().isEnded();
   }
 
+  /**
+   * Returns the time since the job was accepted. The estimate of a job that was taken over is off
+   * by as much as the times of day of two VMs differ, so it must decide nothing but an order.
+   */
   Duration age(long nowNanos) {
     return Duration.ofNanos(nowNanos - startNanos);
   }
 
+  /**
+   * Returns the time for which this daemon has owned the job, by the monotonic clock. The job is at
+   * least as old.
+   */
+  Duration ownedTime(long nowNanos) {
+    return Duration.ofNanos(nowNanos - ownedSinceNanos);
+  }
+
   Iterable<ItemProgress> items() {
     return items.values();
   }
--- a/amaranthstream/src/test/java/org/amaranthstream/jobs/JobFleet.java
+++ b/amaranthstream/src/test/java/org/amaranthstream/jobs/JobFleet.java
@@ -69,6 +69,7 @@
     private boolean areServersCut;
     private boolean areConnectionsRefused;
     private boolean isKilled;
+    private Duration timeOfDayStep = Duration.ZERO;
 
     private Node(String name) {
       this.name = name;
@@ -82,14 +83,14 @@
               AvailabilityZoneId.of("a"),
               RegionId.of("r"));
       Fleet fleet = Fleet.create(client, clock);
-      session = FleetSession.create(client, clock, JobFleet.this::now, self);
+      session = FleetSession.create(client, clock, this::timeOfDay, self);
       jobs =
           JobService.builder()
               .permits((server, patience, listener) -> listener.accept(true))
               .fleet(self, fleet)
               .store(client)
               .timers(clock)
-              .timeOfDay(JobFleet.this::now)
+              .timeOfDay(this::timeOfDay)
               .routing(routing)
               .servers(directory, ServerChoice.in(self.zone(), zone -> Optional.empty()))
               .reach(ReachMonitor.create(directory, this::probe, clock))
@@ -216,6 +217,15 @@
       clock.pause();
     }
 
+    /** Sets the time of day of the VM forward, or back if {@code step} is negative. */
+    void stepTimeOfDay(Duration step) {
+      timeOfDayStep = timeOfDayStep.plus(step);
+    }
+
+    private Instant timeOfDay() {
+      return now().plus(timeOfDayStep);
+    }
+
     /** Shuts the process down with a handoff of its jobs. */
     void shutDown() {
       jobs.handOff().thenRun(session::close);
--- a/amaranthstream/src/test/java/org/amaranthstream/jobs/JobTakeoverTest.java
+++ b/amaranthstream/src/test/java/org/amaranthstream/jobs/JobTakeoverTest.java
@@ -137,6 +137,18 @@
     assertThat(again.owns(JOB)).isTrue();
   }
 
+  /** The successor's time of day is ahead by more than the time after which items are given up. */
+  @Test
+  void successorWithAnotherTimeOfDayGivesUpNoItem() {
+    second.stepTimeOfDay(Duration.ofMinutes(1));
+    submit(first, job);
+    fleet.runMillis(300);
+    first.kill();
+    fleet.run(Duration.ofSeconds(20));
+
+    assertAllComplete(job, fleet.read(second, JOB));
+  }
+
   @Test
   void suspendedOwnerListsNoResultsAfterTakeover() {
     submit(first, job);
