Apply the registrations of servers that are read together in one batch

Each daemon logged a line for each backend server and told its listeners once for each when it read the list, and once for each server of a batch of changes.

--- a/amaranthstream/src/main/java/org/amaranthstream/servers/ServerDirectory.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/servers/ServerDirectory.java
@@ -35,6 +35,9 @@
   private final Map<BackendServerId, Subscription> removalTimers = new LinkedHashMap<>();
   private final LeavingIncarnations leaving = new LeavingIncarnations();
   private final SoftwareHistory software;
+  private final ServerChangeLog changeLog = new ServerChangeLog();
+  private boolean isBatchOpen;
+  private boolean isBatchChanged;
   private Optional<ReachMonitor> reachMonitor = Optional.empty();
   private final List<ServerListener> listeners = new ArrayList<>();
   private final List<LeavingListener> leavingListeners = new ArrayList<>();
@@ -104,6 +107,27 @@
     }
   }
 
+  /** Defers the notification of the listeners and the log lines until {@link #endBatch}. */
+  public void startBatch() {
+    isBatchOpen = true;
+  }
+
+  /** Ends a batch, and notifies the listeners once if it contained changes. */
+  public void endBatch() {
+    isBatchOpen = false;
+    if (isBatchChanged) {
+      onChanged();
+    }
+  }
+
+  private void onChanged() {
+    isBatchChanged = isBatchOpen;
+    if (!isBatchOpen) {
+      changeLog.flush(servers.size());
+      notifyListeners();
+    }
+  }
+
   /** Applies a registration that was read from the store. */
   public void onRegistration(ServerRegistration registration) {
     Subscription removalTimer = removalTimers.remove(registration.id());
@@ -131,19 +155,9 @@
         added.markDraining();
       }
       servers.put(registration.id(), added);
-      logger.atInfo().log(
-          "event=server_known server=%s service=%s software=%s address=%s:%d zone=%s slots=%d"
-              + " versions=%s",
-          registration.id(),
-          registration.service(),
-          registration.softwareVersion(),
-          registration.host(),
-          registration.port(),
-          registration.zone(),
-          registration.slots(),
-          registration.versions());
+      changeLog.addKnown(registration);
     }
-    notifyListeners();
+    onChanged();
   }
 
   /** Handles a registration that was removed from the store or is unreadable. */
@@ -165,8 +179,8 @@
     if (removed != null) {
       removed.markRemoved();
       software.onSeen(removed.registration(), timers.nowNanos());
-      logger.atInfo().log("event=server_gone server=%s", id);
-      notifyListeners();
+      changeLog.addGone(removed.registration());
+      onChanged();
     }
   }
 
