Apply joins and losses of daemons in batches

When all daemons start, each of them handled each join by itself: a line, a call of every listener, a rebuild of the whole list of VMs in the membership table, and the choice of links to other zones four times a second although the fleet never uses it.

PrefixMirror now marks the changes of one response as a batch. Fleet notifies its listeners once for a batch, and logs at most one line a second (nodes_changed), with the names if they are at most four. The membership table applies the changes instead of the whole list, and chooses links to other zones when they are used. A watch through a relay waits up to 100 ms after changes, because the two relays deliver the same changes a little apart.

--- a/amaranthstream/src/main/java/org/amaranthstream/fleet/Fleet.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/fleet/Fleet.java
@@ -3,10 +3,10 @@
 import static com.google.common.base.Preconditions.checkNotNull;
 
 import com.google.common.collect.ImmutableList;
-import com.google.common.flogger.FluentLogger;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -27,7 +27,6 @@
  * thread of its timers.
  */
 public final class Fleet implements MirrorListener {
-  private static final FluentLogger logger = FluentLogger.forEnclosingClass();
   private static final Duration WATCH_WAIT = Duration.ofSeconds(10);
   private static final Duration DEBOUNCE = Duration.ofMillis(100);
 
@@ -38,11 +37,18 @@
   private final Map<String, KvEntry> leaderLeaseEntries = new HashMap<>();
 
   private final List<FleetListener> listeners = new ArrayList<>();
+  private final NodesChangeLog changeLog;
+
+  /** Changes of the batch that is being applied. */
+  private final Map<EntryVmId, FleetNode> joined = new LinkedHashMap<>();
+
+  private final List<FleetNode> lost = new ArrayList<>();
 
   private Fleet(TransactionalStore store, TimerService timers) {
     this.mirror =
         PrefixMirror.create(
             store, timers, FleetKeys.PREFIX, MirrorTiming.of(WATCH_WAIT, DEBOUNCE), this);
+    this.changeLog = new NodesChangeLog(timers, nodes::size);
   }
 
   /** Returns an empty view; call {@link #start} to fill it. */
@@ -125,19 +131,31 @@
   private void onNode(FleetNode node) {
     FleetNode before = nodes.put(node.vm(), node);
     if (before != null && !before.incarnation().equals(node.incarnation())) {
-      notifyLost(before);
+      addLost(before);
     }
-    if (before == null || !before.equals(node)) {
-      logger.atInfo().log(
-          "event=node_joined vm=%s incarnation=%s address=%s:%d",
-          node.vm(), node.incarnation(), node.host(), node.port());
-      listeners.forEach(listener -> listener.onNodeJoined(node));
+    if (!node.equals(before)) {
+      joined.put(node.vm(), node);
     }
   }
 
-  private void notifyLost(FleetNode node) {
-    logger.atInfo().log("event=node_lost vm=%s incarnation=%s", node.vm(), node.incarnation());
-    listeners.forEach(listener -> listener.onNodeLost(node));
+  /** A daemon that joined and was lost in the same batch counts as lost: it may have owned jobs. */
+  private void addLost(FleetNode node) {
+    joined.remove(node.vm());
+    lost.add(node);
+  }
+
+  /** Notifies the listeners once of all daemons that joined or were lost in a batch. */
+  @Override
+  public void onBatchApplied() {
+    if (joined.isEmpty() && lost.isEmpty()) {
+      return;
+    }
+    NodesChange change =
+        new NodesChange(ImmutableList.copyOf(joined.values()), ImmutableList.copyOf(lost));
+    joined.clear();
+    lost.clear();
+    changeLog.add(change);
+    listeners.forEach(listener -> listener.onNodesChanged(change));
   }
 
   @Override
@@ -145,7 +163,7 @@
     if (key.startsWith(FleetKeys.NODES)) {
       FleetNode removed = nodes.remove(EntryVmId.of(key.substring(FleetKeys.NODES.length())));
       if (removed != null) {
-        notifyLost(removed);
+        addLost(removed);
       }
     } else if (key.startsWith(FleetKeys.LEADER_LEASES)) {
       leaderLeaseEntries.remove(key);
--- a/amaranthstream/src/main/java/org/amaranthstream/fleet/FleetCallRelay.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/fleet/FleetCallRelay.java
@@ -81,12 +81,7 @@
   }
 
   @Override
-  public void onNodeJoined(FleetNode node) {
-    arePeersStale = true;
-  }
-
-  @Override
-  public void onNodeLost(FleetNode node) {
+  public void onNodesChanged(NodesChange change) {
     arePeersStale = true;
   }
 
--- a/amaranthstream/src/main/java/org/amaranthstream/fleet/FleetLinks.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/fleet/FleetLinks.java
@@ -6,9 +6,11 @@
 import com.google.common.flogger.FluentLogger;
 import java.time.Duration;
 import java.util.EnumMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import org.amaranthstream.ids.EntryVmId;
 import org.amaranthstream.ids.Incarnation;
@@ -60,6 +62,10 @@
   private final Duty duty;
   private final FleetHeartbeatState heartbeatState;
   private final Map<QueryKind, QueryHandler> handlers = new EnumMap<>(QueryKind.class);
+
+  /** Daemons in the membership table whose registration has ended. */
+  private final Set<EntryVmId> formerNodes = new HashSet<>();
+
   private Optional<ImmutableList<EntryVmId>> others = Optional.empty();
   private Optional<ImmutableList<EntryVmId>> linkTargets = Optional.empty();
   private @Nullable MembershipTable table;
@@ -140,7 +146,7 @@
       logger.atSevere().log("event=peer_links_closed error=\"%s\"", failure.error());
       node = null;
     }
-    update();
+    addAll();
   }
 
   private PeerLinkSettings settings(byte[] key) {
@@ -158,21 +164,29 @@
         .build();
   }
 
+  /**
+   * Adds the daemons that joined to the membership table. Those whose registration has ended keep
+   * their links until another one joins, since the cause may be an outage of the store.
+   */
   @Override
-  public void onNodeJoined(FleetNode joined) {
+  public void onNodesChanged(NodesChange change) {
     others = Optional.empty();
     linkTargets = Optional.empty();
-    update();
+    formerNodes.addAll(change.lostVms());
+    change.joined().forEach(node -> formerNodes.remove(node.vm()));
+    if (table != null && !change.joined().isEmpty()) {
+      List<VmEntry> joined = change.joined().stream().map(FleetLinks::entry).toList();
+      table.onVmsChanged(joined, formerNodes, timers.nowNanos());
+      formerNodes.clear();
+    }
   }
 
-  /**
-   * Adds the registered daemons to the membership table. Daemons whose registration has ended keep
-   * their links, since the cause may be an outage of the store.
-   */
-  private void update() {
+  /** Adds all registered daemons to the membership table. */
+  private void addAll() {
     if (table != null) {
       List<VmEntry> entries = fleet.nodes().stream().map(FleetLinks::entry).toList();
       table.onVmList(entries, timers.nowNanos());
+      formerNodes.clear();
     }
   }
 
@@ -242,12 +256,6 @@
     return others.get();
   }
 
-  @Override
-  public void onNodeLost(FleetNode lost) {
-    others = Optional.empty();
-    linkTargets = Optional.empty();
-  }
-
   @Override
   public CompletableFuture<Result<byte[]>> call(EntryVmId vm, byte[] call, Duration timeout) {
     return query(vm, QueryKind.STORE_CALL, call, timeout);
--- a/amaranthstream/src/main/java/org/amaranthstream/fleet/FleetListener.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/fleet/FleetListener.java
@@ -5,11 +5,8 @@
 /** A listener for changes of a {@link Fleet}. */
 public interface FleetListener {
 
-  /** Called when a daemon has registered, or its registration has changed. */
-  default void onNodeJoined(FleetNode node) {}
-
-  /** Called when a registration has ended or the daemon has registered a new incarnation. */
-  default void onNodeLost(FleetNode node) {}
+  /** Called once after a batch of changes in which daemons have registered or were lost. */
+  default void onNodesChanged(NodesChange change) {}
 
   /** Called when another daemon has ended a job because it could not reach the owner. */
   default void onJobEnded(JobId job) {}
--- a/amaranthstream/src/main/java/org/amaranthstream/fleet/FleetPermits.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/fleet/FleetPermits.java
@@ -93,12 +93,7 @@
   }
 
   @Override
-  public void onNodeJoined(FleetNode node) {
-    coordinators.clear();
-  }
-
-  @Override
-  public void onNodeLost(FleetNode node) {
+  public void onNodesChanged(NodesChange change) {
     coordinators.clear();
   }
 
--- a/amaranthstream/src/main/java/org/amaranthstream/fleet/FleetSession.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/fleet/FleetSession.java
@@ -150,8 +150,8 @@
 
   /** Registers again if the registration was removed although the lease is valid. */
   @Override
-  public void onNodeLost(FleetNode node) {
-    if (node.vm().equals(self.vm()) && node.incarnation().equals(self.incarnation())) {
+  public void onNodesChanged(NodesChange change) {
+    if (change.hasLost(self)) {
       logger.atWarning().log("event=registration_removed vm=%s", self.vm());
       register();
     }
--- a/amaranthstream/src/main/java/org/amaranthstream/fleet/FleetStreamOrigins.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/fleet/FleetStreamOrigins.java
@@ -75,12 +75,7 @@
   }
 
   @Override
-  public void onNodeJoined(FleetNode node) {
-    candidates = Optional.empty();
-  }
-
-  @Override
-  public void onNodeLost(FleetNode node) {
+  public void onNodesChanged(NodesChange change) {
     candidates = Optional.empty();
   }
 
--- a/amaranthstream/src/main/java/org/amaranthstream/fleet/ZoneWatchStore.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/fleet/ZoneWatchStore.java
@@ -93,12 +93,7 @@
   }
 
   @Override
-  public void onNodeJoined(FleetNode node) {
-    relays = Optional.empty();
-  }
-
-  @Override
-  public void onNodeLost(FleetNode node) {
+  public void onNodesChanged(NodesChange change) {
     relays = Optional.empty();
   }
 
--- a/amaranthstream/src/main/java/org/amaranthstream/jobs/JobOwnershipManager.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/jobs/JobOwnershipManager.java
@@ -16,6 +16,7 @@
 import org.amaranthstream.fleet.Fleet;
 import org.amaranthstream.fleet.FleetListener;
 import org.amaranthstream.fleet.FleetNode;
+import org.amaranthstream.fleet.NodesChange;
 import org.amaranthstream.ids.EntryVmId;
 import org.amaranthstream.ids.JobId;
 import org.amaranthstream.platform.TransactionReply;
@@ -145,8 +146,8 @@
   }
 
   @Override
-  public void onNodeLost(FleetNode node) {
-    if (rank(node.vm()).isPresent()) {
+  public void onNodesChanged(NodesChange change) {
+    if (!isSweepScheduled && change.lostVms().stream().anyMatch(vm -> rank(vm).isPresent())) {
       scheduleOrphanSweep();
     }
   }
--- a/amaranthstream/src/main/java/org/amaranthstream/membership/EntryVmTable.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/membership/EntryVmTable.java
@@ -40,11 +40,19 @@
   /** Replaces the listed entry VMs. */
   void onList(Collection<VmEntry> vms) {
     listed.clear();
-    for (VmEntry entry : vms) {
-      EntryVmId id = EntryVmId.of(entry.name());
-      if (!id.equals(self.id())) {
-        listed.put(id, entry);
-      }
+    vms.forEach(this::list);
+  }
+
+  /** Adds or replaces some of the listed entry VMs and removes others. */
+  void onListChanged(Collection<VmEntry> changed, Collection<EntryVmId> removed) {
+    removed.forEach(listed::remove);
+    changed.forEach(this::list);
+  }
+
+  private void list(VmEntry entry) {
+    EntryVmId id = EntryVmId.of(entry.name());
+    if (!id.equals(self.id())) {
+      listed.put(id, entry);
     }
   }
 
@@ -105,11 +113,22 @@
         tracker == null ? Optional.empty() : Optional.of(tracker.age(nowNanos)));
   }
 
-  /** Returns all known entry VMs except the local one, in the order of their names. */
-  ImmutableList<EntryVmView> views(long nowNanos) {
+  private TreeSet<EntryVmId> knownIds() {
     TreeSet<EntryVmId> ids = new TreeSet<>(listed.keySet());
     ids.addAll(trackers.keySet());
-    return ids.stream()
+    return ids;
+  }
+
+  private AvailabilityZoneId zoneOf(EntryVmId id) {
+    VmEntry entry = listed.get(id);
+    return entry == null
+        ? Objects.requireNonNull(trackers.get(id)).identity().zone()
+        : entry.zone();
+  }
+
+  /** Returns all known entry VMs except the local one, in the order of their names. */
+  ImmutableList<EntryVmView> views(long nowNanos) {
+    return knownIds().stream()
         .map(id -> view(id, listed.get(id), trackers.get(id), nowNanos))
         .collect(ImmutableList.toImmutableList());
   }
@@ -118,8 +137,9 @@
    * Returns the known entry VMs of {@code zone} except the local one, in the order of their names.
    */
   ImmutableList<EntryVmView> views(AvailabilityZoneId zone, long nowNanos) {
-    return views(nowNanos).stream()
-        .filter(view -> view.zone().equals(zone))
+    return knownIds().stream()
+        .filter(id -> zone.equals(zoneOf(id)))
+        .map(id -> view(id, listed.get(id), trackers.get(id), nowNanos))
         .collect(ImmutableList.toImmutableList());
   }
 
--- a/amaranthstream/src/main/java/org/amaranthstream/membership/MembershipTable.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/membership/MembershipTable.java
@@ -6,6 +6,7 @@
 import com.google.common.collect.ImmutableMap;
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.Collection;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -51,6 +52,7 @@
   private ImmutableMap<PoolId, Integer> waiting = ImmutableMap.of();
   private Optional<Long> listReadNanos = Optional.empty();
   private long nowNanos;
+  private boolean isCrossZoneStale = true;
 
   private MembershipTable(LocalVm self, MembershipSettings settings, long nowNanos) {
     this.self = self;
@@ -88,11 +90,23 @@
     applyList(entries);
   }
 
+  /**
+   * Adds or replaces some entry VMs of the list and removes others. The cost depends on the changes
+   * and not on the length of the list.
+   */
+  public void onVmsChanged(
+      Collection<VmEntry> changed, Collection<EntryVmId> removed, long nowNanos) {
+    advance(nowNanos);
+    listReadNanos = Optional.of(this.nowNanos);
+    entryVms.onListChanged(changed, removed);
+    isCrossZoneStale = true;
+  }
+
   private void applyList(List<VmEntry> entries) {
     entryVms.onList(entries.stream().filter(entry -> entry.kind() == VmKind.ENTRY).toList());
     backends.onList(
         entries.stream().filter(entry -> entry.kind() == VmKind.BACKEND).toList(), nowNanos);
-    updateCrossZone();
+    isCrossZoneStale = true;
   }
 
   /**
@@ -144,7 +158,7 @@
     entryVms.tick(this.nowNanos);
     backends.tick(this.nowNanos);
     zones.tick(this.nowNanos);
-    updateCrossZone();
+    isCrossZoneStale = true;
   }
 
   private void advance(long nowNanos) {
@@ -153,15 +167,23 @@
     }
   }
 
-  private void updateCrossZone() {
-    Map<AvailabilityZoneId, List<EntryVmId>> candidates = new TreeMap<>();
-    for (EntryVmView vm : entryVms.views(nowNanos)) {
-      boolean linkable = vm.listed() && vm.phase() == VmPhase.READY;
-      if (linkable && !vm.zone().equals(self.zone())) {
-        candidates.computeIfAbsent(vm.zone(), unused -> new ArrayList<>()).add(vm.id());
+  /**
+   * Returns the links to other zones. They are chosen only when they are used, because the choice
+   * looks at all entry VMs.
+   */
+  private CrossZoneLinks crossZone() {
+    if (isCrossZoneStale) {
+      isCrossZoneStale = false;
+      Map<AvailabilityZoneId, List<EntryVmId>> candidates = new TreeMap<>();
+      for (EntryVmView vm : entryVms.views(nowNanos)) {
+        boolean linkable = vm.listed() && vm.phase() == VmPhase.READY;
+        if (linkable && !vm.zone().equals(self.zone())) {
+          candidates.computeIfAbsent(vm.zone(), unused -> new ArrayList<>()).add(vm.id());
+        }
       }
+      crossZone.update(candidates, nowNanos);
     }
-    crossZone.update(candidates, nowNanos);
+    return crossZone;
   }
 
   @Override
@@ -281,13 +303,13 @@
         .filter(EntryVmView::listed)
         .map(EntryVmView::id)
         .forEach(targets::add);
-    targets.addAll(crossZone.targets());
+    targets.addAll(crossZone().targets());
     return targets.build();
   }
 
   /** Returns the entry VMs of another zone to which work is forwarded. */
   public ImmutableList<EntryVmId> forwardTargets(AvailabilityZoneId zone) {
-    return crossZone.targets(zone);
+    return crossZone().targets(zone);
   }
 
   /** Returns the table as immutable records, for the state dump. */
--- a/amaranthstream/src/main/java/org/amaranthstream/platform/MirrorListener.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/platform/MirrorListener.java
@@ -1,7 +1,17 @@
 package org.amaranthstream.platform;
 
-/** A listener for changes of a {@link PrefixMirror}. */
+/**
+ * A listener for changes of a {@link PrefixMirror}.
+ *
+ * <p>The changes of one response of the store form a batch. A listener whose work depends on the
+ * whole, and not on each entry, does it once in {@link #onBatchApplied}.
+ */
 public interface MirrorListener {
+  /** Called before the first change of a batch. */
+  default void onBatchStarted() {}
+
+  /** Called after the last change of a batch. */
+  default void onBatchApplied() {}
 
   /** Called when an entry was created or overwritten. */
   void onPut(KvEntry entry);
--- a/amaranthstream/src/main/java/org/amaranthstream/platform/PrefixMirror.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/platform/PrefixMirror.java
@@ -31,6 +31,9 @@
 public final class PrefixMirror {
   private static final FluentLogger logger = FluentLogger.forEnclosingClass();
 
+  /** Short against the time in which a change must be in force. */
+  private static final Duration MAX_RELAYED_DEBOUNCE = Duration.ofMillis(100);
+
   private final TransactionalStore store;
   private final TimerService timers;
   private final String prefix;
@@ -94,7 +97,7 @@
   private void onRefreshed(Result<KvPage> result) {
     isRefreshing = false;
     if (result instanceof Result.Success<KvPage> success) {
-      success.value().entries().forEach(this::put);
+      applyBatch(() -> success.value().entries().forEach(this::put));
     }
   }
 
@@ -129,24 +132,35 @@
     if (isFirst) {
       listedAt = page.revision();
     }
-    for (KvEntry entry : page.entries()) {
-      listed.add(entry.key());
-      put(entry);
-    }
-    if (page.hasMore() && !page.entries().isEmpty()) {
+    boolean hasMore = page.hasMore() && !page.entries().isEmpty();
+    applyBatch(() -> applyPage(page, hasMore));
+    if (hasMore) {
       page(page.entries().get(page.entries().size() - 1).key(), false);
       return;
     }
-    for (String key : List.copyOf(revisions.keySet())) {
-      if (!listed.contains(key)) {
-        remove(key);
-      }
-    }
     after = listedAt;
     onSuccess();
     watch();
   }
 
+  private void applyPage(KvPage page, boolean hasMore) {
+    for (KvEntry entry : page.entries()) {
+      listed.add(entry.key());
+      put(entry);
+    }
+    if (!hasMore) {
+      List.copyOf(revisions.keySet()).stream()
+          .filter(key -> !listed.contains(key))
+          .forEach(this::remove);
+    }
+  }
+
+  private void applyBatch(Runnable changes) {
+    listener.onBatchStarted();
+    changes.run();
+    listener.onBatchApplied();
+  }
+
   private void watch() {
     if (isStopped) {
       return;
@@ -166,19 +180,32 @@
   }
 
   private void onChanges(WatchReply.Changes changes) {
-    for (KvChange change : changes.changes()) {
-      if (change instanceof KvChange.Put put) {
-        put(put.entry());
-      } else {
-        removeIfOlder(change);
-      }
+    if (!changes.changes().isEmpty()) {
+      applyBatch(() -> changes.changes().forEach(this::apply));
     }
     after = changes.revision();
     onSuccess();
-    if (changes.changes().isEmpty() || changes.isRelayed()) {
+    if (changes.changes().isEmpty()) {
       watch();
     } else {
-      timers.after(timing.debounce(), this::watch);
+      timers.after(changes.isRelayed() ? relayedDebounce() : timing.debounce(), this::watch);
+    }
+  }
+
+  /**
+   * The relay has already collected changes for the whole debounce, so a second one is short. It
+   * collects the changes that several relays deliver a little apart.
+   */
+  private Duration relayedDebounce() {
+    Duration debounce = timing.debounce();
+    return debounce.compareTo(MAX_RELAYED_DEBOUNCE) < 0 ? debounce : MAX_RELAYED_DEBOUNCE;
+  }
+
+  private void apply(KvChange change) {
+    if (change instanceof KvChange.Put put) {
+      put(put.entry());
+    } else {
+      removeIfOlder(change);
     }
   }
 
--- a/amaranthstream/src/test/java/org/amaranthstream/fleet/ZoneWatchFixture.java
+++ b/amaranthstream/src/test/java/org/amaranthstream/fleet/ZoneWatchFixture.java
@@ -44,6 +44,7 @@
     private final FleetNode self;
     private final Fleet fleet;
     private final List<Long> seen = new ArrayList<>();
+    private final RecordedFleetChanges changes = new RecordedFleetChanges();
     private boolean isCut;
 
     private Node(String vm, String zone) {
@@ -57,6 +58,10 @@
               RegionId.of("r"));
       this.fleet = Fleet.create(watches, clock);
       watches.attach(self, fleet, this::query);
+      fleet.addListener(changes);
+    }
+
+    private void start() {
       fleet.start();
       FleetSession session =
           FleetSession.create(
@@ -120,6 +125,11 @@
       return WatchRelaySelection.relays(self.zone(), fleet.nodes()).contains(self.vm());
     }
 
+    /** Returns the changes of the registered daemons of which the daemon was notified. */
+    RecordedFleetChanges changes() {
+      return changes;
+    }
+
     SimulatedStoreClient store() {
       return client;
     }
@@ -140,9 +150,16 @@
 
   /** Starts {@code perZone} daemons in each of {@code zones} zones. */
   ZoneWatchFixture(int zones, int perZone) {
-    for (int i = 0; i < zones * perZone; i++) {
+    this(zones, perZone, Duration.ZERO);
+  }
+
+  /** Starts {@code perZone} daemons in each of {@code zones} zones, spread over {@code spread}. */
+  ZoneWatchFixture(int zones, int perZone, Duration spread) {
+    int count = zones * perZone;
+    for (int i = 0; i < count; i++) {
       Node node = new Node("vm-" + i, "zone-" + i % zones);
       nodes.put(node.vm(), node);
+      timers.after(spread.multipliedBy(i).dividedBy(count), node::start);
     }
   }
 
