Share the slots of engines among the owners of jobs by leases

Engines queue what exceeds their slots, so two owners that used the same slots delayed each other without a rejection.

Change: owners of jobs request leases of slots from the holder of the leader lease that also orders engines to load weights.

--- a/amaranthstream/src/main/java/org/amaranthstream/jobs/ItemRunner.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/jobs/ItemRunner.java
@@ -30,6 +30,9 @@
   interface Observer {
     /** Called when a run ends: its server may have a free slot, and the item may be waiting. */
     void onRunEnded(OwnedJob job);
+
+    /** Called when a server rejects a run because it is full or loads weights. */
+    void onServerFull(TrackedServer server);
   }
 
   private final OwnedJob job;
@@ -195,6 +198,7 @@
       onComplete(now);
     } else if (outcome instanceof ItemRunOutcome.ServerFull) {
       server.onFull(now);
+      observer.onServerFull(server);
       item.retryImmediately();
     } else if (outcome instanceof ItemRunOutcome.ServerReplaced) {
       directory.onIncarnationReplaced(server);
--- a/amaranthstream/src/main/java/org/amaranthstream/jobs/ItemScheduler.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/jobs/ItemScheduler.java
@@ -6,7 +6,9 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import java.util.function.Function;
 import org.amaranthstream.ids.WeightVersion;
+import org.amaranthstream.ids.WorkspaceId;
 import org.amaranthstream.routing.Route;
 import org.amaranthstream.routing.RouteKind;
 import org.amaranthstream.routing.RoutingConfig;
@@ -16,6 +18,8 @@
 import org.amaranthstream.servers.ServerDirectory;
 import org.amaranthstream.servers.SlowServers;
 import org.amaranthstream.servers.TrackedServer;
+import org.amaranthstream.slots.SlotDemand;
+import org.amaranthstream.slots.SlotLeases;
 import org.amaranthstream.time.TimerService;
 
 /**
@@ -33,6 +37,8 @@
   private final ItemTransport transport;
   private final TimerService timers;
   private final ItemPermits permits;
+  private final SlotLeases slots;
+  private final Function<JobSpec, Optional<WorkspaceId>> workspaces;
   private final Observer observer;
   private final List<OwnedJob> jobs = new ArrayList<>();
   private boolean isScheduling;
@@ -51,6 +57,8 @@
       ServerChoice choice,
       ItemTransport transport,
       RequestPermits permits,
+      SlotLeases slots,
+      Function<JobSpec, Optional<WorkspaceId>> workspaces,
       TimerService timers,
       Observer observer) {
     this.routing = routing;
@@ -59,7 +67,10 @@
     this.transport = transport;
     this.timers = timers;
     this.permits = new ItemPermits(permits, timers, this::schedule);
+    this.slots = slots;
+    this.workspaces = workspaces;
     this.observer = observer;
+    slots.setListener(this::schedule);
     directory.addListener(this::schedule);
   }
 
@@ -74,6 +85,11 @@
     schedule();
   }
 
+  @Override
+  public void onServerFull(TrackedServer server) {
+    slots.onRejected(server);
+  }
+
   /** Starts all items that can start, and runs again after an interval while jobs are open. */
   void schedule() {
     if (isScheduling) {
@@ -86,6 +102,7 @@
     for (OwnedJob job : ImmutableList.copyOf(jobs)) {
       scheduleJob(job, now);
     }
+    slots.setDemand(demands(now));
     isScheduling = false;
     if (!jobs.isEmpty() && !isPollPlanned) {
       isPollPlanned = true;
@@ -93,6 +110,20 @@
     }
   }
 
+  private ImmutableList<SlotDemand> demands(long now) {
+    Optional<RoutingConfig> config = routing.current();
+    ImmutableList.Builder<SlotDemand> demands = ImmutableList.builder();
+    for (OwnedJob job : jobs) {
+      if (job.isRunnable()) {
+        config
+            .flatMap(current -> routeOf(current, job.spec()))
+            .map(route -> ItemDemand.of(job, route, workspaces.apply(job.spec()), now))
+            .ifPresent(demands::add);
+      }
+    }
+    return demands.build();
+  }
+
   private void poll() {
     isPollPlanned = false;
     schedule();
@@ -176,7 +207,8 @@
       OwnedJob job, Route route, SlowServers slow, ItemAssignment assignment, long now) {
     List<TrackedServer> free =
         withFreeSlots(servers(route), job, now).stream()
-            .filter(server -> !assignment.isIdle(server) && permits.mayStart(server))
+            .filter(server -> !assignment.isIdle(server))
+            .filter(server -> permits.mayStart(server) && slots.mayStart(server))
             .toList();
     Optional<TrackedServer> fast = choice.choose(free, server -> !slow.contains(server), now);
     return fast.isPresent() ? fast : choice.choose(free, server -> true, now);
@@ -185,7 +217,8 @@
   /** Asks for permits for the servers that could run the items that wait. */
   private void requestPermits(OwnedJob job, Route route, ItemAssignment assignment, long now) {
     withFreeSlots(servers(route), job, now).stream()
-        .filter(server -> !permits.mayStart(server) && assignment.hasItemFor(server))
+        .filter(server -> slots.mayStart(server) && !permits.mayStart(server))
+        .filter(assignment::hasItemFor)
         .forEach(permits::request);
   }
 
--- a/amaranthstream/src/main/java/org/amaranthstream/jobs/JobService.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/jobs/JobService.java
@@ -10,10 +10,12 @@
 import java.util.Optional;
 import java.util.Random;
 import java.util.concurrent.CompletableFuture;
+import java.util.function.Function;
 import org.amaranthstream.fleet.Fleet;
 import org.amaranthstream.fleet.FleetNode;
 import org.amaranthstream.ids.ItemId;
 import org.amaranthstream.ids.JobId;
+import org.amaranthstream.ids.WorkspaceId;
 import org.amaranthstream.platform.TransactionRunner;
 import org.amaranthstream.platform.TransactionalStore;
 import org.amaranthstream.result.ErrorDetail;
@@ -26,6 +28,7 @@
 import org.amaranthstream.servers.RequestPermits;
 import org.amaranthstream.servers.ServerChoice;
 import org.amaranthstream.servers.ServerDirectory;
+import org.amaranthstream.slots.SlotLeases;
 import org.amaranthstream.time.TimerService;
 import org.jspecify.annotations.Nullable;
 
@@ -96,6 +99,8 @@
             checkNotNull(builder.choice, "choice"),
             checkNotNull(builder.transport, "transport"),
             checkNotNull(builder.permits, "permits"),
+            builder.slots,
+            builder.workspaces,
             timers,
             this::onItemsChanged);
     this.routing = builder.routing;
@@ -262,7 +267,7 @@
         .collect(ImmutableList.toImmutableList());
   }
 
-  /** Builder of {@link JobService}. Everything but the time of day must be set. */
+  /** Builder of {@link JobService}. Everything without a default must be set. */
   public static final class Builder {
     private @Nullable FleetNode self;
     private @Nullable Fleet fleet;
@@ -274,6 +279,8 @@
     private @Nullable ReachMonitor reach;
     private @Nullable ItemTransport transport;
     private @Nullable RequestPermits permits;
+    private SlotLeases slots = SlotLeases.UNSHARED;
+    private Function<JobSpec, Optional<WorkspaceId>> workspaces = job -> Optional.empty();
     private @Nullable RewardTransport rewardTransport;
     private @Nullable JobQueryTransport queryTransport;
     private InstantSource timeOfDay = InstantSource.system();
@@ -345,6 +352,20 @@
       return this;
     }
 
+    /** Sets the leases of slots that daemons share; by default, slots are not shared. */
+    @CanIgnoreReturnValue
+    public Builder slots(SlotLeases slots) {
+      this.slots = checkNotNull(slots, "slots");
+      return this;
+    }
+
+    /** Sets the lookup of the workspace that submitted a job; by default, none is known. */
+    @CanIgnoreReturnValue
+    public Builder workspaces(Function<JobSpec, Optional<WorkspaceId>> workspaces) {
+      this.workspaces = checkNotNull(workspaces, "workspaces");
+      return this;
+    }
+
     /** Sets the transport that sends the reward calls of items. */
     @CanIgnoreReturnValue
     public Builder rewardTransport(RewardTransport rewardTransport) {
--- a/amaranthstream/src/main/java/org/amaranthstream/peer/QueryKind.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/peer/QueryKind.java
@@ -27,7 +27,10 @@
   STREAM_RECORD(10),
 
   /** Looks up the software version of the server that began a stream. */
-  STREAM_LOOKUP(11);
+  STREAM_LOOKUP(11),
+
+  /** Requests leases of slots of backend servers. */
+  SLOT_LEASES(12);
 
   private final int number;
 
--- a/amaranthstream/src/main/java/org/amaranthstream/servers/TrackedServer.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/servers/TrackedServer.java
@@ -1,5 +1,6 @@
 package org.amaranthstream.servers;
 
+import com.google.common.collect.ImmutableMap;
 import com.google.common.flogger.FluentLogger;
 import java.time.Duration;
 import java.util.HashMap;
@@ -221,6 +222,11 @@
     return Optional.ofNullable(versions.get(model));
   }
 
+  /** Returns the weight version that the server last reported for each model that it has loaded. */
+  public ImmutableMap<ModelId, WeightVersion> versions() {
+    return ImmutableMap.copyOf(versions);
+  }
+
   /** Returns true if the server has loaded {@code model}. */
   public boolean holds(ModelId model) {
     return versions.containsKey(model);
--- /dev/null
+++ b/amaranthstream/src/main/java/org/amaranthstream/slots/package-info.java
@@ -0,0 +1,2 @@
+/** Leases by which the daemons share the slots of backend servers. */
+package org.amaranthstream.slots;
--- a/amaranthstream/src/main/java/org/amaranthstream/weights/WeightController.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/weights/WeightController.java
@@ -2,6 +2,7 @@
 
 import static com.google.common.base.Preconditions.checkNotNull;
 
+import com.google.common.collect.ImmutableSet;
 import com.google.common.flogger.FluentLogger;
 import java.time.Duration;
 import java.util.Collection;
@@ -41,6 +42,7 @@
   private final FencingTokenSource fencingTokens;
   private final EngineAssignment assignment = new EngineAssignment();
   private final Map<TrackedServer, WeightSwap> swaps = new HashMap<>();
+  private Duration notice = Duration.ZERO;
 
   private WeightController(
       EntryVmId self,
@@ -78,6 +80,20 @@
         checkNotNull(fencingTokens, "fencingTokens"));
   }
 
+  /**
+   * Sets the time between the decision to order an engine and the order, in which daemons learn
+   * that the engine will start no requests.
+   */
+  public void setNotice(Duration notice) {
+    this.notice = checkNotNull(notice, "notice");
+  }
+
+  /** Returns the models for which {@code engine} loads weights or is about to. */
+  public ImmutableSet<ModelId> loadingModels(TrackedServer engine) {
+    WeightSwap swap = swaps.get(engine);
+    return swap == null ? ImmutableSet.of() : ImmutableSet.of(swap.model());
+  }
+
   /** Starts to plan swaps periodically. */
   public void start() {
     timers.every(TICK_INTERVAL, this::plan);
@@ -115,7 +131,11 @@
         new WeightSwap(
             server, model, version, self, transport, timers, fencingTokens, this::onDone);
     swaps.put(server, swap);
-    swap.start();
+    if (notice.isZero()) {
+      swap.start();
+    } else {
+      timers.after(notice, swap::start);
+    }
   }
 
   private void onDone(WeightSwap swap, String outcome) {
--- a/amaranthstream/src/main/java/org/amaranthstream/weights/WeightSwap.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/weights/WeightSwap.java
@@ -60,6 +60,10 @@
     return server;
   }
 
+  ModelId model() {
+    return model;
+  }
+
   void start() {
     poll();
   }
--- a/amaranthstream/src/test/java/org/amaranthstream/weights/WeightControllerTest.java
+++ b/amaranthstream/src/test/java/org/amaranthstream/weights/WeightControllerTest.java
@@ -144,6 +144,24 @@
       assertThat(engines.accepted).hasSize(6);
     }
 
+    /** Daemons learn which engines are about to reject items before these reject any. */
+    @Test
+    void followTheNoticeToDaemons() {
+      controller.setNotice(Duration.ofMillis(250));
+      announce(2);
+      long noticed =
+          directory.all().stream()
+              .filter(engine -> controller.loadingModels(engine).contains(MODEL))
+              .count();
+      run(0.2);
+      assertThat(noticed).isEqualTo(2);
+      assertThat(engines.accepted).isEmpty();
+
+      run(12);
+      assertThat(countAt(2)).isEqualTo(6);
+      directory.all().forEach(engine -> assertThat(controller.loadingModels(engine)).isEmpty());
+    }
+
     @Test
     void skipSupersededVersions() {
       announce(2);
