Count the requests that backend servers begin, and report them for each window by one daemon

Now each daemon counts requests by workspace and window of true time, the relays of the zones keep the counts, and the daemon that holds the new lease platform-api adds them up, fixes them in the store, and sends them. The lease is the one that the orders to engines use; it learns to let only some daemons compete.

It passes now. LeaderLeaseTest and LeaderLeaseEligibilityTest pass (20 tests).

--- a/amaranthstream/src/main/java/org/amaranthstream/calls/ActiveCall.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/calls/ActiveCall.java
@@ -178,7 +178,7 @@
 
   private void attemptAt(TrackedServer server) {
     attempts.addTried(server);
-    startAttempt(new ServerTarget(service, server));
+    startAttempt(new ServerTarget(service, server, service.beginReport(policy, call)));
   }
 
   private void startAttempt(AttemptTarget target) {
--- a/amaranthstream/src/main/java/org/amaranthstream/calls/AttemptListener.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/calls/AttemptListener.java
@@ -5,6 +5,9 @@
 /** Listener for one attempt. No method is called after {@link #onEnd} or {@link #onFailed}. */
 public interface AttemptListener {
 
+  /** Called when the request is written to a connection to a server. */
+  default void onSent() {}
+
   /** Called when the head of the response arrives. */
   void onHead(ResponseHead head);
 
--- a/amaranthstream/src/main/java/org/amaranthstream/calls/AttemptTarget.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/calls/AttemptTarget.java
@@ -13,6 +13,12 @@
   /** Sends the call. */
   CallTransport.Attempt send(OutboundCall call, Duration timeLeft, AttemptListener listener);
 
+  /** Records that the request is written to a connection. */
+  default void onSent() {}
+
+  /** Records that the attempt was cancelled. */
+  default void onCancelled() {}
+
   /** Records that the head or a part of the response has arrived. */
   void onProgress();
 
--- a/amaranthstream/src/main/java/org/amaranthstream/calls/CallAttempt.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/calls/CallAttempt.java
@@ -58,6 +58,13 @@
     return isAnnounced || bufferedBody.length() > MAX_BUFFERED_BYTES;
   }
 
+  @Override
+  public void onSent() {
+    if (!isOver) {
+      target.onSent();
+    }
+  }
+
   @Override
   public void onHead(ResponseHead received) {
     if (isOver) {
@@ -128,6 +135,7 @@
   /** Cancels the attempt. */
   void cancel() {
     if (close() && attempt != null) {
+      target.onCancelled();
       attempt.cancel();
     }
   }
--- a/amaranthstream/src/main/java/org/amaranthstream/calls/CallPolicy.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/calls/CallPolicy.java
@@ -67,6 +67,11 @@
         isRepeatable, isStream, isResumable, attempts, isQuarantinable, false, hedgeAfter);
   }
 
+  /** Returns true if a caller sent the request, false if this product did for a job. */
+  boolean isFromCaller() {
+    return isQuarantinable;
+  }
+
   /** Returns true if a second server may receive the request while the first has not responded. */
   boolean mayHedge() {
     return isRepeatable && !isStream && maxAttempts > 1;
--- a/amaranthstream/src/main/java/org/amaranthstream/calls/CallService.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/calls/CallService.java
@@ -22,6 +22,7 @@
 import org.amaranthstream.servers.ServerDirectory;
 import org.amaranthstream.servers.TrackedServer;
 import org.amaranthstream.time.TimerService;
+import org.amaranthstream.usage.UsageRecorder;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -41,6 +42,7 @@
   private final StreamResumptions resumptions;
   private final Optional<ReachMonitor> reach;
   private final CallRelay relay;
+  private final UsageRecorder usage;
   private final Random random = new Random();
   private final Set<ActiveCall> active = new HashSet<>();
 
@@ -53,6 +55,7 @@
     this.permits = checkNotNull(builder.permits, "permits");
     this.reach = builder.reach;
     this.relay = builder.relay;
+    this.usage = builder.usage;
     this.resumptions = new StreamResumptions(builder.origins, directory, timers);
   }
 
@@ -144,6 +147,10 @@
     return relay;
   }
 
+  BeginReport beginReport(CallPolicy policy, OutboundCall call) {
+    return BeginReport.of(policy, call, usage, timers);
+  }
+
   /** Returns true if this daemon reaches none of {@code servers}, which provide one service. */
   boolean isLost(List<TrackedServer> servers) {
     return !servers.isEmpty()
@@ -195,8 +202,8 @@
   }
 
   /**
-   * Builder of {@link CallService}. All properties but the stream origins and the relay are
-   * required.
+   * Builder of {@link CallService}. All properties but the stream origins, the relay and the
+   * recorder of use are required.
    */
   public static final class Builder {
     private @Nullable ServerDirectory directory;
@@ -208,6 +215,7 @@
     private Optional<ReachMonitor> reach = Optional.empty();
     private CallRelay relay = CallRelay.NONE;
     private StreamOrigins origins = LocalStreamOrigins.create();
+    private UsageRecorder usage = UsageRecorder.NONE;
 
     private Builder() {}
 
@@ -254,6 +262,13 @@
       return this;
     }
 
+    /** Sets the recorder of the requests that servers begin; without it they are not counted. */
+    @CanIgnoreReturnValue
+    public Builder usage(UsageRecorder usage) {
+      this.usage = checkNotNull(usage, "usage");
+      return this;
+    }
+
     /** Sets the relay through peers, and the monitor that decides when it is used at once. */
     @CanIgnoreReturnValue
     public Builder relay(ReachMonitor reach, CallRelay relay) {
--- a/amaranthstream/src/main/java/org/amaranthstream/calls/ServerTarget.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/calls/ServerTarget.java
@@ -8,12 +8,14 @@
 final class ServerTarget implements AttemptTarget {
   private final CallService service;
   private final TrackedServer server;
+  private final BeginReport begin;
   private long sentNanos;
   private boolean hasResponded;
 
-  ServerTarget(CallService service, TrackedServer server) {
+  ServerTarget(CallService service, TrackedServer server, BeginReport begin) {
     this.service = service;
     this.server = server;
+    this.begin = begin;
   }
 
   @Override
@@ -29,8 +31,19 @@
     return service.transport().send(server, call, timeLeft, listener);
   }
 
+  @Override
+  public void onSent() {
+    begin.onSent();
+  }
+
+  @Override
+  public void onCancelled() {
+    begin.onUnanswered();
+  }
+
   @Override
   public void onProgress() {
+    begin.onResponse();
     if (hasResponded) {
       server.onProgress();
       return;
@@ -43,6 +56,9 @@
   @Override
   public void onFailed(AttemptFailure failure) {
     long now = service.timers().nowNanos();
+    if (failure.mayHaveRun()) {
+      begin.onUnanswered();
+    }
     if (failure instanceof AttemptFailure.NotRun) {
       server.onFull(now);
       service.crashes().onResponse(server, sentNanos);
--- a/amaranthstream/src/main/java/org/amaranthstream/fleet/LeaderLease.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/fleet/LeaderLease.java
@@ -8,6 +8,7 @@
 import java.util.Arrays;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
+import java.util.function.BooleanSupplier;
 import org.amaranthstream.ids.FencingNumber;
 import org.amaranthstream.ids.LeaseId;
 import org.amaranthstream.ids.Revision;
@@ -56,6 +57,7 @@
   private boolean isAcquiring;
   private boolean isReleased;
   private boolean isEligible = true;
+  private BooleanSupplier mayCompete = () -> true;
 
   /** True from the moment this daemon became ineligible until its lease is released. */
   private boolean isYielding;
@@ -96,6 +98,14 @@
         checkNotNull(timing, "timing"));
   }
 
+  /**
+   * Sets which daemons compete for the lease, so that a change of the holder costs few calls. A
+   * holder keeps the lease when it would not compete for it any more. Called before {@link #start}.
+   */
+  public void competeIf(BooleanSupplier mayCompete) {
+    this.mayCompete = checkNotNull(mayCompete, "mayCompete");
+  }
+
   /** Starts to try to acquire the leader lease, and keeps trying until it is released. */
   public void start() {
     fleet.addListener(this);
@@ -211,7 +221,7 @@
       yieldLease();
     }
     boolean mayAcquire = isEligible && !isReleased && !isAcquiring && fence == null;
-    if (!mayAcquire || lease.isEmpty() || !fleet.hasCaughtUp()) {
+    if (!mayAcquire || lease.isEmpty() || !fleet.hasCaughtUp() || !mayCompete.getAsBoolean()) {
       return;
     }
     byte[] value = holderValue(lease.get());
--- a/amaranthstream/src/main/java/org/amaranthstream/peer/QueryKind.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/peer/QueryKind.java
@@ -27,7 +27,16 @@
   STREAM_RECORD(10),
 
   /** Looks up the software version of the server that began a stream. */
-  STREAM_LOOKUP(11);
+  STREAM_LOOKUP(11),
+
+  /** Stores the counts of requests that began at the sender. */
+  USAGE_PUSH(16),
+
+  /** Returns the counts of requests of a window that the other entry VM keeps. */
+  USAGE_COUNTS(17),
+
+  /** Returns whether the other entry VM reaches the platform's API. */
+  API_REACH(18);
 
   private final int number;
 
--- /dev/null
+++ b/amaranthstream/src/main/java/org/amaranthstream/usage/UsageCodec.java
@@ -0,0 +1,75 @@
+package org.amaranthstream.usage;
+
+import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableSortedMap;
+import com.google.protobuf.InvalidProtocolBufferException;
+import java.util.Collection;
+import java.util.List;
+import org.amaranthstream.ids.EntryVmId;
+import org.amaranthstream.ids.Incarnation;
+import org.amaranthstream.ids.Revision;
+import org.amaranthstream.ids.WorkspaceId;
+import org.amaranthstream.usage.wire.DaemonUsageRecord;
+import org.amaranthstream.usage.wire.FixedWindowsRecord;
+import org.amaranthstream.usage.wire.WindowRecord;
+import org.amaranthstream.usage.wire.WorkspaceCount;
+
+/** Codec of counts in messages and in the store. Decoders throw on malformed input. */
+final class UsageCodec {
+  private UsageCodec() {}
+
+  static DaemonUsageRecord encode(DaemonUsage usage) {
+    DaemonUsageRecord.Builder record =
+        DaemonUsageRecord.newBuilder()
+            .setVm(usage.vm().value())
+            .setIncarnation(usage.incarnation().value())
+            .setSequence(usage.sequence());
+    usage.windows().forEach(window -> record.addWindow(encode(window)));
+    return record.build();
+  }
+
+  static DaemonUsage decode(DaemonUsageRecord record) {
+    return new DaemonUsage(
+        EntryVmId.of(record.getVm()),
+        Incarnation.of(record.getIncarnation()),
+        record.getSequence(),
+        decode(record.getWindowList()));
+  }
+
+  private static WindowRecord encode(WindowCounts counts) {
+    WindowRecord.Builder record = WindowRecord.newBuilder().setWindow(counts.window());
+    counts
+        .requests()
+        .forEach(
+            (workspace, requests) ->
+                record.addCount(
+                    WorkspaceCount.newBuilder()
+                        .setWorkspace(workspace.value())
+                        .setRequests(requests)));
+    return record.build();
+  }
+
+  private static ImmutableList<WindowCounts> decode(Collection<WindowRecord> records) {
+    return records.stream().map(UsageCodec::decode).collect(ImmutableList.toImmutableList());
+  }
+
+  private static WindowCounts decode(WindowRecord record) {
+    ImmutableSortedMap.Builder<WorkspaceId, Long> requests = ImmutableSortedMap.naturalOrder();
+    for (WorkspaceCount count : record.getCountList()) {
+      requests.put(WorkspaceId.of(count.getWorkspace()), count.getRequests());
+    }
+    return new WindowCounts(record.getWindow(), requests.buildOrThrow());
+  }
+
+  static byte[] encode(long lastWindow, List<WindowCounts> windows) {
+    FixedWindowsRecord.Builder record = FixedWindowsRecord.newBuilder().setLastWindow(lastWindow);
+    windows.forEach(window -> record.addWindow(encode(window)));
+    return record.build().toByteArray();
+  }
+
+  static FixedWindows decode(byte[] value, Revision revision)
+      throws InvalidProtocolBufferException {
+    FixedWindowsRecord record = FixedWindowsRecord.parseFrom(value);
+    return new FixedWindows(revision, record.getLastWindow(), decode(record.getWindowList()));
+  }
+}
--- a/amaranthstream/src/main/java/org/amaranthstream/usage/wire/UsagePush.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/usage/wire/UsagePush.java
@@ -7,7 +7,7 @@
 
 /**
  * <pre>
- * Sends the counts of the sender; the time of day is in milliseconds since the epoch.
+ * Sends the counts of the sender.
  * </pre>
  *
  * Protobuf type {@code amaranthstream.usage.UsagePush}
@@ -79,17 +79,6 @@
     return usage_ == null ? org.amaranthstream.usage.wire.DaemonUsageRecord.getDefaultInstance() : usage_;
   }
 
-  public static final int TIME_OF_DAY_FIELD_NUMBER = 2;
-  private long timeOfDay_ = 0L;
-  /**
-   * <code>int64 time_of_day = 2;</code>
-   * @return The timeOfDay.
-   */
-  @java.lang.Override
-  public long getTimeOfDay() {
-    return timeOfDay_;
-  }
-
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -107,9 +96,6 @@
     if (((bitField0_ & 0x00000001) != 0)) {
       output.writeMessage(1, getUsage());
     }
-    if (timeOfDay_ != 0L) {
-      output.writeInt64(2, timeOfDay_);
-    }
     getUnknownFields().writeTo(output);
   }
 
@@ -123,10 +109,6 @@
       size += com.google.protobuf.CodedOutputStream
         .computeMessageSize(1, getUsage());
     }
-    if (timeOfDay_ != 0L) {
-      size += com.google.protobuf.CodedOutputStream
-        .computeInt64Size(2, timeOfDay_);
-    }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -147,8 +129,6 @@
       if (!getUsage()
           .equals(other.getUsage())) return false;
     }
-    if (getTimeOfDay()
-        != other.getTimeOfDay()) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -164,9 +144,6 @@
       hash = (37 * hash) + USAGE_FIELD_NUMBER;
       hash = (53 * hash) + getUsage().hashCode();
     }
-    hash = (37 * hash) + TIME_OF_DAY_FIELD_NUMBER;
-    hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
-        getTimeOfDay());
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -266,7 +243,7 @@
   }
   /**
    * <pre>
-   * Sends the counts of the sender; the time of day is in milliseconds since the epoch.
+   * Sends the counts of the sender.
    * </pre>
    *
    * Protobuf type {@code amaranthstream.usage.UsagePush}
@@ -313,7 +290,6 @@
         usageBuilder_.dispose();
         usageBuilder_ = null;
       }
-      timeOfDay_ = 0L;
       return this;
     }
 
@@ -354,9 +330,6 @@
             : usageBuilder_.build();
         to_bitField0_ |= 0x00000001;
       }
-      if (((from_bitField0_ & 0x00000002) != 0)) {
-        result.timeOfDay_ = timeOfDay_;
-      }
       result.bitField0_ |= to_bitField0_;
     }
 
@@ -375,9 +348,6 @@
       if (other.hasUsage()) {
         mergeUsage(other.getUsage());
       }
-      if (other.getTimeOfDay() != 0L) {
-        setTimeOfDay(other.getTimeOfDay());
-      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -411,11 +381,6 @@
               bitField0_ |= 0x00000001;
               break;
             } // case 10
-            case 16: {
-              timeOfDay_ = input.readInt64();
-              bitField0_ |= 0x00000002;
-              break;
-            } // case 16
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -554,38 +519,6 @@
       return usageBuilder_;
     }
 
-    private long timeOfDay_ ;
-    /**
-     * <code>int64 time_of_day = 2;</code>
-     * @return The timeOfDay.
-     */
-    @java.lang.Override
-    public long getTimeOfDay() {
-      return timeOfDay_;
-    }
-    /**
-     * <code>int64 time_of_day = 2;</code>
-     * @param value The timeOfDay to set.
-     * @return This builder for chaining.
-     */
-    public Builder setTimeOfDay(long value) {
-
-      timeOfDay_ = value;
-      bitField0_ |= 0x00000002;
-      onChanged();
-      return this;
-    }
-    /**
-     * <code>int64 time_of_day = 2;</code>
-     * @return This builder for chaining.
-     */
-    public Builder clearTimeOfDay() {
-      bitField0_ = (bitField0_ & ~0x00000002);
-      timeOfDay_ = 0L;
-      onChanged();
-      return this;
-    }
-
     // @@protoc_insertion_point(builder_scope:amaranthstream.usage.UsagePush)
   }
 
--- a/amaranthstream/src/main/java/org/amaranthstream/usage/wire/UsagePushAnswer.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/usage/wire/UsagePushAnswer.java
@@ -51,6 +51,10 @@
   public static final int TIME_OF_DAY_FIELD_NUMBER = 1;
   private long timeOfDay_ = 0L;
   /**
+   * <pre>
+   * The receiver's time of day in milliseconds since the epoch.
+   * </pre>
+   *
    * <code>int64 time_of_day = 1;</code>
    * @return The timeOfDay.
    */
@@ -355,6 +359,10 @@
 
     private long timeOfDay_ ;
     /**
+     * <pre>
+     * The receiver's time of day in milliseconds since the epoch.
+     * </pre>
+     *
      * <code>int64 time_of_day = 1;</code>
      * @return The timeOfDay.
      */
@@ -363,6 +371,10 @@
       return timeOfDay_;
     }
     /**
+     * <pre>
+     * The receiver's time of day in milliseconds since the epoch.
+     * </pre>
+     *
      * <code>int64 time_of_day = 1;</code>
      * @param value The timeOfDay to set.
      * @return This builder for chaining.
@@ -375,6 +387,10 @@
       return this;
     }
     /**
+     * <pre>
+     * The receiver's time of day in milliseconds since the epoch.
+     * </pre>
+     *
      * <code>int64 time_of_day = 1;</code>
      * @return This builder for chaining.
      */
--- a/amaranthstream/src/main/java/org/amaranthstream/usage/wire/UsagePushAnswerOrBuilder.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/usage/wire/UsagePushAnswerOrBuilder.java
@@ -11,6 +11,10 @@
     com.google.protobuf.MessageOrBuilder {
 
   /**
+   * <pre>
+   * The receiver's time of day in milliseconds since the epoch.
+   * </pre>
+   *
    * <code>int64 time_of_day = 1;</code>
    * @return The timeOfDay.
    */
--- a/amaranthstream/src/main/java/org/amaranthstream/usage/wire/UsagePushOrBuilder.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/usage/wire/UsagePushOrBuilder.java
@@ -24,10 +24,4 @@
    * <code>.amaranthstream.usage.DaemonUsageRecord usage = 1;</code>
    */
   org.amaranthstream.usage.wire.DaemonUsageRecordOrBuilder getUsageOrBuilder();
-
-  /**
-   * <code>int64 time_of_day = 2;</code>
-   * @return The timeOfDay.
-   */
-  long getTimeOfDay();
 }
--- a/amaranthstream/src/main/java/org/amaranthstream/usage/wire/UsageReports.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/usage/wire/UsageReports.java
@@ -82,16 +82,16 @@
       "am.usage.WorkspaceCount\"z\n\021DaemonUsageRe" +
       "cord\022\n\n\002vm\030\001 \001(\t\022\023\n\013incarnation\030\002 \001(\t\022\020\n" +
       "\010sequence\030\003 \001(\003\0222\n\006window\030\004 \003(\0132\".amaran" +
-      "thstream.usage.WindowRecord\"X\n\tUsagePush" +
+      "thstream.usage.WindowRecord\"C\n\tUsagePush" +
       "\0226\n\005usage\030\001 \001(\0132\'.amaranthstream.usage.D" +
-      "aemonUsageRecord\022\023\n\013time_of_day\030\002 \001(\003\"&\n" +
-      "\017UsagePushAnswer\022\023\n\013time_of_day\030\001 \001(\003\"\037\n" +
-      "\rUsageQuestion\022\016\n\006window\030\001 \001(\003\"E\n\013UsageA" +
-      "nswer\0226\n\005usage\030\001 \003(\0132\'.amaranthstream.us" +
-      "age.DaemonUsageRecord\"]\n\022FixedWindowsRec" +
-      "ord\022\023\n\013last_window\030\001 \001(\003\0222\n\006window\030\002 \003(\013" +
-      "2\".amaranthstream.usage.WindowRecordB!\n\035" +
-      "org.amaranthstream.usage.wireP\001b\006proto3"
+      "aemonUsageRecord\"&\n\017UsagePushAnswer\022\023\n\013t" +
+      "ime_of_day\030\001 \001(\003\"\037\n\rUsageQuestion\022\016\n\006win" +
+      "dow\030\001 \001(\003\"E\n\013UsageAnswer\0226\n\005usage\030\001 \003(\0132" +
+      "\'.amaranthstream.usage.DaemonUsageRecord" +
+      "\"]\n\022FixedWindowsRecord\022\023\n\013last_window\030\001 " +
+      "\001(\003\0222\n\006window\030\002 \003(\0132\".amaranthstream.usa" +
+      "ge.WindowRecordB!\n\035org.amaranthstream.us" +
+      "age.wireP\001b\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -120,7 +120,7 @@
     internal_static_amaranthstream_usage_UsagePush_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_amaranthstream_usage_UsagePush_descriptor,
-        new java.lang.String[] { "Usage", "TimeOfDay", });
+        new java.lang.String[] { "Usage", });
     internal_static_amaranthstream_usage_UsagePushAnswer_descriptor =
       getDescriptor().getMessageType(4);
     internal_static_amaranthstream_usage_UsagePushAnswer_fieldAccessorTable = new
