--- a/amaranthstream/src/main/java/org/amaranthstream/calls/ActiveCall.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/calls/ActiveCall.java
@@ -181,7 +181,7 @@
 
   private void attemptAt(TrackedServer server) {
     attempts.addTried(server);
-    startAttempt(new ServerTarget(service, server, prompt));
+    startAttempt(new ServerTarget(service, server, prompt, service.beginReport(policy, call)));
   }
 
   private void startAttempt(AttemptTarget target) {
--- a/amaranthstream/src/main/java/org/amaranthstream/calls/CallService.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/calls/CallService.java
@@ -26,6 +26,7 @@
 import org.amaranthstream.servers.ServerDirectory;
 import org.amaranthstream.servers.TrackedServer;
 import org.amaranthstream.time.TimerService;
+import org.amaranthstream.usage.UsageRecorder;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -47,6 +48,7 @@
   private final CallRelay relay;
   private final PromptReader promptReader;
   private final PromptCosts promptCosts;
+  private final UsageRecorder usage;
   private final Random random = new Random();
   private final Set<ActiveCall> active = new HashSet<>();
 
@@ -61,6 +63,7 @@
     this.relay = builder.relay;
     this.promptReader = builder.promptReader;
     this.promptCosts = builder.promptCosts;
+    this.usage = builder.usage;
     this.resumptions = new StreamResumptions(builder.origins, directory, timers);
   }
 
@@ -161,6 +164,10 @@
     return route.isSharingPrompts() ? promptReader.read(call.headers()) : Optional.empty();
   }
 
+  BeginReport beginReport(CallPolicy policy, OutboundCall call) {
+    return BeginReport.of(policy, call, usage, timers);
+  }
+
   /** Returns true if this daemon reaches none of {@code servers}, which provide one service. */
   boolean isLost(List<TrackedServer> servers) {
     return !servers.isEmpty()
@@ -218,8 +225,8 @@
   }
 
   /**
-   * Builder of {@link CallService}. All properties but the stream origins, the relay and the
-   * prompts are required.
+   * Builder of {@link CallService}. All properties but the stream origins, the relay, the
+   * prompts and the recorder of use are required.
    */
   public static final class Builder {
     private @Nullable ServerDirectory directory;
@@ -233,6 +240,7 @@
     private StreamOrigins origins = LocalStreamOrigins.create();
     private PromptReader promptReader = PromptReader.NONE;
     private PromptCosts promptCosts = PromptCosts.NONE;
+    private UsageRecorder usage = UsageRecorder.NONE;
 
     private Builder() {}
 
@@ -287,6 +295,13 @@
       return this;
     }
 
+    /** Sets the recorder of the requests that servers begin; without it they are not counted. */
+    @CanIgnoreReturnValue
+    public Builder usage(UsageRecorder usage) {
+      this.usage = checkNotNull(usage, "usage");
+      return this;
+    }
+
     /** Sets the relay through peers, and the monitor that decides when it is used at once. */
     @CanIgnoreReturnValue
     public Builder relay(ReachMonitor reach, CallRelay relay) {
--- a/amaranthstream/src/main/java/org/amaranthstream/calls/ServerTarget.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/calls/ServerTarget.java
@@ -11,14 +11,17 @@
   private final CallService service;
   private final TrackedServer server;
   private final Optional<Prompt> prompt;
+  private final BeginReport begin;
   private PromptRun promptRun = PromptRun.UNTRACKED;
   private long sentNanos;
   private boolean hasResponded;
 
-  ServerTarget(CallService service, TrackedServer server, Optional<Prompt> prompt) {
+  ServerTarget(
+      CallService service, TrackedServer server, Optional<Prompt> prompt, BeginReport begin) {
     this.service = service;
     this.server = server;
     this.prompt = prompt;
+    this.begin = begin;
   }
 
   @Override
@@ -35,8 +38,19 @@
     return service.transport().send(server, call, timeLeft, listener);
   }
 
+  @Override
+  public void onSent() {
+    begin.onSent();
+  }
+
+  @Override
+  public void onCancelled() {
+    begin.onUnanswered();
+  }
+
   @Override
   public void onProgress() {
+    begin.onResponse();
     if (hasResponded) {
       server.onProgress();
       return;
@@ -50,6 +64,9 @@
   @Override
   public void onFailed(AttemptFailure failure) {
     long now = service.timers().nowNanos();
+    if (failure.mayHaveRun()) {
+      begin.onUnanswered();
+    }
     if (failure instanceof AttemptFailure.NotRun) {
       server.onFull(now);
       service.crashes().onResponse(server, sentNanos);
