Give the jobs of a trainer the same owner in large zones

In zones of more than three daemons the submission is now relayed to a daemon that rendezvous hashing names for the path and the model. If it cannot be reached, shuts down, or does not respond within 250 ms, the daemon at which the job arrived accepts the job as before; the store lets only one of them own it. Smaller zones are served as before.

PreferredJobOwnerTest: all jobs of a trainer have one owner (fails without the change), and a killed, cut off, suspended or leaving owner delays no acceptance by more than half a second.

--- a/amaranthstream/src/main/java/org/amaranthstream/jobs/JobAcceptor.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/jobs/JobAcceptor.java
@@ -33,6 +33,12 @@
   /** Time before a submission is relayed to peers; a slow store may be equally slow for them. */
   private static final Duration RELAY_DELAY = Duration.ofMillis(900);
 
+  /**
+   * Time for the preferred owner to accept a job. After that this daemon accepts it too, and the
+   * store decides; the caller gets its response within a fraction of a second in any case.
+   */
+  private static final Duration PREFERRED_OWNER_TIMEOUT = Duration.ofMillis(250);
+
   private final JobStore store;
   private final JobRegistry registry;
   private final JobOwnershipManager ownership;
@@ -119,6 +125,32 @@
         relayOnly();
         return;
       }
+      Optional<EntryVmId> preferred = mayRelay ? ownership.preferredOwner(spec) : Optional.empty();
+      if (preferred.isPresent()) {
+        remote
+            .submit(preferred.get(), spec, PREFERRED_OWNER_TIMEOUT)
+            .thenAccept(result -> onPreferredOwnerReply(preferred.get(), result, timeout));
+      } else {
+        acceptHere(timeout);
+      }
+    }
+
+    private void onPreferredOwnerReply(
+        EntryVmId vm, Result<JobAcknowledgement> result, Duration timeout) {
+      if (result instanceof Result.Success) {
+        onAcceptedByPeer(vm, result);
+        pending.remove(spec.id());
+        return;
+      }
+      mayBeAcceptedElsewhere |= !isNotRun(result);
+      if (isShuttingDown) {
+        relayOnly();
+      } else {
+        acceptHere(timeout);
+      }
+    }
+
+    private void acceptHere(Duration timeout) {
       if (mayRelay) {
         timers.after(RELAY_DELAY, this::relay);
       }
@@ -167,16 +199,24 @@
     private void onRelayed(
         EntryVmId vm, Result<JobAcknowledgement> result, Iterator<EntryVmId> peers) {
       if (result instanceof Result.Success) {
-        logger.atInfo().log("event=job_accepted_by_peer job=%s vm=%s", spec.id(), vm);
-        reply.complete(result);
+        onAcceptedByPeer(vm, result);
         return;
       }
-      ResultCode code = ((Result.Failure<JobAcknowledgement>) result).error().code();
-      boolean isNotRun = code == ResultCode.NOT_RUN_OVERLOADED || PeerQueryService.isNotSent(code);
-      mayBeAcceptedElsewhere |= !isNotRun;
+      mayBeAcceptedElsewhere |= !isNotRun(result);
       relayTo(peers);
     }
 
+    private void onAcceptedByPeer(EntryVmId vm, Result<JobAcknowledgement> result) {
+      logger.atInfo().log("event=job_accepted_by_peer job=%s vm=%s", spec.id(), vm);
+      reply.complete(result);
+    }
+
+    /** Returns true if the peer has definitely not accepted the job and will not. */
+    private static boolean isNotRun(Result<JobAcknowledgement> result) {
+      ResultCode code = ((Result.Failure<JobAcknowledgement>) result).error().code();
+      return code == ResultCode.NOT_RUN_OVERLOADED || PeerQueryService.isNotSent(code);
+    }
+
     private void onCreated(TransactionReply created) {
       if (created instanceof TransactionReply.Committed committed) {
         accepted(committed.revision());
--- a/amaranthstream/src/main/java/org/amaranthstream/jobs/JobOwnershipManager.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/jobs/JobOwnershipManager.java
@@ -109,6 +109,11 @@
     return self;
   }
 
+  /** Returns the daemon that should accept a job in place of this one, empty if there is none. */
+  Optional<EntryVmId> preferredOwner(JobSpec spec) {
+    return PreferredJobOwner.of(spec, self, fleet.nodes());
+  }
+
   /** Returns the ownership record of a job that this daemon accepts now. */
   JobOwner newOwner(JobSpec spec, byte[] record) {
     return new JobOwner(
--- a/amaranthstream/src/main/java/org/amaranthstream/jobs/RemoteJobs.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/jobs/RemoteJobs.java
@@ -107,13 +107,17 @@
 
   /** Relays a submission to another daemon, which becomes the owner if it accepts the job. */
   CompletableFuture<Result<JobAcknowledgement>> submit(EntryVmId vm, JobSpec spec) {
+    return submit(vm, spec, SUBMIT_TIMEOUT);
+  }
+
+  /** Relays a submission to another daemon and waits for {@code timeout} at most. */
+  CompletableFuture<Result<JobAcknowledgement>> submit(
+      EntryVmId vm, JobSpec spec, Duration timeout) {
     JobQuestion query =
         newQuery(spec.id())
             .setSubmit(SubmitQuestion.newBuilder().setRecord(JobCodec.encodeJob(spec)))
             .build();
-    return transport
-        .query(vm, query, SUBMIT_TIMEOUT)
-        .thenApply(r -> r.flatMap(RemoteJobs::accepted));
+    return transport.query(vm, query, timeout).thenApply(r -> r.flatMap(RemoteJobs::accepted));
   }
 
   private static Result<JobAcknowledgement> accepted(JobAnswer response) {
--- a/amaranthstream/src/test/java/org/amaranthstream/jobs/JobFleet.java
+++ b/amaranthstream/src/test/java/org/amaranthstream/jobs/JobFleet.java
@@ -282,6 +282,11 @@
     return rewards;
   }
 
+  /** Returns the virtual time. */
+  long nowNanos() {
+    return timers.nowNanos();
+  }
+
   void run(Duration duration) {
     timers.advance(duration);
   }
