Assign a request to its window by the clock that held when it began

The property test, with responses that arrive seconds after a request began, counted requests from before a suspension in a later window. TrueClock keeps its former offsets, so that a request is assigned by the one that held when it began, however late its response.

--- a/amaranthstream/src/main/java/org/amaranthstream/usage/TrueClock.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/usage/TrueClock.java
@@ -10,6 +10,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.TreeMap;
 import org.amaranthstream.ids.EntryVmId;
 import org.amaranthstream.time.TimerService;
 
@@ -28,25 +29,28 @@
   /** More than a query and its answer usually take, which distorts what peers report. */
   private static final long TOLERANCE_MILLIS = 100;
 
+  /** Keeps differences of rounding out of the history of offsets. */
+  private static final long MIN_CORRECTION_MILLIS = 5;
+
   private static final Duration SAMPLE_LIFETIME = Duration.ofSeconds(12);
 
   /** Time for peers to answer; after it the clock is certain again, whoever has answered. */
   private static final Duration MAX_UNCERTAINTY = Duration.ofSeconds(3);
 
   private static final int MIN_PEERS = 2;
+  private static final int MAX_OFFSETS = 16;
   private static final long NANOS_PER_MILLI = 1_000_000;
 
   private final TimerService timers;
   private final InstantSource timeOfDay;
   private final Map<EntryVmId, Sample> samples = new HashMap<>();
 
-  /** Milliseconds from the monotonic time to true time. */
-  private long offsetMillis;
+  /** Milliseconds from the monotonic time to true time, by the time since when they hold. */
+  private final TreeMap<Long, Long> offsets = new TreeMap<>();
 
   /** The offset of this VM's time of day when it was last read. */
   private long lastOwnMillis;
 
-  private int departures;
   private Optional<Long> uncertainSinceNanos = Optional.empty();
 
   /**
@@ -62,8 +66,8 @@
   private TrueClock(TimerService timers, InstantSource timeOfDay) {
     this.timers = timers;
     this.timeOfDay = timeOfDay;
-    this.offsetMillis = ownOffsetMillis();
-    this.lastOwnMillis = offsetMillis;
+    this.lastOwnMillis = ownOffsetMillis();
+    offsets.put(timers.nowNanos(), lastOwnMillis);
   }
 
   /** Returns a clock that starts with this VM's time of day. */
@@ -84,9 +88,13 @@
     return millisAt(timers.nowNanos());
   }
 
-  /** Returns the true time, in milliseconds since the epoch, of a monotonic time. */
+  /**
+   * Returns the true time, in milliseconds since the epoch, of a monotonic time. For times before
+   * the last corrections it uses the offset that held then.
+   */
   public long millisAt(long nanos) {
-    return toMillis(nanos) + offsetMillis;
+    Map.Entry<Long, Long> offset = offsets.floorEntry(nanos);
+    return toMillis(nanos) + (offset == null ? offsets.firstEntry() : offset).getValue();
   }
 
   /** Returns this VM's time of day in milliseconds since the epoch, right or wrong. */
@@ -125,7 +133,6 @@
   public boolean isCertain() {
     long own = ownOffsetMillis();
     if (!agree(own, lastOwnMillis)) {
-      departures++;
       uncertainSinceNanos = Optional.of(timers.nowNanos());
       samples.clear();
     }
@@ -133,11 +140,6 @@
     return uncertainSinceNanos.isEmpty();
   }
 
-  /** Returns how often this VM's time of day has departed from the monotonic clock. */
-  int departures() {
-    return departures;
-  }
-
   /** Compares the clock with the peers, and corrects it if needed. */
   public void adjust() {
     long now = timers.nowNanos();
@@ -148,28 +150,29 @@
             && samples.size() < MIN_PEERS
             && now - uncertainSinceNanos.get() < MAX_UNCERTAINTY.toNanos();
     if (!isWaiting) {
+      long sinceNanos = uncertainSinceNanos.orElse(now);
       uncertainSinceNanos = Optional.empty();
-      compare(lastOwnMillis);
+      compare(lastOwnMillis, sinceNanos);
     }
   }
 
-  private void compare(long own) {
+  private void compare(long own, long sinceNanos) {
     if (samples.isEmpty()) {
       return;
     }
-    List<Long> offsets = new ArrayList<>();
-    offsets.add(own);
-    samples.values().forEach(sample -> offsets.add(sample.offsetMillis()));
-    offsets.sort(null);
-    long median = offsets.get((offsets.size() - 1) / 2);
-    long agreeing = offsets.stream().filter(offset -> agree(offset, median)).count();
-    if (2 * agreeing <= offsets.size()) {
+    List<Long> compared = new ArrayList<>();
+    compared.add(own);
+    samples.values().forEach(sample -> compared.add(sample.offsetMillis()));
+    compared.sort(null);
+    long median = compared.get((compared.size() - 1) / 2);
+    long agreeing = compared.stream().filter(offset -> agree(offset, median)).count();
+    if (2 * agreeing <= compared.size()) {
       return;
     }
     if (agree(own, median)) {
-      moveTo(own);
-    } else if (!agree(offsetMillis, median)) {
-      moveTo(median);
+      correct(own, sinceNanos);
+    } else if (!agree(offsets.lastEntry().getValue(), median)) {
+      correct(median, sinceNanos);
     }
   }
 
@@ -177,12 +180,18 @@
     return Math.abs(a - b) <= TOLERANCE_MILLIS;
   }
 
-  private void moveTo(long newOffsetMillis) {
-    if (!agree(offsetMillis, newOffsetMillis)) {
+  private void correct(long offsetMillis, long sinceNanos) {
+    long before = offsets.lastEntry().getValue();
+    if (Math.abs(offsetMillis - before) < MIN_CORRECTION_MILLIS) {
+      return;
+    }
+    if (!agree(before, offsetMillis)) {
       logger.atWarning().log(
-          "event=true_time_corrected by_ms=%d peers=%d",
-          newOffsetMillis - offsetMillis, samples.size());
+          "event=true_time_corrected by_ms=%d peers=%d", offsetMillis - before, samples.size());
+    }
+    offsets.put(sinceNanos, offsetMillis);
+    if (offsets.size() > MAX_OFFSETS) {
+      offsets.pollFirstEntry();
     }
-    offsetMillis = newOffsetMillis;
   }
 }
--- a/amaranthstream/src/main/java/org/amaranthstream/usage/UsageCounters.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/usage/UsageCounters.java
@@ -29,8 +29,7 @@
 
   private boolean hasChanged;
 
-  private record Undecided(
-      WorkspaceId workspace, long atNanos, long guessedMillis, int departures) {}
+  private record Undecided(WorkspaceId workspace, long atNanos) {}
 
   private UsageCounters(TrueClock clock, UsageTiming timing) {
     this.clock = clock;
@@ -44,27 +43,18 @@
 
   @Override
   public void onRequestBegan(WorkspaceId workspace, long atNanos) {
-    boolean isCertain = clock.isCertain();
-    Undecided request =
-        new Undecided(workspace, atNanos, clock.millisAt(atNanos), clock.departures());
-    if (isCertain || undecided.size() >= MAX_UNDECIDED) {
-      count(workspace, request.guessedMillis());
+    if (clock.isCertain() || undecided.size() >= MAX_UNDECIDED) {
+      count(workspace, clock.millisAt(atNanos));
     } else {
-      undecided.add(request);
+      undecided.add(new Undecided(workspace, atNanos));
     }
   }
 
-  /**
-   * Assigns the requests that began while the clock was uncertain, if it is certain now. Those
-   * before a further departure of the clock keep their guessed time.
-   */
+  /** Assigns the requests that began while the clock was uncertain, if it is certain now. */
   void decide() {
     while (clock.isCertain() && !undecided.isEmpty()) {
       Undecided request = undecided.remove();
-      boolean isCorrected = request.departures() == clock.departures();
-      count(
-          request.workspace(),
-          isCorrected ? clock.millisAt(request.atNanos()) : request.guessedMillis());
+      count(request.workspace(), clock.millisAt(request.atNanos()));
     }
   }
 
