--- a/amaranthstream/src/main/java/org/amaranthstream/fleet/wire/CallRequest.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/fleet/wire/CallRequest.java
@@ -33,6 +33,7 @@
     uri_ = "";
     header_ = java.util.Collections.emptyList();
     body_ = com.google.protobuf.ByteString.EMPTY;
+    workspace_ = "";
   }
 
   public static final com.google.protobuf.Descriptors.Descriptor
@@ -306,6 +307,65 @@
     return resumption_ == null ? org.amaranthstream.fleet.wire.CallResumption.getDefaultInstance() : resumption_;
   }
 
+  public static final int WORKSPACE_FIELD_NUMBER = 10;
+  @SuppressWarnings("serial")
+  private volatile java.lang.Object workspace_ = "";
+  /**
+   * <pre>
+   * The workspace of the caller, which the sender has found by the caller's key; absent without a key.
+   * </pre>
+   *
+   * <code>optional string workspace = 10;</code>
+   * @return Whether the workspace field is set.
+   */
+  @java.lang.Override
+  public boolean hasWorkspace() {
+    return ((bitField0_ & 0x00000002) != 0);
+  }
+  /**
+   * <pre>
+   * The workspace of the caller, which the sender has found by the caller's key; absent without a key.
+   * </pre>
+   *
+   * <code>optional string workspace = 10;</code>
+   * @return The workspace.
+   */
+  @java.lang.Override
+  public java.lang.String getWorkspace() {
+    java.lang.Object ref = workspace_;
+    if (ref instanceof java.lang.String) {
+      return (java.lang.String) ref;
+    } else {
+      com.google.protobuf.ByteString bs = 
+          (com.google.protobuf.ByteString) ref;
+      java.lang.String s = bs.toStringUtf8();
+      workspace_ = s;
+      return s;
+    }
+  }
+  /**
+   * <pre>
+   * The workspace of the caller, which the sender has found by the caller's key; absent without a key.
+   * </pre>
+   *
+   * <code>optional string workspace = 10;</code>
+   * @return The bytes for workspace.
+   */
+  @java.lang.Override
+  public com.google.protobuf.ByteString
+      getWorkspaceBytes() {
+    java.lang.Object ref = workspace_;
+    if (ref instanceof java.lang.String) {
+      com.google.protobuf.ByteString b = 
+          com.google.protobuf.ByteString.copyFromUtf8(
+              (java.lang.String) ref);
+      workspace_ = b;
+      return b;
+    } else {
+      return (com.google.protobuf.ByteString) ref;
+    }
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -347,6 +407,9 @@
     if (((bitField0_ & 0x00000001) != 0)) {
       output.writeMessage(9, getResumption());
     }
+    if (((bitField0_ & 0x00000002) != 0)) {
+      com.google.protobuf.GeneratedMessage.writeString(output, 10, workspace_);
+    }
     getUnknownFields().writeTo(output);
   }
 
@@ -394,6 +457,9 @@
       size += com.google.protobuf.CodedOutputStream
         .computeMessageSize(9, getResumption());
     }
+    if (((bitField0_ & 0x00000002) != 0)) {
+      size += com.google.protobuf.GeneratedMessage.computeStringSize(10, workspace_);
+    }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -430,6 +496,11 @@
       if (!getResumption()
           .equals(other.getResumption())) return false;
     }
+    if (hasWorkspace() != other.hasWorkspace()) return false;
+    if (hasWorkspace()) {
+      if (!getWorkspace()
+          .equals(other.getWorkspace())) return false;
+    }
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -465,6 +536,10 @@
       hash = (37 * hash) + RESUMPTION_FIELD_NUMBER;
       hash = (53 * hash) + getResumption().hashCode();
     }
+    if (hasWorkspace()) {
+      hash = (37 * hash) + WORKSPACE_FIELD_NUMBER;
+      hash = (53 * hash) + getWorkspace().hashCode();
+    }
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -622,6 +697,7 @@
         resumptionBuilder_.dispose();
         resumptionBuilder_ = null;
       }
+      workspace_ = "";
       return this;
     }
 
@@ -696,6 +772,10 @@
             : resumptionBuilder_.build();
         to_bitField0_ |= 0x00000001;
       }
+      if (((from_bitField0_ & 0x00000200) != 0)) {
+        result.workspace_ = workspace_;
+        to_bitField0_ |= 0x00000002;
+      }
       result.bitField0_ |= to_bitField0_;
     }
 
@@ -767,6 +847,11 @@
       if (other.hasResumption()) {
         mergeResumption(other.getResumption());
       }
+      if (other.hasWorkspace()) {
+        workspace_ = other.workspace_;
+        bitField0_ |= 0x00000200;
+        onChanged();
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -848,6 +933,11 @@
               bitField0_ |= 0x00000100;
               break;
             } // case 74
+            case 82: {
+              workspace_ = input.readStringRequireUtf8();
+              bitField0_ |= 0x00000200;
+              break;
+            } // case 82
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -1642,6 +1732,109 @@
       return resumptionBuilder_;
     }
 
+    private java.lang.Object workspace_ = "";
+    /**
+     * <pre>
+     * The workspace of the caller, which the sender has found by the caller's key; absent without a key.
+     * </pre>
+     *
+     * <code>optional string workspace = 10;</code>
+     * @return Whether the workspace field is set.
+     */
+    public boolean hasWorkspace() {
+      return ((bitField0_ & 0x00000200) != 0);
+    }
+    /**
+     * <pre>
+     * The workspace of the caller, which the sender has found by the caller's key; absent without a key.
+     * </pre>
+     *
+     * <code>optional string workspace = 10;</code>
+     * @return The workspace.
+     */
+    public java.lang.String getWorkspace() {
+      java.lang.Object ref = workspace_;
+      if (!(ref instanceof java.lang.String)) {
+        com.google.protobuf.ByteString bs =
+            (com.google.protobuf.ByteString) ref;
+        java.lang.String s = bs.toStringUtf8();
+        workspace_ = s;
+        return s;
+      } else {
+        return (java.lang.String) ref;
+      }
+    }
+    /**
+     * <pre>
+     * The workspace of the caller, which the sender has found by the caller's key; absent without a key.
+     * </pre>
+     *
+     * <code>optional string workspace = 10;</code>
+     * @return The bytes for workspace.
+     */
+    public com.google.protobuf.ByteString
+        getWorkspaceBytes() {
+      java.lang.Object ref = workspace_;
+      if (ref instanceof String) {
+        com.google.protobuf.ByteString b = 
+            com.google.protobuf.ByteString.copyFromUtf8(
+                (java.lang.String) ref);
+        workspace_ = b;
+        return b;
+      } else {
+        return (com.google.protobuf.ByteString) ref;
+      }
+    }
+    /**
+     * <pre>
+     * The workspace of the caller, which the sender has found by the caller's key; absent without a key.
+     * </pre>
+     *
+     * <code>optional string workspace = 10;</code>
+     * @param value The workspace to set.
+     * @return This builder for chaining.
+     */
+    public Builder setWorkspace(
+        java.lang.String value) {
+      if (value == null) { throw new NullPointerException(); }
+      workspace_ = value;
+      bitField0_ |= 0x00000200;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * The workspace of the caller, which the sender has found by the caller's key; absent without a key.
+     * </pre>
+     *
+     * <code>optional string workspace = 10;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearWorkspace() {
+      workspace_ = getDefaultInstance().getWorkspace();
+      bitField0_ = (bitField0_ & ~0x00000200);
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * The workspace of the caller, which the sender has found by the caller's key; absent without a key.
+     * </pre>
+     *
+     * <code>optional string workspace = 10;</code>
+     * @param value The bytes for workspace to set.
+     * @return This builder for chaining.
+     */
+    public Builder setWorkspaceBytes(
+        com.google.protobuf.ByteString value) {
+      if (value == null) { throw new NullPointerException(); }
+      checkByteStringIsUtf8(value);
+      workspace_ = value;
+      bitField0_ |= 0x00000200;
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:amaranthstream.fleet.CallRequest)
   }
 
--- a/amaranthstream/src/main/java/org/amaranthstream/fleet/wire/CallRequestOrBuilder.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/fleet/wire/CallRequestOrBuilder.java
@@ -132,4 +132,33 @@
    * <code>.amaranthstream.fleet.CallResumption resumption = 9;</code>
    */
   org.amaranthstream.fleet.wire.CallResumptionOrBuilder getResumptionOrBuilder();
+
+  /**
+   * <pre>
+   * The workspace of the caller, which the sender has found by the caller's key; absent without a key.
+   * </pre>
+   *
+   * <code>optional string workspace = 10;</code>
+   * @return Whether the workspace field is set.
+   */
+  boolean hasWorkspace();
+  /**
+   * <pre>
+   * The workspace of the caller, which the sender has found by the caller's key; absent without a key.
+   * </pre>
+   *
+   * <code>optional string workspace = 10;</code>
+   * @return The workspace.
+   */
+  java.lang.String getWorkspace();
+  /**
+   * <pre>
+   * The workspace of the caller, which the sender has found by the caller's key; absent without a key.
+   * </pre>
+   *
+   * <code>optional string workspace = 10;</code>
+   * @return The bytes for workspace.
+   */
+  com.google.protobuf.ByteString
+      getWorkspaceBytes();
 }
--- a/amaranthstream/src/main/java/org/amaranthstream/jobs/wire/JobQuestion.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/jobs/wire/JobQuestion.java
@@ -33,6 +33,7 @@
   }
   private JobQuestion() {
     job_ = "";
+    workspace_ = "";
   }
 
   public static final com.google.protobuf.Descriptors.Descriptor
@@ -53,6 +54,7 @@
             org.amaranthstream.jobs.wire.JobQuestion.class, org.amaranthstream.jobs.wire.JobQuestion.Builder.class);
   }
 
+  private int bitField0_;
   private int bodyCase_ = 0;
   @SuppressWarnings("serial")
   private java.lang.Object body_;
@@ -295,6 +297,65 @@
     return org.amaranthstream.jobs.wire.HandoverQuestion.getDefaultInstance();
   }
 
+  public static final int WORKSPACE_FIELD_NUMBER = 7;
+  @SuppressWarnings("serial")
+  private volatile java.lang.Object workspace_ = "";
+  /**
+   * <pre>
+   * The workspace of the caller who asks, or of the job; absent where no workspaces are configured.
+   * </pre>
+   *
+   * <code>optional string workspace = 7;</code>
+   * @return Whether the workspace field is set.
+   */
+  @java.lang.Override
+  public boolean hasWorkspace() {
+    return ((bitField0_ & 0x00000001) != 0);
+  }
+  /**
+   * <pre>
+   * The workspace of the caller who asks, or of the job; absent where no workspaces are configured.
+   * </pre>
+   *
+   * <code>optional string workspace = 7;</code>
+   * @return The workspace.
+   */
+  @java.lang.Override
+  public java.lang.String getWorkspace() {
+    java.lang.Object ref = workspace_;
+    if (ref instanceof java.lang.String) {
+      return (java.lang.String) ref;
+    } else {
+      com.google.protobuf.ByteString bs = 
+          (com.google.protobuf.ByteString) ref;
+      java.lang.String s = bs.toStringUtf8();
+      workspace_ = s;
+      return s;
+    }
+  }
+  /**
+   * <pre>
+   * The workspace of the caller who asks, or of the job; absent where no workspaces are configured.
+   * </pre>
+   *
+   * <code>optional string workspace = 7;</code>
+   * @return The bytes for workspace.
+   */
+  @java.lang.Override
+  public com.google.protobuf.ByteString
+      getWorkspaceBytes() {
+    java.lang.Object ref = workspace_;
+    if (ref instanceof java.lang.String) {
+      com.google.protobuf.ByteString b = 
+          com.google.protobuf.ByteString.copyFromUtf8(
+              (java.lang.String) ref);
+      workspace_ = b;
+      return b;
+    } else {
+      return (com.google.protobuf.ByteString) ref;
+    }
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -327,6 +388,9 @@
     if (bodyCase_ == 6) {
       output.writeMessage(6, (org.amaranthstream.jobs.wire.HandoverQuestion) body_);
     }
+    if (((bitField0_ & 0x00000001) != 0)) {
+      com.google.protobuf.GeneratedMessage.writeString(output, 7, workspace_);
+    }
     getUnknownFields().writeTo(output);
   }
 
@@ -359,6 +423,9 @@
       size += com.google.protobuf.CodedOutputStream
         .computeMessageSize(6, (org.amaranthstream.jobs.wire.HandoverQuestion) body_);
     }
+    if (((bitField0_ & 0x00000001) != 0)) {
+      size += com.google.protobuf.GeneratedMessage.computeStringSize(7, workspace_);
+    }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -376,6 +443,11 @@
 
     if (!getJob()
         .equals(other.getJob())) return false;
+    if (hasWorkspace() != other.hasWorkspace()) return false;
+    if (hasWorkspace()) {
+      if (!getWorkspace()
+          .equals(other.getWorkspace())) return false;
+    }
     if (!getBodyCase().equals(other.getBodyCase())) return false;
     switch (bodyCase_) {
       case 2:
@@ -414,6 +486,10 @@
     hash = (19 * hash) + getDescriptor().hashCode();
     hash = (37 * hash) + JOB_FIELD_NUMBER;
     hash = (53 * hash) + getJob().hashCode();
+    if (hasWorkspace()) {
+      hash = (37 * hash) + WORKSPACE_FIELD_NUMBER;
+      hash = (53 * hash) + getWorkspace().hashCode();
+    }
     switch (bodyCase_) {
       case 2:
         hash = (37 * hash) + READ_FIELD_NUMBER;
@@ -589,6 +665,7 @@
       if (handoverBuilder_ != null) {
         handoverBuilder_.clear();
       }
+      workspace_ = "";
       bodyCase_ = 0;
       body_ = null;
       return this;
@@ -628,6 +705,12 @@
       if (((from_bitField0_ & 0x00000001) != 0)) {
         result.job_ = job_;
       }
+      int to_bitField0_ = 0;
+      if (((from_bitField0_ & 0x00000040) != 0)) {
+        result.workspace_ = workspace_;
+        to_bitField0_ |= 0x00000001;
+      }
+      result.bitField0_ |= to_bitField0_;
     }
 
     private void buildPartialOneofs(org.amaranthstream.jobs.wire.JobQuestion result) {
@@ -672,6 +755,11 @@
         bitField0_ |= 0x00000001;
         onChanged();
       }
+      if (other.hasWorkspace()) {
+        workspace_ = other.workspace_;
+        bitField0_ |= 0x00000040;
+        onChanged();
+      }
       switch (other.getBodyCase()) {
         case READ: {
           mergeRead(other.getRead());
@@ -763,6 +851,11 @@
               bodyCase_ = 6;
               break;
             } // case 50
+            case 58: {
+              workspace_ = input.readStringRequireUtf8();
+              bitField0_ |= 0x00000040;
+              break;
+            } // case 58
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -1577,6 +1670,109 @@
       return handoverBuilder_;
     }
 
+    private java.lang.Object workspace_ = "";
+    /**
+     * <pre>
+     * The workspace of the caller who asks, or of the job; absent where no workspaces are configured.
+     * </pre>
+     *
+     * <code>optional string workspace = 7;</code>
+     * @return Whether the workspace field is set.
+     */
+    public boolean hasWorkspace() {
+      return ((bitField0_ & 0x00000040) != 0);
+    }
+    /**
+     * <pre>
+     * The workspace of the caller who asks, or of the job; absent where no workspaces are configured.
+     * </pre>
+     *
+     * <code>optional string workspace = 7;</code>
+     * @return The workspace.
+     */
+    public java.lang.String getWorkspace() {
+      java.lang.Object ref = workspace_;
+      if (!(ref instanceof java.lang.String)) {
+        com.google.protobuf.ByteString bs =
+            (com.google.protobuf.ByteString) ref;
+        java.lang.String s = bs.toStringUtf8();
+        workspace_ = s;
+        return s;
+      } else {
+        return (java.lang.String) ref;
+      }
+    }
+    /**
+     * <pre>
+     * The workspace of the caller who asks, or of the job; absent where no workspaces are configured.
+     * </pre>
+     *
+     * <code>optional string workspace = 7;</code>
+     * @return The bytes for workspace.
+     */
+    public com.google.protobuf.ByteString
+        getWorkspaceBytes() {
+      java.lang.Object ref = workspace_;
+      if (ref instanceof String) {
+        com.google.protobuf.ByteString b = 
+            com.google.protobuf.ByteString.copyFromUtf8(
+                (java.lang.String) ref);
+        workspace_ = b;
+        return b;
+      } else {
+        return (com.google.protobuf.ByteString) ref;
+      }
+    }
+    /**
+     * <pre>
+     * The workspace of the caller who asks, or of the job; absent where no workspaces are configured.
+     * </pre>
+     *
+     * <code>optional string workspace = 7;</code>
+     * @param value The workspace to set.
+     * @return This builder for chaining.
+     */
+    public Builder setWorkspace(
+        java.lang.String value) {
+      if (value == null) { throw new NullPointerException(); }
+      workspace_ = value;
+      bitField0_ |= 0x00000040;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * The workspace of the caller who asks, or of the job; absent where no workspaces are configured.
+     * </pre>
+     *
+     * <code>optional string workspace = 7;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearWorkspace() {
+      workspace_ = getDefaultInstance().getWorkspace();
+      bitField0_ = (bitField0_ & ~0x00000040);
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * The workspace of the caller who asks, or of the job; absent where no workspaces are configured.
+     * </pre>
+     *
+     * <code>optional string workspace = 7;</code>
+     * @param value The bytes for workspace to set.
+     * @return This builder for chaining.
+     */
+    public Builder setWorkspaceBytes(
+        com.google.protobuf.ByteString value) {
+      if (value == null) { throw new NullPointerException(); }
+      checkByteStringIsUtf8(value);
+      workspace_ = value;
+      bitField0_ |= 0x00000040;
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:amaranthstream.jobs.JobQuestion)
   }
 
--- a/amaranthstream/src/main/java/org/amaranthstream/jobs/wire/JobQuestionOrBuilder.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/jobs/wire/JobQuestionOrBuilder.java
@@ -97,5 +97,34 @@
    */
   org.amaranthstream.jobs.wire.HandoverQuestionOrBuilder getHandoverOrBuilder();
 
+  /**
+   * <pre>
+   * The workspace of the caller who asks, or of the job; absent where no workspaces are configured.
+   * </pre>
+   *
+   * <code>optional string workspace = 7;</code>
+   * @return Whether the workspace field is set.
+   */
+  boolean hasWorkspace();
+  /**
+   * <pre>
+   * The workspace of the caller who asks, or of the job; absent where no workspaces are configured.
+   * </pre>
+   *
+   * <code>optional string workspace = 7;</code>
+   * @return The workspace.
+   */
+  java.lang.String getWorkspace();
+  /**
+   * <pre>
+   * The workspace of the caller who asks, or of the job; absent where no workspaces are configured.
+   * </pre>
+   *
+   * <code>optional string workspace = 7;</code>
+   * @return The bytes for workspace.
+   */
+  com.google.protobuf.ByteString
+      getWorkspaceBytes();
+
   org.amaranthstream.jobs.wire.JobQuestion.BodyCase getBodyCase();
 }
--- a/amaranthstream/src/main/java/org/amaranthstream/jobs/wire/JobRecord.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/jobs/wire/JobRecord.java
@@ -37,6 +37,7 @@
     path_ = "";
     model_ = "";
     item_ = java.util.Collections.emptyList();
+    workspace_ = "";
   }
 
   public static final com.google.protobuf.Descriptors.Descriptor
@@ -57,6 +58,7 @@
             org.amaranthstream.jobs.wire.JobRecord.class, org.amaranthstream.jobs.wire.JobRecord.Builder.class);
   }
 
+  private int bitField0_;
   public static final int JOB_FIELD_NUMBER = 1;
   @SuppressWarnings("serial")
   private volatile java.lang.Object job_ = "";
@@ -287,6 +289,65 @@
     return item_.get(index);
   }
 
+  public static final int WORKSPACE_FIELD_NUMBER = 9;
+  @SuppressWarnings("serial")
+  private volatile java.lang.Object workspace_ = "";
+  /**
+   * <pre>
+   * The workspace whose job it is; absent where no workspaces are configured.
+   * </pre>
+   *
+   * <code>optional string workspace = 9;</code>
+   * @return Whether the workspace field is set.
+   */
+  @java.lang.Override
+  public boolean hasWorkspace() {
+    return ((bitField0_ & 0x00000001) != 0);
+  }
+  /**
+   * <pre>
+   * The workspace whose job it is; absent where no workspaces are configured.
+   * </pre>
+   *
+   * <code>optional string workspace = 9;</code>
+   * @return The workspace.
+   */
+  @java.lang.Override
+  public java.lang.String getWorkspace() {
+    java.lang.Object ref = workspace_;
+    if (ref instanceof java.lang.String) {
+      return (java.lang.String) ref;
+    } else {
+      com.google.protobuf.ByteString bs = 
+          (com.google.protobuf.ByteString) ref;
+      java.lang.String s = bs.toStringUtf8();
+      workspace_ = s;
+      return s;
+    }
+  }
+  /**
+   * <pre>
+   * The workspace whose job it is; absent where no workspaces are configured.
+   * </pre>
+   *
+   * <code>optional string workspace = 9;</code>
+   * @return The bytes for workspace.
+   */
+  @java.lang.Override
+  public com.google.protobuf.ByteString
+      getWorkspaceBytes() {
+    java.lang.Object ref = workspace_;
+    if (ref instanceof java.lang.String) {
+      com.google.protobuf.ByteString b = 
+          com.google.protobuf.ByteString.copyFromUtf8(
+              (java.lang.String) ref);
+      workspace_ = b;
+      return b;
+    } else {
+      return (com.google.protobuf.ByteString) ref;
+    }
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -325,6 +386,9 @@
     for (int i = 0; i < item_.size(); i++) {
       output.writeMessage(8, item_.get(i));
     }
+    if (((bitField0_ & 0x00000001) != 0)) {
+      com.google.protobuf.GeneratedMessage.writeString(output, 9, workspace_);
+    }
     getUnknownFields().writeTo(output);
   }
 
@@ -367,6 +431,9 @@
           }
           size += 1 * count;
         }
+    if (((bitField0_ & 0x00000001) != 0)) {
+      size += com.google.protobuf.GeneratedMessage.computeStringSize(9, workspace_);
+    }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -398,6 +465,11 @@
         != other.getWantedGroups()) return false;
     if (!getItemList()
         .equals(other.getItemList())) return false;
+    if (hasWorkspace() != other.hasWorkspace()) return false;
+    if (hasWorkspace()) {
+      if (!getWorkspace()
+          .equals(other.getWorkspace())) return false;
+    }
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -429,6 +501,10 @@
       hash = (37 * hash) + ITEM_FIELD_NUMBER;
       hash = (53 * hash) + getItemList().hashCode();
     }
+    if (hasWorkspace()) {
+      hash = (37 * hash) + WORKSPACE_FIELD_NUMBER;
+      hash = (53 * hash) + getWorkspace().hashCode();
+    }
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -578,6 +654,7 @@
         itemBuilder_.clear();
       }
       bitField0_ = (bitField0_ & ~0x00000080);
+      workspace_ = "";
       return this;
     }
 
@@ -645,6 +722,12 @@
       if (((from_bitField0_ & 0x00000040) != 0)) {
         result.wantedGroups_ = wantedGroups_;
       }
+      int to_bitField0_ = 0;
+      if (((from_bitField0_ & 0x00000100) != 0)) {
+        result.workspace_ = workspace_;
+        to_bitField0_ |= 0x00000001;
+      }
+      result.bitField0_ |= to_bitField0_;
     }
 
     @java.lang.Override
@@ -714,6 +797,11 @@
           }
         }
       }
+      if (other.hasWorkspace()) {
+        workspace_ = other.workspace_;
+        bitField0_ |= 0x00000100;
+        onChanged();
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -788,6 +876,11 @@
               }
               break;
             } // case 66
+            case 74: {
+              workspace_ = input.readStringRequireUtf8();
+              bitField0_ |= 0x00000100;
+              break;
+            } // case 74
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -1429,6 +1522,109 @@
       return itemBuilder_;
     }
 
+    private java.lang.Object workspace_ = "";
+    /**
+     * <pre>
+     * The workspace whose job it is; absent where no workspaces are configured.
+     * </pre>
+     *
+     * <code>optional string workspace = 9;</code>
+     * @return Whether the workspace field is set.
+     */
+    public boolean hasWorkspace() {
+      return ((bitField0_ & 0x00000100) != 0);
+    }
+    /**
+     * <pre>
+     * The workspace whose job it is; absent where no workspaces are configured.
+     * </pre>
+     *
+     * <code>optional string workspace = 9;</code>
+     * @return The workspace.
+     */
+    public java.lang.String getWorkspace() {
+      java.lang.Object ref = workspace_;
+      if (!(ref instanceof java.lang.String)) {
+        com.google.protobuf.ByteString bs =
+            (com.google.protobuf.ByteString) ref;
+        java.lang.String s = bs.toStringUtf8();
+        workspace_ = s;
+        return s;
+      } else {
+        return (java.lang.String) ref;
+      }
+    }
+    /**
+     * <pre>
+     * The workspace whose job it is; absent where no workspaces are configured.
+     * </pre>
+     *
+     * <code>optional string workspace = 9;</code>
+     * @return The bytes for workspace.
+     */
+    public com.google.protobuf.ByteString
+        getWorkspaceBytes() {
+      java.lang.Object ref = workspace_;
+      if (ref instanceof String) {
+        com.google.protobuf.ByteString b = 
+            com.google.protobuf.ByteString.copyFromUtf8(
+                (java.lang.String) ref);
+        workspace_ = b;
+        return b;
+      } else {
+        return (com.google.protobuf.ByteString) ref;
+      }
+    }
+    /**
+     * <pre>
+     * The workspace whose job it is; absent where no workspaces are configured.
+     * </pre>
+     *
+     * <code>optional string workspace = 9;</code>
+     * @param value The workspace to set.
+     * @return This builder for chaining.
+     */
+    public Builder setWorkspace(
+        java.lang.String value) {
+      if (value == null) { throw new NullPointerException(); }
+      workspace_ = value;
+      bitField0_ |= 0x00000100;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * The workspace whose job it is; absent where no workspaces are configured.
+     * </pre>
+     *
+     * <code>optional string workspace = 9;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearWorkspace() {
+      workspace_ = getDefaultInstance().getWorkspace();
+      bitField0_ = (bitField0_ & ~0x00000100);
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * The workspace whose job it is; absent where no workspaces are configured.
+     * </pre>
+     *
+     * <code>optional string workspace = 9;</code>
+     * @param value The bytes for workspace to set.
+     * @return This builder for chaining.
+     */
+    public Builder setWorkspaceBytes(
+        com.google.protobuf.ByteString value) {
+      if (value == null) { throw new NullPointerException(); }
+      checkByteStringIsUtf8(value);
+      workspace_ = value;
+      bitField0_ |= 0x00000100;
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:amaranthstream.jobs.JobRecord)
   }
 
--- a/amaranthstream/src/main/java/org/amaranthstream/jobs/wire/JobRecordOrBuilder.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/jobs/wire/JobRecordOrBuilder.java
@@ -99,4 +99,33 @@
    */
   org.amaranthstream.jobs.wire.ItemRecordOrBuilder getItemOrBuilder(
       int index);
+
+  /**
+   * <pre>
+   * The workspace whose job it is; absent where no workspaces are configured.
+   * </pre>
+   *
+   * <code>optional string workspace = 9;</code>
+   * @return Whether the workspace field is set.
+   */
+  boolean hasWorkspace();
+  /**
+   * <pre>
+   * The workspace whose job it is; absent where no workspaces are configured.
+   * </pre>
+   *
+   * <code>optional string workspace = 9;</code>
+   * @return The workspace.
+   */
+  java.lang.String getWorkspace();
+  /**
+   * <pre>
+   * The workspace whose job it is; absent where no workspaces are configured.
+   * </pre>
+   *
+   * <code>optional string workspace = 9;</code>
+   * @return The bytes for workspace.
+   */
+  com.google.protobuf.ByteString
+      getWorkspaceBytes();
 }
--- a/amaranthstream/src/main/java/org/amaranthstream/jobs/wire/Jobs.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/jobs/wire/Jobs.java
@@ -150,69 +150,71 @@
       descriptor;
   static {
     java.lang.String[] descriptorData = {
-      "\n\njobs.proto\022\023amaranthstream.jobs\"\254\001\n\tJo" +
+      "\n\njobs.proto\022\023amaranthstream.jobs\"\322\001\n\tJo" +
       "bRecord\022\013\n\003job\030\001 \001(\t\022\014\n\004host\030\002 \001(\t\022\014\n\004pa" +
       "th\030\003 \001(\t\022\014\n\004step\030\004 \001(\003\022\r\n\005model\030\005 \001(\t\022\023\n" +
       "\013min_version\030\006 \001(\003\022\025\n\rwanted_groups\030\007 \001(" +
       "\005\022-\n\004item\030\010 \003(\0132\037.amaranthstream.jobs.It" +
-      "emRecord\"\335\001\n\nItemRecord\022\014\n\004item\030\001 \001(\t\022\014\n" +
-      "\004path\030\002 \001(\t\0221\n\006header\030\003 \003(\0132!.amaranthst" +
-      "ream.jobs.HeaderRecord\022\014\n\004body\030\004 \001(\014\022\016\n\006" +
-      "tokens\030\005 \001(\003\022\r\n\005group\030\006 \001(\t\022\027\n\017expected_" +
-      "tokens\030\007 \001(\003\022:\n\013reward_call\030\010 \001(\0132%.amar" +
-      "anthstream.jobs.RewardCallRecord\"H\n\020Rewa" +
-      "rdCallRecord\022\n\n\002id\030\001 \001(\t\022\014\n\004host\030\002 \001(\t\022\014" +
-      "\n\004path\030\003 \001(\t\022\014\n\004body\030\004 \001(\014\"+\n\014HeaderReco" +
-      "rd\022\014\n\004name\030\001 \001(\t\022\r\n\005value\030\002 \001(\t\"\216\001\n\013Owne" +
-      "rRecord\022\n\n\002vm\030\001 \001(\t\022\023\n\013incarnation\030\002 \001(\t" +
-      "\022\r\n\005epoch\030\003 \001(\003\022\r\n\005ended\030\004 \001(\010\022\023\n\013accept" +
-      "ed_ms\030\005 \001(\003\022\r\n\005items\030\006 \001(\005\022\r\n\005parts\030\007 \001(" +
-      "\005\022\r\n\005nonce\030\010 \001(\003\"N\n\nResultPage\0221\n\006result" +
-      "\030\001 \003(\0132!.amaranthstream.jobs.ResultRecor" +
-      "d\022\r\n\005nonce\030\002 \001(\003\"\\\n\014ResultRecord\022\014\n\004item" +
-      "\030\001 \001(\t\022\020\n\010complete\030\002 \001(\010\022\014\n\004text\030\003 \001(\014\022\017" +
-      "\n\007version\030\004 \003(\003\022\r\n\005score\030\005 \001(\t\"\260\002\n\013JobQu" +
-      "estion\022\013\n\003job\030\001 \001(\t\0221\n\004read\030\002 \001(\0132!.amar" +
-      "anthstream.jobs.ReadQuestionH\000\0226\n\titem_b" +
-      "ody\030\003 \001(\0132!.amaranthstream.jobs.BodyQues" +
-      "tionH\000\022/\n\003end\030\004 \001(\0132 .amaranthstream.job" +
-      "s.EndQuestionH\000\0225\n\006submit\030\005 \001(\0132#.amaran" +
-      "thstream.jobs.SubmitQuestionH\000\0229\n\010handov" +
-      "er\030\006 \001(\0132%.amaranthstream.jobs.HandoverQ" +
-      "uestionH\000B\006\n\004body\"A\n\014ReadQuestion\022\r\n\005aft" +
-      "er\030\001 \001(\005\022\017\n\007wait_ms\030\002 \001(\003\022\021\n\tmax_bytes\030\003" +
-      " \001(\005\"\034\n\014BodyQuestion\022\014\n\004item\030\001 \001(\t\"\r\n\013En" +
-      "dQuestion\"@\n\016SubmitQuestion\022.\n\006record\030\001 " +
-      "\001(\0132\036.amaranthstream.jobs.JobRecord\"\313\002\n\t" +
-      "JobAnswer\022/\n\004read\030\001 \001(\0132\037.amaranthstream" +
-      ".jobs.ReadAnswerH\000\0224\n\titem_body\030\002 \001(\0132\037." +
-      "amaranthstream.jobs.BodyAnswerH\000\022-\n\003end\030" +
-      "\003 \001(\0132\036.amaranthstream.jobs.EndAnswerH\000\022" +
-      "3\n\006submit\030\004 \001(\0132!.amaranthstream.jobs.Su" +
-      "bmitAnswerH\000\0222\n\tnot_owner\030\005 \001(\0132\035.amaran" +
-      "thstream.jobs.NotOwnerH\000\0227\n\010handover\030\006 \001" +
-      "(\0132#.amaranthstream.jobs.HandoverAnswerH" +
-      "\000B\006\n\004body\"N\n\nReadAnswer\022\r\n\005total\030\001 \001(\005\0221" +
-      "\n\006result\030\002 \003(\0132!.amaranthstream.jobs.Res" +
-      "ultRecord\")\n\nBodyAnswer\022\r\n\005found\030\001 \001(\010\022\014" +
-      "\n\004body\030\002 \001(\014\"\032\n\tEndAnswer\022\r\n\005ended\030\001 \001(\010" +
-      "\"7\n\014SubmitAnswer\022\017\n\007outcome\030\001 \001(\005\022\026\n\016ret" +
-      "ry_after_ms\030\002 \001(\003\"\n\n\010NotOwner\"\302\001\n\020Handov" +
-      "erQuestion\022/\n\005owner\030\001 \001(\0132 .amaranthstre" +
-      "am.jobs.OwnerRecord\022\020\n\010revision\030\002 \001(\003\0223\n" +
-      "\007partial\030\003 \003(\0132\".amaranthstream.jobs.Par" +
-      "tialRecord\022\032\n\022must_reach_servers\030\004 \001(\010\022\014" +
-      "\n\004host\030\005 \001(\t\022\014\n\004path\030\006 \001(\t\"\200\001\n\rPartialRe" +
-      "cord\022\014\n\004item\030\001 \001(\t\022\014\n\004text\030\002 \001(\014\022\022\n\nlast" +
-      "_event\030\003 \001(\003\022\017\n\007version\030\004 \003(\003\022\r\n\005whole\030\005" +
-      " \001(\010\022\r\n\005score\030\006 \001(\t\022\020\n\010software\030\007 \001(\t\"L\n" +
-      "\014ProgressPage\022-\n\004text\030\001 \003(\0132\037.amaranthst" +
-      "ream.jobs.TextRecord\022\r\n\005nonce\030\002 \001(\003\"~\n\nT" +
-      "extRecord\022\014\n\004item\030\001 \001(\t\022\016\n\006offset\030\002 \001(\005\022" +
-      "\014\n\004text\030\003 \001(\014\022\022\n\nlast_event\030\004 \001(\003\022\017\n\007ver" +
-      "sion\030\005 \003(\003\022\r\n\005whole\030\006 \001(\010\022\020\n\010software\030\007 " +
-      "\001(\t\"\037\n\016HandoverAnswer\022\r\n\005taken\030\001 \001(\010B \n\034" +
-      "org.amaranthstream.jobs.wireP\001b\006proto3"
+      "emRecord\022\026\n\tworkspace\030\t \001(\tH\000\210\001\001B\014\n\n_wor" +
+      "kspace\"\335\001\n\nItemRecord\022\014\n\004item\030\001 \001(\t\022\014\n\004p" +
+      "ath\030\002 \001(\t\0221\n\006header\030\003 \003(\0132!.amaranthstre" +
+      "am.jobs.HeaderRecord\022\014\n\004body\030\004 \001(\014\022\016\n\006to" +
+      "kens\030\005 \001(\003\022\r\n\005group\030\006 \001(\t\022\027\n\017expected_to" +
+      "kens\030\007 \001(\003\022:\n\013reward_call\030\010 \001(\0132%.amaran" +
+      "thstream.jobs.RewardCallRecord\"H\n\020Reward" +
+      "CallRecord\022\n\n\002id\030\001 \001(\t\022\014\n\004host\030\002 \001(\t\022\014\n\004" +
+      "path\030\003 \001(\t\022\014\n\004body\030\004 \001(\014\"+\n\014HeaderRecord" +
+      "\022\014\n\004name\030\001 \001(\t\022\r\n\005value\030\002 \001(\t\"\216\001\n\013OwnerR" +
+      "ecord\022\n\n\002vm\030\001 \001(\t\022\023\n\013incarnation\030\002 \001(\t\022\r" +
+      "\n\005epoch\030\003 \001(\003\022\r\n\005ended\030\004 \001(\010\022\023\n\013accepted" +
+      "_ms\030\005 \001(\003\022\r\n\005items\030\006 \001(\005\022\r\n\005parts\030\007 \001(\005\022" +
+      "\r\n\005nonce\030\010 \001(\003\"N\n\nResultPage\0221\n\006result\030\001" +
+      " \003(\0132!.amaranthstream.jobs.ResultRecord\022" +
+      "\r\n\005nonce\030\002 \001(\003\"\\\n\014ResultRecord\022\014\n\004item\030\001" +
+      " \001(\t\022\020\n\010complete\030\002 \001(\010\022\014\n\004text\030\003 \001(\014\022\017\n\007" +
+      "version\030\004 \003(\003\022\r\n\005score\030\005 \001(\t\"\326\002\n\013JobQues" +
+      "tion\022\013\n\003job\030\001 \001(\t\0221\n\004read\030\002 \001(\0132!.amaran" +
+      "thstream.jobs.ReadQuestionH\000\0226\n\titem_bod" +
+      "y\030\003 \001(\0132!.amaranthstream.jobs.BodyQuesti" +
+      "onH\000\022/\n\003end\030\004 \001(\0132 .amaranthstream.jobs." +
+      "EndQuestionH\000\0225\n\006submit\030\005 \001(\0132#.amaranth" +
+      "stream.jobs.SubmitQuestionH\000\0229\n\010handover" +
+      "\030\006 \001(\0132%.amaranthstream.jobs.HandoverQue" +
+      "stionH\000\022\026\n\tworkspace\030\007 \001(\tH\001\210\001\001B\006\n\004bodyB" +
+      "\014\n\n_workspace\"A\n\014ReadQuestion\022\r\n\005after\030\001" +
+      " \001(\005\022\017\n\007wait_ms\030\002 \001(\003\022\021\n\tmax_bytes\030\003 \001(\005" +
+      "\"\034\n\014BodyQuestion\022\014\n\004item\030\001 \001(\t\"\r\n\013EndQue" +
+      "stion\"@\n\016SubmitQuestion\022.\n\006record\030\001 \001(\0132" +
+      "\036.amaranthstream.jobs.JobRecord\"\313\002\n\tJobA" +
+      "nswer\022/\n\004read\030\001 \001(\0132\037.amaranthstream.job" +
+      "s.ReadAnswerH\000\0224\n\titem_body\030\002 \001(\0132\037.amar" +
+      "anthstream.jobs.BodyAnswerH\000\022-\n\003end\030\003 \001(" +
+      "\0132\036.amaranthstream.jobs.EndAnswerH\000\0223\n\006s" +
+      "ubmit\030\004 \001(\0132!.amaranthstream.jobs.Submit" +
+      "AnswerH\000\0222\n\tnot_owner\030\005 \001(\0132\035.amaranthst" +
+      "ream.jobs.NotOwnerH\000\0227\n\010handover\030\006 \001(\0132#" +
+      ".amaranthstream.jobs.HandoverAnswerH\000B\006\n" +
+      "\004body\"N\n\nReadAnswer\022\r\n\005total\030\001 \001(\005\0221\n\006re" +
+      "sult\030\002 \003(\0132!.amaranthstream.jobs.ResultR" +
+      "ecord\")\n\nBodyAnswer\022\r\n\005found\030\001 \001(\010\022\014\n\004bo" +
+      "dy\030\002 \001(\014\"\032\n\tEndAnswer\022\r\n\005ended\030\001 \001(\010\"7\n\014" +
+      "SubmitAnswer\022\017\n\007outcome\030\001 \001(\005\022\026\n\016retry_a" +
+      "fter_ms\030\002 \001(\003\"\n\n\010NotOwner\"\302\001\n\020HandoverQu" +
+      "estion\022/\n\005owner\030\001 \001(\0132 .amaranthstream.j" +
+      "obs.OwnerRecord\022\020\n\010revision\030\002 \001(\003\0223\n\007par" +
+      "tial\030\003 \003(\0132\".amaranthstream.jobs.Partial" +
+      "Record\022\032\n\022must_reach_servers\030\004 \001(\010\022\014\n\004ho" +
+      "st\030\005 \001(\t\022\014\n\004path\030\006 \001(\t\"\200\001\n\rPartialRecord" +
+      "\022\014\n\004item\030\001 \001(\t\022\014\n\004text\030\002 \001(\014\022\022\n\nlast_eve" +
+      "nt\030\003 \001(\003\022\017\n\007version\030\004 \003(\003\022\r\n\005whole\030\005 \001(\010" +
+      "\022\r\n\005score\030\006 \001(\t\022\020\n\010software\030\007 \001(\t\"L\n\014Pro" +
+      "gressPage\022-\n\004text\030\001 \003(\0132\037.amaranthstream" +
+      ".jobs.TextRecord\022\r\n\005nonce\030\002 \001(\003\"~\n\nTextR" +
+      "ecord\022\014\n\004item\030\001 \001(\t\022\016\n\006offset\030\002 \001(\005\022\014\n\004t" +
+      "ext\030\003 \001(\014\022\022\n\nlast_event\030\004 \001(\003\022\017\n\007version" +
+      "\030\005 \003(\003\022\r\n\005whole\030\006 \001(\010\022\020\n\010software\030\007 \001(\t\"" +
+      "\037\n\016HandoverAnswer\022\r\n\005taken\030\001 \001(\010B \n\034org." +
+      "amaranthstream.jobs.wireP\001b\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -223,7 +225,7 @@
     internal_static_amaranthstream_jobs_JobRecord_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_amaranthstream_jobs_JobRecord_descriptor,
-        new java.lang.String[] { "Job", "Host", "Path", "Step", "Model", "MinVersion", "WantedGroups", "Item", });
+        new java.lang.String[] { "Job", "Host", "Path", "Step", "Model", "MinVersion", "WantedGroups", "Item", "Workspace", });
     internal_static_amaranthstream_jobs_ItemRecord_descriptor =
       getDescriptor().getMessageType(1);
     internal_static_amaranthstream_jobs_ItemRecord_fieldAccessorTable = new
@@ -265,7 +267,7 @@
     internal_static_amaranthstream_jobs_JobQuestion_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_amaranthstream_jobs_JobQuestion_descriptor,
-        new java.lang.String[] { "Job", "Read", "ItemBody", "End", "Submit", "Handover", "Body", });
+        new java.lang.String[] { "Job", "Read", "ItemBody", "End", "Submit", "Handover", "Workspace", "Body", });
     internal_static_amaranthstream_jobs_ReadQuestion_descriptor =
       getDescriptor().getMessageType(8);
     internal_static_amaranthstream_jobs_ReadQuestion_fieldAccessorTable = new
