Serve requests and batch jobs by the key of a workspace

Before, the decoder dropped the workspaces of the configuration: no key was checked, a caller's key was passed on to servers, and any caller could read or end any job.

Now RoutingConfig holds a WorkspaceDirectory. TokenVerifier uses the same digests.

A job's id now is a text within a workspace, so other workspaces cannot read, end, or submit over a job, and get what they would get if it had never existed. Relayed calls, queries about jobs and stored jobs carry the workspace in typed fields.

--- a/amaranthstream/src/main/java/org/amaranthstream/auth/TokenVerifier.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/auth/TokenVerifier.java
@@ -1,10 +1,6 @@
 package org.amaranthstream.auth;
 
-import com.google.common.base.Ascii;
-import com.google.common.collect.ImmutableList;
-import com.google.common.hash.Hashing;
-import java.nio.charset.StandardCharsets;
-import java.security.MessageDigest;
+import com.google.common.collect.ImmutableMap;
 import java.util.Collection;
 import java.util.Optional;
 import org.jspecify.annotations.Nullable;
@@ -12,27 +8,26 @@
 /**
  * A lookup of credentials by bearer token.
  *
- * <p>The token is hashed once and its hash is compared with every known hash in constant time, so
- * the duration of a lookup reveals neither whether the token matched nor which credential it
- * matched. Tokens longer than {@link #MAX_TOKEN_CHARS} are rejected before they are hashed.
- * Immutable and thread safe.
+ * <p>The token is looked up by its {@link TokenDigest}, so the duration of a lookup reveals nothing
+ * of the known tokens. Tokens longer than {@link #MAX_TOKEN_CHARS} are rejected before they are
+ * hashed. Immutable and thread safe.
  */
 public final class TokenVerifier {
   /** Maximum length of a token in characters; longer tokens are rejected. */
-  public static final int MAX_TOKEN_CHARS = 512;
+  public static final int MAX_TOKEN_CHARS = TokenDigest.MAX_TOKEN_CHARS;
 
-  private static final String SCHEME = "Bearer ";
+  private final ImmutableMap<TokenDigest, Credential> credentials;
 
-  private final ImmutableList<HashedCredential> credentials;
-
-  private TokenVerifier(ImmutableList<HashedCredential> credentials) {
+  private TokenVerifier(ImmutableMap<TokenDigest, Credential> credentials) {
     this.credentials = credentials;
   }
 
-  /** Returns a verifier that accepts the tokens of {@code credentials}. */
+  /** Returns a verifier of {@code credentials}; of several with one token, the last is kept. */
   public static TokenVerifier of(Collection<Credential> credentials) {
-    return new TokenVerifier(
-        credentials.stream().map(HashedCredential::of).collect(ImmutableList.toImmutableList()));
+    ImmutableMap.Builder<TokenDigest, Credential> byDigest = ImmutableMap.builder();
+    credentials.forEach(
+        credential -> byDigest.put(TokenDigest.of(credential.token().bytes()), credential));
+    return new TokenVerifier(byDigest.buildKeepingLast());
   }
 
   /**
@@ -43,41 +38,6 @@
    *     too long
    */
   public Optional<Credential> verify(@Nullable String header) {
-    if (header == null || header.length() > SCHEME.length() + MAX_TOKEN_CHARS) {
-      return Optional.empty();
-    }
-    if (!Ascii.equalsIgnoreCase(Ascii.truncate(header, SCHEME.length(), ""), SCHEME)) {
-      return Optional.empty();
-    }
-    return find(header.substring(SCHEME.length()).getBytes(StandardCharsets.UTF_8));
-  }
-
-  private Optional<Credential> find(byte[] token) {
-    byte[] hash = hash(token);
-    Optional<Credential> found = Optional.empty();
-    for (HashedCredential candidate : credentials) {
-      if (MessageDigest.isEqual(candidate.hash, hash)) {
-        found = Optional.of(candidate.credential);
-      }
-    }
-    return found;
-  }
-
-  private static byte[] hash(byte[] token) {
-    return Hashing.sha256().hashBytes(token).asBytes();
-  }
-
-  private static final class HashedCredential {
-    private final Credential credential;
-    private final byte[] hash;
-
-    private HashedCredential(Credential credential, byte[] hash) {
-      this.credential = credential;
-      this.hash = hash;
-    }
-
-    private static HashedCredential of(Credential credential) {
-      return new HashedCredential(credential, TokenVerifier.hash(credential.token().bytes()));
-    }
+    return TokenDigest.ofBearer(header).map(credentials::get);
   }
 }
--- a/amaranthstream/src/main/java/org/amaranthstream/calls/OutboundCall.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/calls/OutboundCall.java
@@ -13,7 +13,7 @@
  * @param uri the path and query
  * @param headers the end-to-end headers; must not be modified
  * @param body the complete body; must not be modified
- * @param workspace the workspace of the caller, empty without a key
+ * @param workspace the workspace of the caller's key, empty without a known key
  * @param resumption the stream that the request resumes, empty if it begins a new response
  */
 public record OutboundCall(
--- a/amaranthstream/src/main/java/org/amaranthstream/calls/StreamResumptions.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/calls/StreamResumptions.java
@@ -30,6 +30,9 @@
   /** A caller resumes its stream within the timeout of its route, which it may use up once more. */
   private static final int STREAM_LIFETIME_TIMEOUTS = 2;
 
+  /** Ends the name of a workspace; no id of a caller's request contains it. */
+  private static final char WORKSPACE_END = '\n';
+
   private final StreamOrigins origins;
   private final ServerDirectory directory;
   private final TimerService timers;
@@ -45,8 +48,10 @@
     origins.record(firstRequest(call), StreamOrigin.of(server.registration()));
   }
 
+  /** Returns the name of the first request within its workspace. */
   private static String firstRequest(OutboundCall call) {
-    return call.resumption().flatMap(StreamResumption::firstRequest).orElse(call.id());
+    String request = call.resumption().flatMap(StreamResumption::firstRequest).orElse(call.id());
+    return call.workspace().map(id -> id.value() + WORKSPACE_END + request).orElse(request);
   }
 
   /**
--- a/amaranthstream/src/main/java/org/amaranthstream/fleet/CallCodec.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/fleet/CallCodec.java
@@ -17,6 +17,7 @@
 import org.amaranthstream.fleet.wire.CallPart;
 import org.amaranthstream.fleet.wire.CallRequest;
 import org.amaranthstream.fleet.wire.CallResumption;
+import org.amaranthstream.ids.WorkspaceId;
 
 /** Codec of relayed calls and of the parts of their responses. */
 final class CallCodec {
@@ -34,6 +35,7 @@
             .setOwed(relayed.isOwed())
             .setConfigVersion(configVersion);
     call.headers().forEach((name, value) -> request.addHeader(header(name, value)));
+    call.workspace().ifPresent(workspace -> request.setWorkspace(workspace.value()));
     call.resumption().ifPresent(resumption -> request.setResumption(encodeResumption(resumption)));
     return request.build().toByteArray();
   }
@@ -56,7 +58,9 @@
             request.getUri(),
             headers(request.getHeaderList()),
             Buffer.buffer(request.getBody().toByteArray()),
-            Optional.empty(),
+            request.hasWorkspace()
+                ? Optional.of(WorkspaceId.of(request.getWorkspace()))
+                : Optional.empty(),
             request.hasResumption()
                 ? Optional.of(decodeResumption(request.getResumption()))
                 : Optional.empty());
--- a/amaranthstream/src/main/java/org/amaranthstream/fleet/Fleet.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/fleet/Fleet.java
@@ -109,7 +109,7 @@
       String leaderLease = key.substring(FleetKeys.LEADER_LEASES.length());
       listeners.forEach(listener -> listener.onLeaderChanged(leaderLease));
     } else if (key.startsWith(FleetKeys.ENDED_JOBS)) {
-      JobId job = JobId.of(key.substring(FleetKeys.ENDED_JOBS.length()));
+      JobId job = JobId.parse(key.substring(FleetKeys.ENDED_JOBS.length()));
       listeners.forEach(listener -> listener.onJobEnded(job));
     } else if (key.startsWith(FleetKeys.RELEASES)) {
       leaderLeaseEntries.put(key, entry);
--- a/amaranthstream/src/main/java/org/amaranthstream/jobs/ItemRunner.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/jobs/ItemRunner.java
@@ -67,7 +67,9 @@
     server.onRequestSent();
     restartTimeout(START_TIMEOUT);
     logStart();
-    ItemRequest request = new ItemRequest(job.spec().host(), item.spec(), item.text().lastEvent());
+    JobSpec spec = job.spec();
+    ItemRequest request =
+        new ItemRequest(spec.host(), spec.workspace(), item.spec(), item.text().lastEvent());
     ItemTransport.Run started = transport.start(server, request, this);
     if (isOver) {
       return;
--- a/amaranthstream/src/main/java/org/amaranthstream/jobs/JobCodec.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/jobs/JobCodec.java
@@ -17,6 +17,7 @@
 import org.amaranthstream.ids.RewardCallId;
 import org.amaranthstream.ids.SoftwareVersion;
 import org.amaranthstream.ids.WeightVersion;
+import org.amaranthstream.ids.WorkspaceId;
 import org.amaranthstream.jobs.wire.HeaderRecord;
 import org.amaranthstream.jobs.wire.ItemRecord;
 import org.amaranthstream.jobs.wire.JobRecord;
@@ -45,6 +46,7 @@
             .setModel(spec.model().value())
             .setMinVersion(spec.minVersion().value())
             .setWantedGroups(spec.wantedGroups());
+    spec.workspace().ifPresent(workspace -> builder.setWorkspace(workspace.value()));
     spec.items().forEach(item -> builder.addItem(encodeItem(item)));
     return builder.build();
   }
@@ -82,7 +84,11 @@
    */
   static JobSpec decodeJob(JobRecord job) {
     return new JobSpec(
-        JobId.of(job.getJob()),
+        JobId.of(
+            job.hasWorkspace()
+                ? Optional.of(WorkspaceId.of(job.getWorkspace()))
+                : Optional.empty(),
+            job.getJob()),
         job.getHost(),
         job.getPath(),
         job.getStep(),
--- a/amaranthstream/src/main/java/org/amaranthstream/jobs/JobDescription.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/jobs/JobDescription.java
@@ -35,7 +35,7 @@
     }
     Duration age = job.age(nowNanos);
     return new JobDescription(
-        job.id().value(),
+        job.id().toString(),
         job.owner().owner().epoch(),
         age.toMillis(),
         job.spec().items().size(),
--- a/amaranthstream/src/main/java/org/amaranthstream/jobs/JobKeys.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/jobs/JobKeys.java
@@ -17,7 +17,7 @@
 
   /** Returns the job of an owner key. */
   static JobId jobOfOwner(String key) {
-    return JobId.of(key.substring(OWNERS.length()));
+    return JobId.parse(key.substring(OWNERS.length()));
   }
 
   /** Returns the key of one part of the job record. */
--- a/amaranthstream/src/main/java/org/amaranthstream/jobs/JobQueryHandler.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/jobs/JobQueryHandler.java
@@ -8,6 +8,7 @@
 import org.amaranthstream.ids.ItemId;
 import org.amaranthstream.ids.JobId;
 import org.amaranthstream.ids.Revision;
+import org.amaranthstream.ids.WorkspaceId;
 import org.amaranthstream.jobs.wire.BodyAnswer;
 import org.amaranthstream.jobs.wire.EndAnswer;
 import org.amaranthstream.jobs.wire.HandoverAnswer;
@@ -51,7 +52,7 @@
 
   /**
    * Handles a query. The response to a read, a body query or an end is {@code NotOwner} if this
-   * daemon does not own the job.
+   * daemon does not own the job, also if a job of another workspace has the same text.
    *
    * @throws IllegalArgumentException if an id in the query is malformed
    */
@@ -60,9 +61,9 @@
       return submit(query.getSubmit());
     }
     if (query.hasHandover()) {
-      return takeOver(JobId.of(query.getJob()), query.getHandover());
+      return takeOver(jobOf(query), query.getHandover());
     }
-    Optional<OwnedJob> job = registry.owned(JobId.of(query.getJob()));
+    Optional<OwnedJob> job = registry.owned(jobOf(query));
     if (job.isEmpty()) {
       return CompletableFuture.completedFuture(NOT_OWNER);
     }
@@ -78,6 +79,14 @@
     };
   }
 
+  private static JobId jobOf(JobQuestion query) {
+    return JobId.of(
+        query.hasWorkspace()
+            ? Optional.of(WorkspaceId.of(query.getWorkspace()))
+            : Optional.empty(),
+        query.getJob());
+  }
+
   private CompletableFuture<JobAnswer> read(OwnedJob job, ReadQuestion query) {
     Duration requested = Duration.ofMillis(query.getWaitMs());
     Duration wait = requested.compareTo(MAX_WAIT) < 0 ? requested : MAX_WAIT;
--- a/amaranthstream/src/main/java/org/amaranthstream/jobs/JobSpec.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/jobs/JobSpec.java
@@ -1,14 +1,16 @@
 package org.amaranthstream.jobs;
 
 import com.google.common.collect.ImmutableList;
+import java.util.Optional;
 import org.amaranthstream.ids.JobId;
 import org.amaranthstream.ids.ModelId;
 import org.amaranthstream.ids.WeightVersion;
+import org.amaranthstream.ids.WorkspaceId;
 
 /**
  * Batch job as submitted by a caller.
  *
- * @param id the id of the job
+ * @param id the id of the job, with its workspace
  * @param host the host of its route
  * @param path the path of the submission, which selects the route
  * @param step the trainer's step that the job belongs to
@@ -25,4 +27,10 @@
     ModelId model,
     WeightVersion minVersion,
     int wantedGroups,
-    ImmutableList<ItemSpec> items) {}
+    ImmutableList<ItemSpec> items) {
+
+  /** Returns the workspace whose job it is, empty where no workspaces are configured. */
+  public Optional<WorkspaceId> workspace() {
+    return id.workspace();
+  }
+}
--- a/amaranthstream/src/main/java/org/amaranthstream/jobs/RemoteJobs.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/jobs/RemoteJobs.java
@@ -102,7 +102,9 @@
   }
 
   private static JobQuestion.Builder newQuery(JobId job) {
-    return JobQuestion.newBuilder().setJob(job.value());
+    JobQuestion.Builder query = JobQuestion.newBuilder().setJob(job.value());
+    job.workspace().ifPresent(workspace -> query.setWorkspace(workspace.value()));
+    return query;
   }
 
   /** Relays a submission to another daemon, which becomes the owner if it accepts the job. */
--- a/amaranthstream/src/main/java/org/amaranthstream/routing/RoutingConfig.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/routing/RoutingConfig.java
@@ -10,6 +10,8 @@
 import java.util.Optional;
 import org.amaranthstream.ids.RouteId;
 import org.amaranthstream.ids.ServiceId;
+import org.amaranthstream.ids.WorkspaceId;
+import org.amaranthstream.workspaces.WorkspaceDirectory;
 
 /**
  * Version of the operators' configuration of routes, services and limits.
@@ -25,20 +27,26 @@
   private final ImmutableMap<String, ImmutableList<Route>> routesByHost;
   private final ImmutableMap<ServiceId, ServicePolicy> services;
   private final RequestLimits limits;
+  private final WorkspaceDirectory workspaces;
 
   private RoutingConfig(
       long version,
       ImmutableMap<RouteId, Route> routes,
       ImmutableMap<ServiceId, ServicePolicy> services,
-      RequestLimits limits) {
+      RequestLimits limits,
+      WorkspaceDirectory workspaces) {
     this.version = version;
     this.routes = routes;
     this.routesByHost = byHost(routes);
     this.services = services;
     this.limits = limits;
+    this.workspaces = workspaces;
   }
 
-  /** Returns a configuration; of several routes or services with one id, the last is kept. */
+  /**
+   * Returns a configuration without workspaces; of several routes or services with one id, the last
+   * is kept.
+   */
   public static RoutingConfig of(
       long version,
       Iterable<Route> routes,
@@ -48,7 +56,17 @@
     routes.forEach(route -> byId.put(route.id(), route));
     ImmutableMap.Builder<ServiceId, ServicePolicy> policies = ImmutableMap.builder();
     services.forEach(service -> policies.put(service.id(), service));
-    return new RoutingConfig(version, byId.buildKeepingLast(), policies.buildKeepingLast(), limits);
+    return new RoutingConfig(
+        version,
+        byId.buildKeepingLast(),
+        policies.buildKeepingLast(),
+        limits,
+        WorkspaceDirectory.none());
+  }
+
+  /** Returns the same configuration with {@code workspaces}. */
+  public RoutingConfig withWorkspaces(WorkspaceDirectory workspaces) {
+    return new RoutingConfig(version, routes, services, limits, workspaces);
   }
 
   private static ImmutableMap<String, ImmutableList<Route>> byHost(
@@ -95,6 +113,16 @@
     return services;
   }
 
+  /** Returns the workspaces; if there are any, requests need a key of one of them. */
+  public WorkspaceDirectory workspaces() {
+    return workspaces;
+  }
+
+  /** Returns the priority of a request of {@code workspace} on {@code route}; 0 comes first. */
+  public int effectivePriority(Route route, Optional<WorkspaceId> workspace) {
+    return workspaces.effectivePriority(workspace, route.priority());
+  }
+
   /** Returns the limits on the requests of callers. */
   public RequestLimits limits() {
     return limits;
--- a/amaranthstream/src/main/java/org/amaranthstream/routing/RoutingTable.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/routing/RoutingTable.java
@@ -40,8 +40,16 @@
     }
     current = config;
     logger.atInfo().log(
-        "event=config_applied version=%d routes=%d services=%d",
-        config.version(), config.routeCount(), config.services().size());
+        "event=config_applied version=%d routes=%d services=%d workspaces=%d",
+        config.version(),
+        config.routeCount(),
+        config.services().size(),
+        config.workspaces().size());
+    if (!config.workspaces().sharingKeys().isEmpty()) {
+      logger.atWarning().log(
+          "event=workspace_keys_ambiguous version=%d workspaces=%s",
+          config.version(), config.workspaces().sharingKeys());
+    }
     return true;
   }
 }
