--- a/amaranthstream/src/main/java/org/amaranthstream/jobs/OwnerRouter.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/jobs/OwnerRouter.java
@@ -67,7 +67,7 @@
               Optional<StoredOwner> owner =
                   ((Result.Success<Optional<StoredOwner>>) result).value();
               if (owner.isEmpty()) {
-                return failed(ResultCode.UNKNOWN_JOB, "there is no job " + job);
+                return failed(ResultCode.UNKNOWN_JOB, "there is no job " + job.value());
               }
               registry.cacheOwner(owner.get());
               return next.call(owner.get());
--- a/amaranthstream/src/test/java/org/amaranthstream/fleet/CuttableServers.java
+++ b/amaranthstream/src/test/java/org/amaranthstream/fleet/CuttableServers.java
@@ -26,6 +26,7 @@
   private final VirtualTimerService timers;
   private final Map<String, Cut> cuts = new HashMap<>();
   private final List<String> runs = new ArrayList<>();
+  private final List<OutboundCall> calls = new ArrayList<>();
   private final List<String> cancelled = new ArrayList<>();
   private boolean isSlow;
 
@@ -58,6 +59,11 @@
     return runs;
   }
 
+  /** Returns the calls that ran, once for each run. */
+  List<OutboundCall> calls() {
+    return calls;
+  }
+
   /** Returns the ids of the requests whose run was cancelled. */
   List<String> cancelled() {
     return cancelled;
@@ -122,6 +128,7 @@
     private void run() {
       isSent = true;
       runs.add(call.id());
+      calls.add(call);
       timers.after(isSlow ? Duration.ofSeconds(5) : RESPONSE_TIME, this::respond);
     }
 
--- a/amaranthstream/src/test/java/org/amaranthstream/fleet/RelayedCallsTest.java
+++ b/amaranthstream/src/test/java/org/amaranthstream/fleet/RelayedCallsTest.java
@@ -12,6 +12,7 @@
 import java.util.Optional;
 import org.amaranthstream.calls.OutboundCall;
 import org.amaranthstream.fleet.CuttableServers.Cut;
+import org.amaranthstream.ids.WorkspaceId;
 import org.amaranthstream.routing.RouteKind;
 import org.amaranthstream.time.VirtualTimerService;
 import org.junit.jupiter.api.Nested;
@@ -32,6 +33,10 @@
   private int lastId;
 
   private RecordedResponse send(String vm, RouteKind kind) {
+    return send(vm, kind, Optional.empty());
+  }
+
+  private RecordedResponse send(String vm, RouteKind kind, Optional<WorkspaceId> workspace) {
     lastId++;
     RecordedResponse response = new RecordedResponse("r" + lastId, timers);
     OutboundCall call =
@@ -41,7 +46,7 @@
             "/" + kind + "/x?q=1",
             MultiMap.caseInsensitiveMultiMap().add("Host", "h:80"),
             Buffer.buffer("body"),
-            Optional.empty(),
+            workspace,
             Optional.empty());
     daemons.daemon(vm).calls().start(RelayingDaemons.route(kind), call, DEADLINE, response);
     return response;
@@ -152,6 +157,23 @@
 
   @Nested
   class AtPeer {
+    /** The workspace has a field of its own, so that no header of a caller can stand for it. */
+    @Test
+    void keepTheWorkspaceThatTheSenderFound() {
+      Optional<WorkspaceId> workspace = Optional.of(WorkspaceId.of("w"));
+      servers.cut("a1", Cut.REFUSED);
+      RecordedResponse named = send("a1", RouteKind.IDEMPOTENT, workspace);
+      RecordedResponse unnamed = send("a1", RouteKind.IDEMPOTENT);
+      timers.advance(DEADLINE);
+
+      assertThat(served(List.of(named, unnamed))).isEqualTo(2);
+      for (OutboundCall call : servers.calls()) {
+        assertThat(call.workspace())
+            .isEqualTo(call.id().equals(named.id()) ? workspace : Optional.empty());
+        assertThat(call.headers().names()).containsExactly("Host");
+      }
+    }
+
     @Test
     void areCancelledWhenTheCallerDisconnects() {
       servers.cut("a1", Cut.REFUSED);
--- a/amaranthstream/src/test/java/org/amaranthstream/jobs/SimulatedServers.java
+++ b/amaranthstream/src/test/java/org/amaranthstream/jobs/SimulatedServers.java
@@ -38,6 +38,7 @@
   private final Set<ItemId> completed = new HashSet<>();
   private final Map<ItemId, SoftwareVersion> software = new HashMap<>();
   private final List<ItemRequest> continuedAtOtherSoftware = new ArrayList<>();
+  private final List<ItemRequest> requests = new ArrayList<>();
   private final List<ItemRequest> continued = new ArrayList<>();
   private final List<Stream> streams = new ArrayList<>();
 
@@ -108,6 +109,11 @@
     return continuedAtOtherSoftware;
   }
 
+  /** Returns the requests of all started runs. */
+  List<ItemRequest> requests() {
+    return requests;
+  }
+
   /** Returns the runs that continued a text. */
   List<ItemRequest> continued() {
     return continued;
@@ -137,6 +143,7 @@
   public Run start(TrackedServer server, ItemRequest request, ItemListener listener) {
     starts.merge(request.item().id(), 1, Integer::sum);
     order.add(request.item().id());
+    requests.add(request);
     if (request.lastEvent() > 0) {
       continued.add(request);
       if (!server.registration().softwareVersion().equals(software.get(request.item().id()))) {
