--- a/amaranthstream/src/main/java/org/amaranthstream/duties/ApiReach.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/duties/ApiReach.java
@@ -70,8 +70,7 @@
 
   /** Registers the handler of the queries of other daemons. */
   public void serve(FleetLinks links) {
-    links.register(
-        QueryKind.API_REACH, (LocalVm from, byte[] body, Duration timeout) -> handle());
+    links.register(QueryKind.API_REACH, (LocalVm from, byte[] body, Duration timeout) -> handle());
   }
 
   /** Handles the query whether this daemon reaches the API. */
--- a/amaranthstream/src/main/java/org/amaranthstream/duties/DutyCalls.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/duties/DutyCalls.java
@@ -80,8 +80,7 @@
     return reply;
   }
 
-  private void send(
-      Supplier<CompletableFuture<ApiReply>> call, CompletableFuture<ApiReply> reply) {
+  private void send(Supplier<CompletableFuture<ApiReply>> call, CompletableFuture<ApiReply> reply) {
     call.get()
         .thenAccept(
             outcome -> {
--- a/amaranthstream/src/main/java/org/amaranthstream/fleet/FleetRelays.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/fleet/FleetRelays.java
@@ -22,8 +22,7 @@
 
   /** Returns the relays that the daemon {@code self} sees. */
   public static FleetRelays create(FleetNode self, Fleet fleet) {
-    FleetRelays relays =
-        new FleetRelays(checkNotNull(self, "self"), checkNotNull(fleet, "fleet"));
+    FleetRelays relays = new FleetRelays(checkNotNull(self, "self"), checkNotNull(fleet, "fleet"));
     fleet.addListener(relays);
     return relays;
   }
--- a/amaranthstream/src/main/java/org/amaranthstream/usage/TrueClock.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/usage/TrueClock.java
@@ -21,7 +21,8 @@
  * the time of day was set or the VM was suspended. The clock is then uncertain until peers have
  * sent their time of day: if this VM's agrees with the median over this daemon and its peers, it is
  * followed; otherwise the offset stays if it agrees with the median, and else becomes the median.
- * Without a majority that agrees the offset stays. Made for VMs of which a minority has a wrong time of day. Not thread safe.
+ * Without a majority that agrees the offset stays. Made for VMs of which a minority has a wrong
+ * time of day. Not thread safe.
  */
 public final class TrueClock {
   private static final FluentLogger logger = FluentLogger.forEnclosingClass();
--- a/amaranthstream/src/main/java/org/amaranthstream/usage/UsageExchange.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/usage/UsageExchange.java
@@ -24,12 +24,12 @@
 import org.amaranthstream.usage.wire.UsageQuestion;
 
 /**
- * Exchange of counts between daemons: each sends its own to two relays, and the daemon
- * that reports collects them from all relays.
+ * Exchange of counts between daemons: each sends its own to two relays, and the daemon that reports
+ * collects them from all relays.
  *
  * <p>Messages contain all counts since the start of the sender, so any of them may be lost or
- * repeated. The answers carry the receiver's time of day, for {@link TrueClock}. Must be used on the
- * thread of its timers.
+ * repeated. The answers carry the receiver's time of day, for {@link TrueClock}. Must be used on
+ * the thread of its timers.
  */
 public final class UsageExchange {
   private static final FluentLogger logger = FluentLogger.forEnclosingClass();
@@ -76,8 +76,7 @@
   /** Registers the handlers of the queries of other daemons. */
   public void serve(FleetLinks links) {
     links.register(
-        QueryKind.USAGE_PUSH,
-        (LocalVm from, byte[] body, Duration timeout) -> onPush(body));
+        QueryKind.USAGE_PUSH, (LocalVm from, byte[] body, Duration timeout) -> onPush(body));
     links.register(
         QueryKind.USAGE_COUNTS, (LocalVm from, byte[] body, Duration timeout) -> onQuestion(body));
   }
@@ -116,11 +115,7 @@
     DaemonUsage usage =
         new DaemonUsage(self.vm(), self.incarnation(), ++sequence, counters.windows());
     collection.add(usage);
-    byte[] push =
-        UsagePush.newBuilder()
-            .setUsage(UsageCodec.encode(usage))
-            .build()
-            .toByteArray();
+    byte[] push = UsagePush.newBuilder().setUsage(UsageCodec.encode(usage)).build().toByteArray();
     TrueClock.Reading sent = clock.read();
     for (EntryVmId target : targets) {
       peers
@@ -177,8 +172,7 @@
    * @return true if all relays have answered
    */
   CompletableFuture<Boolean> collect(long window) {
-    collection.add(
-        new DaemonUsage(self.vm(), self.incarnation(), ++sequence, counters.windows()));
+    collection.add(new DaemonUsage(self.vm(), self.incarnation(), ++sequence, counters.windows()));
     byte[] question = UsageQuestion.newBuilder().setWindow(window).build().toByteArray();
     List<CompletableFuture<Boolean>> answers =
         relays.others().stream()
--- a/amaranthstream/src/main/java/org/amaranthstream/usage/UsageReporter.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/usage/UsageReporter.java
@@ -153,18 +153,11 @@
   }
 
   private void onFixed(
-      FixedWindows known,
-      WindowCounts counts,
-      boolean isComplete,
-      Optional<FixedWindows> result) {
+      FixedWindows known, WindowCounts counts, boolean isComplete, Optional<FixedWindows> result) {
     isPreparing = false;
     logger.atInfo().log(
         "event=usage_fixed window=%d requests=%d workspaces=%d complete=%s confirmed=%s",
-        counts.window(),
-        counts.total(),
-        counts.requests().size(),
-        isComplete,
-        result.isPresent());
+        counts.window(), counts.total(), counts.requests().size(), isComplete, result.isPresent());
     if (fixed != known) {
       return;
     }
@@ -227,9 +220,6 @@
     finished.add(counts.window());
     logger.atInfo().log(
         "event=usage_reported window=%d requests=%d outcome=%s late_ms=%d",
-        counts.window(),
-        counts.total(),
-        outcome,
-        clock.millis() - timing.endOf(counts.window()));
+        counts.window(), counts.total(), outcome, clock.millis() - timing.endOf(counts.window()));
   }
 }
--- a/amaranthstream/src/test/java/org/amaranthstream/usage/SimulatedPlatformApi.java
+++ b/amaranthstream/src/test/java/org/amaranthstream/usage/SimulatedPlatformApi.java
@@ -72,8 +72,7 @@
     }
 
     @Override
-    public CompletableFuture<ApiReply> reportUsage(
-        WindowCounts counts, FencingTokenSource fences) {
+    public CompletableFuture<ApiReply> reportUsage(WindowCounts counts, FencingTokenSource fences) {
       CompletableFuture<ApiReply> reply = new CompletableFuture<>();
       // A connection takes a while to open, and the VM may be suspended meanwhile.
       clock.after(
--- a/amaranthstream/src/test/java/org/amaranthstream/usage/UsageFleet.java
+++ b/amaranthstream/src/test/java/org/amaranthstream/usage/UsageFleet.java
@@ -88,11 +88,9 @@
       DutyCalls calls = DutyCalls.create(apiClient, lease, reach, clock, CALLS_PER_SECOND);
       TrueClock trueClock = TrueClock.create(clock, () -> now().plus(step));
       counters = UsageCounters.create(trueClock, TIMING);
-      exchange =
-          new UsageExchange(self, relays, this::query, clock, trueClock, counters, TIMING);
+      exchange = new UsageExchange(self, relays, this::query, clock, trueClock, counters, TIMING);
       UsageReporter reporter =
-          new UsageReporter(
-              lease, exchange, client, calls::reportUsage, trueClock, clock, TIMING);
+          new UsageReporter(lease, exchange, client, calls::reportUsage, trueClock, clock, TIMING);
       fleet.addListener(session);
       fleet.start();
       session.start(() -> {});
--- a/amaranthstream/src/test/java/org/amaranthstream/usage/UsagePropertyTest.java
+++ b/amaranthstream/src/test/java/org/amaranthstream/usage/UsagePropertyTest.java
@@ -174,7 +174,8 @@
             .requests()
             .forEach(
                 (workspace, count) ->
-                    assertWithMessage("more requests than began in window %s", report.counts().window())
+                    assertWithMessage(
+                            "more requests than began in window %s", report.counts().window())
                         .that(count)
                         .isAtMost(
                             fleet.truth(report.counts().window()).getOrDefault(workspace, 0L)));
