Give slots to jobs by the share of their workspaces, and to needed groups first

Callers saw: JobOrder starts the items of the oldest job first, whatever its workspace has already and whether it can still be in time.

Change: with itemScheduling.fairOrder, the next slot of an owner goes to the workspace with the fewest for its weight, and within it to the job with the fewest for its own; a job past its objective has the lowest weight, and no weight is below a quarter of another. Within a job, the items of the groups that the trainer waits for go first. The division of the coordinator uses the same rule.

The scheduler's passes over a job move into classes of their own, so that the second way to place items can stand beside the first. Without the setting the order is the same as before.

--- a/amaranthstream/src/main/java/org/amaranthstream/jobs/ItemAssignment.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/jobs/ItemAssignment.java
@@ -6,6 +6,7 @@
 import java.util.Set;
 import java.util.function.Predicate;
 import java.util.stream.Collectors;
+import org.amaranthstream.ids.GroupId;
 import org.amaranthstream.ids.SoftwareVersion;
 import org.amaranthstream.servers.SlowServers;
 import org.amaranthstream.servers.TrackedServer;
@@ -21,11 +22,17 @@
   private final SlowServers slow;
   private final long nowNanos;
   private final Set<SoftwareVersion> available;
+  private final Set<GroupId> needed;
   private final Set<TrackedServer> idle = new HashSet<>();
 
   private ItemAssignment(
-      OwnedJob job, SlowServers slow, Set<SoftwareVersion> available, long nowNanos) {
+      OwnedJob job,
+      SlowServers slow,
+      Set<SoftwareVersion> available,
+      Set<GroupId> needed,
+      long nowNanos) {
     this.job = job;
+    this.needed = needed;
     this.slow = slow;
     this.available = available;
     this.nowNanos = nowNanos;
@@ -35,14 +42,19 @@
    * Returns the assignment of the items of {@code job}.
    *
    * @param servers the available servers of the job's services
+   * @param needed the groups whose items go first
    */
   static ItemAssignment of(
-      OwnedJob job, Collection<TrackedServer> servers, SlowServers slow, long nowNanos) {
+      OwnedJob job,
+      Collection<TrackedServer> servers,
+      SlowServers slow,
+      Set<GroupId> needed,
+      long nowNanos) {
     Set<SoftwareVersion> available =
         servers.stream()
             .map(server -> server.registration().softwareVersion())
             .collect(Collectors.toSet());
-    return new ItemAssignment(job, slow, available, nowNanos);
+    return new ItemAssignment(job, slow, available, needed, nowNanos);
   }
 
   /** Returns true if no item was found for {@code server}. */
@@ -74,7 +86,7 @@
   }
 
   private Optional<ItemProgress> select(TrackedServer server, Predicate<ItemProgress> isAllowed) {
-    return ItemSelector.select(job.items(), slow.contains(server), isAllowed, nowNanos);
+    return ItemSelector.select(job.items(), slow.contains(server), needed, isAllowed, nowNanos);
   }
 
   private boolean canStart(ItemProgress item, TrackedServer server) {
--- a/amaranthstream/src/main/java/org/amaranthstream/jobs/ItemScheduler.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/jobs/ItemScheduler.java
@@ -1,13 +1,16 @@
 package org.amaranthstream.jobs;
 
 import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableSet;
 import com.google.common.flogger.FluentLogger;
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.LinkedHashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.function.Function;
-import org.amaranthstream.ids.WeightVersion;
+import org.amaranthstream.ids.GroupId;
 import org.amaranthstream.ids.WorkspaceId;
 import org.amaranthstream.routing.Route;
 import org.amaranthstream.routing.RouteKind;
@@ -16,10 +19,10 @@
 import org.amaranthstream.servers.RequestPermits;
 import org.amaranthstream.servers.ServerChoice;
 import org.amaranthstream.servers.ServerDirectory;
-import org.amaranthstream.servers.SlowServers;
 import org.amaranthstream.servers.TrackedServer;
 import org.amaranthstream.slots.SlotDemand;
 import org.amaranthstream.slots.SlotLeases;
+import org.amaranthstream.slots.WorkOrder;
 import org.amaranthstream.time.TimerService;
 
 /**
@@ -32,11 +35,10 @@
   private static final Duration POLL_INTERVAL = Duration.ofMillis(50);
 
   private final RoutingTable routing;
-  private final ServerDirectory directory;
   private final ServerChoice choice;
-  private final ItemTransport transport;
+  private final ItemStarter starter;
+  private final ItemSchedulingOptions options;
   private final TimerService timers;
-  private final ItemPermits permits;
   private final SlotLeases slots;
   private final Function<JobSpec, Optional<WorkspaceId>> workspaces;
   private final Observer observer;
@@ -59,14 +61,15 @@
       RequestPermits permits,
       SlotLeases slots,
       Function<JobSpec, Optional<WorkspaceId>> workspaces,
+      ItemSchedulingOptions options,
       TimerService timers,
       Observer observer) {
     this.routing = routing;
-    this.directory = directory;
     this.choice = choice;
-    this.transport = transport;
     this.timers = timers;
-    this.permits = new ItemPermits(permits, timers, this::schedule);
+    this.starter =
+        new ItemStarter(directory, transport, permits, slots, timers, this, this::schedule);
+    this.options = options;
     this.slots = slots;
     this.workspaces = workspaces;
     this.observer = observer;
@@ -99,29 +102,59 @@
     long now = timers.nowNanos();
     jobs.removeIf(job -> !job.isRunnable() || !job.hasOpenItems());
     jobs.sort(JobOrder.at(now));
+    Map<OwnedJob, Route> routes = new LinkedHashMap<>();
     for (OwnedJob job : ImmutableList.copyOf(jobs)) {
-      scheduleJob(job, now);
+      runnableRoute(job, now).ifPresent(route -> routes.put(job, route));
+    }
+    if (options.isFairOrder()) {
+      startByShare(routes, now);
+    } else {
+      routes.forEach((job, route) -> startAll(passOf(job, route, now)));
     }
-    slots.setDemand(demands(now));
     isScheduling = false;
+    slots.setDemand(demands(routes, now));
     if (!jobs.isEmpty() && !isPollPlanned) {
       isPollPlanned = true;
       timers.after(POLL_INTERVAL, this::poll);
     }
   }
 
-  private ImmutableList<SlotDemand> demands(long now) {
-    Optional<RoutingConfig> config = routing.current();
-    ImmutableList.Builder<SlotDemand> demands = ImmutableList.builder();
-    for (OwnedJob job : jobs) {
-      if (job.isRunnable()) {
-        config
-            .flatMap(current -> routeOf(current, job.spec()))
-            .map(route -> ItemDemand.of(job, route, workspaces.apply(job.spec()), now))
-            .ifPresent(demands::add);
+  private static void startAll(JobPass pass) {
+    boolean mayStart = true;
+    while (mayStart) {
+      mayStart = pass.startNext();
+    }
+    pass.finish();
+  }
+
+  /** Starts one item at a time, of the job that has the smallest share of the slots. */
+  private void startByShare(Map<OwnedJob, Route> routes, long now) {
+    Map<OwnedJob, JobPass> open = new LinkedHashMap<>();
+    routes.forEach((job, route) -> open.put(job, passOf(job, route, now)));
+    while (!open.isEmpty()) {
+      List<WorkOrder.Candidate<OwnedJob>> candidates = new ArrayList<>();
+      open.keySet().forEach(job -> candidates.add(candidate(job, routes.get(job), now)));
+      OwnedJob next = WorkOrder.byShare(candidates).get(0).work();
+      if (!open.get(next).startNext()) {
+        open.remove(next).finish();
       }
     }
-    return demands.build();
+  }
+
+  private WorkOrder.Candidate<OwnedJob> candidate(OwnedJob job, Route route, long now) {
+    return new WorkOrder.Candidate<>(
+        job, demand(job, route, now), route.runObjective().minus(job.age(now)));
+  }
+
+  private SlotDemand demand(OwnedJob job, Route route, long now) {
+    return ItemDemand.of(job, route, workspaces.apply(job.spec()), now);
+  }
+
+  private ImmutableList<SlotDemand> demands(Map<OwnedJob, Route> routes, long now) {
+    return routes.entrySet().stream()
+        .filter(entry -> entry.getKey().isRunnable())
+        .map(entry -> demand(entry.getKey(), entry.getValue(), now))
+        .collect(ImmutableList.toImmutableList());
   }
 
   private void poll() {
@@ -129,111 +162,30 @@
     schedule();
   }
 
-  private void scheduleJob(OwnedJob job, long now) {
+  /** Returns the route of a job whose items may run; gives up the items of any other job. */
+  private Optional<Route> runnableRoute(OwnedJob job, long now) {
     Optional<RoutingConfig> config = routing.current();
     if (config.isEmpty()) {
-      return;
+      return Optional.empty();
     }
     Optional<Route> route = routeOf(config.get(), job.spec());
     if (route.isEmpty()) {
       giveUpOpenItems(job, "no batch route matches the host and path of the job");
-      return;
-    }
-    if (job.age(now).compareTo(route.get().itemTimeout()) >= 0) {
+    } else if (job.age(now).compareTo(route.get().itemTimeout()) >= 0) {
       giveUpOpenItems(job, "the item timeout of the route has expired");
-      return;
+      return Optional.empty();
     }
-    startItems(job, route.get(), now);
+    return route;
   }
 
   private static Optional<Route> routeOf(RoutingConfig config, JobSpec spec) {
     return config.find(spec.host(), spec.path()).filter(r -> r.kind() == RouteKind.BATCH);
   }
 
-  private void startItems(OwnedJob job, Route route, long now) {
-    ItemRules rules = new ItemRules(route.maxAttempts(), route.isSingleVersion());
-    SlowServers slow = SlowServers.among(servers(route), now);
-    ItemAssignment assignment = ItemAssignment.of(job, servers(route), slow, now);
-    List<TrackedServer> idle = new ArrayList<>();
-    while (job.isRunnable()) {
-      Optional<TrackedServer> server = chooseServer(job, route, slow, assignment, now);
-      if (server.isEmpty()) {
-        break;
-      }
-      Optional<ItemProgress> item = assignment.takeItemFor(server.get());
-      if (item.isEmpty()) {
-        idle.add(server.get());
-        continue;
-      }
-      permits.onStarted(server.get());
-      new ItemRunner(job, item.get(), server.get(), rules, directory, timers, this)
-          .start(transport);
-    }
-    requestPermits(job, route, assignment, now);
-    idle.forEach(server -> moveItemFromSlowServer(job, slow, server));
-  }
-
-  /**
-   * Cancels one run at a slow server, because no item waits and {@code free} has a free slot and
-   * can continue the item's text. The item resumes when the job is scheduled next.
-   */
-  private void moveItemFromSlowServer(OwnedJob job, SlowServers slow, TrackedServer free) {
-    if (slow.contains(free)) {
-      return;
-    }
-    for (ItemProgress item : job.items()) {
-      Optional<ItemRunner> runner = item.runner();
-      boolean isMovable = item.text().canContinueAt(free.registration().softwareVersion());
-      if (runner.isPresent() && isMovable && slow.contains(runner.get().server())) {
-        logger.atInfo().log(
-            "event=item_moved job=%s item=%s from=%s last_event=%d",
-            job.id(), item.spec().id(), runner.get().server().id(), item.text().lastEvent());
-        runner.get().cancelAndRetry();
-        return;
-      }
-    }
-  }
-
-  private List<TrackedServer> servers(Route route) {
-    List<TrackedServer> servers = new ArrayList<>();
-    route.services().stream()
-        .filter(service -> service.weight() > 0)
-        .forEach(service -> servers.addAll(directory.available(service.service())));
-    return servers;
-  }
-
-  /** Returns a server with a free slot, a slow one only if there is no other. */
-  private Optional<TrackedServer> chooseServer(
-      OwnedJob job, Route route, SlowServers slow, ItemAssignment assignment, long now) {
-    List<TrackedServer> free =
-        withFreeSlots(servers(route), job, now).stream()
-            .filter(server -> !assignment.isIdle(server))
-            .filter(server -> permits.mayStart(server) && slots.mayStart(server))
-            .toList();
-    Optional<TrackedServer> fast = choice.choose(free, server -> !slow.contains(server), now);
-    return fast.isPresent() ? fast : choice.choose(free, server -> true, now);
-  }
-
-  /** Asks for permits for the servers that could run the items that wait. */
-  private void requestPermits(OwnedJob job, Route route, ItemAssignment assignment, long now) {
-    withFreeSlots(servers(route), job, now).stream()
-        .filter(server -> slots.mayStart(server) && !permits.mayStart(server))
-        .filter(assignment::hasItemFor)
-        .forEach(permits::request);
-  }
-
-  private List<TrackedServer> withFreeSlots(List<TrackedServer> servers, OwnedJob job, long now) {
-    return servers.stream()
-        .filter(server -> server.inFlight() < server.registration().slots())
-        .filter(server -> !server.isAvoided(now))
-        .filter(server -> hasAllowedVersion(server, job))
-        .toList();
-  }
-
-  /** Also allows a server that reports no version, as each event is checked when it arrives. */
-  private static boolean hasAllowedVersion(TrackedServer server, OwnedJob job) {
-    Optional<WeightVersion> version = server.version(job.spec().model());
-    return version.isEmpty() || !job.spec().minVersion().isAfter(version.get());
+  private JobPass passOf(OwnedJob job, Route route, long now) {
+    ImmutableSet<GroupId> needed =
+        options.isFairOrder() ? job.neededGroups() : ImmutableSet.of();
+    return new LeastLoadedPass(job, route, starter, choice, needed, now);
   }
 
   private void giveUpOpenItems(OwnedJob job, String reason) {
--- a/amaranthstream/src/main/java/org/amaranthstream/jobs/ItemSelector.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/jobs/ItemSelector.java
@@ -2,7 +2,9 @@
 
 import java.util.Comparator;
 import java.util.Optional;
+import java.util.Set;
 import java.util.function.Predicate;
+import org.amaranthstream.ids.GroupId;
 
 /**
  * Selection of the item of a job that starts next: the one with the greatest expected length at a
@@ -22,13 +24,17 @@
    * Returns the best of the ready items that satisfy {@code isAllowed}, empty if none does.
    *
    * @param isSlow true if the item is to start at a slow server
+   * @param needed the groups whose items go first, whatever their length
    */
   static Optional<ItemProgress> select(
       Iterable<ItemProgress> items,
       boolean isSlow,
+      Set<GroupId> needed,
       Predicate<ItemProgress> isAllowed,
       long nowNanos) {
-    Comparator<ItemProgress> order = isSlow ? BY_EXPECTED_TOKENS.reversed() : BY_EXPECTED_TOKENS;
+    Comparator<ItemProgress> order =
+        Comparator.comparing((ItemProgress item) -> needed.contains(item.spec().group()))
+            .thenComparing(isSlow ? BY_EXPECTED_TOKENS.reversed() : BY_EXPECTED_TOKENS);
     ItemProgress best = null;
     for (ItemProgress item : items) {
       boolean isBetter = best == null || order.compare(item, best) > 0;
--- /dev/null
+++ b/amaranthstream/src/main/java/org/amaranthstream/jobs/ItemStarter.java
@@ -0,0 +1,85 @@
+package org.amaranthstream.jobs;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import org.amaranthstream.ids.WeightVersion;
+import org.amaranthstream.routing.Route;
+import org.amaranthstream.servers.RequestPermits;
+import org.amaranthstream.servers.ServerDirectory;
+import org.amaranthstream.servers.TrackedServer;
+import org.amaranthstream.slots.SlotLeases;
+import org.amaranthstream.time.TimerService;
+
+/** Start of runs of items at servers with free slots. Must be used on one thread. */
+final class ItemStarter {
+  private final ServerDirectory directory;
+  private final ItemTransport transport;
+  private final ItemPermits permits;
+  private final SlotLeases slots;
+  private final TimerService timers;
+  private final ItemRunner.Observer observer;
+
+  /**
+   * Creates a starter.
+   *
+   * @param onPermitted called when a run may start that could not start before
+   */
+  ItemStarter(
+      ServerDirectory directory,
+      ItemTransport transport,
+      RequestPermits permits,
+      SlotLeases slots,
+      TimerService timers,
+      ItemRunner.Observer observer,
+      Runnable onPermitted) {
+    this.directory = directory;
+    this.transport = transport;
+    this.permits = new ItemPermits(permits, timers, onPermitted);
+    this.slots = slots;
+    this.timers = timers;
+    this.observer = observer;
+  }
+
+  /** Returns the available servers of the services of {@code route}. */
+  List<TrackedServer> servers(Route route) {
+    List<TrackedServer> servers = new ArrayList<>();
+    route.services().stream()
+        .filter(service -> service.weight() > 0)
+        .forEach(service -> servers.addAll(directory.available(service.service())));
+    return servers;
+  }
+
+  /** Returns the servers of {@code route} that have a free slot for items of {@code job}. */
+  List<TrackedServer> withFreeSlots(Route route, OwnedJob job) {
+    long now = timers.nowNanos();
+    return servers(route).stream()
+        .filter(server -> server.inFlight() < server.registration().slots())
+        .filter(server -> !server.isAvoided(now))
+        .filter(server -> hasAllowedVersion(server, job))
+        .filter(slots::mayStart)
+        .toList();
+  }
+
+  /** Also allows a server that reports no version, as each event is checked when it arrives. */
+  private static boolean hasAllowedVersion(TrackedServer server, OwnedJob job) {
+    Optional<WeightVersion> version = server.version(job.spec().model());
+    return version.isEmpty() || !job.spec().minVersion().isAfter(version.get());
+  }
+
+  /** Returns true if the server's limit allows a run now. */
+  boolean isPermitted(TrackedServer server) {
+    return permits.mayStart(server);
+  }
+
+  /** Asks for a permit for a run at {@code server}. */
+  void requestPermit(TrackedServer server) {
+    permits.request(server);
+  }
+
+  void start(OwnedJob job, ItemProgress item, TrackedServer server, Route route) {
+    permits.onStarted(server);
+    ItemRules rules = new ItemRules(route.maxAttempts(), route.isSingleVersion());
+    new ItemRunner(job, item, server, rules, directory, timers, observer).start(transport);
+  }
+}
--- a/amaranthstream/src/main/java/org/amaranthstream/jobs/JobService.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/jobs/JobService.java
@@ -101,6 +101,7 @@
             checkNotNull(builder.permits, "permits"),
             builder.slots,
             builder.workspaces,
+            builder.scheduling,
             timers,
             this::onItemsChanged);
     this.routing = builder.routing;
@@ -281,6 +282,7 @@
     private @Nullable RequestPermits permits;
     private SlotLeases slots = SlotLeases.UNSHARED;
     private Function<JobSpec, Optional<WorkspaceId>> workspaces = job -> Optional.empty();
+    private ItemSchedulingOptions scheduling = ItemSchedulingOptions.OFF;
     private @Nullable RewardTransport rewardTransport;
     private @Nullable JobQueryTransport queryTransport;
     private InstantSource timeOfDay = InstantSource.system();
@@ -359,6 +361,13 @@
       return this;
     }
 
+    /** Sets the optional parts of the scheduling of items; by default, all are off. */
+    @CanIgnoreReturnValue
+    public Builder scheduling(ItemSchedulingOptions scheduling) {
+      this.scheduling = checkNotNull(scheduling, "scheduling");
+      return this;
+    }
+
     /** Sets the lookup of the workspace that submitted a job; by default, none is known. */
     @CanIgnoreReturnValue
     public Builder workspaces(Function<JobSpec, Optional<WorkspaceId>> workspaces) {
--- a/amaranthstream/src/main/java/org/amaranthstream/jobs/OwnedJob.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/jobs/OwnedJob.java
@@ -1,6 +1,7 @@
 package org.amaranthstream.jobs;
 
 import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableSet;
 import com.google.common.collect.ImmutableSortedSet;
 import java.time.Duration;
 import java.util.ArrayDeque;
@@ -192,6 +193,16 @@
     return items.values();
   }
 
+  /** Returns the incomplete groups that the trainer needs most. */
+  ImmutableSet<GroupId> neededGroups() {
+    List<NeededGroups.OpenItem> open =
+        items.values().stream()
+            .filter(item -> !item.isFinished())
+            .map(item -> new NeededGroups.OpenItem(item.spec().group(), item.expectedTokens()))
+            .toList();
+    return NeededGroups.of(ImmutableList.copyOf(openInGroup.keySet()), open, spec.wantedGroups());
+  }
+
   /** Returns the number of groups all of whose items have a result. */
   long completeGroups() {
     return openInGroup.values().stream().filter(open -> open == 0).count();
--- a/amaranthstream/src/main/java/org/amaranthstream/slots/SlotDivision.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/slots/SlotDivision.java
@@ -13,16 +13,12 @@
  *
  * <p>Made for a few owners with many more items than slots, of which a heavy workspace has most.
  * Slots are given one at a time to the workspace that has the fewest for its weight, so a heavy
- * workspace waits for itself. Urgent work has a greater weight and late work a smaller one, between
- * which the weights differ by a factor of 4 at most: nothing is served less than a quarter as often
- * as anything else. Owners keep the slots that they hold as long as they are entitled to as many,
+ * workspace waits for itself ({@link WorkShare}). Owners keep the slots that they hold as long as they are entitled to as many,
  * so that runs follow one another without a message.
  *
  * <p>The result depends only on the arguments.
  */
 final class SlotDivision {
-  private static final double MIN_WEIGHT = 0.25;
-
   private final Map<ServerKey, OfferedServer> servers = new HashMap<>();
 
   /** The slots that are not given yet. */
@@ -36,6 +32,7 @@
 
   private final Map<EntryVmId, Map<ServerKey, Integer>> given = new HashMap<>();
   private final Map<String, Integer> slotsOfSharer = new HashMap<>();
+  private final Map<String, Double> weightOfSharer = new HashMap<>();
 
   private SlotDivision() {}
 
@@ -44,13 +41,13 @@
     private final EntryVmId owner;
     private final SlotDemand demand;
     private final double weight;
+    private int slots;
     private int missing;
 
     private Claim(EntryVmId owner, SlotDemand demand) {
       this.owner = owner;
       this.demand = demand;
-      double weight = 1.0 / (1 + Math.max(0, demand.priority()));
-      this.weight = Math.max(MIN_WEIGHT, demand.isLate() ? MIN_WEIGHT : weight);
+      this.weight = WorkShare.weight(demand.priority(), demand.isLate());
       this.missing = demand.wanted();
     }
   }
@@ -79,7 +76,9 @@
     held.put(owner, heldByOwner);
     given.put(owner, new HashMap<>());
     for (SlotDemand demand : request.demands()) {
-      claims.add(new Claim(owner, demand));
+      Claim claim = new Claim(owner, demand);
+      claims.add(claim);
+      weightOfSharer.merge(demand.sharer(), claim.weight, Math::max);
     }
   }
 
@@ -100,19 +99,27 @@
     }
   }
 
-  /** Returns the claim of the sharer that has the fewest slots for its weight. */
+  /** Returns the claim that the next slot is for. */
   private Claim next(List<Claim> open) {
     Claim best = open.get(0);
+    WorkShare bestShare = share(best);
     for (Claim claim : open) {
-      if (cost(claim) < cost(best)) {
+      WorkShare share = share(claim);
+      if (share.compareTo(bestShare) < 0) {
         best = claim;
+        bestShare = share;
       }
     }
     return best;
   }
 
-  private double cost(Claim claim) {
-    return (slotsOfSharer.getOrDefault(claim.demand.sharer(), 0) + 1) / claim.weight;
+  private WorkShare share(Claim claim) {
+    String sharer = claim.demand.sharer();
+    return new WorkShare(
+        slotsOfSharer.getOrDefault(sharer, 0),
+        weightOfSharer.get(sharer),
+        claim.slots,
+        claim.weight);
   }
 
   /**
@@ -144,6 +151,7 @@
 
   private void give(Claim claim, ServerKey server) {
     claim.missing--;
+    claim.slots++;
     slotsOfSharer.merge(claim.demand.sharer(), 1, Integer::sum);
     free.merge(server, -1, Integer::sum);
     given.get(claim.owner).merge(server, 1, Integer::sum);
