--- a/amaranthstream/src/main/java/org/amaranthstream/cli/Main.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/cli/Main.java
@@ -1,7 +1,6 @@
 package org.amaranthstream.cli;
 
 import java.nio.file.Path;
-import java.util.Arrays;
 import java.util.Optional;
 import java.util.ServiceLoader;
 import java.util.logging.Level;
@@ -17,7 +16,7 @@
    */
   public static void main(String[] args) {
     LogSetup.prepare();
-    Optional<ProcessRole> role = Arrays.stream(args).findFirst().flatMap(Main::findRole);
+    Optional<ProcessRole> role = args.length == 0 ? Optional.empty() : findRole(args[0]);
     System.exit(role.isPresent() ? run(role.get()) : runCommand(args));
   }
 
