--- a/amaranthstream/src/main/java/org/amaranthstream/jobs/JobCodec.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/jobs/JobCodec.java
@@ -85,9 +85,7 @@
   static JobSpec decodeJob(JobRecord job) {
     return new JobSpec(
         JobId.of(
-            job.hasWorkspace()
-                ? Optional.of(WorkspaceId.of(job.getWorkspace()))
-                : Optional.empty(),
+            job.hasWorkspace() ? Optional.of(WorkspaceId.of(job.getWorkspace())) : Optional.empty(),
             job.getJob()),
         job.getHost(),
         job.getPath(),
--- a/amaranthstream/src/main/java/org/amaranthstream/jobs/JobQueryHandler.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/jobs/JobQueryHandler.java
@@ -81,9 +81,7 @@
 
   private static JobId jobOf(JobQuestion query) {
     return JobId.of(
-        query.hasWorkspace()
-            ? Optional.of(WorkspaceId.of(query.getWorkspace()))
-            : Optional.empty(),
+        query.hasWorkspace() ? Optional.of(WorkspaceId.of(query.getWorkspace())) : Optional.empty(),
         query.getJob());
   }
 
--- a/amaranthstream/src/main/java/org/amaranthstream/jobs/OwnedJobOperations.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/jobs/OwnedJobOperations.java
@@ -68,7 +68,8 @@
         spec.items().stream().filter(candidate -> candidate.id().equals(item)).findFirst();
     return found.isPresent()
         ? Result.success(found.get().body())
-        : Result.failure(ResultCode.UNKNOWN_ITEM, "job " + spec.id().value() + " has no item " + item);
+        : Result.failure(
+            ResultCode.UNKNOWN_ITEM, "job " + spec.id().value() + " has no item " + item);
   }
 
   /** Ends a job at once and records the end in the store. */
--- a/amaranthstream/src/main/java/org/amaranthstream/workspaces/WorkspaceDirectory.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/workspaces/WorkspaceDirectory.java
@@ -45,8 +45,8 @@
   }
 
   /**
-   * Returns the directory of {@code workspaces}; of several with one name, the last is kept. Without
-   * any workspace, no key is valid.
+   * Returns the directory of {@code workspaces}; of several with one name, the last is kept.
+   * Without any workspace, no key is valid.
    */
   public static WorkspaceDirectory of(Iterable<Workspace> workspaces) {
     ImmutableMap.Builder<WorkspaceId, Workspace> builder = ImmutableMap.builder();
--- a/amaranthstream/src/test/java/org/amaranthstream/ids/JobIdTest.java
+++ b/amaranthstream/src/test/java/org/amaranthstream/ids/JobIdTest.java
@@ -25,7 +25,7 @@
   }
 
   @Test
-  void rejectsTextsThatCouldNameAJobOfAnotherWorkspace() {
+  void rejectsTextsThatCouldNameJobsOfOtherWorkspaces() {
     assertThrows(IllegalArgumentException.class, () -> JobId.of("@w/j"));
     assertThrows(IllegalArgumentException.class, () -> JobId.of(WORKSPACE, "../j"));
     assertThrows(IllegalArgumentException.class, () -> JobId.parse("@w"));
--- a/amaranthstream/src/test/java/org/amaranthstream/jobs/JobWorkspacesTest.java
+++ b/amaranthstream/src/test/java/org/amaranthstream/jobs/JobWorkspacesTest.java
@@ -110,7 +110,7 @@
     fleet.runMillis(800);
     first.kill();
     fleet.run(Duration.ofSeconds(6));
-    JobFleet.Node third = fleet.start("vm-3");
+    final JobFleet.Node third = fleet.start("vm-3");
     fleet.addServer("s1", 4, 1);
     fleet.addServer("s2", 4, 1);
     fleet.runMillis(500);
@@ -125,7 +125,7 @@
   }
 
   @Test
-  void storedWithoutAWorkspaceAreFoundByRequestsWithoutOne() {
+  void withoutWorkspaceAreFoundByRequestsWithoutOne() {
     JobSpec old = JobFleet.job("shared", 1, 3, 2);
     submit(first, old);
     fleet.run(Duration.ofSeconds(3));
