Watch the store for the relays of all zones through two of them

In a fleet of four zones or more two roots, in zones of different regions, watch the store, and the relays of all zones watch through them. A relay without an answer for 1.5 s watches the store itself, and a root answers only while it watches the store itself, so that no two daemons wait for each other. A root's own watch is half as long as a relay's was: a silent connection hides a change for less time than before. Fleets of fewer zones are served as before.

WatchRelayTest covers daemons whose views differ. SimulatedStoreClient returned no changes for a change that was written within 4 ms before the end of a watch, with a revision beyond it, which no store does; without the mend a daemon of the fixture missed a change for ever.

--- a/amaranthstream/src/main/java/org/amaranthstream/fleet/WatchRelay.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/fleet/WatchRelay.java
@@ -4,9 +4,11 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import org.amaranthstream.fleet.wire.WatchCall;
 import org.amaranthstream.ids.Revision;
@@ -33,18 +35,35 @@
   private final Map<String, WatchHistory> histories = new HashMap<>();
   private final List<Waiter> waiters = new ArrayList<>();
 
+  /** Prefixes that this daemon watches at the store itself. */
+  private final Set<String> directPrefixes = new HashSet<>();
+
   WatchRelay(TimerService timers) {
     this.timers = timers;
   }
 
   /** Registers this relay as the handler of watches of peers. */
   void serve(FleetLinks links) {
-    links.register(QueryKind.WATCH, (LocalVm from, byte[] body, Duration timeout) -> handle(body));
+    links.register(
+        QueryKind.WATCH,
+        (LocalVm from, byte[] body, Duration timeout) -> handle(body, WatchSource.ANY));
+    links.register(
+        QueryKind.DIRECT_WATCH,
+        (LocalVm from, byte[] body, Duration timeout) -> handle(body, WatchSource.DIRECT));
   }
 
-  /** Records that this daemon watches {@code prefix} itself for changes after {@code after}. */
-  void onWatchStarted(String prefix, Revision after) {
+  /**
+   * Records that this daemon watches {@code prefix} for changes after {@code after}.
+   *
+   * @param source {@code DIRECT} if it watches the store itself, {@code ANY} if through a peer
+   */
+  void onWatchStarted(String prefix, Revision after, WatchSource source) {
     history(prefix).continueAt(after);
+    if (source == WatchSource.DIRECT) {
+      directPrefixes.add(prefix);
+    } else if (directPrefixes.remove(prefix)) {
+      wake(prefix);
+    }
   }
 
   private WatchHistory history(String prefix) {
@@ -63,6 +82,7 @@
 
   /** Stops relaying a prefix, because this daemon does not watch it itself any more. */
   void close(String prefix) {
+    directPrefixes.remove(prefix);
     WatchHistory history = histories.remove(prefix);
     if (history != null) {
       history.close();
@@ -78,19 +98,19 @@
     }
   }
 
-  /** Handles an encoded watch of a peer. */
-  CompletableFuture<Result<byte[]>> handle(byte[] body) {
+  /** Handles an encoded watch of a peer, which needs changes from {@code source}. */
+  CompletableFuture<Result<byte[]>> handle(byte[] body, WatchSource source) {
     try {
       WatchCall watch = WatchCall.parseFrom(body);
-      return handle(watch);
+      return handle(watch, source);
     } catch (InvalidProtocolBufferException | IllegalArgumentException e) {
       return CompletableFuture.completedFuture(
           Result.failure(ResultCode.INVALID_REQUEST, "malformed watch: " + e));
     }
   }
 
-  private CompletableFuture<Result<byte[]>> handle(WatchCall watch) {
-    Waiter waiter = new Waiter(watch.getPrefix(), Revision.of(watch.getAfter()));
+  private CompletableFuture<Result<byte[]>> handle(WatchCall watch, WatchSource source) {
+    Waiter waiter = new Waiter(watch.getPrefix(), Revision.of(watch.getAfter()), source);
     if (!waiter.tryComplete()) {
       if (waiters.size() >= MAX_WAITING) {
         waiter.fail(ResultCode.NOT_RUN_QUEUE_FULL, "the limit of waiting watches is reached");
@@ -105,11 +125,13 @@
   private final class Waiter {
     private final String prefix;
     private final Revision after;
+    private final WatchSource source;
     private final CompletableFuture<Result<byte[]>> reply = new CompletableFuture<>();
 
-    private Waiter(String prefix, Revision after) {
+    private Waiter(String prefix, Revision after, WatchSource source) {
       this.prefix = prefix;
       this.after = after;
+      this.source = source;
     }
 
     private void await(Duration wait) {
@@ -138,6 +160,9 @@
     }
 
     private Optional<WatchReply.Changes> changes() {
+      if (source == WatchSource.DIRECT && !directPrefixes.contains(prefix)) {
+        return Optional.empty();
+      }
       return Optional.ofNullable(histories.get(prefix)).flatMap(history -> history.since(after));
     }
 
--- a/amaranthstream/src/main/java/org/amaranthstream/fleet/ZoneWatchStore.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/fleet/ZoneWatchStore.java
@@ -13,6 +13,7 @@
 import org.amaranthstream.ids.EntryVmId;
 import org.amaranthstream.ids.LeaseId;
 import org.amaranthstream.ids.Revision;
+import org.amaranthstream.peer.QueryKind;
 import org.amaranthstream.platform.GrantedLease;
 import org.amaranthstream.platform.KvEntry;
 import org.amaranthstream.platform.KvPage;
@@ -31,9 +32,10 @@
  * that the number of watches grows with the number of zones and not with the number of daemons.
  *
  * <p>A watch is sent to both relays; the first answer counts. If neither relay answers, the daemon
- * watches the store itself. The relays only save calls: revisions decide which change is newer, and
- * a daemon that is ahead of a relay ignores what it has already seen. All other calls go directly
- * to the store. Not thread safe: used on the thread of its timers.
+ * watches the store itself. In a fleet of many zones the relays themselves watch through two of
+ * them, the roots. The relays only save calls: revisions decide which change is newer, and a daemon
+ * that is ahead of a relay ignores what it has already seen. All other calls go directly to the
+ * store. Not thread safe: used on the thread of its timers.
  */
 public final class ZoneWatchStore implements TransactionalStore, FleetListener {
   private static final FluentLogger logger = FluentLogger.forEnclosingClass();
@@ -41,6 +43,9 @@
   /** Bounds the time for which a daemon can rely on relays that have stopped responding. */
   private static final Duration MAX_RELAYED_WAIT = Duration.ofSeconds(2);
 
+  /** Bounds the time for which a zone can rely on roots that have stopped responding. */
+  private static final Duration MAX_ROOT_WAIT = Duration.ofSeconds(1);
+
   /** Allows for the round trip, and for a relay that is briefly busy. */
   private static final Duration RESPONSE_MARGIN = Duration.ofMillis(500);
 
@@ -50,18 +55,24 @@
   private @Nullable FleetNode self;
   private RelayClient client = RelayClient.NONE;
   private Optional<ImmutableList<EntryVmId>> relays = Optional.empty();
+  private Optional<ImmutableList<EntryVmId>> roots = Optional.empty();
 
   /** Client for queries to the relays. */
   @FunctionalInterface
   public interface RelayClient {
     /** A client without relays. */
     RelayClient NONE =
-        (vm, watch, timeout) ->
+        (vm, kind, watch, timeout) ->
             CompletableFuture.completedFuture(
                 Result.failure(ResultCode.PEER_UNREACHABLE, "no relay is available"));
 
-    /** Sends an encoded watch to {@code vm}; the future never completes exceptionally. */
-    CompletableFuture<Result<byte[]>> watch(EntryVmId vm, byte[] watch, Duration timeout);
+    /**
+     * Sends an encoded watch to {@code vm}; the future never completes exceptionally.
+     *
+     * @param kind {@code WATCH} or {@code DIRECT_WATCH}
+     */
+    CompletableFuture<Result<byte[]>> watch(
+        EntryVmId vm, QueryKind kind, byte[] watch, Duration timeout);
   }
 
   private ZoneWatchStore(TransactionalStore store, TimerService timers) {
@@ -88,13 +99,15 @@
   }
 
   /** Handles an encoded watch of another daemon. */
-  CompletableFuture<Result<byte[]>> handle(byte[] watch) {
-    return relay.handle(watch);
+  CompletableFuture<Result<byte[]>> handle(QueryKind kind, byte[] watch) {
+    return relay.handle(
+        watch, kind == QueryKind.DIRECT_WATCH ? WatchSource.DIRECT : WatchSource.ANY);
   }
 
   @Override
   public void onNodesChanged(NodesChange change) {
     relays = Optional.empty();
+    roots = Optional.empty();
   }
 
   private ImmutableList<EntryVmId> relays() {
@@ -107,22 +120,48 @@
     return relays.get();
   }
 
+  private ImmutableList<EntryVmId> roots() {
+    if (fleet == null) {
+      return ImmutableList.of();
+    }
+    if (roots.isEmpty()) {
+      roots = Optional.of(WatchRelaySelection.roots(fleet.nodes()));
+    }
+    return roots.get();
+  }
+
   @Override
   public CompletableFuture<WatchReply> watch(String prefix, Revision after, Duration wait) {
     ImmutableList<EntryVmId> current = relays();
-    if (self == null || current.isEmpty() || current.contains(self.vm())) {
+    if (self == null || current.isEmpty()) {
       return watchDirectly(prefix, after, wait);
     }
+    if (current.contains(self.vm())) {
+      return watchAsRelay(prefix, after, wait);
+    }
     relay.close(prefix);
-    CompletableFuture<WatchReply> reply = new CompletableFuture<>();
-    RelayedWatch relayed = new RelayedWatch(prefix, after, wait, current.size(), reply);
-    current.forEach(relayed::sendTo);
-    return reply;
+    return new RelayedWatch(prefix, after, wait, QueryKind.WATCH).sendTo(current);
+  }
+
+  /**
+   * Watches for the daemons of the zone. A root's own watch is short, because a silent connection
+   * hides a change from the whole fleet until it ends.
+   */
+  private CompletableFuture<WatchReply> watchAsRelay(String prefix, Revision after, Duration wait) {
+    ImmutableList<EntryVmId> current = roots();
+    if (current.isEmpty()) {
+      return watchDirectly(prefix, after, wait);
+    }
+    if (self != null && current.contains(self.vm())) {
+      return watchDirectly(prefix, after, wait.dividedBy(2));
+    }
+    relay.onWatchStarted(prefix, after, WatchSource.ANY);
+    return new RelayedWatch(prefix, after, wait, QueryKind.DIRECT_WATCH).sendTo(current);
   }
 
   private CompletableFuture<WatchReply> watchDirectly(
       String prefix, Revision after, Duration wait) {
-    relay.onWatchStarted(prefix, after);
+    relay.onWatchStarted(prefix, after, WatchSource.DIRECT);
     return store
         .watch(prefix, after, wait)
         .thenApply(
@@ -132,29 +171,31 @@
             });
   }
 
-  /** A watch that was sent to several relays. */
+  /** A watch that was sent to several relays, or by a relay to the roots. */
   private final class RelayedWatch {
     private final String prefix;
     private final Revision after;
     private final Duration wait;
-    private final CompletableFuture<WatchReply> reply;
+    private final QueryKind kind;
+    private final CompletableFuture<WatchReply> reply = new CompletableFuture<>();
     private int unanswered;
 
-    private RelayedWatch(
-        String prefix,
-        Revision after,
-        Duration wait,
-        int relays,
-        CompletableFuture<WatchReply> reply) {
+    private RelayedWatch(String prefix, Revision after, Duration wait, QueryKind kind) {
       this.prefix = prefix;
       this.after = after;
       this.wait = wait;
-      this.reply = reply;
-      this.unanswered = relays;
+      this.kind = kind;
+    }
+
+    private CompletableFuture<WatchReply> sendTo(ImmutableList<EntryVmId> vms) {
+      unanswered = vms.size();
+      vms.forEach(this::sendTo);
+      return reply;
     }
 
     private void sendTo(EntryVmId vm) {
-      Duration relayedWait = wait.compareTo(MAX_RELAYED_WAIT) < 0 ? wait : MAX_RELAYED_WAIT;
+      Duration longest = isForZone() ? MAX_ROOT_WAIT : MAX_RELAYED_WAIT;
+      Duration relayedWait = wait.compareTo(longest) < 0 ? wait : longest;
       byte[] call =
           WatchCall.newBuilder()
               .setPrefix(prefix)
@@ -163,10 +204,15 @@
               .build()
               .toByteArray();
       client
-          .watch(vm, call, relayedWait.plus(RESPONSE_MARGIN))
+          .watch(vm, kind, call, relayedWait.plus(RESPONSE_MARGIN))
           .thenAccept(result -> onAnswer(vm, result));
     }
 
+    /** Returns true if this daemon relays the changes to the daemons of its zone. */
+    private boolean isForZone() {
+      return kind == QueryKind.DIRECT_WATCH;
+    }
+
     private void onAnswer(EntryVmId vm, Result<byte[]> result) {
       unanswered--;
       Optional<WatchReply.Changes> changes = decode(vm, result);
@@ -174,6 +220,9 @@
         return;
       }
       if (changes.isPresent()) {
+        if (isForZone()) {
+          relay.onReply(prefix, after, changes.get());
+        }
         reply.complete(changes.get());
       } else if (unanswered == 0) {
         logger.atFine().log("event=watch_relays_failed prefix=%s after=%s", prefix, after);
--- a/amaranthstream/src/main/java/org/amaranthstream/peer/QueryKind.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/peer/QueryKind.java
@@ -27,7 +27,10 @@
   STREAM_RECORD(10),
 
   /** Looks up the software version of the server that began a stream. */
-  STREAM_LOOKUP(11);
+  STREAM_LOOKUP(11),
+
+  /** A watch of the store, for a daemon that watches the store itself. */
+  DIRECT_WATCH(14);
 
   private final int number;
 
--- a/amaranthstream/src/main/java/org/amaranthstream/platform/SimulatedStoreClient.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/platform/SimulatedStoreClient.java
@@ -119,7 +119,7 @@
         wait,
         () -> {
           if (!isSilent) {
-            reply.complete(store.noChanges());
+            reply.complete(store.changes(prefix, after).orElseGet(store::noChanges));
           }
         });
     completeOnChange(prefix, after, reply);
--- /dev/null
+++ b/amaranthstream/src/test/java/org/amaranthstream/fleet/WatchRelayTest.java
@@ -0,0 +1,81 @@
+package org.amaranthstream.fleet;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import com.google.common.collect.ImmutableList;
+import java.time.Duration;
+import java.util.concurrent.CompletableFuture;
+import org.amaranthstream.fleet.wire.WatchCall;
+import org.amaranthstream.ids.Revision;
+import org.amaranthstream.platform.WatchReply;
+import org.amaranthstream.result.Result;
+import org.amaranthstream.time.VirtualTimerService;
+import org.junit.jupiter.api.Test;
+
+/**
+ * Watches of relays that must not depend on another relay: two that asked each other would follow
+ * nobody.
+ */
+class WatchRelayTest {
+  private static final String PREFIX = "settings/";
+  private static final Revision START = Revision.of(10);
+
+  private final VirtualTimerService timers = VirtualTimerService.create();
+  private final WatchRelay relay = new WatchRelay(timers);
+
+  private CompletableFuture<Result<byte[]>> watch(WatchSource source) {
+    byte[] call =
+        WatchCall.newBuilder()
+            .setPrefix(PREFIX)
+            .setAfter(START.value())
+            .setWaitMs(1_000)
+            .build()
+            .toByteArray();
+    return relay.handle(call, source);
+  }
+
+  private static boolean isRejected(CompletableFuture<Result<byte[]>> reply) {
+    return reply.isDone() && reply.join() instanceof Result.Failure;
+  }
+
+  private static boolean isAnswered(CompletableFuture<Result<byte[]>> reply) {
+    return reply.isDone() && reply.join() instanceof Result.Success;
+  }
+
+  @Test
+  void areRejectedByDaemonThatWatchesThroughPeer() {
+    relay.onWatchStarted(PREFIX, START, WatchSource.ANY);
+
+    assertThat(isRejected(watch(WatchSource.DIRECT))).isTrue();
+    assertThat(watch(WatchSource.ANY).isDone()).isFalse();
+  }
+
+  @Test
+  void areAnsweredByDaemonThatWatchesTheStore() {
+    relay.onWatchStarted(PREFIX, START, WatchSource.DIRECT);
+    CompletableFuture<Result<byte[]>> reply = watch(WatchSource.DIRECT);
+    timers.advance(Duration.ofSeconds(1));
+
+    assertThat(isAnswered(reply)).isTrue();
+  }
+
+  @Test
+  void failWhenTheDaemonStartsToWatchThroughPeer() {
+    relay.onWatchStarted(PREFIX, START, WatchSource.DIRECT);
+    CompletableFuture<Result<byte[]>> direct = watch(WatchSource.DIRECT);
+    CompletableFuture<Result<byte[]>> any = watch(WatchSource.ANY);
+    relay.onReply(PREFIX, START, new WatchReply.Changes(ImmutableList.of(), START));
+    relay.onWatchStarted(PREFIX, START, WatchSource.ANY);
+
+    assertThat(isRejected(direct)).isTrue();
+    assertThat(any.isDone()).isFalse();
+  }
+
+  @Test
+  void areRejectedAfterTheDaemonHasStoppedWatching() {
+    relay.onWatchStarted(PREFIX, START, WatchSource.DIRECT);
+    relay.close(PREFIX);
+
+    assertThat(isRejected(watch(WatchSource.DIRECT))).isTrue();
+  }
+}
--- a/amaranthstream/src/test/java/org/amaranthstream/fleet/ZoneWatchFixture.java
+++ b/amaranthstream/src/test/java/org/amaranthstream/fleet/ZoneWatchFixture.java
@@ -14,6 +14,7 @@
 import org.amaranthstream.ids.EntryVmId;
 import org.amaranthstream.ids.Incarnation;
 import org.amaranthstream.ids.RegionId;
+import org.amaranthstream.peer.QueryKind;
 import org.amaranthstream.platform.KvEntry;
 import org.amaranthstream.platform.MirrorListener;
 import org.amaranthstream.platform.MirrorTiming;
@@ -29,12 +30,13 @@
 final class ZoneWatchFixture {
   static final String KEY = "settings/a";
   private static final String PREFIX = "settings/";
-  private static final Duration WATCH_WAIT = Duration.ofSeconds(3);
+  private static final Duration DEFAULT_WATCH_WAIT = Duration.ofSeconds(3);
   private static final Duration DEBOUNCE = Duration.ofMillis(50);
 
   private final VirtualTimerService timers = VirtualTimerService.create();
   private final SimulatedStore store = new SimulatedStore(timers);
   private final Map<EntryVmId, Node> nodes = new LinkedHashMap<>();
+  private final Duration watchWait;
 
   /** A daemon that mirrors the prefix. */
   final class Node implements MirrorListener {
@@ -68,11 +70,12 @@
               watches, clock, () -> Instant.ofEpochMilli(timers.nowNanos() / 1_000_000), self);
       fleet.addListener(session);
       session.start(() -> {});
-      PrefixMirror.create(watches, clock, PREFIX, MirrorTiming.of(WATCH_WAIT, DEBOUNCE), this)
+      PrefixMirror.create(watches, clock, PREFIX, MirrorTiming.of(watchWait, DEBOUNCE), this)
           .start();
     }
 
-    private CompletableFuture<Result<byte[]>> query(EntryVmId vm, byte[] watch, Duration timeout) {
+    private CompletableFuture<Result<byte[]>> query(
+        EntryVmId vm, QueryKind kind, byte[] watch, Duration timeout) {
       CompletableFuture<Result<byte[]>> reply = new CompletableFuture<>();
       Node peer = nodes.get(vm);
       if (peer == null) {
@@ -88,7 +91,7 @@
             if (!isCut && !peer.isCut) {
               peer.clock.after(
                   Duration.ofMillis(1),
-                  () -> peer.watches.handle(watch).thenAccept(r -> answer(peer, r, reply)));
+                  () -> peer.watches.handle(kind, watch).thenAccept(r -> answer(peer, r, reply)));
             }
           });
       return reply;
@@ -121,10 +124,18 @@
       return seen.isEmpty() ? 0 : seen.get(seen.size() - 1);
     }
 
+    AvailabilityZoneId zone() {
+      return self.zone();
+    }
+
     boolean isRelay() {
       return WatchRelaySelection.relays(self.zone(), fleet.nodes()).contains(self.vm());
     }
 
+    boolean isRoot() {
+      return WatchRelaySelection.roots(fleet.nodes()).contains(self.vm());
+    }
+
     /** Returns the changes of the registered daemons of which the daemon was notified. */
     RecordedFleetChanges changes() {
       return changes;
@@ -155,6 +166,12 @@
 
   /** Starts {@code perZone} daemons in each of {@code zones} zones, spread over {@code spread}. */
   ZoneWatchFixture(int zones, int perZone, Duration spread) {
+    this(zones, perZone, spread, DEFAULT_WATCH_WAIT);
+  }
+
+  /** Starts daemons whose watches of the store wait for {@code watchWait} at most. */
+  ZoneWatchFixture(int zones, int perZone, Duration spread, Duration watchWait) {
+    this.watchWait = watchWait;
     int count = zones * perZone;
     for (int i = 0; i < count; i++) {
       Node node = new Node("vm-" + i, "zone-" + i % zones);
@@ -184,6 +201,11 @@
     return nodes().stream().filter(Node::isRelay).collect(ImmutableList.toImmutableList());
   }
 
+  /** Returns the daemons that watch the store for the relays of all zones. */
+  ImmutableList<Node> roots() {
+    return nodes().stream().filter(Node::isRoot).collect(ImmutableList.toImmutableList());
+  }
+
   ImmutableList<Node> followers() {
     return nodes().stream()
         .filter(node -> !node.isRelay())
