--- a/amaranthstream/src/main/java/org/amaranthstream/jobs/ItemRunner.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/jobs/ItemRunner.java
@@ -43,7 +43,6 @@
   private ItemTransport.@Nullable Run run;
   private @Nullable Subscription progressTimeout;
   private OptionalLong lastEventNanos = OptionalLong.empty();
-  private long startNanos;
   private boolean isOver;
 
   ItemRunner(
@@ -64,7 +63,6 @@
   }
 
   void start(ItemTransport transport) {
-    startNanos = timers.nowNanos();
     item.onRunStarted(this);
     server.onRequestSent();
     restartTimeout(START_TIMEOUT);
@@ -148,11 +146,6 @@
     return server;
   }
 
-  /** Returns the time since the run was started. */
-  Duration age(long nowNanos) {
-    return Duration.ofNanos(nowNanos - startNanos);
-  }
-
   /** Cancels the run at a slow server, so that the item resumes at a faster one. */
   void cancelAndRetry() {
     ItemTransport.Run running = run;
--- a/amaranthstream/src/main/java/org/amaranthstream/jobs/ItemScheduler.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/jobs/ItemScheduler.java
@@ -27,12 +27,6 @@
   private static final FluentLogger logger = FluentLogger.forEnclosingClass();
   private static final Duration POLL_INTERVAL = Duration.ofMillis(50);
 
-  /**
-   * A move costs a connection and another reading of the prompt, so it must not follow a slowdown
-   * that ends by itself.
-   */
-  private static final Duration MIN_RUN_BEFORE_MOVE = Duration.ofSeconds(1);
-
   private final RoutingTable routing;
   private final ServerDirectory directory;
   private final ServerChoice choice;
@@ -145,23 +139,21 @@
           .start(transport);
     }
     requestPermits(job, route, assignment, now);
-    idle.forEach(server -> moveItemFromSlowServer(job, slow, server, now));
+    idle.forEach(server -> moveItemFromSlowServer(job, slow, server));
   }
 
   /**
    * Cancels one run at a slow server, because no item waits and {@code free} has a free slot and
-   * can continue the item's text. The item resumes when the job is scheduled next. Runs that began
-   * only just are left alone: at servers whose speed varies, items would move back and forth.
+   * can continue the item's text. The item resumes when the job is scheduled next.
    */
-  private void moveItemFromSlowServer(
-      OwnedJob job, SlowServers slow, TrackedServer free, long now) {
+  private void moveItemFromSlowServer(OwnedJob job, SlowServers slow, TrackedServer free) {
     if (slow.contains(free)) {
       return;
     }
     for (ItemProgress item : job.items()) {
       Optional<ItemRunner> runner = item.runner();
       boolean isMovable = item.text().canContinueAt(free.registration().softwareVersion());
-      if (runner.filter(run -> mayMove(run, slow, now)).isPresent() && isMovable) {
+      if (runner.isPresent() && isMovable && slow.contains(runner.get().server())) {
         logger.atInfo().log(
             "event=item_moved job=%s item=%s from=%s last_event=%d",
             job.id(), item.spec().id(), runner.get().server().id(), item.text().lastEvent());
@@ -171,10 +163,6 @@
     }
   }
 
-  private static boolean mayMove(ItemRunner run, SlowServers slow, long now) {
-    return slow.contains(run.server()) && run.age(now).compareTo(MIN_RUN_BEFORE_MOVE) >= 0;
-  }
-
   private List<TrackedServer> servers(Route route) {
     List<TrackedServer> servers = new ArrayList<>();
     route.services().stream()
