--- a/amaranthstream/src/main/java/org/amaranthstream/jobs/LeastLoadedPass.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/jobs/LeastLoadedPass.java
@@ -1,7 +1,6 @@
 package org.amaranthstream.jobs;
 
 import com.google.common.flogger.FluentLogger;
-import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
@@ -16,12 +15,6 @@
 final class LeastLoadedPass implements JobPass {
   private static final FluentLogger logger = FluentLogger.forEnclosingClass();
 
-  /**
-   * A move costs a connection and another reading of the prompt, so it must not follow a slowdown
-   * that ends by itself.
-   */
-  private static final Duration MIN_RUN_BEFORE_MOVE = Duration.ofSeconds(1);
-
   private final OwnedJob job;
   private final Route route;
   private final ItemStarter starter;
@@ -94,7 +87,7 @@
     for (ItemProgress item : job.items()) {
       Optional<ItemRunner> runner = item.runner();
       boolean isMovable = item.text().canContinueAt(free.registration().softwareVersion());
-      if (runner.filter(this::mayMove).isPresent() && isMovable) {
+      if (runner.isPresent() && isMovable && slow.contains(runner.get().server())) {
         logger.atInfo().log(
             "event=item_moved job=%s item=%s from=%s last_event=%d",
             job.id(), item.spec().id(), runner.get().server().id(), item.text().lastEvent());
@@ -103,8 +96,4 @@
       }
     }
   }
-
-  private boolean mayMove(ItemRunner run) {
-    return slow.contains(run.server()) && run.age(nowNanos).compareTo(MIN_RUN_BEFORE_MOVE) >= 0;
-  }
 }
--- a/amaranthstream/src/main/java/org/amaranthstream/peer/QueryKind.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/peer/QueryKind.java
@@ -32,6 +32,9 @@
   /** Requests leases of slots of backend servers. */
   SLOT_LEASES(12),
 
+  /** A watch of the store, for a daemon that watches the store itself. */
+  DIRECT_WATCH(14),
+
   /** Stores the counts of requests that began at the sender. */
   USAGE_PUSH(16),
 
