Tell several departures of a VM's clock apart

The clock now keeps each departure, and applies those that together make up the correction, each from its own moment. A relay that does not answer holds up no report (new test).

--- a/amaranthstream/src/main/java/org/amaranthstream/usage/TrueClock.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/usage/TrueClock.java
@@ -2,6 +2,7 @@
 
 import static com.google.common.base.Preconditions.checkNotNull;
 
+import com.google.common.collect.Iterables;
 import com.google.common.flogger.FluentLogger;
 import java.time.Duration;
 import java.time.InstantSource;
@@ -9,8 +10,8 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.Optional;
 import java.util.TreeMap;
+import java.util.stream.IntStream;
 import org.amaranthstream.ids.EntryVmId;
 import org.amaranthstream.time.TimerService;
 
@@ -40,6 +41,7 @@
 
   private static final int MIN_PEERS = 2;
   private static final int MAX_OFFSETS = 16;
+  private static final int MAX_DEPARTURES = 5;
   private static final long NANOS_PER_MILLI = 1_000_000;
 
   private final TimerService timers;
@@ -52,7 +54,8 @@
   /** The offset of this VM's time of day when it was last read. */
   private long lastOwnMillis;
 
-  private Optional<Long> uncertainSinceNanos = Optional.empty();
+  /** Departures of this VM's time of day that are not decided yet, the oldest first. */
+  private final List<Departure> departures = new ArrayList<>();
 
   /**
    * Both clocks of this VM at one moment.
@@ -62,6 +65,8 @@
    */
   record Reading(long nanos, long timeOfDayMillis) {}
 
+  private record Departure(long atNanos, long byMillis) {}
+
   private record Sample(long offsetMillis, long takenNanos) {}
 
   private TrueClock(TimerService timers, InstantSource timeOfDay) {
@@ -134,11 +139,11 @@
   public boolean isCertain() {
     long own = ownOffsetMillis();
     if (!agree(own, lastOwnMillis)) {
-      uncertainSinceNanos = Optional.of(timers.nowNanos());
+      departures.add(new Departure(timers.nowNanos(), own - lastOwnMillis));
       samples.clear();
     }
     lastOwnMillis = own;
-    return uncertainSinceNanos.isEmpty();
+    return departures.isEmpty();
   }
 
   /** Compares the clock with the peers, and corrects it if needed. */
@@ -149,15 +154,14 @@
     boolean isWaiting =
         !isCertain
             && samples.size() < MIN_PEERS
-            && now - uncertainSinceNanos.get() < MAX_UNCERTAINTY.toNanos();
+            && now - Iterables.getLast(departures).atNanos() < MAX_UNCERTAINTY.toNanos();
     if (!isWaiting) {
-      long sinceNanos = uncertainSinceNanos.orElse(now);
-      uncertainSinceNanos = Optional.empty();
-      compare(lastOwnMillis, sinceNanos);
+      compare(lastOwnMillis);
+      departures.clear();
     }
   }
 
-  private void compare(long own, long sinceNanos) {
+  private void compare(long own) {
     if (samples.isEmpty()) {
       return;
     }
@@ -171,9 +175,9 @@
       return;
     }
     if (agree(own, median)) {
-      correct(own, sinceNanos);
+      correct(own);
     } else if (!agree(offsets.lastEntry().getValue(), median)) {
-      correct(median, sinceNanos);
+      correct(median);
     }
   }
 
@@ -181,7 +185,7 @@
     return Math.abs(a - b) <= TOLERANCE_MILLIS;
   }
 
-  private void correct(long offsetMillis, long sinceNanos) {
+  private void correct(long offsetMillis) {
     long before = offsets.lastEntry().getValue();
     if (Math.abs(offsetMillis - before) < MIN_CORRECTION_MILLIS) {
       return;
@@ -190,9 +194,37 @@
       logger.atWarning().log(
           "event=true_time_corrected by_ms=%d peers=%d", offsetMillis - before, samples.size());
     }
+    long sinceNanos = departures.isEmpty() ? timers.nowNanos() : departures.get(0).atNanos();
+    long offset = before;
+    for (Departure departure : suspensions(offsetMillis - before)) {
+      offset += departure.byMillis();
+      sinceNanos = departure.atNanos();
+      offsets.put(sinceNanos, offset);
+    }
     offsets.put(sinceNanos, offsetMillis);
-    if (offsets.size() > MAX_OFFSETS) {
+    while (offsets.size() > MAX_OFFSETS) {
       offsets.pollFirstEntry();
     }
   }
+
+  /**
+   * Returns those departures that together make up the correction: at these the VM was suspended,
+   * at the others its time of day was set. Returns none if no choice fits.
+   */
+  private List<Departure> suspensions(long correctionMillis) {
+    int considered = Math.min(departures.size(), MAX_DEPARTURES);
+    List<Departure> last = departures.subList(departures.size() - considered, departures.size());
+    for (int choice = 1; choice < 1 << considered; choice++) {
+      int chosen = choice;
+      List<Departure> some =
+          IntStream.range(0, considered)
+              .filter(i -> (chosen >> i & 1) == 1)
+              .mapToObj(last::get)
+              .toList();
+      if (agree(some.stream().mapToLong(Departure::byMillis).sum(), correctionMillis)) {
+        return some;
+      }
+    }
+    return List.of();
+  }
 }
--- a/amaranthstream/src/test/java/org/amaranthstream/usage/UsageFleet.java
+++ b/amaranthstream/src/test/java/org/amaranthstream/usage/UsageFleet.java
@@ -48,6 +48,7 @@
 
   private int incarnations;
   private boolean areAnswersLost;
+  private boolean areLinksSlow;
 
   UsageFleet(long seed) {
     random = new Random(seed);
@@ -108,13 +109,13 @@
       Node peer = nodes.get(to.value());
       if (peer != null && !isCut && !peer.isCut) {
         peer.clock.after(
-            LINK_DELAY,
+            linkDelay(),
             () ->
                 peer.handle(kind, body)
                     .thenAccept(
                         result -> {
                           if (!areAnswersLost) {
-                            clock.after(LINK_DELAY, () -> answer.complete(result));
+                            clock.after(linkDelay(), () -> answer.complete(result));
                           }
                         }));
       }
@@ -198,6 +199,15 @@
     return node;
   }
 
+  private Duration linkDelay() {
+    return areLinksSlow ? Duration.ofMillis(random.nextInt(3_000)) : LINK_DELAY;
+  }
+
+  /** Delays messages between daemons, each by a time of its own, so that they overtake others. */
+  void slowLinks(boolean areSlow) {
+    areLinksSlow = areSlow;
+  }
+
   /** Loses the answers of queries between daemons, which take effect. */
   void loseAnswers(boolean areLost) {
     areAnswersLost = areLost;
--- a/amaranthstream/src/test/java/org/amaranthstream/usage/UsagePropertyTest.java
+++ b/amaranthstream/src/test/java/org/amaranthstream/usage/UsagePropertyTest.java
@@ -62,7 +62,7 @@
 
     private void step() {
       UsageFleet.Node node = victim();
-      switch (random.nextInt(13)) {
+      switch (random.nextInt(14)) {
         case 0 -> writeFault(node, WriteFault.ANSWER_LOST);
         case 1 -> writeFault(node, WriteFault.APPLIED_LATE);
         case 2 -> pause(node);
@@ -73,6 +73,7 @@
         case 7 -> apiFault();
         case 8 -> linkFault(node);
         case 9 -> stepClock(node);
+        case 12 -> slowLinks();
         case 10, 11 -> restartDuringWriteFault(node);
         default -> runWithRequests(3_000);
       }
@@ -147,6 +148,12 @@
       node.cutLinks(false);
     }
 
+    private void slowLinks() {
+      fleet.slowLinks(true);
+      runWithRequests(random.nextInt(9_000));
+      fleet.slowLinks(false);
+    }
+
     /** Sets the time of day of one VM, and later sets it right. */
     private void stepClock(UsageFleet.Node node) {
       Duration step = Duration.ofMillis(random.nextInt(40_000) - 20_000);
--- a/amaranthstream/src/test/java/org/amaranthstream/usage/UsageReporterTest.java
+++ b/amaranthstream/src/test/java/org/amaranthstream/usage/UsageReporterTest.java
@@ -104,6 +104,26 @@
     }
   }
 
+  @Nested
+  class SilentRelays {
+    @Test
+    void relayThatDoesNotAnswerHoldsUpNoReport() {
+      run(20);
+      UsageFleet.Node silent =
+          fleet.nodes().stream()
+              .filter(node -> !fleet.holder().equals(Optional.of(node)))
+              .findFirst()
+              .get();
+      long first = window();
+      silent.cutLinks(true);
+      run(30);
+
+      for (long window = first; window <= window() - 3; window++) {
+        assertThat(reports(window)).isNotEmpty();
+      }
+    }
+  }
+
   @Nested
   class FaultsOfTheApi {
     @Test
