--- a/amaranthstream/src/test/java/org/amaranthstream/fleet/WatchRelayTest.java
+++ b/amaranthstream/src/test/java/org/amaranthstream/fleet/WatchRelayTest.java
@@ -62,8 +62,8 @@
   @Test
   void failWhenTheDaemonStartsToWatchThroughPeer() {
     relay.onWatchStarted(PREFIX, START, WatchSource.DIRECT);
-    CompletableFuture<Result<byte[]>> direct = watch(WatchSource.DIRECT);
-    CompletableFuture<Result<byte[]>> any = watch(WatchSource.ANY);
+    final CompletableFuture<Result<byte[]>> direct = watch(WatchSource.DIRECT);
+    final CompletableFuture<Result<byte[]>> any = watch(WatchSource.ANY);
     relay.onReply(PREFIX, START, new WatchReply.Changes(ImmutableList.of(), START));
     relay.onWatchStarted(PREFIX, START, WatchSource.ANY);
 
