Bound the recorded software versions and the avoided peers

A daemon recorded each software version of a service until a stream of it was resumed, and the avoidance of each peer that had failed until that peer served a call, so both grew with each release and each VM that was replaced for good (read, not seen).

At most 16 versions of a service are kept now: two suffice to know that it had several. The avoidance of other peers is dropped once it has ended, when the next peer fails.

--- a/amaranthstream/src/main/java/org/amaranthstream/fleet/RelayPeers.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/fleet/RelayPeers.java
@@ -86,10 +86,16 @@
 
   /** Records that a peer could not serve a call. */
   void onFailed(EntryVmId vm, long nowNanos) {
+    avoidedUntilNanos.values().removeIf(until -> nowNanos - until >= 0);
     avoidedUntilNanos.put(vm, nowNanos + AVOIDANCE.toNanos());
     lastServing = lastServing.filter(serving -> !serving.equals(vm));
   }
 
+  /** Returns the number of peers that are recorded as avoided. */
+  int avoidedCount() {
+    return avoidedUntilNanos.size();
+  }
+
   /** Records that a peer has served a call. */
   void onServed(EntryVmId vm) {
     avoidedUntilNanos.remove(vm);
--- a/amaranthstream/src/main/java/org/amaranthstream/servers/SoftwareHistory.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/servers/SoftwareHistory.java
@@ -1,6 +1,7 @@
 package org.amaranthstream.servers;
 
 import java.time.Duration;
+import java.util.Collections;
 import java.util.HashMap;
 import java.util.Map;
 import java.util.Optional;
@@ -13,6 +14,12 @@
  * <p>Not thread safe. Callers pass times as monotonic nanoseconds.
  */
 final class SoftwareHistory {
+  /**
+   * More than one recorded version suffices to know that a service had several, so the oldest may
+   * be dropped.
+   */
+  private static final int MAX_VERSIONS = 16;
+
   private final long startNanos;
   private final Map<ServiceId, Map<SoftwareVersion, Long>> lastSeenNanos = new HashMap<>();
 
@@ -22,9 +29,17 @@
 
   /** Records that a server is registered, or was registered until now. */
   void onSeen(ServerRegistration registration, long nowNanos) {
-    lastSeenNanos
-        .computeIfAbsent(registration.service(), unused -> new HashMap<>())
-        .put(registration.softwareVersion(), nowNanos);
+    Map<SoftwareVersion, Long> versions =
+        lastSeenNanos.computeIfAbsent(registration.service(), unused -> new HashMap<>());
+    versions.put(registration.softwareVersion(), nowNanos);
+    if (versions.size() > MAX_VERSIONS) {
+      versions.remove(Collections.min(versions.entrySet(), Map.Entry.comparingByValue()).getKey());
+    }
+  }
+
+  /** Returns the number of versions that are recorded for a service. */
+  int versionCount(ServiceId service) {
+    return lastSeenNanos.getOrDefault(service, Map.of()).size();
   }
 
   /**
