--- a/amaranthstream/src/main/java/org/amaranthstream/routing/RoutingTable.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/routing/RoutingTable.java
@@ -1,7 +1,11 @@
 package org.amaranthstream.routing;
 
+import static com.google.common.base.Preconditions.checkNotNull;
+
 import com.google.common.flogger.FluentLogger;
+import java.util.List;
 import java.util.Optional;
+import java.util.concurrent.CopyOnWriteArrayList;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -13,6 +17,7 @@
   private static final FluentLogger logger = FluentLogger.forEnclosingClass();
 
   private volatile @Nullable RoutingConfig current;
+  private final List<Runnable> listeners = new CopyOnWriteArrayList<>();
 
   private RoutingTable() {}
 
@@ -26,6 +31,11 @@
     return Optional.ofNullable(current);
   }
 
+  /** Adds a listener that is called on the writing thread after a configuration was applied. */
+  public void addListener(Runnable listener) {
+    listeners.add(checkNotNull(listener, "listener"));
+  }
+
   /**
    * Applies {@code config} if it is newer than the current configuration.
    *
@@ -42,6 +52,7 @@
     logger.atInfo().log(
         "event=config_applied version=%d routes=%d services=%d",
         config.version(), config.routeCount(), config.services().size());
+    listeners.forEach(Runnable::run);
     return true;
   }
 }
