Follow the linter, and test what two mutations left untested

Two tests of TrueClock asked the peers before the step was noticed, so that they tested nothing; the mutation 'no majority needed' survived because of that.

--- a/amaranthstream/src/main/java/org/amaranthstream/scaling/ScalingPlanner.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/scaling/ScalingPlanner.java
@@ -85,16 +85,14 @@
 
   /** Groups that cannot grow now still keep the servers that they have. */
   private static ImmutableMap<ServerGroup, Integer> present(ScalingInput input) {
-    return ImmutableMap.copyOf(
-        Maps.filterKeys(input.ready(), input.unavailable()::contains));
+    return ImmutableMap.copyOf(Maps.filterKeys(input.ready(), input.unavailable()::contains));
   }
 
   private static void raise(
       ScalingInput input, Map<ServerGroup, Integer> result, ServerGroup group, int count) {
     int present = result.getOrDefault(group, 0);
     int room =
-        Math.max(
-            0, input.policy().maxServers() - ServerAllocation.inZone(result, group.zone()));
+        Math.max(0, input.policy().maxServers() - ServerAllocation.inZone(result, group.zone()));
     if (count > present) {
       result.put(group, present + Math.min(room, count - present));
     }
@@ -120,8 +118,7 @@
       ScalingInput input, Map<ServerGroup, Integer> result, ServerGroup group, int required) {
     Map<ServerGroup, Integer> serving = new HashMap<>();
     result.forEach(
-        (key, count) ->
-            serving.put(key, Math.min(count, input.ready().getOrDefault(key, 0))));
+        (key, count) -> serving.put(key, Math.min(count, input.ready().getOrDefault(key, 0))));
     int released = serving.getOrDefault(group, 0);
     if (released < result.get(group)) {
       return true;
--- a/amaranthstream/src/main/java/org/amaranthstream/scaling/ServerAllocation.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/scaling/ServerAllocation.java
@@ -42,9 +42,7 @@
   /** Returns the price of a second of one server. */
   double price(ServerGroup group) {
     double price = policy.zonePrices().getOrDefault(group.zone(), 1.0);
-    return group.kind() == ServerKind.REGULAR
-        ? price
-        : price * policy.spotPriceShare().orElse(1.0);
+    return group.kind() == ServerKind.REGULAR ? price : price * policy.spotPriceShare().orElse(1.0);
   }
 
   private static int sum(Map<ServerGroup, Integer> counts) {
--- a/amaranthstream/src/main/java/org/amaranthstream/scaling/ServerOrders.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/scaling/ServerOrders.java
@@ -106,8 +106,7 @@
         unavailable.remove(order.group());
       }
       case UNAVAILABLE, REJECTED -> backOff(order.group(), nowNanos);
-      case LATER, NOT_SENT, NOT_HOLDER, UNKNOWN ->
-          notBeforeNanos = Optional.of(nowNanos + RETRY_DELAY.toNanos());
+      default -> notBeforeNanos = Optional.of(nowNanos + RETRY_DELAY.toNanos());
     }
   }
 
--- a/amaranthstream/src/main/java/org/amaranthstream/usage/FixedWindowStore.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/usage/FixedWindowStore.java
@@ -41,7 +41,7 @@
       return Result.success(FixedWindows.none());
     }
     try {
-      return Result.success(UsageCodec.decode(entry.get().value(), entry.get().revision()));
+      return Result.success(UsageCodec.decodeFixed(entry.get().value(), entry.get().revision()));
     } catch (InvalidProtocolBufferException | IllegalArgumentException e) {
       return Result.failure(
           ResultCode.PLATFORM_UNAVAILABLE, "malformed entry of the fixed windows: " + e);
@@ -63,7 +63,7 @@
     Transaction write =
         Transaction.builder()
             .expect(KEY, before.revision())
-            .put(KEY, UsageCodec.encode(added.window(), windows))
+            .put(KEY, UsageCodec.encodeFixed(added.window(), windows))
             .build();
     return store
         .transact(write)
--- a/amaranthstream/src/main/java/org/amaranthstream/usage/UsageCodec.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/usage/UsageCodec.java
@@ -18,25 +18,25 @@
 final class UsageCodec {
   private UsageCodec() {}
 
-  static DaemonUsageRecord encode(DaemonUsage usage) {
+  static DaemonUsageRecord encodeUsage(DaemonUsage usage) {
     DaemonUsageRecord.Builder record =
         DaemonUsageRecord.newBuilder()
             .setVm(usage.vm().value())
             .setIncarnation(usage.incarnation().value())
             .setSequence(usage.sequence());
-    usage.windows().forEach(window -> record.addWindow(encode(window)));
+    usage.windows().forEach(window -> record.addWindow(encodeWindow(window)));
     return record.build();
   }
 
-  static DaemonUsage decode(DaemonUsageRecord record) {
+  static DaemonUsage decodeUsage(DaemonUsageRecord record) {
     return new DaemonUsage(
         EntryVmId.of(record.getVm()),
         Incarnation.of(record.getIncarnation()),
         record.getSequence(),
-        decode(record.getWindowList()));
+        decodeWindows(record.getWindowList()));
   }
 
-  private static WindowRecord encode(WindowCounts counts) {
+  private static WindowRecord encodeWindow(WindowCounts counts) {
     WindowRecord.Builder record = WindowRecord.newBuilder().setWindow(counts.window());
     counts
         .requests()
@@ -49,11 +49,11 @@
     return record.build();
   }
 
-  private static ImmutableList<WindowCounts> decode(Collection<WindowRecord> records) {
-    return records.stream().map(UsageCodec::decode).collect(ImmutableList.toImmutableList());
+  private static ImmutableList<WindowCounts> decodeWindows(Collection<WindowRecord> records) {
+    return records.stream().map(UsageCodec::decodeWindow).collect(ImmutableList.toImmutableList());
   }
 
-  private static WindowCounts decode(WindowRecord record) {
+  private static WindowCounts decodeWindow(WindowRecord record) {
     ImmutableSortedMap.Builder<WorkspaceId, Long> requests = ImmutableSortedMap.naturalOrder();
     for (WorkspaceCount count : record.getCountList()) {
       requests.put(WorkspaceId.of(count.getWorkspace()), count.getRequests());
@@ -61,15 +61,16 @@
     return new WindowCounts(record.getWindow(), requests.buildOrThrow());
   }
 
-  static byte[] encode(long lastWindow, List<WindowCounts> windows) {
+  static byte[] encodeFixed(long lastWindow, List<WindowCounts> windows) {
     FixedWindowsRecord.Builder record = FixedWindowsRecord.newBuilder().setLastWindow(lastWindow);
-    windows.forEach(window -> record.addWindow(encode(window)));
+    windows.forEach(window -> record.addWindow(encodeWindow(window)));
     return record.build().toByteArray();
   }
 
-  static FixedWindows decode(byte[] value, Revision revision)
+  static FixedWindows decodeFixed(byte[] value, Revision revision)
       throws InvalidProtocolBufferException {
     FixedWindowsRecord record = FixedWindowsRecord.parseFrom(value);
-    return new FixedWindows(revision, record.getLastWindow(), decode(record.getWindowList()));
+    return new FixedWindows(
+        revision, record.getLastWindow(), decodeWindows(record.getWindowList()));
   }
 }
--- a/amaranthstream/src/main/java/org/amaranthstream/usage/UsageExchange.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/usage/UsageExchange.java
@@ -115,7 +115,8 @@
     DaemonUsage usage =
         new DaemonUsage(self.vm(), self.incarnation(), ++sequence, counters.windows());
     collection.add(usage);
-    byte[] push = UsagePush.newBuilder().setUsage(UsageCodec.encode(usage)).build().toByteArray();
+    byte[] push =
+        UsagePush.newBuilder().setUsage(UsageCodec.encodeUsage(usage)).build().toByteArray();
     TrueClock.Reading sent = clock.read();
     for (EntryVmId target : targets) {
       peers
@@ -140,7 +141,7 @@
   /** Handles the encoded counts of another daemon. */
   CompletableFuture<Result<byte[]>> onPush(byte[] body) {
     try {
-      collection.add(UsageCodec.decode(UsagePush.parseFrom(body).getUsage()));
+      collection.add(UsageCodec.decodeUsage(UsagePush.parseFrom(body).getUsage()));
     } catch (InvalidProtocolBufferException | IllegalArgumentException e) {
       return malformed(e);
     }
@@ -154,7 +155,7 @@
     try {
       long window = UsageQuestion.parseFrom(body).getWindow();
       UsageAnswer.Builder answer = UsageAnswer.newBuilder();
-      collection.counts(window).forEach(usage -> answer.addUsage(UsageCodec.encode(usage)));
+      collection.counts(window).forEach(usage -> answer.addUsage(UsageCodec.encodeUsage(usage)));
       return CompletableFuture.completedFuture(Result.success(answer.build().toByteArray()));
     } catch (InvalidProtocolBufferException e) {
       return malformed(e);
@@ -192,7 +193,7 @@
     }
     try {
       UsageAnswer.parseFrom(success.value()).getUsageList().stream()
-          .map(UsageCodec::decode)
+          .map(UsageCodec::decodeUsage)
           .forEach(collection::add);
       return true;
     } catch (InvalidProtocolBufferException | IllegalArgumentException e) {
--- a/amaranthstream/src/main/java/org/amaranthstream/usage/UsageReporter.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/usage/UsageReporter.java
@@ -205,7 +205,7 @@
         finish(counts, "accepted");
       }
       case REJECTED, UNAVAILABLE -> finish(counts, "rejected");
-      case LATER, NOT_SENT, NOT_HOLDER, UNKNOWN -> delaySending(counts, reply);
+      default -> delaySending(counts, reply);
     }
   }
 
--- a/amaranthstream/src/test/java/org/amaranthstream/fleet/LeaderLeaseEligibilityTest.java
+++ b/amaranthstream/src/test/java/org/amaranthstream/fleet/LeaderLeaseEligibilityTest.java
@@ -2,6 +2,7 @@
 
 import static com.google.common.truth.Truth.assertThat;
 
+import java.util.concurrent.atomic.AtomicBoolean;
 import org.junit.jupiter.api.Test;
 
 /** The leader's links to the engines may fail while its lease is renewed in the store. */
@@ -67,4 +68,28 @@
     runSeconds(10);
     assertThat(first.leaderLease().current()).isPresent();
   }
+
+  @Test
+  void daemonThatDoesNotCompeteLeavesTheLeaseAlone() {
+    first.leaderLease().competeIf(() -> false);
+    first.start();
+    second.start();
+    runSeconds(12);
+
+    assertThat(first.leaderLease().isHeld()).isFalse();
+    assertThat(second.leaderLease().current()).isPresent();
+  }
+
+  @Test
+  void holderThatWouldNotCompeteAnyMoreKeepsTheLease() {
+    AtomicBoolean competes = new AtomicBoolean(true);
+    first.leaderLease().competeIf(competes::get);
+    first.start();
+    runSeconds(10);
+    competes.set(false);
+    second.start();
+    runSeconds(10);
+
+    assertThat(first.leaderLease().current()).isPresent();
+  }
 }
--- a/amaranthstream/src/test/java/org/amaranthstream/scaling/ScalingReplayTest.java
+++ b/amaranthstream/src/test/java/org/amaranthstream/scaling/ScalingReplayTest.java
@@ -18,8 +18,9 @@
 import org.junit.jupiter.api.Test;
 
 /**
- * Replays loads in quarter seconds: servers that work on what is due first, boot, and are reclaimed,
- * and the planner that orders them. Work is due 8 s after it came, and comes as a step each 4 s.
+ * Replays loads in quarter seconds: servers that work on what is due first, boot, and are
+ * reclaimed, and the planner that orders them. Work is due 8 s after it came, and comes as a step
+ * each 4 s.
  */
 class ScalingReplayTest {
   private static final long TICK_MILLIS = 250;
@@ -189,7 +190,7 @@
   }
 
   @Test
-  void waveIsServedInTimeForLessThanAFixedNumberOfServers() {
+  void waveIsServedInTimeForLessThanFixedServers() {
     startWith(4);
     run(20, 20);
     run(40, 60);
@@ -240,7 +241,7 @@
     int before = calls;
     isApiAway = true;
     run(15, 60);
-    int whileAway = calls - before;
+    final int whileAway = calls - before;
     isApiAway = false;
     before = calls;
     run(12, 60);
@@ -268,8 +269,7 @@
     run(30, 400);
 
     for (AvailabilityZoneId zone : List.of(A, B, C)) {
-      int servers =
-          ready.getOrDefault(spot(zone), 0) + ready.getOrDefault(regular(zone), 0);
+      int servers = ready.getOrDefault(spot(zone), 0) + ready.getOrDefault(regular(zone), 0);
       assertThat(servers).isAtMost(POLICY.maxServers());
     }
     run(60, 0);
--- a/amaranthstream/src/test/java/org/amaranthstream/scaling/ServerAllocationTest.java
+++ b/amaranthstream/src/test/java/org/amaranthstream/scaling/ServerAllocationTest.java
@@ -78,11 +78,9 @@
 
   @Test
   void leavesTheMostIfTheBoundsAllowTooFew() {
-    ServerAllocation allocation =
-        ServerAllocation.of(policy(0, 3, 0.2, 1), ImmutableSet.of());
+    ServerAllocation allocation = ServerAllocation.of(policy(0, 3, 0.2, 1), ImmutableSet.of());
 
-    assertThat(
-            ServerAllocation.leftAfterReclaim(allocation.cheapest(100, ImmutableMap.of())))
+    assertThat(ServerAllocation.leftAfterReclaim(allocation.cheapest(100, ImmutableMap.of())))
         .isEqualTo(6);
   }
 
@@ -90,8 +88,7 @@
   void ordersNoMoreOfUnavailableGroups() {
     ServerAllocation allocation =
         ServerAllocation.of(policy(0, 4, 0.2, 1), ImmutableSet.of(SPOT_A));
-    ImmutableMap<ServerGroup, Integer> found =
-        allocation.cheapest(4, ImmutableMap.of(SPOT_A, 1));
+    ImmutableMap<ServerGroup, Integer> found = allocation.cheapest(4, ImmutableMap.of(SPOT_A, 1));
 
     assertThat(found.get(SPOT_A)).isEqualTo(1);
     assertThat(ServerAllocation.leftAfterReclaim(found)).isAtLeast(4);
@@ -103,9 +100,7 @@
         new ExpectedWork(Duration.ofSeconds(40), Duration.ZERO, Duration.ofSeconds(8));
 
     // Two servers do 8 s of it while others boot, and 32 s are left for 4 s.
-    assertThat(RequiredServers.of(List.of(work), 2, Duration.ofSeconds(4)))
-        .isEqualTo(8);
-    assertThat(RequiredServers.of(List.of(work), 5, Duration.ofSeconds(4)))
-        .isEqualTo(5);
+    assertThat(RequiredServers.of(List.of(work), 2, Duration.ofSeconds(4))).isEqualTo(8);
+    assertThat(RequiredServers.of(List.of(work), 5, Duration.ofSeconds(4))).isEqualTo(5);
   }
 }
--- a/amaranthstream/src/test/java/org/amaranthstream/usage/TrueClockTest.java
+++ b/amaranthstream/src/test/java/org/amaranthstream/usage/TrueClockTest.java
@@ -37,8 +37,11 @@
   @Test
   void stepOfOwnTimeOfDayIsNotFollowed() {
     stepMillis = 7_000;
+    assertThat(clock.isCertain()).isFalse();
     askPeers(0, 0);
 
+    assertThat(clock.isCertain()).isTrue();
+
     assertThat(clock.millis()).isEqualTo(trueMillis());
   }
 
@@ -48,7 +51,7 @@
     world.advance(Duration.ofSeconds(5));
     timers.resume();
     assertThat(clock.isCertain()).isFalse();
-    long resumedNanos = timers.nowNanos();
+    final long resumedNanos = timers.nowNanos();
     askPeers(0, 0);
 
     assertThat(clock.isCertain()).isTrue();
@@ -58,8 +61,8 @@
 
   @Test
   void timesBeforeSuspensionKeepTheirOffset() {
-    long beforeMillis = trueMillis();
-    long beforeNanos = timers.nowNanos();
+    final long beforeMillis = trueMillis();
+    final long beforeNanos = timers.nowNanos();
     world.advance(Duration.ofMillis(10));
     timers.pause();
     world.advance(Duration.ofSeconds(5));
@@ -85,6 +88,7 @@
   @Test
   void peersWithoutMajorityChangeNothing() {
     stepMillis = 5_000;
+    assertThat(clock.isCertain()).isFalse();
     askPeers(10_000, -3_000);
 
     assertThat(clock.millis()).isEqualTo(trueMillis());
@@ -103,7 +107,7 @@
   }
 
   @Test
-  void certainAgainWithoutPeersAfterAWhile() {
+  void certainAgainWithoutPeersAfterSomeTime() {
     stepMillis = 7_000;
     assertThat(clock.isCertain()).isFalse();
     world.advance(Duration.ofSeconds(3));
--- a/amaranthstream/src/test/java/org/amaranthstream/usage/UsageFleet.java
+++ b/amaranthstream/src/test/java/org/amaranthstream/usage/UsageFleet.java
@@ -90,7 +90,7 @@
       TrueClock trueClock = TrueClock.create(clock, () -> now().plus(step));
       counters = UsageCounters.create(trueClock, TIMING);
       exchange = new UsageExchange(self, relays, this::query, clock, trueClock, counters, TIMING);
-      UsageReporter reporter =
+      final UsageReporter reporter =
           new UsageReporter(lease, exchange, client, calls::reportUsage, trueClock, clock, TIMING);
       fleet.addListener(session);
       fleet.start();
--- a/amaranthstream/src/test/java/org/amaranthstream/usage/UsagePropertyTest.java
+++ b/amaranthstream/src/test/java/org/amaranthstream/usage/UsagePropertyTest.java
@@ -223,7 +223,7 @@
   }
 
   @Property(tries = 60, seed = "20261204")
-  void eachWindowIsReportedWithOneSetOfCountsByOneHolderAtATime(@ForAll long seed) {
+  void eachWindowHasOneSetOfCountsAndOneHolder(@ForAll long seed) {
     Scenario scenario = new Scenario(seed);
     for (int i = 0; i < STEPS; i++) {
       scenario.step();
--- a/amaranthstream/src/test/java/org/amaranthstream/usage/UsageReporterTest.java
+++ b/amaranthstream/src/test/java/org/amaranthstream/usage/UsageReporterTest.java
@@ -55,7 +55,7 @@
   class WithoutFaults {
     @Test
     void eachWindowIsReportedOnceAndExactly() {
-      long first = window();
+      final long first = window();
       run(60);
 
       assertReportedExactly(first, window() - 2);
@@ -83,7 +83,7 @@
               .filter(node -> !fleet.holder().equals(Optional.of(node)))
               .findFirst()
               .get();
-      long window = window();
+      final long window = window();
       killed.begin("w1", Duration.ZERO);
       fleet.runMillis(1_100);
       killed.kill();
@@ -114,7 +114,7 @@
               .filter(node -> !fleet.holder().equals(Optional.of(node)))
               .findFirst()
               .get();
-      long first = window();
+      final long first = window();
       silent.cutLinks(true);
       run(30);
 
@@ -130,7 +130,7 @@
     void holderThatCannotReachItYieldsToOneThatCan() {
       run(20);
       UsageFleet.Node cut = fleet.holder().get();
-      long first = window();
+      final long first = window();
       cut.api().setCut(true);
       run(40);
 
@@ -151,7 +151,7 @@
     @Test
     void countsAreSentAgainAfterLostAnswersAndTooManyCalls() {
       run(20);
-      long window = window();
+      final long window = window();
       fleet.api().setFault(Fault.ANSWER_LOST);
       run(9);
       fleet.api().setFault(Fault.TOO_MANY_CALLS);
@@ -166,7 +166,7 @@
     @Test
     void reportOfNoMoreUseIsGivenUp() {
       run(20);
-      long window = window();
+      final long window = window();
       fleet.api().setFault(Fault.DOWN);
       run(22);
       fleet.api().setFault(Fault.NONE);
@@ -180,7 +180,7 @@
   @Test
   void stepOfOneClockMovesNoCounts() {
     run(20);
-    long first = window();
+    final long first = window();
     fleet.nodes().get(0).stepClock(Duration.ofSeconds(7));
     fleet.nodes().get(2).stepClock(Duration.ofSeconds(-12));
     run(30);
