Send one message in 200 ms after demand for slots came and went

An owner whose demand returned within 200 ms of the message that stated none kept the old timer beside the new one and sent twice as many messages until its demand ended. The timer is now replaced. Answers to any but the last message are ignored, since the answer to the message that stated nothing could otherwise end the leases of the next one.

Evidence: FleetSlotLeasesTest costNoMoreAfterDemandThatCameAndWent counts 101 messages in 10 s without the change (bound 51)."

--- a/amaranthstream/src/main/java/org/amaranthstream/fleet/FleetSlotLeases.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/fleet/FleetSlotLeases.java
@@ -18,7 +18,9 @@
 import org.amaranthstream.slots.SlotLease;
 import org.amaranthstream.slots.SlotLeases;
 import org.amaranthstream.slots.SlotRequest;
+import org.amaranthstream.time.Subscription;
 import org.amaranthstream.time.TimerService;
+import org.jspecify.annotations.Nullable;
 
 /**
  * Leases of slots that this daemon requests from the coordinator, one message at a time and a few
@@ -43,7 +45,11 @@
   /** True from the first message until no slot is used or wanted. */
   private boolean isActive;
 
+  /** The number of the last message; answers to earlier ones are ignored. */
+  private long lastMessage;
+
   private boolean isWaitingForAnswer;
+  private @Nullable Subscription interval;
   private boolean wasCoordinated = true;
 
   private FleetSlotLeases(
@@ -109,24 +115,35 @@
     SlotRequest request = new SlotRequest(demands, leases.uses(directory.all(), now));
     isActive = !request.isEmpty();
     leases.onRequested(now);
-    timers.after(INTERVAL, this::onInterval);
+    waitInterval();
     Optional<EntryVmId> target = coordinator.vm();
     if (target.isEmpty()) {
       onUnreachable("no daemon holds the lease of the coordinator");
       return;
     }
+    lastMessage++;
+    long message = lastMessage;
     isWaitingForAnswer = true;
     send(target.get(), request)
         .thenAccept(
             result -> {
-              isWaitingForAnswer = false;
-              onAnswer(result, now);
+              if (message == lastMessage) {
+                isWaitingForAnswer = false;
+                onAnswer(result, now);
+              }
             });
   }
 
+  private void waitInterval() {
+    if (interval != null) {
+      interval.cancel();
+    }
+    interval = timers.after(INTERVAL, this::onInterval);
+  }
+
   private void onInterval() {
     if (isWaitingForAnswer) {
-      timers.after(INTERVAL, this::onInterval);
+      waitInterval();
     } else if (isActive) {
       exchange();
     }
--- a/amaranthstream/src/test/java/org/amaranthstream/fleet/FleetSlotLeasesTest.java
+++ b/amaranthstream/src/test/java/org/amaranthstream/fleet/FleetSlotLeasesTest.java
@@ -105,6 +105,26 @@
       assertThat(large.messages()).isAtMost(2 * (5 * 10 + 1));
     }
 
+    @Test
+    void costNoMoreAfterDemandThatCameAndWent() {
+      SlotFleet.Daemon owner = fleet.owners().get(0);
+      owner.submit("only", 1);
+      while (owner.completed() == 0) {
+        fleet.runMillis(10);
+      }
+      // One message returns the lease, and the next one states that nothing is used.
+      int last = fleet.messages() + 2;
+      while (fleet.messages() < last) {
+        fleet.runMillis(10);
+      }
+      fleet.runMillis(50);
+      int before = fleet.messages();
+      owner.submit("only", 4_000);
+      fleet.runMillis(10_000);
+
+      assertThat(fleet.messages() - before).isAtMost(5 * 10 + 1);
+    }
+
     @Test
     void goToTheOnlyOwnerThatWantsThem() {
       fleet.owners().get(0).submit("only", 400);
