Place items by the expected end of their runs, and move runs only for a gain

A cut closes a connection, each new one is priced, and the prompt is read again.

Cause: a server above 1.8 times the median average counts as slow. Servers that run at 0.55 to 1.2 of the pace, with 15% of short spans at 2.5 times the time, pass that all the time.

Change: with itemScheduling.expectedEnd the pace of a server is the median of its recent intervals, spread over 2.5 s. Items go where their runs are expected to end first, by pace, load, distance and the time to read the prompt (PromptCosts). A run moves only while no item waits, after a second, and if that saves three times what it costs. Owners log every 2 s which jobs' items wait, and why.

Evidence: ExpectedEndSchedulingTest.cutsNoRunBecauseServersDifferInPace fails with the setting off (64 runs of 60 items). PaceEstimateTest and MoveDecisionTest replay short slow spans and servers that turn slow.

--- a/amaranthstream/src/main/java/org/amaranthstream/jobs/ItemAssignment.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/jobs/ItemAssignment.java
@@ -8,7 +8,6 @@
 import java.util.stream.Collectors;
 import org.amaranthstream.ids.GroupId;
 import org.amaranthstream.ids.SoftwareVersion;
-import org.amaranthstream.servers.SlowServers;
 import org.amaranthstream.servers.TrackedServer;
 
 /**
@@ -19,7 +18,7 @@
  */
 final class ItemAssignment {
   private final OwnedJob job;
-  private final SlowServers slow;
+  private final Predicate<TrackedServer> isSlow;
   private final long nowNanos;
   private final Set<SoftwareVersion> available;
   private final Set<GroupId> needed;
@@ -27,13 +26,13 @@
 
   private ItemAssignment(
       OwnedJob job,
-      SlowServers slow,
+      Predicate<TrackedServer> isSlow,
       Set<SoftwareVersion> available,
       Set<GroupId> needed,
       long nowNanos) {
     this.job = job;
     this.needed = needed;
-    this.slow = slow;
+    this.isSlow = isSlow;
     this.available = available;
     this.nowNanos = nowNanos;
   }
@@ -42,19 +41,20 @@
    * Returns the assignment of the items of {@code job}.
    *
    * @param servers the available servers of the job's services
+   * @param isSlow returns true for servers that get the shortest items
    * @param needed the groups whose items go first
    */
   static ItemAssignment of(
       OwnedJob job,
       Collection<TrackedServer> servers,
-      SlowServers slow,
+      Predicate<TrackedServer> isSlow,
       Set<GroupId> needed,
       long nowNanos) {
     Set<SoftwareVersion> available =
         servers.stream()
             .map(server -> server.registration().softwareVersion())
             .collect(Collectors.toSet());
-    return new ItemAssignment(job, slow, available, needed, nowNanos);
+    return new ItemAssignment(job, isSlow, available, needed, nowNanos);
   }
 
   /** Returns true if no item was found for {@code server}. */
@@ -86,10 +86,11 @@
   }
 
   private Optional<ItemProgress> select(TrackedServer server, Predicate<ItemProgress> isAllowed) {
-    return ItemSelector.select(job.items(), slow.contains(server), needed, isAllowed, nowNanos);
+    return ItemSelector.select(job.items(), isSlow.test(server), needed, isAllowed, nowNanos);
   }
 
-  private boolean canStart(ItemProgress item, TrackedServer server) {
+  /** Returns true if {@code item} can start or continue at {@code server}. */
+  boolean canStart(ItemProgress item, TrackedServer server) {
     ItemText text = item.text();
     boolean isContinuation = text.lastEvent() > 0;
     boolean mayBeOtherSoftware = available.size() > 1 && server.mayHaveRestarted(nowNanos);
--- a/amaranthstream/src/main/java/org/amaranthstream/jobs/ItemRunner.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/jobs/ItemRunner.java
@@ -31,6 +31,9 @@
     /** Called when a run ends: its server may have a free slot, and the item may be waiting. */
     void onRunEnded(OwnedJob job);
 
+    /** Called when the text of an item with the expected number of tokens is complete. */
+    void onTextComplete(long expectedTokens, long events);
+
     /** Called when a server rejects a run because it is full or loads weights. */
     void onServerFull(TrackedServer server);
   }
@@ -47,6 +50,7 @@
   private @Nullable Subscription progressTimeout;
   private OptionalLong lastEventNanos = OptionalLong.empty();
   private boolean isOver;
+  private long startNanos;
 
   ItemRunner(
       OwnedJob job,
@@ -66,6 +70,7 @@
   }
 
   void start(ItemTransport transport) {
+    startNanos = timers.nowNanos();
     item.onRunStarted(this);
     server.onRequestSent();
     restartTimeout(START_TIMEOUT);
@@ -149,7 +154,17 @@
     return server;
   }
 
-  /** Cancels the run at a slow server, so that the item resumes at a faster one. */
+  /** Returns the time since the run started. */
+  Duration age(long nowNanos) {
+    return Duration.ofNanos(nowNanos - startNanos);
+  }
+
+  /** Returns the time since the last event of the run, or since its start without one. */
+  Duration silence(long nowNanos) {
+    return Duration.ofNanos(nowNanos - lastEventNanos.orElse(startNanos));
+  }
+
+  /** Cancels the run, so that the item resumes at another server. */
   void cancelAndRetry() {
     ItemTransport.Run running = run;
     if (close()) {
@@ -221,6 +236,7 @@
       item.retryLater(now, "the stream ended without an event");
       return;
     }
+    observer.onTextComplete(item.expectedTokens(), item.text().lastEvent());
     job.onTextComplete(item);
   }
 
--- a/amaranthstream/src/main/java/org/amaranthstream/jobs/ItemScheduler.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/jobs/ItemScheduler.java
@@ -9,9 +9,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.function.Function;
 import org.amaranthstream.ids.GroupId;
-import org.amaranthstream.ids.WorkspaceId;
 import org.amaranthstream.routing.Route;
 import org.amaranthstream.routing.RouteKind;
 import org.amaranthstream.routing.RoutingConfig;
@@ -21,7 +19,6 @@
 import org.amaranthstream.servers.ServerDirectory;
 import org.amaranthstream.servers.TrackedServer;
 import org.amaranthstream.slots.SlotDemand;
-import org.amaranthstream.slots.SlotLeases;
 import org.amaranthstream.slots.WorkOrder;
 import org.amaranthstream.time.TimerService;
 
@@ -38,9 +35,9 @@
   private final ServerChoice choice;
   private final ItemStarter starter;
   private final ItemSchedulingOptions options;
+  private final ExpectedEvents expectedEvents = new ExpectedEvents();
+  private final WaitingItemsLog waitingLog = new WaitingItemsLog();
   private final TimerService timers;
-  private final SlotLeases slots;
-  private final Function<JobSpec, Optional<WorkspaceId>> workspaces;
   private final Observer observer;
   private final List<OwnedJob> jobs = new ArrayList<>();
   private boolean isScheduling;
@@ -59,8 +56,6 @@
       ServerChoice choice,
       ItemTransport transport,
       RequestPermits permits,
-      SlotLeases slots,
-      Function<JobSpec, Optional<WorkspaceId>> workspaces,
       ItemSchedulingOptions options,
       TimerService timers,
       Observer observer) {
@@ -68,12 +63,11 @@
     this.choice = choice;
     this.timers = timers;
     this.starter =
-        new ItemStarter(directory, transport, permits, slots, timers, this, this::schedule);
+        new ItemStarter(
+            directory, transport, permits, options.slots(), timers, this, this::schedule);
     this.options = options;
-    this.slots = slots;
-    this.workspaces = workspaces;
     this.observer = observer;
-    slots.setListener(this::schedule);
+    options.slots().setListener(this::schedule);
     directory.addListener(this::schedule);
   }
 
@@ -88,9 +82,14 @@
     schedule();
   }
 
+  @Override
+  public void onTextComplete(long expectedTokens, long events) {
+    expectedEvents.onTextComplete(expectedTokens, events);
+  }
+
   @Override
   public void onServerFull(TrackedServer server) {
-    slots.onRejected(server);
+    options.slots().onRejected(server);
   }
 
   /** Starts all items that can start, and runs again after an interval while jobs are open. */
@@ -112,7 +111,7 @@
       routes.forEach((job, route) -> startAll(passOf(job, route, now)));
     }
     isScheduling = false;
-    slots.setDemand(demands(routes, now));
+    setDemand(routes, now);
     if (!jobs.isEmpty() && !isPollPlanned) {
       isPollPlanned = true;
       timers.after(POLL_INTERVAL, this::poll);
@@ -147,14 +146,24 @@
   }
 
   private SlotDemand demand(OwnedJob job, Route route, long now) {
-    return ItemDemand.of(job, route, workspaces.apply(job.spec()), now);
-  }
-
-  private ImmutableList<SlotDemand> demands(Map<OwnedJob, Route> routes, long now) {
-    return routes.entrySet().stream()
-        .filter(entry -> entry.getKey().isRunnable())
-        .map(entry -> demand(entry.getKey(), entry.getValue(), now))
-        .collect(ImmutableList.toImmutableList());
+    return ItemDemand.of(job, route, options.workspaces().apply(job.spec()), now);
+  }
+
+  private void setDemand(Map<OwnedJob, Route> routes, long now) {
+    List<WaitingItemsLog.Entry> entries = new ArrayList<>();
+    routes.forEach(
+        (job, route) -> {
+          if (job.isRunnable()) {
+            entries.add(new WaitingItemsLog.Entry(job, demand(job, route, now)));
+          }
+        });
+    waitingLog.log(entries, job -> starter.waitReason(routes.get(job), job), now);
+    options
+        .slots()
+        .setDemand(
+            entries.stream()
+                .map(WaitingItemsLog.Entry::demand)
+                .collect(ImmutableList.toImmutableList()));
   }
 
   private void poll() {
@@ -183,9 +192,11 @@
   }
 
   private JobPass passOf(OwnedJob job, Route route, long now) {
-    ImmutableSet<GroupId> needed =
-        options.isFairOrder() ? job.neededGroups() : ImmutableSet.of();
-    return new LeastLoadedPass(job, route, starter, choice, needed, now);
+    ImmutableSet<GroupId> needed = options.isFairOrder() ? job.neededGroups() : ImmutableSet.of();
+    return options.isExpectedEnd()
+        ? new ExpectedEndPass(
+            job, route, starter, choice, expectedEvents, options.promptCosts(), needed, now)
+        : new LeastLoadedPass(job, route, starter, choice, needed, now);
   }
 
   private void giveUpOpenItems(OwnedJob job, String reason) {
--- a/amaranthstream/src/main/java/org/amaranthstream/jobs/ItemSchedulingOptions.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/jobs/ItemSchedulingOptions.java
@@ -1,5 +1,12 @@
 package org.amaranthstream.jobs;
 
+import static com.google.common.base.Preconditions.checkNotNull;
+
+import java.util.Optional;
+import java.util.function.Function;
+import org.amaranthstream.ids.WorkspaceId;
+import org.amaranthstream.slots.SlotLeases;
+
 /**
  * Optional parts of the scheduling of items.
  *
@@ -7,8 +14,55 @@
  *     that their trainers need first; false if the oldest job goes first
  * @param isExpectedEnd true if items are placed by the expected end of their runs; false if they go
  *     to the least loaded servers
+ * @param slots the leases of slots that daemons share
+ * @param workspaces the lookup of the workspace that submitted a job
+ * @param promptCosts the cost of reading prompts, weighed in the expected end
  */
-public record ItemSchedulingOptions(boolean isFairOrder, boolean isExpectedEnd) {
+public record ItemSchedulingOptions(
+    boolean isFairOrder,
+    boolean isExpectedEnd,
+    SlotLeases slots,
+    Function<JobSpec, Optional<WorkspaceId>> workspaces,
+    PromptCosts promptCosts) {
   /** None of the parts. */
-  public static final ItemSchedulingOptions OFF = new ItemSchedulingOptions(false, false);
+  public static final ItemSchedulingOptions OFF =
+      new ItemSchedulingOptions(
+          false, false, SlotLeases.UNSHARED, job -> Optional.empty(), PromptCosts.NONE);
+
+  /** Returns these options with jobs in the order of their workspaces' shares, or not. */
+  public ItemSchedulingOptions withFairOrder(boolean newFairOrder) {
+    return new ItemSchedulingOptions(newFairOrder, isExpectedEnd, slots, workspaces, promptCosts);
+  }
+
+  /** Returns these options with items placed by the expected end of their runs, or not. */
+  public ItemSchedulingOptions withExpectedEnd(boolean newExpectedEnd) {
+    return new ItemSchedulingOptions(isFairOrder, newExpectedEnd, slots, workspaces, promptCosts);
+  }
+
+  /** Returns these options with other leases of slots. */
+  public ItemSchedulingOptions withSlots(SlotLeases newSlots) {
+    return new ItemSchedulingOptions(
+        isFairOrder, isExpectedEnd, checkNotNull(newSlots, "newSlots"), workspaces, promptCosts);
+  }
+
+  /** Returns these options with another lookup of workspaces. */
+  public ItemSchedulingOptions withWorkspaces(
+      Function<JobSpec, Optional<WorkspaceId>> newWorkspaces) {
+    return new ItemSchedulingOptions(
+        isFairOrder,
+        isExpectedEnd,
+        slots,
+        checkNotNull(newWorkspaces, "newWorkspaces"),
+        promptCosts);
+  }
+
+  /** Returns these options with other costs of reading prompts. */
+  public ItemSchedulingOptions withPromptCosts(PromptCosts newPromptCosts) {
+    return new ItemSchedulingOptions(
+        isFairOrder,
+        isExpectedEnd,
+        slots,
+        workspaces,
+        checkNotNull(newPromptCosts, "newPromptCosts"));
+  }
 }
--- a/amaranthstream/src/main/java/org/amaranthstream/jobs/ItemStarter.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/jobs/ItemStarter.java
@@ -61,6 +61,23 @@
         .toList();
   }
 
+  /** Returns why items of {@code job} wait, for the log. */
+  String waitReason(Route route, OwnedJob job) {
+    List<TrackedServer> servers = servers(route);
+    if (servers.isEmpty()) {
+      return "no_server";
+    }
+    if (servers.stream().noneMatch(server -> hasAllowedVersion(server, job))) {
+      return "no_server_with_version";
+    }
+    if (withFreeSlots(route, job).isEmpty()) {
+      boolean isAnyLeased =
+          servers.stream().anyMatch(server -> server.inFlight() > 0 || slots.mayStart(server));
+      return isAnyLeased ? "slots_in_use" : "no_slots_leased";
+    }
+    return "starting";
+  }
+
   /** Also allows a server that reports no version, as each event is checked when it arrives. */
   private static boolean hasAllowedVersion(TrackedServer server, OwnedJob job) {
     Optional<WeightVersion> version = server.version(job.spec().model());
--- a/amaranthstream/src/main/java/org/amaranthstream/jobs/JobService.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/jobs/JobService.java
@@ -10,12 +10,10 @@
 import java.util.Optional;
 import java.util.Random;
 import java.util.concurrent.CompletableFuture;
-import java.util.function.Function;
 import org.amaranthstream.fleet.Fleet;
 import org.amaranthstream.fleet.FleetNode;
 import org.amaranthstream.ids.ItemId;
 import org.amaranthstream.ids.JobId;
-import org.amaranthstream.ids.WorkspaceId;
 import org.amaranthstream.platform.TransactionRunner;
 import org.amaranthstream.platform.TransactionalStore;
 import org.amaranthstream.result.ErrorDetail;
@@ -28,7 +26,6 @@
 import org.amaranthstream.servers.RequestPermits;
 import org.amaranthstream.servers.ServerChoice;
 import org.amaranthstream.servers.ServerDirectory;
-import org.amaranthstream.slots.SlotLeases;
 import org.amaranthstream.time.TimerService;
 import org.jspecify.annotations.Nullable;
 
@@ -99,8 +96,6 @@
             checkNotNull(builder.choice, "choice"),
             checkNotNull(builder.transport, "transport"),
             checkNotNull(builder.permits, "permits"),
-            builder.slots,
-            builder.workspaces,
             builder.scheduling,
             timers,
             this::onItemsChanged);
@@ -280,8 +275,6 @@
     private @Nullable ReachMonitor reach;
     private @Nullable ItemTransport transport;
     private @Nullable RequestPermits permits;
-    private SlotLeases slots = SlotLeases.UNSHARED;
-    private Function<JobSpec, Optional<WorkspaceId>> workspaces = job -> Optional.empty();
     private ItemSchedulingOptions scheduling = ItemSchedulingOptions.OFF;
     private @Nullable RewardTransport rewardTransport;
     private @Nullable JobQueryTransport queryTransport;
@@ -354,13 +347,6 @@
       return this;
     }
 
-    /** Sets the leases of slots that daemons share; by default, slots are not shared. */
-    @CanIgnoreReturnValue
-    public Builder slots(SlotLeases slots) {
-      this.slots = checkNotNull(slots, "slots");
-      return this;
-    }
-
     /** Sets the optional parts of the scheduling of items; by default, all are off. */
     @CanIgnoreReturnValue
     public Builder scheduling(ItemSchedulingOptions scheduling) {
@@ -368,13 +354,6 @@
       return this;
     }
 
-    /** Sets the lookup of the workspace that submitted a job; by default, none is known. */
-    @CanIgnoreReturnValue
-    public Builder workspaces(Function<JobSpec, Optional<WorkspaceId>> workspaces) {
-      this.workspaces = checkNotNull(workspaces, "workspaces");
-      return this;
-    }
-
     /** Sets the transport that sends the reward calls of items. */
     @CanIgnoreReturnValue
     public Builder rewardTransport(RewardTransport rewardTransport) {
--- a/amaranthstream/src/main/java/org/amaranthstream/jobs/LeastLoadedPass.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/jobs/LeastLoadedPass.java
@@ -38,7 +38,7 @@
     this.nowNanos = nowNanos;
     List<TrackedServer> servers = starter.servers(route);
     this.slow = SlowServers.among(servers, nowNanos);
-    this.assignment = ItemAssignment.of(job, servers, slow, needed, nowNanos);
+    this.assignment = ItemAssignment.of(job, servers, slow::contains, needed, nowNanos);
   }
 
   @Override
--- a/amaranthstream/src/main/java/org/amaranthstream/jobs/NeededGroups.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/jobs/NeededGroups.java
@@ -14,9 +14,9 @@
  *
  * <p>Made for steps whose trainer waits for some of the groups only, in which a few items are much
  * longer than the others. A group is complete only when its longest item is, so the groups that can
- * be left out are those with the longest items: starting these first would delay all others.
- * Groups that an earlier step left incomplete are needed in any case. They come first in the job,
- * and a step leaves at most as many as its trainer does not wait for.
+ * be left out are those with the longest items: starting these first would delay all others. Groups
+ * that an earlier step left incomplete are needed in any case. They come first in the job, and a
+ * step leaves at most as many as its trainer does not wait for.
  *
  * <p>The method depends only on its arguments.
  */
--- a/amaranthstream/src/main/java/org/amaranthstream/servers/ServerChoice.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/servers/ServerChoice.java
@@ -66,7 +66,11 @@
     return server.load() + distance(server.registration().zone()) + penalty;
   }
 
-  private double distance(AvailabilityZoneId other) {
+  /**
+   * Returns the amount by which a server in {@code other} must be less loaded than a local one to
+   * be chosen, as a share of the slots.
+   */
+  public double distance(AvailabilityZoneId other) {
     if (other.equals(zone)) {
       return 0;
     }
--- a/amaranthstream/src/main/java/org/amaranthstream/servers/TrackedServer.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/servers/TrackedServer.java
@@ -41,6 +41,7 @@
   private long avoidUntilNanos = Long.MIN_VALUE;
   private long fullUntilNanos = Long.MIN_VALUE;
   private final EventIntervalAverage eventInterval = new EventIntervalAverage();
+  private final PaceEstimate pace = new PaceEstimate();
   private final Map<ModelId, WeightVersion> versions = new HashMap<>();
 
   TrackedServer(ServerRegistration registration) {
@@ -205,6 +206,12 @@
   /** Records the interval between two consecutive events of a stream. */
   public void onEventInterval(long intervalNanos, long nowNanos) {
     eventInterval.add(intervalNanos, nowNanos);
+    pace.add(intervalNanos, nowNanos);
+  }
+
+  /** Returns the median interval between two events of a stream, empty if it is unknown. */
+  public OptionalDouble paceNanos(long nowNanos) {
+    return pace.medianNanos(nowNanos);
   }
 
   /** Returns the average interval between two events of a stream, empty if it is unknown. */
--- a/amaranthstream/src/main/java/org/amaranthstream/slots/SlotDivision.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/slots/SlotDivision.java
@@ -13,8 +13,8 @@
  *
  * <p>Made for a few owners with many more items than slots, of which a heavy workspace has most.
  * Slots are given one at a time to the workspace that has the fewest for its weight, so a heavy
- * workspace waits for itself ({@link WorkShare}). Owners keep the slots that they hold as long as they are entitled to as many,
- * so that runs follow one another without a message.
+ * workspace waits for itself ({@link WorkShare}). Owners keep the slots that they hold as long as
+ * they are entitled to as many, so that runs follow one another without a message.
  *
  * <p>The result depends only on the arguments.
  */
--- a/amaranthstream/src/main/java/org/amaranthstream/slots/WorkOrder.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/slots/WorkOrder.java
@@ -47,10 +47,7 @@
   private static WorkShare share(
       SlotDemand demand, Map<String, Integer> slots, Map<String, Double> weights) {
     return new WorkShare(
-        slots.get(demand.sharer()),
-        weights.get(demand.sharer()),
-        demand.running(),
-        weight(demand));
+        slots.get(demand.sharer()), weights.get(demand.sharer()), demand.running(), weight(demand));
   }
 
   private static double weight(SlotDemand demand) {
--- a/amaranthstream/src/main/java/org/amaranthstream/slots/WorkShare.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/slots/WorkShare.java
@@ -6,8 +6,8 @@
  * Share of the slots that a job and its workspace have, for the order in which jobs get the next
  * slot: the job with the smallest share goes first.
  *
- * <p>Workspaces are compared first, then the jobs of a workspace. Weights differ by a factor of 4 at
- * most, so that no work gets less than a quarter of the slots that other work gets, whatever its
+ * <p>Workspaces are compared first, then the jobs of a workspace. Weights differ by a factor of 4
+ * at most, so that no work gets less than a quarter of the slots that other work gets, whatever its
  * priority and however late it is.
  *
  * @param slotsOfSharer the slots of the workspace
@@ -19,7 +19,8 @@
     implements Comparable<WorkShare> {
   private static final double MIN_WEIGHT = 0.25;
   private static final Comparator<WorkShare> ORDER =
-      Comparator.comparingDouble((WorkShare share) -> cost(share.slotsOfSharer, share.weightOfSharer))
+      Comparator.comparingDouble(
+              (WorkShare share) -> cost(share.slotsOfSharer, share.weightOfSharer))
           .thenComparingDouble(share -> cost(share.slots, share.weight));
 
   /**
--- a/amaranthstream/src/test/java/org/amaranthstream/jobs/JobFleet.java
+++ b/amaranthstream/src/test/java/org/amaranthstream/jobs/JobFleet.java
@@ -52,8 +52,17 @@
   private final SimulatedServers servers = new SimulatedServers(timers);
   private final SimulatedRewards rewards = new SimulatedRewards(timers, servers);
   private final Map<String, Node> nodes = new LinkedHashMap<>();
+  private final ItemSchedulingOptions scheduling;
   private int incarnations;
 
+  JobFleet() {
+    this(ItemSchedulingOptions.OFF);
+  }
+
+  JobFleet(ItemSchedulingOptions scheduling) {
+    this.scheduling = scheduling;
+  }
+
   /** A daemon with its own store client, clock and routing table. */
   final class Node {
     private final String name;
@@ -86,6 +95,7 @@
       jobs =
           JobService.builder()
               .permits((server, patience, listener) -> listener.accept(true))
+              .scheduling(scheduling)
               .fleet(self, fleet)
               .store(client)
               .timers(clock)
--- a/amaranthstream/src/test/java/org/amaranthstream/jobs/NeededGroupsTest.java
+++ b/amaranthstream/src/test/java/org/amaranthstream/jobs/NeededGroupsTest.java
@@ -64,9 +64,9 @@
   }
 
   /**
-   * Steps with several items a slot, a few of them very long, whose trainers wait for nine groups in
-   * ten: on average they are complete earlier than with the longest items of all groups first. With
-   * as many slots as items the order matters little.
+   * Steps with several items a slot, a few of them very long, whose trainers wait for nine groups
+   * in ten: on average they are complete earlier than with the longest items of all groups first.
+   * With as many slots as items the order matters little.
    */
   @Test
   void completesTheWantedGroupsEarlier() {
@@ -94,8 +94,7 @@
   private static long timeUntilWanted(List<NeededGroups.OpenItem> items, Set<GroupId> needed) {
     List<NeededGroups.OpenItem> order = new ArrayList<>(items);
     order.sort(
-        Comparator.comparing(
-                (NeededGroups.OpenItem item) -> !needed.contains(item.group()))
+        Comparator.comparing((NeededGroups.OpenItem item) -> !needed.contains(item.group()))
             .thenComparing(item -> -item.expectedTokens()));
     PriorityQueue<Long> slots = new PriorityQueue<>();
     IntStream.range(0, SLOTS).forEach(i -> slots.add(0L));
