Weigh the prompts that engines hold when items of batch jobs are placed

The items of a group share their prompt, and the scheduler placed them without regard to it: each engine that got an item of the group read the whole prompt. The expected end of a run, by which items are placed where the settings say so, now includes the time to read the part of the prompt that the engine does not hold, and each run tells the view of the engine's memory when it begins, when its first event arrives and when it ends. Calls and items share one view (ItemPrompts, PromptPlacement).

The interface of the scheduler is ItemPromptCosts now, since the package prompts has a PromptCosts of its own.

--- a/amaranthstream/src/main/java/org/amaranthstream/jobs/ExpectedEndPass.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/jobs/ExpectedEndPass.java
@@ -23,7 +23,7 @@
   private final Route route;
   private final ItemStarter starter;
   private final ExpectedEvents events;
-  private final PromptCosts promptCosts;
+  private final ItemPromptCosts promptCosts;
   private final ServerPaces paces;
   private final ItemAssignment assignment;
   private final Set<TrackedServer> withoutItem = new HashSet<>();
@@ -35,7 +35,7 @@
       ItemStarter starter,
       ServerChoice choice,
       ExpectedEvents events,
-      PromptCosts promptCosts,
+      ItemPromptCosts promptCosts,
       Set<GroupId> needed,
       long nowNanos) {
     this.job = job;
--- a/amaranthstream/src/main/java/org/amaranthstream/jobs/PromptCosts.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/jobs/ItemPromptCosts.java
@@ -12,9 +12,9 @@
  * a waiting item and a server with a free slot.
  */
 @FunctionalInterface
-public interface PromptCosts {
+public interface ItemPromptCosts {
   /** Treats all servers alike: no server is known to hold a part of any prompt. */
-  PromptCosts NONE = (server, item) -> Duration.ZERO;
+  ItemPromptCosts NONE = (server, item) -> Duration.ZERO;
 
   /**
    * Returns the time that server needs to read the part of the item's prompt that it does not hold.
--- a/amaranthstream/src/main/java/org/amaranthstream/jobs/ItemPrompts.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/jobs/ItemPrompts.java
@@ -7,6 +7,7 @@
 import java.util.Map;
 import java.util.Optional;
 import org.amaranthstream.prompts.Prompt;
+import org.amaranthstream.prompts.PromptCosts;
 import org.amaranthstream.prompts.PromptReader;
 import org.amaranthstream.prompts.PromptRun;
 import org.amaranthstream.servers.TrackedServer;
@@ -16,14 +17,14 @@
  *
  * <p>Must be used on the thread of the scheduler.
  */
-public final class ItemPrompts implements PromptCosts {
+public final class ItemPrompts implements ItemPromptCosts {
   private final PromptReader reader;
-  private final org.amaranthstream.prompts.PromptCosts costs;
+  private final PromptCosts costs;
 
   /** The prompts of the items of open jobs, by identity. */
   private final Map<ItemSpec, Optional<Prompt>> prompts = new MapMaker().weakKeys().makeMap();
 
-  private ItemPrompts(PromptReader reader, org.amaranthstream.prompts.PromptCosts costs) {
+  private ItemPrompts(PromptReader reader, PromptCosts costs) {
     this.reader = reader;
     this.costs = costs;
   }
@@ -34,8 +35,7 @@
    * @param reader the reader of the prompts that items describe
    * @param costs the costs of a prompt at each server, shared with the requests of callers
    */
-  public static ItemPrompts create(
-      PromptReader reader, org.amaranthstream.prompts.PromptCosts costs) {
+  public static ItemPrompts create(PromptReader reader, PromptCosts costs) {
     return new ItemPrompts(checkNotNull(reader, "reader"), checkNotNull(costs, "costs"));
   }
 
--- a/amaranthstream/src/main/java/org/amaranthstream/jobs/ItemRunner.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/jobs/ItemRunner.java
@@ -5,6 +5,7 @@
 import java.util.Optional;
 import java.util.OptionalLong;
 import org.amaranthstream.ids.WeightVersion;
+import org.amaranthstream.prompts.PromptRun;
 import org.amaranthstream.servers.ServerDirectory;
 import org.amaranthstream.servers.TrackedServer;
 import org.amaranthstream.time.Subscription;
@@ -42,6 +43,7 @@
   private final ItemProgress item;
   private final TrackedServer server;
   private final ItemRules rules;
+  private final PromptRun promptRun;
   private final ServerDirectory directory;
   private final TimerService timers;
   private final Observer observer;
@@ -57,6 +59,7 @@
       ItemProgress item,
       TrackedServer server,
       ItemRules rules,
+      PromptRun promptRun,
       ServerDirectory directory,
       TimerService timers,
       Observer observer) {
@@ -64,6 +67,7 @@
     this.item = item;
     this.server = server;
     this.rules = rules;
+    this.promptRun = promptRun;
     this.directory = directory;
     this.timers = timers;
     this.observer = observer;
@@ -150,6 +154,7 @@
       server.onEventInterval(now - lastEventNanos.getAsLong(), now);
     }
     lastEventNanos = OptionalLong.of(now);
+    promptRun.onEvent();
   }
 
   TrackedServer server() {
@@ -202,6 +207,7 @@
       progressTimeout.cancel();
     }
     server.onRequestEnded();
+    promptRun.onEnded(lastEventNanos.isPresent());
     return true;
   }
 
--- a/amaranthstream/src/main/java/org/amaranthstream/jobs/ItemScheduler.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/jobs/ItemScheduler.java
@@ -64,7 +64,14 @@
     this.timers = timers;
     this.starter =
         new ItemStarter(
-            directory, transport, permits, options.slots(), timers, this, this::schedule);
+            directory,
+            transport,
+            permits,
+            options.slots(),
+            options.promptCosts(),
+            timers,
+            this,
+            this::schedule);
     this.options = options;
     this.observer = observer;
     options.slots().setListener(this::schedule);
--- a/amaranthstream/src/main/java/org/amaranthstream/jobs/ItemSchedulingOptions.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/jobs/ItemSchedulingOptions.java
@@ -23,11 +23,11 @@
     boolean isExpectedEnd,
     SlotLeases slots,
     Function<JobSpec, Optional<WorkspaceId>> workspaces,
-    PromptCosts promptCosts) {
+    ItemPromptCosts promptCosts) {
   /** None of the parts. */
   public static final ItemSchedulingOptions OFF =
       new ItemSchedulingOptions(
-          false, false, SlotLeases.UNSHARED, job -> Optional.empty(), PromptCosts.NONE);
+          false, false, SlotLeases.UNSHARED, JobSpec::workspace, ItemPromptCosts.NONE);
 
   /** Returns these options with jobs in the order of their workspaces' shares, or not. */
   public ItemSchedulingOptions withFairOrder(boolean newFairOrder) {
@@ -57,7 +57,7 @@
   }
 
   /** Returns these options with other costs of reading prompts. */
-  public ItemSchedulingOptions withPromptCosts(PromptCosts newPromptCosts) {
+  public ItemSchedulingOptions withPromptCosts(ItemPromptCosts newPromptCosts) {
     return new ItemSchedulingOptions(
         isFairOrder,
         isExpectedEnd,
--- a/amaranthstream/src/main/java/org/amaranthstream/jobs/ItemStarter.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/jobs/ItemStarter.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.Optional;
 import org.amaranthstream.ids.WeightVersion;
+import org.amaranthstream.prompts.PromptRun;
 import org.amaranthstream.routing.Route;
 import org.amaranthstream.servers.RequestPermits;
 import org.amaranthstream.servers.ServerDirectory;
@@ -17,6 +18,7 @@
   private final ItemTransport transport;
   private final ItemPermits permits;
   private final SlotLeases slots;
+  private final ItemPromptCosts promptCosts;
   private final TimerService timers;
   private final ItemRunner.Observer observer;
 
@@ -30,6 +32,7 @@
       ItemTransport transport,
       RequestPermits permits,
       SlotLeases slots,
+      ItemPromptCosts promptCosts,
       TimerService timers,
       ItemRunner.Observer observer,
       Runnable onPermitted) {
@@ -37,6 +40,7 @@
     this.transport = transport;
     this.permits = new ItemPermits(permits, timers, onPermitted);
     this.slots = slots;
+    this.promptCosts = promptCosts;
     this.timers = timers;
     this.observer = observer;
   }
@@ -97,6 +101,8 @@
   void start(OwnedJob job, ItemProgress item, TrackedServer server, Route route) {
     permits.onStarted(server);
     ItemRules rules = new ItemRules(route.maxAttempts(), route.isSingleVersion());
-    new ItemRunner(job, item, server, rules, directory, timers, observer).start(transport);
+    PromptRun promptRun = promptCosts.begin(server, item.spec());
+    new ItemRunner(job, item, server, rules, promptRun, directory, timers, observer)
+        .start(transport);
   }
 }
