--- a/amaranthstream/src/test/java/org/amaranthstream/jobs/JobWorkspacesTest.java
+++ b/amaranthstream/src/test/java/org/amaranthstream/jobs/JobWorkspacesTest.java
@@ -91,6 +91,20 @@
     }
   }
 
+  /** The store rejects one daemon, which therefore asks the owner by a query between peers. */
+  @Test
+  void areServedByTheirOwnerForTheirWorkspaceOnly() {
+    submit(first, job);
+    fleet.run(Duration.ofSeconds(5));
+    second.store().setRefused(true);
+    JobId foreign = JobId.of(OTHER, job.id().value());
+
+    assertAllComplete(job, fleet.read(second, job.id()));
+    assertThat(fleet.await(second.jobs().end(foreign))).isInstanceOf(Result.Failure.class);
+    assertThat(fleet.await(second.jobs().end(job.id())))
+        .isEqualTo(Result.success(JobAcknowledgement.ENDED));
+  }
+
   @Test
   void ofTwoWorkspacesWithOneIdAreTwoJobs() {
     JobSpec same = inWorkspace(JobFleet.job("shared", 1, 4, 2), OTHER);
