--- a/amaranthstream/src/main/java/org/amaranthstream/fleet/FleetNode.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/fleet/FleetNode.java
@@ -2,6 +2,7 @@
 
 import com.google.protobuf.InvalidProtocolBufferException;
 import java.util.Optional;
+import java.util.OptionalDouble;
 import org.amaranthstream.fleet.wire.NodeRecord;
 import org.amaranthstream.ids.AvailabilityZoneId;
 import org.amaranthstream.ids.EntryVmId;
@@ -17,6 +18,7 @@
  * @param port the port of its peer link
  * @param zone its availability zone
  * @param region its region
+ * @param cores the processor time that it has, in cores, empty if it is unknown
  */
 public record FleetNode(
     EntryVmId vm,
@@ -24,18 +26,31 @@
     String host,
     int port,
     AvailabilityZoneId zone,
-    RegionId region) {
+    RegionId region,
+    OptionalDouble cores) {
+
+  /** Creates the registration of a daemon whose processor time is unknown. */
+  public FleetNode(
+      EntryVmId vm,
+      Incarnation incarnation,
+      String host,
+      int port,
+      AvailabilityZoneId zone,
+      RegionId region) {
+    this(vm, incarnation, host, port, zone, region, OptionalDouble.empty());
+  }
 
   byte[] encode() {
-    return NodeRecord.newBuilder()
+    NodeRecord.Builder node =
+        NodeRecord.newBuilder()
         .setVm(vm.value())
         .setIncarnation(incarnation.value())
         .setHost(host)
         .setPort(port)
         .setZone(zone.value())
-        .setRegion(region.value())
-        .build()
-        .toByteArray();
+        .setRegion(region.value());
+    cores.ifPresent(node::setCores);
+    return node.build().toByteArray();
   }
 
   static Optional<FleetNode> decode(byte[] value) {
@@ -48,7 +63,10 @@
               node.getHost(),
               node.getPort(),
               AvailabilityZoneId.of(node.getZone()),
-              RegionId.of(node.getRegion())));
+              RegionId.of(node.getRegion()),
+              node.hasCores()
+                  ? OptionalDouble.of(node.getCores())
+                  : OptionalDouble.empty()));
     } catch (InvalidProtocolBufferException | IllegalArgumentException e) {
       return Optional.empty();
     }
--- a/amaranthstream/src/main/java/org/amaranthstream/fleet/wire/Fleet.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/fleet/wire/Fleet.java
@@ -40,11 +40,12 @@
       descriptor;
   static {
     java.lang.String[] descriptorData = {
-      "\n\013fleet.proto\022\024amaranthstream.fleet\"g\n\nN" +
-      "odeRecord\022\n\n\002vm\030\001 \001(\t\022\023\n\013incarnation\030\002 \001" +
-      "(\t\022\014\n\004host\030\003 \001(\t\022\014\n\004port\030\004 \001(\005\022\014\n\004zone\030\005" +
-      " \001(\t\022\016\n\006region\030\006 \001(\tB!\n\035org.amaranthstre" +
-      "am.fleet.wireP\001b\006proto3"
+      "\n\013fleet.proto\022\024amaranthstream.fleet\"\205\001\n\n" +
+      "NodeRecord\022\n\n\002vm\030\001 \001(\t\022\023\n\013incarnation\030\002 " +
+      "\001(\t\022\014\n\004host\030\003 \001(\t\022\014\n\004port\030\004 \001(\005\022\014\n\004zone\030" +
+      "\005 \001(\t\022\016\n\006region\030\006 \001(\t\022\022\n\005cores\030\007 \001(\001H\000\210\001" +
+      "\001B\010\n\006_coresB!\n\035org.amaranthstream.fleet." +
+      "wireP\001b\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -55,7 +56,7 @@
     internal_static_amaranthstream_fleet_NodeRecord_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_amaranthstream_fleet_NodeRecord_descriptor,
-        new java.lang.String[] { "Vm", "Incarnation", "Host", "Port", "Zone", "Region", });
+        new java.lang.String[] { "Vm", "Incarnation", "Host", "Port", "Zone", "Region", "Cores", });
     descriptor.resolveAllFeaturesImmutable();
   }
 
--- a/amaranthstream/src/main/java/org/amaranthstream/fleet/wire/NodeRecord.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/fleet/wire/NodeRecord.java
@@ -57,6 +57,7 @@
             org.amaranthstream.fleet.wire.NodeRecord.class, org.amaranthstream.fleet.wire.NodeRecord.Builder.class);
   }
 
+  private int bitField0_;
   public static final int VM_FIELD_NUMBER = 1;
   @SuppressWarnings("serial")
   private volatile java.lang.Object vm_ = "";
@@ -263,6 +264,33 @@
     }
   }
 
+  public static final int CORES_FIELD_NUMBER = 7;
+  private double cores_ = 0D;
+  /**
+   * <pre>
+   * The processor time that the daemon has, in cores; absent if it is unknown.
+   * </pre>
+   *
+   * <code>optional double cores = 7;</code>
+   * @return Whether the cores field is set.
+   */
+  @java.lang.Override
+  public boolean hasCores() {
+    return ((bitField0_ & 0x00000001) != 0);
+  }
+  /**
+   * <pre>
+   * The processor time that the daemon has, in cores; absent if it is unknown.
+   * </pre>
+   *
+   * <code>optional double cores = 7;</code>
+   * @return The cores.
+   */
+  @java.lang.Override
+  public double getCores() {
+    return cores_;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -295,6 +323,9 @@
     if (!com.google.protobuf.GeneratedMessage.isStringEmpty(region_)) {
       com.google.protobuf.GeneratedMessage.writeString(output, 6, region_);
     }
+    if (((bitField0_ & 0x00000001) != 0)) {
+      output.writeDouble(7, cores_);
+    }
     getUnknownFields().writeTo(output);
   }
 
@@ -323,6 +354,10 @@
     if (!com.google.protobuf.GeneratedMessage.isStringEmpty(region_)) {
       size += com.google.protobuf.GeneratedMessage.computeStringSize(6, region_);
     }
+    if (((bitField0_ & 0x00000001) != 0)) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeDoubleSize(7, cores_);
+    }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -350,6 +385,12 @@
         .equals(other.getZone())) return false;
     if (!getRegion()
         .equals(other.getRegion())) return false;
+    if (hasCores() != other.hasCores()) return false;
+    if (hasCores()) {
+      if (java.lang.Double.doubleToLongBits(getCores())
+          != java.lang.Double.doubleToLongBits(
+              other.getCores())) return false;
+    }
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -373,6 +414,11 @@
     hash = (53 * hash) + getZone().hashCode();
     hash = (37 * hash) + REGION_FIELD_NUMBER;
     hash = (53 * hash) + getRegion().hashCode();
+    if (hasCores()) {
+      hash = (37 * hash) + CORES_FIELD_NUMBER;
+      hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+          java.lang.Double.doubleToLongBits(getCores()));
+    }
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -514,6 +560,7 @@
       port_ = 0;
       zone_ = "";
       region_ = "";
+      cores_ = 0D;
       return this;
     }
 
@@ -565,6 +612,12 @@
       if (((from_bitField0_ & 0x00000020) != 0)) {
         result.region_ = region_;
       }
+      int to_bitField0_ = 0;
+      if (((from_bitField0_ & 0x00000040) != 0)) {
+        result.cores_ = cores_;
+        to_bitField0_ |= 0x00000001;
+      }
+      result.bitField0_ |= to_bitField0_;
     }
 
     @java.lang.Override
@@ -607,6 +660,9 @@
         bitField0_ |= 0x00000020;
         onChanged();
       }
+      if (other.hasCores()) {
+        setCores(other.getCores());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -663,6 +719,11 @@
               bitField0_ |= 0x00000020;
               break;
             } // case 50
+            case 57: {
+              cores_ = input.readDouble();
+              bitField0_ |= 0x00000040;
+              break;
+            } // case 57
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -1072,6 +1133,62 @@
       return this;
     }
 
+    private double cores_ ;
+    /**
+     * <pre>
+     * The processor time that the daemon has, in cores; absent if it is unknown.
+     * </pre>
+     *
+     * <code>optional double cores = 7;</code>
+     * @return Whether the cores field is set.
+     */
+    @java.lang.Override
+    public boolean hasCores() {
+      return ((bitField0_ & 0x00000040) != 0);
+    }
+    /**
+     * <pre>
+     * The processor time that the daemon has, in cores; absent if it is unknown.
+     * </pre>
+     *
+     * <code>optional double cores = 7;</code>
+     * @return The cores.
+     */
+    @java.lang.Override
+    public double getCores() {
+      return cores_;
+    }
+    /**
+     * <pre>
+     * The processor time that the daemon has, in cores; absent if it is unknown.
+     * </pre>
+     *
+     * <code>optional double cores = 7;</code>
+     * @param value The cores to set.
+     * @return This builder for chaining.
+     */
+    public Builder setCores(double value) {
+
+      cores_ = value;
+      bitField0_ |= 0x00000040;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * The processor time that the daemon has, in cores; absent if it is unknown.
+     * </pre>
+     *
+     * <code>optional double cores = 7;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearCores() {
+      bitField0_ = (bitField0_ & ~0x00000040);
+      cores_ = 0D;
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:amaranthstream.fleet.NodeRecord)
   }
 
--- a/amaranthstream/src/main/java/org/amaranthstream/fleet/wire/NodeRecordOrBuilder.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/fleet/wire/NodeRecordOrBuilder.java
@@ -75,4 +75,23 @@
    */
   com.google.protobuf.ByteString
       getRegionBytes();
+
+  /**
+   * <pre>
+   * The processor time that the daemon has, in cores; absent if it is unknown.
+   * </pre>
+   *
+   * <code>optional double cores = 7;</code>
+   * @return Whether the cores field is set.
+   */
+  boolean hasCores();
+  /**
+   * <pre>
+   * The processor time that the daemon has, in cores; absent if it is unknown.
+   * </pre>
+   *
+   * <code>optional double cores = 7;</code>
+   * @return The cores.
+   */
+  double getCores();
 }
