--- a/amaranthstream/src/main/java/org/amaranthstream/fleet/FleetNode.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/fleet/FleetNode.java
@@ -43,12 +43,12 @@
   byte[] encode() {
     NodeRecord.Builder node =
         NodeRecord.newBuilder()
-        .setVm(vm.value())
-        .setIncarnation(incarnation.value())
-        .setHost(host)
-        .setPort(port)
-        .setZone(zone.value())
-        .setRegion(region.value());
+            .setVm(vm.value())
+            .setIncarnation(incarnation.value())
+            .setHost(host)
+            .setPort(port)
+            .setZone(zone.value())
+            .setRegion(region.value());
     cores.ifPresent(node::setCores);
     return node.build().toByteArray();
   }
@@ -64,9 +64,7 @@
               node.getPort(),
               AvailabilityZoneId.of(node.getZone()),
               RegionId.of(node.getRegion()),
-              node.hasCores()
-                  ? OptionalDouble.of(node.getCores())
-                  : OptionalDouble.empty()));
+              node.hasCores() ? OptionalDouble.of(node.getCores()) : OptionalDouble.empty()));
     } catch (InvalidProtocolBufferException | IllegalArgumentException e) {
       return Optional.empty();
     }
--- a/amaranthstream/src/main/java/org/amaranthstream/jobs/PreferredJobOwner.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/jobs/PreferredJobOwner.java
@@ -31,8 +31,7 @@
    * has arrived, or if the zone is small.
    */
   static Optional<EntryVmId> of(JobSpec spec, FleetNode self, Collection<FleetNode> nodes) {
-    List<FleetNode> zone =
-        nodes.stream().filter(node -> node.zone().equals(self.zone())).toList();
+    List<FleetNode> zone = nodes.stream().filter(node -> node.zone().equals(self.zone())).toList();
     if (zone.size() <= MAX_ZONE_WITHOUT_PREFERENCE) {
       return Optional.empty();
     }
