--- a/amaranthstream/src/main/java/org/amaranthstream/jobs/JobStore.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/jobs/JobStore.java
@@ -238,7 +238,13 @@
               }
               KvPage page = ((Result.Success<KvPage>) result).value();
               read.addAll(page.entries());
-              if (!page.hasMore() || page.entries().isEmpty()) {
+              if (page.hasMore() && page.entries().isEmpty()) {
+                return CompletableFuture.completedFuture(
+                    Result.failure(
+                        ResultCode.PLATFORM_UNAVAILABLE,
+                        "the store announced more entries of " + prefix + " and sent none"));
+              }
+              if (!page.hasMore()) {
                 return CompletableFuture.completedFuture(Result.success(read.build()));
               }
               String last = page.entries().get(page.entries().size() - 1).key();
