Judge an owner lost only by a view of the fleet that is newer than its record

By reading: a daemon whose view of the fleet lags sees the record of a new owner before the owner's registration, takes the job over from a live daemon, and lists results that the other one, which still believes that it owns the job, does not have. A registration is written before its daemon takes over any job, and the loss of a registration is always newer than the records of its daemon; so a view that is older than the record proves nothing, and a newer one everything. Suspected, not proved.

--- a/amaranthstream/src/main/java/org/amaranthstream/calls/BeginReport.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/calls/BeginReport.java
@@ -4,7 +4,6 @@
 import java.util.OptionalLong;
 import org.amaranthstream.ids.WorkspaceId;
 import org.amaranthstream.time.TimerService;
-import org.amaranthstream.usage.UsageRecorder;
 
 /**
  * Reports once that a backend server began to run an attempt, as soon as that is known.
--- a/amaranthstream/src/main/java/org/amaranthstream/calls/CallService.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/calls/CallService.java
@@ -26,7 +26,6 @@
 import org.amaranthstream.servers.ServerDirectory;
 import org.amaranthstream.servers.TrackedServer;
 import org.amaranthstream.time.TimerService;
-import org.amaranthstream.usage.UsageRecorder;
 import org.jspecify.annotations.Nullable;
 
 /**
--- a/amaranthstream/src/main/java/org/amaranthstream/usage/UsageRecorder.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/calls/UsageRecorder.java
@@ -1,4 +1,4 @@
-package org.amaranthstream.usage;
+package org.amaranthstream.calls;
 
 import org.amaranthstream.ids.WorkspaceId;
 
--- a/amaranthstream/src/main/java/org/amaranthstream/fleet/Fleet.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/fleet/Fleet.java
@@ -13,6 +13,7 @@
 import org.amaranthstream.ids.EntryVmId;
 import org.amaranthstream.ids.Incarnation;
 import org.amaranthstream.ids.JobId;
+import org.amaranthstream.ids.Revision;
 import org.amaranthstream.platform.KvEntry;
 import org.amaranthstream.platform.MirrorListener;
 import org.amaranthstream.platform.MirrorTiming;
@@ -66,6 +67,11 @@
     mirror.start();
   }
 
+  /** Returns the revision of the store up to which the view is complete. */
+  public Revision revision() {
+    return mirror.revision();
+  }
+
   /** Returns true if the daemon on {@code vm} is registered with that incarnation. */
   public boolean isRegistered(EntryVmId vm, Incarnation incarnation) {
     FleetNode node = nodes.get(vm);
--- a/amaranthstream/src/main/java/org/amaranthstream/jobs/JobOwnershipManager.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/jobs/JobOwnershipManager.java
@@ -212,13 +212,18 @@
     }
   }
 
-  /** Returns true if the daemon that the record names as the owner no longer runs the job. */
+  /**
+   * Returns true if the daemon that the record names as the owner no longer runs the job. A view of
+   * the fleet that is older than the record may lack a daemon that has registered since, and proves
+   * nothing; the loss of an owner is always newer than its record.
+   */
   boolean isOrphan(StoredOwner owner) {
     JobOwner record = owner.owner();
     if (record.isHeldBy(self.vm(), self.incarnation())) {
       return registry.owned(owner.job()).isEmpty() && !takeoversInProgress.contains(owner.job());
     }
-    return !fleet.isRegistered(record.vm(), record.incarnation());
+    boolean isViewOlder = owner.revision().isAfter(fleet.revision());
+    return !isViewOlder && !fleet.isRegistered(record.vm(), record.incarnation());
   }
 
   private void takeOverInTurn(StoredOwner orphan) {
--- a/amaranthstream/src/main/java/org/amaranthstream/platform/PrefixMirror.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/platform/PrefixMirror.java
@@ -111,6 +111,11 @@
     return hasCaughtUp;
   }
 
+  /** Returns the revision of the store up to which all changes have been applied. */
+  public Revision revision() {
+    return after;
+  }
+
   private void list() {
     if (isStopped) {
       return;
--- a/amaranthstream/src/main/java/org/amaranthstream/usage/UsageCounters.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/usage/UsageCounters.java
@@ -9,6 +9,7 @@
 import java.util.Map;
 import java.util.TreeMap;
 import java.util.concurrent.TimeUnit;
+import org.amaranthstream.calls.UsageRecorder;
 import org.amaranthstream.ids.WorkspaceId;
 
 /**
--- a/amaranthstream/src/test/java/org/amaranthstream/ImportDirectionTest.java
+++ b/amaranthstream/src/test/java/org/amaranthstream/ImportDirectionTest.java
@@ -24,13 +24,14 @@
   private static final ImmutableList<ImmutableList<String>> LAYERS =
       ImmutableList.of(
           ImmutableList.of("ids", "result", "time", "ring", "logs"),
-          ImmutableList.of("yaml", "auth", "routing"),
+          ImmutableList.of("yaml", "auth", "workspaces", "routing"),
           ImmutableList.of("platform", "config", "membership", "decisions", "settings"),
-          ImmutableList.of("admission", "placement", "servers", "calls", "quarantine"),
+          ImmutableList.of(
+              "admission", "placement", "servers", "prompts", "slots", "calls", "quarantine"),
           ImmutableList.of("dispatch"),
           ImmutableList.of("peer", "rollout", "once", "idempotency", "weights"),
           ImmutableList.of("fleet"),
-          ImmutableList.of("jobs"),
+          ImmutableList.of("jobs", "usage", "duties", "scaling"),
           ImmutableList.of("ingress", "admin", "metrics"),
           ImmutableList.of("daemon", "cli", "demo"));
 
--- a/amaranthstream/src/test/java/org/amaranthstream/servers/ServerBatchTest.java
+++ b/amaranthstream/src/test/java/org/amaranthstream/servers/ServerBatchTest.java
@@ -45,12 +45,14 @@
   @BeforeEach
   void listen() {
     directory.addListener(() -> notifications++);
+    LOGGER.setLevel(Level.INFO);
     LOGGER.addHandler(recorder);
   }
 
   @AfterEach
   void stopRecording() {
     LOGGER.removeHandler(recorder);
+    LOGGER.setLevel(null);
   }
 
   private void register(int count) {
