Log the revision at which a server is no longer chosen, and the way by which it was learned

The log could not tell the four hypotheses of docs/incidents/2026-12-05-requests-to-leaving-servers.md apart: no line named the revision that a daemon had applied, none said whether it came through a relay, and a removal that was put off did not say for how long.

No decision changes.

--- a/amaranthstream/src/main/java/org/amaranthstream/fleet/ZoneWatchStore.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/fleet/ZoneWatchStore.java
@@ -6,7 +6,9 @@
 import com.google.common.flogger.FluentLogger;
 import com.google.protobuf.InvalidProtocolBufferException;
 import java.time.Duration;
+import java.util.HashSet;
 import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import org.amaranthstream.fleet.wire.StoreAnswer;
 import org.amaranthstream.fleet.wire.WatchCall;
@@ -57,6 +59,9 @@
   private Optional<ImmutableList<EntryVmId>> relays = Optional.empty();
   private Optional<ImmutableList<EntryVmId>> roots = Optional.empty();
 
+  /** Prefixes that this daemon watches itself because its relays did not answer. */
+  private final Set<String> unrelayed = new HashSet<>();
+
   /** Client for queries to the relays. */
   @FunctionalInterface
   public interface RelayClient {
@@ -223,9 +228,14 @@
         if (isForZone()) {
           relay.onReply(prefix, after, changes.get());
         }
+        if (unrelayed.remove(prefix)) {
+          logger.atInfo().log("event=watch_relays_regained prefix=%s vm=%s", prefix, vm);
+        }
         reply.complete(changes.get());
       } else if (unanswered == 0) {
-        logger.atFine().log("event=watch_relays_failed prefix=%s after=%s", prefix, after);
+        if (unrelayed.add(prefix)) {
+          logger.atInfo().log("event=watch_relays_lost prefix=%s after=%s", prefix, after);
+        }
         watchDirectly(prefix, after, wait).thenAccept(reply::complete);
       }
     }
--- a/amaranthstream/src/main/java/org/amaranthstream/platform/MirrorListener.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/platform/MirrorListener.java
@@ -1,5 +1,7 @@
 package org.amaranthstream.platform;
 
+import org.amaranthstream.ids.Revision;
+
 /**
  * A listener for changes of a {@link PrefixMirror}.
  *
@@ -7,8 +9,12 @@
  * whole, and not on each entry, does it once in {@link #onBatchApplied}.
  */
 public interface MirrorListener {
-  /** Called before the first change of a batch. */
-  default void onBatchStarted() {}
+  /**
+   * Called before the first change of a batch.
+   *
+   * @param revision the revision of the store up to which the batch contains all changes
+   */
+  default void onBatchStarted(Revision revision) {}
 
   /** Called after the last change of a batch. */
   default void onBatchApplied() {}
--- a/amaranthstream/src/main/java/org/amaranthstream/platform/PrefixMirror.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/platform/PrefixMirror.java
@@ -97,7 +97,8 @@
   private void onRefreshed(Result<KvPage> result) {
     isRefreshing = false;
     if (result instanceof Result.Success<KvPage> success) {
-      applyBatch(() -> success.value().entries().forEach(this::put));
+      KvPage page = success.value();
+      applyBatch(page.revision(), () -> page.entries().forEach(this::put));
     }
   }
 
@@ -138,7 +139,7 @@
       listedAt = page.revision();
     }
     boolean hasMore = page.hasMore() && !page.entries().isEmpty();
-    applyBatch(() -> applyPage(page, hasMore));
+    applyBatch(page.revision(), () -> applyPage(page, hasMore));
     if (hasMore) {
       page(page.entries().get(page.entries().size() - 1).key(), false);
       return;
@@ -160,8 +161,8 @@
     }
   }
 
-  private void applyBatch(Runnable changes) {
-    listener.onBatchStarted();
+  private void applyBatch(Revision revision, Runnable changes) {
+    listener.onBatchStarted(revision);
     changes.run();
     listener.onBatchApplied();
   }
@@ -186,7 +187,7 @@
 
   private void onChanges(WatchReply.Changes changes) {
     if (!changes.changes().isEmpty()) {
-      applyBatch(() -> changes.changes().forEach(this::apply));
+      applyBatch(changes.revision(), () -> changes.changes().forEach(this::apply));
     }
     after = changes.revision();
     onSuccess();
--- a/amaranthstream/src/main/java/org/amaranthstream/servers/ServerChangeLog.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/servers/ServerChangeLog.java
@@ -4,6 +4,7 @@
 import com.google.common.flogger.LazyArgs;
 import java.util.ArrayList;
 import java.util.List;
+import org.amaranthstream.ids.Revision;
 
 /**
  * Log of the servers that register and disappear. The changes of a batch with many of them share
@@ -26,15 +27,20 @@
     gone.add(registration);
   }
 
-  /** Logs the changes since the last call. */
-  void flush(int total) {
+  /**
+   * Logs the changes since the last call.
+   *
+   * @param total the number of registered servers
+   * @param revision the revision of the store up to which changes were applied
+   */
+  void flush(int total, Revision revision) {
     boolean isSummarized = known.size() + gone.size() > MAX_SINGLE_LINES;
     if (isSummarized) {
       logger.atInfo().log(
           "event=servers_changed known=%d gone=%d total=%d", known.size(), gone.size(), total);
     }
     known.forEach(registration -> logKnown(registration, isSummarized));
-    gone.forEach(registration -> logGone(registration, isSummarized));
+    gone.forEach(registration -> logGone(registration, revision, isSummarized));
     known.clear();
     gone.clear();
   }
@@ -53,8 +59,9 @@
             registration.versions());
   }
 
-  private static void logGone(ServerRegistration registration, boolean isSummarized) {
+  private static void logGone(
+      ServerRegistration registration, Revision revision, boolean isSummarized) {
     (isSummarized ? logger.atFine() : logger.atInfo())
-        .log("event=server_gone server=%s", registration.id());
+        .log("event=server_gone server=%s revision=%s", registration.id(), revision);
   }
 }
--- a/amaranthstream/src/main/java/org/amaranthstream/servers/ServerDirectory.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/servers/ServerDirectory.java
@@ -12,6 +12,7 @@
 import java.util.Optional;
 import java.util.function.BooleanSupplier;
 import org.amaranthstream.ids.BackendServerId;
+import org.amaranthstream.ids.Revision;
 import org.amaranthstream.ids.ServiceId;
 import org.amaranthstream.ids.SoftwareVersion;
 import org.amaranthstream.time.Subscription;
@@ -36,6 +37,7 @@
   private final LeavingIncarnations leaving = new LeavingIncarnations();
   private final SoftwareHistory software;
   private final ServerChangeLog changeLog = new ServerChangeLog();
+  private Revision revision = Revision.of(0);
   private boolean isBatchOpen;
   private boolean isBatchChanged;
   private Optional<ReachMonitor> reachMonitor = Optional.empty();
@@ -107,8 +109,14 @@
     }
   }
 
-  /** Defers the notification of the listeners and the log lines until {@link #endBatch}. */
-  public void startBatch() {
+  /**
+   * Defers the notification of the listeners and the log lines until {@link #endBatch}.
+   *
+   * @param upTo the revision of the store up to which the batch contains all changes; the log lines
+   *     of a change name it, so that the times of several daemons can be compared
+   */
+  public void startBatch(Revision upTo) {
+    revision = upTo;
     isBatchOpen = true;
   }
 
@@ -123,7 +131,7 @@
   private void onChanged() {
     isBatchChanged = isBatchOpen;
     if (!isBatchOpen) {
-      changeLog.flush(servers.size());
+      changeLog.flush(servers.size(), revision);
       notifyListeners();
     }
   }
@@ -143,7 +151,8 @@
       boolean wasAvailable = known.isAvailable();
       known.update(registration);
       if (wasAvailable && !known.isAvailable()) {
-        logger.atInfo().log("event=server_draining server=%s", registration.id());
+        logger.atInfo().log(
+            "event=server_draining server=%s revision=%s", registration.id(), revision);
       }
     } else {
       if (known != null) {
@@ -166,7 +175,9 @@
       return;
     }
     if (wasStoreUnavailable.getAsBoolean()) {
-      logger.atInfo().log("event=server_lapsed server=%s", id);
+      logger.atInfo().log(
+          "event=server_lapsed server=%s revision=%s for_ms=%d",
+          id, revision, REGISTRATION_GRACE.toMillis());
       removalTimers.put(id, timers.after(REGISTRATION_GRACE, () -> remove(id)));
     } else {
       remove(id);
--- a/amaranthstream/src/test/java/org/amaranthstream/servers/ServerBatchTest.java
+++ b/amaranthstream/src/test/java/org/amaranthstream/servers/ServerBatchTest.java
@@ -11,6 +11,7 @@
 import java.util.logging.Logger;
 import org.amaranthstream.ids.AvailabilityZoneId;
 import org.amaranthstream.ids.BackendServerId;
+import org.amaranthstream.ids.Revision;
 import org.amaranthstream.ids.ServiceId;
 import org.amaranthstream.ids.SoftwareVersion;
 import org.amaranthstream.time.VirtualTimerService;
@@ -40,6 +41,7 @@
         @Override
         public void close() {}
       };
+  private static final Revision REVISION = Revision.of(7);
   private int notifications;
 
   @BeforeEach
@@ -56,7 +58,7 @@
   }
 
   private void register(int count) {
-    directory.startBatch();
+    directory.startBatch(REVISION);
     for (int i = 0; i < count; i++) {
       directory.onRegistration(
           new ServerRegistration(
@@ -92,12 +94,24 @@
     assertThat(lines.get(1)).contains("event=server_known server=server-1 ");
   }
 
+  /** The times at which several daemons apply one revision tell how late each of them is. */
+  @Test
+  void ofServersThatLeaveNamesTheRevision() {
+    register(2);
+    lines.clear();
+    directory.startBatch(REVISION);
+    directory.onRegistrationRemoved(BackendServerId.of("server-0"));
+    directory.endBatch();
+
+    assertThat(lines).containsExactly("event=server_gone server=server-0 revision=7");
+  }
+
   @Test
   void ofRemovalsIsOneNotification() {
     register(300);
     notifications = 0;
     lines.clear();
-    directory.startBatch();
+    directory.startBatch(REVISION);
     for (int i = 0; i < 300; i++) {
       directory.onRegistrationRemoved(BackendServerId.of("server-" + i));
     }
@@ -109,7 +123,7 @@
 
   @Test
   void withoutChangesNotifiesNobody() {
-    directory.startBatch();
+    directory.startBatch(REVISION);
     directory.endBatch();
 
     assertThat(notifications).isEqualTo(0);
