Do not rely on relays that receive nothing from the store

Cause: a relay whose own watch is silent answered "no changes" to its zone until that watch failed, 700 ms + 1,500 ms + 1,200 ms after the last change that it had received. A third daemon that reaches the store believed it, and watched the store itself only then. An answer of one silent relay also renewed the wait for another relay that was suspended. The bound for a leaving server is 2,500 ms. Class: an intermediary that passes off the absence of information as the information that there is no change.

Change: a relay rejects the watches of its zone once the reply to its own watch is overdue (500 ms after its wait), and the daemons then watch the store. The watch after a delay for batching is shorter by the delay, so that replies are at most 1,500 ms apart. A relay that left a watch unanswered is not waited for. No message changes, so old and new daemons understand each other; a new daemon behind two old relays is as late as before.

Ruled out: a shorter timeout of all watches, as a slow store would then look like one that is lost. Not covered: in a fleet with roots, an empty answer of a root counts as news for the relay, which may add its wait of 1 s.

--- a/amaranthstream/src/main/java/org/amaranthstream/fleet/WatchRelay.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/fleet/WatchRelay.java
@@ -1,5 +1,6 @@
 package org.amaranthstream.fleet;
 
+import com.google.common.flogger.FluentLogger;
 import com.google.protobuf.InvalidProtocolBufferException;
 import java.time.Duration;
 import java.util.ArrayList;
@@ -25,12 +26,17 @@
  * after a revision, and the answer waits until there are some.
  *
  * <p>If the daemon stops watching a prefix, or loses the store, the waiting daemons get a failure
- * at once, so that they can watch the store themselves. Not thread safe: used on the thread of its
- * timers.
+ * at once, so that they can watch the store themselves. So they do while a reply to this daemon's
+ * own watch is overdue: its connection may be silent, and hide changes that they could read. Not
+ * thread safe: used on the thread of its timers.
  */
 final class WatchRelay {
+  private static final FluentLogger logger = FluentLogger.forEnclosingClass();
   private static final int MAX_WAITING = 4_096;
 
+  /** The time after the end of a watch from which on its reply is overdue. */
+  private static final Duration REPLY_MARGIN = Duration.ofMillis(500);
+
   private final TimerService timers;
   private final Map<String, WatchHistory> histories = new HashMap<>();
   private final List<Waiter> waiters = new ArrayList<>();
@@ -38,6 +44,11 @@
   /** Prefixes that this daemon watches at the store itself. */
   private final Set<String> directPrefixes = new HashSet<>();
 
+  /** Prefixes for which the reply to this daemon's own watch is overdue. */
+  private final Set<String> overduePrefixes = new HashSet<>();
+
+  private final Map<String, Subscription> replyTimers = new HashMap<>();
+
   WatchRelay(TimerService timers) {
     this.timers = timers;
   }
@@ -56,9 +67,11 @@
    * Records that this daemon watches {@code prefix} for changes after {@code after}.
    *
    * @param source {@code DIRECT} if it watches the store itself, {@code ANY} if through a peer
+   * @param wait the time after which the watch is answered even if there are no changes
    */
-  void onWatchStarted(String prefix, Revision after, WatchSource source) {
+  void onWatchStarted(String prefix, Revision after, WatchSource source, Duration wait) {
     history(prefix).continueAt(after);
+    expectReply(prefix, wait);
     if (source == WatchSource.DIRECT) {
       directPrefixes.add(prefix);
     } else if (directPrefixes.remove(prefix)) {
@@ -66,12 +79,36 @@
     }
   }
 
+  private void expectReply(String prefix, Duration wait) {
+    Subscription timer = timers.after(wait.plus(REPLY_MARGIN), () -> onOverdue(prefix));
+    Subscription previous = replyTimers.put(prefix, timer);
+    if (previous != null) {
+      previous.cancel();
+    }
+  }
+
+  private void onOverdue(String prefix) {
+    logger.atInfo().log("event=watch_overdue prefix=%s", prefix);
+    replyTimers.remove(prefix);
+    overduePrefixes.add(prefix);
+    wake(prefix);
+  }
+
+  private void expectNoReply(String prefix) {
+    overduePrefixes.remove(prefix);
+    Subscription timer = replyTimers.remove(prefix);
+    if (timer != null) {
+      timer.cancel();
+    }
+  }
+
   private WatchHistory history(String prefix) {
     return histories.computeIfAbsent(prefix, unused -> new WatchHistory());
   }
 
   /** Passes on the reply to this daemon's own watch that began at {@code after}. */
   void onReply(String prefix, Revision after, WatchReply reply) {
+    expectNoReply(prefix);
     if (reply instanceof WatchReply.Changes changes) {
       history(prefix).append(after, changes);
       wake(prefix);
@@ -82,6 +119,7 @@
 
   /** Stops relaying a prefix, because this daemon does not watch it itself any more. */
   void close(String prefix) {
+    expectNoReply(prefix);
     directPrefixes.remove(prefix);
     WatchHistory history = histories.remove(prefix);
     if (history != null) {
@@ -151,6 +189,8 @@
         fail(ResultCode.PLATFORM_UNAVAILABLE, "the prefix is not watched since that revision");
       } else if (!changes.get().changes().isEmpty()) {
         complete(changes.get());
+      } else if (overduePrefixes.contains(prefix)) {
+        fail(ResultCode.PLATFORM_UNAVAILABLE, "the store does not answer the watch of this daemon");
       }
       return reply.isDone();
     }
--- a/amaranthstream/src/main/java/org/amaranthstream/fleet/ZoneWatchStore.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/fleet/ZoneWatchStore.java
@@ -3,10 +3,13 @@
 import static com.google.common.base.Preconditions.checkNotNull;
 
 import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableSet;
 import com.google.common.flogger.FluentLogger;
 import com.google.protobuf.InvalidProtocolBufferException;
 import java.time.Duration;
 import java.util.HashSet;
+import java.util.LinkedHashSet;
+import java.util.List;
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
@@ -34,10 +37,11 @@
  * that the number of watches grows with the number of zones and not with the number of daemons.
  *
  * <p>A watch is sent to both relays; the first answer counts. If neither relay answers, the daemon
- * watches the store itself. In a fleet of many zones the relays themselves watch through two of
- * them, the roots. The relays only save calls: revisions decide which change is newer, and a daemon
- * that is ahead of a relay ignores what it has already seen. All other calls go directly to the
- * store. Not thread safe: used on the thread of its timers.
+ * watches the store itself. A relay that left any earlier watch unanswered is not waited for, since
+ * each answer of the other relay would prolong the wait. In a fleet of many zones the relays
+ * themselves watch through two of them, the roots. The relays only save calls: revisions decide
+ * which change is newer, and a daemon that is ahead of a relay ignores what it has already seen.
+ * All other calls go directly to the store. Not thread safe: used on the thread of its timers.
  */
 public final class ZoneWatchStore implements TransactionalStore, FleetListener {
   private static final FluentLogger logger = FluentLogger.forEnclosingClass();
@@ -51,6 +55,13 @@
   /** Allows for the round trip, and for a relay that is briefly busy. */
   private static final Duration RESPONSE_MARGIN = Duration.ofMillis(500);
 
+  /** The codes with which a watch fails that the relay itself has not answered. */
+  private static final ImmutableSet<ResultCode> UNANSWERED =
+      ImmutableSet.of(
+          ResultCode.PEER_UNREACHABLE,
+          ResultCode.OUTCOME_UNKNOWN_DEADLINE,
+          ResultCode.OUTCOME_UNKNOWN_PEER_LOST);
+
   private final TransactionalStore store;
   private final WatchRelay relay;
   private @Nullable Fleet fleet;
@@ -62,6 +73,11 @@
   /** Prefixes that this daemon watches itself because its relays did not answer. */
   private final Set<String> unrelayed = new HashSet<>();
 
+  /** Relays that left a watch unanswered and have answered none since. */
+  private final Set<EntryVmId> unresponsive = new HashSet<>();
+
+  private final Set<RelayedWatch> pending = new LinkedHashSet<>();
+
   /** Client for queries to the relays. */
   @FunctionalInterface
   public interface RelayClient {
@@ -113,6 +129,7 @@
   public void onNodesChanged(NodesChange change) {
     relays = Optional.empty();
     roots = Optional.empty();
+    change.lost().forEach(node -> unresponsive.remove(node.vm()));
   }
 
   private ImmutableList<EntryVmId> relays() {
@@ -160,13 +177,13 @@
     if (self != null && current.contains(self.vm())) {
       return watchDirectly(prefix, after, wait.dividedBy(2));
     }
-    relay.onWatchStarted(prefix, after, WatchSource.ANY);
+    relay.onWatchStarted(prefix, after, WatchSource.ANY, wait);
     return new RelayedWatch(prefix, after, wait, QueryKind.DIRECT_WATCH).sendTo(current);
   }
 
   private CompletableFuture<WatchReply> watchDirectly(
       String prefix, Revision after, Duration wait) {
-    relay.onWatchStarted(prefix, after, WatchSource.DIRECT);
+    relay.onWatchStarted(prefix, after, WatchSource.DIRECT, wait);
     return store
         .watch(prefix, after, wait)
         .thenApply(
@@ -183,7 +200,8 @@
     private final Duration wait;
     private final QueryKind kind;
     private final CompletableFuture<WatchReply> reply = new CompletableFuture<>();
-    private int unanswered;
+    private ImmutableList<EntryVmId> vms = ImmutableList.of();
+    private final Set<EntryVmId> failed = new HashSet<>();
 
     private RelayedWatch(String prefix, Revision after, Duration wait, QueryKind kind) {
       this.prefix = prefix;
@@ -193,7 +211,8 @@
     }
 
     private CompletableFuture<WatchReply> sendTo(ImmutableList<EntryVmId> vms) {
-      unanswered = vms.size();
+      this.vms = vms;
+      pending.add(this);
       vms.forEach(this::sendTo);
       return reply;
     }
@@ -219,12 +238,16 @@
     }
 
     private void onAnswer(EntryVmId vm, Result<byte[]> result) {
-      unanswered--;
       Optional<WatchReply.Changes> changes = decode(vm, result);
-      if (reply.isDone()) {
-        return;
+      if (isUnanswered(result)) {
+        unresponsive.add(vm);
+      } else {
+        unresponsive.remove(vm);
       }
-      if (changes.isPresent()) {
+      if (changes.isEmpty()) {
+        failed.add(vm);
+        List.copyOf(pending).forEach(RelayedWatch::checkFailed);
+      } else if (pending.remove(this)) {
         if (isForZone()) {
           relay.onReply(prefix, after, changes.get());
         }
@@ -232,14 +255,27 @@
           logger.atInfo().log("event=watch_relays_regained prefix=%s vm=%s", prefix, vm);
         }
         reply.complete(changes.get());
-      } else if (unanswered == 0) {
-        if (unrelayed.add(prefix)) {
-          logger.atInfo().log("event=watch_relays_lost prefix=%s after=%s", prefix, after);
-        }
-        watchDirectly(prefix, after, wait).thenAccept(reply::complete);
       }
     }
 
+    private static boolean isUnanswered(Result<byte[]> result) {
+      return result instanceof Result.Failure<byte[]> failure
+          && UNANSWERED.contains(failure.error().code());
+    }
+
+    /** Watches the store directly if no relay is left that can answer. */
+    private void checkFailed() {
+      boolean mayAnswer =
+          vms.stream().anyMatch(vm -> !failed.contains(vm) && !unresponsive.contains(vm));
+      if (mayAnswer || !pending.remove(this)) {
+        return;
+      }
+      if (unrelayed.add(prefix)) {
+        logger.atInfo().log("event=watch_relays_lost prefix=%s after=%s", prefix, after);
+      }
+      watchDirectly(prefix, after, wait).thenAccept(reply::complete);
+    }
+
     private static Optional<WatchReply.Changes> decode(EntryVmId vm, Result<byte[]> result) {
       if (result instanceof Result.Failure<byte[]> failure) {
         logger.atFine().log("event=watch_relay_failed vm=%s error=\"%s\"", vm, failure.error());
--- a/amaranthstream/src/main/java/org/amaranthstream/platform/PrefixMirror.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/platform/PrefixMirror.java
@@ -18,7 +18,8 @@
  *
  * <p>The prefix is listed again if the store has compacted the history since the last response.
  * After a response with changes the next watch is delayed, so that changes in quick succession cost
- * one call.
+ * one call. That watch is shorter by the delay, so that the time between two responses, which
+ * bounds how long a silent connection hides a change, stays the same.
  *
  * <p>Not thread safe: used on the thread of its timers, on which the store must complete its
  * futures too.
@@ -168,10 +169,19 @@
   }
 
   private void watch() {
+    watch(timing.watchWait());
+  }
+
+  private void watch(Duration wait) {
     if (isStopped) {
       return;
     }
-    store.watch(prefix, after, timing.watchWait()).thenAccept(this::onWatched);
+    store.watch(prefix, after, wait).thenAccept(this::onWatched);
+  }
+
+  private void watchAfter(Duration delay) {
+    Duration rest = timing.watchWait().minus(delay);
+    timers.after(delay, () -> watch(rest.isNegative() ? Duration.ZERO : rest));
   }
 
   private void onWatched(WatchReply reply) {
@@ -194,7 +204,7 @@
     if (changes.changes().isEmpty()) {
       watch();
     } else {
-      timers.after(changes.isRelayed() ? relayedDebounce() : timing.debounce(), this::watch);
+      watchAfter(changes.isRelayed() ? relayedDebounce() : timing.debounce());
     }
   }
 
--- a/amaranthstream/src/test/java/org/amaranthstream/fleet/WatchRelayTest.java
+++ b/amaranthstream/src/test/java/org/amaranthstream/fleet/WatchRelayTest.java
@@ -19,6 +19,7 @@
 class WatchRelayTest {
   private static final String PREFIX = "settings/";
   private static final Revision START = Revision.of(10);
+  private static final Duration WAIT = Duration.ofMillis(1_500);
 
   private final VirtualTimerService timers = VirtualTimerService.create();
   private final WatchRelay relay = new WatchRelay(timers);
@@ -44,7 +45,7 @@
 
   @Test
   void areRejectedByDaemonThatWatchesThroughPeer() {
-    relay.onWatchStarted(PREFIX, START, WatchSource.ANY);
+    relay.onWatchStarted(PREFIX, START, WatchSource.ANY, WAIT);
 
     assertThat(isRejected(watch(WatchSource.DIRECT))).isTrue();
     assertThat(watch(WatchSource.ANY).isDone()).isFalse();
@@ -52,7 +53,7 @@
 
   @Test
   void areAnsweredByDaemonThatWatchesTheStore() {
-    relay.onWatchStarted(PREFIX, START, WatchSource.DIRECT);
+    relay.onWatchStarted(PREFIX, START, WatchSource.DIRECT, WAIT);
     CompletableFuture<Result<byte[]>> reply = watch(WatchSource.DIRECT);
     timers.advance(Duration.ofSeconds(1));
 
@@ -61,19 +62,42 @@
 
   @Test
   void failWhenTheDaemonStartsToWatchThroughPeer() {
-    relay.onWatchStarted(PREFIX, START, WatchSource.DIRECT);
+    relay.onWatchStarted(PREFIX, START, WatchSource.DIRECT, WAIT);
     final CompletableFuture<Result<byte[]>> direct = watch(WatchSource.DIRECT);
     final CompletableFuture<Result<byte[]>> any = watch(WatchSource.ANY);
     relay.onReply(PREFIX, START, new WatchReply.Changes(ImmutableList.of(), START));
-    relay.onWatchStarted(PREFIX, START, WatchSource.ANY);
+    relay.onWatchStarted(PREFIX, START, WatchSource.ANY, WAIT);
 
     assertThat(isRejected(direct)).isTrue();
     assertThat(any.isDone()).isFalse();
   }
 
+  /** Without changes, the relay cannot tell a quiet store from a silent connection. */
+  @Test
+  void areRejectedWhileTheReplyToTheDaemonsOwnWatchIsOverdue() {
+    relay.onWatchStarted(PREFIX, START, WatchSource.DIRECT, WAIT);
+    timers.advance(WAIT);
+    CompletableFuture<Result<byte[]>> before = watch(WatchSource.DIRECT);
+    timers.advance(WAIT.dividedBy(2));
+
+    assertThat(isRejected(before)).isTrue();
+    assertThat(isRejected(watch(WatchSource.DIRECT))).isTrue();
+  }
+
+  @Test
+  void areAnsweredAgainAfterTheOverdueReply() {
+    relay.onWatchStarted(PREFIX, START, WatchSource.DIRECT, WAIT);
+    timers.advance(WAIT.multipliedBy(2));
+    relay.onReply(PREFIX, START, new WatchReply.Changes(ImmutableList.of(), START));
+    CompletableFuture<Result<byte[]>> reply = watch(WatchSource.DIRECT);
+    timers.advance(Duration.ofSeconds(1));
+
+    assertThat(isAnswered(reply)).isTrue();
+  }
+
   @Test
   void areRejectedAfterTheDaemonHasStoppedWatching() {
-    relay.onWatchStarted(PREFIX, START, WatchSource.DIRECT);
+    relay.onWatchStarted(PREFIX, START, WatchSource.DIRECT, WAIT);
     relay.close(PREFIX);
 
     assertThat(isRejected(watch(WatchSource.DIRECT))).isTrue();
--- a/amaranthstream/src/test/java/org/amaranthstream/fleet/ZoneWatchFixture.java
+++ b/amaranthstream/src/test/java/org/amaranthstream/fleet/ZoneWatchFixture.java
@@ -31,12 +31,12 @@
   static final String KEY = "settings/a";
   private static final String PREFIX = "settings/";
   private static final Duration DEFAULT_WATCH_WAIT = Duration.ofSeconds(3);
-  private static final Duration DEBOUNCE = Duration.ofMillis(50);
+  private static final Duration DEFAULT_DEBOUNCE = Duration.ofMillis(50);
 
   private final VirtualTimerService timers = VirtualTimerService.create();
   private final SimulatedStore store = new SimulatedStore(timers);
   private final Map<EntryVmId, Node> nodes = new LinkedHashMap<>();
-  private final Duration watchWait;
+  private final MirrorTiming timing;
 
   /** A daemon that mirrors the prefix. */
   final class Node implements MirrorListener {
@@ -70,8 +70,7 @@
               watches, clock, () -> Instant.ofEpochMilli(timers.nowNanos() / 1_000_000), self);
       fleet.addListener(session);
       session.start(() -> {});
-      PrefixMirror.create(watches, clock, PREFIX, MirrorTiming.of(watchWait, DEBOUNCE), this)
-          .start();
+      PrefixMirror.create(watches, clock, PREFIX, timing, this).start();
     }
 
     private CompletableFuture<Result<byte[]>> query(
@@ -171,7 +170,12 @@
 
   /** Starts daemons whose watches of the store wait for {@code watchWait} at most. */
   ZoneWatchFixture(int zones, int perZone, Duration spread, Duration watchWait) {
-    this.watchWait = watchWait;
+    this(zones, perZone, spread, MirrorTiming.of(watchWait, DEFAULT_DEBOUNCE));
+  }
+
+  /** Starts daemons that mirror the prefix with the delays {@code timing}. */
+  ZoneWatchFixture(int zones, int perZone, Duration spread, MirrorTiming timing) {
+    this.timing = timing;
     int count = zones * perZone;
     for (int i = 0; i < count; i++) {
       Node node = new Node("vm-" + i, "zone-" + i % zones);
