--- a/amaranthstream/src/main/java/org/amaranthstream/servers/ServerDirectory.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/servers/ServerDirectory.java
@@ -10,7 +10,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.function.BooleanSupplier;
+import java.util.function.Supplier;
 import org.amaranthstream.ids.BackendServerId;
 import org.amaranthstream.ids.Revision;
 import org.amaranthstream.ids.ServiceId;
@@ -21,17 +21,16 @@
 /**
  * Directory of the registered backend servers.
  *
- * <p>A server whose registration is removed from the store is removed at once, unless the store was
- * unavailable shortly before. In that case the registration may have expired although the server is
- * still running, so the server stays in use until it has had time to register again. Must be used
- * on the thread of its timers.
+ * <p>A server whose registration is removed from the store is removed at once, unless the
+ * registration may have expired in an outage although the server is still running. In that case the
+ * server stays in use until it has had time to register again. Must be used on the thread of its
+ * timers.
  */
 public final class ServerDirectory {
   private static final FluentLogger logger = FluentLogger.forEnclosingClass();
-  private static final Duration REGISTRATION_GRACE = Duration.ofMillis(2_200);
 
   private final TimerService timers;
-  private final BooleanSupplier wasStoreUnavailable;
+  private final Supplier<Duration> timeToReturn;
   private final Map<BackendServerId, TrackedServer> servers = new LinkedHashMap<>();
   private final Map<BackendServerId, Subscription> removalTimers = new LinkedHashMap<>();
   private final LeavingIncarnations leaving = new LeavingIncarnations();
@@ -44,21 +43,26 @@
   private final List<ServerListener> listeners = new ArrayList<>();
   private final List<LeavingListener> leavingListeners = new ArrayList<>();
 
-  private ServerDirectory(TimerService timers, BooleanSupplier wasStoreUnavailable) {
+  private ServerDirectory(TimerService timers, Supplier<Duration> timeToReturn) {
     this.timers = timers;
-    this.wasStoreUnavailable = wasStoreUnavailable;
+    this.timeToReturn = timeToReturn;
     this.software = new SoftwareHistory(timers.nowNanos());
   }
 
+  /** Returns an empty directory that removes servers at once. */
+  public static ServerDirectory create(TimerService timers) {
+    return create(timers, () -> Duration.ZERO);
+  }
+
   /**
    * Returns an empty directory.
    *
-   * @param wasStoreUnavailable returns true if the store was unavailable so recently that
-   *     registrations may have expired
+   * @param timeToReturn supplies for how long a server stays in use whose registration was removed
+   *     just now; see {@link RegistrationExpiry}
    */
-  public static ServerDirectory create(TimerService timers, BooleanSupplier wasStoreUnavailable) {
+  public static ServerDirectory create(TimerService timers, Supplier<Duration> timeToReturn) {
     return new ServerDirectory(
-        checkNotNull(timers, "timers"), checkNotNull(wasStoreUnavailable, "wasStoreUnavailable"));
+        checkNotNull(timers, "timers"), checkNotNull(timeToReturn, "timeToReturn"));
   }
 
   /** Sets the monitor that is notified of the requests to servers that register from now on. */
@@ -174,14 +178,14 @@
     if (!servers.containsKey(id) || removalTimers.containsKey(id)) {
       return;
     }
-    if (wasStoreUnavailable.getAsBoolean()) {
-      logger.atInfo().log(
-          "event=server_lapsed server=%s revision=%s for_ms=%d",
-          id, revision, REGISTRATION_GRACE.toMillis());
-      removalTimers.put(id, timers.after(REGISTRATION_GRACE, () -> remove(id)));
-    } else {
+    Duration time = timeToReturn.get();
+    if (time.isZero()) {
       remove(id);
+      return;
     }
+    logger.atInfo().log(
+        "event=server_lapsed server=%s revision=%s for_ms=%d", id, revision, time.toMillis());
+    removalTimers.put(id, timers.after(time, () -> remove(id)));
   }
 
   private void remove(BackendServerId id) {
--- a/amaranthstream/src/test/java/org/amaranthstream/calls/CountedCallsTest.java
+++ b/amaranthstream/src/test/java/org/amaranthstream/calls/CountedCallsTest.java
@@ -45,7 +45,7 @@
   }
 
   private final VirtualTimerService timers = VirtualTimerService.create();
-  private final ServerDirectory directory = ServerDirectory.create(timers, () -> false);
+  private final ServerDirectory directory = ServerDirectory.create(timers);
   private final ArrayDeque<Outcome> outcomes = new ArrayDeque<>();
   private final List<Duration> began = new ArrayList<>();
   private final CallService calls =
--- a/amaranthstream/src/test/java/org/amaranthstream/calls/CrashingContentTest.java
+++ b/amaranthstream/src/test/java/org/amaranthstream/calls/CrashingContentTest.java
@@ -42,7 +42,7 @@
   @BeforeEach
   void start() {
     for (int i = 0; i < DAEMONS; i++) {
-      ServerDirectory directory = ServerDirectory.create(timers, () -> false);
+      ServerDirectory directory = ServerDirectory.create(timers);
       PoisonRegistry registry = PoisonRegistry.create(QUARANTINE);
       directories.add(directory);
       registries.add(registry);
--- a/amaranthstream/src/test/java/org/amaranthstream/calls/PromptedCallsTest.java
+++ b/amaranthstream/src/test/java/org/amaranthstream/calls/PromptedCallsTest.java
@@ -43,7 +43,7 @@
   private static final int ENGINES = 4;
 
   private final VirtualTimerService timers = VirtualTimerService.create();
-  private final ServerDirectory directory = ServerDirectory.create(timers, () -> false);
+  private final ServerDirectory directory = ServerDirectory.create(timers);
   private final List<BackendServerId> used = new ArrayList<>();
   private final PromptPlacement placement =
       PromptPlacement.create(
--- a/amaranthstream/src/test/java/org/amaranthstream/calls/ResumedStreamsTest.java
+++ b/amaranthstream/src/test/java/org/amaranthstream/calls/ResumedStreamsTest.java
@@ -29,7 +29,7 @@
 
   private final VirtualTimerService timers = VirtualTimerService.create();
   private final StreamingServers servers = new StreamingServers(timers);
-  private final ServerDirectory directory = ServerDirectory.create(timers, () -> false);
+  private final ServerDirectory directory = ServerDirectory.create(timers);
   private final LocalStreamOrigins shared = LocalStreamOrigins.create();
   private final CallService first = daemon(shared);
   private final CallService second = daemon(shared);
--- a/amaranthstream/src/test/java/org/amaranthstream/fleet/FleetHeartbeatStateTest.java
+++ b/amaranthstream/src/test/java/org/amaranthstream/fleet/FleetHeartbeatStateTest.java
@@ -28,7 +28,7 @@
     return FleetHeartbeatState.create(
         RoutingTable.create(),
         AnnouncedVersions.create(),
-        ServerDirectory.create(timers, () -> false),
+        ServerDirectory.create(timers),
         registry,
         timers,
         () -> {});
--- a/amaranthstream/src/test/java/org/amaranthstream/fleet/FleetPermitsTest.java
+++ b/amaranthstream/src/test/java/org/amaranthstream/fleet/FleetPermitsTest.java
@@ -42,7 +42,7 @@
   private boolean arePeersReachable = true;
 
   private TrackedServer limitedServer() {
-    ServerDirectory directory = ServerDirectory.create(timers, () -> false);
+    ServerDirectory directory = ServerDirectory.create(timers);
     directory.onRegistration(
         new ServerRegistration(
             BackendServerId.of("server"),
--- a/amaranthstream/src/test/java/org/amaranthstream/fleet/RelayingDaemons.java
+++ b/amaranthstream/src/test/java/org/amaranthstream/fleet/RelayingDaemons.java
@@ -101,7 +101,7 @@
       Fleet fleet = Fleet.create(store.client(), timers);
       FleetSession session =
           FleetSession.create(store.client(), timers, InstantSource.system(), self);
-      ServerDirectory directory = ServerDirectory.create(timers, () -> false);
+      ServerDirectory directory = ServerDirectory.create(timers);
       ReachMonitor reach = ReachMonitor.create(directory, servers.probeOf(vm), timers);
       FleetCallRelay relay =
           FleetCallRelay.create(
--- a/amaranthstream/src/test/java/org/amaranthstream/fleet/SlotFleet.java
+++ b/amaranthstream/src/test/java/org/amaranthstream/fleet/SlotFleet.java
@@ -64,7 +64,7 @@
   /** A daemon that owns jobs of one workspace. */
   final class Daemon {
     private final PausableTimerService clock = new PausableTimerService(timers);
-    private final ServerDirectory directory = ServerDirectory.create(clock, () -> false);
+    private final ServerDirectory directory = ServerDirectory.create(clock);
     private final FleetTestNode node;
     private final SlotCoordinator coordinator;
     private final SlotLeases leases;
--- a/amaranthstream/src/test/java/org/amaranthstream/jobs/CallServiceRewardTransportTest.java
+++ b/amaranthstream/src/test/java/org/amaranthstream/jobs/CallServiceRewardTransportTest.java
@@ -33,7 +33,7 @@
   private static final Duration TIMEOUT = Duration.ofSeconds(1);
 
   private final VirtualTimerService timers = VirtualTimerService.create();
-  private final ServerDirectory directory = ServerDirectory.create(timers, () -> false);
+  private final ServerDirectory directory = ServerDirectory.create(timers);
   private final List<RewardOutcome> outcomes = new ArrayList<>();
 
   private RewardOutcome send(Consumer<AttemptListener> response) {
--- a/amaranthstream/src/test/java/org/amaranthstream/jobs/ItemPermitsTest.java
+++ b/amaranthstream/src/test/java/org/amaranthstream/jobs/ItemPermitsTest.java
@@ -24,7 +24,7 @@
 
   @BeforeEach
   void createServer() {
-    ServerDirectory directory = ServerDirectory.create(timers, () -> false);
+    ServerDirectory directory = ServerDirectory.create(timers);
     directory.onRegistration(SimulatedServers.registration("server", 4, 1));
     server = directory.all().get(0);
     server.onLimit(OptionalDouble.of(1));
--- a/amaranthstream/src/test/java/org/amaranthstream/jobs/JobFleet.java
+++ b/amaranthstream/src/test/java/org/amaranthstream/jobs/JobFleet.java
@@ -69,7 +69,7 @@
     private final PausableTimerService clock = new PausableTimerService(timers);
     private final SimulatedStoreClient client = store.client();
     private final RoutingTable routing = RoutingTable.create();
-    private final ServerDirectory directory = ServerDirectory.create(clock, () -> false);
+    private final ServerDirectory directory = ServerDirectory.create(clock);
     private final JobService jobs;
     private final JobQueryHandler queryHandler;
     private final FleetSession session;
--- a/amaranthstream/src/test/java/org/amaranthstream/jobs/RewardCallPolicyTest.java
+++ b/amaranthstream/src/test/java/org/amaranthstream/jobs/RewardCallPolicyTest.java
@@ -27,7 +27,7 @@
   @Nested
   class Concurrency {
     private ImmutableList<TrackedServer> servers(int... slots) {
-      ServerDirectory directory = ServerDirectory.create(VirtualTimerService.create(), () -> false);
+      ServerDirectory directory = ServerDirectory.create(VirtualTimerService.create());
       for (int i = 0; i < slots.length; i++) {
         directory.onRegistration(SimulatedRewards.server("r" + i, slots[i]));
       }
--- a/amaranthstream/src/test/java/org/amaranthstream/prompts/PromptPlacementTest.java
+++ b/amaranthstream/src/test/java/org/amaranthstream/prompts/PromptPlacementTest.java
@@ -37,7 +37,7 @@
   private static final int ENGINES = 6;
 
   private final VirtualTimerService timers = VirtualTimerService.create();
-  private final ServerDirectory directory = ServerDirectory.create(timers, () -> false);
+  private final ServerDirectory directory = ServerDirectory.create(timers);
   private final ServerChoice choice = ServerChoice.in(ZONE, zone -> Optional.empty());
   private final PromptPlacement placement =
       PromptPlacement.create(
--- a/amaranthstream/src/test/java/org/amaranthstream/servers/ServerBatchTest.java
+++ b/amaranthstream/src/test/java/org/amaranthstream/servers/ServerBatchTest.java
@@ -23,8 +23,7 @@
 class ServerBatchTest {
   private static final Logger LOGGER = Logger.getLogger("org.amaranthstream.servers");
 
-  private final ServerDirectory directory =
-      ServerDirectory.create(VirtualTimerService.create(), () -> false);
+  private final ServerDirectory directory = ServerDirectory.create(VirtualTimerService.create());
   private final List<String> lines = new ArrayList<>();
   private final Handler recorder =
       new Handler() {
--- a/amaranthstream/src/test/java/org/amaranthstream/servers/ServerDirectoryTest.java
+++ b/amaranthstream/src/test/java/org/amaranthstream/servers/ServerDirectoryTest.java
@@ -21,7 +21,8 @@
   private final VirtualTimerService timers = VirtualTimerService.create();
   private boolean wasStoreUnavailable;
   private final ServerDirectory directory =
-      ServerDirectory.create(timers, () -> wasStoreUnavailable);
+      ServerDirectory.create(
+          timers, () -> wasStoreUnavailable ? Duration.ofMillis(2_200) : Duration.ZERO);
 
   static ServerRegistration registration(String id, long startMillis, boolean isDraining) {
     return new ServerRegistration(
--- a/amaranthstream/src/test/java/org/amaranthstream/servers/ServiceReachTest.java
+++ b/amaranthstream/src/test/java/org/amaranthstream/servers/ServiceReachTest.java
@@ -16,7 +16,7 @@
   private static final Duration DETECTION = Duration.ofSeconds(1);
 
   private final VirtualTimerService timers = VirtualTimerService.create();
-  private final ServerDirectory directory = ServerDirectory.create(timers, () -> false);
+  private final ServerDirectory directory = ServerDirectory.create(timers);
   private final ReachMonitor monitor =
       ReachMonitor.create(directory, (server, timeout) -> probe(timeout), timers);
   private boolean doServersRespond = true;
--- a/amaranthstream/src/test/java/org/amaranthstream/weights/EngineAssignmentTest.java
+++ b/amaranthstream/src/test/java/org/amaranthstream/weights/EngineAssignmentTest.java
@@ -18,8 +18,7 @@
   private static final List<ModelId> MODELS =
       List.of(ModelId.of("a"), ModelId.of("b"), ModelId.of("c"), ModelId.of("d"));
 
-  private final ServerDirectory directory =
-      ServerDirectory.create(VirtualTimerService.create(), () -> false);
+  private final ServerDirectory directory = ServerDirectory.create(VirtualTimerService.create());
   private final Map<ModelId, WeightVersion> newest = new LinkedHashMap<>();
   private EngineAssignment assignment = new EngineAssignment();
 
--- a/amaranthstream/src/test/java/org/amaranthstream/weights/EngineReachTest.java
+++ b/amaranthstream/src/test/java/org/amaranthstream/weights/EngineReachTest.java
@@ -13,8 +13,7 @@
 
 /** A leader that reaches no engine would keep every trainer waiting for the next version. */
 class EngineReachTest {
-  private final ServerDirectory directory =
-      ServerDirectory.create(VirtualTimerService.create(), () -> false);
+  private final ServerDirectory directory = ServerDirectory.create(VirtualTimerService.create());
 
   private List<TrackedServer> engines() {
     directory.onRegistration(
--- a/amaranthstream/src/test/java/org/amaranthstream/weights/WeightControllerTest.java
+++ b/amaranthstream/src/test/java/org/amaranthstream/weights/WeightControllerTest.java
@@ -29,7 +29,7 @@
   private static final int SERVERS = 6;
 
   private final VirtualTimerService timers = VirtualTimerService.create();
-  private final ServerDirectory directory = ServerDirectory.create(timers, () -> false);
+  private final ServerDirectory directory = ServerDirectory.create(timers);
   private final AnnouncedVersions announced = AnnouncedVersions.create();
   private final Engines engines = new Engines();
   private Optional<FencingNumber> fencingToken = Optional.of(FencingNumber.of(5));
