Remember each leaving incarnation of a server, also after a report of an earlier one

Cause: the memory of leaving servers held one start time for each id, and a late report from a peer about an earlier incarnation overwrote it. If the registration then expired and came back as ready, the leaving server was used again. Two peers that reported different incarnations in each heartbeat also made each report count as a new one. Class: the newest report wins over the newest fact.

Evidence: ServerDirectoryTest areNotAvailableAgainAfterReportOfEarlierIncarnation failed before (1 server available, 0 expected) and passes now.

Change: the memory holds pairs of id and start time, bounded as before. The start time is not compared, because the clock of a server may be set back.

--- a/amaranthstream/src/main/java/org/amaranthstream/servers/LeavingIncarnations.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/servers/LeavingIncarnations.java
@@ -1,7 +1,7 @@
 package org.amaranthstream.servers;
 
-import java.util.LinkedHashMap;
-import java.util.Map;
+import java.util.LinkedHashSet;
+import java.util.Set;
 import org.amaranthstream.ids.BackendServerId;
 
 /**
@@ -14,23 +14,22 @@
 final class LeavingIncarnations {
   private static final int MAX_INCARNATIONS = 4_096;
 
-  private final Map<BackendServerId, Long> startMillis =
-      new LinkedHashMap<>() {
-        @Override
-        protected boolean removeEldestEntry(Map.Entry<BackendServerId, Long> eldest) {
-          return size() > MAX_INCARNATIONS;
-        }
-      };
+  private final Set<ServerIncarnation> incarnations = new LinkedHashSet<>();
+
+  private record ServerIncarnation(BackendServerId server, long startMillis) {}
 
   /** Records an incarnation and returns true if it was not recorded yet. */
-  boolean add(BackendServerId server, long started) {
-    Long previous = startMillis.put(server, started);
-    return previous == null || previous != started;
+  boolean add(BackendServerId server, long startMillis) {
+    boolean isAdded = incarnations.add(new ServerIncarnation(server, startMillis));
+    if (incarnations.size() > MAX_INCARNATIONS) {
+      incarnations.remove(incarnations.iterator().next());
+    }
+    return isAdded;
   }
 
   /** Returns true if the incarnation that wrote {@code registration} is leaving. */
   boolean contains(ServerRegistration registration) {
-    Long started = startMillis.get(registration.id());
-    return started != null && started == registration.startMillis();
+    return incarnations.contains(
+        new ServerIncarnation(registration.id(), registration.startMillis()));
   }
 }
--- a/amaranthstream/src/test/java/org/amaranthstream/servers/ServerDirectoryTest.java
+++ b/amaranthstream/src/test/java/org/amaranthstream/servers/ServerDirectoryTest.java
@@ -154,6 +154,17 @@
       assertThat(availableCount()).isEqualTo(1);
     }
 
+    /** A peer's report is late, and its registration expired and came back in between. */
+    @Test
+    void areNotAvailableAgainAfterReportOfEarlierIncarnation() {
+      directory.onRegistration(registration("s", 2, true));
+      directory.onLeavingReported(registration.id(), 1);
+      directory.onRegistrationRemoved(registration.id());
+      directory.onRegistration(registration("s", 2, false));
+
+      assertThat(availableCount()).isEqualTo(0);
+    }
+
     @Test
     void areAnnouncedToListenersOnce() {
       List<BackendServerId> announced = new ArrayList<>();
