Keep a removed entry removed when an older page of the store arrives

Not shown on the bench, and no path for registrations today: only the keys of operators are read outside the watch, and none but requests to retire a VM is removed there.

Cause: PrefixMirror forgot the revision of a removed key, so a page that was read before the removal and arrived after it put the old entry back, and the watch, past the removal, never took it away.

Evidence: PrefixMirrorTest refreshDoesNotRestoreAnEntryThatWasRemovedMeanwhile failed before (the entry was back) and passes now; refreshReadsAnEntryThatWasWrittenAgainAfterItsRemoval passes before and after.

Change: the mirror has applied all changes up to its revision, so an entry from before it that is not mirrored was removed since, and is ignored. No tombstones are kept. The simulated store can delay the responses to reads.

--- a/amaranthstream/src/main/java/org/amaranthstream/platform/PrefixMirror.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/platform/PrefixMirror.java
@@ -225,9 +225,13 @@
     }
   }
 
+  /**
+   * Applies an entry unless the mirror is ahead of it. All changes up to {@code after} are applied,
+   * so an entry from before that is not mirrored has been removed since.
+   */
   private void put(KvEntry entry) {
-    Revision before = revisions.get(entry.key());
-    if (before == null || entry.revision().isAfter(before)) {
+    Revision known = revisions.getOrDefault(entry.key(), after);
+    if (entry.revision().isAfter(known)) {
       revisions.put(entry.key(), entry.revision());
       listener.onPut(entry);
     }
--- a/amaranthstream/src/main/java/org/amaranthstream/platform/SimulatedStoreClient.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/platform/SimulatedStoreClient.java
@@ -37,6 +37,7 @@
   private WriteFault writeFault = WriteFault.NONE;
   private Duration lateBy = Duration.ofSeconds(3);
   private int pageSize = 500;
+  private Duration readLatency = LATENCY;
 
   SimulatedStoreClient(SimulatedStore store, TimerService timers) {
     this.store = store;
@@ -64,12 +65,21 @@
     this.areReadsFailing = areReadsFailing;
   }
 
+  /** Sets the time until the responses to reads arrive, which are formed at once. */
+  public void setReadLatency(Duration latency) {
+    this.readLatency = latency;
+  }
+
   /** Sets the maximum number of entries of a page. */
   public void setPageSize(int pageSize) {
     this.pageSize = pageSize;
   }
 
   private <T> CompletableFuture<T> call(Supplier<T> effect, T refused, T lost) {
+    return call(effect, refused, lost, LATENCY);
+  }
+
+  private <T> CompletableFuture<T> call(Supplier<T> effect, T refused, T lost, Duration latency) {
     CompletableFuture<T> reply = new CompletableFuture<>();
     if (isSilent) {
       timers.after(TIMEOUT, () -> reply.complete(lost));
@@ -78,7 +88,7 @@
     } else {
       store.countCall();
       T result = effect.get();
-      timers.after(LATENCY, () -> reply.complete(result));
+      timers.after(latency, () -> reply.complete(result));
     }
     return reply;
   }
@@ -100,7 +110,8 @@
     return call(
         () -> Result.success(store.range(prefix, after, pageSize)),
         failure(REJECTED),
-        failure(TIMED_OUT));
+        failure(TIMED_OUT),
+        readLatency);
   }
 
   @Override
--- a/amaranthstream/src/test/java/org/amaranthstream/platform/PrefixMirrorTest.java
+++ b/amaranthstream/src/test/java/org/amaranthstream/platform/PrefixMirrorTest.java
@@ -180,6 +180,31 @@
       assertThat(listener.values).containsEntry("a/2", "two");
     }
 
+    /** The page was read before the removal and arrives after it. */
+    @Test
+    void refreshDoesNotRestoreAnEntryThatWasRemovedMeanwhile() {
+      client.setReadLatency(Duration.ofMillis(500));
+      mirror.refresh();
+      run(10);
+      store.remove("a/1");
+      run(1_000);
+
+      assertThat(listener.values).isEmpty();
+    }
+
+    @Test
+    void refreshReadsAnEntryThatWasWrittenAgainAfterItsRemoval() {
+      store.remove("a/1");
+      run(400);
+      client.setSilent(true);
+      put("a/1", "again");
+      client.setSilent(false);
+      mirror.refresh();
+      run(20);
+
+      assertThat(listener.values).containsExactly("a/1", "again");
+    }
+
     @Test
     void makesNoCallOnceStopped() {
       mirror.stop();
