--- a/amaranthstream/src/test/java/org/amaranthstream/dispatch/http/HttpBackendTransportTest.java
+++ b/amaranthstream/src/test/java/org/amaranthstream/dispatch/http/HttpBackendTransportTest.java
@@ -1,6 +1,7 @@
 package org.amaranthstream.dispatch.http;
 
 import static com.google.common.truth.Truth.assertThat;
+import static com.google.common.truth.Truth.assertWithMessage;
 
 import io.vertx.core.Vertx;
 import io.vertx.core.net.NetSocket;
@@ -8,6 +9,7 @@
 import java.util.Optional;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.BiConsumer;
+import java.util.function.Function;
 import org.amaranthstream.admission.Priority;
 import org.amaranthstream.dispatch.AttemptEnd;
 import org.amaranthstream.dispatch.Payload;
@@ -189,6 +191,42 @@
     }
   }
 
+  /** A server stops in the middle of its response, at each byte of it, and closes. */
+  @Nested
+  class CutResponses {
+    private void assertNoPartFinishes(
+        String response, Function<BiConsumer<NetSocket, String>, RecordingListener> run) {
+      for (int i = 0; i < response.length(); i++) {
+        String part = response.substring(0, i);
+        RecordingListener listener =
+            run.apply(
+                (socket, request) -> {
+                  ScriptedServer.write(socket, part);
+                  socket.end();
+                });
+        assertWithMessage("part: %s", part)
+            .that(listener.awaitEnd())
+            .isNotInstanceOf(AttemptEnd.Finished.class);
+      }
+    }
+
+    @Test
+    void ofPlainServicesAreNeverFinished() {
+      assertNoPartFinishes(
+          "HTTP/1.1 404 Not Found\r\nAttempt: a-1\r\nContent-Length: 2\r\n\r\nno",
+          HttpBackendTransportTest.this::runCall);
+    }
+
+    @Test
+    void ofEnginesAreNeverFinished() {
+      String body = line("a-1", 0, 2, "one two") + endMarker("a-1", 2);
+      String beforeLineEnd = chunkedHead() + chunk(body);
+      assertNoPartFinishes(
+          beforeLineEnd.substring(0, beforeLineEnd.length() - "\n\r\n".length()),
+          HttpBackendTransportTest.this::runGenerate);
+    }
+  }
+
   @Nested
   class FullRingBuffer {
     @Test
--- a/amaranthstream/src/test/java/org/amaranthstream/fleet/CuttableServers.java
+++ b/amaranthstream/src/test/java/org/amaranthstream/fleet/CuttableServers.java
@@ -31,6 +31,7 @@
   private final List<String> cancelled = new ArrayList<>();
   private boolean isSlow;
   private int streamedParts;
+  private int partsBeforeLoss = Integer.MAX_VALUE;
 
   /** State of the connections between a daemon and all servers. */
   enum Cut {
@@ -61,6 +62,11 @@
     streamedParts = parts;
   }
 
+  /** Makes the servers lose the connection of each response after {@code parts} parts. */
+  void loseConnectionAfter(int parts) {
+    partsBeforeLoss = parts;
+  }
+
   /** Returns the ids of the requests that ran, once for each run. */
   List<String> runs() {
     return runs;
@@ -164,6 +170,11 @@
       if (isOver) {
         return;
       }
+      if (sentParts == partsBeforeLoss) {
+        isOver = true;
+        listener.onFailed(new AttemptFailure.ConnectionLost("connection closed"));
+        return;
+      }
       if (!isPaused) {
         sentParts++;
         listener.onData(Buffer.buffer("p"));
--- a/amaranthstream/src/test/java/org/amaranthstream/fleet/RecordedResponse.java
+++ b/amaranthstream/src/test/java/org/amaranthstream/fleet/RecordedResponse.java
@@ -17,6 +17,7 @@
   private Runnable onDisconnect = () -> {};
   private @Nullable ErrorDetail error;
   private boolean isComplete;
+  private boolean isAborted;
   private boolean isReading = true;
   private Runnable onDrained = () -> {};
   private long endNanos;
@@ -35,6 +36,10 @@
     return isComplete;
   }
 
+  boolean isAborted() {
+    return isAborted;
+  }
+
   boolean isNotRun() {
     return error != null && error.code().isNotRun();
   }
@@ -100,6 +105,7 @@
 
   @Override
   public void abort() {
+    isAborted = true;
     endNanos = timers.nowNanos();
   }
 
--- a/amaranthstream/src/test/java/org/amaranthstream/fleet/RelayedCallsTest.java
+++ b/amaranthstream/src/test/java/org/amaranthstream/fleet/RelayedCallsTest.java
@@ -106,6 +106,21 @@
     assertThat(new HashSet<>(servers.runs())).hasSize(servers.runs().size());
   }
 
+  /** What another server answers must not become a part of the stream. */
+  @Test
+  void areAbortedWhenTheirStreamBreaksOff() {
+    servers.streamParts(5);
+    servers.loseConnectionAfter(2);
+    servers.cut("a1", Cut.REFUSED);
+    RecordedResponse response = send("a1", RouteKind.STREAMING);
+    timers.advance(DEADLINE);
+
+    assertThat(response.body()).isEqualTo("pp");
+    assertThat(response.isAborted()).isTrue();
+    assertThat(response.isOver()).isFalse();
+    assertThat(servers.runs()).containsExactly(response.id());
+  }
+
   @Test
   void areServedDirectlyOnceTheCutHasEnded() {
     servers.cut("a1", Cut.HANGING);
