Reject requests that a daemon cannot complete before its graceful shutdown ends

It happens here: the platform's daemon accepted all requests until the process ended, 7,000 ms after the signal.

Cause: the shutdown waited for requests in flight, but nothing asked whether a new one can be finished. Class: a deadline of the process that admission does not see.

Change: ShutdownAdmission accepts a request if its timeout lies within the rest of the period, or, until the balancer has reacted, if four times the longest recent response of its route does. Others get NOT_RUN_SHUTTING_DOWN at once, with the connection's close and no delay for the retry elsewhere. Requests about jobs count with 2,500 ms. At the end of the period the calls in flight are failed with OUTCOME_UNKNOWN_SHUTTING_DOWN (new, 305), or as not run if nothing was sent; streams are aborted, as nothing else can be said in them. serve was not affected: it rejects new requests after the drain lag and waits for those in flight without limit (Shutdown, read).

--- a/amaranthstream/src/main/java/org/amaranthstream/calls/ActiveCall.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/calls/ActiveCall.java
@@ -31,6 +31,7 @@
   private final CallContent content;
   private List<TrackedServer> servers;
   private final CallerExchange exchange;
+  private final long startNanos;
   private final long deadlineNanos;
   private final CallAttempts attempts;
   private @Nullable CallAttempt committed;
@@ -59,7 +60,8 @@
     this.servers = servers;
     this.exchange = exchange;
     this.attempts = new CallAttempts(policy);
-    this.deadlineNanos = service.timers().nowNanos() + timeLeft.toNanos();
+    this.startNanos = service.timers().nowNanos();
+    this.deadlineNanos = startNanos + timeLeft.toNanos();
   }
 
   void start() {
@@ -314,6 +316,19 @@
   }
 
   private void onTimeout() {
+    endEarly(
+        ResultCode.NOT_RUN_DEADLINE, ResultCode.OUTCOME_UNKNOWN_DEADLINE, "the request timed out");
+  }
+
+  /** Fails the request because this process ends. */
+  void shutDown() {
+    endEarly(
+        ResultCode.NOT_RUN_SHUTTING_DOWN,
+        ResultCode.OUTCOME_UNKNOWN_SHUTTING_DOWN,
+        "the entry VM shut down");
+  }
+
+  private void endEarly(ResultCode notRun, ResultCode outcomeUnknown, String reason) {
     if (isOver) {
       return;
     }
@@ -321,13 +336,11 @@
     attempts.cancelAll();
     if (committed != null) {
       exchange.abort();
-      close(
-          ResultCode.OUTCOME_UNKNOWN_DEADLINE,
-          "the request timed out before the response was complete");
+      close(outcomeUnknown, reason + " before the response was complete");
     } else if (isNotRun) {
-      fail(ResultCode.NOT_RUN_DEADLINE, lastFailure);
+      fail(notRun, lastFailure);
     } else {
-      fail(ResultCode.OUTCOME_UNKNOWN_DEADLINE, "the request timed out without a response");
+      fail(outcomeUnknown, reason + " without a response");
     }
   }
 
@@ -359,6 +372,15 @@
     service.onCallEnded(this, code, detail);
   }
 
+  Route route() {
+    return route;
+  }
+
+  /** Returns the time since the request arrived. */
+  Duration elapsed() {
+    return Duration.ofNanos(service.timers().nowNanos() - startNanos);
+  }
+
   CallService service() {
     return service;
   }
--- a/amaranthstream/src/main/java/org/amaranthstream/calls/CallService.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/calls/CallService.java
@@ -50,6 +50,7 @@
   private final UsageRecorder usage;
   private final Random random = new Random();
   private final Set<ActiveCall> active = new HashSet<>();
+  private final ResponseTimes responseTimes;
 
   private CallService(Builder builder) {
     this.directory = checkNotNull(builder.directory, "directory");
@@ -64,6 +65,7 @@
     this.promptCosts = builder.promptCosts;
     this.usage = builder.usage;
     this.resumptions = new StreamResumptions(builder.origins, directory, timers);
+    this.responseTimes = new ResponseTimes(timers.nowNanos());
   }
 
   /** Returns a builder. */
@@ -129,6 +131,19 @@
     return services.get(0);
   }
 
+  /**
+   * Returns the longest time that a recent request of {@code route} has taken, empty if none was
+   * completed.
+   */
+  public Optional<Duration> longestResponse(Route route) {
+    return responseTimes.longest(route.id(), timers.nowNanos());
+  }
+
+  /** Fails the requests in flight, because this process ends. */
+  public void shutDown() {
+    List.copyOf(active).forEach(ActiveCall::shutDown);
+  }
+
   /** Returns the number of requests in flight. */
   public int activeCount() {
     return active.size();
@@ -218,7 +233,9 @@
 
   void onCallEnded(ActiveCall activeCall, ResultCode code, String detail) {
     active.remove(activeCall);
-    if (code != ResultCode.OK) {
+    if (code == ResultCode.OK) {
+      responseTimes.record(activeCall.route().id(), activeCall.elapsed(), timers.nowNanos());
+    } else {
       logger.atInfo().log("event=call_ended %s code=%s detail=\"%s\"", activeCall, code, detail);
     }
   }
--- a/amaranthstream/src/main/java/org/amaranthstream/calls/RetryAfterDelays.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/calls/RetryAfterDelays.java
@@ -10,5 +10,8 @@
   /** The daemon has no configuration, or the store is unavailable. */
   public static final Duration NOT_READY = Duration.ofMillis(500);
 
+  /** The daemon shuts down; other daemons accept the request at once. */
+  public static final Duration OTHER_DAEMON = Duration.ZERO;
+
   private RetryAfterDelays() {}
 }
