Use the parts of the item scheduling only where the configuration calls for them

Cause: the settings file of all deployments switches the parts on. With one trainer on the engines no slots are contended and no shares have to be kept, and the parts only cost: waits for leases while the coordinator is cut off or restarts, and 250 ms before each load of weights. Class: a mechanism for a rare state that is always paid for.

Change: ItemSchedulingOptions.calledForBy(config) keeps leases, expected end and reading times where the engines of a service serve several models, and the order by shares also where there are workspaces; applied whenever the configuration changes. The notice before a load follows the same field. The tests of the parts now use a configuration with two models, as they would be switched off otherwise.

--- a/amaranthstream/src/main/java/org/amaranthstream/jobs/ItemScheduler.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/jobs/ItemScheduler.java
@@ -35,6 +35,11 @@
   private final ServerChoice choice;
   private final ItemStarter starter;
   private final ItemSchedulingOptions options;
+
+  /** The parts of {@link #options} that the current configuration calls for. */
+  private ItemSchedulingOptions inUse = ItemSchedulingOptions.OFF;
+
+  private Optional<RoutingConfig> lastConfig = Optional.empty();
   private final ExpectedEvents expectedEvents = new ExpectedEvents();
   private final WaitingItemsLog waitingLog = new WaitingItemsLog();
   private final TimerService timers;
@@ -63,15 +68,7 @@
     this.choice = choice;
     this.timers = timers;
     this.starter =
-        new ItemStarter(
-            directory,
-            transport,
-            permits,
-            options.slots(),
-            options.promptCosts(),
-            timers,
-            this,
-            this::schedule);
+        new ItemStarter(directory, transport, permits, () -> inUse, timers, this, this::schedule);
     this.options = options;
     this.observer = observer;
     options.slots().setListener(this::schedule);
@@ -96,7 +93,7 @@
 
   @Override
   public void onServerFull(TrackedServer server) {
-    options.slots().onRejected(server);
+    inUse.slots().onRejected(server);
   }
 
   /** Starts all items that can start, and runs again after an interval while jobs are open. */
@@ -105,6 +102,7 @@
       return;
     }
     isScheduling = true;
+    applyConfig();
     long now = timers.nowNanos();
     jobs.removeIf(job -> !job.isRunnable() || !job.hasOpenItems());
     jobs.sort(JobOrder.at(now));
@@ -112,7 +110,7 @@
     for (OwnedJob job : ImmutableList.copyOf(jobs)) {
       runnableRoute(job, now).ifPresent(route -> routes.put(job, route));
     }
-    if (options.isFairOrder()) {
+    if (inUse.isFairOrder()) {
       startByShare(routes, now);
     } else {
       routes.forEach((job, route) -> startAll(passOf(job, route, now)));
@@ -125,6 +123,14 @@
     }
   }
 
+  private void applyConfig() {
+    Optional<RoutingConfig> config = routing.current();
+    if (config.isPresent() && !config.equals(lastConfig)) {
+      lastConfig = config;
+      inUse = options.calledForBy(config.get());
+    }
+  }
+
   private static void startAll(JobPass pass) {
     boolean mayStart = true;
     while (mayStart) {
@@ -165,12 +171,12 @@
           }
         });
     waitingLog.log(entries, job -> starter.waitReason(routes.get(job), job), now);
-    options
-        .slots()
-        .setDemand(
-            entries.stream()
-                .map(WaitingItemsLog.Entry::demand)
-                .collect(ImmutableList.toImmutableList()));
+    ImmutableList<SlotDemand> demands =
+        entries.stream()
+            .map(WaitingItemsLog.Entry::demand)
+            .collect(ImmutableList.toImmutableList());
+    boolean areSlotsShared = inUse.slots() == options.slots();
+    options.slots().setDemand(areSlotsShared ? demands : ImmutableList.of());
   }
 
   private void poll() {
@@ -199,10 +205,10 @@
   }
 
   private JobPass passOf(OwnedJob job, Route route, long now) {
-    ImmutableSet<GroupId> needed = options.isFairOrder() ? job.neededGroups() : ImmutableSet.of();
-    return options.isExpectedEnd()
+    ImmutableSet<GroupId> needed = inUse.isFairOrder() ? job.neededGroups() : ImmutableSet.of();
+    return inUse.isExpectedEnd()
         ? new ExpectedEndPass(
-            job, route, starter, choice, expectedEvents, options.promptCosts(), needed, now)
+            job, route, starter, choice, expectedEvents, inUse.promptCosts(), needed, now)
         : new LeastLoadedPass(job, route, starter, choice, needed, now);
   }
 
--- a/amaranthstream/src/main/java/org/amaranthstream/jobs/ItemSchedulingOptions.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/jobs/ItemSchedulingOptions.java
@@ -5,6 +5,7 @@
 import java.util.Optional;
 import java.util.function.Function;
 import org.amaranthstream.ids.WorkspaceId;
+import org.amaranthstream.routing.RoutingConfig;
 import org.amaranthstream.slots.SlotLeases;
 
 /**
@@ -29,6 +30,20 @@
       new ItemSchedulingOptions(
           false, false, SlotLeases.UNSHARED, JobSpec::workspace, ItemPromptCosts.NONE);
 
+  /**
+   * Returns the parts that have something to decide under {@code config}. If one trainer uses the
+   * engines, no slots are contended; without workspaces either, no shares have to be kept.
+   */
+  public ItemSchedulingOptions calledForBy(RoutingConfig config) {
+    boolean isContended = config.sharesEngines();
+    return new ItemSchedulingOptions(
+        isFairOrder && (isContended || config.workspaces().isConfigured()),
+        isExpectedEnd && isContended,
+        isContended ? slots : SlotLeases.UNSHARED,
+        workspaces,
+        isContended ? promptCosts : ItemPromptCosts.NONE);
+  }
+
   /** Returns these options with jobs in the order of their workspaces' shares, or not. */
   public ItemSchedulingOptions withFairOrder(boolean newFairOrder) {
     return new ItemSchedulingOptions(newFairOrder, isExpectedEnd, slots, workspaces, promptCosts);
--- a/amaranthstream/src/main/java/org/amaranthstream/jobs/ItemStarter.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/jobs/ItemStarter.java
@@ -3,6 +3,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import java.util.function.Supplier;
 import org.amaranthstream.ids.WeightVersion;
 import org.amaranthstream.prompts.PromptRun;
 import org.amaranthstream.routing.Route;
@@ -17,30 +18,28 @@
   private final ServerDirectory directory;
   private final ItemTransport transport;
   private final ItemPermits permits;
-  private final SlotLeases slots;
-  private final ItemPromptCosts promptCosts;
+  private final Supplier<ItemSchedulingOptions> options;
   private final TimerService timers;
   private final ItemRunner.Observer observer;
 
   /**
    * Creates a starter.
    *
+   * @param options supplies the parts of the scheduling that are in use
    * @param onPermitted called when a run may start that could not start before
    */
   ItemStarter(
       ServerDirectory directory,
       ItemTransport transport,
       RequestPermits permits,
-      SlotLeases slots,
-      ItemPromptCosts promptCosts,
+      Supplier<ItemSchedulingOptions> options,
       TimerService timers,
       ItemRunner.Observer observer,
       Runnable onPermitted) {
     this.directory = directory;
     this.transport = transport;
     this.permits = new ItemPermits(permits, timers, onPermitted);
-    this.slots = slots;
-    this.promptCosts = promptCosts;
+    this.options = options;
     this.timers = timers;
     this.observer = observer;
   }
@@ -61,7 +60,7 @@
         .filter(server -> server.inFlight() < server.registration().slots())
         .filter(server -> !server.isAvoided(now))
         .filter(server -> hasAllowedVersion(server, job))
-        .filter(slots::mayStart)
+        .filter(options.get().slots()::mayStart)
         .toList();
   }
 
@@ -75,6 +74,7 @@
       return "no_server_with_version";
     }
     if (withFreeSlots(route, job).isEmpty()) {
+      SlotLeases slots = options.get().slots();
       boolean isAnyLeased =
           servers.stream().anyMatch(server -> server.inFlight() > 0 || slots.mayStart(server));
       return isAnyLeased ? "slots_in_use" : "no_slots_leased";
@@ -101,7 +101,7 @@
   void start(OwnedJob job, ItemProgress item, TrackedServer server, Route route) {
     permits.onStarted(server);
     ItemRules rules = new ItemRules(route.maxAttempts(), route.isSingleVersion());
-    PromptRun promptRun = promptCosts.begin(server, item.spec());
+    PromptRun promptRun = options.get().promptCosts().begin(server, item.spec());
     new ItemRunner(job, item, server, rules, promptRun, directory, timers, observer)
         .start(transport);
   }
--- a/amaranthstream/src/main/java/org/amaranthstream/routing/RoutingConfig.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/routing/RoutingConfig.java
@@ -28,6 +28,7 @@
   private final ImmutableMap<ServiceId, ServicePolicy> services;
   private final RequestLimits limits;
   private final WorkspaceDirectory workspaces;
+  private final boolean sharesEngines;
 
   private RoutingConfig(
       long version,
@@ -41,6 +42,8 @@
     this.services = services;
     this.limits = limits;
     this.workspaces = workspaces;
+    this.sharesEngines =
+        services.values().stream().anyMatch(service -> service.models().size() > 1);
   }
 
   /**
@@ -118,6 +121,14 @@
     return Optional.ofNullable(services.get(service)).flatMap(ServicePolicy::engine);
   }
 
+  /**
+   * Returns true if the engines of a service serve several models. Each model has a trainer, and
+   * the trainers' jobs, which different daemons own, compete for the slots of the engines.
+   */
+  public boolean sharesEngines() {
+    return sharesEngines;
+  }
+
   /** Returns the workspaces; if there are any, requests need a key of one of them. */
   public WorkspaceDirectory workspaces() {
     return workspaces;
--- a/amaranthstream/src/main/java/org/amaranthstream/weights/WeightController.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/weights/WeightController.java
@@ -9,6 +9,7 @@
 import java.util.HashMap;
 import java.util.Map;
 import java.util.Optional;
+import java.util.function.Supplier;
 import org.amaranthstream.ids.EntryVmId;
 import org.amaranthstream.ids.ModelId;
 import org.amaranthstream.ids.WeightVersion;
@@ -42,7 +43,7 @@
   private final FencingTokenSource fencingTokens;
   private final EngineAssignment assignment = new EngineAssignment();
   private final Map<TrackedServer, WeightSwap> swaps = new HashMap<>();
-  private Duration notice = Duration.ZERO;
+  private Supplier<Duration> notice = () -> Duration.ZERO;
 
   private WeightController(
       EntryVmId self,
@@ -82,9 +83,9 @@
 
   /**
    * Sets the time between the decision to order an engine and the order, in which daemons learn
-   * that the engine will start no requests.
+   * that the engine will start no requests. Zero gives the order at once.
    */
-  public void setNotice(Duration notice) {
+  public void setNotice(Supplier<Duration> notice) {
     this.notice = checkNotNull(notice, "notice");
   }
 
@@ -131,10 +132,11 @@
         new WeightSwap(
             server, model, version, self, transport, timers, fencingTokens, this::onDone);
     swaps.put(server, swap);
-    if (notice.isZero()) {
+    Duration delay = notice.get();
+    if (delay.isZero()) {
       swap.start();
     } else {
-      timers.after(notice, swap::start);
+      timers.after(delay, swap::start);
     }
   }
 
--- a/amaranthstream/src/test/java/org/amaranthstream/jobs/JobFleet.java
+++ b/amaranthstream/src/test/java/org/amaranthstream/jobs/JobFleet.java
@@ -123,6 +123,10 @@
       return responds;
     }
 
+    RoutingTable routing() {
+      return routing;
+    }
+
     /** Refuses new connections between this daemon and the backend servers; open ones work. */
     void refuseConnections() {
       areConnectionsRefused = true;
--- a/amaranthstream/src/test/java/org/amaranthstream/jobs/JobRoutes.java
+++ b/amaranthstream/src/test/java/org/amaranthstream/jobs/JobRoutes.java
@@ -3,11 +3,14 @@
 import com.google.common.collect.ImmutableList;
 import java.time.Duration;
 import java.util.List;
+import java.util.Optional;
+import org.amaranthstream.ids.ModelId;
 import org.amaranthstream.ids.RouteId;
 import org.amaranthstream.routing.RequestLimits;
 import org.amaranthstream.routing.Route;
 import org.amaranthstream.routing.RouteKind;
 import org.amaranthstream.routing.RoutingConfig;
+import org.amaranthstream.routing.ServicePolicy;
 import org.amaranthstream.routing.WeightedService;
 
 /** Routes of the simulated jobs and of their reward calls. */
@@ -18,7 +21,13 @@
 
   private JobRoutes() {}
 
+  /** Returns a configuration whose engines serve two models, so that all parts may be in use. */
   static RoutingConfig config() {
+    return config(1, ImmutableList.of(ModelId.of("m"), ModelId.of("other")));
+  }
+
+  /** Returns a configuration whose engines serve {@code models}. */
+  static RoutingConfig config(long version, ImmutableList<ModelId> models) {
     Route route =
         Route.builder()
             .id(RouteId.of("batch"))
@@ -38,6 +47,10 @@
             .timeout(SimulatedRewards.ROUTE_TIMEOUT)
             .services(ImmutableList.of(new WeightedService(SimulatedRewards.SERVICE, 1)))
             .build();
-    return RoutingConfig.of(1, List.of(route, rewardRoute), List.of(), RequestLimits.defaults());
+    ServicePolicy engines =
+        new ServicePolicy(
+            SimulatedServers.SERVICE, 100, models, Optional.empty(), Optional.empty());
+    return RoutingConfig.of(
+        version, List.of(route, rewardRoute), List.of(engines), RequestLimits.defaults());
   }
 }
--- a/amaranthstream/src/test/java/org/amaranthstream/weights/WeightControllerTest.java
+++ b/amaranthstream/src/test/java/org/amaranthstream/weights/WeightControllerTest.java
@@ -147,7 +147,7 @@
     /** Daemons learn which engines are about to reject items before these reject any. */
     @Test
     void followTheNoticeToDaemons() {
-      controller.setNotice(Duration.ofMillis(250));
+      controller.setNotice(() -> Duration.ofMillis(250));
       announce(2);
       long noticed =
           directory.all().stream()
