Test silent roots, alone and together with the relays of all zones

With both roots silent at 22 phases all daemons that reach the store see a change within 2,500 ms; with all roots and relays silent at once, within the 4,000 ms of such deployments. Both pass on the code as it is; no code changes.

--- a/amaranthstream/src/test/java/org/amaranthstream/fleet/SilentRelaysTest.java
+++ b/amaranthstream/src/test/java/org/amaranthstream/fleet/SilentRelaysTest.java
@@ -5,6 +5,7 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.function.Consumer;
+import java.util.function.Predicate;
 import org.amaranthstream.platform.MirrorTiming;
 import org.junit.jupiter.api.Test;
 
@@ -20,7 +21,10 @@
   private static final MirrorTiming TIMING =
       MirrorTiming.of(Duration.ofMillis(1_500), Duration.ofMillis(700));
 
-  /** Returns the followers of a zone of three daemons that has started. */
+  /** The same bound in fleets of four zones or more, whose changes pass two daemons. */
+  private static final Duration MAX_DELAY_OF_LARGE_FLEETS = Duration.ofMillis(4_000);
+
+  /** Returns a zone of three daemons that has started. */
   private static ZoneWatchFixture started() {
     ZoneWatchFixture fleet = new ZoneWatchFixture(1, 3, Duration.ZERO, TIMING);
     fleet.run(Duration.ofSeconds(12));
@@ -48,6 +52,39 @@
     }
   }
 
+  /** Loses daemons of a fleet with roots, right before a change that the others must see. */
+  private static void assertOthersSeeChangeInTime(
+      Predicate<ZoneWatchFixture.Node> isLost, Duration maxDelay) {
+    for (int step = 0; step < 64; step += 3) {
+      ZoneWatchFixture fleet = new ZoneWatchFixture(4, 3, Duration.ZERO, TIMING);
+      fleet.run(Duration.ofSeconds(12));
+      fleet.write(1);
+      List<ZoneWatchFixture.Node> lost = fleet.nodes().stream().filter(isLost).toList();
+      Duration phase = STEP.multipliedBy(step);
+      fleet.run(phase);
+      lost.forEach(node -> node.store().setSilent(true));
+      fleet.run(Duration.ofMillis(1));
+      fleet.write(2);
+      fleet.run(maxDelay);
+
+      for (ZoneWatchFixture.Node node : fleet.nodes()) {
+        if (!lost.contains(node)) {
+          assertWithMessage("%s, lost after %s", node.vm(), phase).that(node.latest()).isEqualTo(2);
+        }
+      }
+    }
+  }
+
+  @Test
+  void thatLoseTheStoreSilentlyAsRootsDoNotHideChanges() {
+    assertOthersSeeChangeInTime(ZoneWatchFixture.Node::isRoot, MAX_DELAY);
+  }
+
+  @Test
+  void thatLoseTheStoreSilentlyTogetherWithTheRootsDoNotHideChanges() {
+    assertOthersSeeChangeInTime(node -> node.isRoot() || node.isRelay(), MAX_DELAY_OF_LARGE_FLEETS);
+  }
+
   @Test
   void thatLoseTheStoreSilentlyDoNotHideChanges() {
     assertFollowersSeeChangeInTime(
