--- a/amaranthstream/src/test/java/org/amaranthstream/jobs/ExpectedEndSchedulingTest.java
+++ b/amaranthstream/src/test/java/org/amaranthstream/jobs/ExpectedEndSchedulingTest.java
@@ -48,17 +48,17 @@
   /** On a day without load, differences in pace are no reason to cut a run. */
   @Test
   void cutsNoRunBecauseServersDifferInPace() {
-    run(JobFleet.job("job", 1, lengths(60)), Duration.ofSeconds(20));
+    run(SampleJobs.job("job", 1, lengths(60)), Duration.ofSeconds(20));
 
     JobServiceFixture.assertAllComplete(
-        JobFleet.job("job", 1, lengths(60)), fleet.read(node, JobServiceFixture.JOB));
+        SampleJobs.job("job", 1, lengths(60)), fleet.read(node, JobServiceFixture.JOB));
     assertThat(fleet.servers().order()).hasSize(60);
   }
 
   @Test
   void movesRunsFromServersThatAreManyTimesSlower() {
     fleet.servers().setEventInterval("slow", Duration.ofMillis(400));
-    run(JobFleet.job("job", 1, lengths(60)), Duration.ofSeconds(12));
+    run(SampleJobs.job("job", 1, lengths(60)), Duration.ofSeconds(12));
 
     assertThat(fleet.read(node, JobServiceFixture.JOB)).hasSize(60);
     assertThat(fleet.servers().order().size()).isGreaterThan(60);
--- a/amaranthstream/src/test/java/org/amaranthstream/jobs/JobPropertyTest.java
+++ b/amaranthstream/src/test/java/org/amaranthstream/jobs/JobPropertyTest.java
@@ -101,7 +101,7 @@
       String id = "job" + nextJob++;
       int[] lengths = {1 + random.nextInt(20), 1 + random.nextInt(20), 3, 60};
       JobSpec job =
-          random.nextBoolean() ? JobFleet.scoredJob(id, lengths) : JobFleet.job(id, 1, lengths);
+          random.nextBoolean() ? SampleJobs.scoredJob(id, lengths) : SampleJobs.job(id, 1, lengths);
       ObservedJob observed = new ObservedJob(job);
       jobs.put(job.id(), observed);
       observed.replies.add(anyNode().jobs().submit(job, SUBMIT_TIMEOUT));
--- a/amaranthstream/src/test/java/org/amaranthstream/jobs/JobRewardTest.java
+++ b/amaranthstream/src/test/java/org/amaranthstream/jobs/JobRewardTest.java
@@ -50,7 +50,7 @@
 
   @Nested
   class Scores {
-    private final JobSpec job = JobFleet.scoredJob("job", 5, 40, 3, 7);
+    private final JobSpec job = SampleJobs.scoredJob("job", 5, 40, 3, 7);
 
     @Test
     void areListedWithEachResultAtEveryDaemon() {
@@ -73,8 +73,9 @@
     @Test
     void areAbsentForItemsWithoutRewardCall() {
       JobSpec mixed =
-          JobFleet.withItems(
-              job, ImmutableList.of(JobFleet.job("job", 1, 5).items().get(0), job.items().get(1)));
+          SampleJobs.withItems(
+              job,
+              ImmutableList.of(SampleJobs.job("job", 1, 5).items().get(0), job.items().get(1)));
       submit(first, mixed);
       fleet.run(Duration.ofSeconds(3));
 
@@ -99,13 +100,13 @@
   class Submissions {
     @Test
     void areRejectedAsWholeIfRewardCallHasNoRoute() {
-      ItemSpec item = JobFleet.job("job", 1, 5, 5).items().get(1);
+      ItemSpec item = SampleJobs.job("job", 1, 5, 5).items().get(1);
       JobSpec job =
-          JobFleet.withItems(
-              JobFleet.scoredJob("job", 5, 5),
+          SampleJobs.withItems(
+              SampleJobs.scoredJob("job", 5, 5),
               ImmutableList.of(
-                  JobFleet.scoredJob("job", 5).items().get(0),
-                  JobFleet.withRewardCall(item, "unknown")));
+                  SampleJobs.scoredJob("job", 5).items().get(0),
+                  SampleJobs.withRewardCall(item, "unknown")));
 
       assertThat(code(submit(first, job))).isEqualTo(ResultCode.NO_ROUTE);
       fleet.run(Duration.ofSeconds(3));
@@ -115,7 +116,7 @@
 
   @Nested
   class Failures {
-    private final JobSpec job = JobFleet.scoredJob("job", 5, 5, 5, 5);
+    private final JobSpec job = SampleJobs.scoredJob("job", 5, 5, 5, 5);
 
     @Test
     void giveAnItemUpOnlyAfterMaxAttemptsOfTheRoute() {
@@ -199,7 +200,7 @@
   class Load {
     @Test
     void leavesHalfOfTheSlotsToLookups() {
-      JobSpec step = JobFleet.scoredJob("job", 5, 5, 5, 5, 5, 5, 5, 5);
+      JobSpec step = SampleJobs.scoredJob("job", 5, 5, 5, 5, 5, 5, 5, 5);
       fleet.rewards().setResponseDelay(Duration.ofMillis(390));
       submit(first, step);
       fleet.run(Duration.ofSeconds(5));
@@ -212,7 +213,7 @@
     @Test
     void completesGroupsThatNeedTheFewestResultsFirst() {
       fleet.rewards().setResponseDelay(Duration.ofMillis(390));
-      JobSpec step = JobFleet.scoredJob("job", 5, 30, 9, 9, 9, 9, 9, 29);
+      JobSpec step = SampleJobs.scoredJob("job", 5, 30, 9, 9, 9, 9, 9, 29);
       submit(first, step);
       fleet.run(Duration.ofSeconds(6));
 
@@ -228,7 +229,7 @@
     @Test
     void cancelRunningCallsAndStartNoFurtherOnes() {
       fleet.rewards().setSilent(true);
-      submit(first, JobFleet.scoredJob("job", 5, 5));
+      submit(first, SampleJobs.scoredJob("job", 5, 5));
       fleet.runMillis(600);
       fleet.await(second.jobs().end(JOB));
       fleet.rewards().setSilent(false);
@@ -241,7 +242,7 @@
 
   @Nested
   class Takeover {
-    private final JobSpec job = JobFleet.scoredJob("job", 5, 5, 30, 30);
+    private final JobSpec job = SampleJobs.scoredJob("job", 5, 5, 30, 30);
 
     /** The text was saved while its call had no response, although it is short. */
     @Test
--- a/amaranthstream/src/test/java/org/amaranthstream/jobs/JobServiceTest.java
+++ b/amaranthstream/src/test/java/org/amaranthstream/jobs/JobServiceTest.java
@@ -20,7 +20,7 @@
 
   @Nested
   class Submissions {
-    private final JobSpec job = JobFleet.job("job", 1, 5, 5);
+    private final JobSpec job = SampleJobs.job("job", 1, 5, 5);
 
     @Test
     void acceptsResubmittedJobOnlyOnce() {
@@ -87,7 +87,7 @@
 
   @Nested
   class Results {
-    private final JobSpec job = JobFleet.job("job", 1, 5, 40, 3, 7);
+    private final JobSpec job = SampleJobs.job("job", 1, 5, 40, 3, 7);
 
     @Test
     void areTheSameAtEveryDaemon() {
@@ -120,7 +120,7 @@
     /** The job's trainer waits for one group of two items; the two other items take longer. */
     @Test
     void areListedAtOnceWhenTheWantedGroupsAreComplete() {
-      JobSpec step = JobFleet.job("step", 1, 5, 40, 200, 200);
+      JobSpec step = SampleJobs.job("step", 1, 5, 40, 200, 200);
       submit(first, step);
       fleet.runMillis(40 * 20 + 60);
 
@@ -141,7 +141,7 @@
 
     @Test
     void neverContainTextOfTooOldWeightVersion() {
-      JobSpec fresh = JobFleet.job("job", 3, 5, 5);
+      JobSpec fresh = SampleJobs.job("job", 3, 5, 5);
       fleet.servers().setVersion("s1", 2);
       fleet.addServer("s3", 1, 3);
       submit(first, fresh);
@@ -179,7 +179,7 @@
   class Items {
     @Test
     void longestStartFirst() {
-      JobSpec job = JobFleet.job("job", 1, 3, 4, 90, 5, 6, 7, 8, 9, 80, 10, 11, 12);
+      JobSpec job = SampleJobs.job("job", 1, 3, 4, 90, 5, 6, 7, 8, 9, 80, 10, 11, 12);
       submit(first, job);
       fleet.runMillis(20);
 
@@ -190,7 +190,7 @@
 
     @Test
     void resumeOnAnotherServerWhenTheirServerStopsResponding() {
-      JobSpec job = JobFleet.job("job", 1, 30, 30);
+      JobSpec job = SampleJobs.job("job", 1, 30, 30);
       submit(first, job);
       fleet.runMillis(200);
       fleet.servers().silence("s1");
@@ -202,7 +202,7 @@
     @Test
     void moveFromSlowServerOnceAnotherIsFree() {
       fleet.servers().setEventInterval("s1", Duration.ofMillis(300));
-      JobSpec job = JobFleet.job("job", 1, 60, 60, 60, 60);
+      JobSpec job = SampleJobs.job("job", 1, 60, 60, 60, 60);
       submit(first, job);
       fleet.run(Duration.ofSeconds(8));
 
@@ -211,7 +211,7 @@
 
     @Test
     void areGivenUpAfterMaxAttemptsOfTheRoute() {
-      JobSpec job = JobFleet.job("job", 1, 3, 3);
+      JobSpec job = SampleJobs.job("job", 1, 3, 3);
       fleet.servers().setOutcome(ItemId.of("job-0"), new ItemRunOutcome.Failed(500));
       submit(first, job);
       fleet.run(Duration.ofSeconds(10));
@@ -222,7 +222,7 @@
 
     @Test
     void areGivenUpAtOnceIfImpossible() {
-      JobSpec job = JobFleet.job("job", 1, 3, 3);
+      JobSpec job = SampleJobs.job("job", 1, 3, 3);
       fleet.servers().setOutcome(ItemId.of("job-0"), new ItemRunOutcome.Impossible());
       submit(first, job);
       fleet.run(Duration.ofSeconds(10));
@@ -233,7 +233,7 @@
 
   @Nested
   class Ends {
-    private final JobSpec job = JobFleet.job("job", 1, 500, 500);
+    private final JobSpec job = SampleJobs.job("job", 1, 500, 500);
 
     @Test
     void stopTheItemsWhenRequestedAtAnyDaemon() {
--- a/amaranthstream/src/test/java/org/amaranthstream/jobs/JobTakeoverTest.java
+++ b/amaranthstream/src/test/java/org/amaranthstream/jobs/JobTakeoverTest.java
@@ -11,7 +11,7 @@
 
 /** Takeover of jobs whose owner is killed, suspended or shut down. */
 class JobTakeoverTest extends JobServiceFixture {
-  private final JobSpec job = JobFleet.job("job", 1, 5, 90, 90, 3);
+  private final JobSpec job = SampleJobs.job("job", 1, 5, 90, 90, 3);
 
   @Test
   void jobOfKilledDaemonIsCompletedByAnother() {
@@ -46,7 +46,7 @@
    */
   @Test
   void longItemsResumeFromTheirCheckpoint() {
-    JobSpec step = JobFleet.job("step", 1, 200, 200);
+    JobSpec step = SampleJobs.job("step", 1, 200, 200);
     submit(first, step);
     fleet.runMillis(3_500);
     first.kill();
@@ -108,7 +108,7 @@
   /** Each owner saves the texts anew from the start before it is killed in turn. */
   @Test
   void checkpointsSurviveSeveralOwners() {
-    JobSpec step = JobFleet.job("step", 1, 200, 200);
+    JobSpec step = SampleJobs.job("step", 1, 200, 200);
     submit(first, step);
     for (int i = 0; i < 3; i++) {
       fleet.runMillis(2_000);
--- a/amaranthstream/src/test/java/org/amaranthstream/jobs/JobWorkspacesTest.java
+++ b/amaranthstream/src/test/java/org/amaranthstream/jobs/JobWorkspacesTest.java
@@ -19,7 +19,7 @@
   private static final Optional<WorkspaceId> OWN = Optional.of(WorkspaceId.of("own"));
   private static final Optional<WorkspaceId> OTHER = Optional.of(WorkspaceId.of("other"));
 
-  private final JobSpec job = inWorkspace(JobFleet.job("shared", 1, 5, 90, 90, 3), OWN);
+  private final JobSpec job = inWorkspace(SampleJobs.job("shared", 1, 5, 90, 90, 3), OWN);
 
   private static JobSpec inWorkspace(JobSpec job, Optional<WorkspaceId> workspace) {
     return new JobSpec(
@@ -107,7 +107,7 @@
 
   @Test
   void ofTwoWorkspacesWithOneIdAreTwoJobs() {
-    JobSpec same = inWorkspace(JobFleet.job("shared", 1, 4, 2), OTHER);
+    JobSpec same = inWorkspace(SampleJobs.job("shared", 1, 4, 2), OTHER);
     assertThat(isAccepted(submit(first, job))).isTrue();
     assertThat(isAccepted(submit(second, same))).isTrue();
     assertThat(fleet.await(second.jobs().end(same.id())))
@@ -140,7 +140,7 @@
 
   @Test
   void withoutWorkspaceAreFoundByRequestsWithoutOne() {
-    JobSpec old = JobFleet.job("shared", 1, 3, 2);
+    JobSpec old = SampleJobs.job("shared", 1, 3, 2);
     submit(first, old);
     fleet.run(Duration.ofSeconds(3));
     first.kill();
--- a/amaranthstream/src/test/java/org/amaranthstream/jobs/PreferredJobOwnerTest.java
+++ b/amaranthstream/src/test/java/org/amaranthstream/jobs/PreferredJobOwnerTest.java
@@ -30,7 +30,7 @@
   }
 
   private Result<JobAcknowledgement> submitAt(JobFleet.Node node, String job) {
-    return fleet.await(node.jobs().submit(JobFleet.job(job, 1, 200, 200), SUBMIT_TIMEOUT));
+    return fleet.await(node.jobs().submit(SampleJobs.job(job, 1, 200, 200), SUBMIT_TIMEOUT));
   }
 
   private ImmutableList<JobFleet.Node> owners(String job) {
--- a/amaranthstream/src/test/java/org/amaranthstream/jobs/PreferredOwnerStrengthTest.java
+++ b/amaranthstream/src/test/java/org/amaranthstream/jobs/PreferredOwnerStrengthTest.java
@@ -35,7 +35,7 @@
     FleetNode self = node("arrival", OptionalDouble.of(0.25));
     Set<String> owners = new HashSet<>();
     for (int i = 0; i < TRAINERS; i++) {
-      JobSpec job = JobFleet.job("trainer-" + i, 1, 10, 10);
+      JobSpec job = SampleJobs.job("trainer-" + i, 1, 10, 10);
       JobSpec other =
           new JobSpec(
               job.id(),
--- a/amaranthstream/src/test/java/org/amaranthstream/jobs/SchedulingCalledForTest.java
+++ b/amaranthstream/src/test/java/org/amaranthstream/jobs/SchedulingCalledForTest.java
@@ -86,7 +86,7 @@
       node.routing().apply(JobRoutes.config(2, models));
       fleet.runMillis(500);
       fleet.addServer("s1", 4, 1);
-      JobSpec job = JobFleet.job("job", 1, 4, 4, 4);
+      JobSpec job = SampleJobs.job("job", 1, 4, 4, 4);
       assertThat(
               JobServiceFixture.isAccepted(
                   fleet.await(node.jobs().submit(job, JobServiceFixture.SUBMIT_TIMEOUT))))
--- a/amaranthstream/src/test/java/org/amaranthstream/jobs/SoftwareVersionsOfTextsTest.java
+++ b/amaranthstream/src/test/java/org/amaranthstream/jobs/SoftwareVersionsOfTextsTest.java
@@ -8,7 +8,7 @@
 
 /** Texts that were continued at a server with other software hold what does not fit together. */
 class SoftwareVersionsOfTextsTest extends JobServiceFixture {
-  private final JobSpec job = JobFleet.job("job", 1, 90, 90, 90, 90, 90, 90);
+  private final JobSpec job = SampleJobs.job("job", 1, 90, 90, 90, 90, 90, 90);
 
   @BeforeEach
   void replaceServers() {
@@ -49,7 +49,7 @@
   void textsBeginAnewIfTheServersWithTheirSoftwareStayBusy() {
     fleet.addServer("old-2", 1, 1, "v1");
     submit(first, job);
-    submit(first, JobFleet.job("long", 1, 2_000, 2_000));
+    submit(first, SampleJobs.job("long", 1, 2_000, 2_000));
     fleet.runMillis(1_000);
     fleet.crashServer("old-1");
     fleet.run(Duration.ofSeconds(10));
--- a/amaranthstream/src/test/java/org/amaranthstream/jobs/UnreachableJobsTest.java
+++ b/amaranthstream/src/test/java/org/amaranthstream/jobs/UnreachableJobsTest.java
@@ -7,7 +7,7 @@
 
 /** Jobs whose owner loses its links to all backend servers while its peers reach them. */
 class UnreachableJobsTest extends JobServiceFixture {
-  private final JobSpec job = JobFleet.job("job", 1, 5, 90, 90, 3);
+  private final JobSpec job = SampleJobs.job("job", 1, 5, 90, 90, 3);
 
   @Test
   void jobIsHandedOffToPeerThatReachesTheServers() {
@@ -23,7 +23,7 @@
 
   @Test
   void jobIsHandedOffIfNewConnectionsAreRefusedWhileOpenOnesWork() {
-    JobSpec long1 = JobFleet.job("job", 1, 300, 5, 90, 90, 90, 90, 90, 90, 90, 90);
+    JobSpec long1 = SampleJobs.job("job", 1, 300, 5, 90, 90, 90, 90, 90, 90, 90, 90);
     submit(first, long1);
     fleet.runMillis(500);
     first.refuseConnections();
@@ -35,7 +35,7 @@
 
   @Test
   void jobThatIsSubmittedDuringTheCutIsHandedOff() {
-    submit(first, JobFleet.job("before", 1, 300));
+    submit(first, SampleJobs.job("before", 1, 300));
     fleet.runMillis(500);
     first.cutServers();
     fleet.runMillis(3_000);
