--- a/amaranthstream/src/test/java/org/amaranthstream/dispatch/BrokenStreamsTest.java
+++ b/amaranthstream/src/test/java/org/amaranthstream/dispatch/BrokenStreamsTest.java
@@ -19,7 +19,7 @@
   }
 
   private RecordingWorkListener submitAndBreakOff() {
-    RecordingWorkListener listener = fixture.submit();
+    final RecordingWorkListener listener = fixture.submit();
     fixture.transport.last().tokens(3, VERSION);
     fixture.transport.last().crash();
     assertThat(fixture.transport.attempts).hasSize(2);
--- a/amaranthstream/src/test/java/org/amaranthstream/fleet/SilentRelaysTest.java
+++ b/amaranthstream/src/test/java/org/amaranthstream/fleet/SilentRelaysTest.java
@@ -36,7 +36,7 @@
   private static void assertFollowersSeeChangeInTime(Consumer<List<ZoneWatchFixture.Node>> loss) {
     for (int step = 0; step < 64; step++) {
       ZoneWatchFixture fleet = started();
-      List<ZoneWatchFixture.Node> followers = fleet.followers();
+      final List<ZoneWatchFixture.Node> followers = fleet.followers();
       Duration phase = STEP.multipliedBy(step);
       fleet.run(phase);
       loss.accept(fleet.relays());
