Send a request's id over each connection once

A caller got a success where the server had answered its request with a failure, under the right id. Cause: the id names the caller's request, not the daemon's attempt. If a request goes to the same server again over the same connection, a late copy of the first response, or the response to an attempt that was given up, is taken for the second's. No comparison of ids can see it. Batch items keep their ids over all runs, calls that come back through a peer too.

The ids are remembered for each connection, so that one carries at most 256 requests.

ConnectionHistoryTest covers the rule and the bound.

--- a/amaranthstream/src/main/java/org/amaranthstream/servers/ConnectionHistory.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/servers/ConnectionHistory.java
@@ -13,15 +13,19 @@
  *
  * <p>Made for servers that answer a request twice, the second time where the next response is
  * expected. A response is believed only if it bears the ID of the request that was written last, or
- * if the connection has carried no other request. Once a response did not belong, every later one
- * on that connection may be one late, so the connection carries no further request.
+ * if the connection has carried no other request. Because the ID belongs to the request and not to
+ * the attempt, a connection carries each ID once; and because IDs are remembered, it carries a
+ * bounded number of requests. Once a response did not belong, every later one on that connection
+ * may be one late, so the connection carries no further request.
  *
  * <p>Not thread safe.
  */
 public final class ConnectionHistory {
+  /** Bounds the IDs that are remembered for each connection. */
+  static final int MAX_REQUESTS = 256;
+
   private final long number;
   private final Set<String> requestIds = new HashSet<>();
-  private int requests;
   private Optional<String> lastId = Optional.empty();
   private boolean isUsable = true;
 
@@ -38,20 +42,19 @@
     return new ConnectionHistory(number);
   }
 
-  /** Returns true if another request may be written to the connection. */
-  public boolean isUsable() {
-    return isUsable;
+  /** Returns true if a request with this ID may be written to the connection. */
+  public boolean mayCarry(String requestId) {
+    return isUsable && requestIds.size() < MAX_REQUESTS && !requestIds.contains(requestId);
   }
 
   /**
    * Records that a request is written to the connection.
    *
-   * @throws IllegalStateException if {@link #isUsable} returns false
+   * @throws IllegalStateException if {@link #mayCarry} returns false for its ID
    */
   public void onSent(String requestId) {
-    checkState(isUsable, "%s cannot carry more", this);
-    requestIds.add(checkNotNull(requestId, "requestId"));
-    requests++;
+    checkState(mayCarry(checkNotNull(requestId, "requestId")), "%s cannot carry more", this);
+    requestIds.add(requestId);
     lastId = Optional.of(requestId);
   }
 
@@ -61,7 +64,7 @@
    * @param echoedId the ID that the response bears, empty if it bears none
    */
   public boolean isExpected(Optional<String> echoedId) {
-    boolean isOnlyRequest = requests == 1;
+    boolean isOnlyRequest = requestIds.size() == 1;
     return echoedId.isPresent() ? echoedId.equals(lastId) : isOnlyRequest;
   }
 
@@ -75,8 +78,13 @@
     isUsable = false;
   }
 
+  /** Returns true if the connection carries no further request. */
+  public boolean isRetired() {
+    return !isUsable;
+  }
+
   @Override
   public String toString() {
-    return "connection=" + number + " carried=" + requests;
+    return "connection=" + number + " carried=" + requestIds.size();
   }
 }
--- a/amaranthstream/src/test/java/org/amaranthstream/servers/ConnectionHistoryTest.java
+++ b/amaranthstream/src/test/java/org/amaranthstream/servers/ConnectionHistoryTest.java
@@ -46,6 +46,29 @@
     }
   }
 
+  @Nested
+  class Ids {
+    @Test
+    void areCarriedOnce() {
+      history.onSent("a");
+      history.onSent("b");
+
+      assertThat(history.mayCarry("a")).isFalse();
+      assertThat(history.mayCarry("c")).isTrue();
+      assertThrows(IllegalStateException.class, () -> history.onSent("a"));
+    }
+
+    @Test
+    void areBounded() {
+      for (int i = 0; i < ConnectionHistory.MAX_REQUESTS; i++) {
+        assertThat(history.mayCarry("r" + i)).isTrue();
+        history.onSent("r" + i);
+      }
+
+      assertThat(history.mayCarry("another")).isFalse();
+    }
+  }
+
   @Nested
   class RetiredConnections {
     @Test
@@ -53,7 +76,7 @@
       history.onSent("a");
       history.retire();
 
-      assertThat(history.isUsable()).isFalse();
+      assertThat(history.mayCarry("b")).isFalse();
       assertThrows(IllegalStateException.class, () -> history.onSent("b"));
     }
   }
