--- a/amaranthstream/src/main/java/org/amaranthstream/servers/ConnectionHistory.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/servers/ConnectionHistory.java
@@ -42,6 +42,11 @@
     return new ConnectionHistory(number);
   }
 
+  /** Returns true if the connection has carried no request. */
+  public boolean isEmpty() {
+    return requestIds.isEmpty();
+  }
+
   /** Returns true if a request with this ID may be written to the connection. */
   public boolean mayCarry(String requestId) {
     return isUsable && requestIds.size() < MAX_REQUESTS && !requestIds.contains(requestId);
