--- a/amaranthstream/src/main/java/org/amaranthstream/platform/PlatformReply.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/platform/PlatformReply.java
@@ -32,9 +32,16 @@
    * The call failed before anything was sent.
    *
    * @param reason why it failed
-   * @param retryAfter the delay before a retry can succeed
+   * @param retryAfter the delay after which the rate limit of this process allows the call, empty
+   *     if it failed for another reason
    */
-  record NotSent(String reason, Optional<Duration> retryAfter) implements PlatformReply {}
+  record NotSent(String reason, Optional<Duration> retryAfter) implements PlatformReply {
+
+    /** Returns true if this process withheld the call, which says nothing about the platform. */
+    public boolean isWithheld() {
+      return retryAfter.isPresent();
+    }
+  }
 
   /**
    * The call may have been sent, but no complete response arrived.
