Send a watch to the next peer if it has failed at the first

Seen by callers: of three daemons of which two lost the store silently at once, one could apply a change of the operators, or learn that a server had left, more than 2.5 s late, although the third reached the store.

Cause: a daemon that has noticed the loss watches through a peer. If the peer has lost the store too and has not noticed it, it accepts the watch and reports its failure later. The daemon took this for an answer of the store's side: it watched the store itself, on its silent connection, in place of asking the next peer, and asked the same peer first afterwards.

Fix: a watch that failed at a peer goes to the next one, and that peer is no longer asked first. Other calls do not, since the store may have limited their rate, and three peers would triple the calls.

--- a/amaranthstream/src/main/java/org/amaranthstream/fleet/RelayingStore.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/fleet/RelayingStore.java
@@ -153,7 +153,8 @@
         .call(peer, call.toByteArray(), timeout)
         .thenAccept(
             result -> {
-              Optional<StoreAnswer> decoded = decode(result, peer);
+              Optional<StoreAnswer> decoded =
+                  decode(result, peer).filter(answer -> !isFailedWatch(call, answer, peer));
               if (decoded.isPresent()) {
                 response.complete(decoded.get());
               } else {
@@ -162,6 +163,18 @@
             });
   }
 
+  /**
+   * Returns true if the watch has failed at {@code peer}, which then may not reach the store
+   * either. Other calls are not made by further peers, since the store may have limited their rate.
+   */
+  private boolean isFailedWatch(StoreCall call, StoreAnswer answer, EntryVmId peer) {
+    boolean isFailed = call.hasWatch() && answer.hasNotDone();
+    if (isFailed && lastWorkingPeer.equals(Optional.of(peer))) {
+      lastWorkingPeer = Optional.empty();
+    }
+    return isFailed;
+  }
+
   /** Returns the response to use, empty if the peer has definitely not made the call. */
   private Optional<StoreAnswer> decode(Result<byte[]> result, EntryVmId peer) {
     if (result instanceof Result.Success<byte[]> success) {
