--- a/amaranthstream/src/main/java/org/amaranthstream/servers/RegistrationExpiry.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/servers/RegistrationExpiry.java
@@ -17,7 +17,10 @@
   /** The time after an outage within which a running server has registered again. */
   private static final Duration RETURN_TIME = Duration.ofMillis(2_200);
 
-  /** A registration expires after three intervals, the first of which may precede the outage. */
+  /**
+   * A registration expires after three intervals, the first of which may precede the outage. One
+   * that expires after a shorter outage, because its third renewal is late, is back with it.
+   */
   private static final int MIN_MISSED_INTERVALS = 2;
 
   private final StoreMonitor monitor;
--- a/amaranthstream/src/test/java/org/amaranthstream/fleet/LostStoreTest.java
+++ b/amaranthstream/src/test/java/org/amaranthstream/fleet/LostStoreTest.java
@@ -31,8 +31,12 @@
   private static final Duration MAX_DELAY = Duration.ofMillis(2_500);
 
   private static final String PREFIX = "servers/";
-  private static final MirrorTiming TIMING =
-      MirrorTiming.of(Duration.ofMillis(1_500), Duration.ofMillis(700));
+  private static final Duration WATCH_WAIT = Duration.ofMillis(1_500);
+
+  /** The delays after changes of the operators, and after those of servers. */
+  private static final List<Duration> DEBOUNCES =
+      List.of(Duration.ofMillis(50), Duration.ofMillis(700));
+
   private static final Duration RENEWAL_INTERVAL = Duration.ofMillis(900);
   private static final Duration LINK_DELAY = Duration.ofMillis(1);
   private static final Duration STEP = Duration.ofMillis(100);
@@ -47,9 +51,9 @@
     private final List<Daemon> all = new ArrayList<>();
 
     /** Starts the daemons one after another, {@code spread} apart. */
-    private Daemons(Duration spread) {
+    private Daemons(Duration spread, Duration debounce) {
       for (int i = 0; i < 3; i++) {
-        all.add(new Daemon(i));
+        all.add(new Daemon(i, MirrorTiming.of(WATCH_WAIT, debounce)));
         timers.advance(spread);
       }
       timers.advance(Duration.ofSeconds(10));
@@ -64,10 +68,10 @@
       private final StoreRelay relay = StoreRelay.create(direct, monitor::isUnavailable);
       private long changes;
 
-      private Daemon(int index) {
+      private Daemon(int index, MirrorTiming timing) {
         this.index = index;
         store.attach(this);
-        PrefixMirror.create(store, timers, PREFIX, TIMING, this).start();
+        PrefixMirror.create(store, timers, PREFIX, timing, this).start();
         client.grantLease(Duration.ofMinutes(10)).thenAccept(this::renewGranted);
       }
 
@@ -115,26 +119,33 @@
     }
   }
 
-  /** Loses the store at the first daemons at each phase, right before a change. */
   private static void assertAllSeeChangeInTime(int lost) {
-    for (int spread = 0; spread < 3; spread++) {
-      for (int phase = 0; phase < PHASES; phase++) {
-        Daemons daemons = new Daemons(STEP.multipliedBy(4L * spread));
-        daemons.state.put(PREFIX + "a", new byte[0]);
-        daemons.timers.advance(STEP.multipliedBy(phase));
-        daemons.all.subList(0, lost).forEach(daemon -> daemon.client.setSilent(true));
-        daemons.state.put(PREFIX + "b", new byte[0]);
-        daemons.timers.advance(MAX_DELAY);
-
-        for (Daemons.Daemon daemon : daemons.all) {
-          assertWithMessage("daemon %s, spread %s, phase %s", daemon.index, spread, phase)
-              .that(daemon.changes)
-              .isEqualTo(2);
+    for (Duration debounce : DEBOUNCES) {
+      for (int spread = 0; spread < 3; spread++) {
+        for (int phase = 0; phase < PHASES; phase++) {
+          Daemons daemons = new Daemons(STEP.multipliedBy(4L * spread), debounce);
+          loseStoreBeforeChange(daemons, lost, STEP.multipliedBy(phase));
+          assertAllHaveSeen(daemons, "spread " + spread + ", phase " + phase);
         }
       }
     }
   }
 
+  /** Loses the store at the first daemons, right before a change. */
+  private static void loseStoreBeforeChange(Daemons daemons, int lost, Duration phase) {
+    daemons.state.put(PREFIX + "a", new byte[0]);
+    daemons.timers.advance(phase);
+    daemons.all.subList(0, lost).forEach(daemon -> daemon.client.setSilent(true));
+    daemons.state.put(PREFIX + "b", new byte[0]);
+    daemons.timers.advance(MAX_DELAY);
+  }
+
+  private static void assertAllHaveSeen(Daemons daemons, String when) {
+    for (Daemons.Daemon daemon : daemons.all) {
+      assertWithMessage("daemon %s, %s", daemon.index, when).that(daemon.changes).isEqualTo(2);
+    }
+  }
+
   @Test
   void byOneDaemonDelaysItsChangesForShort() {
     assertAllSeeChangeInTime(1);
--- a/amaranthstream/src/test/java/org/amaranthstream/servers/RegistrationExpiryTest.java
+++ b/amaranthstream/src/test/java/org/amaranthstream/servers/RegistrationExpiryTest.java
@@ -149,4 +149,39 @@
       assertThat(isInUse()).isTrue();
     }
   }
+
+  /**
+   * A short outage can prevent two renewals, and the third can arrive right after the expiry. The
+   * server is unused until that renewal, so that servers which leave after short outages are not
+   * kept in use.
+   */
+  @Nested
+  class ServerWhoseRegistrationExpiredAfterShortOutage {
+    private static final Duration LATE_BY = Duration.ofMillis(200);
+
+    @BeforeEach
+    void expire() {
+      run(RENEWAL_INTERVAL.minusMillis(100));
+      monitor.onFailed("no answer in time");
+      run(RENEWAL_INTERVAL);
+      monitor.onAnswered();
+      run(RENEWAL_INTERVAL.plusMillis(100));
+      directory.onRegistrationRemoved(SERVER);
+    }
+
+    @Test
+    void isNotInUseUntilItHasRegisteredAgain() {
+      run(LATE_BY);
+
+      assertThat(isInUse()).isFalse();
+    }
+
+    @Test
+    void isInUseAgainWithItsNextRenewal() {
+      run(LATE_BY);
+      directory.onRegistration(ServerDirectoryTest.registration("s", 1, false));
+
+      assertThat(isInUse()).isTrue();
+    }
+  }
 }
