Identify a response before its rejection or error is believed

A server that answers a request twice sends the second response where the response to the next attempt on that connection is expected. HttpAttempt believed every 503 with the server's "not run" mark, and every error, without comparing the attempt that it names: calls compared it only for results, and rejections of engines named no attempt at all. A caller's request counted as not run, was sent again although it ran, and its own response was left on the connection for the next attempt.

Each request to a server now has the header Attempt, and the stand-ins repeat it in every response. ResponseOrigin decides, apart from I/O, whether a response is that of the attempt: it names the attempt, or it names none and is the first on its connection. Everything else makes the outcome unknown and closes the connection. Servers of an earlier version remain usable: a rejection without the header is believed on a new connection, which is closed after it, so that a second copy finds no attempt.

--- a/amaranthstream-standins/src/main/java/org/amaranthstream/standins/server/StandinServer.java
+++ b/amaranthstream-standins/src/main/java/org/amaranthstream/standins/server/StandinServer.java
@@ -42,6 +42,7 @@
   private static final int MAX_BODY_BYTES = 4 << 20;
   private static final int AWAIT_TIMEOUT_SECONDS = 10;
   private static final int CRASH_EXIT_CODE = 137;
+  private static final String ATTEMPT_HEADER = "Attempt";
   private static final String CONTROL_PATH = "/v1/control";
   private static final String LEDGER_PATH = "/v1/ledger";
 
@@ -202,6 +203,10 @@
   }
 
   private void handleRequest(HttpServerRequest request) {
+    String attempt = request.getHeader(ATTEMPT_HEADER);
+    if (attempt != null) {
+      request.response().putHeader(ATTEMPT_HEADER, attempt);
+    }
     boolean isControl = request.path().equals(CONTROL_PATH) || request.path().equals(LEDGER_PATH);
     FaultSwitches switches = role.switches();
     if (isControl) {
--- a/amaranthstream/src/main/java/org/amaranthstream/dispatch/http/CallAttempt.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/dispatch/http/CallAttempt.java
@@ -10,6 +10,8 @@
 import org.amaranthstream.dispatch.Chunk;
 import org.amaranthstream.dispatch.CompletedResponse;
 import org.amaranthstream.dispatch.Payload;
+import org.amaranthstream.http.ConnectionUses;
+import org.amaranthstream.http.ResponseOrigin;
 import org.amaranthstream.ids.AttemptId;
 import org.amaranthstream.ids.BackendServerId;
 
@@ -18,16 +20,18 @@
  * passed on as the ISO 8859-1 characters of one chunk.
  */
 final class CallAttempt extends HttpAttempt {
-  private static final String ATTEMPT_HEADER = "Attempt";
   private static final int FIRST_SERVER_ERROR = 500;
   private static final String DEFAULT_CONTENT_TYPE = "application/octet-stream";
 
-  private final AttemptId id;
   private final Payload.Call call;
 
-  CallAttempt(BackendServerId server, AttemptId id, Payload.Call call, AttemptEventQueue events) {
-    super(server, events);
-    this.id = id;
+  CallAttempt(
+      BackendServerId server,
+      AttemptId id,
+      Payload.Call call,
+      AttemptEventQueue events,
+      ConnectionUses connectionUses) {
+    super(server, id, events, connectionUses);
     this.call = call;
   }
 
@@ -39,7 +43,6 @@
   @Override
   Buffer prepare(HttpClientRequest request) {
     request.putHeader("Content-Type", call.contentType());
-    request.putHeader(ATTEMPT_HEADER, id.value());
     return Buffer.buffer(call.body());
   }
 
@@ -54,8 +57,8 @@
 
   @Override
   void onResult(HttpClientResponse response) {
-    if (!id.value().equals(response.getHeader(ATTEMPT_HEADER))) {
-      endInvalid("response echoes attempt " + response.getHeader(ATTEMPT_HEADER));
+    if (response.getHeader(ResponseOrigin.HEADER) == null) {
+      endInvalid("response names no attempt");
       return;
     }
     response.body().onComplete(body -> onBody(response, body));
--- a/amaranthstream/src/main/java/org/amaranthstream/dispatch/http/GenerateAttempt.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/dispatch/http/GenerateAttempt.java
@@ -10,6 +10,7 @@
 import org.amaranthstream.dispatch.AttemptEnd;
 import org.amaranthstream.dispatch.Chunk;
 import org.amaranthstream.dispatch.CompletedResponse;
+import org.amaranthstream.http.ConnectionUses;
 import org.amaranthstream.ids.AttemptId;
 import org.amaranthstream.ids.BackendServerId;
 import org.amaranthstream.ids.Incarnation;
@@ -21,7 +22,6 @@
   private static final int HTTP_OK = 200;
   private static final String STREAM_CONTENT_TYPE = "application/x-ndjson";
 
-  private final AttemptId id;
   private final GenerateBody body;
   private final Runnable cancelOnServer;
   private long nextOffset;
@@ -32,9 +32,9 @@
       GenerateBody body,
       long offset,
       AttemptEventQueue events,
+      ConnectionUses connectionUses,
       Runnable cancelOnServer) {
-    super(server, events);
-    this.id = id;
+    super(server, id, events, connectionUses);
     this.body = body;
     this.nextOffset = offset;
     this.cancelOnServer = cancelOnServer;
@@ -76,8 +76,8 @@
   }
 
   private void onStreamLine(StreamLine line) {
-    if (!id.value().equals(line.attempt())) {
-      endInvalid("stream echoes attempt " + line.attempt() + ", expected " + id);
+    if (!id().value().equals(line.attempt())) {
+      endInvalid("stream echoes attempt " + line.attempt() + ", expected " + id());
     } else if (line.end()) {
       onEndMarker(line);
     } else if (line.offset() != nextOffset) {
--- a/amaranthstream/src/main/java/org/amaranthstream/dispatch/http/HttpAttempt.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/dispatch/http/HttpAttempt.java
@@ -1,5 +1,6 @@
 package org.amaranthstream.dispatch.http;
 
+import com.google.common.flogger.FluentLogger;
 import io.vertx.core.AsyncResult;
 import io.vertx.core.Context;
 import io.vertx.core.Vertx;
@@ -10,29 +11,45 @@
 import java.util.Optional;
 import org.amaranthstream.dispatch.AttemptEnd;
 import org.amaranthstream.dispatch.BackendTransport;
+import org.amaranthstream.http.ConnectionUse;
+import org.amaranthstream.http.ConnectionUses;
+import org.amaranthstream.http.ResponseOrigin;
+import org.amaranthstream.ids.AttemptId;
 import org.amaranthstream.ids.BackendServerId;
 import org.jspecify.annotations.Nullable;
 
 /**
  * An attempt that is one HTTP exchange with a backend server.
  *
+ * <p>A response is used only if it belongs to this attempt. Otherwise the outcome is unknown, and
+ * the connection is closed, because each further response on it may belong to an earlier request.
+ *
  * <p>State is confined to the event loop of the connection; {@link #cancel} may be called from any
  * thread.
  */
 abstract class HttpAttempt implements BackendTransport.Attempt {
+  private static final FluentLogger logger = FluentLogger.forEnclosingClass();
   private static final long RING_RETRY_INTERVAL_MILLIS = 1;
   private static final int HTTP_UNAVAILABLE = 503;
   private static final int HTTP_OK = 200;
 
   private final BackendServerId server;
+  private final AttemptId id;
   private final AttemptEventQueue events;
+  private final ConnectionUses connectionUses;
   private volatile boolean cancelled;
   private volatile @Nullable Context context;
   private @Nullable HttpClientRequest request;
 
-  HttpAttempt(BackendServerId server, AttemptEventQueue events) {
+  HttpAttempt(
+      BackendServerId server,
+      AttemptId id,
+      AttemptEventQueue events,
+      ConnectionUses connectionUses) {
     this.server = server;
+    this.id = id;
     this.events = events;
+    this.connectionUses = connectionUses;
   }
 
   /** Returns the path of the HTTP request. */
@@ -46,7 +63,10 @@
     return response.statusCode() == HTTP_OK;
   }
 
-  /** Reads a response for which {@link #isResult} is true. */
+  /**
+   * Reads a response for which {@link #isResult} is true, and checks that its content belongs to
+   * this attempt.
+   */
   abstract void onResult(HttpClientResponse response);
 
   /** Converts a response for which {@link #isResult} is false to the end of the attempt. */
@@ -59,6 +79,10 @@
     return server;
   }
 
+  final AttemptId id() {
+    return id;
+  }
+
   final AttemptEventQueue events() {
     return events;
   }
@@ -81,33 +105,54 @@
   }
 
   private void send(HttpClientRequest req) {
+    ConnectionUse use = connectionUses.add(req.connection());
+    req.putHeader(ResponseOrigin.HEADER, id.value());
     req.exceptionHandler(this::onLost);
-    req.response().onComplete(this::onResponse);
+    req.response().onComplete(result -> onResponse(use, result));
     final Buffer body = prepare(req);
     events.sending();
     req.end(body);
   }
 
-  private void onResponse(AsyncResult<HttpClientResponse> result) {
+  private void onResponse(ConnectionUse use, AsyncResult<HttpClientResponse> result) {
     if (result.failed()) {
       onLost(result.cause());
       return;
     }
     HttpClientResponse response = result.result();
     response.exceptionHandler(this::onLost);
-    if (isResult(response)) {
+    String echoed = response.getHeader(ResponseOrigin.HEADER);
+    ResponseOrigin origin = ResponseOrigin.of(id.value(), echoed, use);
+    if (origin == ResponseOrigin.OTHER_REQUEST) {
+      endNotOwn(use, response, "response is for attempt " + echoed);
+    } else if (isResult(response)) {
       onResult(response);
+    } else if (origin.isOwn()) {
+      response.body().onComplete(body -> onErrorBody(response, origin, body));
     } else {
-      response.body().onComplete(body -> onErrorBody(response, body));
+      endNotOwn(use, response, "response with an error names no attempt");
     }
   }
 
-  private void onErrorBody(HttpClientResponse response, AsyncResult<Buffer> body) {
+  private void endNotOwn(ConnectionUse use, HttpClientResponse response, String reason) {
+    logger.atWarning().log(
+        "event=response_not_own server=%s attempt=%s status=%d connection=%d earlier_requests=%d"
+            + " reason=\"%s\"",
+        server, id, response.statusCode(), use.connection(), use.earlierRequests(), reason);
+    endInvalid(reason);
+  }
+
+  private void onErrorBody(
+      HttpClientResponse response, ResponseOrigin origin, AsyncResult<Buffer> body) {
     if (body.failed()) {
       onLost(body.cause());
-    } else {
-      end(errorEnd(response, body.result()));
+      return;
+    }
+    if (origin == ResponseOrigin.FIRST_ON_CONNECTION) {
+      // A second copy of it could not be told from the response to the next attempt.
+      closeConnection();
     }
+    end(errorEnd(response, body.result()));
   }
 
   /** Ends the attempt because its connection was lost after bytes may have been sent. */
@@ -168,7 +213,7 @@
     }
   }
 
-  private void closeConnection() {
+  final void closeConnection() {
     if (request != null) {
       request.connection().close();
     }
--- a/amaranthstream/src/main/java/org/amaranthstream/dispatch/http/HttpBackendTransport.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/dispatch/http/HttpBackendTransport.java
@@ -13,6 +13,7 @@
 import org.amaranthstream.dispatch.BackendTransport;
 import org.amaranthstream.dispatch.Payload;
 import org.amaranthstream.dispatch.Work;
+import org.amaranthstream.http.ConnectionUses;
 import org.amaranthstream.ids.AttemptId;
 import org.amaranthstream.membership.BackendServer;
 import org.amaranthstream.ring.Duty;
@@ -21,8 +22,7 @@
  * Transport that runs attempts over HTTP, as described in {@code docs/PROTOCOLS.md}.
  *
  * <p>The connection is established before the request is written, so that an attempt that fails to
- * connect is known not to have sent anything. Thread safe; listeners are called on the decision
- * duty.
+ * connect is known not to have sent anything. Thread safe; listeners are called on the decision duty.
  */
 public final class HttpBackendTransport implements BackendTransport, AutoCloseable {
   private static final int MAX_CONNECTIONS_PER_SERVER = 512;
@@ -30,6 +30,7 @@
   private static final int KEEP_ALIVE_SECONDS = 30;
 
   private final HttpClient client;
+  private final ConnectionUses connectionUses = ConnectionUses.create();
   private final Duty decisions;
 
   private HttpBackendTransport(Vertx vertx, Duty decisions) {
@@ -72,9 +73,10 @@
     Runnable cancelOnServer = () -> sendCancel(server, id);
     if (work.payload() instanceof Payload.Generate generate) {
       GenerateBody body = GenerateBody.of(id, work, generate, offset, prefix);
-      return new GenerateAttempt(server.id(), id, body, offset, events, cancelOnServer);
+      return new GenerateAttempt(
+          server.id(), id, body, offset, events, connectionUses, cancelOnServer);
     }
-    return new CallAttempt(server.id(), id, (Payload.Call) work.payload(), events);
+    return new CallAttempt(server.id(), id, (Payload.Call) work.payload(), events, connectionUses);
   }
 
   private void sendCancel(BackendServer server, AttemptId id) {
--- /dev/null
+++ b/amaranthstream/src/main/java/org/amaranthstream/http/package-info.java
@@ -0,0 +1,2 @@
+/** Identification of the responses that arrive on reused HTTP connections. */
+package org.amaranthstream.http;
