Send cancellations over connections of their own

The response to POST /v1/cancel is not read, but it came over the connections of the attempts. A second copy of it arrived as the response to a later generate request, whose caller saw a stream without an end marker. That counts as a broken connection, and thus as a possible crash under the request's content.

A cancellation now opens a connection that is closed after it. This costs no more than it did: cancelling an attempt closes its connection anyway.

--- a/amaranthstream/src/main/java/org/amaranthstream/dispatch/http/HttpBackendTransport.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/dispatch/http/HttpBackendTransport.java
@@ -22,7 +22,8 @@
  * Transport that runs attempts over HTTP, as described in {@code docs/PROTOCOLS.md}.
  *
  * <p>The connection is established before the request is written, so that an attempt that fails to
- * connect is known not to have sent anything. Thread safe; listeners are called on the decision duty.
+ * connect is known not to have sent anything. A cancellation has a connection of its own, so that
+ * its response reaches no attempt. Thread safe; listeners are called on the decision duty.
  */
 public final class HttpBackendTransport implements BackendTransport, AutoCloseable {
   private static final int MAX_CONNECTIONS_PER_SERVER = 512;
@@ -30,6 +31,7 @@
   private static final int KEEP_ALIVE_SECONDS = 30;
 
   private final HttpClient client;
+  private final HttpClient cancelClient;
   private final ConnectionUses connectionUses = ConnectionUses.create();
   private final Duty decisions;
 
@@ -42,6 +44,11 @@
                 .setKeepAliveTimeout(KEEP_ALIVE_SECONDS)
                 .setTcpNoDelay(true),
             new PoolOptions().setHttp1MaxSize(MAX_CONNECTIONS_PER_SERVER));
+    this.cancelClient =
+        vertx.createHttpClient(
+            new HttpClientOptions()
+                .setConnectTimeout((int) CONNECT_TIMEOUT.toMillis())
+                .setKeepAlive(false));
   }
 
   /** Returns a transport that calls its listeners on {@code decisions}. */
@@ -80,7 +87,7 @@
   }
 
   private void sendCancel(BackendServer server, AttemptId id) {
-    client
+    cancelClient
         .request(options(server, "/v1/cancel"))
         .onSuccess(request -> request.send(CancelBody.of(id).toBuffer()));
   }
@@ -97,5 +104,6 @@
   @Override
   public void close() {
     client.close();
+    cancelClient.close();
   }
 }
--- a/amaranthstream/src/test/java/org/amaranthstream/dispatch/http/HttpLateResponsesTest.java
+++ b/amaranthstream/src/test/java/org/amaranthstream/dispatch/http/HttpLateResponsesTest.java
@@ -253,6 +253,25 @@
     }
   }
 
+  @Nested
+  class Cancellations {
+    @Test
+    void lateResponseToACancellationReachesNoAttempt() {
+      // The response to the generate request stays away until the attempt is cancelled.
+      try (ScriptedTcpServer server =
+          ScriptedTcpServer.start(
+              vertx, answer(""), answer(response("200 OK", "", "{}")), lateCopyThen(stream("b")))) {
+        RecordingListener first = new RecordingListener();
+        HttpBackendTransport.Attempt attempt = start(server, "a", generate, first);
+        server.awaitRequests(1);
+        attempt.cancel();
+        server.awaitRequests(2);
+        assertThat(run(server, "b", generate)).isInstanceOf(AttemptEnd.Finished.class);
+        assertThat(server.connectionsOfRequests()).containsExactly(0, 1, 2).inOrder();
+      }
+    }
+  }
+
   private static String stream(String id) {
     String line =
         String.format(
