Close the connection of a stream that ends without its end marker

A generate response without the end marker is not a whole answer, so it is open what else arrives on its connection, for example the response that belongs to the request. The connection was used again nevertheless.

Evidence: OfEngines.streamWithoutEndMarkerClosesItsConnection failed on the former code: "missing (1): 1, unexpected (1): 0", the second attempt used the first connection.

--- a/amaranthstream/src/main/java/org/amaranthstream/dispatch/http/GenerateAttempt.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/dispatch/http/GenerateAttempt.java
@@ -111,6 +111,10 @@
   }
 
   private void onStreamEnd() {
+    if (events().isEnded()) {
+      return;
+    }
+    closeConnection();
     end(new AttemptEnd.Broken("stream of " + server() + " ended without its end marker"));
   }
 
--- a/amaranthstream/src/test/java/org/amaranthstream/dispatch/http/HttpLateResponsesTest.java
+++ b/amaranthstream/src/test/java/org/amaranthstream/dispatch/http/HttpLateResponsesTest.java
@@ -251,6 +251,16 @@
         assertThat(second.events()).containsExactly("sending", "end");
       }
     }
+
+    @Test
+    void streamWithoutEndMarkerClosesItsConnection() {
+      try (ScriptedTcpServer server =
+          ScriptedTcpServer.start(vertx, answer(response("200 OK", "", "")), answer(stream("b")))) {
+        assertThat(run(server, "a", generate)).isInstanceOf(AttemptEnd.Broken.class);
+        assertThat(run(server, "b", generate)).isInstanceOf(AttemptEnd.Finished.class);
+        assertThat(server.connectionsOfRequests()).containsExactly(0, 1).inOrder();
+      }
+    }
   }
 
   @Nested
