Identify load reports before they are believed

A load report named no request, and every poll of a server used one kept connection. A second copy of one report was taken for the next one, and from then on each report was one late, so that a server counted as available, or as idle, for a poll longer than it was. A response that was too long was reset, which keeps the connection in the pool if the response has already ended.

Evidence: HttpLoadSourceTest.WithEcho.lateReportIsNotBelievedAndClosesTheConnection failed on the former code: "expected instance of Result.Failure but was Success[value=LoadReport[incarnation=i, ... running=1". WithoutEcho. eachReportHasAConnectionOfItsOwn failed because the poll after a doubled report got the closed connection. responseWithAnErrorClosesTheConnection passed before too.

A poll now names itself in the header Attempt, and its connection is used again only after a whole report that repeats it. A report without the header is believed on a new connection, which is then closed.

--- a/amaranthstream/src/main/java/org/amaranthstream/membership/HttpLoadSource.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/membership/HttpLoadSource.java
@@ -10,11 +10,20 @@
 import io.vertx.core.http.RequestOptions;
 import java.time.Duration;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.atomic.AtomicLong;
+import org.amaranthstream.http.ConnectionUse;
+import org.amaranthstream.http.ConnectionUses;
+import org.amaranthstream.http.ResponseOrigin;
 import org.amaranthstream.result.Result;
 import org.amaranthstream.result.ResultCode;
 import org.amaranthstream.time.TimerService;
 
-/** Load source that sends {@code GET /v1/load} to the backend server. Thread safe. */
+/**
+ * Load source that sends {@code GET /v1/load} to the backend server.
+ *
+ * <p>A connection is used again only after the complete report of its last request, which names
+ * that request. Thread safe.
+ */
 public final class HttpLoadSource implements LoadSource {
   private static final String PATH = "/v1/load";
   private static final int MAX_BODY_BYTES = 4096;
@@ -23,6 +32,8 @@
   private final HttpClient client;
   private final TimerService timers;
   private final Duration timeout;
+  private final ConnectionUses connectionUses = ConnectionUses.create();
+  private final AtomicLong requestCount = new AtomicLong();
 
   private HttpLoadSource(HttpClient client, TimerService timers, Duration timeout) {
     this.client = client;
@@ -52,19 +63,49 @@
             .setTimeout(timeout.toMillis());
     return client
         .request(options)
-        .compose(HttpClientRequest::send)
-        .compose(HttpLoadSource::readBody)
+        .compose(this::send)
         .map(body -> LoadReportJson.parse(body, requestedNanos))
         .otherwise(e -> Result.failure(ResultCode.BACKEND_FAILED, "load request failed: " + e))
         .toCompletionStage()
         .toCompletableFuture();
   }
 
-  private static Future<Buffer> readBody(HttpClientResponse response) {
+  private Future<Buffer> send(HttpClientRequest request) {
+    String id = "load-" + requestCount.incrementAndGet();
+    ConnectionUse use = connectionUses.add(request.connection());
+    return request
+        .putHeader(ResponseOrigin.HEADER, id)
+        .send()
+        .compose(response -> read(response, originOf(response, id, use)));
+  }
+
+  private static ResponseOrigin originOf(
+      HttpClientResponse response, String id, ConnectionUse use) {
+    return ResponseOrigin.of(id, response.getHeader(ResponseOrigin.HEADER), use);
+  }
+
+  private static Future<Buffer> read(HttpClientResponse response, ResponseOrigin origin) {
+    if (!origin.isOwn()) {
+      return closeAndFail(response, "response may belong to another request: " + origin);
+    }
     if (response.statusCode() != OK) {
-      response.request().reset();
-      return Future.failedFuture("unexpected HTTP status " + response.statusCode());
+      return closeAndFail(response, "unexpected HTTP status " + response.statusCode());
     }
+    Future<Buffer> body = readBody(response);
+    if (origin == ResponseOrigin.FIRST_ON_CONNECTION) {
+      // A second copy of it could not be told from the response to the next request.
+      body.onComplete(unused -> response.request().connection().close());
+    }
+    return body;
+  }
+
+  /** Fails the request. Resetting it would keep the connection if the response has ended. */
+  private static Future<Buffer> closeAndFail(HttpClientResponse response, String reason) {
+    response.request().connection().close();
+    return Future.failedFuture(reason);
+  }
+
+  private static Future<Buffer> readBody(HttpClientResponse response) {
     Promise<Buffer> promise = Promise.promise();
     Buffer body = Buffer.buffer();
     response.handler(
@@ -72,7 +113,7 @@
           body.appendBuffer(part);
           if (body.length() > MAX_BODY_BYTES) {
             promise.tryFail("load response body exceeds " + MAX_BODY_BYTES + " bytes");
-            response.request().reset();
+            response.request().connection().close();
           }
         });
     response.exceptionHandler(promise::tryFail);
