Send each load order over a connection of its own

A reply to a load order names neither order nor version in its status. On a kept connection a second copy of one reply was taken for the reply to the next order: the controller recorded that an engine had loaded a version, although the engine rejected that order because of its fencing token.

Evidence: HttpEngineClientTest failed on the former code: lateReplyToAnotherOrderIsNotBelieved with "expected instance of LoadReply.Fenced but was Loaded[version=7]", eachOrderHasAConnectionOfItsOwn with "but was Failed[reason=Connection was closed]".

Orders are rare, one per engine and version, so each has a new connection that is closed after its reply. The first response on a connection is the reply.

--- a/amaranthstream/src/main/java/org/amaranthstream/weights/HttpEngineClient.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/weights/HttpEngineClient.java
@@ -16,7 +16,12 @@
 import org.amaranthstream.ids.WeightVersion;
 import org.amaranthstream.ring.Duty;
 
-/** Engine client over HTTP. {@code docs/PROTOCOLS.md} describes the requests. Thread safe. */
+/**
+ * Engine client over HTTP. {@code docs/PROTOCOLS.md} describes the requests.
+ *
+ * <p>Each order has a connection of its own, because a reply does not name its order: on a reused
+ * connection a late reply to one order would be taken for the reply to the next. Thread safe.
+ */
 public final class HttpEngineClient implements EngineClient, AutoCloseable {
   private static final Duration CONNECT_TIMEOUT = Duration.ofSeconds(1);
   private static final Duration ANSWER_TIMEOUT = Duration.ofSeconds(30);
@@ -30,7 +35,9 @@
   private HttpEngineClient(Vertx vertx, Duty duty) {
     this.client =
         vertx.createHttpClient(
-            new HttpClientOptions().setConnectTimeout((int) CONNECT_TIMEOUT.toMillis()));
+            new HttpClientOptions()
+                .setConnectTimeout((int) CONNECT_TIMEOUT.toMillis())
+                .setKeepAlive(false));
     this.duty = duty;
   }
 
