Make each call of the store over a connection of its own

Nothing in a response of the store names its call, and all calls shared the connections of one pool. A second, late response to one call was taken for the response to the next: a value that was read for the outcome of a write, a write that was rejected counted as done, an ended lease as renewed, a key as missing. The store does not promise to answer once only, and a proxy or the network between may repeat a response.

PlatformHttp, which the clients of both stores use, no longer keeps connections. The first response on a connection answers the only call that it carried, and all further bytes are dropped with it. Comparing the shape of the response with the call would not have been enough: two writes, two renewals or two reads of missing keys are answered alike.

Over a network each call waits for one more round trip.

--- a/amaranthstream/src/main/java/org/amaranthstream/platform/PlatformHttp.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/platform/PlatformHttp.java
@@ -23,10 +23,14 @@
 /**
  * An HTTP client of the platform that limits the rate of calls and gives each call a deadline.
  *
+ * <p>Each call has a connection of its own. Nothing in a response names its call, so on a reused
+ * connection a second, late response to one call would be taken for the response to the next one: a
+ * value that was read, for example, for the outcome of a write.
+ *
  * <p>A call times out when its connection has become unresponsive without being closed. The other
- * pooled connections may be affected too, so the pool is replaced by a new one, and the old pool is
- * closed once its calls have ended. Calls whose response the service may delay are ended with it,
- * because they would reveal an unresponsive connection only at their own, later deadline.
+ * open connections may be affected too, so the client is replaced by a new one, and the old client
+ * is closed once its calls have ended. Calls whose response the service may delay are ended with
+ * it, because they would reveal an unresponsive connection only at their own, later deadline.
  *
  * <p>Thread safe.
  */
@@ -34,7 +38,6 @@
   private static final FluentLogger logger = FluentLogger.forEnclosingClass();
   private static final int MAX_CONNECTIONS = 32;
   private static final int MAX_WAITING_CALLS = 256;
-  private static final int KEEP_ALIVE_SECONDS = 15;
   private static final Duration MAX_WATCH = Duration.ofMinutes(2);
   private static final int HTTPS_PORT = 443;
   private static final int HTTP_PORT = 80;
@@ -66,7 +69,7 @@
     HttpClientOptions client =
         new HttpClientOptions()
             .setConnectTimeout((int) options.timeout().toMillis())
-            .setKeepAliveTimeout(KEEP_ALIVE_SECONDS)
+            .setKeepAlive(false)
             .setTcpNoDelay(true)
             .setSsl(isHttps());
     PoolOptions pool =
