--- a/amaranthstream/src/test/java/org/amaranthstream/peer/PeerExchangesTest.java
+++ b/amaranthstream/src/test/java/org/amaranthstream/peer/PeerExchangesTest.java
@@ -12,6 +12,7 @@
 import org.amaranthstream.result.ErrorDetail;
 import org.amaranthstream.result.ResultCode;
 import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
 
 class PeerExchangesTest {
@@ -139,4 +140,77 @@
 
     assertThat(events).containsExactly("not run PEER_UNREACHABLE");
   }
+
+  /** Responses that are on their way when their exchange ends must not reach another one. */
+  @Nested
+  class LateResponses {
+    private void respondLate(int index) {
+      ExchangeResponder responder = far.exchanges.get(index).responder();
+      responder.sendPart("late".getBytes(UTF_8));
+      responder.end();
+    }
+
+    private boolean hasReceivedNow() {
+      return near.linkTo(far).flatMap(LinkView::answerAge).map(Duration::isZero).orElse(false);
+    }
+
+    private void awaitOwnResponse(int index) {
+      mesh.runUntil("arrival", () -> far.exchanges.size() > index);
+      ExchangeResponder responder = far.exchanges.get(index).responder();
+      responder.sendPart("own".getBytes(UTF_8));
+      responder.end();
+      awaitEvents(2);
+    }
+
+    @Test
+    void toACancelledExchangeDoNotReachTheNext() {
+      mesh.connect(near, far);
+      PeerExchange first = start();
+      mesh.runUntil("arrival", () -> !far.exchanges.isEmpty());
+      respondLate(0);
+      first.cancel();
+      start();
+      awaitOwnResponse(1);
+
+      assertThat(events).containsExactly("part own", "end").inOrder();
+    }
+
+    @Test
+    void toAnOverdueExchangeDoNotReachTheNext() {
+      startAndAwaitArrival();
+      for (int second = 0; second < 4 && events.isEmpty(); second++) {
+        mesh.timers.advance(Duration.ofSeconds(1));
+        mesh.runUntil("frame on the link", this::hasReceivedNow);
+      }
+      assertThat(events).containsExactly("unknown OUTCOME_UNKNOWN_DEADLINE");
+      events.clear();
+      start();
+      respondLate(0);
+      awaitOwnResponse(1);
+
+      assertThat(events).containsExactly("part own", "end").inOrder();
+    }
+
+    @Test
+    void ofAFormerConnectionDoNotReachAnExchangeOnTheNext() {
+      startAndAwaitArrival();
+      ExchangeResponder former = far.exchanges.get(0).responder();
+      far.node.close();
+      awaitEvents(1);
+      events.clear();
+      TestNode restarted = mesh.start("vm-b", "zone-b");
+      mesh.nodes.remove(far);
+      mesh.connect(near, restarted);
+      start();
+      mesh.runUntil("arrival", () -> !restarted.exchanges.isEmpty());
+      former.sendPart("late".getBytes(UTF_8));
+      former.end();
+      ExchangeResponder responder = restarted.exchanges.get(0).responder();
+      responder.sendPart("own".getBytes(UTF_8));
+      responder.end();
+      awaitEvents(2);
+
+      assertThat(events).containsExactly("part own", "end").inOrder();
+    }
+  }
 }
--- a/amaranthstream/src/test/java/org/amaranthstream/peer/PeerQueryClientTest.java
+++ b/amaranthstream/src/test/java/org/amaranthstream/peer/PeerQueryClientTest.java
@@ -18,7 +18,7 @@
   private final TestMesh mesh = new TestMesh();
   private final TestNode near = mesh.start("vm-a", "zone-a");
   private final TestNode far = mesh.start("vm-b", "zone-a");
-  private final CompletableFuture<Result<byte[]>> response = new CompletableFuture<>();
+  private CompletableFuture<Result<byte[]>> response = new CompletableFuture<>();
   private int handledQueries;
 
   @AfterEach
@@ -28,6 +28,10 @@
 
   private CompletableFuture<Result<byte[]>> sendQuery(EntryVmId to) {
     far.node.queries().register(QueryKind.EXPLAIN, this::handle);
+    return query(to);
+  }
+
+  private CompletableFuture<Result<byte[]>> query(EntryVmId to) {
     return near.node
         .queries()
         .query(to, QueryKind.EXPLAIN, "which".getBytes(StandardCharsets.UTF_8), TIMEOUT);
@@ -93,6 +97,28 @@
     }
   }
 
+  /** The response to a query that timed out must not end a later query. */
+  @Nested
+  class LateResponses {
+    @Test
+    void doNotReachTheNextQuery() {
+      mesh.connect(near, far);
+      final CompletableFuture<Result<byte[]>> first = sendQuery(far.self.id());
+      mesh.runUntil("arrival", () -> handledQueries == 1);
+      mesh.timers.advance(TIMEOUT);
+      assertThat(failure(first)).isEqualTo(ResultCode.OUTCOME_UNKNOWN_DEADLINE);
+      final CompletableFuture<Result<byte[]>> late = response;
+      response = new CompletableFuture<>();
+      CompletableFuture<Result<byte[]>> second = query(far.self.id());
+      mesh.runUntil("arrival", () -> handledQueries == 2);
+      late.complete(Result.success(new byte[] {1}));
+      response.complete(Result.success(new byte[] {2}));
+      mesh.runUntil("result", second::isDone);
+
+      assertThat(((Result.Success<byte[]>) second.join()).value()).isEqualTo(new byte[] {2});
+    }
+  }
+
   @Nested
   class NotSent {
     @Test
