--- a/amaranthstream/src/test/java/org/amaranthstream/http/ScriptedTcpServer.java
+++ b/amaranthstream/src/test/java/org/amaranthstream/http/ScriptedTcpServer.java
@@ -22,6 +22,10 @@
 
   private static final Duration TIMEOUT = Duration.ofSeconds(10);
   private static final String END_OF_HEAD = "\r\n\r\n";
+
+  /** Mark at the end of a response; it is not sent. */
+  private static final String CLOSE = "\u0000";
+
   private static final Pattern CONTENT_LENGTH =
       Pattern.compile("(?i)\r\ncontent-length: *([0-9]+)\r\n");
   private static final Pattern ATTEMPT = Pattern.compile("(?i)\r\nattempt: *([^\r]+)\r\n");
@@ -72,6 +76,11 @@
     return (request, lastWritten) -> lastWritten + response;
   }
 
+  /** Returns bytes after which the server closes the connection. */
+  public static String thenClose(String bytes) {
+    return bytes + CLOSE;
+  }
+
   /** Returns a response with the header lines {@code headers}, each of which ends with CR LF. */
   public static String response(String status, String headers, String body) {
     return "HTTP/1.1 "
@@ -183,10 +192,14 @@
       }
       String request = received.substring(0, end);
       received = received.substring(end);
-      lastWritten = respond(this, request);
+      String response = respond(this, request);
+      lastWritten = response.replace(CLOSE, "");
       if (!lastWritten.isEmpty()) {
         socket.write(Buffer.buffer(lastWritten));
       }
+      if (response.endsWith(CLOSE)) {
+        socket.end();
+      }
     }
 
     /** Returns the length of the first request of {@code text}, 0 if it is incomplete. */
