Count a relayed request as often as its peer may send it

A daemon that reaches no server passes a request to a peer together with the number of attempts that are left, but counted this as one attempt. While the servers behind the peer were slow, a second attempt began beside the first, went to the same peer, and was allowed what was left once more: a request whose route allows two servers reached three. The peer does not know that both are the same request, so with two servers one of them got it twice at once.

Evidence: RelayedCallsTest.reachNoMoreServersThanTheirRouteAllows failed on the former code: "expected: 2 but was: 3".

An attempt through a peer now counts as often as the peer may send the request, and is released if the peer did not run it. The first relay of a repeatable request leaves one attempt for a second relay, which helps if the first peer does not respond; both together stay within the limit of the route. The second may still reach the server of the first: then one server has the same id twice, on two connections.

--- a/amaranthstream/src/main/java/org/amaranthstream/calls/ActiveCall.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/calls/ActiveCall.java
@@ -177,8 +177,8 @@
   private void relay() {
     attempts.cancelConnecting();
     attempts.onRelayed();
-    int attemptsLeft = policy.maxAttempts() - attempts.counted();
-    startAttempt(new PeerTarget(service.relay(), attemptsLeft, !policy.isQuarantinable()));
+    int maxServers = attempts.serversOfNextRelay();
+    startAttempt(new PeerTarget(service.relay(), maxServers, !policy.isQuarantinable()));
   }
 
   private void attemptAt(TrackedServer server) {
--- a/amaranthstream/src/main/java/org/amaranthstream/calls/AttemptTarget.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/calls/AttemptTarget.java
@@ -10,6 +10,11 @@
   /** Returns the server, empty if the target is a peer. */
   Optional<TrackedServer> server();
 
+  /** Returns the number of servers to which the target may send the call. */
+  default int maxServers() {
+    return 1;
+  }
+
   /** Sends the call. */
   CallTransport.Attempt send(OutboundCall call, Duration timeLeft, AttemptListener listener);
 
--- a/amaranthstream/src/main/java/org/amaranthstream/calls/CallAttempt.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/calls/CallAttempt.java
@@ -32,6 +32,11 @@
     return target.server();
   }
 
+  /** Returns the number of servers that may receive the request through this attempt. */
+  int maxServers() {
+    return target.maxServers();
+  }
+
   boolean isOn(TrackedServer other) {
     return server().filter(server -> server == other).isPresent();
   }
--- a/amaranthstream/src/main/java/org/amaranthstream/calls/CallAttempts.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/calls/CallAttempts.java
@@ -9,8 +9,9 @@
 /**
  * Attempts of one call: those that are running, and the counts that limit further ones.
  *
- * <p>Attempts that servers refuse or never receive do not count against the policy, but have a
- * limit of their own. Not thread safe.
+ * <p>An attempt through a peer counts as often as the peer may send the request. Attempts that
+ * servers refuse or never receive do not count against the policy, but have a limit of their own.
+ * Not thread safe.
  */
 final class CallAttempts {
   private static final int MAX_REFUSALS = 6;
@@ -40,7 +41,7 @@
 
   /** Adds an attempt that is about to start. */
   void add(CallAttempt attempt) {
-    counted++;
+    counted += attempt.maxServers();
     running.add(attempt);
   }
 
@@ -56,13 +57,22 @@
       mayHaveRun = true;
       return;
     }
-    counted--;
+    counted -= attempt.maxServers();
     refusals++;
     if (failure instanceof AttemptFailure.NotSent) {
       notConnected++;
     }
   }
 
+  /**
+   * Returns the number of servers to which the next peer may send the request. One is kept for an
+   * attempt after it or beside it, if the request may run more than once.
+   */
+  int serversOfNextRelay() {
+    int left = policy.maxAttempts() - counted;
+    return policy.isRepeatable() && left > 1 ? left - 1 : left;
+  }
+
   /** Returns the number of attempts that count against the policy. */
   int counted() {
     return counted;
@@ -130,7 +140,7 @@
     for (CallAttempt attempt : List.copyOf(running)) {
       if (attempt.isConnecting()) {
         running.remove(attempt);
-        counted--;
+        counted -= attempt.maxServers();
         notConnected++;
         attempt.cancel();
       }
--- a/amaranthstream/src/main/java/org/amaranthstream/calls/PeerTarget.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/calls/PeerTarget.java
@@ -7,17 +7,17 @@
 /** Peer through which an attempt is sent. Must be used on one thread. */
 final class PeerTarget implements AttemptTarget {
   private final CallRelay relay;
-  private final int maxAttempts;
+  private final int maxServers;
   private final boolean isOwed;
 
   /**
    * Creates a target.
    *
-   * @param maxAttempts the number of servers to which the peer may send the call
+   * @param maxServers the number of servers to which the peer may send the call
    */
-  PeerTarget(CallRelay relay, int maxAttempts, boolean isOwed) {
+  PeerTarget(CallRelay relay, int maxServers, boolean isOwed) {
     this.relay = relay;
-    this.maxAttempts = maxAttempts;
+    this.maxServers = maxServers;
     this.isOwed = isOwed;
   }
 
@@ -26,10 +26,15 @@
     return Optional.empty();
   }
 
+  @Override
+  public int maxServers() {
+    return maxServers;
+  }
+
   @Override
   public CallTransport.Attempt send(
       OutboundCall call, Duration timeLeft, AttemptListener listener) {
-    return relay.send(new RelayedCall(call, maxAttempts, isOwed), timeLeft, listener);
+    return relay.send(new RelayedCall(call, maxServers, isOwed), timeLeft, listener);
   }
 
   @Override
--- a/amaranthstream/src/test/java/org/amaranthstream/fleet/RelayedCallsTest.java
+++ b/amaranthstream/src/test/java/org/amaranthstream/fleet/RelayedCallsTest.java
@@ -106,6 +106,19 @@
     assertThat(new HashSet<>(servers.runs())).hasSize(servers.runs().size());
   }
 
+  /** A second attempt goes through a peer while the servers behind the first are slow. */
+  @Test
+  void reachNoMoreServersThanTheirRouteAllows() {
+    servers.cut("a1", Cut.REFUSED);
+    timers.advance(DETECTION);
+    servers.slowDown();
+    RecordedResponse response = send("a1", RouteKind.IDEMPOTENT);
+    timers.advance(DEADLINE);
+
+    long runs = servers.runs().stream().filter(response.id()::equals).count();
+    assertThat(runs).isEqualTo(2);
+  }
+
   /** What another server answers must not become a part of the stream. */
   @Test
   void areAbortedWhenTheirStreamBreaksOff() {
