Follow the linter in the tests of late responses

Names of test methods with two capital letters in a row are shortened, and variables that hold a former value are final.

--- a/amaranthstream/src/test/java/org/amaranthstream/dispatch/http/HttpLateResponsesTest.java
+++ b/amaranthstream/src/test/java/org/amaranthstream/dispatch/http/HttpLateResponsesTest.java
@@ -165,7 +165,7 @@
     }
 
     @Test
-    void copyOnAnIdleConnectionClosesIt() {
+    void copyOnIdleConnectionClosesIt() {
       try (ScriptedTcpServer server =
           ScriptedTcpServer.start(
               vertx, answer(rejectedCall(attempt("a"))), answer(completed("b")))) {
@@ -266,7 +266,7 @@
   @Nested
   class Cancellations {
     @Test
-    void lateResponseToACancellationReachesNoAttempt() {
+    void lateResponseToCancellationReachesNoAttempt() {
       // The response to the generate request stays away until the attempt is cancelled.
       try (ScriptedTcpServer server =
           ScriptedTcpServer.start(
--- a/amaranthstream/src/test/java/org/amaranthstream/membership/HttpLoadSourceTest.java
+++ b/amaranthstream/src/test/java/org/amaranthstream/membership/HttpLoadSourceTest.java
@@ -102,7 +102,7 @@
   @Nested
   class WithoutEcho {
     @Test
-    void eachReportHasAConnectionOfItsOwn() {
+    void eachReportHasItsOwnConnection() {
       try (ScriptedTcpServer server =
           ScriptedTcpServer.start(
               vertx, answer(report("", 1) + report("", 1)), answer(report("", 2)))) {
--- a/amaranthstream/src/test/java/org/amaranthstream/peer/PeerExchangesTest.java
+++ b/amaranthstream/src/test/java/org/amaranthstream/peer/PeerExchangesTest.java
@@ -163,7 +163,7 @@
     }
 
     @Test
-    void toACancelledExchangeDoNotReachTheNext() {
+    void toCancelledExchangeDoNotReachTheNext() {
       mesh.connect(near, far);
       PeerExchange first = start();
       mesh.runUntil("arrival", () -> !far.exchanges.isEmpty());
@@ -176,7 +176,7 @@
     }
 
     @Test
-    void toAnOverdueExchangeDoNotReachTheNext() {
+    void toOverdueExchangeDoNotReachTheNext() {
       startAndAwaitArrival();
       for (int second = 0; second < 4 && events.isEmpty(); second++) {
         mesh.timers.advance(Duration.ofSeconds(1));
@@ -192,9 +192,9 @@
     }
 
     @Test
-    void ofAFormerConnectionDoNotReachAnExchangeOnTheNext() {
+    void ofFormerConnectionDoNotReachExchangeOnTheNext() {
       startAndAwaitArrival();
-      ExchangeResponder former = far.exchanges.get(0).responder();
+      final ExchangeResponder former = far.exchanges.get(0).responder();
       far.node.close();
       awaitEvents(1);
       events.clear();
--- a/amaranthstream/src/test/java/org/amaranthstream/peer/PeerQueryClientTest.java
+++ b/amaranthstream/src/test/java/org/amaranthstream/peer/PeerQueryClientTest.java
@@ -109,7 +109,7 @@
       assertThat(failure(first)).isEqualTo(ResultCode.OUTCOME_UNKNOWN_DEADLINE);
       final CompletableFuture<Result<byte[]>> late = response;
       response = new CompletableFuture<>();
-      CompletableFuture<Result<byte[]>> second = query(far.self.id());
+      final CompletableFuture<Result<byte[]>> second = query(far.self.id());
       mesh.runUntil("arrival", () -> handledQueries == 2);
       late.complete(Result.success(new byte[] {1}));
       response.complete(Result.success(new byte[] {2}));
--- a/amaranthstream/src/test/java/org/amaranthstream/platform/PlatformLateResponsesTest.java
+++ b/amaranthstream/src/test/java/org/amaranthstream/platform/PlatformLateResponsesTest.java
@@ -71,14 +71,14 @@
   }
 
   @Test
-  void readIsNotTakenForTheOutcomeOfAWrite() {
+  void readIsNotTakenForTheOutcomeOfWrite() {
     start(answer(FOUND), lateCopyThen(CONFLICT));
     call(store -> store.get("a"));
     assertThat(write("b")).isEqualTo(new WriteReply.Conflict(Revision.of(9)));
   }
 
   @Test
-  void outcomeOfAWriteIsNotTakenForThatOfAnother() {
+  void outcomeOfWriteIsNotTakenForThatOfAnother() {
     start(answer(response("200 OK", "Revision: 4\r\n", "")), lateCopyThen(CONFLICT));
     assertThat(write("a")).isEqualTo(new WriteReply.Written(Revision.of(4)));
     assertThat(write("b")).isEqualTo(new WriteReply.Conflict(Revision.of(9)));
--- a/amaranthstream/src/test/java/org/amaranthstream/weights/HttpEngineClientTest.java
+++ b/amaranthstream/src/test/java/org/amaranthstream/weights/HttpEngineClientTest.java
@@ -79,7 +79,7 @@
   }
 
   @Test
-  void eachOrderHasAConnectionOfItsOwn() {
+  void eachOrderHasItsOwnConnection() {
     try (ScriptedTcpServer server =
         ScriptedTcpServer.start(vertx, answerTwice(loaded(7)), answer(loaded(8)))) {
       assertThat(load(server, 7)).isEqualTo(new LoadReply.Loaded(WeightVersion.of(7)));
