Go on with a watch when a listener fails on an entry

What callers would see: a daemon that fails on one entry of a prefix, for whatever reason, follows nothing under that prefix any more: servers, configuration and weight versions, or the fleet's nodes and leases. It logs nothing and stays ready.

Cause: PrefixMirror calls its listener in the continuation of the store's reply. An exception ends up in a future that nobody reads, and the code that sends the next watch is never reached. The same holds for a reply that completes exceptionally. The entries behind the odd one in the same response are skipped.

Why it works: each call of the listener is caught for itself, and logged as store_listener_failed, so the rest of the batch is applied and the next watch is sent. The revision of the odd entry is recorded before, so it fails once per revision and not at each read. An exceptional reply is handled as a failed one, which is retried.

--- a/amaranthstream/src/main/java/org/amaranthstream/platform/PrefixMirror.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/platform/PrefixMirror.java
@@ -9,8 +9,11 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.concurrent.CompletableFuture;
 import org.amaranthstream.ids.Revision;
+import org.amaranthstream.result.ErrorDetail;
 import org.amaranthstream.result.Result;
+import org.amaranthstream.result.ResultCode;
 import org.amaranthstream.time.TimerService;
 
 /**
@@ -21,6 +24,8 @@
  * one call. That watch is shorter by the delay, so that the time between two responses, which
  * bounds how long a silent connection hides a change, stays the same.
  *
+ * <p>A listener that fails on one entry is logged and called for the others.
+ *
  * <p>Not thread safe: used on the thread of its timers, on which the store must complete its
  * futures too.
  *
@@ -91,7 +96,7 @@
   public void refresh() {
     if (!isRefreshing && !isStopped) {
       isRefreshing = true;
-      store.range(prefix, "").thenAccept(this::onRefreshed);
+      range("").thenAccept(this::onRefreshed);
     }
   }
 
@@ -127,7 +132,18 @@
   }
 
   private void page(String afterKey, boolean isFirst) {
-    store.range(prefix, afterKey).thenAccept(result -> onPage(result, isFirst));
+    range(afterKey).thenAccept(result -> onPage(result, isFirst));
+  }
+
+  private CompletableFuture<Result<KvPage>> range(String afterKey) {
+    return store
+        .range(prefix, afterKey)
+        .exceptionally(thrown -> new Result.Failure<>(unexpected(thrown)));
+  }
+
+  /** Returns the error of a call of the store that broke its contract by an exception. */
+  private static ErrorDetail unexpected(Throwable thrown) {
+    return ErrorDetail.of(ResultCode.INTERNAL, "unexpected exception: " + thrown);
   }
 
   private void onPage(Result<KvPage> result, boolean isFirst) {
@@ -163,9 +179,22 @@
   }
 
   private void applyBatch(Revision revision, Runnable changes) {
-    listener.onBatchStarted(revision);
+    notifyListener("", () -> listener.onBatchStarted(revision));
     changes.run();
-    listener.onBatchApplied();
+    notifyListener("", listener::onBatchApplied);
+  }
+
+  /**
+   * Calls the listener. An entry on which the listener fails must neither keep the other entries
+   * from being applied nor end the watch.
+   */
+  private void notifyListener(String key, Runnable call) {
+    try {
+      call.run();
+    } catch (RuntimeException | StackOverflowError e) {
+      logger.atSevere().withCause(e).log(
+          "event=store_listener_failed prefix=%s key=\"%s\"", prefix, key);
+    }
   }
 
   private void watch() {
@@ -176,7 +205,10 @@
     if (isStopped) {
       return;
     }
-    store.watch(prefix, after, wait).thenAccept(this::onWatched);
+    store
+        .watch(prefix, after, wait)
+        .exceptionally(thrown -> new WatchReply.Failed(unexpected(thrown)))
+        .thenAccept(this::onWatched);
   }
 
   private void watchAfter(Duration delay) {
@@ -233,7 +265,7 @@
     Revision known = revisions.getOrDefault(entry.key(), after);
     if (entry.revision().isAfter(known)) {
       revisions.put(entry.key(), entry.revision());
-      listener.onPut(entry);
+      notifyListener(entry.key(), () -> listener.onPut(entry));
     }
   }
 
@@ -246,7 +278,7 @@
 
   private void remove(String key) {
     revisions.remove(key);
-    listener.onRemoved(key);
+    notifyListener(key, () -> listener.onRemoved(key));
   }
 
   private void onSuccess() {
@@ -255,7 +287,7 @@
       isUnavailable = false;
       hasCaughtUp = true;
       logger.atInfo().log("event=store_watch_ready prefix=%s revision=%s", prefix, after);
-      listener.onCaughtUp();
+      notifyListener("", listener::onCaughtUp);
     }
   }
 
@@ -263,7 +295,7 @@
     if (!isUnavailable) {
       isUnavailable = true;
       logger.atWarning().log("event=store_watch_lost prefix=%s error=\"%s\"", prefix, error);
-      listener.onStoreUnavailable();
+      notifyListener("", listener::onStoreUnavailable);
     }
     timers.after(backoff, retry);
     Duration doubled = backoff.multipliedBy(2);
