--- a/amaranthstream/src/main/java/org/amaranthstream/servers/ServerRegistration.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/servers/ServerRegistration.java
@@ -37,14 +37,20 @@
     boolean isDraining,
     ImmutableMap<ModelId, WeightVersion> versions) {
 
+  /** The largest number of slots. The sum over 32,767 servers fits in an {@code int}. */
+  public static final int MAX_SLOTS = 1 << 16;
+
   /**
    * Creates a registration.
    *
-   * @throws IllegalArgumentException if {@code slots} is not positive or {@code port} is out of
-   *     range
+   * @throws IllegalArgumentException if {@code slots} or {@code port} is out of range
    */
   public ServerRegistration {
-    checkArgument(slots > 0, "slots must be positive, but was %s", slots);
+    checkArgument(
+        slots > 0 && slots <= MAX_SLOTS,
+        "slots must be in the range 1 to %s, but was %s",
+        MAX_SLOTS,
+        slots);
     checkArgument(
         port > 0 && port < 65_536, "port must be in the range 1 to 65535, but was %s", port);
   }
