--- a/amaranthstream/src/main/java/org/amaranthstream/platform/KvEntry.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/platform/KvEntry.java
@@ -8,7 +8,8 @@
  * An entry of the key-value service.
  *
  * @param key the key
- * @param value the bytes of the value, which callers must not modify
+ * @param value the bytes of the value, which callers must not modify; none if the service returned
+ *     a value that cannot be read, which is not a removal
  * @param revision the revision of the last write to the entry
  */
 @SuppressWarnings("ArrayRecordComponent")
