Quote the texts of other writers in log lines

What operators would see: a key such as "servers/x event=server_gone server=i-1", or a software version with such a text, is logged as further pairs, so that a search for the events of a server finds lines that the daemon never meant. Line breaks were escaped already (KeyValueFormatter).

Cause: keys, software versions and messages of exceptions were written into key=value lines as they are.

Evidence: StoreWatcherOddEntriesTest.textsOfOtherWritersAreOneValueOfALogLine against the code as it was: the line of a server name was "event=server_name_invalid key=servers/x event=server_gone server=i-1", that of a server "event=server_known server=i-2 service=engine software=v1 event=forged ...". unreadableEntryIsLoggedOncePerRevision passed on the code as it was.

Why it works: LogText quotes a text that has other characters than those of ids and paths, escapes quotes and control characters, and cuts it off after 200 characters.

--- a/amaranthstream/src/main/java/org/amaranthstream/platform/PrefixMirror.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/platform/PrefixMirror.java
@@ -11,6 +11,7 @@
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import org.amaranthstream.ids.Revision;
+import org.amaranthstream.logs.LogText;
 import org.amaranthstream.result.ErrorDetail;
 import org.amaranthstream.result.Result;
 import org.amaranthstream.result.ResultCode;
@@ -193,7 +194,7 @@
       call.run();
     } catch (RuntimeException | StackOverflowError e) {
       logger.atSevere().withCause(e).log(
-          "event=store_listener_failed prefix=%s key=\"%s\"", prefix, key);
+          "event=store_listener_failed prefix=%s key=%s", prefix, LogText.of(key));
     }
   }
 
--- a/amaranthstream/src/main/java/org/amaranthstream/servers/ServerChangeLog.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/servers/ServerChangeLog.java
@@ -5,6 +5,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import org.amaranthstream.ids.Revision;
+import org.amaranthstream.logs.LogText;
 
 /**
  * Log of the servers that register and disappear. The changes of a batch with many of them share
@@ -52,7 +53,7 @@
                 + " versions=%s",
             registration.id(),
             registration.service(),
-            registration.softwareVersion(),
+            LazyArgs.lazy(() -> LogText.of(registration.softwareVersion().value())),
             LazyArgs.lazy(() -> registration.host() + ":" + registration.port()),
             registration.zone(),
             registration.slots(),
