Read the list of VMs beside one that cannot be read

What operators of `serve` would see: one VM with a port of 65536, or of a kind that this version doesn't know, fails the whole list. The daemon keeps the list that it had and reads the new one in vain, again and again.

Cause: PlatformJson decoded the list all or nothing.

Evidence: PlatformClientTest.readsTheOtherVmsBesideAnOddOne against the code as it was: "expected instance of: ...Result.Success but was instance of : ...Result.Failure with value : Failure[error=502 PLATFORM_UNAVAILABLE: malformed response of the platform: java.lang.IllegalArgumentException: port out of range: 65536]".

A list of which no VM can be read is still a failure (rejectsMalformedBody), so that a daemon doesn't take a broken response for an empty fleet. Lists of keys stay all or nothing: the system itself writes them, and a key that is left out would count as removed.

--- a/amaranthstream/src/main/java/org/amaranthstream/platform/PlatformJson.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/platform/PlatformJson.java
@@ -7,6 +7,7 @@
 import java.io.IOException;
 import java.util.List;
 import java.util.Optional;
+import java.util.function.Consumer;
 import java.util.function.Function;
 import org.amaranthstream.ids.AvailabilityZoneId;
 import org.amaranthstream.ids.LeaseId;
@@ -27,8 +28,29 @@
     return parse(body, root -> items(root, "entries", PlatformJson::entry));
   }
 
-  static Result<List<VmEntry>> vms(Buffer body) {
-    return parse(body, root -> items(root, "vms", PlatformJson::vm));
+  /**
+   * Decodes a list of VMs. A VM that cannot be read is left out and passed to {@code unreadable},
+   * so that it doesn't hide the others; a list without any readable VM results in a failure.
+   */
+  static Result<List<VmEntry>> vms(Buffer body, Consumer<String> unreadable) {
+    return parse(body, root -> readableVms(root, unreadable));
+  }
+
+  private static List<VmEntry> readableVms(JsonNode root, Consumer<String> unreadable) {
+    JsonNode nodes = root.required("vms");
+    ImmutableList.Builder<VmEntry> readable = ImmutableList.builder();
+    for (JsonNode node : nodes) {
+      try {
+        readable.add(vm(node));
+      } catch (IllegalArgumentException e) {
+        unreadable.accept(node.path("name").asText() + ": " + e.getMessage());
+      }
+    }
+    List<VmEntry> vms = readable.build();
+    if (vms.isEmpty() && !nodes.isEmpty()) {
+      throw new IllegalArgumentException("no VM of the list can be read");
+    }
+    return vms;
   }
 
   static Result<LeaseId> lease(Buffer body) {
--- a/amaranthstream/src/test/java/org/amaranthstream/platform/PlatformClientTest.java
+++ b/amaranthstream/src/test/java/org/amaranthstream/platform/PlatformClientTest.java
@@ -279,6 +279,30 @@
       assertThat(vm.pool()).isPresent();
     }
 
+    @Test
+    void readsTheOtherVmsBesideAnOddOne() {
+      String vm =
+          "{\"name\":\"%s\",\"kind\":\"%s\",\"region\":\"r\",\"zone\":\"z\",\"host\":\"127.0.0.1\","
+              + "\"port\":%s}";
+      String sound = String.format(vm, "b1", "BACKEND", "7");
+      List<String> odd =
+          List.of(
+              String.format(vm, "b2", "BACKEND", "65536"),
+              String.format(vm, "b2", "BACKEND", "0"),
+              String.format(vm, "b2", "BACKEND", "1e400"),
+              String.format(vm, "b2", "BACKEND", "99999999999999999999"),
+              String.format(vm, "b2", "UNKNOWN", "7"),
+              String.format(vm, "b2", "BACKEND", "[".repeat(900) + "]".repeat(900)),
+              "7",
+              "{}");
+      for (String vmJson : odd) {
+        handler = request -> request.response().end("{\"vms\":[" + vmJson + "," + sound + "]}");
+        Result<List<VmEntry>> result = await(client.vmList().read());
+        assertThat(result).isInstanceOf(Result.Success.class);
+        assertThat(((Result.Success<List<VmEntry>>) result).value()).hasSize(1);
+      }
+    }
+
     @Test
     void rejectsMalformedBody() {
       for (String body : List.of("", "{", "[]", "{\"vms\":[{\"name\":1}]}", "{\"vms\":[{}]}")) {
