--- a/amaranthstream/src/main/java/org/amaranthstream/servers/ConnectionHistory.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/servers/ConnectionHistory.java
@@ -11,7 +11,7 @@
  * The requests that one kept connection to a backend server has carried, which decide what may
  * follow on it.
  *
- * <p>Made for servers that answer a request twice, the second time where the next response is
+ * <p>Guards against servers that answer a request twice, the second time where the next response is
  * expected. A response is believed only if it bears the ID of the request that was written last, or
  * if the connection has carried no other request. Because the ID belongs to the request and not to
  * the attempt, a connection carries each ID once; and because IDs are remembered, it carries a
@@ -27,7 +27,7 @@
   private final long number;
   private final Set<String> requestIds = new HashSet<>();
   private Optional<String> lastId = Optional.empty();
-  private boolean isUsable = true;
+  private boolean isRetired;
 
   private ConnectionHistory(long number) {
     this.number = number;
@@ -49,7 +49,7 @@
 
   /** Returns true if a request with this ID may be written to the connection. */
   public boolean mayCarry(String requestId) {
-    return isUsable && requestIds.size() < MAX_REQUESTS && !requestIds.contains(requestId);
+    return !isRetired && requestIds.size() < MAX_REQUESTS && !requestIds.contains(requestId);
   }
 
   /**
@@ -80,12 +80,12 @@
 
   /** Records that the connection carries no further request. */
   public void retire() {
-    isUsable = false;
+    isRetired = true;
   }
 
   /** Returns true if the connection carries no further request. */
   public boolean isRetired() {
-    return !isUsable;
+    return isRetired;
   }
 
   @Override
