--- a/deploy/compare-builds.py
+++ b/deploy/compare-builds.py
@@ -5,6 +5,10 @@
 builds see about the same load of the machine. Processor time is not counted. The journal entries of the
 plays are in the clones below --work; copy them into journal/.
 
+A step that would begin just after the end of a day counts as failed and costs about 0.3, so a shift of
+a fraction of a second can change the worth of a play by as much. Compare a difference with its standard
+error, and with the steps that were asked.
+
 Example:
 
     deploy/compare-builds.py --bench BENCH --site SITE --old HEAD~20 --new HEAD \\
@@ -13,15 +17,29 @@
 
 import argparse
 import concurrent.futures
+import dataclasses
+import math
 import pathlib
 import re
 import statistics
 import subprocess
 
 WORTH = re.compile(r"^worth (-?[0-9.]+) = ", re.MULTILINE)
+STEPS = re.compile(r": (\d+) steps asked", re.MULTILINE)
+RUN_ID = re.compile(r"^snapshot (\w+)", re.MULTILINE)
 BROKEN_RULE = re.compile(r"^\s*([A-Z]{3,}) at +[0-9.]+ s", re.MULTILINE)
 
 
+@dataclasses.dataclass(frozen=True)
+class Play:
+    """The result of a play; the worth is None if the play failed."""
+
+    worth: float | None
+    steps: int
+    run_id: str
+    broken_rules: list[str]
+
+
 def parse_arguments():
     parser = argparse.ArgumentParser(description=__doc__.splitlines()[0])
     parser.add_argument("--bench", required=True, type=pathlib.Path, help="the bench's program")
@@ -44,8 +62,18 @@
     return commit
 
 
+def parse_play(text):
+    worth = WORTH.search(text)
+    run_id = RUN_ID.search(text)
+    return Play(
+        worth=float(worth.group(1)) if worth else None,
+        steps=sum(int(steps) for steps in STEPS.findall(text)),
+        run_id=run_id.group(1) if run_id else "--",
+        broken_rules=sorted(set(BROKEN_RULE.findall(text))),
+    )
+
+
 def play(arguments, build, day, seed):
-    """Plays a day and returns its worth, None if it failed, and the names of broken rules."""
     path = pathlib.Path(day)
     command = [
         arguments.bench.resolve(), "run", arguments.site.resolve(),
@@ -55,9 +83,7 @@
     log = arguments.work / f"{build}-{path.stem}-{seed}.log"
     with log.open("w") as output:
         subprocess.run(command, cwd=arguments.work / build, stdout=output, stderr=subprocess.STDOUT, check=False)
-    text = log.read_text(errors="replace")
-    worth = WORTH.search(text)
-    return float(worth.group(1)) if worth else None, sorted(set(BROKEN_RULE.findall(text)))
+    return parse_play(log.read_text(errors="replace"))
 
 
 def play_pair(arguments, day, seed):
@@ -71,14 +97,29 @@
     return f"{statistics.mean(values):.3f} +- {statistics.pstdev(values):.3f}"
 
 
+def describe_difference(differences):
+    """Returns the mean of the differences of the pairs with its standard error."""
+    if len(differences) < 2:
+        return "--"
+    error = statistics.stdev(differences) / math.sqrt(len(differences))
+    return f"{statistics.mean(differences):+.3f} (standard error {error:.3f})"
+
+
 def print_row(name, pairs):
-    complete = [pair for pair in pairs if None not in (pair["old"][0], pair["new"][0])]
-    old = [pair["old"][0] for pair in complete]
-    new = [pair["new"][0] for pair in complete]
-    difference = f"{statistics.mean(new) - statistics.mean(old):+.3f}" if complete else "--"
-    rules = [f"{build} {rule}" for pair in pairs for build in ("old", "new") for rule in pair[build][1]]
+    complete = [pair for pair in pairs if None not in (pair["old"].worth, pair["new"].worth)]
+    old = [pair["old"].worth for pair in complete]
+    new = [pair["new"].worth for pair in complete]
+    difference = describe_difference([after - before for before, after in zip(old, new)])
+    steps = " and ".join(str(sum(pair[build].steps for pair in complete)) for build in ("old", "new"))
+    rules = [f"{build} {rule}" for pair in pairs for build in ("old", "new") for rule in pair[build].broken_rules]
     print(f"| {name} | {len(complete)} of {len(pairs)} | {describe(old)} | {describe(new)} | {difference} "
-          f"| {', '.join(rules) or 'none'} |", flush=True)
+          f"| {steps} | {', '.join(rules) or 'none'} |", flush=True)
+
+
+def print_runs(results):
+    for day, seed, pair in sorted(results, key=lambda result: result[:2]):
+        plays = ", ".join(f"{build} {pair[build].worth} ({pair[build].run_id})" for build in ("old", "new"))
+        print(f"- {pathlib.Path(day).stem}, seed {seed}: {plays}")
 
 
 def main():
@@ -90,10 +131,12 @@
     tasks = [(day, seed) for seed in range(first, last + 1) for day in arguments.days]
     with concurrent.futures.ThreadPoolExecutor(arguments.jobs) as pool:
         results = list(pool.map(lambda task: play_pair(arguments, *task), tasks))
-    print(f"| day | pairs | {arguments.old} | {arguments.new} | difference | rules broken |\n|---|---|---|---|---|---|")
+    print(f"| day | pairs | {arguments.old} | {arguments.new} | difference | steps asked | rules broken |\n"
+          "|---|---|---|---|---|---|---|")
     for day in arguments.days:
         print_row(pathlib.Path(day).stem, [pair for name, _, pair in results if name == day])
     print_row("all", [pair for _, _, pair in results])
+    print_runs(results)
 
 
 if __name__ == "__main__":
