Test that a daemon which missed a restart takes no job from the new incarnation

Cause: keeps a daemon with an old view of the fleet from taking a job over from a live owner, and no test showed it.

JobTakeoverTest: without the comparison of revisions in JobOwnershipManager.isOrphan the new test fails (the store does not name the restarted daemon as the owner), and the ten others pass; with it all eleven pass.

--- a/amaranthstream/src/test/java/org/amaranthstream/jobs/JobTakeoverTest.java
+++ b/amaranthstream/src/test/java/org/amaranthstream/jobs/JobTakeoverTest.java
@@ -164,6 +164,28 @@
     assertThat(first.owns(JOB)).isFalse();
   }
 
+  /**
+   * A daemon whose watch misses the restart of another one, as in the gap of a compaction, sees the
+   * job of the new incarnation but not its registration.
+   */
+  @Test
+  void daemonThatMissedARestartTakesNoJobFromTheNewIncarnation() {
+    first.kill();
+    second.store().setSilent(true);
+    JobFleet.Node restarted = fleet.start("vm-1");
+    fleet.runMillis(300);
+    second.store().setSilent(false);
+    fleet.addServer("s1", 4, 1);
+    fleet.addServer("s2", 4, 1);
+    submit(restarted, job);
+    fleet.runMillis(300);
+    fleet.read(second, JOB);
+    fleet.runMillis(1_000);
+
+    assertThat(fleet.ownerIs(JOB, restarted)).isTrue();
+    assertThat(second.owns(JOB)).isFalse();
+  }
+
   @Test
   void shutdownHandsOffPartialOutput() {
     submit(first, job);
