--- a/amaranthstream/src/test/java/org/amaranthstream/jobs/JobTakeoverTest.java
+++ b/amaranthstream/src/test/java/org/amaranthstream/jobs/JobTakeoverTest.java
@@ -169,10 +169,10 @@
    * job of the new incarnation but not its registration.
    */
   @Test
-  void daemonThatMissedARestartTakesNoJobFromTheNewIncarnation() {
+  void daemonThatMissedRestartTakesNoJobFromNewIncarnation() {
     first.kill();
     second.store().setSilent(true);
-    JobFleet.Node restarted = fleet.start("vm-1");
+    final JobFleet.Node restarted = fleet.start("vm-1");
     fleet.runMillis(300);
     second.store().setSilent(false);
     fleet.addServer("s1", 4, 1);
