Compare owned jobs with the store after a lapse of the lease

Cause: a daemon whose session lease had ended registered again and went on from the jobs in its memory. It learned of a takeover only when one of its own pages of results conflicted; reads, scheduling and ends did not ask the store.

Change: OwnershipCheck is the one place that says whether owned jobs may be used. While the lease is valid no peer takes a job over, so nothing is asked. A call about a lost job goes on to the owner.

Why it works: the record is changed before a peer lists, runs or ends anything, so a listing that starts after the lapse shows each takeover that could be noticed.

--- a/amaranthstream/src/main/java/org/amaranthstream/fleet/FleetSession.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/fleet/FleetSession.java
@@ -87,6 +87,11 @@
     return lease == null ? Duration.ZERO : ttl.minus(clock.since(renewedAt));
   }
 
+  /** Returns the lease while it is guaranteed to be valid, empty otherwise. */
+  public Optional<LeaseId> validLease() {
+    return remaining().compareTo(Duration.ZERO) > 0 ? lease() : Optional.empty();
+  }
+
   private void register() {
     if (isRegistering || isClosed) {
       return;
--- a/amaranthstream/src/main/java/org/amaranthstream/jobs/ItemScheduler.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/jobs/ItemScheduler.java
@@ -35,6 +35,7 @@
   private final ServerChoice choice;
   private final ItemStarter starter;
   private final ItemSchedulingOptions options;
+  private final OwnershipCheck ownership;
 
   /** The parts of {@link #options} that the current configuration calls for. */
   private ItemSchedulingOptions inUse = ItemSchedulingOptions.OFF;
@@ -62,6 +63,7 @@
       ItemTransport transport,
       RequestPermits permits,
       ItemSchedulingOptions options,
+      OwnershipCheck ownership,
       TimerService timers,
       Observer observer) {
     this.routing = routing;
@@ -70,6 +72,7 @@
     this.starter =
         new ItemStarter(directory, transport, permits, () -> inUse, timers, this, this::schedule);
     this.options = options;
+    this.ownership = ownership;
     this.observer = observer;
     options.slots().setListener(this::schedule);
     directory.addListener(this::schedule);
@@ -107,7 +110,7 @@
     jobs.removeIf(job -> !job.isRunnable() || !job.hasOpenItems());
     jobs.sort(JobOrder.at(now));
     Map<OwnedJob, Route> routes = new LinkedHashMap<>();
-    for (OwnedJob job : ImmutableList.copyOf(jobs)) {
+    for (OwnedJob job : usableJobs()) {
       runnableRoute(job, now).ifPresent(route -> routes.put(job, route));
     }
     if (inUse.isFairOrder()) {
@@ -123,6 +126,12 @@
     }
   }
 
+  /** Returns the jobs, none of them while it is unknown whether this daemon still owns them. */
+  private ImmutableList<OwnedJob> usableJobs() {
+    boolean mayUse = !jobs.isEmpty() && ownership.mayUseJobs();
+    return mayUse ? ImmutableList.copyOf(jobs) : ImmutableList.of();
+  }
+
   private void applyConfig() {
     Optional<RoutingConfig> config = routing.current();
     if (config.isPresent() && !config.equals(lastConfig)) {
--- a/amaranthstream/src/main/java/org/amaranthstream/jobs/JobOwnershipManager.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/jobs/JobOwnershipManager.java
@@ -16,6 +16,7 @@
 import org.amaranthstream.fleet.Fleet;
 import org.amaranthstream.fleet.FleetListener;
 import org.amaranthstream.fleet.FleetNode;
+import org.amaranthstream.fleet.FleetSession;
 import org.amaranthstream.fleet.NodesChange;
 import org.amaranthstream.ids.EntryVmId;
 import org.amaranthstream.ids.JobId;
@@ -68,6 +69,7 @@
   private final TimerService timers;
   private final InstantSource timeOfDay;
   private final Random nonces;
+  private final OwnershipCheck check;
   private final Set<JobId> takeoversInProgress = new HashSet<>();
 
   /** Jobs whose end was recorded while they were still being taken over. */
@@ -83,20 +85,21 @@
   }
 
   JobOwnershipManager(
-      FleetNode self,
+      FleetSession session,
       Fleet fleet,
       JobStore store,
       JobRegistry registry,
       TimerService timers,
       InstantSource timeOfDay,
       Random nonces) {
-    this.self = self;
+    this.self = session.self();
     this.fleet = fleet;
     this.store = store;
     this.registry = registry;
     this.timers = timers;
     this.timeOfDay = timeOfDay;
     this.nonces = nonces;
+    this.check = new OwnershipCheck(session, store, registry, timers, this::refreshOwner);
   }
 
   void start(Starter starter) {
@@ -109,6 +112,11 @@
     return self;
   }
 
+  /** Returns the check of the owned jobs, which precedes each use of one. */
+  OwnershipCheck check() {
+    return check;
+  }
+
   /** Returns the daemon that should accept a job in place of this one, empty if there is none. */
   Optional<EntryVmId> preferredOwner(JobSpec spec) {
     return PreferredJobOwner.of(spec, self, fleet.nodes());
@@ -201,7 +209,7 @@
 
   private void sweep() {
     isSweepScheduled = false;
-    store.owners().thenAccept(this::onOwners);
+    check.listOwners().thenAccept(this::onOwners);
   }
 
   private void onOwners(Result<ImmutableList<StoredOwner>> result) {
@@ -327,21 +335,32 @@
             });
   }
 
-  /** Reads the ownership record of an owned job again after another daemon has changed it. */
-  void refreshOwner(OwnedJob job) {
-    store.owner(job.id()).thenAccept(result -> onOwnerRead(job, result));
+  /**
+   * Reads the ownership record of an owned job again after another daemon may have changed it.
+   *
+   * @return completes once the record was read, and the job released if it is lost
+   */
+  CompletableFuture<Void> refreshOwner(OwnedJob job) {
+    CompletableFuture<Void> done = new CompletableFuture<>();
+    readWithRetry(
+        () -> store.owner(job.id()),
+        current -> {
+          onOwnerRead(job, current);
+          done.complete(null);
+        });
+    return done;
   }
 
-  private void onOwnerRead(OwnedJob job, Result<Optional<StoredOwner>> result) {
-    if (result instanceof Result.Failure<Optional<StoredOwner>>) {
-      timers.after(RETRY_DELAY, () -> refreshOwner(job));
+  private void onOwnerRead(OwnedJob job, Optional<StoredOwner> current) {
+    if (job.isOwnershipLost()) {
       return;
     }
-    Optional<StoredOwner> current = ((Result.Success<Optional<StoredOwner>>) result).value();
     boolean isStillOwner =
         current.isPresent() && current.get().owner().isHeldBy(self.vm(), self.incarnation());
     if (isStillOwner) {
-      job.setOwner(current.get());
+      if (current.get().revision().isAfter(job.owner().revision())) {
+        job.setOwner(current.get());
+      }
       if (job.isEnded()) {
         job.end();
       }
--- a/amaranthstream/src/main/java/org/amaranthstream/jobs/JobQueryHandler.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/jobs/JobQueryHandler.java
@@ -41,12 +41,12 @@
   static final int OUTCOME_REFUSED = 2;
 
   private final JobService service;
-  private final JobRegistry registry;
+  private final OwnershipCheck ownership;
   private final OwnedJobOperations operations;
 
-  JobQueryHandler(JobService service, JobRegistry registry, OwnedJobOperations operations) {
+  JobQueryHandler(JobService service, OwnershipCheck ownership, OwnedJobOperations operations) {
     this.service = service;
-    this.registry = registry;
+    this.ownership = ownership;
     this.operations = operations;
   }
 
@@ -63,18 +63,23 @@
     if (query.hasHandover()) {
       return takeOver(jobOf(query), query.getHandover());
     }
-    Optional<OwnedJob> job = registry.owned(jobOf(query));
-    if (job.isEmpty()) {
-      return CompletableFuture.completedFuture(NOT_OWNER);
-    }
+    return ownership
+        .owned(jobOf(query))
+        .thenCompose(
+            job ->
+                job.isEmpty()
+                    ? CompletableFuture.completedFuture(NOT_OWNER)
+                    : handleAsOwner(job.get(), query));
+  }
+
+  private CompletableFuture<JobAnswer> handleAsOwner(OwnedJob job, JobQuestion query) {
     return switch (query.getBodyCase()) {
-      case READ -> read(job.get(), query.getRead());
+      case READ -> read(job, query.getRead());
       case ITEM_BODY ->
           CompletableFuture.completedFuture(
               body(
-                  OwnedJobOperations.bodyOf(
-                      job.get().spec(), ItemId.of(query.getItemBody().getItem()))));
-      case END -> operations.end(job.get()).thenApply(JobQueryHandler::ended);
+                  OwnedJobOperations.bodyOf(job.spec(), ItemId.of(query.getItemBody().getItem()))));
+      case END -> operations.end(job).thenApply(JobQueryHandler::ended);
       case SUBMIT, HANDOVER, BODY_NOT_SET -> CompletableFuture.completedFuture(NOT_OWNER);
     };
   }
--- a/amaranthstream/src/main/java/org/amaranthstream/jobs/JobService.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/jobs/JobService.java
@@ -10,8 +10,10 @@
 import java.util.Optional;
 import java.util.Random;
 import java.util.concurrent.CompletableFuture;
+import java.util.function.Function;
+import java.util.function.Supplier;
 import org.amaranthstream.fleet.Fleet;
-import org.amaranthstream.fleet.FleetNode;
+import org.amaranthstream.fleet.FleetSession;
 import org.amaranthstream.ids.ItemId;
 import org.amaranthstream.ids.JobId;
 import org.amaranthstream.platform.TransactionRunner;
@@ -73,7 +75,7 @@
             checkNotNull(builder.store, "store"), TransactionRunner.create(builder.store, timers));
     this.ownership =
         new JobOwnershipManager(
-            checkNotNull(builder.self, "self"),
+            checkNotNull(builder.session, "session"),
             fleet,
             store,
             registry,
@@ -82,7 +84,9 @@
             nonces);
     this.remote =
         new RemoteJobs(
-            builder.self.vm(), checkNotNull(builder.queryTransport, "queryTransport"), fleet);
+            builder.session.self().vm(),
+            checkNotNull(builder.queryTransport, "queryTransport"),
+            fleet);
     this.router = new OwnerRouter(store, registry, ownership, remote);
     this.storedJobs = new StoredJobs(store, registry, timers, nonces, MAX_READ_BYTES);
     this.acceptor = new JobAcceptor(store, registry, ownership, remote, timers);
@@ -97,6 +101,7 @@
             checkNotNull(builder.transport, "transport"),
             checkNotNull(builder.permits, "permits"),
             builder.scheduling,
+            ownership.check(),
             timers,
             this::onItemsChanged);
     this.routing = builder.routing;
@@ -179,7 +184,7 @@
 
   /** Returns a handler of queries from other daemons. */
   public JobQueryHandler queryHandler() {
-    return new JobQueryHandler(this, registry, operations);
+    return new JobQueryHandler(this, ownership.check(), operations);
   }
 
   /**
@@ -222,38 +227,59 @@
 
   /** Returns results from {@code position} on. Waits at most {@code wait} for the first of them. */
   public CompletableFuture<Result<ResultSlice>> read(JobId job, int position, Duration wait) {
-    Optional<OwnedJob> owned = registry.owned(job);
-    if (owned.isPresent()) {
-      return operations.read(owned.get(), position, wait, MAX_READ_BYTES);
-    }
-    return router.route(
+    return callOwner(
         job,
-        vm -> remote.read(vm, job, position, wait, MAX_READ_BYTES),
-        owner -> storedJobs.read(owner, position, wait));
+        owned -> operations.read(owned, position, wait, MAX_READ_BYTES),
+        () ->
+            router.route(
+                job,
+                vm -> remote.read(vm, job, position, wait, MAX_READ_BYTES),
+                owner -> storedJobs.read(owner, position, wait)));
   }
 
   /** Returns the request body of an item. */
   public CompletableFuture<Result<byte[]>> body(JobId job, ItemId item) {
-    Optional<OwnedJob> owned = registry.owned(job);
-    if (owned.isPresent()) {
-      return CompletableFuture.completedFuture(OwnedJobOperations.bodyOf(owned.get().spec(), item));
-    }
-    return router.route(
+    return callOwner(
         job,
-        vm -> remote.body(vm, job, item),
-        owner ->
-            store
-                .job(owner)
-                .thenApply(r -> r.flatMap(spec -> OwnedJobOperations.bodyOf(spec, item))));
+        owned -> CompletableFuture.completedFuture(OwnedJobOperations.bodyOf(owned.spec(), item)),
+        () ->
+            router.route(
+                job,
+                vm -> remote.body(vm, job, item),
+                owner ->
+                    store
+                        .job(owner)
+                        .thenApply(r -> r.flatMap(spec -> OwnedJobOperations.bodyOf(spec, item)))));
   }
 
   /** Ends a job. Ending a job that has ended has no effect. */
   public CompletableFuture<Result<JobAcknowledgement>> end(JobId job) {
-    Optional<OwnedJob> owned = registry.owned(job);
-    if (owned.isPresent()) {
-      return operations.end(owned.get());
-    }
-    return router.route(job, vm -> remote.end(vm, job), storedJobs::end);
+    return callOwner(
+        job, operations::end, () -> router.route(job, vm -> remote.end(vm, job), storedJobs::end));
+  }
+
+  /** Serves a call here if this daemon owns the job, and elsewhere if it does not or loses it. */
+  private <T> CompletableFuture<Result<T>> callOwner(
+      JobId job,
+      Function<OwnedJob, CompletableFuture<Result<T>>> here,
+      Supplier<CompletableFuture<Result<T>>> elsewhere) {
+    return ownership
+        .check()
+        .owned(job)
+        .thenCompose(
+            owned -> owned.isEmpty() ? elsewhere.get() : serve(owned.get(), here, elsewhere));
+  }
+
+  private static <T> CompletableFuture<Result<T>> serve(
+      OwnedJob job,
+      Function<OwnedJob, CompletableFuture<Result<T>>> here,
+      Supplier<CompletableFuture<Result<T>>> elsewhere) {
+    return here.apply(job)
+        .thenCompose(
+            result ->
+                job.isOwnershipLost() && result instanceof Result.Failure
+                    ? elsewhere.get()
+                    : CompletableFuture.completedFuture(result));
   }
 
   /** Returns the state of all owned jobs for the state dump. */
@@ -265,7 +291,7 @@
 
   /** Builder of {@link JobService}. Everything without a default must be set. */
   public static final class Builder {
-    private @Nullable FleetNode self;
+    private @Nullable FleetSession session;
     private @Nullable Fleet fleet;
     private @Nullable TransactionalStore store;
     private @Nullable TimerService timers;
@@ -282,10 +308,10 @@
 
     private Builder() {}
 
-    /** Sets this daemon and the view of all daemons. */
+    /** Sets the session of this daemon and the view of all daemons. */
     @CanIgnoreReturnValue
-    public Builder fleet(FleetNode self, Fleet fleet) {
-      this.self = self;
+    public Builder fleet(FleetSession session, Fleet fleet) {
+      this.session = session;
       this.fleet = fleet;
       return this;
     }
--- a/amaranthstream/src/main/java/org/amaranthstream/platform/SimulatedStore.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/platform/SimulatedStore.java
@@ -46,6 +46,11 @@
     return new SimulatedStoreClient(this, timers);
   }
 
+  /** Returns a new client that receives its responses on {@code clientTimers}. */
+  public SimulatedStoreClient client(TimerService clientTimers) {
+    return new SimulatedStoreClient(this, clientTimers);
+  }
+
   /** Returns how often the entries with {@code prefix} were listed. */
   public int listings(String prefix) {
     return listings.getOrDefault(prefix, 0);
--- a/amaranthstream/src/test/java/org/amaranthstream/jobs/JobFleet.java
+++ b/amaranthstream/src/test/java/org/amaranthstream/jobs/JobFleet.java
@@ -59,7 +59,7 @@
   final class Node {
     private final String name;
     private final PausableTimerService clock = new PausableTimerService(timers);
-    private final SimulatedStoreClient client = store.client();
+    private final SimulatedStoreClient client = store.client(clock);
     private final RoutingTable routing = RoutingTable.create();
     private final ServerDirectory directory = ServerDirectory.create(clock);
     private final JobService jobs;
@@ -89,7 +89,7 @@
           JobService.builder()
               .permits((server, patience, listener) -> listener.accept(true))
               .scheduling(scheduling)
-              .fleet(self, fleet)
+              .fleet(session, fleet)
               .store(client)
               .timers(clock)
               .timeOfDay(this::timeOfDay)
@@ -143,8 +143,8 @@
             () -> listener.onEnded(new ItemRunOutcome.Broken("connection timed out")));
         return () -> {};
       }
-      return servers.start(
-          server, request, new DetachableItemListener(listener, () -> isKilled || areServersCut));
+      ItemListener attached = new DetachableItemListener(listener, () -> isKilled || areServersCut);
+      return servers.start(server, request, new SuspendableItemListener(attached, clock));
     }
 
     private StageRun startRewardCall(
--- a/amaranthstream/src/test/java/org/amaranthstream/time/PausableTimerService.java
+++ b/amaranthstream/src/test/java/org/amaranthstream/time/PausableTimerService.java
@@ -41,7 +41,8 @@
     }
   }
 
-  private void runOrDefer(Runnable task) {
+  /** Runs {@code task} at once, or after the VM has resumed if it is suspended. */
+  public void runOrDefer(Runnable task) {
     if (isPaused) {
       overdueTasks.add(task);
     } else {
