Reserve memory for callers' bodies, and pass on whole bodies only

Cause: nothing bounded the bytes of all bodies together on a heap of 96 MB. A body was kept in a buffer that grows by copying (twice its length for a moment), copied once more into a direct buffer when it was sent, once more for its fingerprint, and then held by the idle connection. An OutOfMemoryError in the handler of one chunk lost that chunk only, and the rest was passed on as if it were whole.

Buffered responses and pages of results are reserved too.

--- a/amaranthstream/src/main/java/org/amaranthstream/calls/CallAttempt.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/calls/CallAttempt.java
@@ -16,6 +16,7 @@
   private final Buffer bufferedBody = Buffer.buffer();
   private CallTransport.@Nullable Attempt attempt;
   private @Nullable ResponseHead head;
+  private boolean hasRoom = true;
   private boolean isOver;
 
   CallAttempt(ActiveCall activeCall, AttemptTarget target) {
@@ -57,10 +58,10 @@
     return bufferedBody;
   }
 
-  /** Returns true if the response is too long to be buffered. */
+  /** Returns true if the response is too long to be buffered, or there is no memory for it. */
   boolean exceedsBuffer() {
     boolean isAnnounced = head().length().orElse(0) > MAX_BUFFERED_BYTES;
-    return isAnnounced || bufferedBody.length() > MAX_BUFFERED_BYTES;
+    return isAnnounced || !hasRoom || bufferedBody.length() > MAX_BUFFERED_BYTES;
   }
 
   @Override
@@ -101,6 +102,7 @@
       forward(data);
       return;
     }
+    hasRoom &= activeCall.exchange().reserve(data.length());
     bufferedBody.appendBuffer(data);
     if (activeCall.shouldStream(this)) {
       startStreaming();
--- a/amaranthstream/src/main/java/org/amaranthstream/calls/CallerExchange.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/calls/CallerExchange.java
@@ -10,6 +10,15 @@
   /** Registers a task to run if the caller disconnects before the response is complete. */
   void onCallerDisconnected(Runnable task);
 
+  /**
+   * Reserves memory for a part of a response that is buffered, until the exchange has ended.
+   *
+   * @return false if there is no room; the response should then be forwarded as it arrives
+   */
+  default boolean reserve(int bytes) {
+    return true;
+  }
+
   /** Sends a complete response of a backend server. */
   void sendResponse(ResponseHead head, Buffer body);
 
--- a/amaranthstream/src/main/java/org/amaranthstream/calls/QuarantinableContent.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/calls/QuarantinableContent.java
@@ -26,8 +26,7 @@
 
   private Fingerprint fingerprint() {
     if (fingerprint == null) {
-      fingerprint =
-          Fingerprint.ofCall(host, call.method() + " " + call.uri(), call.body().getBytes());
+      fingerprint = Fingerprint.ofCall(host, call.method() + " " + call.uri(), call.body());
     }
     return fingerprint;
   }
--- /dev/null
+++ b/amaranthstream/src/main/java/org/amaranthstream/memory/Reservation.java
@@ -0,0 +1,87 @@
+package org.amaranthstream.memory;
+
+import static com.google.common.base.Preconditions.checkArgument;
+
+import java.time.Duration;
+import java.util.function.Consumer;
+
+/**
+ * Bytes that are reserved in a {@link MemoryBudget} until they are released. A released reservation
+ * takes no further bytes. Not thread safe.
+ */
+public final class Reservation {
+  private final MemoryBudget budget;
+  private long bytes;
+  private boolean isReleased;
+
+  Reservation(MemoryBudget budget) {
+    this.budget = budget;
+  }
+
+  /** Returns the number of reserved bytes. */
+  public long bytes() {
+    return bytes;
+  }
+
+  /** Returns the capacity of the budget in bytes. */
+  public long capacityBytes() {
+    return budget.capacityBytes();
+  }
+
+  /** Reserves more bytes; returns false if there is no room. */
+  public boolean tryGrow(long more) {
+    checkArgument(more >= 0, "more is %s, expected >= 0", more);
+    if (isReleased || !budget.take(more)) {
+      return false;
+    }
+    bytes += more;
+    return true;
+  }
+
+  /**
+   * Reserves more bytes once there is room.
+   *
+   * @param patience the time to wait for room
+   * @param onDecided called once, with true if the bytes are reserved; possibly before the return
+   */
+  public void growWithin(long more, Duration patience, Consumer<Boolean> onDecided) {
+    checkArgument(more >= 0, "more is %s, expected >= 0", more);
+    budget.takeWithin(more, patience, isTaken -> onDecided.accept(isTaken && keep(more)));
+  }
+
+  /** Keeps bytes that were taken, or gives them back if the reservation was released meanwhile. */
+  private boolean keep(long more) {
+    if (isReleased) {
+      budget.giveBack(more);
+      return false;
+    }
+    bytes += more;
+    return true;
+  }
+
+  /** Reserves more bytes of state that must be kept, even if the capacity is exceeded. */
+  public void forceGrow(long more) {
+    checkArgument(more >= 0, "more is %s, expected >= 0", more);
+    if (!isReleased) {
+      budget.force(more);
+      bytes += more;
+    }
+  }
+
+  /** Gives some of the bytes back. */
+  public void shrink(long fewer) {
+    checkArgument(fewer >= 0 && fewer <= bytes, "fewer is %s of %s bytes", fewer, bytes);
+    bytes -= fewer;
+    budget.giveBack(fewer);
+  }
+
+  /** Gives all bytes back; has no effect if they were given back before. */
+  public void release() {
+    isReleased = true;
+    long all = bytes;
+    bytes = 0;
+    if (all > 0) {
+      budget.giveBack(all);
+    }
+  }
+}
--- a/amaranthstream/src/main/java/org/amaranthstream/quarantine/Fingerprint.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/quarantine/Fingerprint.java
@@ -4,6 +4,7 @@
 
 import com.google.common.hash.Hasher;
 import com.google.common.hash.Hashing;
+import io.vertx.core.buffer.Buffer;
 import java.nio.charset.StandardCharsets;
 
 /**
@@ -17,6 +18,9 @@
   private static final int LENGTH_CHARS = 32;
   private static final byte SEPARATOR = 0;
 
+  /** Length of the copies through which a long body is read. */
+  private static final int PART_BYTES = 64 * 1024;
+
   /**
    * Creates a fingerprint.
    *
@@ -37,6 +41,15 @@
     return of(hasher.putBytes(body));
   }
 
+  /** Returns the fingerprint of a call like {@link #ofCall(String, String, byte[])}. */
+  public static Fingerprint ofCall(String pool, String path, Buffer body) {
+    Hasher hasher = hasherFor(pool).putString(path, StandardCharsets.UTF_8).putByte(SEPARATOR);
+    for (int from = 0; from < body.length(); from += PART_BYTES) {
+      hasher.putBytes(body.getBytes(from, Math.min(body.length(), from + PART_BYTES)));
+    }
+    return of(hasher);
+  }
+
   private static Hasher hasherFor(String pool) {
     return Hashing.sha256().newHasher().putString(pool, StandardCharsets.UTF_8).putByte(SEPARATOR);
   }
