--- a/amaranthstream/src/main/java/org/amaranthstream/jobs/ItemProgress.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/jobs/ItemProgress.java
@@ -6,6 +6,7 @@
 import java.util.OptionalLong;
 import org.amaranthstream.ids.BackendServerId;
 import org.amaranthstream.ids.SoftwareVersion;
+import org.amaranthstream.memory.Reservation;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -28,7 +29,7 @@
 
   private final ItemSpec spec;
   private final long expectedTokens;
-  private final ItemText text = new ItemText();
+  private final ItemText text;
   private ItemStage stage = ItemStage.GENERATE;
   private State state = State.WAITING;
   private int failures;
@@ -38,8 +39,9 @@
   private @Nullable StageRun run;
   private @Nullable BackendServerId lastServer;
 
-  ItemProgress(ItemSpec spec, long expectedTokens) {
+  ItemProgress(ItemSpec spec, long expectedTokens, Reservation memory) {
     this.spec = spec;
+    this.text = new ItemText(memory);
     this.expectedTokens = expectedTokens;
   }
 
--- a/amaranthstream/src/main/java/org/amaranthstream/jobs/ItemRunner.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/jobs/ItemRunner.java
@@ -27,6 +27,9 @@
 
   private static final Duration EVENT_TIMEOUT = Duration.ofMillis(2_500);
 
+  /** Delay before an item is run again whose text was discarded for lack of memory. */
+  private static final Duration NO_MEMORY_DELAY = Duration.ofSeconds(1);
+
   /** Observer of the end of runs. */
   interface Observer {
     /** Called when a run ends: its server may have a free slot, and the item may be waiting. */
@@ -141,11 +144,17 @@
       return;
     }
     recordEventInterval();
-    if (!item.text().add(event, version, server.registration().softwareVersion())) {
-      abort("event " + event.id() + " arrived after event " + item.text().lastEvent());
-      return;
+    ItemText.Added added = item.text().add(event, version, server.registration().softwareVersion());
+    switch (added) {
+      case YES -> item.onProgress();
+      case OUT_OF_ORDER ->
+          abort("event " + event.id() + " arrived after event " + item.text().lastEvent());
+      case TOO_LONG -> {
+        item.text().clear();
+        abort("the text exceeds " + ItemText.MAX_BYTES + " bytes");
+      }
+      case NO_MEMORY -> discard();
     }
-    item.onProgress();
   }
 
   private void recordEventInterval() {
@@ -182,6 +191,20 @@
     }
   }
 
+  /**
+   * Ends the run and discards the text for lack of memory, for which the server is not at fault.
+   */
+  void discard() {
+    ItemTransport.Run running = run;
+    if (close()) {
+      item.text().clear();
+      item.retryAfter(timers.nowNanos(), NO_MEMORY_DELAY, "no memory for the text");
+      if (running != null) {
+        running.cancel();
+      }
+    }
+  }
+
   /** Fails the run and cancels its request; the item is resumed later. */
   private void abort(String reason) {
     ItemTransport.Run running = run;
--- a/amaranthstream/src/main/java/org/amaranthstream/jobs/ItemScheduler.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/jobs/ItemScheduler.java
@@ -2,9 +2,11 @@
 
 import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableSet;
+import com.google.common.collect.Streams;
 import com.google.common.flogger.FluentLogger;
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -31,6 +33,9 @@
   private static final FluentLogger logger = FluentLogger.forEnclosingClass();
   private static final Duration POLL_INTERVAL = Duration.ofMillis(50);
 
+  /** Texts up to this length are not discarded for lack of memory. */
+  private static final int MIN_LONG_TEXT_BYTES = 64 * 1024;
+
   private final RoutingTable routing;
   private final ServerChoice choice;
   private final ItemStarter starter;
@@ -126,6 +131,27 @@
     }
   }
 
+  /**
+   * Discards the longest texts of running items until {@code bytes} are free. Texts of usual length
+   * are kept, and what is discarded is generated again.
+   */
+  void discardLongTexts(long bytes) {
+    long freed = 0;
+    Optional<ItemProgress> longest = longestText();
+    while (freed < bytes && longest.isPresent()) {
+      freed += longest.get().text().size();
+      longest.get().runner().ifPresent(ItemRunner::discard);
+      longest = longestText();
+    }
+  }
+
+  private Optional<ItemProgress> longestText() {
+    return jobs.stream()
+        .flatMap(job -> Streams.stream(job.items()))
+        .filter(item -> item.runner().isPresent() && item.text().size() > MIN_LONG_TEXT_BYTES)
+        .max(Comparator.comparingInt(item -> item.text().size()));
+  }
+
   /** Returns the jobs, none of them while it is unknown whether this daemon still owns them. */
   private ImmutableList<OwnedJob> usableJobs() {
     boolean mayUse = !jobs.isEmpty() && ownership.mayUseJobs();
--- a/amaranthstream/src/main/java/org/amaranthstream/jobs/ItemText.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/jobs/ItemText.java
@@ -8,6 +8,7 @@
 import org.amaranthstream.ids.ItemId;
 import org.amaranthstream.ids.SoftwareVersion;
 import org.amaranthstream.ids.WeightVersion;
+import org.amaranthstream.memory.Reservation;
 
 /**
  * Text that an item has generated so far, with the weight versions that generated it.
@@ -17,7 +18,11 @@
 final class ItemText {
   private static final byte SEPARATOR = '\n';
 
-  private final ByteArrayOutputStream text = new ByteArrayOutputStream();
+  /** A longer text could not be returned, as a response to a caller has at most 1 MB. */
+  static final int MAX_BYTES = JobService.MAX_READ_BYTES;
+
+  private final Reservation memory;
+  private ByteArrayOutputStream text = new ByteArrayOutputStream();
   private final TreeSet<WeightVersion> versions = new TreeSet<>();
   private Optional<SoftwareVersion> softwareVersion = Optional.empty();
   private long lastEvent;
@@ -27,15 +32,48 @@
   private int pendingBytes;
   private boolean isCompletionPending;
 
+  /** Outcome of the attempt to append an event. */
+  enum Added {
+    YES,
+    /** The event does not directly follow the last one. */
+    OUT_OF_ORDER,
+    /** The text would exceed {@link #MAX_BYTES}. */
+    TOO_LONG,
+    /** There is no memory for the event. */
+    NO_MEMORY
+  }
+
   /**
-   * Appends an event that {@code version} generated at a server with {@code software}.
+   * Creates an empty text.
    *
-   * @return false if the event does not directly follow the last one; it is not appended
+   * @param memory the memory of the job, which the text is added to
    */
-  boolean add(ItemEvent event, Optional<WeightVersion> version, SoftwareVersion software) {
+  ItemText(Reservation memory) {
+    this.memory = memory;
+  }
+
+  /** Appends an event that {@code version} generated at a server with {@code software}. */
+  Added add(ItemEvent event, Optional<WeightVersion> version, SoftwareVersion software) {
+    int bytes = event.data().length + (lastEvent > 0 ? 1 : 0);
     if (event.id() != lastEvent + 1) {
-      return false;
+      return Added.OUT_OF_ORDER;
+    }
+    if (text.size() + bytes > MAX_BYTES) {
+      return Added.TOO_LONG;
     }
+    if (!memory.tryGrow(bytes)) {
+      return Added.NO_MEMORY;
+    }
+    boolean wasDiscarded = event.id() != lastEvent + 1;
+    if (wasDiscarded) {
+      memory.shrink(bytes);
+      return Added.OUT_OF_ORDER;
+    }
+    append(event, version, software);
+    return Added.YES;
+  }
+
+  private void append(ItemEvent event, Optional<WeightVersion> version, SoftwareVersion software) {
     softwareVersion = Optional.of(software);
     if (lastEvent > 0) {
       text.write(SEPARATOR);
@@ -43,7 +81,11 @@
     text.writeBytes(event.data());
     lastEvent = event.id();
     version.ifPresent(versions::add);
-    return true;
+  }
+
+  /** Returns the length of the text in bytes. */
+  int size() {
+    return text.size();
   }
 
   long lastEvent() {
@@ -57,7 +99,8 @@
 
   /** Discards the text, so that the next run starts at the first event. */
   void clear() {
-    text.reset();
+    memory.shrink(text.size());
+    text = new ByteArrayOutputStream();
     versions.clear();
     softwareVersion = Optional.empty();
     lastEvent = 0;
@@ -93,6 +136,7 @@
   /** Replaces the text with the partial output of another owner. */
   void restore(PartialOutput partial) {
     clear();
+    memory.forceGrow(partial.text().length);
     text.writeBytes(partial.text());
     versions.addAll(partial.versions());
     softwareVersion = partial.softwareVersion();
--- a/amaranthstream/src/main/java/org/amaranthstream/jobs/JobAcceptor.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/jobs/JobAcceptor.java
@@ -1,6 +1,5 @@
 package org.amaranthstream.jobs;
 
-import com.google.common.collect.ImmutableList;
 import com.google.common.flogger.FluentLogger;
 import java.time.Duration;
 import java.util.HashMap;
@@ -11,6 +10,8 @@
 import org.amaranthstream.ids.EntryVmId;
 import org.amaranthstream.ids.JobId;
 import org.amaranthstream.ids.Revision;
+import org.amaranthstream.memory.MemoryBudget;
+import org.amaranthstream.memory.Reservation;
 import org.amaranthstream.peer.PeerQueryService;
 import org.amaranthstream.platform.TransactionReply;
 import org.amaranthstream.result.Result;
@@ -44,6 +45,7 @@
   private final JobOwnershipManager ownership;
   private final RemoteJobs remote;
   private final TimerService timers;
+  private final MemoryBudget budget;
   private final Map<JobId, CompletableFuture<Result<JobAcknowledgement>>> pending = new HashMap<>();
   private boolean isShuttingDown;
 
@@ -52,12 +54,14 @@
       JobRegistry registry,
       JobOwnershipManager ownership,
       RemoteJobs remote,
-      TimerService timers) {
+      TimerService timers,
+      MemoryBudget budget) {
     this.store = store;
     this.registry = registry;
     this.ownership = ownership;
     this.remote = remote;
     this.timers = timers;
+    this.budget = budget;
   }
 
   /** Stops accepting jobs for this daemon to own; submissions are only relayed to peers. */
@@ -65,7 +69,10 @@
     isShuttingDown = true;
   }
 
-  /** Accepts a job. Succeeds without effect if any daemon has accepted the job before. */
+  /**
+   * Accepts a job. Succeeds without effect if any daemon has accepted the job before. There is
+   * memory for the job, as its request has reserved several times its length until its response.
+   */
   CompletableFuture<Result<JobAcknowledgement>> submit(JobSpec spec, Duration timeout) {
     return accept(spec, timeout, true);
   }
@@ -88,11 +95,18 @@
     if (before != null) {
       return before;
     }
+    Reservation memory = budget.open();
+    if (mayRelay) {
+      memory.forceGrow(spec.memoryBytes());
+    } else if (!memory.tryGrow(spec.memoryBytes())) {
+      return CompletableFuture.completedFuture(
+          Result.failure(ResultCode.NOT_RUN_OVERLOADED, "there is no memory for the job"));
+    }
     CompletableFuture<Result<JobAcknowledgement>> reply = new CompletableFuture<>();
     pending.put(spec.id(), reply);
     byte[] record = JobStore.encodeRecord(spec);
     Submission submission =
-        new Submission(spec, record, ownership.newOwner(spec, record), reply, mayRelay);
+        new Submission(spec, record, ownership.newOwner(spec, record), reply, mayRelay, memory);
     submission.start(timeout);
     return reply;
   }
@@ -104,6 +118,7 @@
     private final JobOwner owner;
     private final CompletableFuture<Result<JobAcknowledgement>> reply;
     private final boolean mayRelay;
+    private final Reservation memory;
     private boolean isRelaying;
     private boolean mayBeAcceptedElsewhere;
 
@@ -112,12 +127,14 @@
         byte[] record,
         JobOwner owner,
         CompletableFuture<Result<JobAcknowledgement>> reply,
-        boolean mayRelay) {
+        boolean mayRelay,
+        Reservation memory) {
       this.spec = spec;
       this.record = record;
       this.owner = owner;
       this.reply = reply;
       this.mayRelay = mayRelay;
+      this.memory = memory;
     }
 
     private void start(Duration timeout) {
@@ -139,7 +156,7 @@
         EntryVmId vm, Result<JobAcknowledgement> result, Duration timeout) {
       if (result instanceof Result.Success) {
         onAcceptedByPeer(vm, result);
-        pending.remove(spec.id());
+        finish();
         return;
       }
       mayBeAcceptedElsewhere |= !isNotRun(result);
@@ -164,7 +181,7 @@
     /** Relays the job without storing it here, because this daemon is shutting down. */
     private void relayOnly() {
       relay();
-      reply.thenAccept(unused -> pending.remove(spec.id()));
+      reply.thenAccept(unused -> finish());
     }
 
     private void relay() {
@@ -225,7 +242,7 @@
       } else if (created instanceof TransactionReply.Unknown || mayBePendingElsewhere()) {
         onUnknown(created);
       } else {
-        pending.remove(spec.id());
+        finish();
         logger.atWarning().log("event=job_refused job=%s reply=\"%s\"", spec.id(), created);
         reply.complete(
             Result.failure(ResultCode.NOT_RUN_OVERLOADED, "the store cannot accept the job now"));
@@ -246,21 +263,25 @@
       if (isFirst && created instanceof TransactionReply.Unknown) {
         create(UNKNOWN_OUTCOME_RETRY_TIMEOUT);
       } else {
-        pending.remove(spec.id());
+        finish();
       }
     }
 
+    /** Ends a submission whose job this daemon does not own. */
+    private void finish() {
+      pending.remove(spec.id());
+      memory.release();
+    }
+
     private void accepted(Revision revision) {
       pending.remove(spec.id());
       logger.atInfo().log(
           "event=job_accepted job=%s step=%d items=%d min_version=%s revision=%s",
           spec.id(), spec.step(), spec.items().size(), spec.minVersion(), revision);
       if (registry.owned(spec.id()).isEmpty()) {
-        ownership.registerAndStart(
-            spec,
-            new StoredOwner(spec.id(), owner, revision),
-            ImmutableList.of(),
-            JobCheckpoint.none());
+        ownership.registerAndStart(spec, new StoredOwner(spec.id(), owner, revision), memory);
+      } else {
+        memory.release();
       }
       reply.complete(Result.success(JobAcknowledgement.ACCEPTED));
     }
@@ -272,7 +293,7 @@
         accepted(current.get().revision());
         return;
       }
-      pending.remove(spec.id());
+      finish();
       logger.atInfo().log("event=job_known job=%s owner=%s", spec.id(), current);
       current.ifPresent(this::onExistingOwner);
       reply.complete(Result.success(JobAcknowledgement.ACCEPTED));
--- a/amaranthstream/src/main/java/org/amaranthstream/jobs/JobCodec.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/jobs/JobCodec.java
@@ -3,8 +3,8 @@
 import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableListMultimap;
 import com.google.common.collect.ImmutableSortedSet;
-import com.google.protobuf.ByteString;
 import com.google.protobuf.InvalidProtocolBufferException;
+import com.google.protobuf.UnsafeByteOperations;
 import java.util.List;
 import java.util.Optional;
 import java.util.OptionalLong;
@@ -56,7 +56,7 @@
         ItemRecord.newBuilder()
             .setItem(item.id().value())
             .setPath(item.path())
-            .setBody(ByteString.copyFrom(item.body()))
+            .setBody(UnsafeByteOperations.unsafeWrap(item.body()))
             .setTokens(item.tokens())
             .setExpectedTokens(item.expectedTokens().orElse(NO_ESTIMATE))
             .setGroup(item.group().value());
@@ -73,7 +73,7 @@
         .setId(call.id().value())
         .setHost(call.host())
         .setPath(call.path())
-        .setBody(ByteString.copyFrom(call.body()))
+        .setBody(UnsafeByteOperations.unsafeWrap(call.body()))
         .build();
   }
 
@@ -179,7 +179,7 @@
     PartialRecord.Builder builder =
         PartialRecord.newBuilder()
             .setItem(partial.item().value())
-            .setText(ByteString.copyFrom(partial.text()))
+            .setText(UnsafeByteOperations.unsafeWrap(partial.text()))
             .setLastEvent(partial.lastEvent())
             .setWhole(partial.isComplete());
     partial.versions().forEach(version -> builder.addVersion(version.value()));
@@ -216,7 +216,7 @@
         TextRecord.newBuilder()
             .setItem(part.item().value())
             .setOffset(part.offset())
-            .setText(ByteString.copyFrom(part.text()))
+            .setText(UnsafeByteOperations.unsafeWrap(part.text()))
             .setLastEvent(part.lastEvent())
             .setWhole(part.isComplete());
     part.versions().forEach(version -> builder.addVersion(version.value()));
@@ -247,7 +247,7 @@
         ResultRecord.newBuilder()
             .setItem(result.item().value())
             .setComplete(result.isComplete())
-            .setText(ByteString.copyFrom(result.text()));
+            .setText(UnsafeByteOperations.unsafeWrap(result.text()));
     result.versions().forEach(version -> builder.addVersion(version.value()));
     result.score().ifPresent(score -> builder.setScore(score.value()));
     return builder.build();
--- a/amaranthstream/src/main/java/org/amaranthstream/jobs/JobDescription.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/jobs/JobDescription.java
@@ -38,7 +38,7 @@
         job.id().toString(),
         job.owner().owner().epoch(),
         age.toMillis(),
-        job.spec().items().size(),
+        job.itemCount(),
         running,
         unscored,
         job.listedCount(),
--- a/amaranthstream/src/main/java/org/amaranthstream/jobs/JobOwnershipManager.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/jobs/JobOwnershipManager.java
@@ -4,6 +4,8 @@
 import com.google.common.flogger.FluentLogger;
 import java.time.Duration;
 import java.time.InstantSource;
+import java.util.ArrayDeque;
+import java.util.Deque;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
@@ -20,6 +22,8 @@
 import org.amaranthstream.fleet.NodesChange;
 import org.amaranthstream.ids.EntryVmId;
 import org.amaranthstream.ids.JobId;
+import org.amaranthstream.memory.MemoryBudget;
+import org.amaranthstream.memory.Reservation;
 import org.amaranthstream.platform.TransactionReply;
 import org.amaranthstream.result.Result;
 import org.amaranthstream.time.TimerService;
@@ -54,6 +58,9 @@
   /** Name, not of a VM, that selects the daemons which sweep for all others. */
   private static final EntryVmId BACKSTOP = EntryVmId.of("backstop");
 
+  /** Number of jobs that are loaded at the same time after their takeover. */
+  private static final int MAX_LOADS = 8;
+
   private static final Duration TAKEOVER_TIMEOUT = Duration.ofSeconds(5);
 
   /** Delay before a failed read or takeover is retried. */
@@ -70,6 +77,8 @@
   private final InstantSource timeOfDay;
   private final Random nonces;
   private final OwnershipCheck check;
+  private final MemoryBudget budget;
+  private final ResultCache cache;
   private final Set<JobId> takeoversInProgress = new HashSet<>();
 
   /** Jobs whose end was recorded while they were still being taken over. */
@@ -78,6 +87,11 @@
   private Starter starter = job -> {};
   private boolean isSweepScheduled;
 
+  /** Loads of jobs that were taken over, and the number of those that are in progress. */
+  private final Deque<Runnable> waitingLoads = new ArrayDeque<>();
+
+  private int loads;
+
   /** Callback that starts a job which this daemon has begun to own. */
   @FunctionalInterface
   interface Starter {
@@ -91,7 +105,9 @@
       JobRegistry registry,
       TimerService timers,
       InstantSource timeOfDay,
-      Random nonces) {
+      Random nonces,
+      MemoryBudget budget,
+      ResultCache cache) {
     this.self = session.self();
     this.fleet = fleet;
     this.store = store;
@@ -99,6 +115,8 @@
     this.timers = timers;
     this.timeOfDay = timeOfDay;
     this.nonces = nonces;
+    this.budget = budget;
+    this.cache = cache;
     this.check = new OwnershipCheck(session, store, registry, timers, this::refreshOwner);
   }
 
@@ -135,25 +153,32 @@
         nonces.nextLong());
   }
 
-  /** Registers and starts a job once the store has acknowledged this daemon's ownership. */
-  OwnedJob registerAndStart(
-      JobSpec spec, StoredOwner owner, ImmutableList<ItemResult> results, JobCheckpoint progress) {
+  /**
+   * Registers and starts a new job once the store has acknowledged this daemon's ownership.
+   *
+   * @param memory the memory of the job
+   */
+  void registerAndStart(JobSpec spec, StoredOwner owner, Reservation memory) {
+    registerAndStart(newJob(spec, owner, memory));
+  }
+
+  private OwnedJob newJob(JobSpec spec, StoredOwner owner, Reservation memory) {
     long sinceAccepted = Math.max(0, timeOfDay.millis() - owner.owner().acceptedMillis());
-    OwnedJob job = new OwnedJob(spec, owner, timers.nowNanos(), Duration.ofMillis(sinceAccepted));
-    job.restoreResults(results);
-    job.restoreProgress(progress);
+    return new OwnedJob(spec, owner, timers.nowNanos(), Duration.ofMillis(sinceAccepted), memory);
+  }
+
+  private void registerAndStart(OwnedJob job) {
     registry.add(job);
     if (pendingEnds.remove(job.id())) {
       onEndNotice(job);
     }
     timers.after(RETENTION, () -> expire(job));
     starter.start(job);
-    return job;
   }
 
   private void expire(OwnedJob job) {
     if (!job.isOwnershipLost()) {
-      registry.remove(job.id());
+      forget(job);
       store.remove(job.owner());
     }
   }
@@ -298,28 +323,68 @@
   }
 
   private void load(StoredOwner owner, ImmutableList<PartialOutput> partials) {
-    readWithRetry(() -> store.job(owner), spec -> loadResults(owner, spec, partials));
+    waitingLoads.add(() -> loadNow(owner, partials));
+    startLoads();
   }
 
-  private void loadResults(StoredOwner owner, JobSpec spec, ImmutableList<PartialOutput> partials) {
-    readWithRetry(
-        () -> store.results(owner.job()), results -> loadProgress(owner, spec, results, partials));
+  /** Starts to load jobs; only a few at a time, as each needs memory for what it reads. */
+  private void startLoads() {
+    while (loads < MAX_LOADS && !waitingLoads.isEmpty()) {
+      loads++;
+      waitingLoads.remove().run();
+    }
   }
 
-  private void loadProgress(
-      StoredOwner owner,
-      JobSpec spec,
-      ImmutableList<ItemResult> results,
-      ImmutableList<PartialOutput> partials) {
+  private void loadNow(StoredOwner owner, ImmutableList<PartialOutput> partials) {
     readWithRetry(
-        () -> store.progress(owner.job()),
-        progress -> {
-          takeoversInProgress.remove(owner.job());
-          logger.atInfo().log(
-              "event=job_loaded job=%s listed=%d saved_texts=%d partials=%d",
-              owner.job(), results.size(), progress.texts().size(), partials.size());
-          registerAndStart(spec, owner, results, progress.plus(partials));
-        });
+        () -> loadJob(owner),
+        job -> readWithRetry(() -> store.progress(owner.job()), p -> onLoaded(job, p, partials)));
+  }
+
+  private CompletableFuture<Result<OwnedJob>> loadJob(StoredOwner owner) {
+    return store
+        .job(owner)
+        .thenCompose(
+            result ->
+                result instanceof Result.Success<JobSpec> spec
+                    ? loadResults(owner, spec.value())
+                    : CompletableFuture.completedFuture(
+                        Result.failure(((Result.Failure<JobSpec>) result).error())));
+  }
+
+  private CompletableFuture<Result<OwnedJob>> loadResults(StoredOwner owner, JobSpec spec) {
+    Reservation memory = budget.open();
+    memory.forceGrow(spec.memoryBytes());
+    OwnedJob job = newJob(spec, owner, memory);
+    return store
+        .visitResults(
+            owner.job(),
+            page -> {
+              cache.put(job.restorePage(page), page);
+              return true;
+            })
+        .thenApply(
+            result -> {
+              if (result instanceof Result.Failure) {
+                job.discard();
+              }
+              return result.map(unused -> job);
+            });
+  }
+
+  private void onLoaded(
+      OwnedJob job, JobCheckpoint progress, ImmutableList<PartialOutput> partials) {
+    takeoversInProgress.remove(job.id());
+    logger.atInfo().log(
+        "event=job_loaded job=%s listed=%d saved_texts=%d partials=%d",
+        job.id(), job.listedCount(), progress.texts().size(), partials.size());
+    job.restoreProgress(progress.plus(partials));
+    if (job.isEnded()) {
+      job.end();
+    }
+    registerAndStart(job);
+    loads--;
+    startLoads();
   }
 
   /** Reads from the store, retrying after each failure, and passes the value to {@code next}. */
@@ -374,6 +439,12 @@
   /** Releases a job that another daemon now owns. */
   void release(OwnedJob job) {
     job.loseOwnership();
+    forget(job);
+  }
+
+  private void forget(OwnedJob job) {
     registry.remove(job.id());
+    job.listed().pages().forEach(cache::remove);
+    job.discard();
   }
 }
--- a/amaranthstream/src/main/java/org/amaranthstream/jobs/JobService.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/jobs/JobService.java
@@ -16,6 +16,7 @@
 import org.amaranthstream.fleet.FleetSession;
 import org.amaranthstream.ids.ItemId;
 import org.amaranthstream.ids.JobId;
+import org.amaranthstream.memory.MemoryBudget;
 import org.amaranthstream.platform.TransactionRunner;
 import org.amaranthstream.platform.TransactionalStore;
 import org.amaranthstream.result.ErrorDetail;
@@ -45,7 +46,7 @@
  */
 public final class JobService {
   /** Maximum size of the texts that a read returns; leaves room for their encoding. */
-  private static final int MAX_READ_BYTES = 700_000;
+  static final int MAX_READ_BYTES = 700_000;
 
   private final JobStore store;
   private final JobRegistry registry = new JobRegistry();
@@ -73,6 +74,8 @@
     this.store =
         new JobStore(
             checkNotNull(builder.store, "store"), TransactionRunner.create(builder.store, timers));
+    MemoryBudget budget = builder.budget == null ? MemoryBudget.ofHeap(timers) : builder.budget;
+    ResultCache cache = new ResultCache(budget);
     this.ownership =
         new JobOwnershipManager(
             checkNotNull(builder.session, "session"),
@@ -81,7 +84,9 @@
             registry,
             timers,
             builder.timeOfDay,
-            nonces);
+            nonces,
+            budget,
+            cache);
     this.remote =
         new RemoteJobs(
             builder.session.self().vm(),
@@ -89,9 +94,10 @@
             fleet);
     this.router = new OwnerRouter(store, registry, ownership, remote);
     this.storedJobs = new StoredJobs(store, registry, timers, nonces, MAX_READ_BYTES);
-    this.acceptor = new JobAcceptor(store, registry, ownership, remote, timers);
-    this.operations = new OwnedJobOperations(store, ownership, timers, nonces);
-    this.resultAppender = new ResultAppender(store, timers, nonces, ownership::refreshOwner);
+    this.acceptor = new JobAcceptor(store, registry, ownership, remote, timers, budget);
+    this.operations =
+        new OwnedJobOperations(store, new ResultReader(store, cache), ownership, timers, nonces);
+    this.resultAppender = new ResultAppender(store, cache, timers, nonces, ownership::refreshOwner);
     this.checkpointWriter = new CheckpointWriter(store, timers, nonces);
     this.scheduler =
         new ItemScheduler(
@@ -104,6 +110,7 @@
             ownership.check(),
             timers,
             this::onItemsChanged);
+    budget.addCache(scheduler::discardLongTexts);
     this.routing = builder.routing;
     this.reach = checkNotNull(builder.reach, "reach");
     this.handoff = new JobHandoff(registry, ownership, remote);
@@ -305,6 +312,7 @@
     private @Nullable RewardTransport rewardTransport;
     private @Nullable JobQueryTransport queryTransport;
     private InstantSource timeOfDay = InstantSource.system();
+    private @Nullable MemoryBudget budget;
 
     private Builder() {}
 
@@ -337,6 +345,13 @@
       return this;
     }
 
+    /** Sets the memory budget of the process; by default, a budget of its own for the heap. */
+    @CanIgnoreReturnValue
+    public Builder memory(MemoryBudget budget) {
+      this.budget = budget;
+      return this;
+    }
+
     /** Sets the routing table. */
     @CanIgnoreReturnValue
     public Builder routing(RoutingTable routing) {
--- a/amaranthstream/src/main/java/org/amaranthstream/jobs/JobSpec.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/jobs/JobSpec.java
@@ -29,6 +29,24 @@
     int wantedGroups,
     ImmutableList<ItemSpec> items) {
 
+  /** Bytes that an item takes besides its bodies. */
+  private static final int ITEM_OVERHEAD_BYTES = 500;
+
+  /** Returns the memory that the job takes. */
+  long memoryBytes() {
+    long bytes = 0;
+    for (ItemSpec item : items) {
+      bytes += ITEM_OVERHEAD_BYTES + item.body().length;
+      bytes += item.rewardCall().map(call -> call.body().length).orElse(0);
+    }
+    return bytes;
+  }
+
+  /** Returns the job without its items. */
+  JobSpec withoutItems() {
+    return new JobSpec(id, host, path, step, model, minVersion, wantedGroups, ImmutableList.of());
+  }
+
   /** Returns the workspace whose job it is, empty where no workspaces are configured. */
   public Optional<WorkspaceId> workspace() {
     return id.workspace();
--- a/amaranthstream/src/main/java/org/amaranthstream/jobs/JobStore.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/jobs/JobStore.java
@@ -53,7 +53,7 @@
   }
 
   static byte[] encodeRecord(JobSpec spec) {
-    return Compression.compress(JobCodec.encodeJob(spec).toByteArray());
+    return Compression.compress(JobCodec.encodeJob(spec));
   }
 
   /** Creates a job and its ownership record unless the job exists. */
@@ -178,16 +178,42 @@
 
   private static Result<JobSpec> spec(byte[] record) {
     try {
-      return Result.success(
-          JobCodec.decodeJob(JobRecord.parseFrom(Compression.decompress(record))));
+      return Result.success(JobCodec.decodeJob(JobRecord.parseFrom(Compression.open(record))));
     } catch (IOException | IllegalArgumentException e) {
       return Result.failure(ResultCode.INTERNAL, "a job record cannot be decoded: " + e);
     }
   }
 
-  /** Reads all listed results of a job. */
-  CompletableFuture<Result<ImmutableList<ItemResult>>> results(JobId job) {
-    return entries(JobKeys.results(job)).thenApply(r -> r.flatMap(JobStore::decodePages));
+  /** Visitor of the stored pages of results, in the order of their positions. */
+  @FunctionalInterface
+  interface PageVisitor {
+    /** Visits a page; returns false if no further page is needed. */
+    boolean visit(ImmutableList<ItemResult> page);
+  }
+
+  /** Reads the listed results of a job, one page after the other. */
+  CompletableFuture<Result<JobId>> visitResults(JobId job, PageVisitor visitor) {
+    return visitEntries(JobKeys.results(job), entry -> decodePage(entry).map(visitor::visit))
+        .thenApply(result -> result.map(unused -> job));
+  }
+
+  /** Reads the page of results whose first result has {@code position}. */
+  CompletableFuture<Result<ImmutableList<ItemResult>>> page(JobId job, int position) {
+    return store
+        .get(JobKeys.page(job, position))
+        .thenApply(
+            result ->
+                result.flatMap(
+                    entry ->
+                        entry.isPresent()
+                            ? decodePage(entry.get())
+                            : Result.failure(
+                                ResultCode.PLATFORM_UNAVAILABLE,
+                                "a page of results of " + job + " is missing in the store")));
+  }
+
+  private static Result<ImmutableList<ItemResult>> decodePage(KvEntry entry) {
+    return decodeAll(ImmutableList.of(entry), JobCodec::decodePage);
   }
 
   /** Reads the checkpoints of open items. */
@@ -199,10 +225,6 @@
     return decodeAll(pages, JobCodec::decodeProgress).map(parts -> JobCheckpoint.of(pages, parts));
   }
 
-  private static Result<ImmutableList<ItemResult>> decodePages(ImmutableList<KvEntry> pages) {
-    return decodeAll(pages, JobCodec::decodePage);
-  }
-
   /** Decoder of the records of a page. */
   private interface PageDecoder<T> {
     ImmutableList<T> decode(byte[] page) throws InvalidProtocolBufferException;
@@ -224,11 +246,38 @@
   }
 
   private CompletableFuture<Result<ImmutableList<KvEntry>>> entries(String prefix) {
-    return pages(prefix, "", ImmutableList.builder());
+    ImmutableList.Builder<KvEntry> read = ImmutableList.builder();
+    return visitEntries(
+            prefix,
+            entry -> {
+              read.add(entry);
+              return Result.success(true);
+            })
+        .thenApply(result -> result.map(unused -> read.build()));
   }
 
-  private CompletableFuture<Result<ImmutableList<KvEntry>>> pages(
-      String prefix, String after, ImmutableList.Builder<KvEntry> read) {
+  private CompletableFuture<Result<ImmutableList<String>>> keys(String prefix) {
+    ImmutableList.Builder<String> keys = ImmutableList.builder();
+    return visitEntries(
+            prefix,
+            entry -> {
+              keys.add(entry.key());
+              return Result.success(true);
+            })
+        .thenApply(result -> result.map(unused -> keys.build()));
+  }
+
+  /** Visitor of entries; returns false, or a failure, if no further entry is needed. */
+  private interface EntryVisitor {
+    Result<Boolean> visit(KvEntry entry);
+  }
+
+  private CompletableFuture<Result<Boolean>> visitEntries(String prefix, EntryVisitor visitor) {
+    return visitEntries(prefix, "", visitor);
+  }
+
+  private CompletableFuture<Result<Boolean>> visitEntries(
+      String prefix, String after, EntryVisitor visitor) {
     return store
         .range(prefix, after)
         .thenCompose(
@@ -237,44 +286,55 @@
                 return CompletableFuture.completedFuture(Result.failure(failure.error()));
               }
               KvPage page = ((Result.Success<KvPage>) result).value();
-              read.addAll(page.entries());
-              if (page.hasMore() && page.entries().isEmpty()) {
+              Result<Boolean> visited = visitAll(page, visitor);
+              boolean goesOn = visited.equals(Result.success(true));
+              if (!goesOn || !page.hasMore()) {
+                return CompletableFuture.completedFuture(visited);
+              }
+              if (page.entries().isEmpty()) {
                 return CompletableFuture.completedFuture(
                     Result.failure(
                         ResultCode.PLATFORM_UNAVAILABLE,
                         "the store announced more entries of " + prefix + " and sent none"));
               }
-              if (!page.hasMore()) {
-                return CompletableFuture.completedFuture(Result.success(read.build()));
-              }
               String last = page.entries().get(page.entries().size() - 1).key();
-              return pages(prefix, last, read);
+              return visitEntries(prefix, last, visitor);
             });
   }
 
+  private static Result<Boolean> visitAll(KvPage page, EntryVisitor visitor) {
+    for (KvEntry entry : page.entries()) {
+      Result<Boolean> visited = visitor.visit(entry);
+      if (!visited.equals(Result.success(true))) {
+        return visited;
+      }
+    }
+    return Result.success(true);
+  }
+
   /** Removes all entries of a job whose retention has expired. */
   void remove(StoredOwner owner) {
-    entries(JobKeys.results(owner.job()))
-        .thenCombine(entries(JobKeys.progress(owner.job())), JobStore::both)
+    keys(JobKeys.results(owner.job()))
+        .thenCombine(keys(JobKeys.progress(owner.job())), JobStore::both)
         .thenAccept(
             result -> {
-              if (result instanceof Result.Success<ImmutableList<KvEntry>> success) {
+              if (result instanceof Result.Success<ImmutableList<String>> success) {
                 removeAll(owner, success.value());
               }
             });
   }
 
-  private static Result<ImmutableList<KvEntry>> both(
-      Result<ImmutableList<KvEntry>> first, Result<ImmutableList<KvEntry>> second) {
+  private static Result<ImmutableList<String>> both(
+      Result<ImmutableList<String>> first, Result<ImmutableList<String>> second) {
     return first.flatMap(
-        a -> second.map(b -> ImmutableList.<KvEntry>builder().addAll(a).addAll(b).build()));
+        a -> second.map(b -> ImmutableList.<String>builder().addAll(a).addAll(b).build()));
   }
 
-  private void removeAll(StoredOwner owner, ImmutableList<KvEntry> pages) {
+  private void removeAll(StoredOwner owner, ImmutableList<String> pages) {
     int maxPages = Transaction.MAX_ENTRIES - owner.owner().parts() - 2;
     Transaction.Builder builder =
         Transaction.builder().expect(JobKeys.owner(owner.job()), owner.revision());
-    pages.stream().limit(maxPages).forEach(page -> builder.remove(page.key()));
+    pages.stream().limit(maxPages).forEach(builder::remove);
     boolean isLast = pages.size() <= maxPages;
     if (isLast) {
       builder.remove(JobKeys.owner(owner.job()));
--- a/amaranthstream/src/main/java/org/amaranthstream/jobs/OwnedJob.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/jobs/OwnedJob.java
@@ -13,6 +13,8 @@
 import org.amaranthstream.ids.GroupId;
 import org.amaranthstream.ids.ItemId;
 import org.amaranthstream.ids.JobId;
+import org.amaranthstream.memory.Reservation;
+import org.jspecify.annotations.Nullable;
 
 /**
  * State of a job that this daemon owns: its items, the listed results, and the results that are
@@ -23,14 +25,16 @@
 final class OwnedJob {
   private static final byte[] NO_TEXT = new byte[0];
 
-  private final JobSpec spec;
+  private final int itemCount;
+  private final Reservation memory;
   private final long ownedSinceNanos;
   private final long startNanos;
   private final Map<ItemId, ItemProgress> items = new LinkedHashMap<>();
   private final Map<GroupId, Integer> openInGroup = new LinkedHashMap<>();
-  private final List<ItemResult> listed = new ArrayList<>();
+  private final ListedResults listed = new ListedResults();
   private final ArrayDeque<ItemResult> unlisted = new ArrayDeque<>();
   private final List<Runnable> waiters = new ArrayList<>();
+  private JobSpec spec;
   private StoredOwner owner;
   private boolean isEnded;
   private boolean isOwnershipLost;
@@ -43,27 +47,46 @@
    *
    * @param sinceAccepted the time since the job was accepted, as the times of day of the VMs that
    *     accepted it and that own it now tell
+   * @param memory the memory of the job, which includes {@link JobSpec#memoryBytes}
    */
-  OwnedJob(JobSpec spec, StoredOwner owner, long nowNanos, Duration sinceAccepted) {
+  OwnedJob(
+      JobSpec spec, StoredOwner owner, long nowNanos, Duration sinceAccepted, Reservation memory) {
     this.spec = spec;
+    this.itemCount = spec.items().size();
+    this.memory = memory;
     this.owner = owner;
     this.ownedSinceNanos = nowNanos;
     this.startNanos = nowNanos - sinceAccepted.toNanos();
     this.isEnded = owner.owner().isEnded();
     for (ItemSpec item : spec.items()) {
-      items.put(item.id(), new ItemProgress(item, ExpectedLength.tokens(item)));
+      items.put(item.id(), new ItemProgress(item, ExpectedLength.tokens(item), memory));
       openInGroup.merge(item.group(), 1, Integer::sum);
     }
   }
 
-  /** Adds the results that previous owners have listed. */
-  void restoreResults(ImmutableList<ItemResult> results) {
-    for (ItemResult result : results) {
-      listed.add(result);
-      close(items.get(result.item()));
+  /** Adds a page of results that previous owners have listed, and returns it. */
+  ListedPage restorePage(ImmutableList<ItemResult> page) {
+    page.forEach(result -> close(items.get(result.item())));
+    ListedPage added = listed.add(page.size());
+    releaseItemsIfDone();
+    return added;
+  }
+
+  /** Gives up the items once none of them can run or is asked for any more. */
+  private void releaseItemsIfDone() {
+    if (!items.isEmpty() && (isEnded || isFullyListed())) {
+      items.values().forEach(item -> item.text().clear());
+      items.clear();
+      memory.shrink(spec.memoryBytes());
+      spec = spec.withoutItems();
     }
   }
 
+  /** Releases the memory of a job that this daemon no longer owns. */
+  void discard() {
+    memory.release();
+  }
+
   /** Restores the checkpoints and partial output of previous owners. */
   void restoreProgress(JobCheckpoint progress) {
     progress.texts().forEach(this::restoreText);
@@ -142,7 +165,12 @@
 
   /** Records that the parts have been saved to the store. */
   void markSaved(ImmutableList<CheckpointPart> parts) {
-    parts.forEach(part -> items.get(part.item()).text().markSaved());
+    for (CheckpointPart part : parts) {
+      ItemProgress item = items.get(part.item());
+      if (item != null) {
+        item.text().markSaved();
+      }
+    }
   }
 
   /** Returns the number of the next checkpoint page; each call returns a new number. */
@@ -238,19 +266,29 @@
   /** Ends the job: cancels its runs and discards the results that are not listed yet. */
   void end() {
     isEnded = true;
-    unlisted.clear();
+    clearUnlisted();
     stopRuns();
+    releaseItemsIfDone();
     wakeWaiters();
   }
 
   /** Records that another daemon has taken over the job; cancels its runs. */
   void loseOwnership() {
     isOwnershipLost = true;
-    unlisted.clear();
+    clearUnlisted();
     stopRuns();
     wakeWaiters();
   }
 
+  private void clearUnlisted() {
+    unlisted.forEach(this::shrinkBy);
+    unlisted.clear();
+  }
+
+  private void shrinkBy(ItemResult result) {
+    memory.shrink(ResultCache.bytesOf(result));
+  }
+
   private void stopRuns() {
     items.values().forEach(ItemProgress::cancel);
   }
@@ -289,12 +327,13 @@
     close(item);
     item.text().clear();
     if (isRunnable()) {
+      memory.forceGrow(ResultCache.bytesOf(result));
       unlisted.add(result);
     }
   }
 
-  private void close(ItemProgress item) {
-    if (!item.isFinished()) {
+  private void close(@Nullable ItemProgress item) {
+    if (item != null && !item.isFinished()) {
       textsToScore -= item.stage() == ItemStage.SCORE ? 1 : 0;
       item.finish();
       openInGroup.merge(item.spec().group(), -1, Integer::sum);
@@ -336,20 +375,37 @@
     return listed.size();
   }
 
-  /** Adds the results of a page that the store has acknowledged. */
-  void addListed(ImmutableList<ItemResult> page) {
-    listed.addAll(page);
+  /** Returns the index of the listed results. */
+  ListedResults listed() {
+    return listed;
+  }
+
+  /** Adds the results of a page that the store has acknowledged, and returns the page. */
+  ListedPage addListed(ImmutableList<ItemResult> page) {
+    page.forEach(this::shrinkBy);
+    ListedPage added = listed.add(page.size());
+    releaseItemsIfDone();
+    return added;
+  }
+
+  /** Calls the waiters for results. */
+  void notifyListed() {
     wakeWaiters();
   }
 
-  /** Returns true if every item has a listed result. */
-  boolean isFullyListed() {
-    return listed.size() == items.size();
+  /** Drops the results of a page that the store has not accepted. */
+  void dropPage(ImmutableList<ItemResult> page) {
+    page.forEach(this::shrinkBy);
+  }
+
+  /** Returns the number of items. */
+  int itemCount() {
+    return itemCount;
   }
 
-  /** Returns the results from {@code position} on that fit in {@code maxBytes}, at least one. */
-  ImmutableList<ItemResult> read(int position, int maxBytes) {
-    return ResultPages.limit(listed, position, maxBytes);
+  /** Returns true if every item has a listed result. */
+  boolean isFullyListed() {
+    return listed.size() == itemCount;
   }
 
   /**
--- a/amaranthstream/src/main/java/org/amaranthstream/jobs/OwnedJobOperations.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/jobs/OwnedJobOperations.java
@@ -1,6 +1,5 @@
 package org.amaranthstream.jobs;
 
-import com.google.common.collect.ImmutableList;
 import com.google.common.flogger.FluentLogger;
 import java.time.Duration;
 import java.util.Optional;
@@ -24,13 +23,19 @@
   private static final Duration END_RETRY_DELAY = Duration.ofMillis(300);
 
   private final JobStore store;
+  private final ResultReader results;
   private final JobOwnershipManager ownership;
   private final TimerService timers;
   private final Random nonces;
 
   OwnedJobOperations(
-      JobStore store, JobOwnershipManager ownership, TimerService timers, Random nonces) {
+      JobStore store,
+      ResultReader results,
+      JobOwnershipManager ownership,
+      TimerService timers,
+      Random nonces) {
     this.store = store;
+    this.results = results;
     this.ownership = ownership;
     this.timers = timers;
     this.nonces = nonces;
@@ -41,25 +46,26 @@
       OwnedJob job, int position, Duration wait, int maxBytes) {
     boolean canGrow = job.isRunnable() && !job.isFullyListed();
     if (position < job.listedCount() || !canGrow || wait.isZero()) {
-      return CompletableFuture.completedFuture(slice(job, position, maxBytes));
+      return slice(job, position, maxBytes);
     }
-    CompletableFuture<Result<ResultSlice>> reply = new CompletableFuture<>();
-    Subscription timeout = timers.after(wait, () -> reply.complete(slice(job, position, maxBytes)));
+    CompletableFuture<Void> changed = new CompletableFuture<>();
+    Subscription timeout = timers.after(wait, () -> changed.complete(null));
     job.onChange(
         () -> {
           timeout.cancel();
-          reply.complete(slice(job, position, maxBytes));
+          changed.complete(null);
         });
-    return reply;
+    return changed.thenCompose(unused -> slice(job, position, maxBytes));
   }
 
-  private static Result<ResultSlice> slice(OwnedJob job, int position, int maxBytes) {
+  private CompletableFuture<Result<ResultSlice>> slice(OwnedJob job, int position, int maxBytes) {
     if (job.isOwnershipLost()) {
-      return Result.failure(
-          ResultCode.PLATFORM_UNAVAILABLE, "another daemon has taken over the job");
+      return CompletableFuture.completedFuture(
+          Result.failure(ResultCode.PLATFORM_UNAVAILABLE, "another daemon has taken over the job"));
     }
-    ImmutableList<ItemResult> results = job.read(position, maxBytes);
-    return Result.success(new ResultSlice(job.spec().items().size(), position, results));
+    return results
+        .read(job, position, maxBytes)
+        .thenApply(read -> read.map(page -> new ResultSlice(job.itemCount(), position, page)));
   }
 
   /** Returns the request body of an item. */
--- a/amaranthstream/src/main/java/org/amaranthstream/jobs/ResultAppender.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/jobs/ResultAppender.java
@@ -27,6 +27,7 @@
   private static final int MAX_PAGE_BYTES = 600_000;
 
   private final JobStore store;
+  private final ResultCache cache;
   private final TimerService timers;
   private final Random nonces;
   private final ConflictHandler conflicts;
@@ -39,8 +40,14 @@
     void onConflict(OwnedJob job);
   }
 
-  ResultAppender(JobStore store, TimerService timers, Random nonces, ConflictHandler conflicts) {
+  ResultAppender(
+      JobStore store,
+      ResultCache cache,
+      TimerService timers,
+      Random nonces,
+      ConflictHandler conflicts) {
     this.store = store;
+    this.cache = cache;
     this.timers = timers;
     this.nonces = nonces;
     this.conflicts = conflicts;
@@ -74,7 +81,8 @@
     job.setAppending(false);
     if (reply instanceof TransactionReply.Committed committed) {
       int from = job.listedCount();
-      job.addListed(page);
+      cache.put(job.addListed(page), page);
+      job.notifyListed();
       logger.atInfo().log(
           "event=results_listed job=%s from=%d to=%d groups_complete=%d revision=%s",
           job.id(), from, job.listedCount(), job.completeGroups(), committed.revision());
@@ -82,6 +90,7 @@
       return;
     }
     logger.atWarning().log("event=results_not_listed job=%s reply=\"%s\"", job.id(), reply);
+    job.dropPage(page);
     conflicts.onConflict(job);
   }
 }
--- a/amaranthstream/src/main/java/org/amaranthstream/jobs/StoredJobs.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/jobs/StoredJobs.java
@@ -1,10 +1,10 @@
 package org.amaranthstream.jobs;
 
-import com.google.common.collect.ImmutableList;
 import com.google.common.flogger.FluentLogger;
 import java.time.Duration;
 import java.util.Random;
 import java.util.concurrent.CompletableFuture;
+import org.amaranthstream.ids.JobId;
 import org.amaranthstream.platform.TransactionReply;
 import org.amaranthstream.result.Result;
 import org.amaranthstream.result.ResultCode;
@@ -40,23 +40,21 @@
 
   /** Reads results from {@code position} on. Waits at most {@code wait} for the first of them. */
   CompletableFuture<Result<ResultSlice>> read(StoredOwner owner, int position, Duration wait) {
+    PageCollector collector = new PageCollector(position, maxReadBytes);
     return store
-        .results(owner.job())
+        .visitResults(owner.job(), collector)
         .thenCompose(
             result -> {
-              if (result instanceof Result.Failure<ImmutableList<ItemResult>> failure) {
+              if (result instanceof Result.Failure<JobId> failure) {
                 return OwnerRouter.failed(failure.error().code(), failure.error().message());
               }
-              ImmutableList<ItemResult> results =
-                  ((Result.Success<ImmutableList<ItemResult>>) result).value();
               int total = owner.owner().items();
-              boolean canGrow = results.size() < total && !owner.owner().isEnded();
-              if (results.size() <= position && canGrow && !wait.isZero()) {
+              boolean canGrow = collector.visited() < total && !owner.owner().isEnded();
+              if (collector.results().isEmpty() && canGrow && !wait.isZero()) {
                 return readLater(owner, position);
               }
-              ImmutableList<ItemResult> page = ResultPages.limit(results, position, maxReadBytes);
               return CompletableFuture.completedFuture(
-                  Result.success(new ResultSlice(total, position, page)));
+                  Result.success(new ResultSlice(total, position, collector.results())));
             });
   }
 
--- a/amaranthstream/src/main/java/org/amaranthstream/memory/Reservation.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/memory/Reservation.java
@@ -68,8 +68,21 @@
     }
   }
 
-  /** Gives some of the bytes back. */
+  /** Changes the reservation to {@code wanted} bytes; returns false if there is no room. */
+  public boolean tryResize(long wanted) {
+    checkArgument(wanted >= 0, "wanted is %s, expected >= 0", wanted);
+    if (wanted > bytes) {
+      return tryGrow(wanted - bytes);
+    }
+    shrink(bytes - wanted);
+    return true;
+  }
+
+  /** Gives some of the bytes back; has no effect after the release. */
   public void shrink(long fewer) {
+    if (isReleased) {
+      return;
+    }
     checkArgument(fewer >= 0 && fewer <= bytes, "fewer is %s of %s bytes", fewer, bytes);
     bytes -= fewer;
     budget.giveBack(fewer);
--- a/amaranthstream/src/test/java/org/amaranthstream/jobs/ItemTextTest.java
+++ b/amaranthstream/src/test/java/org/amaranthstream/jobs/ItemTextTest.java
@@ -7,12 +7,15 @@
 import org.amaranthstream.ids.ItemId;
 import org.amaranthstream.ids.SoftwareVersion;
 import org.amaranthstream.ids.WeightVersion;
+import org.amaranthstream.memory.MemoryBudget;
+import org.amaranthstream.time.VirtualTimerService;
 import org.junit.jupiter.api.Test;
 
 class ItemTextTest {
   private static final ItemId ITEM = ItemId.of("i");
 
-  private final ItemText text = new ItemText();
+  private final ItemText text =
+      new ItemText(MemoryBudget.ofHeap(VirtualTimerService.create()).open());
 
   private void generate(String... events) {
     for (String data : events) {
@@ -57,4 +60,16 @@
 
     assertThat(unsaved()).isEqualTo("x\ny");
   }
+
+  @Test
+  void rejectsEventBeyondTheLengthThatCallersCanRead() {
+    generate("x".repeat(ItemText.MAX_BYTES));
+
+    assertThat(
+            text.add(
+                new ItemEvent(2, new byte[0], Optional.empty()),
+                Optional.empty(),
+                SoftwareVersion.of("v1")))
+        .isEqualTo(ItemText.Added.TOO_LONG);
+  }
 }
--- a/amaranthstream/src/test/java/org/amaranthstream/jobs/JobFleet.java
+++ b/amaranthstream/src/test/java/org/amaranthstream/jobs/JobFleet.java
@@ -22,6 +22,7 @@
 import org.amaranthstream.ids.RegionId;
 import org.amaranthstream.jobs.wire.JobAnswer;
 import org.amaranthstream.jobs.wire.JobQuestion;
+import org.amaranthstream.memory.MemoryBudget;
 import org.amaranthstream.platform.SimulatedStore;
 import org.amaranthstream.platform.SimulatedStoreClient;
 import org.amaranthstream.result.Result;
@@ -38,6 +39,7 @@
 /** Daemons that run batch jobs on simulated engines, with one simulated store, in virtual time. */
 final class JobFleet {
   private static final Duration CONNECT_TIMEOUT = Duration.ofMillis(600);
+  private static final long AMPLE_MEMORY_BYTES = 100_000_000;
 
   private final VirtualTimerService timers = VirtualTimerService.create();
   private final SimulatedStore store = new SimulatedStore(timers);
@@ -45,6 +47,7 @@
   private final SimulatedRewards rewards = new SimulatedRewards(timers, servers);
   private final Map<String, Node> nodes = new LinkedHashMap<>();
   private final ItemSchedulingOptions scheduling;
+  private final long memoryBytes;
   private int incarnations;
 
   JobFleet() {
@@ -52,13 +55,24 @@
   }
 
   JobFleet(ItemSchedulingOptions scheduling) {
+    this(scheduling, AMPLE_MEMORY_BYTES);
+  }
+
+  /** Creates daemons each of which has {@code memoryBytes} for jobs. */
+  JobFleet(long memoryBytes) {
+    this(ItemSchedulingOptions.OFF, memoryBytes);
+  }
+
+  private JobFleet(ItemSchedulingOptions scheduling, long memoryBytes) {
     this.scheduling = scheduling;
+    this.memoryBytes = memoryBytes;
   }
 
   /** A daemon with its own store client, clock and routing table. */
   final class Node {
     private final String name;
     private final PausableTimerService clock = new PausableTimerService(timers);
+    private final MemoryBudget memory = MemoryBudget.of(clock, memoryBytes);
     private final SimulatedStoreClient client = store.client(clock);
     private final RoutingTable routing = RoutingTable.create();
     private final ServerDirectory directory = ServerDirectory.create(clock);
@@ -92,6 +106,7 @@
               .fleet(session, fleet)
               .store(client)
               .timers(clock)
+              .memory(memory)
               .timeOfDay(this::timeOfDay)
               .routing(routing)
               .servers(directory, ServerChoice.in(self.zone(), zone -> Optional.empty()))
@@ -115,6 +130,10 @@
       return responds;
     }
 
+    MemoryBudget memory() {
+      return memory;
+    }
+
     RoutingTable routing() {
       return routing;
     }
--- a/amaranthstream/src/test/java/org/amaranthstream/jobs/SimulatedServers.java
+++ b/amaranthstream/src/test/java/org/amaranthstream/jobs/SimulatedServers.java
@@ -31,6 +31,7 @@
   private final TimerService timers;
   private final Map<BackendServerId, Long> versions = new HashMap<>();
   private final Map<BackendServerId, Duration> eventIntervals = new HashMap<>();
+  private final Map<BackendServerId, byte[]> endlessEvents = new HashMap<>();
   private final Set<BackendServerId> silent = new LinkedHashSet<>();
   private final Map<ItemId, ItemRunOutcome> outcomes = new HashMap<>();
   private final Map<ItemId, Integer> starts = new HashMap<>();
@@ -86,6 +87,11 @@
     eventIntervals.put(BackendServerId.of(server), perEvent);
   }
 
+  /** Makes the server send events of {@code bytes} each without end. */
+  void makeEndless(String server, int bytes) {
+    endlessEvents.put(BackendServerId.of(server), new byte[bytes]);
+  }
+
   /** Returns true if the server responds to a probe. */
   boolean responds(TrackedServer server) {
     return !silent.contains(server.id());
@@ -193,16 +199,19 @@
       if (isOver || silent.contains(server.id())) {
         return;
       }
-      if (next > events(request.item())) {
+      byte[] endless = endlessEvents.get(server.id());
+      if (endless == null && next > events(request.item())) {
         isOver = true;
         completed.add(request.item().id());
         listener.onEnded(new ItemRunOutcome.Complete());
         return;
       }
       software.put(request.item().id(), server.registration().softwareVersion());
-      String data = request.item().id() + "." + next;
-      listener.onEvent(
-          new ItemEvent(next, data.getBytes(StandardCharsets.UTF_8), Optional.of(version())));
+      byte[] data =
+          endless == null
+              ? (request.item().id() + "." + next).getBytes(StandardCharsets.UTF_8)
+              : endless;
+      listener.onEvent(new ItemEvent(next, data, Optional.of(version())));
       next++;
       timers.after(eventIntervals.getOrDefault(server.id(), Duration.ofMillis(20)), this::step);
     }
