--- a/amaranthstream/src/test/java/org/amaranthstream/jobs/JobFleet.java
+++ b/amaranthstream/src/test/java/org/amaranthstream/jobs/JobFleet.java
@@ -82,6 +82,7 @@
     private final FleetNode self;
     private boolean isCut;
     private boolean areServersCut;
+    private boolean areAnswersLost;
     private boolean areConnectionsRefused;
     private boolean isKilled;
     private Duration timeOfDayStep = Duration.ZERO;
@@ -187,7 +188,9 @@
         reply.complete(Result.failure(ResultCode.PEER_UNREACHABLE, "the links are cut"));
         return reply;
       }
-      timers.after(Duration.ofMillis(1), () -> peer.handle(query, reply));
+      CompletableFuture<Result<JobAnswer>> answer =
+          peer.areAnswersLost ? new CompletableFuture<>() : reply;
+      timers.after(Duration.ofMillis(1), () -> peer.handle(query, answer));
       timers.after(
           timeout,
           () ->
@@ -226,6 +229,11 @@
       this.isCut = isCut;
     }
 
+    /** Sets whether the answers of this daemon to its peers are lost. */
+    void loseAnswers(boolean areLost) {
+      areAnswersLost = areLost;
+    }
+
     /** Suspends the VM, so that its timers do not run. */
     void pause() {
       clock.pause();
