Decide handoffs without an answer, and keep open jobs

A checkpoint that conflicted was ignored.

Change: after an unknown outcome the owner writes its record anew. If that is committed, the takeover can no longer take effect; if it conflicts, the record is read and the job released. A successor whose write has an unknown outcome does not answer "not taken" any more. Only ended jobs expire. A conflict of a checkpoint is handled like that of a page of results. Messages and entries are unchanged.

Tests: JobTakeoverTest.

--- a/amaranthstream/src/main/java/org/amaranthstream/jobs/CheckpointWriter.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/jobs/CheckpointWriter.java
@@ -13,7 +13,8 @@
  *
  * <p>Guards against a crash of the owner, or of all daemons, during a step with a few very long
  * items: to generate these items again would take as long as the whole step. Short items are not
- * saved. A part whose write fails is included in the next part. Must be used on one thread.
+ * saved. A part whose write fails is included in the next part, and a conflict is reported, as it
+ * may be the first sign of another owner. Must be used on one thread.
  */
 final class CheckpointWriter {
   private static final FluentLogger logger = FluentLogger.forEnclosingClass();
@@ -28,8 +29,14 @@
   private final JobStore store;
   private final TimerService timers;
   private final Random nonces;
+  private final ResultAppender.ConflictHandler conflicts;
 
-  CheckpointWriter(JobStore store, TimerService timers, Random nonces) {
+  CheckpointWriter(
+      JobStore store,
+      TimerService timers,
+      Random nonces,
+      ResultAppender.ConflictHandler conflicts) {
+    this.conflicts = conflicts;
     this.store = store;
     this.timers = timers;
     this.nonces = nonces;
@@ -60,6 +67,8 @@
       OwnedJob job, ImmutableList<CheckpointPart> parts, TransactionReply response) {
     if (response instanceof TransactionReply.Committed) {
       job.markSaved(parts);
+    } else if (response instanceof TransactionReply.Conflict) {
+      conflicts.onConflict(job);
     }
     logger.atFine().log(
         "event=progress_saved job=%s texts=%d reply=\"%s\"", job.id(), parts.size(), response);
--- a/amaranthstream/src/main/java/org/amaranthstream/jobs/JobHandoff.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/jobs/JobHandoff.java
@@ -6,7 +6,6 @@
 import java.util.concurrent.CompletableFuture;
 import org.amaranthstream.ids.EntryVmId;
 import org.amaranthstream.membership.RendezvousHash;
-import org.amaranthstream.result.Result;
 
 /**
  * Handoff of owned jobs to peers, with the output that is not listed yet, when this daemon shuts
@@ -69,16 +68,19 @@
     EntryVmId vm = peers.next();
     remote
         .handOff(vm, job, condition)
-        .thenAccept(
-            result -> {
-              logger.atInfo().log(
-                  "event=job_handed_over job=%s vm=%s result=%s", job.id(), vm, result);
-              if (result instanceof Result.Success) {
-                ownership.release(job);
-                done.complete(null);
-              } else {
-                offer(job, condition, peers, done);
-              }
-            });
+        .thenCompose(outcome -> onOffered(job, vm, outcome))
+        .thenRun(() -> offer(job, condition, peers, done));
+  }
+
+  /** Completes once it is certain whether this daemon still owns the job. */
+  private CompletableFuture<Void> onOffered(OwnedJob job, EntryVmId vm, TakeoverOutcome outcome) {
+    logger.atInfo().log("event=job_handed_over job=%s vm=%s outcome=%s", job.id(), vm, outcome);
+    if (outcome == TakeoverOutcome.UNKNOWN) {
+      return ownership.reclaim(job);
+    }
+    if (outcome == TakeoverOutcome.TAKEN) {
+      ownership.release(job);
+    }
+    return CompletableFuture.completedFuture(null);
   }
 }
--- a/amaranthstream/src/main/java/org/amaranthstream/jobs/JobOwner.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/jobs/JobOwner.java
@@ -32,6 +32,11 @@
         newVm, newIncarnation, epoch + 1, isEnded, acceptedMillis, items, parts, newNonce);
   }
 
+  /** Returns a record of the same owner that conflicts with changes of this one. */
+  public JobOwner renewed(long newNonce) {
+    return new JobOwner(vm, incarnation, epoch, isEnded, acceptedMillis, items, parts, newNonce);
+  }
+
   /** Returns the record after the end of the job. */
   public JobOwner ended(long newNonce) {
     return new JobOwner(vm, incarnation, epoch, true, acceptedMillis, items, parts, newNonce);
--- a/amaranthstream/src/main/java/org/amaranthstream/jobs/JobOwnershipManager.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/jobs/JobOwnershipManager.java
@@ -37,7 +37,7 @@
 final class JobOwnershipManager implements FleetListener {
   private static final FluentLogger logger = FluentLogger.forEnclosingClass();
 
-  /** Time for which this daemon keeps a job after it has become its owner. */
+  /** Time for which this daemon keeps a job at least after it has become its owner. */
   private static final Duration RETENTION = Duration.ofSeconds(150);
 
   /** Delay between the takeover attempts of successive candidates for the same job. */
@@ -63,6 +63,8 @@
 
   private static final Duration TAKEOVER_TIMEOUT = Duration.ofSeconds(5);
 
+  private static final Duration RECLAIM_TIMEOUT = Duration.ofSeconds(1);
+
   /** Delay before a failed read or takeover is retried. */
   private static final Duration RETRY_DELAY = Duration.ofMillis(400);
 
@@ -176,10 +178,16 @@
     starter.start(job);
   }
 
+  /** Removes a job after its retention; an open job is kept for as long again. */
   private void expire(OwnedJob job) {
-    if (!job.isOwnershipLost()) {
+    if (job.isOwnershipLost()) {
+      return;
+    }
+    if (job.isEnded()) {
       forget(job);
       store.remove(job.owner());
+    } else {
+      timers.after(RETENTION, () -> expire(job));
     }
   }
 
@@ -288,12 +296,13 @@
   /**
    * Takes over a job, with the partial output of its previous owner.
    *
-   * @return true if this daemon now owns the job
+   * @return a future that never completes exceptionally
    */
-  CompletableFuture<Boolean> takeOver(StoredOwner before, ImmutableList<PartialOutput> partials) {
+  CompletableFuture<TakeoverOutcome> takeOver(
+      StoredOwner before, ImmutableList<PartialOutput> partials) {
     JobId job = before.job();
     if (registry.owned(job).isPresent() || !takeoversInProgress.add(job)) {
-      return CompletableFuture.completedFuture(false);
+      return CompletableFuture.completedFuture(TakeoverOutcome.NOT_TAKEN);
     }
     JobOwner next = before.owner().takenOverBy(self.vm(), self.incarnation(), nonces.nextLong());
     return store
@@ -301,14 +310,14 @@
         .thenApply(reply -> onTakeoverReply(job, next, reply, partials));
   }
 
-  private boolean onTakeoverReply(
+  private TakeoverOutcome onTakeoverReply(
       JobId job, JobOwner next, TransactionReply reply, ImmutableList<PartialOutput> partials) {
     if (reply instanceof TransactionReply.Committed committed) {
       logger.atInfo().log(
           "event=job_taken_over job=%s epoch=%d partials=%d revision=%s",
           job, next.epoch(), partials.size(), committed.revision());
       load(new StoredOwner(job, next, committed.revision()), partials);
-      return true;
+      return TakeoverOutcome.TAKEN;
     }
     takeoversInProgress.remove(job);
     logger.atInfo().log("event=job_not_taken_over job=%s reply=\"%s\"", job, reply);
@@ -316,10 +325,12 @@
       conflict.current().stream()
           .flatMap(entry -> JobStore.storedOwner(entry).stream())
           .forEach(registry::cacheOwner);
-    } else {
-      timers.after(RETRY_DELAY, this::scheduleOrphanSweep);
+      return TakeoverOutcome.NOT_TAKEN;
     }
-    return false;
+    timers.after(RETRY_DELAY, this::scheduleOrphanSweep);
+    return reply instanceof TransactionReply.NotDone
+        ? TakeoverOutcome.NOT_TAKEN
+        : TakeoverOutcome.UNKNOWN;
   }
 
   private void load(StoredOwner owner, ImmutableList<PartialOutput> partials) {
@@ -436,6 +447,26 @@
     current.ifPresent(registry::cacheOwner);
   }
 
+  /**
+   * Decides a takeover whose outcome is unknown: writes the ownership record anew, so that a
+   * takeover which has not taken effect yet never does.
+   *
+   * @return completes once the job is confirmed, or released because it is lost
+   */
+  CompletableFuture<Void> reclaim(OwnedJob job) {
+    JobOwner renewed = job.owner().owner().renewed(nonces.nextLong());
+    return store
+        .replaceOwner(job.owner(), renewed, RECLAIM_TIMEOUT)
+        .thenCompose(
+            reply -> {
+              if (reply instanceof TransactionReply.Committed committed) {
+                job.setOwner(new StoredOwner(job.id(), renewed, committed.revision()));
+                return CompletableFuture.completedFuture(null);
+              }
+              return refreshOwner(job);
+            });
+  }
+
   /** Releases a job that another daemon now owns. */
   void release(OwnedJob job) {
     job.loseOwnership();
--- a/amaranthstream/src/main/java/org/amaranthstream/jobs/JobQueryHandler.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/jobs/JobQueryHandler.java
@@ -136,12 +136,16 @@
             isAllowed ->
                 isAllowed
                     ? service.takeOver(before, partials)
-                    : CompletableFuture.completedFuture(false))
-        .thenApply(
-            isTakenOver ->
-                JobAnswer.newBuilder()
-                    .setHandover(HandoverAnswer.newBuilder().setTaken(isTakenOver))
-                    .build());
+                    : CompletableFuture.completedFuture(TakeoverOutcome.NOT_TAKEN))
+        .thenApply(JobQueryHandler::handedOver);
+  }
+
+  /** Returns the answer to a handoff; an unknown outcome is no answer to it. */
+  private static JobAnswer handedOver(TakeoverOutcome outcome) {
+    boolean isTaken = outcome == TakeoverOutcome.TAKEN;
+    return outcome == TakeoverOutcome.UNKNOWN
+        ? NOT_OWNER
+        : JobAnswer.newBuilder().setHandover(HandoverAnswer.newBuilder().setTaken(isTaken)).build();
   }
 
   private CompletableFuture<JobAnswer> submit(SubmitQuestion query) {
--- a/amaranthstream/src/main/java/org/amaranthstream/jobs/JobService.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/jobs/JobService.java
@@ -98,7 +98,7 @@
     this.operations =
         new OwnedJobOperations(store, new ResultReader(store, cache), ownership, timers, nonces);
     this.resultAppender = new ResultAppender(store, cache, timers, nonces, ownership::refreshOwner);
-    this.checkpointWriter = new CheckpointWriter(store, timers, nonces);
+    this.checkpointWriter = new CheckpointWriter(store, timers, nonces, ownership::refreshOwner);
     this.scheduler =
         new ItemScheduler(
             checkNotNull(builder.routing, "routing"),
@@ -160,9 +160,10 @@
   }
 
   /** Takes over a job that a peer hands off, unless this daemon is itself shutting down. */
-  CompletableFuture<Boolean> takeOver(StoredOwner before, ImmutableList<PartialOutput> partials) {
+  CompletableFuture<TakeoverOutcome> takeOver(
+      StoredOwner before, ImmutableList<PartialOutput> partials) {
     return isShuttingDown
-        ? CompletableFuture.completedFuture(false)
+        ? CompletableFuture.completedFuture(TakeoverOutcome.NOT_TAKEN)
         : ownership.takeOver(before, partials);
   }
 
--- a/amaranthstream/src/main/java/org/amaranthstream/jobs/RemoteJobs.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/jobs/RemoteJobs.java
@@ -14,6 +14,7 @@
 import org.amaranthstream.jobs.wire.JobQuestion;
 import org.amaranthstream.jobs.wire.ReadQuestion;
 import org.amaranthstream.jobs.wire.SubmitQuestion;
+import org.amaranthstream.peer.PeerQueryService;
 import org.amaranthstream.result.Result;
 import org.amaranthstream.result.ResultCode;
 
@@ -135,7 +136,7 @@
   }
 
   /** Offers a job to another daemon for takeover. */
-  CompletableFuture<Result<JobAcknowledgement>> handOff(
+  CompletableFuture<TakeoverOutcome> handOff(
       EntryVmId vm, OwnedJob job, HandoffCondition condition) {
     StoredOwner owner = job.owner();
     HandoverQuestion.Builder handover =
@@ -147,15 +148,20 @@
             .setRevision(owner.revision().value());
     job.partials().forEach(partial -> handover.addPartial(JobCodec.encodePartial(partial)));
     JobQuestion query = newQuery(owner.job()).setHandover(handover).build();
-    return transport
-        .query(vm, query, HANDOFF_TIMEOUT)
-        .thenApply(r -> r.flatMap(RemoteJobs::handedOff));
+    return transport.query(vm, query, HANDOFF_TIMEOUT).thenApply(RemoteJobs::handedOff);
   }
 
-  private static Result<JobAcknowledgement> handedOff(JobAnswer response) {
-    return response.hasHandover() && response.getHandover().getTaken()
-        ? Result.success(JobAcknowledgement.ACCEPTED)
-        : notOwner(response);
+  private static TakeoverOutcome handedOff(Result<JobAnswer> result) {
+    if (result instanceof Result.Failure<JobAnswer> failure) {
+      return PeerQueryService.isNotSent(failure.error().code())
+          ? TakeoverOutcome.NOT_TAKEN
+          : TakeoverOutcome.UNKNOWN;
+    }
+    JobAnswer response = ((Result.Success<JobAnswer>) result).value();
+    if (!response.hasHandover()) {
+      return TakeoverOutcome.UNKNOWN;
+    }
+    return response.getHandover().getTaken() ? TakeoverOutcome.TAKEN : TakeoverOutcome.NOT_TAKEN;
   }
 
   /** Returns the peers to call, at most {@link #MAX_QUERIED_PEERS}. */
--- a/amaranthstream/src/test/java/org/amaranthstream/jobs/JobTakeoverTest.java
+++ b/amaranthstream/src/test/java/org/amaranthstream/jobs/JobTakeoverTest.java
@@ -7,6 +7,9 @@
 import java.util.List;
 import org.amaranthstream.ids.EntryVmId;
 import org.amaranthstream.ids.ItemId;
+import org.amaranthstream.platform.SimulatedStoreClient.WriteFault;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
 
 /** Takeover of jobs whose owner is killed, suspended or shut down. */
@@ -196,4 +199,50 @@
     assertThat(second.owns(JOB)).isTrue();
     assertAllComplete(job, fleet.read(second, JOB));
   }
+
+  @Nested
+  class HandoffsWithoutAnswer {
+    private final JobSpec step = SampleJobs.job("step", 1, 400, 400);
+
+    @BeforeEach
+    void submitStep() {
+      submit(first, step);
+      fleet.runMillis(500);
+    }
+
+    /** Guards against two daemons that hold a job whose handoff got no answer. */
+    @Test
+    void leaveTheJobToItsNewOwner() {
+      second.loseAnswers(true);
+      first.jobs().handOff();
+      fleet.runMillis(2_000);
+      second.loseAnswers(false);
+
+      assertThat(fleet.ownerIs(step.id(), second)).isTrue();
+      assertThat(first.owns(step.id())).isFalse();
+    }
+
+    @Test
+    void leaveTheJobToItsOwnerIfTheTakeoverIsLate() {
+      second.store().setWriteFault(WriteFault.APPLIED_LATE, Duration.ofSeconds(3));
+      second.loseAnswers(true);
+      first.jobs().handOff();
+      fleet.runMillis(2_000);
+      second.store().setWriteFault(WriteFault.NONE, Duration.ZERO);
+      fleet.runMillis(4_000);
+
+      assertThat(fleet.ownerIs(step.id(), first)).isTrue();
+      assertThat(first.owns(step.id())).isTrue();
+      assertThat(second.owns(step.id())).isFalse();
+    }
+  }
+
+  /** Guards against open jobs that their owner removes after the retention of ended ones. */
+  @Test
+  void openJobIsKeptForAsLongAsItIsOpen() {
+    submit(first, job);
+    fleet.run(Duration.ofSeconds(200));
+
+    assertAllComplete(job, fleet.read(second, JOB));
+  }
 }
