List results again whose page conflicted with the owner's own write

A page of results whose append conflicts was dropped, which is right if the job is lost or has ended. Since the owner writes its record anew after an unanswered handoff, a conflict may come from that write, and the results would never be listed. They are taken back and listed under the new record. A load that fails gives its turn to the next job, and a job that was loaded across a lapse of the lease is compared with its record. The body of an item is read from the store once the job has given up its items.

--- a/amaranthstream/src/main/java/org/amaranthstream/jobs/JobOwnershipManager.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/jobs/JobOwnershipManager.java
@@ -22,6 +22,7 @@
 import org.amaranthstream.fleet.NodesChange;
 import org.amaranthstream.ids.EntryVmId;
 import org.amaranthstream.ids.JobId;
+import org.amaranthstream.ids.LeaseId;
 import org.amaranthstream.memory.MemoryBudget;
 import org.amaranthstream.memory.Reservation;
 import org.amaranthstream.platform.TransactionReply;
@@ -71,6 +72,7 @@
   /** Delay before a sweep, so that several losses of daemons share one. */
   private static final Duration SWEEP_DELAY = Duration.ofMillis(150);
 
+  private final FleetSession session;
   private final FleetNode self;
   private final Fleet fleet;
   private final JobStore store;
@@ -110,6 +112,7 @@
       Random nonces,
       MemoryBudget budget,
       ResultCache cache) {
+    this.session = session;
     this.self = session.self();
     this.fleet = fleet;
     this.store = store;
@@ -347,9 +350,19 @@
   }
 
   private void loadNow(StoredOwner owner, ImmutableList<PartialOutput> partials) {
-    readWithRetry(
-        () -> loadJob(owner),
-        job -> readWithRetry(() -> store.progress(owner.job()), p -> onLoaded(job, p, partials)));
+    Optional<LeaseId> lease = session.validLease();
+    loadJob(owner)
+        .thenCompose(result -> restoreProgress(result, partials))
+        .thenAccept(
+            result -> {
+              loads--;
+              if (result instanceof Result.Success<OwnedJob> loaded) {
+                onLoaded(loaded.value(), lease);
+              } else {
+                timers.after(RETRY_DELAY, () -> load(owner, partials));
+              }
+              startLoads();
+            });
   }
 
   private CompletableFuture<Result<OwnedJob>> loadJob(StoredOwner owner) {
@@ -383,9 +396,25 @@
             });
   }
 
-  private void onLoaded(
+  private CompletableFuture<Result<OwnedJob>> restoreProgress(
+      Result<OwnedJob> loaded, ImmutableList<PartialOutput> partials) {
+    if (!(loaded instanceof Result.Success<OwnedJob> success)) {
+      return CompletableFuture.completedFuture(loaded);
+    }
+    OwnedJob job = success.value();
+    return store
+        .progress(job.id())
+        .thenApply(
+            result -> {
+              if (result instanceof Result.Failure) {
+                job.discard();
+              }
+              return result.map(progress -> restore(job, progress, partials));
+            });
+  }
+
+  private static OwnedJob restore(
       OwnedJob job, JobCheckpoint progress, ImmutableList<PartialOutput> partials) {
-    takeoversInProgress.remove(job.id());
     logger.atInfo().log(
         "event=job_loaded job=%s listed=%d saved_texts=%d partials=%d",
         job.id(), job.listedCount(), progress.texts().size(), partials.size());
@@ -393,9 +422,16 @@
     if (job.isEnded()) {
       job.end();
     }
+    return job;
+  }
+
+  /** Starts a loaded job. If the lease may have ended since, a peer may own the job by now. */
+  private void onLoaded(OwnedJob job, Optional<LeaseId> leaseAtStart) {
+    takeoversInProgress.remove(job.id());
     registerAndStart(job);
-    loads--;
-    startLoads();
+    if (leaseAtStart.isEmpty() || !leaseAtStart.equals(session.validLease())) {
+      refreshOwner(job);
+    }
   }
 
   /** Reads from the store, retrying after each failure, and passes the value to {@code next}. */
--- a/amaranthstream/src/main/java/org/amaranthstream/jobs/JobQueryHandler.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/jobs/JobQueryHandler.java
@@ -76,9 +76,9 @@
     return switch (query.getBodyCase()) {
       case READ -> read(job, query.getRead());
       case ITEM_BODY ->
-          CompletableFuture.completedFuture(
-              body(
-                  OwnedJobOperations.bodyOf(job.spec(), ItemId.of(query.getItemBody().getItem()))));
+          operations
+              .body(job, ItemId.of(query.getItemBody().getItem()))
+              .thenApply(JobQueryHandler::body);
       case END -> operations.end(job).thenApply(JobQueryHandler::ended);
       case SUBMIT, HANDOVER, BODY_NOT_SET -> CompletableFuture.completedFuture(NOT_OWNER);
     };
@@ -111,6 +111,8 @@
     BodyAnswer.Builder response = BodyAnswer.newBuilder();
     if (result instanceof Result.Success<byte[]> success) {
       response.setFound(true).setBody(ByteString.copyFrom(success.value()));
+    } else if (((Result.Failure<byte[]>) result).error().code() != ResultCode.UNKNOWN_ITEM) {
+      return NOT_OWNER;
     }
     return JobAnswer.newBuilder().setItemBody(response).build();
   }
--- a/amaranthstream/src/main/java/org/amaranthstream/jobs/JobService.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/jobs/JobService.java
@@ -249,7 +249,7 @@
   public CompletableFuture<Result<byte[]>> body(JobId job, ItemId item) {
     return callOwner(
         job,
-        owned -> CompletableFuture.completedFuture(OwnedJobOperations.bodyOf(owned.spec(), item)),
+        owned -> operations.body(owned, item),
         () ->
             router.route(
                 job,
--- a/amaranthstream/src/main/java/org/amaranthstream/jobs/OwnedJob.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/jobs/OwnedJob.java
@@ -393,6 +393,15 @@
     wakeWaiters();
   }
 
+  /** Takes the results of a page back that conflicted with a change of the record. */
+  void returnPage(ImmutableList<ItemResult> page) {
+    if (isRunnable()) {
+      page.reverse().forEach(unlisted::addFirst);
+    } else {
+      dropPage(page);
+    }
+  }
+
   /** Drops the results of a page that the store has not accepted. */
   void dropPage(ImmutableList<ItemResult> page) {
     page.forEach(this::shrinkBy);
--- a/amaranthstream/src/main/java/org/amaranthstream/jobs/OwnedJobOperations.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/jobs/OwnedJobOperations.java
@@ -68,6 +68,13 @@
         .thenApply(read -> read.map(page -> new ResultSlice(job.itemCount(), position, page)));
   }
 
+  /** Returns the request body of an item, from the store once the job has given up its items. */
+  CompletableFuture<Result<byte[]>> body(OwnedJob job, ItemId item) {
+    return job.spec().items().isEmpty()
+        ? store.job(job.owner()).thenApply(read -> read.flatMap(spec -> bodyOf(spec, item)))
+        : CompletableFuture.completedFuture(bodyOf(job.spec(), item));
+  }
+
   /** Returns the request body of an item. */
   static Result<byte[]> bodyOf(JobSpec spec, ItemId item) {
     Optional<ItemSpec> found =
--- a/amaranthstream/src/main/java/org/amaranthstream/jobs/OwnershipCheck.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/jobs/OwnershipCheck.java
@@ -33,6 +33,9 @@
   /** Interval of the checks while the lease is not valid. */
   private static final Duration CHECK_INTERVAL = Duration.ofMillis(400);
 
+  /** Interval while the store does not answer; the sweep after its return is a check too. */
+  private static final Duration UNAVAILABLE_INTERVAL = Duration.ofSeconds(2);
+
   private final FleetSession session;
   private final JobStore store;
   private final JobRegistry registry;
@@ -77,7 +80,8 @@
     }
 
     private boolean isRecent() {
-      return timers.nowNanos() - startNanos < CHECK_INTERVAL.toNanos();
+      Duration interval = isStoreUnavailable ? UNAVAILABLE_INTERVAL : CHECK_INTERVAL;
+      return timers.nowNanos() - startNanos < interval.toNanos();
     }
   }
 
--- a/amaranthstream/src/main/java/org/amaranthstream/jobs/ResultAppender.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/jobs/ResultAppender.java
@@ -6,6 +6,7 @@
 import java.util.HashSet;
 import java.util.Random;
 import java.util.Set;
+import java.util.concurrent.CompletableFuture;
 import org.amaranthstream.ids.JobId;
 import org.amaranthstream.platform.TransactionReply;
 import org.amaranthstream.time.TimerService;
@@ -36,8 +37,12 @@
   /** Handler for a page that the store did not accept. */
   @FunctionalInterface
   interface ConflictHandler {
-    /** Called when the owner of the job may have changed or the job may have ended. */
-    void onConflict(OwnedJob job);
+    /**
+     * Called when the owner of the job may have changed or the job may have ended.
+     *
+     * @return completes once the owner is known
+     */
+    CompletableFuture<Void> onConflict(OwnedJob job);
   }
 
   ResultAppender(
@@ -72,12 +77,14 @@
     }
     ImmutableList<ItemResult> page = job.nextPage(MAX_PAGE_BYTES);
     job.setAppending(true);
+    StoredOwner owner = job.owner();
     store
-        .append(job.owner(), job.listedCount(), page, nonces.nextLong())
-        .thenAccept(reply -> onReply(job, page, reply));
+        .append(owner, job.listedCount(), page, nonces.nextLong())
+        .thenAccept(reply -> onReply(job, owner, page, reply));
   }
 
-  private void onReply(OwnedJob job, ImmutableList<ItemResult> page, TransactionReply reply) {
+  private void onReply(
+      OwnedJob job, StoredOwner owner, ImmutableList<ItemResult> page, TransactionReply reply) {
     job.setAppending(false);
     if (reply instanceof TransactionReply.Committed committed) {
       int from = job.listedCount();
@@ -90,7 +97,19 @@
       return;
     }
     logger.atWarning().log("event=results_not_listed job=%s reply=\"%s\"", job.id(), reply);
-    job.dropPage(page);
-    conflicts.onConflict(job);
+    if (reply instanceof TransactionReply.Conflict) {
+      job.returnPage(page);
+      conflicts.onConflict(job).thenRun(() -> appendAgain(job, owner));
+    } else {
+      job.dropPage(page);
+      conflicts.onConflict(job);
+    }
+  }
+
+  /** Appends results again whose page conflicted with a newer record of this owner. */
+  private void appendAgain(OwnedJob job, StoredOwner before) {
+    if (!job.owner().revision().equals(before.revision())) {
+      schedule(job);
+    }
   }
 }
--- a/amaranthstream/src/test/java/org/amaranthstream/jobs/JobMemoryTest.java
+++ b/amaranthstream/src/test/java/org/amaranthstream/jobs/JobMemoryTest.java
@@ -117,6 +117,20 @@
     }
   }
 
+  /** The owner gives up the items of a job that is listed as a whole. */
+  @Test
+  void bodyOfListedItemIsReadFromTheStore() {
+    fleet.addServer("s1", 8, 1);
+    JobSpec job = SampleJobs.job("job", 1, 3, 3);
+    submit(job);
+    fleet.run(Duration.ofSeconds(5));
+
+    for (JobFleet.Node node : List.of(first, second)) {
+      Result<byte[]> body = fleet.await(node.jobs().body(job.id(), job.items().get(0).id()));
+      assertThat(((Result.Success<byte[]>) body).value()).isEqualTo(job.items().get(0).body());
+    }
+  }
+
   @Nested
   class JobsWithoutRoom {
     @Test
--- a/amaranthstream/src/test/java/org/amaranthstream/jobs/JobTakeoverTest.java
+++ b/amaranthstream/src/test/java/org/amaranthstream/jobs/JobTakeoverTest.java
@@ -237,6 +237,19 @@
     }
   }
 
+  /** The owner writes its record anew while pages of results are on their way. */
+  @Test
+  void resultsThatConflictWithTheRecordOfTheSameOwnerAreListed() {
+    submit(first, job);
+    for (int i = 0; i < 1_000; i++) {
+      fleet.runMillis(2);
+      fleet.store().entry(JobKeys.owner(JOB)).ifPresent(e -> fleet.store().put(e.key(), e.value()));
+    }
+    fleet.run(Duration.ofSeconds(20));
+
+    assertAllComplete(job, fleet.read(second, JOB));
+  }
+
   /** Guards against open jobs that their owner removes after the retention of ended ones. */
   @Test
   void openJobIsKeptForAsLongAsItIsOpen() {
