--- a/amaranthstream/src/test/java/org/amaranthstream/ImportDirectionTest.java
+++ b/amaranthstream/src/test/java/org/amaranthstream/ImportDirectionTest.java
@@ -23,7 +23,7 @@
 
   private static final ImmutableList<ImmutableList<String>> LAYERS =
       ImmutableList.of(
-          ImmutableList.of("ids", "result", "time", "ring", "logs", "http"),
+          ImmutableList.of("ids", "result", "time", "ring", "logs", "http", "memory"),
           ImmutableList.of("yaml", "auth", "workspaces", "routing"),
           ImmutableList.of("platform", "config", "membership", "decisions", "settings"),
           ImmutableList.of(
