Correct the comment of the caches of the memory budget

The scheduler discards texts as a cache too, and these are generated again, not kept elsewhere. Comment only; formatter and linter ran, the suite did not.

--- a/amaranthstream/src/main/java/org/amaranthstream/memory/MemoryBudget.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/memory/MemoryBudget.java
@@ -36,7 +36,7 @@
   private final ArrayDeque<Waiter> waiters = new ArrayDeque<>();
   private long usedBytes;
 
-  /** Memory that can be given back at any time, because its content is kept elsewhere too. */
+  /** Memory that can be given back at any time: its content is kept elsewhere or made again. */
   @FunctionalInterface
   public interface Cache {
     /** Gives back reservations of at least {@code bytes} if possible, the least useful first. */
