Serve batch jobs whose route is gone by their record

Cause: the HTTP server took the paths of jobs for calls of plain routes unless the newest configuration had a batch route for the host. A job is accepted under one configuration and outlives it; nothing asked its record.

--- a/amaranthstream/src/main/java/org/amaranthstream/jobs/JobService.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/jobs/JobService.java
@@ -233,6 +233,11 @@
     return acceptor.submitForPeer(spec, timeout);
   }
 
+  /** Returns whether there is such a job; fails if neither this daemon nor the store knows. */
+  public CompletableFuture<Result<Boolean>> exists(JobId job) {
+    return router.exists(job);
+  }
+
   /** Returns results from {@code position} on. Waits at most {@code wait} for the first of them. */
   public CompletableFuture<Result<ResultSlice>> read(JobId job, int position, Duration wait) {
     return callOwner(
--- a/amaranthstream/src/main/java/org/amaranthstream/jobs/OwnerRouter.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/jobs/OwnerRouter.java
@@ -46,6 +46,22 @@
     CompletableFuture<Result<T>> call(StoredOwner owner);
   }
 
+  /** Returns whether there is such a job; fails if neither this daemon nor the store knows. */
+  CompletableFuture<Result<Boolean>> exists(JobId job) {
+    if (registry.owned(job).isPresent() || registry.cachedOwner(job).isPresent()) {
+      return CompletableFuture.completedFuture(Result.success(true));
+    }
+    return store
+        .owner(job)
+        .thenApply(
+            result ->
+                result.map(
+                    owner -> {
+                      owner.ifPresent(registry::cacheOwner);
+                      return owner.isPresent();
+                    }));
+  }
+
   /** Calls the owner of {@code job}, or the fallback if the owner cannot be reached. */
   <T> CompletableFuture<Result<T>> route(JobId job, PeerCall<T> peer, StoreFallback<T> fallback) {
     Optional<StoredOwner> known = registry.cachedOwner(job);
