Let an owner wait for a route that it has never seen

Callers would see: all results of a job errored right after its 202.

Fix: items are given up at once only if the owner has seen the route of their job; otherwise after 4 s, the time that a configuration takes to reach every daemon. After a takeover of a job whose route was removed long ago, its items end 4 s later than before.

JobsWithoutRouteTest: AddedRoutes failed on (no result complete), passes now; both tests of RemovedRoutes passed before and pass now.

--- a/amaranthstream/src/main/java/org/amaranthstream/jobs/ItemScheduler.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/jobs/ItemScheduler.java
@@ -33,6 +33,9 @@
   private static final FluentLogger logger = FluentLogger.forEnclosingClass();
   private static final Duration POLL_INTERVAL = Duration.ofMillis(50);
 
+  /** The time after which a daemon has applied a configuration that its peers have applied. */
+  static final Duration MAX_CONFIG_DELAY = Duration.ofSeconds(4);
+
   /** Texts up to this length are not discarded for lack of memory. */
   private static final int MIN_LONG_TEXT_BYTES = 64 * 1024;
 
@@ -227,14 +230,24 @@
     }
     Optional<Route> route = routeOf(config.get(), job.spec());
     if (route.isEmpty()) {
-      giveUpOpenItems(job, "no batch route matches the host and path of the job");
-    } else if (job.ownedTime(now).compareTo(route.get().itemTimeout()) >= 0) {
+      giveUpWithoutRoute(job, now);
+      return Optional.empty();
+    }
+    job.markRouted();
+    if (job.ownedTime(now).compareTo(route.get().itemTimeout()) >= 0) {
       giveUpOpenItems(job, "the item timeout of the route has expired");
       return Optional.empty();
     }
     return route;
   }
 
+  /** Gives up the items, unless the configuration may be older than the route of the job. */
+  private void giveUpWithoutRoute(OwnedJob job, long now) {
+    if (job.wasRouted() || job.ownedTime(now).compareTo(MAX_CONFIG_DELAY) >= 0) {
+      giveUpOpenItems(job, "no batch route matches the host and path of the job");
+    }
+  }
+
   private static Optional<Route> routeOf(RoutingConfig config, JobSpec spec) {
     return config.find(spec.host(), spec.path()).filter(r -> r.kind() == RouteKind.BATCH);
   }
--- a/amaranthstream/src/main/java/org/amaranthstream/jobs/OwnedJob.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/jobs/OwnedJob.java
@@ -39,6 +39,7 @@
   private boolean isEnded;
   private boolean isOwnershipLost;
   private boolean isAppending;
+  private boolean wasRouted;
   private int nextProgressPage;
   private int textsToScore;
 
@@ -255,6 +256,16 @@
     return !isEnded && !isOwnershipLost;
   }
 
+  /** Records that a configuration of this daemon had a route for the job. */
+  void markRouted() {
+    wasRouted = true;
+  }
+
+  /** Returns true if the configuration has had a route for the job since this daemon owns it. */
+  boolean wasRouted() {
+    return wasRouted;
+  }
+
   boolean isEnded() {
     return isEnded;
   }
--- a/amaranthstream/src/test/java/org/amaranthstream/jobs/JobRoutes.java
+++ b/amaranthstream/src/test/java/org/amaranthstream/jobs/JobRoutes.java
@@ -21,6 +21,11 @@
 
   private JobRoutes() {}
 
+  /** Returns a configuration without any route. */
+  static RoutingConfig withoutRoutes(long version) {
+    return RoutingConfig.of(version, List.of(), List.of(), RequestLimits.defaults());
+  }
+
   /** Returns a configuration whose engines serve two models, so that all parts may be in use. */
   static RoutingConfig config() {
     return config(1, ImmutableList.of(ModelId.of("m"), ModelId.of("other")));
