Permit each relayed call's peer servers that no other attempt uses

A daemon that finds too few servers to connect to sends a call on to a peer, which knows nothing of the servers that have it already and may send it to one of them. That server then gets one id twice; it answers 500 to the one and 200 to the other.

Fix: the sender names the servers among which the peer may choose, and uses them for nothing else; those left serve further attempts. The new field of CallRequest is ignored by older builds. An attempt that is known not to have run gives its servers back.

--- a/amaranthstream/src/main/java/org/amaranthstream/calls/ActiveCall.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/calls/ActiveCall.java
@@ -1,7 +1,9 @@
 package org.amaranthstream.calls;
 
+import com.google.common.collect.ImmutableList;
 import com.google.common.flogger.FluentLogger;
 import java.time.Duration;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
 import org.amaranthstream.prompts.Prompt;
@@ -29,7 +31,7 @@
   private final OutboundCall call;
   private final Optional<Prompt> prompt;
   private final CallContent content;
-  private List<TrackedServer> servers;
+  private CandidateServers candidates;
   private final CallerExchange exchange;
   private final long startNanos;
   private final long deadlineNanos;
@@ -48,7 +50,7 @@
       CallPolicy policy,
       OutboundCall call,
       CallContent content,
-      List<TrackedServer> servers,
+      CandidateServers candidates,
       Duration timeLeft,
       CallerExchange exchange) {
     this.service = service;
@@ -57,7 +59,7 @@
     this.call = call;
     this.prompt = service.promptOf(route, call);
     this.content = content;
-    this.servers = servers;
+    this.candidates = candidates;
     this.exchange = exchange;
     this.attempts = new CallAttempts(policy);
     this.startNanos = service.timers().nowNanos();
@@ -87,7 +89,7 @@
       fail(failure.error().code(), failure.error().message());
       return;
     }
-    servers = ((Result.Success<List<TrackedServer>>) compatible).value();
+    candidates = candidates.among(((Result.Success<List<TrackedServer>>) compatible).value());
     attemptNext();
   }
 
@@ -117,7 +119,7 @@
     }
     Optional<TrackedServer> server =
         mayTryAnother()
-            ? service.choose(servers, attempts.tried(), content.isSuspect(), prompt)
+            ? service.choose(servers(), attempts::mayTry, content.isSuspect(), prompt)
             : Optional.empty();
     if (shouldRelay(server.isPresent())) {
       relay();
@@ -166,19 +168,46 @@
         && content.remainingQuarantine().isEmpty()
         && RelayPolicy.shouldRelay(
             attempts.relays(),
-            service.isLost(servers),
+            service.isLost(servers()),
             attempts.connectingCount(),
             attempts.notConnected(),
             hasServer)
+        && attempts.unused(servers()).stream().anyMatch(TrackedServer::isAvailable)
         && service.relay().isAvailable();
   }
 
-  /** Sends the request to a peer, in place of the attempts that still wait for a connection. */
+  /**
+   * Sends the request to a peer, in place of the attempts that still wait for a connection. The
+   * peer chooses among servers that no other attempt uses, because a server must not get the
+   * request twice: its responses could not be told apart.
+   */
   private void relay() {
     attempts.cancelConnecting();
     attempts.onRelayed();
-    int maxServers = attempts.serversOfNextRelay();
-    startAttempt(new PeerTarget(service.relay(), maxServers, !policy.isQuarantinable()));
+    startAttempt(
+        new PeerTarget(
+            service.relay(),
+            attempts.serversOfNextRelay(),
+            serversOfNextRelay(),
+            !policy.isQuarantinable()));
+  }
+
+  private ImmutableList<TrackedServer> serversOfNextRelay() {
+    List<TrackedServer> unused = new ArrayList<>(attempts.unused(servers()));
+    unused.removeIf(server -> !server.isAvailable());
+    int count = attempts.choicesOfNextRelay(unused.size());
+    ImmutableList.Builder<TrackedServer> chosen = ImmutableList.builder();
+    for (int i = 0; i < count; i++) {
+      Optional<TrackedServer> next =
+          service.choose(unused, server -> true, content.isSuspect(), prompt);
+      next.ifPresent(chosen::add);
+      next.ifPresent(unused::remove);
+    }
+    return chosen.build();
+  }
+
+  private ImmutableList<TrackedServer> servers() {
+    return candidates.servers();
   }
 
   private void attemptAt(TrackedServer server) {
--- a/amaranthstream/src/main/java/org/amaranthstream/calls/AttemptTarget.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/calls/AttemptTarget.java
@@ -1,5 +1,6 @@
 package org.amaranthstream.calls;
 
+import com.google.common.collect.ImmutableList;
 import java.time.Duration;
 import java.util.Optional;
 import org.amaranthstream.servers.TrackedServer;
@@ -10,6 +11,9 @@
   /** Returns the server, empty if the target is a peer. */
   Optional<TrackedServer> server();
 
+  /** Returns the servers to one or more of which the target may send the call. */
+  ImmutableList<TrackedServer> reachableServers();
+
   /** Returns the number of servers to which the target may send the call. */
   default int maxServers() {
     return 1;
--- a/amaranthstream/src/main/java/org/amaranthstream/calls/CallAttempt.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/calls/CallAttempt.java
@@ -1,5 +1,6 @@
 package org.amaranthstream.calls;
 
+import com.google.common.collect.ImmutableList;
 import io.vertx.core.buffer.Buffer;
 import java.time.Duration;
 import java.util.Optional;
@@ -38,6 +39,11 @@
     return target.maxServers();
   }
 
+  /** Returns the servers to one or more of which the attempt may send the request. */
+  ImmutableList<TrackedServer> reachableServers() {
+    return target.reachableServers();
+  }
+
   boolean isOn(TrackedServer other) {
     return server().filter(server -> server == other).isPresent();
   }
--- a/amaranthstream/src/main/java/org/amaranthstream/calls/CallAttempts.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/calls/CallAttempts.java
@@ -1,5 +1,8 @@
 package org.amaranthstream.calls;
 
+import com.google.common.collect.ImmutableList;
+import com.google.common.math.IntMath;
+import java.math.RoundingMode;
 import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
@@ -18,6 +21,10 @@
 
   private final CallPolicy policy;
   private final Set<TrackedServer> tried = new HashSet<>();
+
+  /** Servers that run the call, may have run it, or may receive it from a peer. */
+  private final Set<TrackedServer> reserved = new HashSet<>();
+
   private final List<CallAttempt> running = new ArrayList<>();
   private int counted;
   private int refusals;
@@ -29,9 +36,20 @@
     this.policy = policy;
   }
 
-  /** Returns the servers that were tried; the set reflects later changes. */
-  Set<TrackedServer> tried() {
-    return tried;
+  /** Returns true if this daemon itself may send the call to {@code server}. */
+  boolean mayTry(TrackedServer server) {
+    return !tried.contains(server) && !reserved.contains(server);
+  }
+
+  /** Returns those of {@code servers} that cannot have received the call, and will not. */
+  ImmutableList<TrackedServer> unused(List<TrackedServer> servers) {
+    return servers.stream()
+        .filter(server -> !reserved.contains(server) || isConnectingTo(server))
+        .collect(ImmutableList.toImmutableList());
+  }
+
+  private boolean isConnectingTo(TrackedServer server) {
+    return running.stream().anyMatch(attempt -> attempt.isOn(server) && attempt.isConnecting());
   }
 
   /** Records that {@code server} is not tried again. */
@@ -42,6 +60,7 @@
   /** Adds an attempt that is about to start. */
   void add(CallAttempt attempt) {
     counted += attempt.maxServers();
+    reserved.addAll(attempt.reachableServers());
     running.add(attempt);
   }
 
@@ -57,13 +76,27 @@
       mayHaveRun = true;
       return;
     }
-    counted -= attempt.maxServers();
+    onNotRun(attempt);
     refusals++;
     if (failure instanceof AttemptFailure.NotSent) {
       notConnected++;
     }
   }
 
+  private void onNotRun(CallAttempt attempt) {
+    counted -= attempt.maxServers();
+    attempt.reachableServers().forEach(reserved::remove);
+  }
+
+  /**
+   * Returns the number of servers among which the next peer chooses, of {@code unused} ones: the
+   * same share as of the attempts that are left, so that further attempts find a server too.
+   */
+  int choicesOfNextRelay(int unused) {
+    int left = policy.maxAttempts() - counted;
+    return IntMath.divide(unused * serversOfNextRelay(), left, RoundingMode.CEILING);
+  }
+
   /**
    * Returns the number of servers to which the next peer may send the request. One is kept for an
    * attempt after it or beside it, if the request may run more than once.
@@ -140,7 +173,7 @@
     for (CallAttempt attempt : List.copyOf(running)) {
       if (attempt.isConnecting()) {
         running.remove(attempt);
-        counted -= attempt.maxServers();
+        onNotRun(attempt);
         notConnected++;
         attempt.cancel();
       }
--- a/amaranthstream/src/main/java/org/amaranthstream/calls/CallService.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/calls/CallService.java
@@ -3,6 +3,7 @@
 import static com.google.common.base.Preconditions.checkNotNull;
 
 import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableSet;
 import com.google.common.flogger.FluentLogger;
 import com.google.errorprone.annotations.CanIgnoreReturnValue;
 import java.time.Duration;
@@ -93,14 +94,25 @@
       OutboundCall call,
       Duration timeLeft,
       CallerExchange exchange) {
-    Duration time = timeLeft.compareTo(route.timeout()) < 0 ? timeLeft : route.timeout();
     List<TrackedServer> servers = directory.available(chooseService(route).service());
+    CandidateServers candidates = CandidateServers.of(servers, ImmutableSet.of());
+    start(route, policy, call, candidates, timeLeft, exchange);
+  }
+
+  private void start(
+      Route route,
+      CallPolicy policy,
+      OutboundCall call,
+      CandidateServers candidates,
+      Duration timeLeft,
+      CallerExchange exchange) {
+    Duration time = timeLeft.compareTo(route.timeout()) < 0 ? timeLeft : route.timeout();
     CallContent content =
         policy.isQuarantinable()
             ? new QuarantinableContent(crashes, route.host(), call)
             : ExemptContent.INSTANCE;
     ActiveCall activeCall =
-        new ActiveCall(this, route, policy, call, content, servers, time, exchange);
+        new ActiveCall(this, route, policy, call, content, candidates, time, exchange);
     active.add(activeCall);
     exchange.onCallerDisconnected(activeCall::cancel);
     activeCall.start();
@@ -115,7 +127,18 @@
       Route route, RelayedCall relayed, Duration timeLeft, CallerExchange exchange) {
     CallPolicy policy = relayed.isOwed() ? CallPolicy.owed() : CallPolicy.of(route);
     int attempts = Math.min(policy.maxAttempts(), relayed.maxAttempts());
-    start(route, policy.relayed(attempts), relayed.call(), timeLeft, exchange);
+    CandidateServers candidates =
+        CandidateServers.of(serversFor(route, relayed), relayed.permittedServers());
+    start(route, policy.relayed(attempts), relayed.call(), candidates, timeLeft, exchange);
+  }
+
+  /** Returns the servers of the service that the sender has chosen, if it names its servers. */
+  private List<TrackedServer> serversFor(Route route, RelayedCall relayed) {
+    return relayed.permittedServers().isEmpty()
+        ? directory.available(chooseService(route).service())
+        : route.services().stream()
+            .flatMap(service -> directory.available(service.service()).stream())
+            .toList();
   }
 
   private WeightedService chooseService(Route route) {
@@ -205,11 +228,10 @@
    */
   Optional<TrackedServer> choose(
       List<TrackedServer> servers,
-      Set<TrackedServer> excluded,
+      Predicate<TrackedServer> mayTry,
       boolean isSuspect,
       Optional<Prompt> prompt) {
-    Predicate<TrackedServer> isAllowed =
-        server -> server.isAvailable() && !excluded.contains(server);
+    Predicate<TrackedServer> isAllowed = mayTry.and(TrackedServer::isAvailable);
     Optional<TrackedServer> isolated =
         isSuspect
             ? chooseUnlimitedFirst(servers, isAllowed.and(server -> !runsSuspect(server)), prompt)
--- a/amaranthstream/src/main/java/org/amaranthstream/calls/ServerTarget.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/calls/ServerTarget.java
@@ -1,5 +1,6 @@
 package org.amaranthstream.calls;
 
+import com.google.common.collect.ImmutableList;
 import java.time.Duration;
 import java.util.Optional;
 import org.amaranthstream.prompts.Prompt;
@@ -29,6 +30,11 @@
     return Optional.of(server);
   }
 
+  @Override
+  public ImmutableList<TrackedServer> reachableServers() {
+    return ImmutableList.of(server);
+  }
+
   @Override
   public CallTransport.Attempt send(
       OutboundCall call, Duration timeLeft, AttemptListener listener) {
--- a/amaranthstream/src/main/java/org/amaranthstream/fleet/CallCodec.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/fleet/CallCodec.java
@@ -1,5 +1,6 @@
 package org.amaranthstream.fleet;
 
+import com.google.common.collect.ImmutableSet;
 import com.google.protobuf.ByteString;
 import com.google.protobuf.InvalidProtocolBufferException;
 import com.google.protobuf.UnsafeByteOperations;
@@ -17,6 +18,7 @@
 import org.amaranthstream.fleet.wire.CallPart;
 import org.amaranthstream.fleet.wire.CallRequest;
 import org.amaranthstream.fleet.wire.CallResumption;
+import org.amaranthstream.ids.BackendServerId;
 import org.amaranthstream.ids.WorkspaceId;
 
 /** Codec of relayed calls and of the parts of their responses. */
@@ -35,6 +37,7 @@
             .setOwed(relayed.isOwed())
             .setConfigVersion(configVersion);
     call.headers().forEach((name, value) -> request.addHeader(header(name, value)));
+    relayed.permittedServers().forEach(id -> request.addPermittedServer(id.value()));
     call.workspace().ifPresent(workspace -> request.setWorkspace(workspace.value()));
     call.resumption().ifPresent(resumption -> request.setResumption(encodeResumption(resumption)));
     return request.build().toByteArray();
@@ -64,7 +67,11 @@
             request.hasResumption()
                 ? Optional.of(decodeResumption(request.getResumption()))
                 : Optional.empty());
-    return new RelayedCall(call, request.getMaxAttempts(), request.getOwed());
+    ImmutableSet<BackendServerId> permitted =
+        request.getPermittedServerList().stream()
+            .map(BackendServerId::of)
+            .collect(ImmutableSet.toImmutableSet());
+    return new RelayedCall(call, request.getMaxAttempts(), request.getOwed(), permitted);
   }
 
   private static StreamResumption decodeResumption(CallResumption resumption) {
--- a/amaranthstream/src/main/java/org/amaranthstream/fleet/wire/CallRequest.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/fleet/wire/CallRequest.java
@@ -34,6 +34,8 @@
     header_ = java.util.Collections.emptyList();
     body_ = com.google.protobuf.ByteString.EMPTY;
     workspace_ = "";
+    permittedServer_ =
+        com.google.protobuf.LazyStringArrayList.emptyList();
   }
 
   public static final com.google.protobuf.Descriptors.Descriptor
@@ -366,6 +368,63 @@
     }
   }
 
+  public static final int PERMITTED_SERVER_FIELD_NUMBER = 11;
+  @SuppressWarnings("serial")
+  private com.google.protobuf.LazyStringArrayList permittedServer_ =
+      com.google.protobuf.LazyStringArrayList.emptyList();
+  /**
+   * <pre>
+   * The ids of the backend servers to which the call may be sent, so that no two daemons send it to one
+   * server; any server if there are none, as an older build sends none.
+   * </pre>
+   *
+   * <code>repeated string permitted_server = 11;</code>
+   * @return A list containing the permittedServer.
+   */
+  public com.google.protobuf.ProtocolStringList
+      getPermittedServerList() {
+    return permittedServer_;
+  }
+  /**
+   * <pre>
+   * The ids of the backend servers to which the call may be sent, so that no two daemons send it to one
+   * server; any server if there are none, as an older build sends none.
+   * </pre>
+   *
+   * <code>repeated string permitted_server = 11;</code>
+   * @return The count of permittedServer.
+   */
+  public int getPermittedServerCount() {
+    return permittedServer_.size();
+  }
+  /**
+   * <pre>
+   * The ids of the backend servers to which the call may be sent, so that no two daemons send it to one
+   * server; any server if there are none, as an older build sends none.
+   * </pre>
+   *
+   * <code>repeated string permitted_server = 11;</code>
+   * @param index The index of the element to return.
+   * @return The permittedServer at the given index.
+   */
+  public java.lang.String getPermittedServer(int index) {
+    return permittedServer_.get(index);
+  }
+  /**
+   * <pre>
+   * The ids of the backend servers to which the call may be sent, so that no two daemons send it to one
+   * server; any server if there are none, as an older build sends none.
+   * </pre>
+   *
+   * <code>repeated string permitted_server = 11;</code>
+   * @param index The index of the value to return.
+   * @return The bytes of the permittedServer at the given index.
+   */
+  public com.google.protobuf.ByteString
+      getPermittedServerBytes(int index) {
+    return permittedServer_.getByteString(index);
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -410,6 +469,9 @@
     if (((bitField0_ & 0x00000002) != 0)) {
       com.google.protobuf.GeneratedMessage.writeString(output, 10, workspace_);
     }
+    for (int i = 0; i < permittedServer_.size(); i++) {
+      com.google.protobuf.GeneratedMessage.writeString(output, 11, permittedServer_.getRaw(i));
+    }
     getUnknownFields().writeTo(output);
   }
 
@@ -460,6 +522,14 @@
     if (((bitField0_ & 0x00000002) != 0)) {
       size += com.google.protobuf.GeneratedMessage.computeStringSize(10, workspace_);
     }
+    {
+      int dataSize = 0;
+      for (int i = 0; i < permittedServer_.size(); i++) {
+        dataSize += computeStringSizeNoTag(permittedServer_.getRaw(i));
+      }
+      size += dataSize;
+      size += 1 * getPermittedServerList().size();
+    }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -501,6 +571,8 @@
       if (!getWorkspace()
           .equals(other.getWorkspace())) return false;
     }
+    if (!getPermittedServerList()
+        .equals(other.getPermittedServerList())) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -540,6 +612,10 @@
       hash = (37 * hash) + WORKSPACE_FIELD_NUMBER;
       hash = (53 * hash) + getWorkspace().hashCode();
     }
+    if (getPermittedServerCount() > 0) {
+      hash = (37 * hash) + PERMITTED_SERVER_FIELD_NUMBER;
+      hash = (53 * hash) + getPermittedServerList().hashCode();
+    }
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -698,6 +774,8 @@
         resumptionBuilder_ = null;
       }
       workspace_ = "";
+      permittedServer_ =
+          com.google.protobuf.LazyStringArrayList.emptyList();
       return this;
     }
 
@@ -776,6 +854,10 @@
         result.workspace_ = workspace_;
         to_bitField0_ |= 0x00000002;
       }
+      if (((from_bitField0_ & 0x00000400) != 0)) {
+        permittedServer_.makeImmutable();
+        result.permittedServer_ = permittedServer_;
+      }
       result.bitField0_ |= to_bitField0_;
     }
 
@@ -852,6 +934,16 @@
         bitField0_ |= 0x00000200;
         onChanged();
       }
+      if (!other.permittedServer_.isEmpty()) {
+        if (permittedServer_.isEmpty()) {
+          permittedServer_ = other.permittedServer_;
+          bitField0_ |= 0x00000400;
+        } else {
+          ensurePermittedServerIsMutable();
+          permittedServer_.addAll(other.permittedServer_);
+        }
+        onChanged();
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -938,6 +1030,11 @@
               bitField0_ |= 0x00000200;
               break;
             } // case 82
+            case 90: {
+              ensurePermittedServerIsMutable();
+              permittedServer_.add(input.readStringRequireUtf8());
+              break;
+            } // case 90
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -1835,6 +1932,162 @@
       return this;
     }
 
+    private com.google.protobuf.LazyStringArrayList permittedServer_ =
+        com.google.protobuf.LazyStringArrayList.emptyList();
+    private void ensurePermittedServerIsMutable() {
+      if (!permittedServer_.isModifiable()) {
+        permittedServer_ = new com.google.protobuf.LazyStringArrayList(permittedServer_);
+      }
+      bitField0_ |= 0x00000400;
+    }
+    /**
+     * <pre>
+     * The ids of the backend servers to which the call may be sent, so that no two daemons send it to one
+     * server; any server if there are none, as an older build sends none.
+     * </pre>
+     *
+     * <code>repeated string permitted_server = 11;</code>
+     * @return A list containing the permittedServer.
+     */
+    public com.google.protobuf.ProtocolStringList
+        getPermittedServerList() {
+      permittedServer_.makeImmutable();
+      return permittedServer_;
+    }
+    /**
+     * <pre>
+     * The ids of the backend servers to which the call may be sent, so that no two daemons send it to one
+     * server; any server if there are none, as an older build sends none.
+     * </pre>
+     *
+     * <code>repeated string permitted_server = 11;</code>
+     * @return The count of permittedServer.
+     */
+    public int getPermittedServerCount() {
+      return permittedServer_.size();
+    }
+    /**
+     * <pre>
+     * The ids of the backend servers to which the call may be sent, so that no two daemons send it to one
+     * server; any server if there are none, as an older build sends none.
+     * </pre>
+     *
+     * <code>repeated string permitted_server = 11;</code>
+     * @param index The index of the element to return.
+     * @return The permittedServer at the given index.
+     */
+    public java.lang.String getPermittedServer(int index) {
+      return permittedServer_.get(index);
+    }
+    /**
+     * <pre>
+     * The ids of the backend servers to which the call may be sent, so that no two daemons send it to one
+     * server; any server if there are none, as an older build sends none.
+     * </pre>
+     *
+     * <code>repeated string permitted_server = 11;</code>
+     * @param index The index of the value to return.
+     * @return The bytes of the permittedServer at the given index.
+     */
+    public com.google.protobuf.ByteString
+        getPermittedServerBytes(int index) {
+      return permittedServer_.getByteString(index);
+    }
+    /**
+     * <pre>
+     * The ids of the backend servers to which the call may be sent, so that no two daemons send it to one
+     * server; any server if there are none, as an older build sends none.
+     * </pre>
+     *
+     * <code>repeated string permitted_server = 11;</code>
+     * @param index The index to set the value at.
+     * @param value The permittedServer to set.
+     * @return This builder for chaining.
+     */
+    public Builder setPermittedServer(
+        int index, java.lang.String value) {
+      if (value == null) { throw new NullPointerException(); }
+      ensurePermittedServerIsMutable();
+      permittedServer_.set(index, value);
+      bitField0_ |= 0x00000400;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * The ids of the backend servers to which the call may be sent, so that no two daemons send it to one
+     * server; any server if there are none, as an older build sends none.
+     * </pre>
+     *
+     * <code>repeated string permitted_server = 11;</code>
+     * @param value The permittedServer to add.
+     * @return This builder for chaining.
+     */
+    public Builder addPermittedServer(
+        java.lang.String value) {
+      if (value == null) { throw new NullPointerException(); }
+      ensurePermittedServerIsMutable();
+      permittedServer_.add(value);
+      bitField0_ |= 0x00000400;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * The ids of the backend servers to which the call may be sent, so that no two daemons send it to one
+     * server; any server if there are none, as an older build sends none.
+     * </pre>
+     *
+     * <code>repeated string permitted_server = 11;</code>
+     * @param values The permittedServer to add.
+     * @return This builder for chaining.
+     */
+    public Builder addAllPermittedServer(
+        java.lang.Iterable<java.lang.String> values) {
+      ensurePermittedServerIsMutable();
+      com.google.protobuf.AbstractMessageLite.Builder.addAll(
+          values, permittedServer_);
+      bitField0_ |= 0x00000400;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * The ids of the backend servers to which the call may be sent, so that no two daemons send it to one
+     * server; any server if there are none, as an older build sends none.
+     * </pre>
+     *
+     * <code>repeated string permitted_server = 11;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearPermittedServer() {
+      permittedServer_ =
+        com.google.protobuf.LazyStringArrayList.emptyList();
+      bitField0_ = (bitField0_ & ~0x00000400);;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * The ids of the backend servers to which the call may be sent, so that no two daemons send it to one
+     * server; any server if there are none, as an older build sends none.
+     * </pre>
+     *
+     * <code>repeated string permitted_server = 11;</code>
+     * @param value The bytes of the permittedServer to add.
+     * @return This builder for chaining.
+     */
+    public Builder addPermittedServerBytes(
+        com.google.protobuf.ByteString value) {
+      if (value == null) { throw new NullPointerException(); }
+      checkByteStringIsUtf8(value);
+      ensurePermittedServerIsMutable();
+      permittedServer_.add(value);
+      bitField0_ |= 0x00000400;
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:amaranthstream.fleet.CallRequest)
   }
 
--- a/amaranthstream/src/main/java/org/amaranthstream/fleet/wire/CallRequestOrBuilder.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/fleet/wire/CallRequestOrBuilder.java
@@ -161,4 +161,49 @@
    */
   com.google.protobuf.ByteString
       getWorkspaceBytes();
+
+  /**
+   * <pre>
+   * The ids of the backend servers to which the call may be sent, so that no two daemons send it to one
+   * server; any server if there are none, as an older build sends none.
+   * </pre>
+   *
+   * <code>repeated string permitted_server = 11;</code>
+   * @return A list containing the permittedServer.
+   */
+  java.util.List<java.lang.String>
+      getPermittedServerList();
+  /**
+   * <pre>
+   * The ids of the backend servers to which the call may be sent, so that no two daemons send it to one
+   * server; any server if there are none, as an older build sends none.
+   * </pre>
+   *
+   * <code>repeated string permitted_server = 11;</code>
+   * @return The count of permittedServer.
+   */
+  int getPermittedServerCount();
+  /**
+   * <pre>
+   * The ids of the backend servers to which the call may be sent, so that no two daemons send it to one
+   * server; any server if there are none, as an older build sends none.
+   * </pre>
+   *
+   * <code>repeated string permitted_server = 11;</code>
+   * @param index The index of the element to return.
+   * @return The permittedServer at the given index.
+   */
+  java.lang.String getPermittedServer(int index);
+  /**
+   * <pre>
+   * The ids of the backend servers to which the call may be sent, so that no two daemons send it to one
+   * server; any server if there are none, as an older build sends none.
+   * </pre>
+   *
+   * <code>repeated string permitted_server = 11;</code>
+   * @param index The index of the value to return.
+   * @return The bytes of the permittedServer at the given index.
+   */
+  com.google.protobuf.ByteString
+      getPermittedServerBytes(int index);
 }
--- a/amaranthstream/src/main/java/org/amaranthstream/fleet/wire/RelayedCalls.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/fleet/wire/RelayedCalls.java
@@ -61,23 +61,24 @@
   static {
     java.lang.String[] descriptorData = {
       "\n\023relayed_calls.proto\022\024amaranthstream.fl" +
-      "eet\"\222\002\n\013CallRequest\022\n\n\002id\030\001 \001(\t\022\016\n\006metho" +
+      "eet\"\254\002\n\013CallRequest\022\n\n\002id\030\001 \001(\t\022\016\n\006metho" +
       "d\030\002 \001(\t\022\013\n\003uri\030\003 \001(\t\0220\n\006header\030\004 \003(\0132 .a" +
       "maranthstream.fleet.CallHeader\022\014\n\004body\030\005" +
       " \001(\014\022\024\n\014max_attempts\030\006 \001(\005\022\014\n\004owed\030\007 \001(\010" +
       "\022\026\n\016config_version\030\010 \001(\003\0228\n\nresumption\030\t" +
       " \001(\0132$.amaranthstream.fleet.CallResumpti" +
-      "on\022\026\n\tworkspace\030\n \001(\tH\000\210\001\001B\014\n\n_workspace" +
-      "\">\n\016CallResumption\022\032\n\rfirst_request\030\001 \001(" +
-      "\tH\000\210\001\001B\020\n\016_first_request\")\n\nCallHeader\022\014" +
-      "\n\004name\030\001 \001(\t\022\r\n\005value\030\002 \001(\t\"R\n\010CallPart\022" +
-      ".\n\004head\030\001 \001(\0132\036.amaranthstream.fleet.Cal" +
-      "lHeadH\000\022\016\n\004data\030\002 \001(\014H\000B\006\n\004part\"\222\001\n\010Call" +
-      "Head\022\016\n\006status\030\001 \001(\005\0220\n\006header\030\002 \003(\0132 .a" +
-      "maranthstream.fleet.CallHeader\022\023\n\006length" +
-      "\030\003 \001(\003H\000\210\001\001\022\026\n\tsignature\030\004 \001(\tH\001\210\001\001B\t\n\007_" +
-      "lengthB\014\n\n_signatureB!\n\035org.amaranthstre" +
-      "am.fleet.wireP\001b\006proto3"
+      "on\022\026\n\tworkspace\030\n \001(\tH\000\210\001\001\022\030\n\020permitted_" +
+      "server\030\013 \003(\tB\014\n\n_workspace\">\n\016CallResump" +
+      "tion\022\032\n\rfirst_request\030\001 \001(\tH\000\210\001\001B\020\n\016_fir" +
+      "st_request\")\n\nCallHeader\022\014\n\004name\030\001 \001(\t\022\r" +
+      "\n\005value\030\002 \001(\t\"R\n\010CallPart\022.\n\004head\030\001 \001(\0132" +
+      "\036.amaranthstream.fleet.CallHeadH\000\022\016\n\004dat" +
+      "a\030\002 \001(\014H\000B\006\n\004part\"\222\001\n\010CallHead\022\016\n\006status" +
+      "\030\001 \001(\005\0220\n\006header\030\002 \003(\0132 .amaranthstream." +
+      "fleet.CallHeader\022\023\n\006length\030\003 \001(\003H\000\210\001\001\022\026\n" +
+      "\tsignature\030\004 \001(\tH\001\210\001\001B\t\n\007_lengthB\014\n\n_sig" +
+      "natureB!\n\035org.amaranthstream.fleet.wireP" +
+      "\001b\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -88,7 +89,7 @@
     internal_static_amaranthstream_fleet_CallRequest_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_amaranthstream_fleet_CallRequest_descriptor,
-        new java.lang.String[] { "Id", "Method", "Uri", "Header", "Body", "MaxAttempts", "Owed", "ConfigVersion", "Resumption", "Workspace", });
+        new java.lang.String[] { "Id", "Method", "Uri", "Header", "Body", "MaxAttempts", "Owed", "ConfigVersion", "Resumption", "Workspace", "PermittedServer", });
     internal_static_amaranthstream_fleet_CallResumption_descriptor =
       getDescriptor().getMessageType(1);
     internal_static_amaranthstream_fleet_CallResumption_fieldAccessorTable = new
--- a/amaranthstream/src/test/java/org/amaranthstream/fleet/CuttableServers.java
+++ b/amaranthstream/src/test/java/org/amaranthstream/fleet/CuttableServers.java
@@ -15,6 +15,7 @@
 import org.amaranthstream.calls.CallTransport;
 import org.amaranthstream.calls.OutboundCall;
 import org.amaranthstream.calls.ResponseHead;
+import org.amaranthstream.ids.BackendServerId;
 import org.amaranthstream.servers.ServerProbe;
 import org.amaranthstream.time.VirtualTimerService;
 
@@ -28,6 +29,7 @@
   private final Map<String, Cut> cuts = new HashMap<>();
   private final List<String> runs = new ArrayList<>();
   private final List<OutboundCall> calls = new ArrayList<>();
+  private final List<String> placedRuns = new ArrayList<>();
   private final List<String> cancelled = new ArrayList<>();
   private boolean isSlow;
   private int streamedParts;
@@ -77,6 +79,11 @@
     return calls;
   }
 
+  /** Returns the request and the server of each run. */
+  List<String> placedRuns() {
+    return placedRuns;
+  }
+
   /** Returns the ids of the requests whose run was cancelled. */
   List<String> cancelled() {
     return cancelled;
@@ -87,7 +94,7 @@
   }
 
   CallTransport transportOf(String vm) {
-    return (server, call, timeLeft, listener) -> new Run(vm, call, listener);
+    return (server, call, timeLeft, listener) -> new Run(vm, server.id(), call, listener);
   }
 
   ServerProbe probeOf(String vm) {
@@ -103,6 +110,7 @@
 
   private final class Run implements CallTransport.Attempt {
     private final String vm;
+    private final BackendServerId server;
     private final OutboundCall call;
     private final AttemptListener listener;
     private boolean isSent;
@@ -110,8 +118,9 @@
     private boolean isPaused;
     private int sentParts;
 
-    private Run(String vm, OutboundCall call, AttemptListener listener) {
+    private Run(String vm, BackendServerId server, OutboundCall call, AttemptListener listener) {
       this.vm = vm;
+      this.server = server;
       this.call = call;
       this.listener = listener;
       timers.after(Duration.ofMillis(1), this::connect);
@@ -144,6 +153,7 @@
       isSent = true;
       runs.add(call.id());
       calls.add(call);
+      placedRuns.add(call.id() + " at " + server);
       timers.after(isSlow ? Duration.ofSeconds(5) : RESPONSE_TIME, this::respond);
     }
 
--- a/amaranthstream/src/test/java/org/amaranthstream/fleet/RelayedCallsTest.java
+++ b/amaranthstream/src/test/java/org/amaranthstream/fleet/RelayedCallsTest.java
@@ -119,6 +119,25 @@
     assertThat(runs).isEqualTo(2);
   }
 
+  /**
+   * Guards against a success of a server that has answered the same request with a failure: the
+   * first attempt runs when its daemon loses the other servers and asks a peer.
+   */
+  @ParameterizedTest
+  @EnumSource(
+      value = Cut.class,
+      names = {"REFUSED", "HANGING"})
+  void neverReachOneServerTwice(Cut cut) {
+    servers.slowDown();
+    final RecordedResponse response = send("a1", RouteKind.IDEMPOTENT);
+    timers.advance(Duration.ofMillis(20));
+    servers.cut("a1", cut);
+    timers.advance(DEADLINE);
+
+    assertThat(servers.runs()).containsExactly(response.id(), response.id());
+    assertThat(servers.placedRuns()).containsNoDuplicates();
+  }
+
   /** What another server answers must not become a part of the stream. */
   @Test
   void areAbortedWhenTheirStreamBreaksOff() {
