Close connections at the first byte that is part of no response

ResponseFraming now stands below the decoder of calls, items, reports and orders. It divides the bytes into responses itself:

- Bytes that arrive while no request waits, also in the segment of the response before, close the connection.
A request that is assigned to it and not written takes another one.
- Where a request waits, time does not tell the bytes apart.
A head is passed on only as a whole and only if it is one head: no line contains a second status line, fields that delimit or identify a response stand once, lines end with CR LF and are not folded.
The same for chunk sizes and trailers.
Otherwise the request fails; it may have run.

--- a/amaranthstream/src/main/java/org/amaranthstream/http/ChunkedBodyReader.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/http/ChunkedBodyReader.java
@@ -81,7 +81,7 @@
   }
 
   @Override
-  public ByteBuf unchecked() {
-    return lines.bytes();
+  public ByteBuf lastLine() {
+    return lines.lastLine();
   }
 }
--- a/amaranthstream/src/main/java/org/amaranthstream/http/FixedBodyReader.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/http/FixedBodyReader.java
@@ -28,7 +28,7 @@
   }
 
   @Override
-  public ByteBuf unchecked() {
+  public ByteBuf lastLine() {
     return Unpooled.EMPTY_BUFFER;
   }
 }
--- a/amaranthstream/src/main/java/org/amaranthstream/http/HeadReader.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/http/HeadReader.java
@@ -84,8 +84,8 @@
   }
 
   @Override
-  public ByteBuf unchecked() {
-    return lines.bytes();
+  public ByteBuf lastLine() {
+    return lines.lastLine();
   }
 
   /** Returns true if another head follows, which is that of the final response. */
--- a/amaranthstream/src/main/java/org/amaranthstream/http/LineReader.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/http/LineReader.java
@@ -11,6 +11,7 @@
 
   private ByteBuf section = Unpooled.buffer();
   private int lineStart;
+  private int lastLineStart;
 
   /** Returns the next line without its end, empty if {@code in} ends before the line does. */
   Optional<String> read(ByteBuf in) throws MalformedResponseException {
@@ -19,6 +20,7 @@
     if (section.readableBytes() + length > MAX_SECTION_BYTES) {
       throw new MalformedResponseException("the lines of the response are too long");
     }
+    lastLineStart = lineStart;
     section.writeBytes(in, length);
     return end < 0 ? Optional.empty() : Optional.of(endLine());
   }
@@ -33,9 +35,9 @@
     return line.substring(0, line.length() - 2);
   }
 
-  /** Returns the bytes that were read of the section. */
-  ByteBuf bytes() {
-    return section;
+  /** Returns the bytes of the line that was read last, which may be incomplete. */
+  ByteBuf lastLine() {
+    return section.slice(lastLineStart, section.writerIndex() - lastLineStart);
   }
 
   /** Returns the bytes of the section, which has ended, and begins another one. */
@@ -43,6 +45,7 @@
     ByteBuf ended = section;
     section = Unpooled.buffer();
     lineStart = 0;
+    lastLineStart = 0;
     return ended;
   }
 }
--- a/amaranthstream/src/main/java/org/amaranthstream/http/PartReader.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/http/PartReader.java
@@ -14,6 +14,6 @@
    */
   boolean read(ByteBuf in, Consumer<ByteBuf> checked) throws MalformedResponseException;
 
-  /** Returns the bytes that were read and not checked yet. */
-  ByteBuf unchecked();
+  /** Returns the line that was read last and not passed on, empty if there is none. */
+  ByteBuf lastLine();
 }
--- a/amaranthstream/src/main/java/org/amaranthstream/http/ResponseFramer.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/http/ResponseFramer.java
@@ -66,7 +66,7 @@
 
   private FramingFault malformed(MalformedResponseException cause) {
     return FramingFault.of(
-        FramingFault.Kind.MALFORMED, String.valueOf(cause.getMessage()), part().unchecked());
+        FramingFault.Kind.MALFORMED, String.valueOf(cause.getMessage()), part().lastLine());
   }
 
   private PartReader part() {
--- a/amaranthstream/src/main/java/org/amaranthstream/http/ResponseFraming.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/http/ResponseFraming.java
@@ -18,8 +18,11 @@
 /**
  * Strict framing of the responses on the connections of an HTTP client, below its decoder.
  *
- * <p>Reports bytes that are part of no response. Thread safe; the listener is called on the event
- * loop of the connection.
+ * <p>Only bytes of whole heads and of the bodies that belong to them reach the decoder. A
+ * connection is closed at the first byte that is part of no response: one that arrives while no
+ * request waits, or one that shows that a response was joined to the rest of another. The request
+ * that waits fails with a {@link MalformedResponseException}; the server may have run it. Thread
+ * safe; the listener is called on the event loop of the connection.
  */
 public final class ResponseFraming {
   private final ImmutableSet<String> singleFields;
--- a/amaranthstream/src/main/java/org/amaranthstream/http/ResponseFramingHandler.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/http/ResponseFramingHandler.java
@@ -4,10 +4,15 @@
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.util.ReferenceCountUtil;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.Optional;
 import java.util.function.Consumer;
 
-/** Observer of the bytes of one connection, which reports the first that are of no response. */
+/**
+ * Handler of one connection that passes only the bytes of responses on, and closes the connection
+ * at the first byte that is part of none.
+ */
 final class ResponseFramingHandler extends ChannelInboundHandlerAdapter {
   private final ResponseFramer framer;
   private final Consumer<FramingFault> listener;
@@ -20,17 +25,28 @@
 
   @Override
   public void channelRead(ChannelHandlerContext context, Object message) {
-    if (message instanceof ByteBuf bytes && !hasFault) {
-      observe(bytes.duplicate());
+    if (hasFault || !(message instanceof ByteBuf bytes)) {
+      ReferenceCountUtil.release(message);
+      return;
     }
-    context.fireChannelRead(message);
+    List<ByteBuf> checked = new ArrayList<>();
+    Optional<FramingFault> fault = framer.read(bytes, checked::add);
+    bytes.release();
+    // The end of a response may lead to the next request, which must not be written any more.
+    fault.ifPresent(found -> close(context, found));
+    checked.forEach(context::fireChannelRead);
+    fault.ifPresent(found -> failRequest(context, found));
   }
 
-  private void observe(ByteBuf bytes) {
-    Optional<FramingFault> fault = framer.read(bytes, ReferenceCountUtil::release);
-    if (fault.isPresent()) {
-      hasFault = true;
-      listener.accept(fault.get());
+  private void close(ChannelHandlerContext context, FramingFault fault) {
+    hasFault = true;
+    listener.accept(fault);
+    context.close();
+  }
+
+  private static void failRequest(ChannelHandlerContext context, FramingFault fault) {
+    if (fault.kind() == FramingFault.Kind.MALFORMED) {
+      context.fireExceptionCaught(new MalformedResponseException(fault.reason()));
     }
   }
 }
