Believe no response of a backend server in serve that is made of two

The cause is that of the platform's program: the rest of a cut second answer to the attempt before stays in the HTTP decoder of the open connection and is read as one head with the answer to the next. Load reports are read over pooled connections too. On the connection of a load order a first answer that breaks off is read with a second one.

FramedHttpClients creates the clients of calls, load reports and orders with ResponseFraming below their decoder, and logs and counts the connections that are closed (new metric amaranthstream_response_bytes_invalid). An attempt whose response is malformed ends as invalid, which leaves its outcome unknown; the crash of a server, which Broken would record, is not what was seen. The probe and the cancellations keep their clients: nothing depends on what these responses say.

--- a/amaranthstream/src/main/java/org/amaranthstream/daemon/DaemonComponents.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/daemon/DaemonComponents.java
@@ -15,6 +15,7 @@
 import org.amaranthstream.dispatch.DispatcherBuilder;
 import org.amaranthstream.dispatch.http.HttpBackendTransport;
 import org.amaranthstream.dispatch.http.HttpConnectionProbe;
+import org.amaranthstream.http.FramedHttpClients;
 import org.amaranthstream.idempotency.ClaimLimits;
 import org.amaranthstream.idempotency.ClaimPageCleaner;
 import org.amaranthstream.idempotency.ClaimPageId;
@@ -51,6 +52,7 @@
 
   private final Settings settings;
   private final Threads threads;
+  private final FramedHttpClients clients;
   private final LocalVm self;
   private final PlatformClient platform;
   private final MembershipTable table;
@@ -74,16 +76,17 @@
     this.settings = settings;
     this.self = self;
     this.threads = new Threads(settings.limits());
+    this.clients = FramedHttpClients.on(threads.vertx());
     this.platform = newPlatform();
     this.table = newTable();
     this.config = newConfigManager();
-    this.weights = new WeightService(threads, self, table, config, platform.store());
+    this.weights = new WeightService(threads, clients, self, table, config, platform.store());
     this.configFetcher = new PeerConfigFetcher(config);
     this.heartbeatAdapter =
         new HeartbeatAdapter(config, weights.registry(), configFetcher, threads.decisionTimers());
     this.peers = newPeers();
     this.decisionRecords = DecisionRecordService.create(settings, self);
-    this.transport = HttpBackendTransport.create(threads.vertx(), threads.decisions());
+    this.transport = HttpBackendTransport.create(threads.vertx(), clients, threads.decisions());
     this.probe =
         HttpConnectionProbe.create(threads.vertx(), threads.decisions(), threads.decisionTimers());
     this.dispatcher = newDispatcher(policies);
@@ -257,8 +260,7 @@
     new VmListPoller(platform.vmList(), table, threads.decisions(), threads.decisionTimers())
         .start(timing.vmListPollInterval());
     HttpLoadSource source =
-        HttpLoadSource.create(
-            threads.vertx().createHttpClient(), threads.decisionTimers(), LOAD_READ_TIMEOUT);
+        HttpLoadSource.create(clients, threads.decisionTimers(), LOAD_READ_TIMEOUT);
     BackendPoller.create(
             table, source, threads.decisionTimers(), threads.decisions(), timing.loadPollInterval())
         .start();
@@ -316,6 +318,10 @@
     return metrics;
   }
 
+  FramedHttpClients clients() {
+    return clients;
+  }
+
   CallCounts platformCounts() {
     return platform.counts();
   }
--- a/amaranthstream/src/main/java/org/amaranthstream/daemon/DaemonMetrics.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/daemon/DaemonMetrics.java
@@ -21,6 +21,7 @@
   DaemonMetrics(DaemonComponents components) {
     ControlMetrics.registerConfig(metrics, components.config());
     ControlMetrics.registerPlatform(metrics, components.platformCounts());
+    ControlMetrics.registerFraming(metrics, components.clients());
     Threads threads = components.threads();
     metrics.registerCallback(
         Metric.DUTY_QUEUE_TASKS,
--- a/amaranthstream/src/main/java/org/amaranthstream/daemon/WeightService.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/daemon/WeightService.java
@@ -14,6 +14,7 @@
 import org.amaranthstream.config.ConfigManager;
 import org.amaranthstream.config.OperatorConfig;
 import org.amaranthstream.config.Pool;
+import org.amaranthstream.http.FramedHttpClients;
 import org.amaranthstream.ids.EntryVmId;
 import org.amaranthstream.ids.ModelId;
 import org.amaranthstream.ids.PoolId;
@@ -48,6 +49,7 @@
 
   WeightService(
       Threads threads,
+      FramedHttpClients clients,
       LocalVm self,
       MembershipTable table,
       ConfigManager config,
@@ -58,7 +60,7 @@
     this.config = config;
     this.store = store;
     this.registry = WeightRegistry.create(store, WeightService::noStoredVersion, this::models);
-    this.engineClient = HttpEngineClient.create(threads.vertx(), threads.decisions());
+    this.engineClient = HttpEngineClient.create(clients, threads.decisions());
   }
 
   /** Starts to poll versions, and starts and stops controllers as the configured pools change. */
--- a/amaranthstream/src/main/java/org/amaranthstream/dispatch/http/HttpAttempt.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/dispatch/http/HttpAttempt.java
@@ -13,6 +13,7 @@
 import org.amaranthstream.dispatch.BackendTransport;
 import org.amaranthstream.http.ConnectionUse;
 import org.amaranthstream.http.ConnectionUses;
+import org.amaranthstream.http.MalformedResponseException;
 import org.amaranthstream.http.ResponseOrigin;
 import org.amaranthstream.ids.AttemptId;
 import org.amaranthstream.ids.BackendServerId;
@@ -155,8 +156,15 @@
     end(errorEnd(response, body.result()));
   }
 
-  /** Ends the attempt because its connection was lost after bytes may have been sent. */
+  /**
+   * Ends the attempt because its connection was lost after bytes may have been sent. A connection
+   * that was closed because of bytes that are part of no response shows no crash of the server.
+   */
   final void onLost(Throwable cause) {
+    if (cause instanceof MalformedResponseException) {
+      endInvalid("response of " + server + " is malformed: " + reason(cause));
+      return;
+    }
     end(new AttemptEnd.Broken("connection to " + server + " lost: " + reason(cause)));
   }
 
--- a/amaranthstream/src/main/java/org/amaranthstream/dispatch/http/HttpBackendTransport.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/dispatch/http/HttpBackendTransport.java
@@ -2,6 +2,7 @@
 
 import static com.google.common.base.Preconditions.checkNotNull;
 
+import com.google.common.collect.ImmutableSet;
 import io.vertx.core.Vertx;
 import io.vertx.core.http.HttpClient;
 import io.vertx.core.http.HttpClientOptions;
@@ -14,6 +15,9 @@
 import org.amaranthstream.dispatch.Payload;
 import org.amaranthstream.dispatch.Work;
 import org.amaranthstream.http.ConnectionUses;
+import org.amaranthstream.http.FramedHttpClients;
+import org.amaranthstream.http.HttpClientKind;
+import org.amaranthstream.http.ResponseOrigin;
 import org.amaranthstream.ids.AttemptId;
 import org.amaranthstream.membership.BackendServer;
 import org.amaranthstream.ring.Duty;
@@ -23,27 +27,34 @@
  *
  * <p>The connection is established before the request is written, so that an attempt that fails to
  * connect is known not to have sent anything. A cancellation has a connection of its own, so that
- * its response reaches no attempt. Thread safe; listeners are called on the decision duty.
+ * its response, which nothing depends on, reaches no attempt. Thread safe; listeners are called on
+ * the decision duty.
  */
 public final class HttpBackendTransport implements BackendTransport, AutoCloseable {
   private static final int MAX_CONNECTIONS_PER_SERVER = 512;
   private static final Duration CONNECT_TIMEOUT = Duration.ofSeconds(1);
   private static final int KEEP_ALIVE_SECONDS = 30;
 
+  /** The fields of a response that decide about its attempt. */
+  private static final ImmutableSet<String> SINGLE_FIELDS =
+      ImmutableSet.of(ResponseOrigin.HEADER, "Not-Run", "Draining", "Retry-After", "Content-Type");
+
   private final HttpClient client;
   private final HttpClient cancelClient;
   private final ConnectionUses connectionUses = ConnectionUses.create();
   private final Duty decisions;
 
-  private HttpBackendTransport(Vertx vertx, Duty decisions) {
+  private HttpBackendTransport(Vertx vertx, FramedHttpClients clients, Duty decisions) {
     this.decisions = checkNotNull(decisions, "decisions");
     this.client =
-        vertx.createHttpClient(
+        clients.create(
+            HttpClientKind.CALLS,
             new HttpClientOptions()
                 .setConnectTimeout((int) CONNECT_TIMEOUT.toMillis())
                 .setKeepAliveTimeout(KEEP_ALIVE_SECONDS)
                 .setTcpNoDelay(true),
-            new PoolOptions().setHttp1MaxSize(MAX_CONNECTIONS_PER_SERVER));
+            new PoolOptions().setHttp1MaxSize(MAX_CONNECTIONS_PER_SERVER),
+            SINGLE_FIELDS);
     this.cancelClient =
         vertx.createHttpClient(
             new HttpClientOptions()
@@ -51,9 +62,14 @@
                 .setKeepAlive(false));
   }
 
-  /** Returns a transport that calls its listeners on {@code decisions}. */
-  public static HttpBackendTransport create(Vertx vertx, Duty decisions) {
-    return new HttpBackendTransport(vertx, decisions);
+  /**
+   * Returns a transport that calls its listeners on {@code decisions}.
+   *
+   * @param clients creates the client of the attempts
+   */
+  public static HttpBackendTransport create(
+      Vertx vertx, FramedHttpClients clients, Duty decisions) {
+    return new HttpBackendTransport(vertx, clients, decisions);
   }
 
   @Override
--- a/amaranthstream/src/main/java/org/amaranthstream/http/package-info.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/http/package-info.java
@@ -1,2 +1,2 @@
-/** Identification of the responses that arrive on reused HTTP connections. */
+/** Framing and identification of the responses that arrive on HTTP connections. */
 package org.amaranthstream.http;
--- a/amaranthstream/src/main/java/org/amaranthstream/membership/HttpLoadSource.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/membership/HttpLoadSource.java
@@ -1,18 +1,23 @@
 package org.amaranthstream.membership;
 
+import com.google.common.collect.ImmutableSet;
 import io.vertx.core.Future;
 import io.vertx.core.Promise;
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpClient;
+import io.vertx.core.http.HttpClientOptions;
 import io.vertx.core.http.HttpClientRequest;
 import io.vertx.core.http.HttpClientResponse;
 import io.vertx.core.http.HttpMethod;
+import io.vertx.core.http.PoolOptions;
 import io.vertx.core.http.RequestOptions;
 import java.time.Duration;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.atomic.AtomicLong;
 import org.amaranthstream.http.ConnectionUse;
 import org.amaranthstream.http.ConnectionUses;
+import org.amaranthstream.http.FramedHttpClients;
+import org.amaranthstream.http.HttpClientKind;
 import org.amaranthstream.http.ResponseOrigin;
 import org.amaranthstream.result.Result;
 import org.amaranthstream.result.ResultCode;
@@ -35,19 +40,25 @@
   private final ConnectionUses connectionUses = ConnectionUses.create();
   private final AtomicLong requestCount = new AtomicLong();
 
-  private HttpLoadSource(HttpClient client, TimerService timers, Duration timeout) {
-    this.client = client;
+  private HttpLoadSource(FramedHttpClients clients, TimerService timers, Duration timeout) {
+    this.client =
+        clients.create(
+            HttpClientKind.LOAD_REPORTS,
+            new HttpClientOptions(),
+            new PoolOptions(),
+            ImmutableSet.of(ResponseOrigin.HEADER));
     this.timers = timers;
     this.timeout = timeout;
   }
 
   /**
-   * Returns a source that uses {@code client}.
+   * Returns a source with a client of {@code clients}.
    *
    * @param timeout time within which a server must respond, including the connection setup
    */
-  public static HttpLoadSource create(HttpClient client, TimerService timers, Duration timeout) {
-    return new HttpLoadSource(client, timers, timeout);
+  public static HttpLoadSource create(
+      FramedHttpClients clients, TimerService timers, Duration timeout) {
+    return new HttpLoadSource(clients, timers, timeout);
   }
 
   @Override
--- a/amaranthstream/src/main/java/org/amaranthstream/metrics/ControlMetrics.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/metrics/ControlMetrics.java
@@ -5,10 +5,12 @@
 import java.util.function.ToLongFunction;
 import org.amaranthstream.config.ConfigManager;
 import org.amaranthstream.config.ConfigStatus;
+import org.amaranthstream.http.FramedHttpClients;
+import org.amaranthstream.http.HttpClientKind;
 import org.amaranthstream.platform.CallCounts;
 import org.amaranthstream.platform.CallKind;
 
-/** Metrics of the configuration and of the platform client. */
+/** Metrics of the configuration and of the HTTP clients. */
 public final class ControlMetrics {
   private ControlMetrics() {}
 
@@ -47,6 +49,15 @@
     registerByKind(metrics, Metric.PLATFORM_CALLS_OVER_BUDGET, counts::overBudget);
   }
 
+  /** Registers a metric that reads the faults in the framing of responses. */
+  public static void registerFraming(Metrics metrics, FramedHttpClients clients) {
+    ImmutableMap.Builder<String, DoubleSupplier> sources = ImmutableMap.builder();
+    for (HttpClientKind kind : HttpClientKind.values()) {
+      sources.put(kind.label(), () -> clients.faultCount(kind));
+    }
+    metrics.registerCallback(Metric.RESPONSE_BYTES_INVALID, sources.buildOrThrow());
+  }
+
   private static void registerByKind(
       Metrics metrics, Metric metric, ToLongFunction<CallKind> count) {
     ImmutableMap.Builder<String, DoubleSupplier> sources = ImmutableMap.builder();
--- a/amaranthstream/src/main/java/org/amaranthstream/metrics/Metric.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/metrics/Metric.java
@@ -37,6 +37,11 @@
       "platform_calls_over_budget",
       "Calls to the platform that were not sent because the budget was spent, by kind",
       "kind"),
+  RESPONSE_BYTES_INVALID(
+      MetricType.COUNTER,
+      "response_bytes_invalid",
+      "Connections closed because of bytes that are part of no response, by client",
+      "client"),
   DUTY_QUEUE_TASKS(
       MetricType.GAUGE, "duty_queue_tasks", "Tasks that wait for a duty's thread", "duty"),
   DUTY_REFUSED_TASKS(
--- a/amaranthstream/src/main/java/org/amaranthstream/weights/HttpEngineClient.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/weights/HttpEngineClient.java
@@ -1,18 +1,21 @@
 package org.amaranthstream.weights;
 
+import com.google.common.collect.ImmutableSet;
 import io.vertx.core.Future;
-import io.vertx.core.Vertx;
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpClient;
 import io.vertx.core.http.HttpClientOptions;
 import io.vertx.core.http.HttpClientRequest;
 import io.vertx.core.http.HttpClientResponse;
 import io.vertx.core.http.HttpMethod;
+import io.vertx.core.http.PoolOptions;
 import io.vertx.core.http.RequestOptions;
 import io.vertx.core.json.DecodeException;
 import io.vertx.core.json.JsonObject;
 import java.time.Duration;
 import java.util.function.Consumer;
+import org.amaranthstream.http.FramedHttpClients;
+import org.amaranthstream.http.HttpClientKind;
 import org.amaranthstream.ids.WeightVersion;
 import org.amaranthstream.ring.Duty;
 
@@ -32,18 +35,21 @@
   private final HttpClient client;
   private final Duty duty;
 
-  private HttpEngineClient(Vertx vertx, Duty duty) {
+  private HttpEngineClient(FramedHttpClients clients, Duty duty) {
     this.client =
-        vertx.createHttpClient(
+        clients.create(
+            HttpClientKind.ORDERS,
             new HttpClientOptions()
                 .setConnectTimeout((int) CONNECT_TIMEOUT.toMillis())
-                .setKeepAlive(false));
+                .setKeepAlive(false),
+            new PoolOptions(),
+            ImmutableSet.of());
     this.duty = duty;
   }
 
   /** Returns a client that calls its consumers on {@code duty}. */
-  public static HttpEngineClient create(Vertx vertx, Duty duty) {
-    return new HttpEngineClient(vertx, duty);
+  public static HttpEngineClient create(FramedHttpClients clients, Duty duty) {
+    return new HttpEngineClient(clients, duty);
   }
 
   @Override
--- a/amaranthstream/src/test/java/org/amaranthstream/dispatch/http/HttpBackendTransportTest.java
+++ b/amaranthstream/src/test/java/org/amaranthstream/dispatch/http/HttpBackendTransportTest.java
@@ -14,6 +14,7 @@
 import org.amaranthstream.dispatch.AttemptEnd;
 import org.amaranthstream.dispatch.Payload;
 import org.amaranthstream.dispatch.Work;
+import org.amaranthstream.http.FramedHttpClients;
 import org.amaranthstream.ids.AttemptId;
 import org.amaranthstream.ids.EntryVmId;
 import org.amaranthstream.ids.Incarnation;
@@ -262,7 +263,8 @@
 
   private RecordingListener run(BackendServer server, Duty duty, Payload payload) {
     RecordingListener listener = new RecordingListener();
-    HttpBackendTransport transport = HttpBackendTransport.create(vertx, duty);
+    HttpBackendTransport transport =
+        HttpBackendTransport.create(vertx, FramedHttpClients.on(vertx), duty);
     transport.start(server, ATTEMPT, work(payload), 0, "", listener);
     return listener;
   }
--- a/amaranthstream/src/test/java/org/amaranthstream/dispatch/http/HttpLateResponsesTest.java
+++ b/amaranthstream/src/test/java/org/amaranthstream/dispatch/http/HttpLateResponsesTest.java
@@ -14,6 +14,7 @@
 import org.amaranthstream.dispatch.AttemptEnd;
 import org.amaranthstream.dispatch.Payload;
 import org.amaranthstream.dispatch.Work;
+import org.amaranthstream.http.FramedHttpClients;
 import org.amaranthstream.http.ScriptedTcpServer;
 import org.amaranthstream.ids.AttemptId;
 import org.amaranthstream.ids.EntryVmId;
@@ -51,7 +52,7 @@
   void createTransport() {
     vertx = Vertx.vertx();
     context = vertx.getOrCreateContext();
-    transport = HttpBackendTransport.create(vertx, DIRECT);
+    transport = HttpBackendTransport.create(vertx, FramedHttpClients.on(vertx), DIRECT);
   }
 
   @AfterEach
--- a/amaranthstream/src/test/java/org/amaranthstream/dispatch/http/HttpResponseScriptsPropertyTest.java
+++ b/amaranthstream/src/test/java/org/amaranthstream/dispatch/http/HttpResponseScriptsPropertyTest.java
@@ -20,6 +20,7 @@
 import org.amaranthstream.dispatch.AttemptEnd;
 import org.amaranthstream.dispatch.Payload;
 import org.amaranthstream.dispatch.Work;
+import org.amaranthstream.http.FramedHttpClients;
 import org.amaranthstream.http.ScriptedTcpServer;
 import org.amaranthstream.ids.AttemptId;
 import org.amaranthstream.ids.EntryVmId;
@@ -132,6 +133,7 @@
     HttpBackendTransport transport =
         HttpBackendTransport.create(
             VERTX,
+            FramedHttpClients.on(VERTX),
             task -> {
               task.run();
               return true;
--- a/amaranthstream/src/test/java/org/amaranthstream/membership/HttpLoadSourceTest.java
+++ b/amaranthstream/src/test/java/org/amaranthstream/membership/HttpLoadSourceTest.java
@@ -1,14 +1,20 @@
 package org.amaranthstream.membership;
 
 import static com.google.common.truth.Truth.assertThat;
+import static com.google.common.truth.Truth.assertWithMessage;
 import static org.amaranthstream.http.ScriptedTcpServer.answer;
 import static org.amaranthstream.http.ScriptedTcpServer.response;
 
+import com.google.common.collect.ImmutableList;
 import io.vertx.core.Context;
 import io.vertx.core.Vertx;
 import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
+import org.amaranthstream.http.CutAnswers;
+import org.amaranthstream.http.FramedHttpClients;
 import org.amaranthstream.http.ScriptedTcpServer;
 import org.amaranthstream.http.ScriptedTcpServer.Step;
 import org.amaranthstream.ids.AvailabilityZoneId;
@@ -24,6 +30,7 @@
 /** Load reports of a server that answers a request twice, or late. */
 class HttpLoadSourceTest {
   private static final Duration TIMEOUT = Duration.ofSeconds(5);
+  private static final String SHORTEST_REQUEST = "\r\nAttempt: load-1\r\n";
 
   private final Vertx vertx = Vertx.vertx();
 
@@ -31,7 +38,7 @@
   private final Context context = vertx.getOrCreateContext();
 
   private final HttpLoadSource source =
-      HttpLoadSource.create(vertx.createHttpClient(), VirtualTimerService.create(), TIMEOUT);
+      HttpLoadSource.create(FramedHttpClients.on(vertx), VirtualTimerService.create(), TIMEOUT);
 
   @AfterEach
   void close() {
@@ -125,4 +132,27 @@
       assertThat(server.connectionsOfRequests()).containsExactly(0, 1).inOrder();
     }
   }
+
+  /** The status of a report whose copy broke off hides the error of the next request. */
+  @Test
+  void reportThatBreaksOffBeforeAnErrorIsNotBelieved() {
+    ImmutableList<String> cuts = CutAnswers.cutInHead(report(attemptHeader(SHORTEST_REQUEST), 1));
+    List<Step> steps = new ArrayList<>();
+    for (String cut : cuts) {
+      steps.add(echo(1));
+      steps.add(
+          (request, lastWritten) ->
+              lastWritten.substring(0, cut.length()) + errorWithReport(attemptHeader(request)));
+    }
+    try (ScriptedTcpServer server = ScriptedTcpServer.start(vertx, steps.toArray(Step[]::new))) {
+      for (String cut : cuts) {
+        assertThat(running(server)).isEqualTo(1);
+        assertWithMessage(cut).that(poll(server)).isInstanceOf(Result.Failure.class);
+      }
+    }
+  }
+
+  private static String errorWithReport(String headers) {
+    return report(headers, 2).replace("200 OK", "500 Failed");
+  }
 }
--- a/amaranthstream/src/test/java/org/amaranthstream/weights/HttpEngineClientTest.java
+++ b/amaranthstream/src/test/java/org/amaranthstream/weights/HttpEngineClientTest.java
@@ -1,15 +1,19 @@
 package org.amaranthstream.weights;
 
 import static com.google.common.truth.Truth.assertThat;
+import static com.google.common.truth.Truth.assertWithMessage;
 import static org.amaranthstream.http.ScriptedTcpServer.answer;
 import static org.amaranthstream.http.ScriptedTcpServer.answerTwice;
 import static org.amaranthstream.http.ScriptedTcpServer.lateCopyThen;
 import static org.amaranthstream.http.ScriptedTcpServer.response;
 
+import com.google.common.collect.ImmutableList;
 import io.vertx.core.Context;
 import io.vertx.core.Vertx;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
+import org.amaranthstream.http.CutAnswers;
+import org.amaranthstream.http.FramedHttpClients;
 import org.amaranthstream.http.ScriptedTcpServer;
 import org.amaranthstream.ids.AvailabilityZoneId;
 import org.amaranthstream.ids.BackendServerId;
@@ -21,6 +25,8 @@
 import org.amaranthstream.membership.BackendServer;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /** Orders to a server that answers an order twice. */
 class HttpEngineClientTest {
@@ -31,7 +37,7 @@
 
   private final HttpEngineClient client =
       HttpEngineClient.create(
-          vertx,
+          FramedHttpClients.on(vertx),
           task -> {
             task.run();
             return true;
@@ -87,4 +93,21 @@
       assertThat(server.connectionsOfRequests()).containsExactly(0, 1).inOrder();
     }
   }
+
+  /** The head of the one answer and the rest of the other are not read as one reply. */
+  @ParameterizedTest
+  @ValueSource(strings = {"409 Conflict", "500 Failed", "200 OK"})
+  void answerThatBreaksOffBeforeAnotherIsNotBelieved(String status) {
+    String cut = response(status, "Server: s\r\n", "{\"reason\":\"fenced\"}");
+    ImmutableList<String> answers = CutAnswers.joined(cut, loaded(7));
+    try (ScriptedTcpServer server = ScriptedTcpServer.start(vertx, CutAnswers.steps(answers))) {
+      for (String answer : answers) {
+        LoadReply reply = load(server, 7);
+        assertWithMessage(answer).that(reply).isInstanceOf(LoadReply.Failed.class);
+        assertWithMessage(answer)
+            .that(((LoadReply.Failed) reply).reason())
+            .doesNotContainMatch("status [0-9]");
+      }
+    }
+  }
 }
