Believe no reply of the stores that is made of two answers

A write that had taken effect could count as one without effect, a lease as ended or renewed, and a key as missing, when a store stopped within the head of an answer and sent another one to the same call: both were read as one head, with the status of the first.

PlatformHttp, which both stores and the list of VMs use, over TLS too, takes its clients from FramedHttpClients. A call that fails so is Lost, of which the clients of the stores make an unknown outcome.

--- a/amaranthstream/src/main/java/org/amaranthstream/daemon/DaemonComponents.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/daemon/DaemonComponents.java
@@ -108,7 +108,7 @@
             settings.platform().token(),
             settings.timing().platformTimeout(),
             settings.limits().platformCallsPerSecond());
-    return PlatformClient.create(threads.vertx(), threads.platformTimers(), options);
+    return PlatformClient.create(clients, threads.platformTimers(), options);
   }
 
   private MembershipTable newTable() {
--- a/amaranthstream/src/main/java/org/amaranthstream/platform/PlatformCall.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/platform/PlatformCall.java
@@ -18,6 +18,9 @@
  * <p>Thread safe: {@link #expire} may be called on the thread of the timers.
  */
 final class PlatformCall {
+  static final String REVISION = "Revision";
+  static final String RETRY_AFTER = "Retry-After";
+
   private static final int MAX_BODY_BYTES = 8 * 1024 * 1024;
   private static final Pattern NUMBER = Pattern.compile("[0-9]{1,18}");
 
@@ -91,8 +94,8 @@
             reply.complete(
                 new PlatformReply.Answered(
                     response.statusCode(),
-                    number(response, "Revision").map(Revision::of),
-                    number(response, "Retry-After").map(Duration::ofSeconds),
+                    number(response, REVISION).map(Revision::of),
+                    number(response, RETRY_AFTER).map(Duration::ofSeconds),
                     received)));
   }
 
--- a/amaranthstream/src/main/java/org/amaranthstream/platform/PlatformClient.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/platform/PlatformClient.java
@@ -2,7 +2,7 @@
 
 import static com.google.common.base.Preconditions.checkNotNull;
 
-import io.vertx.core.Vertx;
+import org.amaranthstream.http.FramedHttpClients;
 import org.amaranthstream.time.TimerService;
 
 /**
@@ -11,7 +11,7 @@
  * <p>Thread safe. All calls share one rate limit; calls that exceed it fail without being sent.
  *
  * <pre>{@code
- * PlatformClient platform = PlatformClient.create(vertx, timers, options);
+ * PlatformClient platform = PlatformClient.create(clients, timers, options);
  * KeyValueStore store = platform.store();
  * }</pre>
  */
@@ -27,10 +27,11 @@
   }
 
   /** Returns a client that opens connections on demand. */
-  public static PlatformClient create(Vertx vertx, TimerService timers, PlatformOptions options) {
-    checkNotNull(vertx, "vertx");
+  public static PlatformClient create(
+      FramedHttpClients clients, TimerService timers, PlatformOptions options) {
+    checkNotNull(clients, "clients");
     checkNotNull(timers, "timers");
-    return new PlatformClient(new PlatformHttp(vertx, timers, options));
+    return new PlatformClient(new PlatformHttp(clients, timers, options));
   }
 
   /** Returns the client of the key-value service. */
--- a/amaranthstream/src/main/java/org/amaranthstream/platform/PlatformHttp.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/platform/PlatformHttp.java
@@ -1,8 +1,8 @@
 package org.amaranthstream.platform;
 
+import com.google.common.collect.ImmutableSet;
 import com.google.common.flogger.FluentLogger;
 import com.google.errorprone.annotations.concurrent.GuardedBy;
-import io.vertx.core.Vertx;
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpClientAgent;
 import io.vertx.core.http.HttpClientOptions;
@@ -17,6 +17,8 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
+import org.amaranthstream.http.FramedHttpClients;
+import org.amaranthstream.http.HttpClientKind;
 import org.amaranthstream.time.Subscription;
 import org.amaranthstream.time.TimerService;
 
@@ -42,7 +44,11 @@
   private static final int HTTPS_PORT = 443;
   private static final int HTTP_PORT = 80;
 
-  private final Vertx vertx;
+  /** The fields of a response that callers read. */
+  private static final ImmutableSet<String> SINGLE_FIELDS =
+      ImmutableSet.of(PlatformCall.REVISION, PlatformCall.RETRY_AFTER);
+
+  private final FramedHttpClients clients;
   private final TimerService timers;
   private final PlatformOptions options;
   private final CallBudget budget;
@@ -57,8 +63,8 @@
   private record WaitingCall(PlatformCall call, HttpClientAgent pool) {}
 
   /** Creates a client that opens connections on demand. */
-  public PlatformHttp(Vertx vertx, TimerService timers, PlatformOptions options) {
-    this.vertx = vertx;
+  public PlatformHttp(FramedHttpClients clients, TimerService timers, PlatformOptions options) {
+    this.clients = clients;
     this.timers = timers;
     this.options = options;
     this.budget = new CallBudget(timers, options.callsPerSecond());
@@ -74,18 +80,7 @@
             .setSsl(isHttps());
     PoolOptions pool =
         new PoolOptions().setHttp1MaxSize(MAX_CONNECTIONS).setMaxWaitQueueSize(MAX_WAITING_CALLS);
-    return vertx
-        .httpClientBuilder()
-        .with(client)
-        .with(pool)
-        .withConnectHandler(
-            connection -> connection.exceptionHandler(PlatformHttp::onConnectionError))
-        .build();
-  }
-
-  /** Logs the error only: the calls on the connection fail by themselves. */
-  private static void onConnectionError(Throwable cause) {
-    logger.atFine().log("event=platform_connection_broken cause=\"%s\"", cause);
+    return clients.create(HttpClientKind.PLATFORM, client, pool, SINGLE_FIELDS);
   }
 
   /** Returns the call counters by kind. */
--- a/amaranthstream/src/test/java/org/amaranthstream/platform/PlatformClientTest.java
+++ b/amaranthstream/src/test/java/org/amaranthstream/platform/PlatformClientTest.java
@@ -19,6 +19,7 @@
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
 import org.amaranthstream.auth.Secret;
+import org.amaranthstream.http.FramedHttpClients;
 import org.amaranthstream.ids.LeaseId;
 import org.amaranthstream.ids.Revision;
 import org.amaranthstream.result.Result;
@@ -47,7 +48,8 @@
     server = vertx.createHttpServer().requestHandler(this::serve);
     await(server.listen(0, "127.0.0.1").toCompletionStage().toCompletableFuture());
     client =
-        PlatformClient.create(vertx, clock.forDuty(PlatformClientTest::runNow), options(1_000));
+        PlatformClient.create(
+            FramedHttpClients.on(vertx), clock.forDuty(PlatformClientTest::runNow), options(1_000));
   }
 
   @AfterEach
@@ -341,7 +343,8 @@
 
     @Test
     void rejectsCallsBeyondIt() {
-      try (PlatformClient limited = PlatformClient.create(vertx, virtual, options(1))) {
+      try (PlatformClient limited =
+          PlatformClient.create(FramedHttpClients.on(vertx), virtual, options(1))) {
         await(limited.store().get("config"));
         await(limited.store().get("config"));
         WriteReply reply =
--- a/amaranthstream/src/test/java/org/amaranthstream/platform/PlatformLateResponsesTest.java
+++ b/amaranthstream/src/test/java/org/amaranthstream/platform/PlatformLateResponsesTest.java
@@ -15,6 +15,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Function;
+import org.amaranthstream.http.FramedHttpClients;
 import org.amaranthstream.http.ScriptedTcpServer;
 import org.amaranthstream.http.ScriptedTcpServer.Step;
 import org.amaranthstream.ids.LeaseId;
@@ -47,7 +48,7 @@
     URI url = URI.create("http://" + ScriptedTcpServer.HOST + ":" + server.port());
     client =
         PlatformClient.create(
-            vertx,
+            FramedHttpClients.on(vertx),
             VirtualTimerService.create(),
             new PlatformOptions(url, Optional.empty(), Duration.ofSeconds(5), 1_000));
   }
