Believe no answer to an operator's command that is made of two

Operators could read that a configuration was refused which was applied, if a daemon, or a proxy in front of it, answered twice and stopped within one of the answers. AdminClient takes its client from FramedHttpClients, and gives each call a connection of its own, as no response names its call.

--- a/amaranthstream/src/main/java/org/amaranthstream/cli/AdminClient.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/cli/AdminClient.java
@@ -1,5 +1,6 @@
 package org.amaranthstream.cli;
 
+import com.google.common.collect.ImmutableSet;
 import io.vertx.core.Future;
 import io.vertx.core.Vertx;
 import io.vertx.core.buffer.Buffer;
@@ -8,10 +9,13 @@
 import io.vertx.core.http.HttpClientRequest;
 import io.vertx.core.http.HttpClientResponse;
 import io.vertx.core.http.HttpMethod;
+import io.vertx.core.http.PoolOptions;
 import io.vertx.core.http.RequestOptions;
 import java.util.Optional;
 import java.util.concurrent.CompletionException;
 import java.util.concurrent.TimeUnit;
+import org.amaranthstream.http.FramedHttpClients;
+import org.amaranthstream.http.HttpClientKind;
 import org.amaranthstream.ids.ConfigGeneration;
 import org.amaranthstream.result.ErrorDetail;
 import org.amaranthstream.result.Result;
@@ -19,14 +23,23 @@
 
 /**
  * Blocking client of the administration API of a daemon. Runs one call at a time. Not thread safe.
+ *
+ * <p>Each call has a connection of its own, because a response does not name its call: on a reused
+ * connection a late response to one call would be taken for the response to the next.
  */
 final class AdminClient implements AutoCloseable {
   private static final int TIMEOUT_MS = 15_000;
   private static final int CONNECT_TIMEOUT_MS = 3_000;
+  private static final String ENTITY_TAG = "ETag";
 
   private final Vertx vertx = Vertx.vertx();
   private final HttpClient client =
-      vertx.createHttpClient(new HttpClientOptions().setConnectTimeout(CONNECT_TIMEOUT_MS));
+      FramedHttpClients.on(vertx)
+          .create(
+              HttpClientKind.ADMINISTRATION,
+              new HttpClientOptions().setConnectTimeout(CONNECT_TIMEOUT_MS).setKeepAlive(false),
+              new PoolOptions(),
+              ImmutableSet.of(ENTITY_TAG));
   private final String url;
   private final String token;
 
@@ -76,7 +89,7 @@
 
   /** Reads the body on the event loop, so that no part of it arrives before a handler is set. */
   private static Future<Result<AdminResponse>> readResponse(HttpClientResponse response) {
-    String entityTag = response.getHeader("ETag");
+    String entityTag = response.getHeader(ENTITY_TAG);
     return response
         .body()
         .map(body -> AdminResponse.of(response.statusCode(), entityTag, body.toString()));
