Record no crash of a server whose answer is malformed

Callers could get their request rejected as one that crashes servers (quarantine): if a malformed answer arrived before the body of the request was written, the framing closed the connection first, which failed the write, and the attempt ended as ConnectionLost, the sign of a crash. The request now fails with the fault of the framing before the connection is closed, and ends as Broken: it may have run, and nothing is said of its server.

Evidence: MalformedAnswersTest failed on the code before (1 of 1, ConnectionLost) and passes.

--- a/amaranthstream/src/main/java/org/amaranthstream/http/ResponseFramingHandler.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/http/ResponseFramingHandler.java
@@ -32,21 +32,26 @@
     List<ByteBuf> checked = new ArrayList<>();
     Optional<FramingFault> fault = framer.read(bytes, checked::add);
     bytes.release();
+    fault.ifPresent(this::onFault);
+    if (isOfRequest(fault)) {
+      checked.forEach(context::fireChannelRead);
+      // The request fails with the fault, and not because what it still writes is lost.
+      context.fireExceptionCaught(new MalformedResponseException(fault.get().reason()));
+      context.close();
+      return;
+    }
     // The end of a response may lead to the next request, which must not be written any more.
-    fault.ifPresent(found -> close(context, found));
+    fault.ifPresent(unused -> context.close());
     checked.forEach(context::fireChannelRead);
-    fault.ifPresent(found -> failRequest(context, found));
   }
 
-  private void close(ChannelHandlerContext context, FramingFault fault) {
+  private void onFault(FramingFault fault) {
     hasFault = true;
     listener.accept(fault);
-    context.close();
   }
 
-  private static void failRequest(ChannelHandlerContext context, FramingFault fault) {
-    if (fault.kind() == FramingFault.Kind.MALFORMED) {
-      context.fireExceptionCaught(new MalformedResponseException(fault.reason()));
-    }
+  /** Returns true if a request waits for the response that the bytes are no part of. */
+  private static boolean isOfRequest(Optional<FramingFault> fault) {
+    return fault.filter(found -> found.kind() == FramingFault.Kind.MALFORMED).isPresent();
   }
 }
