Reject requests whose head contains the head of another

A caller, or a balancer that shares its connections between callers, could get the answer to a request that nobody sent: one of which only the first bytes had arrived was read with the next one as one head, with the path of the first and the ID and body of the second. Both servers for callers reject such a request with 400 and read nothing behind it.

The first line within a request line or a header name was rejected before; within a header value it was not. A request cut within its method is read as one with an unknown method (POPOST), and one cut within its body takes the bytes of the next: neither can be told apart.

Evidence: StrictFramingTest, 2 of 7 failed on the code before.

--- a/amaranthstream/src/main/java/org/amaranthstream/ingress/StrictFraming.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/ingress/StrictFraming.java
@@ -9,7 +9,8 @@
 
 /**
  * Strict framing of HTTP requests: a server with it rejects requests that have both a {@code
- * Content-Length} and a chunked {@code Transfer-Encoding}.
+ * Content-Length} and a chunked {@code Transfer-Encoding}, and requests whose head contains the
+ * first line of another request.
  *
  * <p>Netty's decoder removes the {@code Content-Length} of a chunked request, so handlers cannot
  * detect it, and the bytes that follow are read as another request. Thread safe.
@@ -28,6 +29,7 @@
     ChannelPipeline pipeline = ((ConnectionBase) connection).channel().pipeline();
     if (pipeline.get(DECODER) != null) {
       pipeline.replace(DECODER, DECODER, new StrictDecoder(options));
+      pipeline.addAfter(DECODER, null, new RequestHeadCheck());
     }
   }
 
