Count the time of a shutdown from the signal

GracefulShutdownTest.endsInTimeAfterSignalThatIsHandledLate needs the new parameter; before, the grace period ended 1 s later in that case.

--- a/amaranthstream/src/main/java/org/amaranthstream/calls/GracefulShutdown.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/calls/GracefulShutdown.java
@@ -15,7 +15,7 @@
  * timers.
  *
  * <pre>{@code
- * shutdown.begin();
+ * shutdown.begin(signalNanos);
  * if (!shutdown.accepts(timeLeft, calls.longestResponse(route))) {
  *   reject(ResultCode.NOT_RUN_SHUTTING_DOWN);
  * }
@@ -42,10 +42,15 @@
     return new GracefulShutdown(checkNotNull(timers, "timers"));
   }
 
-  /** Begins the shutdown. */
-  public void begin() {
+  /**
+   * Begins the shutdown.
+   *
+   * @param signalNanos the time of the signal to shut down, as the timers count it. A busy thread
+   *     learns of it later.
+   */
+  public void begin(long signalNanos) {
     isBegun = true;
-    beginNanos = timers.nowNanos();
+    beginNanos = signalNanos;
   }
 
   /** Returns true once the shutdown has begun. */
--- a/amaranthstream/src/test/java/org/amaranthstream/calls/GracefulShutdownTest.java
+++ b/amaranthstream/src/test/java/org/amaranthstream/calls/GracefulShutdownTest.java
@@ -150,7 +150,7 @@
       timers.advance(INTERVAL);
     }
     arrivals.clear();
-    shutdown.begin();
+    shutdown.begin(timers.nowNanos());
     Duration sinceBegin = Duration.ZERO;
     for (int i = 0; !shutdown.isGracePeriodOver(); i++) {
       arrive(sinceBegin, DEADLINES.get(i % DEADLINES.size()));
@@ -207,4 +207,16 @@
       }
     }
   }
+
+  /** Guards against a busy thread that counts the time from when it learns of the signal. */
+  @Test
+  void endsInTimeAfterSignalThatIsHandledLate() {
+    long signalNanos = timers.nowNanos();
+    timers.advance(Duration.ofSeconds(1));
+    shutdown.begin(signalNanos);
+    timers.advance(GRACE_PERIOD.minusSeconds(1));
+
+    assertThat(shutdown.isGracePeriodOver()).isTrue();
+    assertThat(shutdown.accepts(Duration.ofMillis(1), Optional.empty())).isFalse();
+  }
 }
