Pass no interim response to the HTTP client

Callers got 102 or 199 with an empty body where the server then answered 200, and a HEAD request behind a 103 did not end: the client knows only 100 and 103, and its decoder forgets the request at an interim head. The framing, which treats all 1xx as interim, now drops them; the daemon asks for none and does not relay them.

--- a/amaranthstream/src/main/java/org/amaranthstream/http/HeadReader.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/http/HeadReader.java
@@ -9,7 +9,7 @@
 import java.util.Optional;
 import java.util.function.Consumer;
 
-/** Reader of the head of a response, which passes it on as a whole. */
+/** Reader of the head of a response, which passes it on as a whole if it is the final one. */
 final class HeadReader implements PartReader {
   private static final int NO_STATUS = 0;
   private static final int SWITCHING_PROTOCOLS = 101;
@@ -39,7 +39,7 @@
     while (line.isPresent()) {
       if (status != NO_STATUS && line.get().isEmpty()) {
         checkLength();
-        checked.accept(lines.endSection());
+        endHead(checked);
         return true;
       }
       accept(line.get());
@@ -48,6 +48,13 @@
     return false;
   }
 
+  private void endHead(Consumer<ByteBuf> checked) {
+    ByteBuf head = lines.endSection();
+    if (!isInterim()) {
+      checked.accept(head);
+    }
+  }
+
   private void accept(String line) throws MalformedResponseException {
     if (status == NO_STATUS) {
       status = ResponseSyntax.status(line);
