Fail responses that are filled up from the bytes behind them

A body with a length that broke off was filled up with the begin of the next response, and the caller got it as whole, with status and seal. If bytes follow at once on such a body and do not begin like a response, the response fails now; the server may have run the request. If they follow in a later segment, the response has been passed on: this is open.

--- a/amaranthstream/src/main/java/org/amaranthstream/http/FramedHttpClients.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/http/FramedHttpClients.java
@@ -79,12 +79,13 @@
     LongAdder count = checkNotNull(faults.get(kind));
     count.increment();
     logger.atInfo().log(
-        "event=response_bytes_invalid client=%s server=%s kind=%s reason=\"%s\" bytes=\"%s\""
-            + " count=%d",
+        "event=response_bytes_invalid client=%s server=%s kind=%s reason=\"%s\" requests=%d"
+            + " bytes=\"%s\" count=%d",
         kind.label(),
         connection.remoteAddress(),
         fault.kind(),
         fault.reason(),
+        fault.requests(),
         fault.excerpt(),
         count.sum());
   }
--- a/amaranthstream/src/main/java/org/amaranthstream/http/ResponseFramer.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/http/ResponseFramer.java
@@ -4,6 +4,7 @@
 
 import com.google.common.collect.ImmutableSet;
 import io.netty.buffer.ByteBuf;
+import java.nio.charset.StandardCharsets;
 import java.util.ArrayDeque;
 import java.util.Optional;
 import java.util.Queue;
@@ -18,9 +19,12 @@
  * the connection cannot be used. Not thread safe.
  */
 final class ResponseFramer {
+  private static final String BEGIN_OF_RESPONSE = "HTTP/1.";
+
   private final ImmutableSet<String> singleFields;
   private final Queue<Boolean> waitingForBody = new ArrayDeque<>();
   private @Nullable PartReader part;
+  private int requests;
 
   /**
    * Creates a framer of a new connection.
@@ -37,6 +41,7 @@
    * @param isHead true if the response to the request has no body, whatever its head says
    */
   void onRequest(boolean isHead) {
+    requests++;
     waitingForBody.add(!isHead);
   }
 
@@ -44,14 +49,17 @@
    * Reads bytes that have arrived.
    *
    * @param checked receives, in order, the bytes that are part of a response
-   * @return the fault of the bytes, of which none are read then, empty if all are part of responses
+   * @return the fault of the bytes, empty if all are part of responses. What was checked before a
+   *     malformed part belongs to the same response.
    */
   Optional<FramingFault> read(ByteBuf in, Consumer<ByteBuf> checked) {
+    boolean isBodyEnd = false;
     try {
       while (in.isReadable()) {
         if (part == null && waitingForBody.isEmpty()) {
-          return Optional.of(unsolicited(in));
+          return Optional.of(faultBehindResponse(in, isBodyEnd));
         }
+        isBodyEnd = part instanceof FixedBodyReader;
         readPart(in, checked);
       }
       return Optional.empty();
@@ -60,12 +68,33 @@
     }
   }
 
-  private static FramingFault unsolicited(ByteBuf in) {
-    return FramingFault.of(FramingFault.Kind.UNSOLICITED, "no request waits for a response", in);
+  /**
+   * Returns the fault of bytes for which no request waits. If they follow at once on a body with a
+   * length and are no begin of another response, that body broke off, and was filled up with the
+   * begin of them.
+   */
+  private FramingFault faultBehindResponse(ByteBuf in, boolean isBodyEnd) {
+    return isBodyEnd && !beginsLikeResponse(in) && !isBlank(in)
+        ? fault(FramingFault.Kind.MALFORMED, "the response is longer than its body", in)
+        : fault(FramingFault.Kind.UNSOLICITED, "no request waits for a response", in);
+  }
+
+  private static boolean beginsLikeResponse(ByteBuf in) {
+    int length = Math.min(in.readableBytes(), BEGIN_OF_RESPONSE.length());
+    return in.toString(in.readerIndex(), length, StandardCharsets.ISO_8859_1)
+        .equals(BEGIN_OF_RESPONSE.substring(0, length));
+  }
+
+  private static boolean isBlank(ByteBuf in) {
+    return in.forEachByte(value -> value == '\r' || value == '\n') < 0;
+  }
+
+  private FramingFault fault(FramingFault.Kind kind, String reason, ByteBuf bytes) {
+    return FramingFault.of(kind, reason, requests, bytes);
   }
 
   private FramingFault malformed(MalformedResponseException cause) {
-    return FramingFault.of(
+    return fault(
         FramingFault.Kind.MALFORMED, String.valueOf(cause.getMessage()), part().lastLine());
   }
 
