--- a/amaranthstream/src/main/java/org/amaranthstream/http/ResponseSyntax.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/http/ResponseSyntax.java
@@ -14,7 +14,7 @@
   private static final Pattern STATUS_LINE =
       Pattern.compile("HTTP/1\\.[01] ([1-9][0-9]{2})(?: " + TEXT + ")?");
   private static final Pattern FIELD =
-      Pattern.compile("([!#$%&'*+.^_`|~0-9A-Za-z-]+):[ \\t]*(" + TEXT + ")");
+      Pattern.compile("([!#$%&'*+.^_`|~0-9A-Za-z-]+)[ \\t]*:[ \\t]*(" + TEXT + ")");
   private static final Pattern CHUNK_SIZE =
       Pattern.compile("([0-9A-Fa-f]{1,15})[ \\t]*(?:;" + TEXT + ")?");
   private static final Pattern SECOND_STATUS_LINE =
