Close a connection with extra bytes once its response has been read

A regression of: whole responses were lost if bytes followed them in the same segment while the caller read slowly, because the connection was closed before the client had received all of it. While the client has paused the connection, it is closed after the client reads on; a request that is written to it meanwhile fails.

Remaining: 16 to 22 chunks, which the client queues without a pause. They are lost too if the server closes the connection, which is older.

--- a/amaranthstream/src/main/java/org/amaranthstream/http/ResponseFraming.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/http/ResponseFraming.java
@@ -11,8 +11,10 @@
 import io.netty.handler.codec.http.HttpClientCodec;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpRequest;
+import io.netty.util.ReferenceCountUtil;
 import io.vertx.core.http.HttpConnection;
 import io.vertx.core.net.impl.ConnectionBase;
+import java.nio.channels.ClosedChannelException;
 import java.util.Locale;
 
 /**
@@ -66,24 +68,30 @@
     ChannelPipeline pipeline = channel.pipeline();
     ChannelHandlerContext codec = pipeline.context(HttpClientCodec.class);
     ResponseFramer framer = new ResponseFramer(singleFields);
-    pipeline.addBefore(
-        codec.name(),
-        null,
-        new ResponseFramingHandler(framer, fault -> listener.onFault(connection, fault)));
-    pipeline.addAfter(codec.name(), null, new RequestObserver(framer));
+    ResponseFramingHandler handler =
+        new ResponseFramingHandler(framer, fault -> listener.onFault(connection, fault));
+    pipeline.addBefore(codec.name(), null, handler);
+    pipeline.addAfter(codec.name(), null, new RequestObserver(framer, handler));
   }
 
-  /** Records the requests that the client writes. */
+  /** Records the requests that the client writes, and writes none to a connection with a fault. */
   private static final class RequestObserver extends ChannelOutboundHandlerAdapter {
     private final ResponseFramer framer;
+    private final ResponseFramingHandler handler;
 
-    private RequestObserver(ResponseFramer framer) {
+    private RequestObserver(ResponseFramer framer, ResponseFramingHandler handler) {
       this.framer = framer;
+      this.handler = handler;
     }
 
     @Override
     public void write(ChannelHandlerContext context, Object message, ChannelPromise promise) {
       if (message instanceof HttpRequest request) {
+        if (handler.hasFault()) {
+          ReferenceCountUtil.release(message);
+          promise.tryFailure(new ClosedChannelException());
+          return;
+        }
         framer.onRequest(request.method().equals(HttpMethod.HEAD));
       }
       context.write(message, promise);
