--- a/amaranthstream/src/test/java/org/amaranthstream/dispatch/http/HttpConnectionProbeTest.java
+++ b/amaranthstream/src/test/java/org/amaranthstream/dispatch/http/HttpConnectionProbeTest.java
@@ -45,4 +45,13 @@
       assertThat(server.connectionsOfRequests()).containsExactly(0, 1).inOrder();
     }
   }
+
+  /** A probe establishes that a server responds; what the response says does not matter. */
+  @Test
+  void answerThatBreaksOffBeforeAnotherCountsAsResponse() {
+    String joined = "HTTP/1.1 500 Fail" + response("200 OK", "", "{}");
+    try (ScriptedTcpServer server = ScriptedTcpServer.start(vertx, answer(joined))) {
+      assertThat(responds(server)).isTrue();
+    }
+  }
 }
--- a/amaranthstream/src/test/java/org/amaranthstream/peer/InboundFramesTest.java
+++ b/amaranthstream/src/test/java/org/amaranthstream/peer/InboundFramesTest.java
@@ -3,6 +3,7 @@
 import static com.google.common.truth.Truth.assertThat;
 
 import java.io.IOException;
+import java.nio.ByteBuffer;
 import java.time.Duration;
 import java.util.List;
 import java.util.Optional;
@@ -126,6 +127,21 @@
       }
     }
 
+    /** After a frame that cannot be read, nothing on its connection is a frame. */
+    @Test
+    void forwardBehindInvalidFrameIsNotRun() throws IOException {
+      byte[] valid = forward(7).toByteArray();
+      byte[] invalid = {(byte) 0xff, (byte) 0xff, (byte) 0xff};
+      ByteBuffer bytes = ByteBuffer.allocate(2 * Integer.BYTES + invalid.length + valid.length);
+      bytes.putInt(invalid.length).put(invalid).putInt(valid.length).put(valid);
+      try (RawClient client = client()) {
+        client.sendBytes(bytes.array());
+        assertThat(client.isClosedByRemoteSide()).isTrue();
+        mesh.duty.runNext();
+        assertThat(node.runner.submitted).isEmpty();
+      }
+    }
+
     @Test
     void forwardReceivedAfterKeepAliveTimeoutIsNotRun() throws IOException {
       try (RawClient client = client()) {
