--- a/amaranthstream/src/main/java/org/amaranthstream/http/LineReader.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/http/LineReader.java
@@ -42,7 +42,7 @@
 
   /** Returns the bytes of the section, which has ended, and begins another one. */
   ByteBuf endSection() {
-    ByteBuf ended = section;
+    final ByteBuf ended = section;
     section = Unpooled.buffer();
     lineStart = 0;
     lastLineStart = 0;
--- a/amaranthstream/src/test/java/org/amaranthstream/http/ResponseFramerTest.java
+++ b/amaranthstream/src/test/java/org/amaranthstream/http/ResponseFramerTest.java
@@ -202,7 +202,7 @@
     }
 
     @Test
-    void haveALimit() {
+    void haveLimit() {
       assertThat(faultOf("HTTP/1.1 200 " + "O".repeat(20_000)))
           .isEqualTo(FramingFault.Kind.MALFORMED);
     }
