--- a/amaranthstream/src/test/java/org/amaranthstream/dispatch/http/HttpConnectionProbeTest.java
+++ b/amaranthstream/src/test/java/org/amaranthstream/dispatch/http/HttpConnectionProbeTest.java
@@ -48,7 +48,7 @@
 
   /** A probe establishes that a server responds; what the response says does not matter. */
   @Test
-  void answerThatBreaksOffBeforeAnotherIsAResponse() {
+  void answerThatBreaksOffBeforeAnotherCountsAsResponse() {
     String joined = "HTTP/1.1 500 Fail" + response("200 OK", "", "{}");
     try (ScriptedTcpServer server = ScriptedTcpServer.start(vertx, answer(joined))) {
       assertThat(responds(server)).isTrue();
