Take requests that end while they wait for memory out of the queue

A body that waited for room stayed in the queue of the budget after its connection was closed. It delayed the bodies behind it that had room, and once its turn came it was granted, gave the bytes back and so granted the next one within the same call: the stack grew by five frames for each such waiter, and the event loop has a stack of 256 KiB. Read, not seen with callers.

The release of a reservation now removes what it waits for, and bytes that come back during a grant continue the loop that grants.

--- a/amaranthstream/src/main/java/org/amaranthstream/memory/MemoryBudget.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/memory/MemoryBudget.java
@@ -35,6 +35,7 @@
   private final List<Cache> caches = new ArrayList<>();
   private final ArrayDeque<Waiter> waiters = new ArrayDeque<>();
   private long usedBytes;
+  private boolean isGranting;
 
   /** Memory that can be given back at any time: its content is kept elsewhere or made again. */
   @FunctionalInterface
@@ -113,48 +114,79 @@
     }
   }
 
-  /** Takes the bytes within {@code patience}, and calls {@code onDecided} with the outcome. */
-  void takeWithin(long bytes, Duration patience, Consumer<Boolean> onDecided) {
+  /**
+   * Takes the bytes for {@code owner} within {@code patience}, and calls {@code onDecided} with the
+   * outcome.
+   */
+  void takeWithin(Reservation owner, long bytes, Duration patience, Consumer<Boolean> onDecided) {
     boolean mayOvertake = waiters.isEmpty() || bytes <= SMALL_BYTES;
     if (mayOvertake && take(bytes)) {
       onDecided.accept(true);
     } else if (bytes > capacityBytes || patience.isZero() || patience.isNegative()) {
       onDecided.accept(false);
     } else {
-      Waiter waiter = new Waiter(bytes, onDecided);
+      Waiter waiter = new Waiter(owner, bytes, onDecided);
       waiters.add(waiter);
-      waiter.timeout = timers.after(patience, waiter::expire);
+      waiter.timeout = timers.after(patience, () -> expire(waiter));
+    }
+  }
+
+  private void expire(Waiter waiter) {
+    if (waiters.remove(waiter)) {
+      waiter.decide(false);
+      grantWaiters();
+    }
+  }
+
+  /** Removes what {@code owner} waits for, without a decision. */
+  void cancelWaiting(Reservation owner) {
+    List<Waiter> cancelled = waiters.stream().filter(waiter -> waiter.owner == owner).toList();
+    waiters.removeAll(cancelled);
+    cancelled.forEach(waiter -> waiter.timeout.cancel());
+    if (!cancelled.isEmpty()) {
+      grantWaiters();
     }
   }
 
   void giveBack(long bytes) {
     usedBytes -= bytes;
-    while (!waiters.isEmpty() && take(waiters.peek().bytes)) {
-      waiters.remove().grant();
+    grantWaiters();
+  }
+
+  /**
+   * Grants what waits and fits, in the order of arrival. A decision may give back bytes itself; the
+   * outer loop then continues, so that the stack does not grow with the number of waiters.
+   */
+  private void grantWaiters() {
+    if (isGranting) {
+      return;
+    }
+    isGranting = true;
+    try {
+      while (!waiters.isEmpty() && take(waiters.peek().bytes)) {
+        waiters.remove().decide(true);
+      }
+    } finally {
+      isGranting = false;
     }
   }
 
   /** A reservation that waits for room. */
-  private final class Waiter {
+  private static final class Waiter {
+    private final Reservation owner;
     private final long bytes;
     private final Consumer<Boolean> onDecided;
     private Subscription timeout = () -> {};
 
-    private Waiter(long bytes, Consumer<Boolean> onDecided) {
+    private Waiter(Reservation owner, long bytes, Consumer<Boolean> onDecided) {
+      this.owner = owner;
       this.bytes = bytes;
       this.onDecided = onDecided;
     }
 
-    private void grant() {
+    private void decide(boolean isTaken) {
       timeout.cancel();
-      onDecided.accept(true);
-    }
-
-    private void expire() {
-      if (waiters.remove(this)) {
-        onDecided.accept(false);
-        giveBack(0);
-      }
+      onDecided.accept(isTaken);
     }
   }
 }
--- a/amaranthstream/src/main/java/org/amaranthstream/memory/Reservation.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/memory/Reservation.java
@@ -42,11 +42,16 @@
    * Reserves more bytes once there is room.
    *
    * @param patience the time to wait for room
-   * @param onDecided called once, with true if the bytes are reserved; possibly before the return
+   * @param onDecided called once, with true if the bytes are reserved; possibly before the return.
+   *     Not called if the reservation is released while it waits
    */
   public void growWithin(long more, Duration patience, Consumer<Boolean> onDecided) {
     checkArgument(more >= 0, "more is %s, expected >= 0", more);
-    budget.takeWithin(more, patience, isTaken -> onDecided.accept(isTaken && keep(more)));
+    if (isReleased) {
+      onDecided.accept(false);
+      return;
+    }
+    budget.takeWithin(this, more, patience, isTaken -> onDecided.accept(isTaken && keep(more)));
   }
 
   /** Keeps bytes that were taken, or gives them back if the reservation was released meanwhile. */
@@ -88,9 +93,16 @@
     budget.giveBack(fewer);
   }
 
-  /** Gives all bytes back; has no effect if they were given back before. */
+  /**
+   * Ends the reservation: cancels what it waits for and gives all bytes back. Has no effect if it
+   * was released before.
+   */
   public void release() {
+    if (isReleased) {
+      return;
+    }
     isReleased = true;
+    budget.cancelWaiting(this);
     long all = bytes;
     bytes = 0;
     if (all > 0) {
--- a/amaranthstream/src/test/java/org/amaranthstream/memory/MemoryBudgetTest.java
+++ b/amaranthstream/src/test/java/org/amaranthstream/memory/MemoryBudgetTest.java
@@ -15,6 +15,7 @@
 
 class MemoryBudgetTest {
   private static final long CAPACITY = 1_000_000;
+  private static final int MANY = 5_000;
   private static final Duration PATIENCE = Duration.ofSeconds(1);
 
   private final VirtualTimerService timers = VirtualTimerService.create();
@@ -75,6 +76,35 @@
     assertThat(budget.usedBytes()).isEqualTo(900_000);
   }
 
+  @Test
+  void releasedReservationWaitsNoLonger() {
+    Reservation first = await("a", 900_000);
+    Reservation second = await("b", 800_000);
+    await("c", 100_000);
+    second.release();
+    assertThat(decisions).containsExactly("a true", "c true").inOrder();
+
+    first.release();
+    assertThat(budget.usedBytes()).isEqualTo(100_000);
+  }
+
+  /**
+   * Guards against a stack that grows with the number of reservations that ended as they waited.
+   */
+  @Test
+  void anyNumberOfReservationsMayEndWhileTheyWait() {
+    Reservation first = await("a", 900_000);
+    List<Reservation> waiting = new ArrayList<>();
+    for (int i = 0; i < MANY; i++) {
+      waiting.add(await("b", 800_000));
+    }
+    waiting.forEach(Reservation::release);
+    first.release();
+
+    assertThat(budget.usedBytes()).isEqualTo(0);
+    assertThat(decisions).containsExactly("a true");
+  }
+
   @Test
   void cachesGiveBackBeforeReservationFails() {
     Reservation cached = budget.open();
