Give the memory of a body back once nothing refers to it

The reservation ended with the response of the closed connection, and the next body that waited allocated its length at once. The reader of the closed connection still referred to its buffer: the selector keeps the connection of a cancelled key until its next select, and a turn of the event loop closes many connections.

A Hold keeps the bytes of a reservation reserved while its owner refers to them.

--- a/amaranthstream/src/main/java/org/amaranthstream/memory/MemoryBudget.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/memory/MemoryBudget.java
@@ -17,9 +17,10 @@
  * A budget of bytes that the process keeps on its heap for others: bodies of requests, batch jobs,
  * texts and results.
  *
- * <p>Bytes are reserved before they are kept. If there is no room, caches are asked to evict first;
- * then a reservation fails or waits, in the order of arrival. Small reservations may overtake large
- * ones that wait. Not thread safe: used on the thread of its timers.
+ * <p>Bytes are reserved before they are kept, and given back once nothing refers to them any more,
+ * because the room is allocated again at once. If there is no room, caches are asked to evict
+ * first; then a reservation fails or waits, in the order of arrival. Small reservations may
+ * overtake large ones that wait. Not thread safe: used on the thread of its timers.
  */
 public final class MemoryBudget {
   private static final FluentLogger logger = FluentLogger.forEnclosingClass();
--- a/amaranthstream/src/main/java/org/amaranthstream/memory/Reservation.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/memory/Reservation.java
@@ -7,11 +7,13 @@
 
 /**
  * Bytes that are reserved in a {@link MemoryBudget} until they are released. A released reservation
- * takes no further bytes. Not thread safe.
+ * takes no further bytes, and gives its bytes back once no {@link Hold} on it is left. Not thread
+ * safe.
  */
 public final class Reservation {
   private final MemoryBudget budget;
   private long bytes;
+  private int holds;
   private boolean isReleased;
 
   Reservation(MemoryBudget budget) {
@@ -94,8 +96,22 @@
   }
 
   /**
-   * Ends the reservation: cancels what it waits for and gives all bytes back. Has no effect if it
-   * was released before.
+   * Returns a hold, which keeps the bytes reserved after the release for as long as its owner still
+   * refers to them.
+   */
+  public Hold hold() {
+    holds++;
+    return new Hold(this);
+  }
+
+  void onHoldEnded() {
+    holds--;
+    giveBackUnlessHeld();
+  }
+
+  /**
+   * Ends the reservation: cancels what it waits for, and gives all bytes back once no hold is left.
+   * Has no effect if it was released before.
    */
   public void release() {
     if (isReleased) {
@@ -103,6 +119,13 @@
     }
     isReleased = true;
     budget.cancelWaiting(this);
+    giveBackUnlessHeld();
+  }
+
+  private void giveBackUnlessHeld() {
+    if (!isReleased || holds > 0) {
+      return;
+    }
     long all = bytes;
     bytes = 0;
     if (all > 0) {
--- a/amaranthstream/src/test/java/org/amaranthstream/memory/MemoryBudgetTest.java
+++ b/amaranthstream/src/test/java/org/amaranthstream/memory/MemoryBudgetTest.java
@@ -77,8 +77,34 @@
   }
 
   @Test
-  void releasedReservationWaitsNoLonger() {
+  void bytesStayReservedWhileTheyAreHeld() {
+    Reservation first = await("a", 900_000);
+    Hold hold = first.hold();
+    final Hold other = first.hold();
+    await("b", 800_000);
+    first.release();
+    hold.release();
+    hold.release();
+    assertThat(budget.usedBytes()).isEqualTo(900_000);
+    assertThat(first.tryGrow(1)).isFalse();
+
+    other.release();
+    assertThat(decisions).containsExactly("a true", "b true").inOrder();
+  }
+
+  @Test
+  void holdThatEndsFirstGivesNothingBack() {
     Reservation first = await("a", 900_000);
+    first.hold().release();
+    assertThat(budget.usedBytes()).isEqualTo(900_000);
+
+    first.release();
+    assertThat(budget.usedBytes()).isEqualTo(0);
+  }
+
+  @Test
+  void releasedReservationWaitsNoLonger() {
+    final Reservation first = await("a", 900_000);
     Reservation second = await("b", 800_000);
     await("c", 100_000);
     second.release();
@@ -93,7 +119,7 @@
    */
   @Test
   void anyNumberOfReservationsMayEndWhileTheyWait() {
-    Reservation first = await("a", 900_000);
+    final Reservation first = await("a", 900_000);
     List<Reservation> waiting = new ArrayList<>();
     for (int i = 0; i < MANY; i++) {
       waiting.add(await("b", 800_000));
