--- a/amaranthstream/src/main/java/org/amaranthstream/calls/ActiveCall.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/calls/ActiveCall.java
@@ -1,5 +1,6 @@
 package org.amaranthstream.calls;
 
+import com.google.common.annotations.VisibleForTesting;
 import com.google.common.collect.ImmutableList;
 import com.google.common.flogger.FluentLogger;
 import java.time.Duration;
@@ -28,9 +29,9 @@
   private final CallService service;
   private final Route route;
   private final CallPolicy policy;
-  private final OutboundCall call;
+  private OutboundCall call;
   private final Optional<Prompt> prompt;
-  private final CallContent content;
+  private CallContent content;
   private CandidateServers candidates;
   private final CallerExchange exchange;
   private final long startNanos;
@@ -399,6 +400,23 @@
       hedge.cancel();
     }
     service.onCallEnded(this, code, detail);
+    clearBodies();
+    exchange.onCallEnded();
+  }
+
+  /** Clears the references to bodies: what still refers to an ended call must not keep them. */
+  private void clearBodies() {
+    call = call.withoutBody();
+    content = ExemptContent.INSTANCE;
+    committed = null;
+    lastErrorResponse = null;
+  }
+
+  /** Returns the bytes that the call keeps of its body and of a response that it may send later. */
+  @VisibleForTesting
+  long keptBytes() {
+    return call.body().length()
+        + (lastErrorResponse == null ? 0 : lastErrorResponse.body().length());
   }
 
   Route route() {
--- a/amaranthstream/src/main/java/org/amaranthstream/calls/CallerExchange.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/calls/CallerExchange.java
@@ -47,4 +47,10 @@
    * @param retryAfter the delay after which the caller may retry, for errors that report one
    */
   void fail(ErrorDetail error, Duration retryAfter);
+
+  /**
+   * Called once the call has ended and refers to neither the request's body nor buffered responses,
+   * so that the memory of both can be given back.
+   */
+  default void onCallEnded() {}
 }
--- a/amaranthstream/src/main/java/org/amaranthstream/calls/OutboundCall.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/calls/OutboundCall.java
@@ -23,4 +23,10 @@
     MultiMap headers,
     Buffer body,
     Optional<WorkspaceId> workspace,
-    Optional<StreamResumption> resumption) {}
+    Optional<StreamResumption> resumption) {
+
+  /** Returns the call without its body, for the use after its end. */
+  OutboundCall withoutBody() {
+    return new OutboundCall(id, method, uri, headers, Buffer.buffer(), workspace, resumption);
+  }
+}
