Reserve the bodies of calls that peers relay

The body is reserved before it is copied out of the request, and given back when the call ends. Without room the call is rejected as not run, and the sender tries another daemon.

--- a/amaranthstream/src/main/java/org/amaranthstream/fleet/RelayedCallHandler.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/fleet/RelayedCallHandler.java
@@ -15,6 +15,8 @@
 import org.amaranthstream.fleet.wire.CallRequest;
 import org.amaranthstream.ids.ServiceId;
 import org.amaranthstream.membership.LocalVm;
+import org.amaranthstream.memory.MemoryBudget;
+import org.amaranthstream.memory.Reservation;
 import org.amaranthstream.peer.ExchangeHandler;
 import org.amaranthstream.peer.ExchangeResponder;
 import org.amaranthstream.result.ErrorDetail;
@@ -35,27 +37,39 @@
   private final ReachMonitor reach;
   private final CallService calls;
   private final BooleanSupplier isDraining;
+  private final MemoryBudget budget;
 
   private RelayedCallHandler(
-      RoutingTable routing, ReachMonitor reach, CallService calls, BooleanSupplier isDraining) {
+      RoutingTable routing,
+      ReachMonitor reach,
+      CallService calls,
+      BooleanSupplier isDraining,
+      MemoryBudget budget) {
     this.routing = routing;
     this.reach = reach;
     this.calls = calls;
     this.isDraining = isDraining;
+    this.budget = budget;
   }
 
   /**
    * Returns a handler that forwards calls with {@code calls}.
    *
    * @param isDraining returns true once this daemon accepts no new calls from peers
+   * @param budget the budget of the bodies and of buffered responses
    */
   public static RelayedCallHandler create(
-      RoutingTable routing, ReachMonitor reach, CallService calls, BooleanSupplier isDraining) {
+      RoutingTable routing,
+      ReachMonitor reach,
+      CallService calls,
+      BooleanSupplier isDraining,
+      MemoryBudget budget) {
     return new RelayedCallHandler(
         checkNotNull(routing, "routing"),
         checkNotNull(reach, "reach"),
         checkNotNull(calls, "calls"),
-        checkNotNull(isDraining, "isDraining"));
+        checkNotNull(isDraining, "isDraining"),
+        checkNotNull(budget, "budget"));
   }
 
   @Override
@@ -78,16 +92,31 @@
           ResultCode.NOT_RUN_STALE,
           "the configuration is older than " + request.getConfigVersion());
     }
-    RelayedCall call = CallCodec.decodeCall(request);
-    Optional<Route> route = RelayedRoute.find(config.get(), call.call());
+    Reservation memory = budget.open();
+    if (!memory.tryGrow(request.getBody().size())) {
+      return reject(
+          responder, ResultCode.NOT_RUN_OVERLOADED, "this daemon has no memory for the body");
+    }
+    return start(CallCodec.decodeCall(request), config.get(), timeLeft, responder, memory);
+  }
+
+  private Runnable start(
+      RelayedCall call,
+      RoutingConfig config,
+      Duration timeLeft,
+      ExchangeResponder responder,
+      Reservation memory) {
+    Optional<Route> route = RelayedRoute.find(config, call.call());
     if (route.isEmpty()) {
+      memory.release();
       return reject(responder, ResultCode.NO_ROUTE, "no route matches " + call.call().uri());
     }
     if (route.get().services().stream().allMatch(service -> isLost(service.service()))) {
+      memory.release();
       return reject(
           responder, ResultCode.NOT_RUN_NO_BACKEND, "this daemon reaches no server either");
     }
-    RelayedExchange exchange = new RelayedExchange(responder);
+    RelayedExchange exchange = new RelayedExchange(responder, memory);
     calls.startRelayed(route.get(), call, timeLeft, exchange);
     return exchange::cancel;
   }
@@ -104,10 +133,22 @@
   /** Exchange that passes the response on to the daemon that relayed the call. */
   private static final class RelayedExchange implements CallerExchange {
     private final ExchangeResponder responder;
+    private final Reservation memory;
     private Runnable onCancel = () -> {};
 
-    private RelayedExchange(ExchangeResponder responder) {
+    private RelayedExchange(ExchangeResponder responder, Reservation memory) {
       this.responder = responder;
+      this.memory = memory;
+    }
+
+    @Override
+    public boolean reserve(int bytes) {
+      return memory.tryGrow(bytes);
+    }
+
+    @Override
+    public void onCallEnded() {
+      memory.release();
     }
 
     private void cancel() {
--- a/amaranthstream/src/test/java/org/amaranthstream/fleet/RelayedCallsTest.java
+++ b/amaranthstream/src/test/java/org/amaranthstream/fleet/RelayedCallsTest.java
@@ -13,6 +13,7 @@
 import org.amaranthstream.calls.OutboundCall;
 import org.amaranthstream.fleet.CuttableServers.Cut;
 import org.amaranthstream.ids.WorkspaceId;
+import org.amaranthstream.memory.MemoryBudget;
 import org.amaranthstream.routing.RouteKind;
 import org.amaranthstream.time.VirtualTimerService;
 import org.junit.jupiter.api.Nested;
@@ -292,4 +293,56 @@
       assertThat(servers.runs()).isEmpty();
     }
   }
+
+  /** Memory of the daemons that serve the calls of others. */
+  @Nested
+  class Memory {
+    private long usedBytes() {
+      return daemons.names().stream()
+          .mapToLong(vm -> daemons.daemon(vm).budget().usedBytes())
+          .sum();
+    }
+
+    @Test
+    void isTakenForAsLongAsTheCallsRun() {
+      servers.cut("a1", Cut.REFUSED);
+      timers.advance(DETECTION);
+      servers.slowDown();
+      RecordedResponse response = send("a1", RouteKind.NON_IDEMPOTENT);
+      timers.advance(Duration.ofMillis(100));
+      assertThat(response.isOver()).isFalse();
+      assertThat(usedBytes()).isEqualTo("body".length());
+
+      timers.advance(DEADLINE);
+      assertThat(usedBytes()).isEqualTo(0);
+    }
+
+    @Test
+    void isGivenBackWhenTheCallerLeaves() {
+      servers.cut("a1", Cut.REFUSED);
+      timers.advance(DETECTION);
+      servers.slowDown();
+      RecordedResponse response = send("a1", RouteKind.NON_IDEMPOTENT);
+      timers.advance(Duration.ofMillis(100));
+      response.disconnect();
+      timers.advance(Duration.ofMillis(100));
+
+      assertThat(usedBytes()).isEqualTo(0);
+    }
+
+    @Test
+    void thatIsTakenRejectsCalls() {
+      servers.cut("a1", Cut.REFUSED);
+      timers.advance(DETECTION);
+      for (String vm : daemons.names()) {
+        MemoryBudget budget = daemons.daemon(vm).budget();
+        budget.open().forceGrow(budget.capacityBytes());
+      }
+      RecordedResponse response = send("a1", RouteKind.IDEMPOTENT);
+      timers.advance(DEADLINE);
+
+      assertThat(response.isNotRun()).isTrue();
+      assertThat(servers.runs()).isEmpty();
+    }
+  }
 }
--- a/amaranthstream/src/test/java/org/amaranthstream/fleet/RelayingDaemons.java
+++ b/amaranthstream/src/test/java/org/amaranthstream/fleet/RelayingDaemons.java
@@ -20,6 +20,7 @@
 import org.amaranthstream.ids.ServiceId;
 import org.amaranthstream.ids.SoftwareVersion;
 import org.amaranthstream.membership.LocalVm;
+import org.amaranthstream.memory.MemoryBudget;
 import org.amaranthstream.peer.ExchangeListener;
 import org.amaranthstream.peer.ExchangeResponder;
 import org.amaranthstream.peer.PeerExchange;
@@ -41,6 +42,7 @@
 /** Daemons in two zones that relay calls for each other, in virtual time. */
 final class RelayingDaemons {
   private static final ServiceId SERVICE = ServiceId.of("portal");
+  private static final long MEMORY_BYTES = 1_000;
   private static final Duration LINK_DELAY = Duration.ofMillis(2);
 
   private final VirtualTimerService timers;
@@ -88,6 +90,7 @@
   final class Daemon implements PeerExchanges {
     private final LocalVm local;
     private final RoutingTable routing = RoutingTable.create();
+    private final MemoryBudget budget = MemoryBudget.of(timers, MEMORY_BYTES);
     private final CallService calls;
     private final RelayedCallHandler handler;
     private boolean isDraining;
@@ -119,7 +122,7 @@
               .permits((server, patience, listener) -> listener.accept(true))
               .relay(reach, relay)
               .build();
-      handler = RelayedCallHandler.create(routing, reach, calls, () -> isDraining);
+      handler = RelayedCallHandler.create(routing, reach, calls, () -> isDraining, budget);
       fleet.addListener(session);
       fleet.start();
       session.start(() -> {});
@@ -163,6 +166,10 @@
       return calls;
     }
 
+    MemoryBudget budget() {
+      return budget;
+    }
+
     @Override
     public boolean isReady(EntryVmId vm) {
       return true;
