Discard texts and items before their memory is given back

Evidence: ItemTextTest.isDiscardedBeforeItsMemoryIsGivenBack failed on (100 bytes were referenced, expected 0). OwnedJob has no test of this: read.

--- a/amaranthstream/src/main/java/org/amaranthstream/jobs/ItemText.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/jobs/ItemText.java
@@ -99,8 +99,9 @@
 
   /** Discards the text, so that the next run starts at the first event. */
   void clear() {
-    memory.shrink(text.size());
+    int bytes = text.size();
     text = new ByteArrayOutputStream();
+    memory.shrink(bytes);
     versions.clear();
     softwareVersion = Optional.empty();
     lastEvent = 0;
--- a/amaranthstream/src/main/java/org/amaranthstream/jobs/OwnedJob.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/jobs/OwnedJob.java
@@ -78,8 +78,9 @@
     if (!items.isEmpty() && (isEnded || isFullyListed())) {
       items.values().forEach(item -> item.text().clear());
       items.clear();
-      memory.shrink(spec.memoryBytes());
+      long bytes = spec.memoryBytes();
       spec = spec.withoutItems();
+      memory.shrink(bytes);
     }
   }
 
@@ -292,8 +293,9 @@
   }
 
   private void clearUnlisted() {
-    unlisted.forEach(this::shrinkBy);
+    long bytes = unlisted.stream().mapToLong(ResultCache::bytesOf).sum();
     unlisted.clear();
+    memory.shrink(bytes);
   }
 
   private void shrinkBy(ItemResult result) {
--- a/amaranthstream/src/test/java/org/amaranthstream/jobs/ItemTextTest.java
+++ b/amaranthstream/src/test/java/org/amaranthstream/jobs/ItemTextTest.java
@@ -3,6 +3,9 @@
 import static com.google.common.truth.Truth.assertThat;
 import static java.nio.charset.StandardCharsets.UTF_8;
 
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.Optional;
 import org.amaranthstream.ids.ItemId;
 import org.amaranthstream.ids.SoftwareVersion;
@@ -13,6 +16,7 @@
 
 class ItemTextTest {
   private static final ItemId ITEM = ItemId.of("i");
+  private static final int MAX_BYTES = 100;
 
   private final ItemText text =
       new ItemText(MemoryBudget.ofHeap(VirtualTimerService.create()).open());
@@ -72,4 +76,20 @@
                 SoftwareVersion.of("v1")))
         .isEqualTo(ItemText.Added.TOO_LONG);
   }
+
+  /** Guards against memory that is granted to others while the text is still referenced. */
+  @Test
+  void isDiscardedBeforeItsMemoryIsGivenBack() {
+    MemoryBudget budget = MemoryBudget.of(VirtualTimerService.create(), MAX_BYTES);
+    ItemText discarded = new ItemText(budget.open());
+    ItemEvent event = new ItemEvent(1, new byte[MAX_BYTES], Optional.empty());
+    discarded.add(event, Optional.empty(), SoftwareVersion.of("v1"));
+    List<Integer> sizes = new ArrayList<>();
+    budget
+        .open()
+        .growWithin(MAX_BYTES, Duration.ofSeconds(1), isTaken -> sizes.add(discarded.size()));
+    discarded.clear();
+
+    assertThat(sizes).containsExactly(0);
+  }
 }
