--- a/amaranthstream/src/main/java/org/amaranthstream/memory/Reservation.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/memory/Reservation.java
@@ -7,11 +7,13 @@
 
 /**
  * Bytes that are reserved in a {@link MemoryBudget} until they are released. A released reservation
- * takes no further bytes. Not thread safe.
+ * takes no further bytes, and gives its bytes back once no {@link Hold} on it is left. Not thread
+ * safe.
  */
 public final class Reservation {
   private final MemoryBudget budget;
   private long bytes;
+  private int holds;
   private boolean isReleased;
 
   Reservation(MemoryBudget budget) {
@@ -42,11 +44,16 @@
    * Reserves more bytes once there is room.
    *
    * @param patience the time to wait for room
-   * @param onDecided called once, with true if the bytes are reserved; possibly before the return
+   * @param onDecided called once, with true if the bytes are reserved; possibly before the return.
+   *     Not called if the reservation is released while it waits
    */
   public void growWithin(long more, Duration patience, Consumer<Boolean> onDecided) {
     checkArgument(more >= 0, "more is %s, expected >= 0", more);
-    budget.takeWithin(more, patience, isTaken -> onDecided.accept(isTaken && keep(more)));
+    if (isReleased) {
+      onDecided.accept(false);
+      return;
+    }
+    budget.takeWithin(this, more, patience, isTaken -> onDecided.accept(isTaken && keep(more)));
   }
 
   /** Keeps bytes that were taken, or gives them back if the reservation was released meanwhile. */
@@ -88,9 +95,37 @@
     budget.giveBack(fewer);
   }
 
-  /** Gives all bytes back; has no effect if they were given back before. */
+  /**
+   * Returns a hold, which keeps the bytes reserved after the release for as long as its owner still
+   * refers to them.
+   */
+  public Hold hold() {
+    holds++;
+    return new Hold(this);
+  }
+
+  void onHoldEnded() {
+    holds--;
+    giveBackUnlessHeld();
+  }
+
+  /**
+   * Ends the reservation: cancels what it waits for, and gives all bytes back once no hold is left.
+   * Has no effect if it was released before.
+   */
   public void release() {
+    if (isReleased) {
+      return;
+    }
     isReleased = true;
+    budget.cancelWaiting(this);
+    giveBackUnlessHeld();
+  }
+
+  private void giveBackUnlessHeld() {
+    if (!isReleased || holds > 0) {
+      return;
+    }
     long all = bytes;
     bytes = 0;
     if (all > 0) {
