Send no attempt of serve on a connection that is being closed

An attempt of serve that was assigned to a connection with extra bytes in the turn in which these close it ended as broken, of unknown outcome, although it was not written.

--- a/amaranthstream/src/main/java/org/amaranthstream/dispatch/http/HttpBackendTransport.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/dispatch/http/HttpBackendTransport.java
@@ -3,9 +3,12 @@
 import static com.google.common.base.Preconditions.checkNotNull;
 
 import com.google.common.collect.ImmutableSet;
+import io.vertx.core.Future;
+import io.vertx.core.Promise;
 import io.vertx.core.Vertx;
 import io.vertx.core.http.HttpClient;
 import io.vertx.core.http.HttpClientOptions;
+import io.vertx.core.http.HttpClientRequest;
 import io.vertx.core.http.HttpMethod;
 import io.vertx.core.http.PoolOptions;
 import io.vertx.core.http.RequestOptions;
@@ -17,6 +20,7 @@
 import org.amaranthstream.http.ConnectionUses;
 import org.amaranthstream.http.FramedHttpClients;
 import org.amaranthstream.http.HttpClientKind;
+import org.amaranthstream.http.ResponseFraming;
 import org.amaranthstream.http.ResponseOrigin;
 import org.amaranthstream.ids.AttemptId;
 import org.amaranthstream.membership.BackendServer;
@@ -34,17 +38,20 @@
   private static final int MAX_CONNECTIONS_PER_SERVER = 512;
   private static final Duration CONNECT_TIMEOUT = Duration.ofSeconds(1);
   private static final int KEEP_ALIVE_SECONDS = 30;
+  private static final int MAX_TRIES = 20;
 
   /** The fields of a response that decide about its attempt. */
   private static final ImmutableSet<String> SINGLE_FIELDS =
       ImmutableSet.of(ResponseOrigin.HEADER, "Not-Run", "Draining", "Retry-After", "Content-Type");
 
+  private final Vertx vertx;
   private final HttpClient client;
   private final HttpClient cancelClient;
   private final ConnectionUses connectionUses = ConnectionUses.create();
   private final Duty decisions;
 
   private HttpBackendTransport(Vertx vertx, FramedHttpClients clients, Duty decisions) {
+    this.vertx = checkNotNull(vertx, "vertx");
     this.decisions = checkNotNull(decisions, "decisions");
     this.client =
         clients.create(
@@ -82,10 +89,35 @@
       AttemptListener listener) {
     AttemptEventQueue events = new AttemptEventQueue(decisions, listener);
     HttpAttempt attempt = newAttempt(server, id, work, offset, prefix, events);
-    client.request(options(server, attempt.path())).onComplete(attempt::onConnected);
+    connect(options(server, attempt.path()), MAX_TRIES).onComplete(attempt::onConnected);
     return attempt;
   }
 
+  /**
+   * Returns a request on a connection that may carry it. One on which bytes were part of no
+   * response is closed within a turn of the event loop, and the next try takes another one.
+   */
+  private Future<HttpClientRequest> connect(RequestOptions options, int tries) {
+    return client
+        .request(options)
+        .compose(
+            request -> {
+              if (ResponseFraming.mayCarryRequests(request.connection())) {
+                return Future.succeededFuture(request);
+              }
+              request.reset();
+              return tries > 1
+                  ? nextTurn().compose(unused -> connect(options, tries - 1))
+                  : Future.failedFuture("no connection stayed open");
+            });
+  }
+
+  private Future<Void> nextTurn() {
+    Promise<Void> turn = Promise.promise();
+    vertx.runOnContext(turn::complete);
+    return turn.future();
+  }
+
   private HttpAttempt newAttempt(
       BackendServer server,
       AttemptId id,
--- a/amaranthstream/src/main/java/org/amaranthstream/http/ResponseFraming.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/http/ResponseFraming.java
@@ -74,6 +74,16 @@
     pipeline.addAfter(codec.name(), null, new RequestObserver(framer, handler));
   }
 
+  /**
+   * Returns false if bytes on the connection were part of no response. It is closed soon, and a
+   * request on it is not written.
+   */
+  public static boolean mayCarryRequests(HttpConnection connection) {
+    ChannelPipeline pipeline = ((ConnectionBase) connection).channel().pipeline();
+    ResponseFramingHandler handler = pipeline.get(ResponseFramingHandler.class);
+    return handler == null || !handler.hasFault();
+  }
+
   /** Records the requests that the client writes, and writes none to a connection with a fault. */
   private static final class RequestObserver extends ChannelOutboundHandlerAdapter {
     private final ResponseFramer framer;
--- a/amaranthstream/src/main/java/org/amaranthstream/http/ResponseFramingHandler.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/http/ResponseFramingHandler.java
@@ -19,7 +19,7 @@
 final class ResponseFramingHandler extends ChannelDuplexHandler {
   private final ResponseFramer framer;
   private final Consumer<FramingFault> listener;
-  private boolean hasFault;
+  private volatile boolean hasFault;
 
   ResponseFramingHandler(ResponseFramer framer, Consumer<FramingFault> listener) {
     this.framer = framer;
