--- a/amaranthstream/src/main/java/org/amaranthstream/http/ResponseSyntax.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/http/ResponseSyntax.java
@@ -32,22 +32,22 @@
   record Field(String name, String value) {}
 
   /** Returns the status of a status line. */
-  static int status(String line) throws MalformedResponseException {
+  static int status(CharSequence line) throws MalformedResponseException {
     return Integer.parseInt(match(STATUS_LINE, line, "a status line").group(1));
   }
 
   /** Returns the field of a line of a head or trailer. */
-  static Field field(String line) throws MalformedResponseException {
+  static Field field(CharSequence line) throws MalformedResponseException {
     Matcher field = match(FIELD, line, "a header field");
     return new Field(field.group(1), field.group(2).trim());
   }
 
   /** Returns the size that a line before a chunk names. */
-  static long chunkSize(String line) throws MalformedResponseException {
+  static long chunkSize(CharSequence line) throws MalformedResponseException {
     return Long.parseLong(match(CHUNK_SIZE, line, "the size of a chunk").group(1), HEXADECIMAL);
   }
 
-  private static Matcher match(Pattern syntax, String line, String expected)
+  private static Matcher match(Pattern syntax, CharSequence line, String expected)
       throws MalformedResponseException {
     Matcher matcher = syntax.matcher(line);
     if (!matcher.matches()) {
--- a/amaranthstream/src/main/java/org/amaranthstream/ingress/RequestHeadCheck.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/ingress/RequestHeadCheck.java
@@ -37,6 +37,11 @@
 
   private static boolean containsRequestLine(HttpRequest request) {
     return request.headers().entries().stream()
-        .anyMatch(header -> REQUEST_LINE.matcher(header.getValue()).find());
+        .anyMatch(header -> containsRequestLine(header.getValue()));
+  }
+
+  /** Returns true if the value of a header ends with the first line of a request. */
+  static boolean containsRequestLine(CharSequence value) {
+    return REQUEST_LINE.matcher(value).find();
   }
 }
