--- a/amaranthstream/src/main/java/org/amaranthstream/http/FramedHttpClients.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/http/FramedHttpClients.java
@@ -12,14 +12,15 @@
 import io.vertx.core.http.HttpConnection;
 import io.vertx.core.http.PoolOptions;
 import java.util.Arrays;
+import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.LongAdder;
 
 /**
  * Factory of the HTTP clients of a process, whose responses have strict framing as described at
  * {@link ResponseFraming}.
  *
- * <p>Each connection that is closed because of bytes that are part of no response is logged and
- * counted. Thread safe.
+ * <p>Each connection that is closed because of bytes that are part of no response is counted; a
+ * line a second at most is logged for each kind of client. Thread safe.
  *
  * <pre>{@code
  * HttpClientAgent client =
@@ -78,16 +79,20 @@
   private void onFault(HttpClientKind kind, HttpConnection connection, FramingFault fault) {
     LongAdder count = checkNotNull(faults.get(kind));
     count.increment();
-    logger.atInfo().log(
-        "event=response_bytes_invalid client=%s server=%s kind=%s reason=\"%s\" requests=%d"
-            + " bytes=\"%s\" count=%d",
-        kind.label(),
-        connection.remoteAddress(),
-        fault.kind(),
-        fault.reason(),
-        fault.requests(),
-        fault.excerpt(),
-        count.sum());
+    logger
+        .atInfo()
+        .per(kind)
+        .atMostEvery(1, TimeUnit.SECONDS)
+        .log(
+            "event=response_bytes_invalid client=%s server=%s kind=%s reason=\"%s\" requests=%d"
+                + " bytes=\"%s\" count=%d",
+            kind.label(),
+            connection.remoteAddress(),
+            fault.kind(),
+            fault.reason(),
+            fault.requests(),
+            fault.excerpt(),
+            count.sum());
   }
 
   /**
