Simplify the end of a part in the framing of responses

Whether a head was interim was decided in two places. A queue and a constant have names that say what they hold. No behaviour changes; ResponseFramerTest, FramedHttpClientsTest and HttpCutAnswersTest pass.

--- a/amaranthstream/src/main/java/org/amaranthstream/dispatch/http/HttpBackendTransport.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/dispatch/http/HttpBackendTransport.java
@@ -38,7 +38,7 @@
   private static final int MAX_CONNECTIONS_PER_SERVER = 512;
   private static final Duration CONNECT_TIMEOUT = Duration.ofSeconds(1);
   private static final int KEEP_ALIVE_SECONDS = 30;
-  private static final int MAX_TRIES = 20;
+  private static final int MAX_CONNECT_TRIES = 20;
 
   /** The fields of a response that decide about its attempt. */
   private static final ImmutableSet<String> SINGLE_FIELDS =
@@ -89,7 +89,7 @@
       AttemptListener listener) {
     AttemptEventQueue events = new AttemptEventQueue(decisions, listener);
     HttpAttempt attempt = newAttempt(server, id, work, offset, prefix, events);
-    connect(options(server, attempt.path()), MAX_TRIES).onComplete(attempt::onConnected);
+    connect(options(server, attempt.path()), MAX_CONNECT_TRIES).onComplete(attempt::onConnected);
     return attempt;
   }
 
--- a/amaranthstream/src/main/java/org/amaranthstream/http/ResponseFramer.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/http/ResponseFramer.java
@@ -22,7 +22,10 @@
   private static final String BEGIN_OF_RESPONSE = "HTTP/1.";
 
   private final ImmutableSet<String> singleFields;
-  private final Queue<Boolean> waitingForBody = new ArrayDeque<>();
+
+  /** For each request that waits for its response, whether that may have a body. */
+  private final Queue<Boolean> waitingRequests = new ArrayDeque<>();
+
   private @Nullable PartReader part;
   private int requests;
 
@@ -42,7 +45,7 @@
    */
   void onRequest(boolean isHead) {
     requests++;
-    waitingForBody.add(!isHead);
+    waitingRequests.add(!isHead);
   }
 
   /**
@@ -56,7 +59,7 @@
     boolean isBodyEnd = false;
     try {
       while (in.isReadable()) {
-        if (part == null && waitingForBody.isEmpty()) {
+        if (part == null && waitingRequests.isEmpty()) {
           return Optional.of(faultBehindResponse(in, isBodyEnd));
         }
         isBodyEnd = part instanceof FixedBodyReader;
@@ -110,19 +113,21 @@
     if (!reader.read(in, checked)) {
       return;
     }
-    part = reader instanceof HeadReader head ? partAfter(head) : null;
-    if (part == null && !isHeadInterim(reader)) {
-      waitingForBody.remove();
+    part = null;
+    if (reader instanceof HeadReader head) {
+      if (head.isInterim()) {
+        return;
+      }
+      part = bodyAfter(head);
+    }
+    if (part == null) {
+      waitingRequests.remove();
     }
-  }
-
-  private static boolean isHeadInterim(PartReader reader) {
-    return reader instanceof HeadReader head && head.isInterim();
   }
 
   /** Returns the reader of the body, null if none follows. */
-  private @Nullable PartReader partAfter(HeadReader head) {
-    if (head.isInterim() || !waitingForBody.element()) {
+  private @Nullable PartReader bodyAfter(HeadReader head) {
+    if (!waitingRequests.element()) {
       return null;
     }
     BodyFraming framing = head.bodyFraming();
