--- a/review/standins-2/Replica.java
+++ b/review/standins-2/Replica.java
@@ -172,6 +172,11 @@
 
   /** Runs an item: a stream of events. */
   void run(HttpExchange exchange, Received received) throws IOException {
+    run(exchange, received, events, eventMillis);
+  }
+
+  void run(HttpExchange exchange, Received received, int events, long eventMillis)
+      throws IOException {
     String request = first(received, "X-Amaranthstream-Request-Id");
     runs.add(new Run(request, received.path(), System.nanoTime()));
     record.add("replica %s runs %s %s", id, request, received.path());
