--- a/review/standins-2/Lab.java
+++ b/review/standins-2/Lab.java
@@ -28,6 +28,12 @@
     this.folder = Files.createTempDirectory("review-case");
     this.record = new Record(recordFile);
     this.store = new Store();
+    Runtime.getRuntime().addShutdownHook(new Thread(() -> daemons.forEach(Daemon::kill)));
+    Thread.setDefaultUncaughtExceptionHandler(
+        (thread, thrown) -> {
+          record.add("the case could not run: %s", thrown);
+          System.exit(NOT_RUN);
+        });
   }
 
   static boolean hasTrouble() {
