Make takeovers of jobs conditional on the absence of the owner

Cause: OwnershipCheck relies on the rule that no daemon takes a job over while the owner is registered, and checks the owned jobs once for each lease. Nothing in the store kept that rule. The takeover expected only the revision of the ownership record, which the return of the owner does not change; whether the owner was registered was asked before the first attempt, in the view of the new owner. A write that was repeated or executed late took effect after the owner's check, and the owner believed in its jobs for as long as its lease was renewed.

Considered: a notice to the former owner, which may be lost; a check before each start of an item, which costs a read each and is answered late; shorter attempts, which do not bound a write that the store executes 6 s late. None of them holds in all three cases. A condition in the transaction does.

Change: a takeover also expects that the former owner has no registration, or that its VM is registered for another incarnation, at that revision (AbsenceCondition, Takeover). If the owner is back, the takeover ends at once and the view of the fleet is read again. If the condition failed because the view was old or the VM has restarted, the write is repeated with the condition for the new state. A job whose lease has changed between the write of its record and its start is checked before its first use. The log line job_not_taken_over now says which of these happened. Handoffs have no condition, as the owner consents.

--- a/amaranthstream/src/main/java/org/amaranthstream/fleet/Fleet.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/fleet/Fleet.java
@@ -33,6 +33,7 @@
 
   private final PrefixMirror mirror;
   private final Map<EntryVmId, FleetNode> nodes = new HashMap<>();
+  private final Map<EntryVmId, Revision> registrations = new HashMap<>();
 
   /** Holder, release and start entries of leader leases, by key. */
   private final Map<String, KvEntry> leaderLeaseEntries = new HashMap<>();
@@ -78,6 +79,22 @@
     return node != null && node.incarnation().equals(incarnation);
   }
 
+  /**
+   * Returns the condition of a transaction that the incarnation on {@code vm} is not registered,
+   * for the state of this view. If the view is old, the transaction conflicts.
+   */
+  public AbsenceCondition absenceOf(EntryVmId vm, Incarnation incarnation) {
+    Revision registration = registrations.get(vm);
+    return registration == null
+        ? AbsenceCondition.unregistered(vm, incarnation)
+        : AbsenceCondition.replaced(vm, incarnation, registration);
+  }
+
+  /** Reads the registrations again without waiting for the watch, whose view has proved old. */
+  public void refresh() {
+    mirror.refresh();
+  }
+
   /** Returns all registered daemons, this one included. */
   public ImmutableList<FleetNode> nodes() {
     return ImmutableList.copyOf(nodes.values());
@@ -115,7 +132,7 @@
   public void onPut(KvEntry entry) {
     String key = entry.key();
     if (key.startsWith(FleetKeys.NODES)) {
-      FleetNode.decode(entry.value()).ifPresent(this::onNode);
+      FleetNode.decode(entry.value()).ifPresent(node -> onNode(node, entry.revision()));
     } else if (key.startsWith(FleetKeys.LEADER_LEASES)) {
       leaderLeaseEntries.put(key, entry);
       String leaderLease = key.substring(FleetKeys.LEADER_LEASES.length());
@@ -134,8 +151,9 @@
     }
   }
 
-  private void onNode(FleetNode node) {
+  private void onNode(FleetNode node, Revision registration) {
     FleetNode before = nodes.put(node.vm(), node);
+    registrations.put(node.vm(), registration);
     if (before != null && !before.incarnation().equals(node.incarnation())) {
       addLost(before);
     }
@@ -167,7 +185,9 @@
   @Override
   public void onRemoved(String key) {
     if (key.startsWith(FleetKeys.NODES)) {
-      FleetNode removed = nodes.remove(EntryVmId.of(key.substring(FleetKeys.NODES.length())));
+      EntryVmId vm = EntryVmId.of(key.substring(FleetKeys.NODES.length()));
+      registrations.remove(vm);
+      FleetNode removed = nodes.remove(vm);
       if (removed != null) {
         addLost(removed);
       }
--- a/amaranthstream/src/main/java/org/amaranthstream/jobs/JobAcceptor.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/jobs/JobAcceptor.java
@@ -9,6 +9,7 @@
 import java.util.concurrent.CompletableFuture;
 import org.amaranthstream.ids.EntryVmId;
 import org.amaranthstream.ids.JobId;
+import org.amaranthstream.ids.LeaseId;
 import org.amaranthstream.ids.Revision;
 import org.amaranthstream.memory.MemoryBudget;
 import org.amaranthstream.memory.Reservation;
@@ -119,6 +120,7 @@
     private final CompletableFuture<Result<JobAcknowledgement>> reply;
     private final boolean mayRelay;
     private final Reservation memory;
+    private Optional<LeaseId> leaseAtStart = Optional.empty();
     private boolean isRelaying;
     private boolean mayBeAcceptedElsewhere;
 
@@ -175,6 +177,7 @@
     }
 
     private void create(Duration timeout) {
+      leaseAtStart = ownership.validLease();
       store.create(spec.id(), record, owner, timeout).thenAccept(this::onCreated);
     }
 
@@ -279,7 +282,8 @@
           "event=job_accepted job=%s step=%d items=%d min_version=%s revision=%s",
           spec.id(), spec.step(), spec.items().size(), spec.minVersion(), revision);
       if (registry.owned(spec.id()).isEmpty()) {
-        ownership.registerAndStart(spec, new StoredOwner(spec.id(), owner, revision), memory);
+        StoredOwner stored = new StoredOwner(spec.id(), owner, revision);
+        ownership.registerAndStart(spec, stored, leaseAtStart, memory);
       } else {
         memory.release();
       }
--- a/amaranthstream/src/main/java/org/amaranthstream/jobs/JobOwnershipManager.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/jobs/JobOwnershipManager.java
@@ -15,6 +15,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.function.Consumer;
 import java.util.function.Supplier;
+import org.amaranthstream.fleet.AbsenceCondition;
 import org.amaranthstream.fleet.Fleet;
 import org.amaranthstream.fleet.FleetListener;
 import org.amaranthstream.fleet.FleetNode;
@@ -57,13 +58,11 @@
   private static final Duration BACKSTOP_INTERVAL = Duration.ofSeconds(5);
 
   /** Name, not of a VM, that selects the daemons which sweep for all others. */
-  private static final EntryVmId BACKSTOP = EntryVmId.of("backstop");
+  static final EntryVmId BACKSTOP = EntryVmId.of("backstop");
 
   /** Number of jobs that are loaded at the same time after their takeover. */
   private static final int MAX_LOADS = 8;
 
-  private static final Duration TAKEOVER_TIMEOUT = Duration.ofSeconds(5);
-
   private static final Duration RECLAIM_TIMEOUT = Duration.ofSeconds(1);
 
   /** Delay before a failed read or takeover is retried. */
@@ -135,6 +134,11 @@
     return self;
   }
 
+  /** Returns the session lease while it is guaranteed to be valid, empty otherwise. */
+  Optional<LeaseId> validLease() {
+    return session.validLease();
+  }
+
   /** Returns the check of the owned jobs, which precedes each use of one. */
   OwnershipCheck check() {
     return check;
@@ -161,14 +165,20 @@
   /**
    * Registers and starts a new job once the store has acknowledged this daemon's ownership.
    *
+   * @param leaseAtStart the session lease that was valid before the ownership was written
    * @param memory the memory of the job
    */
-  void registerAndStart(JobSpec spec, StoredOwner owner, Reservation memory) {
-    registerAndStart(newJob(spec, owner, memory));
+  void registerAndStart(
+      JobSpec spec, StoredOwner owner, Optional<LeaseId> leaseAtStart, Reservation memory) {
+    registerAndStart(newJob(spec, owner, memory), leaseAtStart);
   }
 
-  private void registerAndStart(OwnedJob job) {
+  /** Starts a job. If the lease may have ended since the start, a peer may own the job by now. */
+  private void registerAndStart(OwnedJob job, Optional<LeaseId> leaseAtStart) {
     registry.add(job);
+    if (leaseAtStart.isEmpty() || !leaseAtStart.equals(session.validLease())) {
+      check.invalidate();
+    }
     if (pendingEnds.remove(job.id())) {
       onEndNotice(job);
     }
@@ -291,53 +301,79 @@
     }
   }
 
-  /** Takes over an orphaned job. */
+  /** Takes over an orphaned job, unless its owner is registered when the write takes effect. */
   void takeOver(StoredOwner orphan) {
-    takeOver(orphan, ImmutableList.of());
+    takeOver(orphan, absenceOf(orphan.owner()), ImmutableList.of());
   }
 
   /**
-   * Takes over a job, with the partial output of its previous owner.
+   * Returns the condition on the owner of an orphaned job. There is none for an earlier incarnation
+   * of this daemon, which this process has replaced, nor for a job that this one does not run yet.
+   */
+  private Optional<AbsenceCondition> absenceOf(JobOwner owner) {
+    return owner.vm().equals(self.vm())
+        ? Optional.empty()
+        : Optional.of(fleet.absenceOf(owner.vm(), owner.incarnation()));
+  }
+
+  /**
+   * Takes over a job that its owner hands off, with its partial output.
    *
    * @return a future that never completes exceptionally
    */
-  CompletableFuture<TakeoverOutcome> takeOver(
+  CompletableFuture<TakeoverOutcome> acceptHandoff(
       StoredOwner before, ImmutableList<PartialOutput> partials) {
+    return takeOver(before, Optional.empty(), partials);
+  }
+
+  private CompletableFuture<TakeoverOutcome> takeOver(
+      StoredOwner before,
+      Optional<AbsenceCondition> absence,
+      ImmutableList<PartialOutput> partials) {
     JobId job = before.job();
     if (registry.owned(job).isPresent() || !takeoversInProgress.add(job)) {
       return CompletableFuture.completedFuture(TakeoverOutcome.NOT_TAKEN);
     }
-    JobOwner next = before.owner().takenOverBy(self.vm(), self.incarnation(), nonces.nextLong());
-    return store
-        .replaceOwner(before, next, TAKEOVER_TIMEOUT)
-        .thenApply(reply -> onTakeoverReply(job, next, reply, partials));
+    Optional<LeaseId> lease = session.validLease();
+    return new Takeover(store, timers, self, nonces.nextLong())
+        .run(before, absence)
+        .thenApply(reply -> onTakeoverReply(job, reply, lease, partials));
   }
 
   private TakeoverOutcome onTakeoverReply(
-      JobId job, JobOwner next, TransactionReply reply, ImmutableList<PartialOutput> partials) {
-    if (reply instanceof TransactionReply.Committed committed) {
+      JobId job,
+      TakeoverReply reply,
+      Optional<LeaseId> leaseAtStart,
+      ImmutableList<PartialOutput> partials) {
+    if (reply instanceof TakeoverReply.Taken taken) {
       logger.atInfo().log(
           "event=job_taken_over job=%s epoch=%d partials=%d revision=%s",
-          job, next.epoch(), partials.size(), committed.revision());
-      load(new StoredOwner(job, next, committed.revision()), partials);
+          job, taken.owner().owner().epoch(), partials.size(), taken.owner().revision());
+      load(taken.owner(), leaseAtStart, partials);
       return TakeoverOutcome.TAKEN;
     }
     takeoversInProgress.remove(job);
     logger.atInfo().log("event=job_not_taken_over job=%s reply=\"%s\"", job, reply);
-    if (reply instanceof TransactionReply.Conflict conflict) {
-      conflict.current().stream()
-          .flatMap(entry -> JobStore.storedOwner(entry).stream())
-          .forEach(registry::cacheOwner);
-      return TakeoverOutcome.NOT_TAKEN;
+    return onNotTaken(reply);
+  }
+
+  private TakeoverOutcome onNotTaken(TakeoverReply reply) {
+    if (reply instanceof TakeoverReply.OwnerRegistered registered) {
+      registry.cacheOwner(registered.owner());
+      fleet.refresh();
+    } else if (reply instanceof TakeoverReply.Lost lost) {
+      lost.current().forEach(registry::cacheOwner);
+    } else {
+      timers.after(RETRY_DELAY, this::scheduleOrphanSweep);
     }
-    timers.after(RETRY_DELAY, this::scheduleOrphanSweep);
-    return reply instanceof TransactionReply.NotDone
-        ? TakeoverOutcome.NOT_TAKEN
-        : TakeoverOutcome.UNKNOWN;
+    return reply instanceof TakeoverReply.Unknown
+        ? TakeoverOutcome.UNKNOWN
+        : TakeoverOutcome.NOT_TAKEN;
   }
 
-  private void load(StoredOwner owner, ImmutableList<PartialOutput> partials) {
-    waitingLoads.add(() -> loadNow(owner, partials));
+  private void load(
+      StoredOwner owner, Optional<LeaseId> leaseAtStart, ImmutableList<PartialOutput> partials) {
+    waitingLoads.add(() -> loadNow(owner, leaseAtStart, partials));
     startLoads();
   }
 
@@ -349,17 +385,17 @@
     }
   }
 
-  private void loadNow(StoredOwner owner, ImmutableList<PartialOutput> partials) {
-    Optional<LeaseId> lease = session.validLease();
+  private void loadNow(
+      StoredOwner owner, Optional<LeaseId> leaseAtStart, ImmutableList<PartialOutput> partials) {
     loadJob(owner)
         .thenCompose(result -> restoreProgress(result, partials))
         .thenAccept(
             result -> {
               loads--;
               if (result instanceof Result.Success<OwnedJob> loaded) {
-                onLoaded(loaded.value(), lease);
+                onLoaded(loaded.value(), leaseAtStart);
               } else {
-                timers.after(RETRY_DELAY, () -> load(owner, partials));
+                timers.after(RETRY_DELAY, () -> load(owner, leaseAtStart, partials));
               }
               startLoads();
             });
@@ -425,13 +461,9 @@
     return job;
   }
 
-  /** Starts a loaded job. If the lease may have ended since, a peer may own the job by now. */
   private void onLoaded(OwnedJob job, Optional<LeaseId> leaseAtStart) {
     takeoversInProgress.remove(job.id());
-    registerAndStart(job);
-    if (leaseAtStart.isEmpty() || !leaseAtStart.equals(session.validLease())) {
-      refreshOwner(job);
-    }
+    registerAndStart(job, leaseAtStart);
   }
 
   /** Reads from the store, retrying after each failure, and passes the value to {@code next}. */
--- a/amaranthstream/src/main/java/org/amaranthstream/jobs/JobService.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/jobs/JobService.java
@@ -164,7 +164,7 @@
       StoredOwner before, ImmutableList<PartialOutput> partials) {
     return isShuttingDown
         ? CompletableFuture.completedFuture(TakeoverOutcome.NOT_TAKEN)
-        : ownership.takeOver(before, partials);
+        : ownership.acceptHandoff(before, partials);
   }
 
   /**
--- a/amaranthstream/src/main/java/org/amaranthstream/jobs/JobStore.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/jobs/JobStore.java
@@ -10,6 +10,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
+import org.amaranthstream.fleet.AbsenceCondition;
 import org.amaranthstream.fleet.FleetKeys;
 import org.amaranthstream.ids.JobId;
 import org.amaranthstream.jobs.wire.JobRecord;
@@ -83,6 +84,29 @@
         timeout);
   }
 
+  /**
+   * Replaces the ownership record if its revision is still that of {@code before} and the condition
+   * on the former owner holds.
+   */
+  CompletableFuture<TransactionReply> takeOver(
+      StoredOwner before, JobOwner after, Optional<AbsenceCondition> absence, Duration timeout) {
+    String key = JobKeys.owner(before.job());
+    Transaction.Builder transaction =
+        Transaction.builder().expect(key, before.revision()).put(key, JobCodec.encodeOwner(after));
+    absence.ifPresent(condition -> condition.addTo(transaction));
+    return runner.run(transaction.build(), timeout);
+  }
+
+  /**
+   * Returns the ownership records that a conflict shows, at most one for a transaction of a job.
+   */
+  static ImmutableList<StoredOwner> storedOwners(TransactionReply.Conflict conflict) {
+    return conflict.current().stream()
+        .filter(entry -> entry.key().startsWith(JobKeys.OWNERS))
+        .flatMap(entry -> storedOwner(entry).stream())
+        .collect(ImmutableList.toImmutableList());
+  }
+
   /** Ends a job whose owner cannot be reached, and stores a notice for the owner. */
   CompletableFuture<TransactionReply> endWithNotice(
       StoredOwner before, JobOwner after, Duration timeout) {
--- a/amaranthstream/src/main/java/org/amaranthstream/jobs/OwnershipCheck.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/jobs/OwnershipCheck.java
@@ -17,10 +17,11 @@
 /**
  * Check of the owned jobs against the ownership records in the store.
  *
- * <p>No daemon takes a job over while the session lease of its owner is valid. Once the lease may
- * have ended, as after a suspension of the VM, the owned jobs are therefore used only after one
- * listing of the records has shown that they are still owned. If the store does not answer, the
- * jobs are used all the same, because the end of the lease alone is no loss of a job.
+ * <p>No daemon takes a job over while its owner is registered, because the store verifies that with
+ * each takeover ({@link Takeover}). Once the session lease may have ended, as after a suspension of
+ * the VM, the owned jobs are therefore used only after one listing of the records has shown that
+ * they are still owned. If the store does not answer, the jobs are used all the same, because the
+ * end of the lease alone is no loss of a job.
  *
  * <p>Used on one thread.
  */
@@ -146,6 +147,17 @@
     return lastCheck.outcome.thenApply(unused -> registry.owned(job));
   }
 
+  /**
+   * Requires a check before the next use, because a job was added whose record another daemon may
+   * have changed before the last check.
+   */
+  void invalidate() {
+    confirmedLease = Optional.empty();
+    if (lastCheck != null && lastCheck.isConfirmed) {
+      lastCheck = null;
+    }
+  }
+
   /** Returns true if the owned jobs may be used now; otherwise starts a check. */
   boolean mayUseJobs() {
     if (isConfirmed()) {
