Keep late registrations from replacing newer ones

Found while looking for other ways in which a daemon believes to be registered and is not.

Cause: FleetSession wrote its registration without a condition. The write of an attempt that got no answer may be executed seconds later, under the lease of that attempt, over the registration of the next attempt. It is removed when the earlier lease ends, although the session renews the later one: peers take the daemon for lost and its jobs over, while its own lease says that it is registered.

Change: a registration expects that there is no entry, or that of the earlier attempt or incarnation at the revision that a conflict has shown. Without a conflict it costs no further call.

Evidence: FleetSessionTest.staysWhileTheSessionHasValidLease fails before (the entry is missing while the lease is valid) and passes now.

--- a/amaranthstream/src/main/java/org/amaranthstream/fleet/FleetSession.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/fleet/FleetSession.java
@@ -7,7 +7,9 @@
 import java.time.InstantSource;
 import java.util.Optional;
 import org.amaranthstream.ids.LeaseId;
+import org.amaranthstream.ids.Revision;
 import org.amaranthstream.platform.GrantedLease;
+import org.amaranthstream.platform.KvEntry;
 import org.amaranthstream.platform.RenewalReply;
 import org.amaranthstream.platform.Transaction;
 import org.amaranthstream.platform.TransactionReply;
@@ -28,6 +30,9 @@
   private static final Duration RENEWAL_PERIOD = Duration.ofMillis(900);
   private static final Duration RETRY_DELAY = Duration.ofMillis(400);
 
+  /** The revision that a transaction expects of a key without an entry. */
+  private static final Revision NO_ENTRY = Revision.of(0);
+
   private final TransactionalStore store;
   private final TimerService timers;
   private final LeaseClock clock;
@@ -108,16 +113,39 @@
       return;
     }
     GrantedLease granted = ((Result.Success<GrantedLease>) result).value();
-    Transaction write =
-        Transaction.builder().put(FleetKeys.node(self.vm()), self.encode(), granted.id()).build();
-    store.transact(write).thenAccept(reply -> onWritten(reply, granted, sentAt));
+    write(granted, sentAt, NO_ENTRY);
+  }
+
+  /**
+   * Writes the registration if the entry still has the revision {@code before}. The write of an
+   * earlier attempt, which may be executed late, can therefore not replace that of a later one: its
+   * entry would end with the earlier lease, and peers would take this daemon for lost.
+   */
+  private void write(GrantedLease granted, LeaseClock.Moment sentAt, Revision before) {
+    String key = FleetKeys.node(self.vm());
+    Transaction registration =
+        Transaction.builder().expect(key, before).put(key, self.encode(), granted.id()).build();
+    store.transact(registration).thenAccept(reply -> onWritten(reply, granted, sentAt, before));
   }
 
-  private void onWritten(TransactionReply reply, GrantedLease granted, LeaseClock.Moment sentAt) {
-    if (!(reply instanceof TransactionReply.Committed)) {
+  private void onWritten(
+      TransactionReply reply, GrantedLease granted, LeaseClock.Moment sentAt, Revision before) {
+    if (reply instanceof TransactionReply.Committed) {
+      onRegistered(granted, sentAt);
+    } else if (reply instanceof TransactionReply.Conflict conflict
+        && !revisionOf(conflict).equals(before)) {
+      write(granted, sentAt, revisionOf(conflict));
+    } else {
       retry(reply.toString());
-      return;
     }
+  }
+
+  /** Returns the revision of the entry of an earlier attempt or incarnation, 0 if it has ended. */
+  private static Revision revisionOf(TransactionReply.Conflict conflict) {
+    return conflict.current().stream().findFirst().map(KvEntry::revision).orElse(NO_ENTRY);
+  }
+
+  private void onRegistered(GrantedLease granted, LeaseClock.Moment sentAt) {
     isRegistering = false;
     lease = granted.id();
     ttl = granted.ttl();
