Repeat the reclaim of a job until the store decides it

What callers could see: a job that two daemons hold after a handoff without an answer.

Cause: reclaim writes the ownership record anew, so that a takeover which has not taken effect never does. If that write was not confirmed within its timeout, the owner read the record once, found itself and went on, with both writes still open.

Change: the write is repeated until it is confirmed or conflicts.

Evidence: JobTakeoverTest HandoffsWithoutAnswer leaveTheJobToOneDaemonIfTheOwnersWritesAreLateToo fails before (the record names the peer while the owner runs the job) and passes now.

--- a/amaranthstream/src/main/java/org/amaranthstream/jobs/JobOwnershipManager.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/jobs/JobOwnershipManager.java
@@ -525,14 +525,23 @@
     JobOwner renewed = job.owner().owner().renewed(nonces.nextLong());
     return store
         .replaceOwner(job.owner(), renewed, RECLAIM_TIMEOUT)
+        .thenCompose(reply -> onReclaimed(job, renewed, reply));
+  }
+
+  /** A write that was not confirmed decides nothing: the takeover may still take effect. */
+  private CompletableFuture<Void> onReclaimed(
+      OwnedJob job, JobOwner renewed, TransactionReply reply) {
+    if (reply instanceof TransactionReply.Committed committed) {
+      job.setOwner(new StoredOwner(job.id(), renewed, committed.revision()));
+      return CompletableFuture.completedFuture(null);
+    }
+    boolean isDecided = reply instanceof TransactionReply.Conflict;
+    return refreshOwner(job)
         .thenCompose(
-            reply -> {
-              if (reply instanceof TransactionReply.Committed committed) {
-                job.setOwner(new StoredOwner(job.id(), renewed, committed.revision()));
-                return CompletableFuture.completedFuture(null);
-              }
-              return refreshOwner(job);
-            });
+            unused ->
+                isDecided || job.isOwnershipLost()
+                    ? CompletableFuture.completedFuture(null)
+                    : reclaim(job));
   }
 
   /** Releases a job that another daemon now owns. */
--- a/amaranthstream/src/test/java/org/amaranthstream/jobs/JobTakeoverTest.java
+++ b/amaranthstream/src/test/java/org/amaranthstream/jobs/JobTakeoverTest.java
@@ -235,6 +235,21 @@
       assertThat(first.owns(step.id())).isTrue();
       assertThat(second.owns(step.id())).isFalse();
     }
+
+    /** Guards against an owner that keeps a job because a write of its own was not confirmed. */
+    @Test
+    void leaveTheJobToOneDaemonIfTheOwnersWritesAreLateToo() {
+      first.store().setWriteFault(WriteFault.APPLIED_LATE, Duration.ofSeconds(20));
+      second.store().setWriteFault(WriteFault.APPLIED_LATE, Duration.ofSeconds(4));
+      second.loseAnswers(true);
+      first.jobs().handOff();
+      fleet.runMillis(3_000);
+      first.store().setWriteFault(WriteFault.NONE, Duration.ZERO);
+      fleet.runMillis(1_050);
+
+      assertThat(first.owns(step.id())).isTrue();
+      assertThat(fleet.ownerIs(step.id(), first)).isTrue();
+    }
   }
 
   /** The owner writes its record anew while pages of results are on their way. */
