--- a/amaranthstream/src/main/java/org/amaranthstream/jobs/JobOwnershipManager.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/jobs/JobOwnershipManager.java
@@ -303,7 +303,7 @@
 
   /** Takes over an orphaned job, unless its owner is registered when the write takes effect. */
   void takeOver(StoredOwner orphan) {
-    takeOver(orphan, absenceOf(orphan.owner()), ImmutableList.of());
+    runTakeover(orphan, absenceOf(orphan.owner()), ImmutableList.of());
   }
 
   /**
@@ -323,10 +323,10 @@
    */
   CompletableFuture<TakeoverOutcome> acceptHandoff(
       StoredOwner before, ImmutableList<PartialOutput> partials) {
-    return takeOver(before, Optional.empty(), partials);
+    return runTakeover(before, Optional.empty(), partials);
   }
 
-  private CompletableFuture<TakeoverOutcome> takeOver(
+  private CompletableFuture<TakeoverOutcome> runTakeover(
       StoredOwner before,
       Optional<AbsenceCondition> absence,
       ImmutableList<PartialOutput> partials) {
--- a/amaranthstream/src/test/java/org/amaranthstream/jobs/TakeoverTest.java
+++ b/amaranthstream/src/test/java/org/amaranthstream/jobs/TakeoverTest.java
@@ -109,9 +109,9 @@
 
     /** A peer may end the job while its takeover is open; the new owner must learn of that. */
     @Test
-    void withTheEndThatAPeerHasStored() {
+    void withTheEndThatPeerHasStored() {
       client.setWriteFault(WriteFault.APPLIED_LATE, Duration.ofSeconds(6));
-      CompletableFuture<TakeoverReply> reply = takeOver();
+      final CompletableFuture<TakeoverReply> reply = takeOver();
       StoredOwner before = stored();
       new JobStore(kv.client(), TransactionRunner.create(kv.client(), timers))
           .endWithNotice(before, before.owner().ended(9), TIMEOUT);
@@ -141,7 +141,7 @@
     @Test
     void ifTheOwnerComesBackBeforeTheRepetition() {
       client.setWriteFault(WriteFault.APPLIED_LATE, Duration.ofSeconds(6));
-      CompletableFuture<TakeoverReply> reply = takeOver();
+      final CompletableFuture<TakeoverReply> reply = takeOver();
       register(FORMER);
       timers.advance(Duration.ofMillis(500));
       client.setWriteFault(WriteFault.NONE, Duration.ZERO);
