Refuse jobs only if no attempt to store them is open

Cause: the decision between "not run" and "unknown" was taken in several places, from different facts. After the relays of a daemon that shuts down had failed, it asked for attempts at peers, but not for its own write, whose answer was lost and which it went on to repeat. A peer that shuts down denied a relayed job although it was storing the same job for its own caller. A second submission at the same daemon did not know of the attempts of the first, and was refused while a peer could still store the job; or got the unknown outcome of the first at once, although the write was being retried.

Ruled out: the preferred owner (the zones of the case are too small for one) and a repetition by the store's client (the log shows the runner's second attempt).

Making the write void in order to refuse truthfully was considered: it needs the same answer of the store as the acceptance itself, so that the caller gains nothing. The line job_awaits_store tells that a daemon that shuts down waits for its own write. JobPropertyTest now counts every "not run" code as a rejection, not one of them.

--- a/amaranthstream/src/main/java/org/amaranthstream/jobs/JobAcceptor.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/jobs/JobAcceptor.java
@@ -1,5 +1,6 @@
 package org.amaranthstream.jobs;
 
+import com.google.common.collect.ImmutableList;
 import com.google.common.flogger.FluentLogger;
 import java.time.Duration;
 import java.util.HashMap;
@@ -13,7 +14,6 @@
 import org.amaranthstream.ids.Revision;
 import org.amaranthstream.memory.MemoryBudget;
 import org.amaranthstream.memory.Reservation;
-import org.amaranthstream.peer.PeerQueryService;
 import org.amaranthstream.platform.TransactionReply;
 import org.amaranthstream.result.Result;
 import org.amaranthstream.result.ResultCode;
@@ -24,7 +24,7 @@
  *
  * <p>A submission is rejected only if no write of the job can still take effect. Otherwise its
  * outcome is unknown, and the write is retried, so that a job that was stored after all is run.
- * Used on one thread.
+ * {@link StoreAttempts} decides which of the two is the case. Used on one thread.
  */
 final class JobAcceptor {
   private static final FluentLogger logger = FluentLogger.forEnclosingClass();
@@ -35,6 +35,9 @@
   /** Time before a submission is relayed to peers; a slow store may be equally slow for them. */
   private static final Duration RELAY_DELAY = Duration.ofMillis(900);
 
+  /** Time for a peer to accept a job that is relayed to it. */
+  private static final Duration RELAY_TIMEOUT = Duration.ofMillis(3_500);
+
   /**
    * Time for the preferred owner to accept a job. After that this daemon accepts it too, and the
    * store decides; the caller gets its response within a fraction of a second in any case.
@@ -47,7 +50,11 @@
   private final RemoteJobs remote;
   private final TimerService timers;
   private final MemoryBudget budget;
-  private final Map<JobId, CompletableFuture<Result<JobAcknowledgement>>> pending = new HashMap<>();
+  private final Map<JobId, Submission> pending = new HashMap<>();
+
+  /** The attempts of submissions that ended with an unknown outcome a short time ago. */
+  private final Map<JobId, StoreAttempts> undecided = new HashMap<>();
+
   private boolean isShuttingDown;
 
   JobAcceptor(
@@ -78,23 +85,51 @@
     return accept(spec, timeout, true);
   }
 
+  /**
+   * Fails the submissions that are still undecided, because the process exits. A job that was
+   * stored after all is run by another daemon.
+   */
+  void failPending() {
+    ImmutableList.copyOf(pending.values()).forEach(Submission::failOnExit);
+  }
+
   /** Accepts a job that a peer has relayed; it is not relayed further. */
   CompletableFuture<Result<JobAcknowledgement>> submitForPeer(JobSpec spec, Duration timeout) {
-    if (isShuttingDown) {
-      return CompletableFuture.completedFuture(
-          Result.failure(ResultCode.NOT_RUN_OVERLOADED, "this daemon is shutting down"));
+    return isShuttingDown && !isKnown(spec.id())
+        ? answerPeerOnShutdown(spec.id(), timeout)
+        : accept(spec, timeout, false);
+  }
+
+  /** Returns the outcome of an own submission of the same job; a new one is not accepted. */
+  private CompletableFuture<Result<JobAcknowledgement>> answerPeerOnShutdown(
+      JobId job, Duration timeout) {
+    Submission own = pending.get(job);
+    if (own != null && own.attempts.isWriteOpen()) {
+      return own.join(timeout);
     }
-    return accept(spec, timeout, false);
+    StoreAttempts attempts = own == null ? earlierAttempts(job) : own.attempts;
+    ResultCode code =
+        attempts.failureCode(ResultCode.NOT_RUN_OVERLOADED, ResultCode.OUTCOME_UNKNOWN_PEER_LOST);
+    return CompletableFuture.completedFuture(Result.failure(code, "this daemon is shutting down"));
+  }
+
+  private StoreAttempts earlierAttempts(JobId job) {
+    StoreAttempts earlier = undecided.get(job);
+    return earlier == null ? new StoreAttempts() : earlier;
+  }
+
+  private boolean isKnown(JobId job) {
+    return registry.owned(job).isPresent() || registry.cachedOwner(job).isPresent();
   }
 
   private CompletableFuture<Result<JobAcknowledgement>> accept(
       JobSpec spec, Duration timeout, boolean mayRelay) {
-    if (registry.owned(spec.id()).isPresent() || registry.cachedOwner(spec.id()).isPresent()) {
+    if (isKnown(spec.id())) {
       return CompletableFuture.completedFuture(Result.success(JobAcknowledgement.ACCEPTED));
     }
-    CompletableFuture<Result<JobAcknowledgement>> before = pending.get(spec.id());
+    Submission before = pending.get(spec.id());
     if (before != null) {
-      return before;
+      return before.join(timeout);
     }
     Reservation memory = budget.open();
     if (mayRelay) {
@@ -103,11 +138,11 @@
       return CompletableFuture.completedFuture(
           Result.failure(ResultCode.NOT_RUN_OVERLOADED, "there is no memory for the job"));
     }
-    CompletableFuture<Result<JobAcknowledgement>> reply = new CompletableFuture<>();
-    pending.put(spec.id(), reply);
     byte[] record = JobStore.encodeRecord(spec);
     Submission submission =
-        new Submission(spec, record, ownership.newOwner(spec, record), reply, mayRelay, memory);
+        new Submission(spec, record, ownership.newOwner(spec, record), mayRelay, memory);
+    pending.put(spec.id(), submission);
+    CompletableFuture<Result<JobAcknowledgement>> reply = submission.reply;
     submission.start(timeout);
     return reply;
   }
@@ -117,53 +152,88 @@
     private final JobSpec spec;
     private final byte[] record;
     private final JobOwner owner;
-    private final CompletableFuture<Result<JobAcknowledgement>> reply;
     private final boolean mayRelay;
     private final Reservation memory;
     private Optional<LeaseId> leaseAtStart = Optional.empty();
-    private boolean isRelaying;
-    private boolean mayBeAcceptedElsewhere;
+    private final StoreAttempts attempts;
+    private CompletableFuture<Result<JobAcknowledgement>> reply = new CompletableFuture<>();
+    private boolean isWriteRetried;
 
     private Submission(
-        JobSpec spec,
-        byte[] record,
-        JobOwner owner,
-        CompletableFuture<Result<JobAcknowledgement>> reply,
-        boolean mayRelay,
-        Reservation memory) {
+        JobSpec spec, byte[] record, JobOwner owner, boolean mayRelay, Reservation memory) {
       this.spec = spec;
       this.record = record;
       this.owner = owner;
-      this.reply = reply;
       this.mayRelay = mayRelay;
       this.memory = memory;
+      this.attempts = earlierAttempts(spec.id());
     }
 
     private void start(Duration timeout) {
       if (isShuttingDown) {
-        relayOnly();
+        relayOnly(timeout);
         return;
       }
       Optional<EntryVmId> preferred = mayRelay ? ownership.preferredOwner(spec) : Optional.empty();
       if (preferred.isPresent()) {
-        remote
-            .submit(preferred.get(), spec, PREFERRED_OWNER_TIMEOUT)
+        relayTo(preferred.get(), PREFERRED_OWNER_TIMEOUT)
             .thenAccept(result -> onPreferredOwnerReply(preferred.get(), result, timeout));
       } else {
         acceptHere(timeout);
       }
     }
 
+    /**
+     * Returns the outcome for another submission of the same job. If the earlier one was answered
+     * while the outcome was unknown, this one waits for the write that is still being retried.
+     */
+    private CompletableFuture<Result<JobAcknowledgement>> join(Duration timeout) {
+      if (reply.isDone() && reply.join() instanceof Result.Failure) {
+        reply = new CompletableFuture<>();
+        failAfter(timeout);
+      }
+      return reply;
+    }
+
+    private void failAfter(Duration timeout) {
+      CompletableFuture<Result<JobAcknowledgement>> current = reply;
+      timers.after(
+          timeout,
+          () ->
+              current.complete(
+                  failure(
+                      ResultCode.NOT_RUN_DEADLINE,
+                      ResultCode.OUTCOME_UNKNOWN_DEADLINE,
+                      "the job was not confirmed in time")));
+    }
+
+    private void failOnExit() {
+      reply.complete(
+          failure(
+              ResultCode.NOT_RUN_SHUTTING_DOWN,
+              ResultCode.OUTCOME_UNKNOWN_SHUTTING_DOWN,
+              "this daemon exits before the job is confirmed"));
+    }
+
+    private Result<JobAcknowledgement> failure(
+        ResultCode notRun, ResultCode unknown, String message) {
+      return Result.failure(attempts.failureCode(notRun, unknown), message);
+    }
+
+    private CompletableFuture<Result<JobAcknowledgement>> relayTo(EntryVmId vm, Duration timeout) {
+      attempts.onRelayStarted();
+      return remote
+          .submit(vm, spec, timeout)
+          .whenComplete((answer, unused) -> attempts.onRelayEnded(answer));
+    }
+
     private void onPreferredOwnerReply(
         EntryVmId vm, Result<JobAcknowledgement> result, Duration timeout) {
       if (result instanceof Result.Success) {
         onAcceptedByPeer(vm, result);
         finish();
-        return;
-      }
-      mayBeAcceptedElsewhere |= !isNotRun(result);
-      if (isShuttingDown) {
-        relayOnly();
+      } else if (isShuttingDown) {
+        relayOnly(timeout);
       } else {
         acceptHere(timeout);
       }
@@ -178,41 +248,49 @@
 
     private void create(Duration timeout) {
       leaseAtStart = ownership.validLease();
+      attempts.onWriteStarted();
       store.create(spec.id(), record, owner, timeout).thenAccept(this::onCreated);
     }
 
     /** Relays the job without storing it here, because this daemon is shutting down. */
-    private void relayOnly() {
+    private void relayOnly(Duration timeout) {
+      failAfter(timeout);
       relay();
       reply.thenAccept(unused -> finish());
     }
 
     private void relay() {
       if (!reply.isDone()) {
-        isRelaying = true;
-        relayTo(remote.peers().iterator());
+        relayToNext(remote.peers().iterator());
       }
     }
 
     /** Relays the job to the next peer, which may be able to reach the store. */
-    private void relayTo(Iterator<EntryVmId> peers) {
-      if (reply.isDone() || !peers.hasNext()) {
-        isRelaying = false;
+    private void relayToNext(Iterator<EntryVmId> peers) {
+      if (reply.isDone()) {
+        return;
+      }
+      if (!peers.hasNext()) {
         onNotRelayed();
         return;
       }
       EntryVmId vm = peers.next();
-      remote.submit(vm, spec).thenAccept(result -> onRelayed(vm, result, peers));
+      relayTo(vm, RELAY_TIMEOUT).thenAccept(result -> onRelayed(vm, result, peers));
     }
 
+    /** Waits on for the own write, if there is one; otherwise the submission has failed. */
     private void onNotRelayed() {
-      if (isShuttingDown && !reply.isDone()) {
-        ResultCode code =
-            mayBeAcceptedElsewhere
-                ? ResultCode.OUTCOME_UNKNOWN_PEER_LOST
-                : ResultCode.NOT_RUN_SHUTTING_DOWN;
+      if (!isShuttingDown) {
+        return;
+      }
+      if (attempts.isWriteOpen()) {
+        logger.atInfo().log("event=job_awaits_store job=%s reason=shutting_down", spec.id());
+      } else {
         reply.complete(
-            Result.failure(code, "this daemon is shutting down and no peer accepted the job"));
+            failure(
+                ResultCode.NOT_RUN_SHUTTING_DOWN,
+                ResultCode.OUTCOME_UNKNOWN_PEER_LOST,
+                "this daemon is shutting down and no peer accepted the job"));
       }
     }
 
@@ -220,10 +298,9 @@
         EntryVmId vm, Result<JobAcknowledgement> result, Iterator<EntryVmId> peers) {
       if (result instanceof Result.Success) {
         onAcceptedByPeer(vm, result);
-        return;
+      } else {
+        relayToNext(peers);
       }
-      mayBeAcceptedElsewhere |= !isNotRun(result);
-      relayTo(peers);
     }
 
     private void onAcceptedByPeer(EntryVmId vm, Result<JobAcknowledgement> result) {
@@ -231,18 +308,13 @@
       reply.complete(result);
     }
 
-    /** Returns true if the peer has definitely not accepted the job and will not. */
-    private static boolean isNotRun(Result<JobAcknowledgement> result) {
-      ResultCode code = ((Result.Failure<JobAcknowledgement>) result).error().code();
-      return code == ResultCode.NOT_RUN_OVERLOADED || PeerQueryService.isNotSent(code);
-    }
-
     private void onCreated(TransactionReply created) {
+      attempts.onWriteEnded(created);
       if (created instanceof TransactionReply.Committed committed) {
         accepted(committed.revision());
       } else if (created instanceof TransactionReply.Conflict conflict) {
         exists(conflict);
-      } else if (created instanceof TransactionReply.Unknown || mayBePendingElsewhere()) {
+      } else if (attempts.mayTakeEffect()) {
         onUnknown(created);
       } else {
         finish();
@@ -252,18 +324,14 @@
       }
     }
 
-    private boolean mayBePendingElsewhere() {
-      return isRelaying || mayBeAcceptedElsewhere;
-    }
-
     private void onUnknown(TransactionReply created) {
-      boolean isFirst = !reply.isDone();
       logger.atWarning().log("event=job_outcome_unknown job=%s reply=\"%s\"", spec.id(), created);
       reply.complete(
           Result.failure(
               ResultCode.OUTCOME_UNKNOWN_DEADLINE,
               "the store did not confirm the job: " + created));
-      if (isFirst && created instanceof TransactionReply.Unknown) {
+      if (!isWriteRetried && created instanceof TransactionReply.Unknown) {
+        isWriteRetried = true;
         create(UNKNOWN_OUTCOME_RETRY_TIMEOUT);
       } else {
         finish();
@@ -274,6 +342,10 @@
     private void finish() {
       pending.remove(spec.id());
       memory.release();
+      if (attempts.mayTakeEffect()) {
+        undecided.put(spec.id(), attempts);
+        timers.after(UNKNOWN_OUTCOME_RETRY_TIMEOUT, () -> undecided.remove(spec.id(), attempts));
+      }
     }
 
     private void accepted(Revision revision) {
--- a/amaranthstream/src/main/java/org/amaranthstream/jobs/JobService.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/jobs/JobService.java
@@ -159,6 +159,11 @@
     return handoff.start();
   }
 
+  /** Fails the submissions whose outcome is not known yet, because the process exits. */
+  public void failPendingSubmissions() {
+    acceptor.failPending();
+  }
+
   /** Takes over a job that a peer hands off, unless this daemon is itself shutting down. */
   CompletableFuture<TakeoverOutcome> takeOver(
       StoredOwner before, ImmutableList<PartialOutput> partials) {
--- a/amaranthstream/src/main/java/org/amaranthstream/jobs/RemoteJobs.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/jobs/RemoteJobs.java
@@ -27,7 +27,6 @@
 
   private static final Duration END_TIMEOUT = Duration.ofMillis(1_500);
 
-  private static final Duration SUBMIT_TIMEOUT = Duration.ofMillis(3_500);
   private static final Duration HANDOFF_TIMEOUT = Duration.ofMillis(1_000);
   private static final int MAX_QUERIED_PEERS = 12;
 
@@ -108,12 +107,11 @@
     return query;
   }
 
-  /** Relays a submission to another daemon, which becomes the owner if it accepts the job. */
-  CompletableFuture<Result<JobAcknowledgement>> submit(EntryVmId vm, JobSpec spec) {
-    return submit(vm, spec, SUBMIT_TIMEOUT);
-  }
-
-  /** Relays a submission to another daemon and waits for {@code timeout} at most. */
+  /**
+   * Relays a submission to another daemon, which becomes the owner if it accepts the job.
+   *
+   * @param timeout the time to wait for the answer
+   */
   CompletableFuture<Result<JobAcknowledgement>> submit(
       EntryVmId vm, JobSpec spec, Duration timeout) {
     JobQuestion query =
--- a/amaranthstream/src/test/java/org/amaranthstream/jobs/JobPropertyTest.java
+++ b/amaranthstream/src/test/java/org/amaranthstream/jobs/JobPropertyTest.java
@@ -50,7 +50,7 @@
     private static boolean isRejected(CompletableFuture<Result<JobAcknowledgement>> reply) {
       return reply.isDone()
           && reply.join() instanceof Result.Failure<JobAcknowledgement> failure
-          && failure.error().code() == ResultCode.NOT_RUN_OVERLOADED;
+          && failure.error().code().isNotRun();
     }
   }
 
