Hand off jobs that are stored after the shutdown has begun

Cause: the handoff offers the jobs that are owned at SIGTERM. A job whose write or takeover is confirmed later was never offered.

Evidence: RefusedSubmissionsTest areHandedOffOnceTheyAreStored fails before (the record names the daemon that shuts down) and passes now.

--- a/amaranthstream/src/main/java/org/amaranthstream/jobs/JobHandoff.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/jobs/JobHandoff.java
@@ -21,6 +21,7 @@
   private final JobRegistry registry;
   private final JobOwnershipManager ownership;
   private final RemoteJobs remote;
+  private int open;
 
   JobHandoff(JobRegistry registry, JobOwnershipManager ownership, RemoteJobs remote) {
     this.registry = registry;
@@ -35,25 +36,38 @@
    */
   CompletableFuture<Void> start() {
     return CompletableFuture.allOf(
-        registry.owned().stream()
-            .map(job -> handOff(job, HandoffCondition.NONE))
-            .toArray(CompletableFuture<?>[]::new));
+        registry.owned().stream().map(this::handOff).toArray(CompletableFuture<?>[]::new));
   }
 
   /**
-   * Offers a job to the peers in turn, each of which accepts only if it reaches the job's servers.
+   * Offers a job to the peers in turn.
    *
    * @return completes once the job has a new owner or no peer has taken it over
    */
-  CompletableFuture<Void> handOffToReachingPeer(OwnedJob job) {
-    return handOff(job, HandoffCondition.REACHES_SERVERS);
+  CompletableFuture<Void> handOff(OwnedJob job) {
+    return handOff(job, HandoffCondition.NONE);
   }
 
   private CompletableFuture<Void> handOff(OwnedJob job, HandoffCondition condition) {
     CompletableFuture<Void> done = new CompletableFuture<>();
     List<EntryVmId> candidates = RendezvousHash.order(job.id().value(), remote.peers());
+    open++;
     offer(job, condition, candidates.iterator(), done);
-    return done;
+    return done.whenComplete((unused, failure) -> open--);
+  }
+
+  /** Returns true while a job is offered to peers. */
+  boolean isInProgress() {
+    return open > 0;
+  }
+
+  /**
+   * Offers a job to the peers in turn, each of which accepts only if it reaches the job's servers.
+   *
+   * @return completes once the job has a new owner or no peer has taken it over
+   */
+  CompletableFuture<Void> handOffToReachingPeer(OwnedJob job) {
+    return handOff(job, HandoffCondition.REACHES_SERVERS);
   }
 
   private void offer(
--- a/amaranthstream/src/main/java/org/amaranthstream/jobs/JobService.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/jobs/JobService.java
@@ -139,6 +139,9 @@
     unreachableJobs.check();
     rewardScheduler.add(job);
     checkpointWriter.add(job);
+    if (isShuttingDown) {
+      handoff.handOff(job);
+    }
   }
 
   private void onItemsChanged(OwnedJob job) {
@@ -159,6 +162,14 @@
     return handoff.start();
   }
 
+  /**
+   * Returns true while a job is handed off, also one whose acceptance or takeover ended after the
+   * shutdown had begun.
+   */
+  public boolean isHandingOff() {
+    return handoff.isInProgress();
+  }
+
   /** Fails the submissions whose outcome is not known yet, because the process exits. */
   public void failPendingSubmissions() {
     acceptor.failPending();
--- a/amaranthstream/src/test/java/org/amaranthstream/jobs/RefusedSubmissionsTest.java
+++ b/amaranthstream/src/test/java/org/amaranthstream/jobs/RefusedSubmissionsTest.java
@@ -78,6 +78,22 @@
 
       assertThat(code(fleet.await(reply))).isEqualTo(ResultCode.OUTCOME_UNKNOWN_SHUTTING_DOWN);
     }
+
+    /** Guards against a job that waits for the exit of the daemon that has stored it. */
+    @Test
+    void areHandedOffOnceTheyAreStored() {
+      second.cutLinks(true);
+      final CompletableFuture<Result<JobAcknowledgement>> reply =
+          submitWithFault(WriteFault.ANSWER_LOST, Duration.ZERO);
+      first.store().setWriteFault(WriteFault.NONE, Duration.ZERO);
+      first.jobs().handOff();
+      fleet.runMillis(500);
+      second.cutLinks(false);
+
+      assertThat(isAccepted(fleet.await(reply))).isTrue();
+      fleet.runMillis(1_000);
+      assertThat(fleet.ownerIs(JOB, second)).isTrue();
+    }
   }
 
   @Nested
