Pass on no response without a status of HTTP

- From a server, 000 reached no caller before: the framing refuses the status line, for calls, items, reward calls, reports, orders, the store and the platform's API, as they share FramedHttpClients.
- 600 to 999 did: the framing took them for statuses.
RFC 9110, section 15: 100 to 599.
A rejection with such a status was believed as well.
- From a peer, 000 did: protobuf reads a status that is missing as 0, and the relayed response was passed on with it, on the platform (CallCodec) and in serve (OutcomeCodec).

Change: HttpStatus holds the statuses of final responses and no other number. ResponseHead and CompletedResponse have one, so that a response without a valid status is a broken one wherever it comes from: its outcome is unknown. The framing refuses status lines above 599.

The tests of other parts follow the new type only.

--- a/amaranthstream-bench/src/main/java/org/amaranthstream/bench/decisions/SimulatedServer.java
+++ b/amaranthstream-bench/src/main/java/org/amaranthstream/bench/decisions/SimulatedServer.java
@@ -14,6 +14,7 @@
 import org.amaranthstream.dispatch.AttemptEnd;
 import org.amaranthstream.dispatch.Chunk;
 import org.amaranthstream.dispatch.CompletedResponse;
+import org.amaranthstream.http.HttpStatus;
 import org.amaranthstream.ids.Incarnation;
 import org.amaranthstream.ids.WeightVersion;
 import org.amaranthstream.membership.BackendServer;
@@ -174,7 +175,8 @@
     running.remove(attempt);
     attempt.end(
         new AttemptEnd.Finished(
-            new CompletedResponse(server.id(), 200, "text/plain", attempt.offset, "stop")));
+            new CompletedResponse(
+                server.id(), HttpStatus.of(200), "text/plain", attempt.offset, "stop")));
     startQueued();
   }
 
--- a/amaranthstream/src/main/java/org/amaranthstream/calls/ResponseHead.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/calls/ResponseHead.java
@@ -3,6 +3,7 @@
 import io.vertx.core.MultiMap;
 import java.util.Optional;
 import java.util.OptionalLong;
+import org.amaranthstream.http.HttpStatus;
 
 /**
  * Head of a backend server's HTTP response.
@@ -13,18 +14,14 @@
  * @param signature the server's signature of the response, which is also among the headers
  */
 public record ResponseHead(
-    int status, MultiMap headers, OptionalLong length, Optional<String> signature) {
-  private static final int MIN_SUCCESS = 200;
-  private static final int MIN_REDIRECT = 300;
-  private static final int SERVER_ERROR = 500;
-
+    HttpStatus status, MultiMap headers, OptionalLong length, Optional<String> signature) {
   /** Returns true if the status is a success (2xx). */
   public boolean isSuccess() {
-    return status >= MIN_SUCCESS && status < MIN_REDIRECT;
+    return status.isSuccess();
   }
 
   /** Returns true if the status is a server error (5xx). */
   public boolean isServerError() {
-    return status >= SERVER_ERROR;
+    return status.isServerError();
   }
 }
--- a/amaranthstream/src/main/java/org/amaranthstream/dispatch/CompletedResponse.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/dispatch/CompletedResponse.java
@@ -1,5 +1,6 @@
 package org.amaranthstream.dispatch;
 
+import org.amaranthstream.http.HttpStatus;
 import org.amaranthstream.ids.BackendServerId;
 
 /**
@@ -14,4 +15,8 @@
  * @param finishReason why generation ended, as reported by the engine
  */
 public record CompletedResponse(
-    BackendServerId server, int status, String contentType, long tokens, String finishReason) {}
+    BackendServerId server,
+    HttpStatus status,
+    String contentType,
+    long tokens,
+    String finishReason) {}
--- a/amaranthstream/src/main/java/org/amaranthstream/dispatch/http/CallAttempt.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/dispatch/http/CallAttempt.java
@@ -11,6 +11,7 @@
 import org.amaranthstream.dispatch.CompletedResponse;
 import org.amaranthstream.dispatch.Payload;
 import org.amaranthstream.http.ConnectionUses;
+import org.amaranthstream.http.HttpStatus;
 import org.amaranthstream.http.ResponseOrigin;
 import org.amaranthstream.ids.AttemptId;
 import org.amaranthstream.ids.BackendServerId;
@@ -76,7 +77,7 @@
         new AttemptEnd.Finished(
             new CompletedResponse(
                 server(),
-                response.statusCode(),
+                HttpStatus.of(response.statusCode()),
                 type == null ? DEFAULT_CONTENT_TYPE : type,
                 0,
                 "whole")));
--- a/amaranthstream/src/main/java/org/amaranthstream/dispatch/http/GenerateAttempt.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/dispatch/http/GenerateAttempt.java
@@ -11,6 +11,7 @@
 import org.amaranthstream.dispatch.Chunk;
 import org.amaranthstream.dispatch.CompletedResponse;
 import org.amaranthstream.http.ConnectionUses;
+import org.amaranthstream.http.HttpStatus;
 import org.amaranthstream.ids.AttemptId;
 import org.amaranthstream.ids.BackendServerId;
 import org.amaranthstream.ids.Incarnation;
@@ -98,7 +99,8 @@
     String reason = line.finishReason() == null ? "" : line.finishReason();
     end(
         new AttemptEnd.Finished(
-            new CompletedResponse(server(), HTTP_OK, STREAM_CONTENT_TYPE, nextOffset, reason)));
+            new CompletedResponse(
+                server(), HttpStatus.of(HTTP_OK), STREAM_CONTENT_TYPE, nextOffset, reason)));
   }
 
   private static Chunk chunkOf(StreamLine line) {
--- a/amaranthstream/src/main/java/org/amaranthstream/fleet/CallCodec.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/fleet/CallCodec.java
@@ -18,6 +18,7 @@
 import org.amaranthstream.fleet.wire.CallPart;
 import org.amaranthstream.fleet.wire.CallRequest;
 import org.amaranthstream.fleet.wire.CallResumption;
+import org.amaranthstream.http.HttpStatus;
 import org.amaranthstream.ids.BackendServerId;
 import org.amaranthstream.ids.WorkspaceId;
 
@@ -88,7 +89,7 @@
   }
 
   static byte[] encodeHead(ResponseHead head) {
-    CallHead.Builder encoded = CallHead.newBuilder().setStatus(head.status());
+    CallHead.Builder encoded = CallHead.newBuilder().setStatus(head.status().code());
     head.headers().forEach((name, value) -> encoded.addHeader(header(name, value)));
     head.length().ifPresent(encoded::setLength);
     head.signature().ifPresent(encoded::setSignature);
@@ -102,9 +103,14 @@
         .toByteArray();
   }
 
+  /**
+   * Decodes the head of a response.
+   *
+   * @throws IllegalArgumentException if it has no valid status
+   */
   static ResponseHead decodeHead(CallHead head) {
     return new ResponseHead(
-        head.getStatus(),
+        HttpStatus.of(head.getStatus()),
         headers(head.getHeaderList()),
         head.hasLength() ? OptionalLong.of(head.getLength()) : OptionalLong.empty(),
         head.hasSignature() ? Optional.of(head.getSignature()) : Optional.empty());
--- a/amaranthstream/src/main/java/org/amaranthstream/http/ResponseSyntax.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/http/ResponseSyntax.java
@@ -11,8 +11,11 @@
  */
 final class ResponseSyntax {
   private static final String TEXT = "[\\t\\x20-\\x7e\\x80-\\xff]*+";
+
+  /** A status line with one of the statuses of HTTP (RFC 9110, section 15). */
   private static final Pattern STATUS_LINE =
-      Pattern.compile("HTTP/1\\.[01] ([1-9][0-9]{2})(?: " + TEXT + ")?");
+      Pattern.compile("HTTP/1\\.[01] ([1-5][0-9]{2})(?: " + TEXT + ")?");
+
   private static final Pattern FIELD =
       Pattern.compile("([!#$%&'*+.^_`|~0-9A-Za-z-]++)[ \\t]*+:[ \\t]*+(" + TEXT + ")");
   private static final Pattern CHUNK_SIZE =
--- a/amaranthstream/src/main/java/org/amaranthstream/ingress/PlainServiceResponseWriter.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/ingress/PlainServiceResponseWriter.java
@@ -29,7 +29,7 @@
       OutcomeErrors.writeError(response, id, outcome);
     } else if (!response.closed()) {
       response
-          .setStatusCode(completed.answer().status())
+          .setStatusCode(completed.answer().status().code())
           .putHeader("Content-Type", completed.answer().contentType())
           .end(body);
     }
--- a/amaranthstream/src/main/java/org/amaranthstream/jobs/CallServiceRewardTransport.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/jobs/CallServiceRewardTransport.java
@@ -84,8 +84,8 @@
       if (head.isSuccess() && head.signature().isPresent()) {
         return new RewardOutcome.Scored(new Score(head.signature().get()));
       }
-      return head.status() == INTERNAL_SERVER_ERROR
-          ? new RewardOutcome.Failed(head.status())
+      return head.status().code() == INTERNAL_SERVER_ERROR
+          ? new RewardOutcome.Failed(head.status().code())
           : new RewardOutcome.Broken("the server responded with HTTP " + head.status());
     }
 
--- a/amaranthstream/src/main/java/org/amaranthstream/peer/OutcomeCodec.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/peer/OutcomeCodec.java
@@ -4,6 +4,7 @@
 import java.util.Optional;
 import org.amaranthstream.dispatch.CompletedResponse;
 import org.amaranthstream.dispatch.Outcome;
+import org.amaranthstream.http.HttpStatus;
 import org.amaranthstream.ids.BackendServerId;
 import org.amaranthstream.peer.wire.ForwardOutcome;
 import org.amaranthstream.peer.wire.NotRun;
@@ -32,7 +33,7 @@
   private static org.amaranthstream.peer.wire.Answer encodeAnswer(CompletedResponse response) {
     return org.amaranthstream.peer.wire.Answer.newBuilder()
         .setServer(response.server().value())
-        .setStatus(response.status())
+        .setStatus(response.status().code())
         .setContentType(response.contentType())
         .setTokens(response.tokens())
         .setFinishReason(response.finishReason())
@@ -61,7 +62,7 @@
       return new Outcome.Completed(
           new CompletedResponse(
               BackendServerId.of(answer.getServer()),
-              answer.getStatus(),
+              HttpStatus.of(answer.getStatus()),
               answer.getContentType(),
               answer.getTokens(),
               answer.getFinishReason()));
--- a/amaranthstream/src/test/java/org/amaranthstream/calls/CountedCallsTest.java
+++ b/amaranthstream/src/test/java/org/amaranthstream/calls/CountedCallsTest.java
@@ -12,6 +12,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.OptionalLong;
+import org.amaranthstream.http.HttpStatus;
 import org.amaranthstream.ids.AvailabilityZoneId;
 import org.amaranthstream.ids.RouteId;
 import org.amaranthstream.ids.WorkspaceId;
@@ -94,7 +95,7 @@
         int status = outcome == Outcome.RESPONDS ? 200 : 500;
         listener.onHead(
             new ResponseHead(
-                status,
+                HttpStatus.of(status),
                 MultiMap.caseInsensitiveMultiMap(),
                 OptionalLong.empty(),
                 Optional.empty()));
--- a/amaranthstream/src/test/java/org/amaranthstream/calls/CrashingServers.java
+++ b/amaranthstream/src/test/java/org/amaranthstream/calls/CrashingServers.java
@@ -12,6 +12,7 @@
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.Set;
+import org.amaranthstream.http.HttpStatus;
 import org.amaranthstream.ids.AvailabilityZoneId;
 import org.amaranthstream.ids.BackendServerId;
 import org.amaranthstream.ids.ServiceId;
@@ -188,7 +189,10 @@
       runs.get(server.id()).remove(this);
       listener.onHead(
           new ResponseHead(
-              200, MultiMap.caseInsensitiveMultiMap(), OptionalLong.empty(), Optional.of("seal")));
+              HttpStatus.of(200),
+              MultiMap.caseInsensitiveMultiMap(),
+              OptionalLong.empty(),
+              Optional.of("seal")));
       listener.onData(Buffer.buffer("ok"));
       listener.onEnd();
     }
--- a/amaranthstream/src/test/java/org/amaranthstream/calls/EndedCallsTest.java
+++ b/amaranthstream/src/test/java/org/amaranthstream/calls/EndedCallsTest.java
@@ -11,6 +11,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.OptionalLong;
+import org.amaranthstream.http.HttpStatus;
 import org.amaranthstream.ids.AvailabilityZoneId;
 import org.amaranthstream.ids.RouteId;
 import org.amaranthstream.quarantine.PoisonRegistry;
@@ -134,7 +135,10 @@
     last.onSent();
     last.onHead(
         new ResponseHead(
-            status, MultiMap.caseInsensitiveMultiMap(), OptionalLong.empty(), Optional.empty()));
+            HttpStatus.of(status),
+            MultiMap.caseInsensitiveMultiMap(),
+            OptionalLong.empty(),
+            Optional.empty()));
     last.onData(Buffer.buffer("response"));
     last.onEnd();
   }
--- a/amaranthstream/src/test/java/org/amaranthstream/calls/GracefulShutdownTest.java
+++ b/amaranthstream/src/test/java/org/amaranthstream/calls/GracefulShutdownTest.java
@@ -12,6 +12,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.OptionalLong;
+import org.amaranthstream.http.HttpStatus;
 import org.amaranthstream.ids.AvailabilityZoneId;
 import org.amaranthstream.ids.BackendServerId;
 import org.amaranthstream.ids.RouteId;
@@ -117,7 +118,10 @@
     if (!isCancelled) {
       listener.onHead(
           new ResponseHead(
-              200, MultiMap.caseInsensitiveMultiMap(), OptionalLong.empty(), Optional.of("seal")));
+              HttpStatus.of(200),
+              MultiMap.caseInsensitiveMultiMap(),
+              OptionalLong.empty(),
+              Optional.of("seal")));
       listener.onEnd();
     }
   }
--- a/amaranthstream/src/test/java/org/amaranthstream/calls/PromptedCallsTest.java
+++ b/amaranthstream/src/test/java/org/amaranthstream/calls/PromptedCallsTest.java
@@ -12,6 +12,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalLong;
+import org.amaranthstream.http.HttpStatus;
 import org.amaranthstream.ids.AvailabilityZoneId;
 import org.amaranthstream.ids.BackendServerId;
 import org.amaranthstream.ids.ModelId;
@@ -84,7 +85,7 @@
         () -> {
           listener.onHead(
               new ResponseHead(
-                  200,
+                  HttpStatus.of(200),
                   MultiMap.caseInsensitiveMultiMap(),
                   OptionalLong.of(0),
                   Optional.of("signature")));
--- a/amaranthstream/src/test/java/org/amaranthstream/calls/RecordingExchange.java
+++ b/amaranthstream/src/test/java/org/amaranthstream/calls/RecordingExchange.java
@@ -31,12 +31,12 @@
 
   @Override
   public void sendResponse(ResponseHead head, Buffer body) {
-    status = head.status();
+    status = head.status().code();
   }
 
   @Override
   public void beginResponse(ResponseHead head) {
-    status = head.status();
+    status = head.status().code();
   }
 
   @Override
--- a/amaranthstream/src/test/java/org/amaranthstream/calls/StreamingServers.java
+++ b/amaranthstream/src/test/java/org/amaranthstream/calls/StreamingServers.java
@@ -10,6 +10,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalLong;
+import org.amaranthstream.http.HttpStatus;
 import org.amaranthstream.ids.AvailabilityZoneId;
 import org.amaranthstream.ids.BackendServerId;
 import org.amaranthstream.ids.ServiceId;
@@ -84,7 +85,10 @@
     open.add(listener);
     listener.onHead(
         new ResponseHead(
-            200, MultiMap.caseInsensitiveMultiMap(), OptionalLong.empty(), Optional.of("seal")));
+            HttpStatus.of(200),
+            MultiMap.caseInsensitiveMultiMap(),
+            OptionalLong.empty(),
+            Optional.of("seal")));
     listener.onData(Buffer.buffer("id: 1\ndata: a\n\n"));
   }
 
--- a/amaranthstream/src/test/java/org/amaranthstream/dispatch/FakeTransport.java
+++ b/amaranthstream/src/test/java/org/amaranthstream/dispatch/FakeTransport.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.function.Consumer;
+import org.amaranthstream.http.HttpStatus;
 import org.amaranthstream.ids.AttemptId;
 import org.amaranthstream.ids.Incarnation;
 import org.amaranthstream.ids.WeightVersion;
@@ -130,7 +131,8 @@
       sent = true;
       end(
           new AttemptEnd.Finished(
-              new CompletedResponse(server.id(), 200, "text/plain", tokens, "stop")));
+              new CompletedResponse(
+                  server.id(), HttpStatus.of(200), "text/plain", tokens, "stop")));
     }
 
     void crash() {
--- a/amaranthstream/src/test/java/org/amaranthstream/dispatch/http/HttpBackendTransportTest.java
+++ b/amaranthstream/src/test/java/org/amaranthstream/dispatch/http/HttpBackendTransportTest.java
@@ -170,7 +170,7 @@
                       "HTTP/1.1 404 Not Found\r\nAttempt: a-1\r\nContent-Length: 2\r\n\r\nno"));
       AttemptEnd end = listener.awaitEnd();
       assertThat(end).isInstanceOf(AttemptEnd.Finished.class);
-      assertThat(((AttemptEnd.Finished) end).response().status()).isEqualTo(404);
+      assertThat(((AttemptEnd.Finished) end).response().status().code()).isEqualTo(404);
     }
 
     @Test
--- a/amaranthstream/src/test/java/org/amaranthstream/fleet/CuttableServers.java
+++ b/amaranthstream/src/test/java/org/amaranthstream/fleet/CuttableServers.java
@@ -15,6 +15,7 @@
 import org.amaranthstream.calls.CallTransport;
 import org.amaranthstream.calls.OutboundCall;
 import org.amaranthstream.calls.ResponseHead;
+import org.amaranthstream.http.HttpStatus;
 import org.amaranthstream.ids.BackendServerId;
 import org.amaranthstream.servers.ServerProbe;
 import org.amaranthstream.time.VirtualTimerService;
@@ -164,7 +165,7 @@
       isOver = streamedParts == 0;
       listener.onHead(
           new ResponseHead(
-              200,
+              HttpStatus.of(200),
               MultiMap.caseInsensitiveMultiMap().add("name", "value"),
               OptionalLong.empty(),
               Optional.of("seal-" + call.id())));
--- a/amaranthstream/src/test/java/org/amaranthstream/http/ResponseFramerTest.java
+++ b/amaranthstream/src/test/java/org/amaranthstream/http/ResponseFramerTest.java
@@ -195,6 +195,11 @@
         strings = {
           "HTTP/2.0 200 OK\r\n",
           "HTTP/1.1 99 Low\r\n",
+          "HTTP/1.1 000\r\n",
+          "HTTP/1.1 000 None\r\n",
+          "HTTP/1.1 099 Low\r\n",
+          "HTTP/1.1 600 High\r\n",
+          "HTTP/1.1 999 High\r\n",
           "HTTP/1.1 2000 OK\r\n",
           "HTTP/1.1  200 OK\r\n",
           "HTTP/1.1 200 OK\n",
--- a/amaranthstream/src/test/java/org/amaranthstream/idempotency/CountingBackend.java
+++ b/amaranthstream/src/test/java/org/amaranthstream/idempotency/CountingBackend.java
@@ -11,6 +11,7 @@
 import org.amaranthstream.dispatch.Work;
 import org.amaranthstream.dispatch.WorkListener;
 import org.amaranthstream.dispatch.WorkRunner;
+import org.amaranthstream.http.HttpStatus;
 import org.amaranthstream.ids.BackendServerId;
 import org.amaranthstream.ids.RequestId;
 import org.amaranthstream.result.ErrorDetail;
@@ -48,7 +49,8 @@
     Map<RequestId, WorkListener> finished = new LinkedHashMap<>(running);
     running.clear();
     CompletedResponse response =
-        new CompletedResponse(BackendServerId.of("shop-1"), 200, "text/plain", 0, "done");
+        new CompletedResponse(
+            BackendServerId.of("shop-1"), HttpStatus.of(200), "text/plain", 0, "done");
     finished.values().forEach(l -> l.onOutcome(new Outcome.Completed(response)));
   }
 
--- a/amaranthstream/src/test/java/org/amaranthstream/jobs/CallServiceRewardTransportTest.java
+++ b/amaranthstream/src/test/java/org/amaranthstream/jobs/CallServiceRewardTransportTest.java
@@ -15,6 +15,7 @@
 import org.amaranthstream.calls.CallService;
 import org.amaranthstream.calls.CallTransport;
 import org.amaranthstream.calls.ResponseHead;
+import org.amaranthstream.http.HttpStatus;
 import org.amaranthstream.ids.AvailabilityZoneId;
 import org.amaranthstream.ids.RewardCallId;
 import org.amaranthstream.ids.RouteId;
@@ -79,7 +80,10 @@
         listener -> {
           listener.onHead(
               new ResponseHead(
-                  status, MultiMap.caseInsensitiveMultiMap(), OptionalLong.empty(), signature));
+                  HttpStatus.of(status),
+                  MultiMap.caseInsensitiveMultiMap(),
+                  OptionalLong.empty(),
+                  signature));
           listener.onEnd();
         });
   }
--- a/amaranthstream/src/test/java/org/amaranthstream/peer/PeerForwardingTest.java
+++ b/amaranthstream/src/test/java/org/amaranthstream/peer/PeerForwardingTest.java
@@ -9,6 +9,7 @@
 import org.amaranthstream.dispatch.CompletedResponse;
 import org.amaranthstream.dispatch.Outcome;
 import org.amaranthstream.dispatch.Work;
+import org.amaranthstream.http.HttpStatus;
 import org.amaranthstream.ids.BackendServerId;
 import org.amaranthstream.ids.Incarnation;
 import org.amaranthstream.ids.WeightVersion;
@@ -72,7 +73,8 @@
               Optional.of(Incarnation.of("engine-1")));
       Outcome.Completed done =
           new Outcome.Completed(
-              new CompletedResponse(BackendServerId.of("engine"), 200, "text/plain", 2, "stop"));
+              new CompletedResponse(
+                  BackendServerId.of("engine"), HttpStatus.of(200), "text/plain", 2, "stop"));
       far.runner.listeners.get(work.id()).onChunk(chunk);
       far.runner.listeners.get(work.id()).onOutcome(done);
       assertThat(outcome()).isEqualTo(done);
--- a/amaranthstream/src/test/java/org/amaranthstream/rollout/FakeEngines.java
+++ b/amaranthstream/src/test/java/org/amaranthstream/rollout/FakeEngines.java
@@ -13,6 +13,7 @@
 import org.amaranthstream.dispatch.Work;
 import org.amaranthstream.dispatch.WorkListener;
 import org.amaranthstream.dispatch.WorkRunner;
+import org.amaranthstream.http.HttpStatus;
 import org.amaranthstream.ids.BackendServerId;
 import org.amaranthstream.ids.Incarnation;
 import org.amaranthstream.ids.RequestId;
@@ -144,7 +145,11 @@
       listener.onOutcome(
           new Outcome.Completed(
               new CompletedResponse(
-                  BackendServerId.of("engine-1"), 200, "application/json", stated, seed)));
+                  BackendServerId.of("engine-1"),
+                  HttpStatus.of(200),
+                  "application/json",
+                  stated,
+                  seed)));
     }
   }
 }
