Take a relayed response without a head for a broken one

What callers could see: a call that may have run is answered 503 ("not run") at its deadline.

Cause: FleetCallRelay passed on whatever order a peer sent. An end without a head made the call fail with an exception after its attempt had been removed; at the deadline no attempt was left that could have run. A body before the head, or a second head, was passed on as well.

Change: a response is one head, then its body. Anything else leaves the outcome unknown.

Evidence: FleetCallRelayTest areInvalidIfTheBodyPrecedesTheHead, areInvalidWithSecondHead and leaveTheOutcomeUnknownIfTheyEndWithoutHead fail before and pass now. No peer of ours has been seen to send such a response.

--- a/amaranthstream/src/main/java/org/amaranthstream/fleet/FleetCallRelay.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/fleet/FleetCallRelay.java
@@ -1,5 +1,6 @@
 package org.amaranthstream.fleet;
 
+import static com.google.common.base.Preconditions.checkArgument;
 import static com.google.common.base.Preconditions.checkNotNull;
 
 import com.google.common.collect.ImmutableSet;
@@ -13,6 +14,7 @@
 import org.amaranthstream.calls.CallRelay;
 import org.amaranthstream.calls.CallTransport;
 import org.amaranthstream.calls.RelayedCall;
+import org.amaranthstream.calls.ResponseHead;
 import org.amaranthstream.dispatch.Outcome;
 import org.amaranthstream.fleet.wire.CallPart;
 import org.amaranthstream.ids.EntryVmId;
@@ -144,18 +146,27 @@
   private final class RelayedResponse implements ExchangeListener {
     private final EntryVmId peer;
     private final AttemptListener listener;
+    private boolean hasHead;
 
     private RelayedResponse(EntryVmId peer, AttemptListener listener) {
       this.peer = peer;
       this.listener = listener;
     }
 
+    /**
+     * Passes on a part.
+     *
+     * @throws IllegalArgumentException if the part is malformed or not due
+     */
     @Override
     public void onPart(byte[] encoded) {
       CallPart part = CallCodec.decodePart(encoded);
+      checkArgument(part.hasHead() != hasHead, "a response has one head, before its body");
       if (part.hasHead()) {
+        ResponseHead head = CallCodec.decodeHead(part.getHead());
+        hasHead = true;
         peers.onServed(peer);
-        listener.onHead(CallCodec.decodeHead(part.getHead()));
+        listener.onHead(head);
       } else {
         listener.onData(CallCodec.decodeData(part.getData()));
       }
@@ -163,7 +174,13 @@
 
     @Override
     public void onEnd() {
-      listener.onEnd();
+      if (hasHead) {
+        listener.onEnd();
+        return;
+      }
+      peers.onFailed(peer, timers.nowNanos());
+      listener.onFailed(
+          new AttemptFailure.Broken("entry VM " + peer + ": the response has no head"));
     }
 
     @Override
--- a/amaranthstream/src/test/java/org/amaranthstream/fleet/FleetCallRelayTest.java
+++ b/amaranthstream/src/test/java/org/amaranthstream/fleet/FleetCallRelayTest.java
@@ -152,4 +152,22 @@
     assertThrows(IllegalArgumentException.class, () -> response().onPart(head(status)));
     assertThat(events).isEmpty();
   }
+
+  @Test
+  void areInvalidIfTheBodyPrecedesTheHead() {
+    assertThrows(IllegalArgumentException.class, () -> response().onPart(data()));
+  }
+
+  @Test
+  void areInvalidWithSecondHead() {
+    response().onPart(head(200));
+    assertThrows(IllegalArgumentException.class, () -> response().onPart(head(200)));
+  }
+
+  /** Guards against a call that may have run, and times out as "not run". */
+  @Test
+  void leaveTheOutcomeUnknownIfTheyEndWithoutHead() {
+    response().onEnd();
+    assertThat(events).containsExactly("unknown");
+  }
 }
