Answer submissions of jobs that the store cannot hold

Cause: a record of more than 30 parts does not fit the transaction that creates the job. The builder threw after the submission had been noted and its memory reserved, and nothing caught that.

Change: RecordParts splits a record, or says that it does not fit, before anything is noted. Such a job is rejected at once as not run, and its memory is given back.

--- a/amaranthstream/src/main/java/org/amaranthstream/jobs/JobAcceptor.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/jobs/JobAcceptor.java
@@ -138,9 +138,14 @@
       return CompletableFuture.completedFuture(
           Result.failure(ResultCode.NOT_RUN_OVERLOADED, "there is no memory for the job"));
     }
-    byte[] record = JobStore.encodeRecord(spec);
-    Submission submission =
-        new Submission(spec, record, ownership.newOwner(spec, record), mayRelay, memory);
+    Optional<RecordParts> record = JobStore.encodeRecord(spec);
+    if (record.isEmpty()) {
+      memory.release();
+      return CompletableFuture.completedFuture(
+          Result.failure(ResultCode.NOT_RUN_OVERLOADED, "there is no room for a job of this size"));
+    }
+    JobOwner owner = ownership.newOwner(spec, record.get());
+    Submission submission = new Submission(spec, record.get(), owner, mayRelay, memory);
     pending.put(spec.id(), submission);
     CompletableFuture<Result<JobAcknowledgement>> reply = submission.reply;
     submission.start(timeout);
@@ -150,7 +155,7 @@
   /** A submission whose outcome is still open. */
   private final class Submission {
     private final JobSpec spec;
-    private final byte[] record;
+    private final RecordParts record;
     private final JobOwner owner;
     private final boolean mayRelay;
     private final Reservation memory;
@@ -160,7 +165,7 @@
     private boolean isWriteRetried;
 
     private Submission(
-        JobSpec spec, byte[] record, JobOwner owner, boolean mayRelay, Reservation memory) {
+        JobSpec spec, RecordParts record, JobOwner owner, boolean mayRelay, Reservation memory) {
       this.spec = spec;
       this.record = record;
       this.owner = owner;
--- a/amaranthstream/src/main/java/org/amaranthstream/jobs/JobOwnershipManager.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/jobs/JobOwnershipManager.java
@@ -150,7 +150,7 @@
   }
 
   /** Returns the ownership record of a job that this daemon accepts now. */
-  JobOwner newOwner(JobSpec spec, byte[] record) {
+  JobOwner newOwner(JobSpec spec, RecordParts record) {
     return new JobOwner(
         self.vm(),
         self.incarnation(),
@@ -158,7 +158,7 @@
         false,
         timeOfDay.millis(),
         spec.items().size(),
-        JobStore.partCount(record),
+        record.count(),
         nonces.nextLong());
   }
 
--- a/amaranthstream/src/main/java/org/amaranthstream/jobs/JobStore.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/jobs/JobStore.java
@@ -6,7 +6,6 @@
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.time.Duration;
-import java.util.Arrays;
 import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
@@ -34,9 +33,6 @@
 final class JobStore {
   private static final FluentLogger logger = FluentLogger.forEnclosingClass();
 
-  /** Maximum size of one part of a job record. */
-  private static final int PART_BYTES = 700_000;
-
   /** Long enough that an append is retried for as long as the job may exist. */
   private static final Duration APPEND_TIMEOUT = Duration.ofMinutes(10);
 
@@ -48,26 +44,20 @@
     this.runner = runner;
   }
 
-  /** Returns the number of parts that a job record is split into. */
-  static int partCount(byte[] record) {
-    return Math.max(1, (record.length + PART_BYTES - 1) / PART_BYTES);
-  }
-
-  static byte[] encodeRecord(JobSpec spec) {
-    return Compression.compress(JobCodec.encodeJob(spec));
+  /** Encodes a job; empty if its record is too large for the store. */
+  static Optional<RecordParts> encodeRecord(JobSpec spec) {
+    return RecordParts.of(Compression.compress(JobCodec.encodeJob(spec)));
   }
 
   /** Creates a job and its ownership record unless the job exists. */
   CompletableFuture<TransactionReply> create(
-      JobId job, byte[] record, JobOwner owner, Duration timeout) {
+      JobId job, RecordParts record, JobOwner owner, Duration timeout) {
     Transaction.Builder builder =
         Transaction.builder()
             .expectAbsent(JobKeys.owner(job))
             .put(JobKeys.owner(job), JobCodec.encodeOwner(owner));
-    for (int part = 0; part < owner.parts(); part++) {
-      int from = part * PART_BYTES;
-      int to = Math.min(record.length, from + PART_BYTES);
-      builder.put(JobKeys.part(job, part), Arrays.copyOfRange(record, from, to));
+    for (int part = 0; part < record.count(); part++) {
+      builder.put(JobKeys.part(job, part), record.get(part));
     }
     return runner.run(builder.build(), timeout);
   }
--- a/amaranthstream/src/test/java/org/amaranthstream/jobs/TakeoverTest.java
+++ b/amaranthstream/src/test/java/org/amaranthstream/jobs/TakeoverTest.java
@@ -55,7 +55,7 @@
 
   @BeforeEach
   void createJob() {
-    store.create(JOB, new byte[] {1}, recordOf(FORMER), TIMEOUT);
+    store.create(JOB, RecordParts.of(new byte[] {1}).orElseThrow(), recordOf(FORMER), TIMEOUT);
     timers.advance(TIMEOUT);
   }
 
