Remove jobs with many parts after their retention

What was seen: the removal of a job of 30 parts, 150 s after its acceptance, repeats itself without end (read in the review, not shown). Its results and record stay in the store.

Cause: each transaction of the removal kept room for all parts of the record, and had none left for a page of results; it changed nothing and was repeated.

Change: the pages are removed first, with all the room of a transaction. The record and its parts are removed by the last one, as before.

Evidence: LargeJobTest leavesNothingOfJobWithManyParts fails on (the ownership record is still there) and passes now.

--- a/amaranthstream/src/main/java/org/amaranthstream/jobs/JobStore.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/jobs/JobStore.java
@@ -33,6 +33,9 @@
 final class JobStore {
   private static final FluentLogger logger = FluentLogger.forEnclosingClass();
 
+  /** Pages that are removed in one transaction, which also expects the ownership record. */
+  private static final int MAX_REMOVED_PAGES = Transaction.MAX_ENTRIES - 1;
+
   /** Long enough that an append is retried for as long as the job may exist. */
   private static final Duration APPEND_TIMEOUT = Duration.ofMinutes(10);
 
@@ -344,12 +347,13 @@
         a -> second.map(b -> ImmutableList.<String>builder().addAll(a).addAll(b).build()));
   }
 
+  /** Removes the pages first; the last transaction removes the record, which guards them. */
   private void removeAll(StoredOwner owner, ImmutableList<String> pages) {
-    int maxPages = Transaction.MAX_ENTRIES - owner.owner().parts() - 2;
     Transaction.Builder builder =
         Transaction.builder().expect(JobKeys.owner(owner.job()), owner.revision());
-    pages.stream().limit(maxPages).forEach(builder::remove);
-    boolean isLast = pages.size() <= maxPages;
+    pages.stream().limit(MAX_REMOVED_PAGES).forEach(builder::remove);
+    int entries = 2 + pages.size() + owner.owner().parts();
+    boolean isLast = entries <= Transaction.MAX_ENTRIES;
     if (isLast) {
       builder.remove(JobKeys.owner(owner.job()));
       for (int part = 0; part < owner.owner().parts(); part++) {
--- a/amaranthstream/src/test/java/org/amaranthstream/jobs/LargeJobTest.java
+++ b/amaranthstream/src/test/java/org/amaranthstream/jobs/LargeJobTest.java
@@ -14,6 +14,9 @@
 class LargeJobTest {
   private static final Duration TIMEOUT = Duration.ofSeconds(4);
 
+  /** Longer than a job is kept after it has become owned. */
+  private static final Duration RETENTION = Duration.ofSeconds(200);
+
   private static final int ITEMS = 4;
 
   /** Returns a job whose items have bodies of {@code bytes} in all, which do not compress. */
@@ -82,4 +85,22 @@
       assertThat(first.memory().usedBytes()).isEqualTo(0);
     }
   }
+
+  @Nested
+  class Removal extends JobServiceFixture {
+    /** Guards against a removal without room for the pages, which never ends. */
+    @Test
+    void leavesNothingOfJobWithManyParts() {
+      JobSpec job = job(20_900_000);
+      submit(first, job);
+      fleet.run(Duration.ofSeconds(5));
+      assertThat(fleet.read(first, job.id())).hasSize(ITEMS);
+      fleet.await(first.jobs().end(job.id()));
+      fleet.run(RETENTION);
+
+      assertThat(fleet.store().keys("amaranthstream/owners/")).isEmpty();
+      assertThat(fleet.store().keys(JobKeys.results(job.id()))).isEmpty();
+      assertThat(fleet.store().keys(JobKeys.part(job.id(), 0))).isEmpty();
+    }
+  }
 }
