--- a/amaranthstream/src/main/java/org/amaranthstream/jobs/JobOwnershipManager.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/jobs/JobOwnershipManager.java
@@ -4,8 +4,6 @@
 import com.google.common.flogger.FluentLogger;
 import java.time.Duration;
 import java.time.InstantSource;
-import java.util.ArrayDeque;
-import java.util.Deque;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
@@ -60,9 +58,6 @@
   /** Name, not of a VM, that selects the daemons which sweep for all others. */
   static final EntryVmId BACKSTOP = EntryVmId.of("backstop");
 
-  /** Number of jobs that are loaded at the same time after their takeover. */
-  private static final int MAX_LOADS = 8;
-
   private static final Duration RECLAIM_TIMEOUT = Duration.ofSeconds(1);
 
   /** Delay before a failed read or takeover is retried. */
@@ -80,8 +75,8 @@
   private final InstantSource timeOfDay;
   private final Random nonces;
   private final OwnershipCheck check;
-  private final MemoryBudget budget;
   private final ResultCache cache;
+  private final JobLoader loader;
   private final Set<JobId> takeoversInProgress = new HashSet<>();
 
   /** Jobs whose end was recorded while they were still being taken over. */
@@ -90,11 +85,6 @@
   private Starter starter = job -> {};
   private boolean isSweepScheduled;
 
-  /** Loads of jobs that were taken over, and the number of those that are in progress. */
-  private final Deque<Runnable> waitingLoads = new ArrayDeque<>();
-
-  private int loads;
-
   /** Callback that starts a job which this daemon has begun to own. */
   @FunctionalInterface
   interface Starter {
@@ -119,8 +109,8 @@
     this.timers = timers;
     this.timeOfDay = timeOfDay;
     this.nonces = nonces;
-    this.budget = budget;
     this.cache = cache;
+    this.loader = new JobLoader(store, timers, timeOfDay, budget, cache);
     this.check = new OwnershipCheck(session, store, registry, timers, this::refreshOwner);
   }
 
@@ -170,7 +160,7 @@
    */
   void registerAndStart(
       JobSpec spec, StoredOwner owner, Optional<LeaseId> leaseAtStart, Reservation memory) {
-    registerAndStart(newJob(spec, owner, memory), leaseAtStart);
+    registerAndStart(loader.newJob(spec, owner, memory), leaseAtStart);
   }
 
   /** Starts a job. If the lease may have ended since the start, a peer may own the job by now. */
@@ -186,11 +176,6 @@
     starter.start(job);
   }
 
-  private OwnedJob newJob(JobSpec spec, StoredOwner owner, Reservation memory) {
-    long sinceAccepted = Math.max(0, timeOfDay.millis() - owner.owner().acceptedMillis());
-    return new OwnedJob(spec, owner, timers.nowNanos(), Duration.ofMillis(sinceAccepted), memory);
-  }
-
   /** Removes a job after its retention; an open job is kept for as long again. */
   private void expire(OwnedJob job) {
     if (job.isOwnershipLost()) {
@@ -349,7 +334,7 @@
       logger.atInfo().log(
           "event=job_taken_over job=%s epoch=%d partials=%d revision=%s",
           job, taken.owner().owner().epoch(), partials.size(), taken.owner().revision());
-      load(taken.owner(), leaseAtStart, partials);
+      loader.load(taken.owner(), partials).thenAccept(loaded -> onLoaded(loaded, leaseAtStart));
       return TakeoverOutcome.TAKEN;
     }
     takeoversInProgress.remove(job);
@@ -371,96 +356,6 @@
         : TakeoverOutcome.NOT_TAKEN;
   }
 
-  private void load(
-      StoredOwner owner, Optional<LeaseId> leaseAtStart, ImmutableList<PartialOutput> partials) {
-    waitingLoads.add(() -> loadNow(owner, leaseAtStart, partials));
-    startLoads();
-  }
-
-  /** Starts to load jobs; only a few at a time, as each needs memory for what it reads. */
-  private void startLoads() {
-    while (loads < MAX_LOADS && !waitingLoads.isEmpty()) {
-      loads++;
-      waitingLoads.remove().run();
-    }
-  }
-
-  private void loadNow(
-      StoredOwner owner, Optional<LeaseId> leaseAtStart, ImmutableList<PartialOutput> partials) {
-    loadJob(owner)
-        .thenCompose(result -> restoreProgress(result, partials))
-        .thenAccept(
-            result -> {
-              loads--;
-              if (result instanceof Result.Success<OwnedJob> loaded) {
-                onLoaded(loaded.value(), leaseAtStart);
-              } else {
-                timers.after(RETRY_DELAY, () -> load(owner, leaseAtStart, partials));
-              }
-              startLoads();
-            });
-  }
-
-  private CompletableFuture<Result<OwnedJob>> loadJob(StoredOwner owner) {
-    return store
-        .job(owner)
-        .thenCompose(
-            result ->
-                result instanceof Result.Success<JobSpec> spec
-                    ? loadResults(owner, spec.value())
-                    : CompletableFuture.completedFuture(
-                        Result.failure(((Result.Failure<JobSpec>) result).error())));
-  }
-
-  private CompletableFuture<Result<OwnedJob>> loadResults(StoredOwner owner, JobSpec spec) {
-    Reservation memory = budget.open();
-    memory.forceGrow(spec.memoryBytes());
-    OwnedJob job = newJob(spec, owner, memory);
-    return store
-        .visitResults(
-            owner.job(),
-            page -> {
-              cache.put(job.restorePage(page), page);
-              return true;
-            })
-        .thenApply(
-            result -> {
-              if (result instanceof Result.Failure) {
-                job.discard();
-              }
-              return result.map(unused -> job);
-            });
-  }
-
-  private CompletableFuture<Result<OwnedJob>> restoreProgress(
-      Result<OwnedJob> loaded, ImmutableList<PartialOutput> partials) {
-    if (!(loaded instanceof Result.Success<OwnedJob> success)) {
-      return CompletableFuture.completedFuture(loaded);
-    }
-    OwnedJob job = success.value();
-    return store
-        .progress(job.id())
-        .thenApply(
-            result -> {
-              if (result instanceof Result.Failure) {
-                job.discard();
-              }
-              return result.map(progress -> restore(job, progress, partials));
-            });
-  }
-
-  private static OwnedJob restore(
-      OwnedJob job, JobCheckpoint progress, ImmutableList<PartialOutput> partials) {
-    logger.atInfo().log(
-        "event=job_loaded job=%s listed=%d saved_texts=%d partials=%d",
-        job.id(), job.listedCount(), progress.texts().size(), partials.size());
-    job.restoreProgress(progress.plus(partials));
-    if (job.isEnded()) {
-      job.end();
-    }
-    return job;
-  }
-
   private void onLoaded(OwnedJob job, Optional<LeaseId> leaseAtStart) {
     takeoversInProgress.remove(job.id());
     registerAndStart(job, leaseAtStart);
