--- a/amaranthstream/src/main/java/org/amaranthstream/jobs/JobOwnershipManager.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/jobs/JobOwnershipManager.java
@@ -5,9 +5,7 @@
 import java.time.Duration;
 import java.time.InstantSource;
 import java.util.HashSet;
-import java.util.List;
 import java.util.Optional;
-import java.util.OptionalInt;
 import java.util.Random;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
@@ -18,7 +16,6 @@
 import org.amaranthstream.fleet.FleetListener;
 import org.amaranthstream.fleet.FleetNode;
 import org.amaranthstream.fleet.FleetSession;
-import org.amaranthstream.fleet.NodesChange;
 import org.amaranthstream.ids.EntryVmId;
 import org.amaranthstream.ids.JobId;
 import org.amaranthstream.ids.LeaseId;
@@ -34,38 +31,17 @@
  *
  * <p>Used on one thread.
  */
-final class JobOwnershipManager implements FleetListener {
+final class JobOwnershipManager implements FleetListener, OrphanSweeper.Orphans {
   private static final FluentLogger logger = FluentLogger.forEnclosingClass();
 
   /** Time for which this daemon keeps a job at least after it has become its owner. */
   private static final Duration RETENTION = Duration.ofSeconds(150);
 
-  /** Delay between the takeover attempts of successive candidates for the same job. */
-  private static final Duration TAKEOVER_STAGGER = Duration.ofMillis(1_500);
-
-  /**
-   * Delay before the takeover of a job that has ended. Unless a caller requests it earlier, such a
-   * job needs an owner only so that it is removed from the store.
-   */
-  private static final Duration ENDED_JOB_TAKEOVER_DELAY = Duration.ofSeconds(20);
-
-  /**
-   * Interval at which three daemons sweep for jobs that no candidate has taken over, because all
-   * candidates were lost or cut off as well.
-   */
-  private static final Duration BACKSTOP_INTERVAL = Duration.ofSeconds(5);
-
-  /** Name, not of a VM, that selects the daemons which sweep for all others. */
-  static final EntryVmId BACKSTOP = EntryVmId.of("backstop");
-
   private static final Duration RECLAIM_TIMEOUT = Duration.ofSeconds(1);
 
   /** Delay before a failed read or takeover is retried. */
   private static final Duration RETRY_DELAY = Duration.ofMillis(400);
 
-  /** Delay before a sweep, so that several losses of daemons share one. */
-  private static final Duration SWEEP_DELAY = Duration.ofMillis(150);
-
   private final FleetSession session;
   private final FleetNode self;
   private final Fleet fleet;
@@ -75,6 +51,7 @@
   private final InstantSource timeOfDay;
   private final Random nonces;
   private final OwnershipCheck check;
+  private final OrphanSweeper sweeper;
   private final ResultCache cache;
   private final JobLoader loader;
   private final Set<JobId> takeoversInProgress = new HashSet<>();
@@ -83,7 +60,6 @@
   private final Set<JobId> pendingEnds = new HashSet<>();
 
   private Starter starter = job -> {};
-  private boolean isSweepScheduled;
 
   /** Callback that starts a job which this daemon has begun to own. */
   @FunctionalInterface
@@ -112,12 +88,18 @@
     this.cache = cache;
     this.loader = new JobLoader(store, timers, timeOfDay, budget, cache);
     this.check = new OwnershipCheck(session, store, registry, timers, this::refreshOwner);
+    this.sweeper = new OrphanSweeper(fleet, self, registry, timers, check, this);
   }
 
   void start(Starter starter) {
     this.starter = starter;
     fleet.addListener(this);
-    timers.every(BACKSTOP_INTERVAL, this::sweepAsBackstop);
+    sweeper.start();
+  }
+
+  /** Returns the sweeper for orphaned jobs. */
+  OrphanSweeper sweeper() {
+    return sweeper;
   }
 
   FleetNode self() {
@@ -189,31 +171,6 @@
     }
   }
 
-  @Override
-  public void onNodesChanged(NodesChange change) {
-    if (!isSweepScheduled && change.lostVms().stream().anyMatch(vm -> rank(vm).isPresent())) {
-      scheduleOrphanSweep();
-    }
-  }
-
-  @Override
-  public void onCaughtUp() {
-    sweepAsBackstop();
-  }
-
-  private void sweepAsBackstop() {
-    if (rank(BACKSTOP).isPresent()) {
-      scheduleOrphanSweep();
-    }
-  }
-
-  /** Returns the rank of this daemon among the candidates for the jobs of {@code lost}. */
-  private OptionalInt rank(EntryVmId lost) {
-    List<EntryVmId> registered = fleet.nodes().stream().map(FleetNode::vm).toList();
-    int rank = TakeoverCandidates.of(lost, registered).indexOf(self.vm());
-    return rank < 0 ? OptionalInt.empty() : OptionalInt.of(rank);
-  }
-
   /**
    * Ends an owned job that a peer has ended in the store. If the job is still being taken over, the
    * end is applied once this daemon owns it.
@@ -230,33 +187,13 @@
     refreshOwner(job);
   }
 
-  /** Schedules a sweep for orphaned jobs, unless one is scheduled already. */
-  void scheduleOrphanSweep() {
-    if (!isSweepScheduled) {
-      isSweepScheduled = true;
-      timers.after(SWEEP_DELAY, this::sweep);
-    }
-  }
-
-  private void sweep() {
-    isSweepScheduled = false;
-    check.listOwners().thenAccept(this::onOwners);
-  }
-
-  private void onOwners(Result<ImmutableList<StoredOwner>> result) {
-    if (result instanceof Result.Success<ImmutableList<StoredOwner>> success) {
-      success.value().stream().filter(this::isOrphan).forEach(this::takeOverInTurn);
-    } else {
-      timers.after(RETRY_DELAY, this::scheduleOrphanSweep);
-    }
-  }
-
   /**
    * Returns true if the daemon that the record names as the owner no longer runs the job. A view of
    * the fleet that is older than the record may lack a daemon that has registered since, and proves
    * nothing; the loss of an owner is always newer than its record.
    */
-  boolean isOrphan(StoredOwner owner) {
+  @Override
+  public boolean isOrphan(StoredOwner owner) {
     JobOwner record = owner.owner();
     if (record.isHeldBy(self.vm(), self.incarnation())) {
       return registry.owned(owner.job()).isEmpty() && !takeoversInProgress.contains(owner.job());
@@ -265,29 +202,9 @@
     return !isViewOlder && !fleet.isRegistered(record.vm(), record.incarnation());
   }
 
-  private void takeOverInTurn(StoredOwner orphan) {
-    EntryVmId former = orphan.owner().vm();
-    OptionalInt rank = former.equals(self.vm()) ? OptionalInt.of(0) : rank(former);
-    if (rank.isPresent()) {
-      Duration first = orphan.owner().isEnded() ? ENDED_JOB_TAKEOVER_DELAY : Duration.ZERO;
-      Duration delay = first.plus(TAKEOVER_STAGGER.multipliedBy(rank.getAsInt()));
-      timers.after(delay, () -> takeOverIfOrphan(orphan));
-    }
-  }
-
-  private void takeOverIfOrphan(StoredOwner orphan) {
-    boolean isKnownTakenOver =
-        registry
-            .cachedOwner(orphan.job())
-            .filter(o -> o.revision().isAfter(orphan.revision()))
-            .isPresent();
-    if (!isKnownTakenOver && isOrphan(orphan)) {
-      takeOver(orphan);
-    }
-  }
-
   /** Takes over an orphaned job, unless its owner is registered when the write takes effect. */
-  void takeOver(StoredOwner orphan) {
+  @Override
+  public void takeOver(StoredOwner orphan) {
     runTakeover(orphan, absenceOf(orphan.owner()), ImmutableList.of());
   }
 
@@ -349,7 +266,7 @@
     } else if (reply instanceof TakeoverReply.Lost lost) {
       lost.current().forEach(registry::cacheOwner);
     } else {
-      timers.after(RETRY_DELAY, this::scheduleOrphanSweep);
+      timers.after(RETRY_DELAY, sweeper::schedule);
     }
     return reply instanceof TakeoverReply.Unknown
         ? TakeoverOutcome.UNKNOWN
--- a/amaranthstream/src/main/java/org/amaranthstream/jobs/JobService.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/jobs/JobService.java
@@ -203,7 +203,7 @@
 
   /** Schedules a sweep for jobs whose owner no longer runs. */
   public void sweep() {
-    ownership.scheduleOrphanSweep();
+    ownership.sweeper().schedule();
   }
 
   /** Returns a handler of queries from other daemons. */
--- a/amaranthstream/src/test/java/org/amaranthstream/jobs/LateTakeoverTest.java
+++ b/amaranthstream/src/test/java/org/amaranthstream/jobs/LateTakeoverTest.java
@@ -124,7 +124,7 @@
     /** Returns a daemon that lists the records of all jobs only when it registers. */
     private JobFleet.Node daemonThatDoesNotSweep() {
       List<EntryVmId> all = fleet.runningNodes().stream().map(Scenario::vm).toList();
-      List<EntryVmId> sweepers = TakeoverCandidates.of(JobOwnershipManager.BACKSTOP, all);
+      List<EntryVmId> sweepers = TakeoverCandidates.of(OrphanSweeper.BACKSTOP, all);
       return fleet.runningNodes().stream()
           .filter(node -> !sweepers.contains(vm(node)))
           .findFirst()
