Retry the write of a job only while nobody has accepted it

Found when reading again: a submission that a peer had accepted went on to retry its own write for 30 s, and kept the memory of the job for as long. The retry begins only if the answer was unknown.

--- a/amaranthstream/src/main/java/org/amaranthstream/jobs/JobAcceptor.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/jobs/JobAcceptor.java
@@ -159,8 +159,8 @@
     private final JobOwner owner;
     private final boolean mayRelay;
     private final Reservation memory;
-    private Optional<LeaseId> leaseAtStart = Optional.empty();
     private final StoreAttempts attempts;
+    private Optional<LeaseId> leaseAtStart = Optional.empty();
     private CompletableFuture<Result<JobAcknowledgement>> reply = new CompletableFuture<>();
     private boolean isWriteRetried;
 
@@ -335,7 +335,9 @@
           Result.failure(
               ResultCode.OUTCOME_UNKNOWN_DEADLINE,
               "the store did not confirm the job: " + created));
-      if (!isWriteRetried && created instanceof TransactionReply.Unknown) {
+      boolean isAcceptedElsewhere = reply.join() instanceof Result.Success;
+      boolean mayRetry = !isWriteRetried && !isAcceptedElsewhere;
+      if (mayRetry && created instanceof TransactionReply.Unknown) {
         isWriteRetried = true;
         create(UNKNOWN_OUTCOME_RETRY_TIMEOUT);
       } else {
--- a/amaranthstream/src/test/java/org/amaranthstream/jobs/RefusedSubmissionsTest.java
+++ b/amaranthstream/src/test/java/org/amaranthstream/jobs/RefusedSubmissionsTest.java
@@ -113,6 +113,16 @@
       assertThat(isAccepted(fleet.await(again))).isTrue();
     }
 
+    /** The own write is not retried for a job that a peer owns. */
+    @Test
+    void giveBackTheirMemoryOnceAnotherDaemonOwnsTheJob() {
+      first.store().setSilent(true);
+      assertThat(isAccepted(submit(first, job))).isTrue();
+      fleet.run(SUBMIT_TIMEOUT.plusSeconds(2));
+
+      assertThat(first.memory().usedBytes()).isEqualTo(0);
+    }
+
     /** Guards against a refusal while a peer may store the job for an earlier submission. */
     @Test
     void areNotRefusedWhilePeerMayStoreTheJob() {
