--- a/amaranthstream/src/test/java/org/amaranthstream/jobs/LateTakeoverTest.java
+++ b/amaranthstream/src/test/java/org/amaranthstream/jobs/LateTakeoverTest.java
@@ -79,7 +79,7 @@
       assertThat(fleet.servers().order()).hasSize(starts);
     }
 
-    /** Guards against a former owner that denies results which were read (review, case 10). */
+    /** The result of review case 10; the owner learns of its loss here without the condition too. */
     @Test
     void listsTheSameResultsAtBothDaemons() {
       fleet.run(Duration.ofSeconds(12));
