Keep room for small requests in the memory budget

Clients who announce large bodies and hold them back fill the budget; then a small request found no room either, and waited behind the large ones.

A reservation counts by its total size, so that a large one does not grow into that room step by step.

MemoryBudgetTest.smallReservationsHaveRoomOfTheirOwn and smallReservationsAreGrantedBeforeLargeOnesThatDoNotFit are new; the room does not exist before.

--- a/amaranthstream/src/main/java/org/amaranthstream/memory/Reservation.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/memory/Reservation.java
@@ -33,7 +33,7 @@
   /** Reserves more bytes; returns false if there is no room. */
   public boolean tryGrow(long more) {
     checkArgument(more >= 0, "more is %s, expected >= 0", more);
-    if (isReleased || !budget.take(more)) {
+    if (isReleased || !budget.take(more, bytes + more)) {
       return false;
     }
     bytes += more;
--- a/amaranthstream/src/test/java/org/amaranthstream/memory/MemoryBudgetTest.java
+++ b/amaranthstream/src/test/java/org/amaranthstream/memory/MemoryBudgetTest.java
@@ -47,6 +47,31 @@
     assertThat(decisions).containsExactly("a true", "c true").inOrder();
   }
 
+  /** Guards against clients who fill the memory and keep small requests out. */
+  @Test
+  void smallReservationsHaveRoomOfTheirOwn() {
+    MemoryBudget shared = MemoryBudget.of(timers, CAPACITY, 100_000);
+    Reservation large = shared.open();
+    assertThat(large.tryGrow(CAPACITY + 1)).isFalse();
+    assertThat(large.tryGrow(CAPACITY)).isTrue();
+    assertThat(large.tryGrow(1)).isFalse();
+
+    assertThat(shared.open().tryGrow(60_000)).isTrue();
+    assertThat(shared.open().tryGrow(60_000)).isFalse();
+    assertThat(shared.open().tryGrow(40_000)).isTrue();
+  }
+
+  @Test
+  void smallReservationsAreGrantedBeforeLargeOnesThatDoNotFit() {
+    await("a", 950_000);
+    final Reservation second = await("b", 50_000);
+    await("c", 800_000);
+    await("d", 50_000);
+    second.release();
+
+    assertThat(decisions).containsExactly("a true", "b true", "d true").inOrder();
+  }
+
   @Test
   void reservationThatIsNotMadeInTimeLetsTheNextOnePass() {
     await("a", 900_000);
