Decode a caller's next request once the response before is taken

What was seen: clients that send requests ahead and read no response end the process (OutOfMemoryError, exit 3).

Cause: the decoder passed on every request that one read held, and a response was written whether or not the connection took it, so that all responses and the requests behind them waited in the process. An idle timeout also began at the end of a response that was not taken yet, and a response that nobody took had none.

--- a/amaranthstream/src/main/java/org/amaranthstream/daemon/DaemonHttpServer.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/daemon/DaemonHttpServer.java
@@ -11,6 +11,7 @@
 import org.amaranthstream.ingress.DrainHandler;
 import org.amaranthstream.ingress.IngressRoutes;
 import org.amaranthstream.ingress.PullHandler;
+import org.amaranthstream.ingress.RequestFlow;
 import org.amaranthstream.ingress.RequestKeyHandler;
 import org.amaranthstream.ingress.StepHandler;
 import org.amaranthstream.ingress.StrictFraming;
@@ -34,7 +35,8 @@
   private DaemonHttpServer(Settings settings, DaemonComponents components) {
     HttpServerOptions options = options(settings);
     this.server = components.threads().vertx().createHttpServer(options);
-    this.server.connectionHandler(connection -> StrictFraming.apply(connection, options));
+    this.server.connectionHandler(
+        connection -> StrictFraming.apply(connection, options, RequestFlow.builder().build()));
     this.server.requestHandler(newRouter(settings, components));
   }
 
--- a/amaranthstream/src/main/java/org/amaranthstream/ingress/ConnectionPhaseTracker.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/ingress/ConnectionPhaseTracker.java
@@ -8,9 +8,15 @@
  * <p>Every method receives the monotonic time in nanoseconds. Not thread safe.
  */
 final class ConnectionPhaseTracker {
+  /** Stands for a connection that has taken all bytes. */
+  static final long NOTHING_PENDING = 0;
+
   private Phase phase = Phase.IDLE;
   private long phaseStartNanos;
   private long lastReadNanos;
+  private long lastWriteNanos;
+  private long pendingWrites;
+  private boolean isWritten;
 
   private enum Phase {
     /** No request is in progress. */
@@ -20,12 +26,15 @@
     /** The body of a request is being received. */
     BODY,
     /** The caller waits for the response. */
-    ANSWER
+    ANSWER,
+    /** The response is complete, and the connection has not taken it yet. */
+    WRITING
   }
 
   ConnectionPhaseTracker(long nowNanos) {
     this.phaseStartNanos = nowNanos;
     this.lastReadNanos = nowNanos;
+    this.lastWriteNanos = nowNanos;
   }
 
   /** Records that bytes were received. */
@@ -38,6 +47,7 @@
 
   /** Records that the head of a request is complete. */
   void onHeadEnd(long nowNanos) {
+    isWritten = false;
     enter(Phase.BODY, nowNanos);
   }
 
@@ -48,7 +58,27 @@
 
   /** Records that the response is complete. */
   void onResponseEnd(long nowNanos) {
-    enter(Phase.IDLE, nowNanos);
+    enter(isWritten ? Phase.IDLE : Phase.WRITING, nowNanos);
+  }
+
+  /** Records that the connection has taken the whole response, before or after its end. */
+  void onResponseWritten(long nowNanos) {
+    isWritten = true;
+    if (phase == Phase.WRITING) {
+      enter(Phase.IDLE, nowNanos);
+    }
+  }
+
+  /**
+   * Records what the connection has not taken yet.
+   *
+   * @param pending a number that changes with each byte that is taken, or {@link #NOTHING_PENDING}
+   */
+  void onPendingWrites(long pending, long nowNanos) {
+    if (pending == NOTHING_PENDING || pending != pendingWrites) {
+      lastWriteNanos = nowNanos;
+    }
+    pendingWrites = pending;
   }
 
   private void enter(Phase next, long nowNanos) {
@@ -59,15 +89,24 @@
   /** Returns true if the current phase has exceeded its timeout in {@code limits}. */
   boolean isTimedOut(long nowNanos, RequestLimits limits) {
     long phaseNanos = nowNanos - phaseStartNanos;
-    long silentNanos = nowNanos - lastReadNanos;
+    long idleNanos = limits.idleTimeout().toNanos();
     return switch (phase) {
-      case IDLE -> phaseNanos > limits.idleTimeout().toNanos();
+      case IDLE -> phaseNanos > idleNanos;
       case HEAD -> phaseNanos > limits.headerTimeout().toNanos();
-      case BODY -> Math.min(phaseNanos, silentNanos) > limits.idleTimeout().toNanos();
-      case ANSWER -> false;
+      case BODY -> Math.min(phaseNanos, nowNanos - lastReadNanos) > idleNanos;
+      case ANSWER -> isStalled(nowNanos, idleNanos);
+      case WRITING -> phaseNanos > idleNanos && isStalledOrDone(nowNanos, idleNanos);
     };
   }
 
+  private boolean isStalled(long nowNanos, long idleNanos) {
+    return pendingWrites != NOTHING_PENDING && nowNanos - lastWriteNanos > idleNanos;
+  }
+
+  private boolean isStalledOrDone(long nowNanos, long idleNanos) {
+    return pendingWrites == NOTHING_PENDING || isStalled(nowNanos, idleNanos);
+  }
+
   @Override
   public String toString() {
     return phase.toString();
--- a/amaranthstream/src/main/java/org/amaranthstream/ingress/ConnectionTimeouts.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/ingress/OpenConnections.java
@@ -4,30 +4,36 @@
 
 import com.google.common.collect.ImmutableMap;
 import com.google.common.flogger.FluentLogger;
+import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.ChannelOutboundBuffer;
 import io.vertx.core.http.HttpConnection;
 import io.vertx.core.net.impl.ConnectionBase;
 import java.time.Duration;
 import java.util.HashMap;
 import java.util.Map;
+import java.util.Objects;
 import java.util.function.Supplier;
 import org.amaranthstream.routing.RequestLimits;
 import org.amaranthstream.time.TimerService;
 
 /**
- * Timeouts of callers' connections. A connection is closed if it is idle for too long or if its
- * caller sends a request too slowly. A connection whose caller waits for a response has no timeout.
+ * The open connections of a server's callers and their timeouts.
+ *
+ * <p>A connection is closed if it is idle for too long, if its caller sends a request too slowly,
+ * or if its caller takes no byte of a response for too long. A connection whose caller waits for a
+ * response has no timeout.
  *
  * <p>Changed limits also apply to open connections. Used on the event loop of the connections.
  *
  * <pre>{@code
- * ConnectionTimeouts timeouts = ConnectionTimeouts.create(timers, () -> limits);
- * timeouts.start();
- * server.connectionHandler(timeouts::watch);
+ * OpenConnections connections = OpenConnections.create(timers, () -> limits);
+ * connections.start();
+ * server.connectionHandler(connections::watch);
  * }</pre>
  */
-public final class ConnectionTimeouts {
+public final class OpenConnections {
   private static final FluentLogger logger = FluentLogger.forEnclosingClass();
   private static final Duration CHECK_INTERVAL = Duration.ofMillis(500);
 
@@ -35,14 +41,14 @@
   private final Supplier<RequestLimits> limits;
   private final Map<HttpConnection, ConnectionPhaseTracker> trackers = new HashMap<>();
 
-  private ConnectionTimeouts(TimerService timers, Supplier<RequestLimits> limits) {
+  private OpenConnections(TimerService timers, Supplier<RequestLimits> limits) {
     this.timers = timers;
     this.limits = limits;
   }
 
-  /** Returns timeouts that are not enforced until {@link #start} is called. */
-  public static ConnectionTimeouts create(TimerService timers, Supplier<RequestLimits> limits) {
-    return new ConnectionTimeouts(checkNotNull(timers, "timers"), checkNotNull(limits, "limits"));
+  /** Returns connections whose timeouts are not enforced until {@link #start} is called. */
+  public static OpenConnections create(TimerService timers, Supplier<RequestLimits> limits) {
+    return new OpenConnections(checkNotNull(timers, "timers"), checkNotNull(limits, "limits"));
   }
 
   /** Starts to enforce the timeouts. */
@@ -54,11 +60,15 @@
   public void watch(HttpConnection connection) {
     ConnectionPhaseTracker tracker = new ConnectionPhaseTracker(timers.nowNanos());
     trackers.put(connection, tracker);
-    var channel = ((ConnectionBase) connection).channel();
+    Channel channel = channelOf(connection);
     channel.pipeline().addFirst(new ByteObserver(tracker));
     channel.closeFuture().addListener(unused -> trackers.remove(connection));
   }
 
+  private static Channel channelOf(HttpConnection connection) {
+    return ((ConnectionBase) connection).channel();
+  }
+
   /** Records that the head of a request on {@code connection} is complete. */
   public void onHeadEnd(HttpConnection connection) {
     trackerOf(connection).onHeadEnd(timers.nowNanos());
@@ -74,6 +84,11 @@
     trackerOf(connection).onResponseEnd(timers.nowNanos());
   }
 
+  /** Records that {@code connection} has taken the whole response. */
+  public void onResponseWritten(HttpConnection connection) {
+    trackerOf(connection).onResponseWritten(timers.nowNanos());
+  }
+
   /** Returns the tracker of {@code connection}, or an unused one if the connection is closed. */
   private ConnectionPhaseTracker trackerOf(HttpConnection connection) {
     ConnectionPhaseTracker tracker = trackers.get(connection);
@@ -85,6 +100,7 @@
     ImmutableMap.copyOf(trackers)
         .forEach(
             (connection, tracker) -> {
+              tracker.onPendingWrites(pendingWrites(channelOf(connection)), now);
               if (tracker.isTimedOut(now, limits.get())) {
                 logger.atFine().log("event=caller_connection_timed_out phase=%s", tracker);
                 connection.close();
@@ -92,6 +108,15 @@
             });
   }
 
+  /** Returns a number that changes with each byte that the socket takes. */
+  private static long pendingWrites(Channel channel) {
+    ChannelOutboundBuffer buffer = channel.unsafe().outboundBuffer();
+    if (buffer == null || buffer.isEmpty()) {
+      return ConnectionPhaseTracker.NOTHING_PENDING;
+    }
+    return 1 + Objects.hash(buffer.totalPendingWriteBytes(), buffer.currentProgress());
+  }
+
   private final class ByteObserver extends ChannelInboundHandlerAdapter {
     private final ConnectionPhaseTracker tracker;
 
--- a/amaranthstream/src/main/java/org/amaranthstream/ingress/StrictFraming.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/ingress/StrictFraming.java
@@ -1,16 +1,16 @@
 package org.amaranthstream.ingress;
 
+import io.netty.channel.AdaptiveRecvByteBufAllocator;
+import io.netty.channel.Channel;
 import io.netty.channel.ChannelPipeline;
-import io.netty.handler.codec.http.HttpMessage;
 import io.vertx.core.http.HttpConnection;
 import io.vertx.core.http.HttpServerOptions;
-import io.vertx.core.http.impl.VertxHttpRequestDecoder;
 import io.vertx.core.net.impl.ConnectionBase;
 
 /**
  * Strict framing of HTTP requests: a server with it rejects requests that have both a {@code
  * Content-Length} and a chunked {@code Transfer-Encoding}, and requests whose head contains the
- * first line of another request.
+ * first line of another request. What a connection keeps is bounded by a {@link RequestFlow}.
  *
  * <p>Netty's decoder removes the {@code Content-Length} of a chunked request, so handlers cannot
  * detect it, and the bytes that follow are read as another request. Thread safe.
@@ -18,6 +18,10 @@
 public final class StrictFraming {
   private static final String DECODER = "httpDecoder";
 
+  private static final int MIN_READ_BYTES = 64;
+  private static final int INITIAL_READ_BYTES = 2 * 1_024;
+  private static final int MAX_READ_BYTES = 16 * 1_024;
+
   private StrictFraming() {}
 
   /**
@@ -25,23 +29,20 @@
    *
    * @param options the options of the server
    */
-  public static void apply(HttpConnection connection, HttpServerOptions options) {
-    ChannelPipeline pipeline = ((ConnectionBase) connection).channel().pipeline();
-    if (pipeline.get(DECODER) != null) {
-      pipeline.replace(DECODER, DECODER, new StrictDecoder(options));
-      pipeline.addAfter(DECODER, null, new RequestHeadCheck());
-    }
-  }
-
-  private static final class StrictDecoder extends VertxHttpRequestDecoder {
-    private StrictDecoder(HttpServerOptions options) {
-      super(options);
-    }
-
-    @Override
-    protected void handleTransferEncodingChunkedWithContentLength(HttpMessage message) {
-      throw new IllegalArgumentException(
-          "the request has both a Content-Length and a chunked Transfer-Encoding");
+  public static void apply(HttpConnection connection, HttpServerOptions options, RequestFlow flow) {
+    Channel channel = ((ConnectionBase) connection).channel();
+    ChannelPipeline pipeline = channel.pipeline();
+    if (pipeline.get(DECODER) == null) {
+      return;
     }
+    RequestDecoder decoder = new RequestDecoder(options, flow);
+    pipeline.replace(DECODER, DECODER, decoder);
+    pipeline.addAfter(DECODER, null, new RequestHeadCheck());
+    pipeline.addBefore(
+        pipeline.lastContext().name(), null, new ResponseObserver(decoder::onResponseWritten));
+    channel
+        .config()
+        .setRecvByteBufAllocator(
+            new AdaptiveRecvByteBufAllocator(MIN_READ_BYTES, INITIAL_READ_BYTES, MAX_READ_BYTES));
   }
 }
--- a/amaranthstream/src/test/java/org/amaranthstream/ingress/ConnectionPhaseTrackerTest.java
+++ b/amaranthstream/src/test/java/org/amaranthstream/ingress/ConnectionPhaseTrackerTest.java
@@ -78,4 +78,65 @@
       assertThat(isTimedOutAt(600)).isFalse();
     }
   }
+
+  @Nested
+  class SlowReader {
+    private void respond() {
+      tracker.onBytes(seconds(1));
+      tracker.onHeadEnd(seconds(1));
+      tracker.onBodyEnd(seconds(1));
+      tracker.onResponseEnd(seconds(2));
+    }
+
+    @Test
+    void timesOutIfItTakesNothing() {
+      respond();
+      tracker.onPendingWrites(7, seconds(3));
+      tracker.onPendingWrites(7, seconds(17));
+
+      assertThat(isTimedOutAt(17.9)).isFalse();
+      assertThat(isTimedOutAt(18.1)).isTrue();
+    }
+
+    @Test
+    void doesNotTimeOutWhileItTakesBytes() {
+      respond();
+      for (int second = 3; second <= 60; second++) {
+        tracker.onPendingWrites(second, seconds(second));
+        assertThat(isTimedOutAt(second)).isFalse();
+      }
+      tracker.onResponseWritten(seconds(60));
+
+      assertThat(isTimedOutAt(74.9)).isFalse();
+      assertThat(isTimedOutAt(75.1)).isTrue();
+    }
+
+    @Test
+    void timesOutIfItTakesNothingOfStream() {
+      tracker.onHeadEnd(seconds(1));
+      tracker.onBodyEnd(seconds(1));
+      tracker.onPendingWrites(7, seconds(30));
+      tracker.onPendingWrites(7, seconds(44));
+      assertThat(isTimedOutAt(44.9)).isFalse();
+
+      tracker.onPendingWrites(ConnectionPhaseTracker.NOTHING_PENDING, seconds(45));
+      assertThat(isTimedOutAt(600)).isFalse();
+    }
+  }
+
+  @Nested
+  class FastReader {
+    /** Guards against a connection whose next head has no timeout. */
+    @Test
+    void isIdleIfItTakesTheResponseBeforeItsEndIsNoticed() {
+      tracker.onHeadEnd(seconds(1));
+      tracker.onBodyEnd(seconds(1));
+      tracker.onResponseWritten(seconds(2));
+      tracker.onResponseEnd(seconds(2));
+      tracker.onBytes(seconds(3));
+
+      assertThat(isTimedOutAt(5.9)).isFalse();
+      assertThat(isTimedOutAt(6.1)).isTrue();
+    }
+  }
 }
--- a/amaranthstream/src/test/java/org/amaranthstream/ingress/StrictFramingTest.java
+++ b/amaranthstream/src/test/java/org/amaranthstream/ingress/StrictFramingTest.java
@@ -38,7 +38,9 @@
     server =
         vertx
             .createHttpServer(options)
-            .connectionHandler(connection -> StrictFraming.apply(connection, options))
+            .connectionHandler(
+                connection ->
+                    StrictFraming.apply(connection, options, RequestFlow.builder().build()))
             .requestHandler(this::onRequest);
     server.listen(0, "127.0.0.1").toCompletionStage().toCompletableFuture().join();
   }
