Decode heads once they are whole and their memory is reserved

What was seen: heads of very many short lines, over the limit or without end, end the process.

Cause: the decoder built a header object for each line as it arrived, up to 64 KiB of lines whatever the configuration's limit, and no budget counted them.

A head beyond maxHeaderBytes is answered 431 before it is decoded. A whole head is decoded once 512 bytes a line are reserved in the MemoryBudget. Without room it waits for 1 s, unread, and is answered 503, which is true: it was never passed on. The limits of the library are above those of any configuration, so that a larger maxHeaderBytes is served too.

--- a/amaranthstream/src/main/java/org/amaranthstream/daemon/DaemonHttpServer.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/daemon/DaemonHttpServer.java
@@ -35,8 +35,10 @@
   private DaemonHttpServer(Settings settings, DaemonComponents components) {
     HttpServerOptions options = options(settings);
     this.server = components.threads().vertx().createHttpServer(options);
+    int maxHeadBytes = settings.limits().headerBytes();
+    RequestFlow.Builder flow = RequestFlow.builder().maxHeadBytes(() -> maxHeadBytes);
     this.server.connectionHandler(
-        connection -> StrictFraming.apply(connection, options, RequestFlow.builder().build()));
+        connection -> StrictFraming.apply(connection, options, flow.build()));
     this.server.requestHandler(newRouter(settings, components));
   }
 
--- a/amaranthstream/src/main/java/org/amaranthstream/ingress/RequestDecoder.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/ingress/RequestDecoder.java
@@ -5,15 +5,21 @@
 import com.google.common.collect.Iterables;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
+import io.netty.handler.codec.DecoderResult;
 import io.netty.handler.codec.http.HttpMessage;
 import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.LastHttpContent;
+import io.netty.handler.codec.http.TooLongHttpHeaderException;
+import io.netty.util.AttributeKey;
 import io.vertx.core.http.HttpServerOptions;
 import io.vertx.core.http.impl.VertxHttpRequestDecoder;
+import java.time.Duration;
 import java.util.List;
+import org.amaranthstream.memory.Reservation;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -21,12 +27,23 @@
  * framing as described at {@link StrictFraming}. Used on the event loop of the connection.
  */
 final class RequestDecoder extends VertxHttpRequestDecoder {
+  private static final AttributeKey<RequestDecoder> KEY =
+      AttributeKey.valueOf(RequestDecoder.class, "decoder");
+
+  /** Time for which a head waits for memory before its request is rejected. */
+  private static final Duration MAX_WAIT_FOR_MEMORY = Duration.ofSeconds(1);
+
+  /** Length of a head beyond the limit that is decoded, so that its headers can be counted. */
+  private static final int TOLERATED_HEAD_BYTES = 1_024;
+
   /** Bytes behind a request that are kept before reading stops until its response is written. */
   private static final int MAX_BYTES_AHEAD = 4 * 1_024;
 
   private final RequestFlow flow;
+  private final HeadScanner scanner = new HeadScanner();
   private @Nullable ChannelHandlerContext context;
   private State state = State.HEAD;
+  private Reservation memory;
   private boolean isLastRequest;
   private boolean isResponseWritten;
   private boolean isPaused;
@@ -35,6 +52,12 @@
   private enum State {
     /** The head of a request is being received. */
     HEAD,
+    /** A whole head waits for memory. */
+    WAITING,
+    /** There is memory for a whole head. */
+    ADMITTED,
+    /** There is no memory for a whole head. */
+    DENIED,
     /** The body of a request is being received. */
     BODY,
     /** The request is whole, and its response is not written yet. */
@@ -46,11 +69,18 @@
   RequestDecoder(HttpServerOptions options, RequestFlow flow) {
     super(options);
     this.flow = flow;
+    this.memory = flow.memory().open();
+  }
+
+  /** Returns the memory of the current request on {@code channel}. */
+  static Reservation memoryOf(Channel channel) {
+    return channel.attr(KEY).get().memory;
   }
 
   @Override
   public void handlerAdded(ChannelHandlerContext context) {
     this.context = context;
+    context.channel().attr(KEY).set(this);
   }
 
   @Override
@@ -62,7 +92,8 @@
   @Override
   public void channelRead(ChannelHandlerContext context, Object message) throws Exception {
     super.channelRead(context, message);
-    if (state == State.RESPONSE && !isPaused && actualReadableBytes() > MAX_BYTES_AHEAD) {
+    boolean isHeld = state == State.WAITING || state == State.RESPONSE;
+    if (isHeld && !isPaused && actualReadableBytes() > MAX_BYTES_AHEAD) {
       isPaused = true;
       context.channel().config().setAutoRead(false);
     }
@@ -83,27 +114,70 @@
   public void channelInactive(ChannelHandlerContext context) throws Exception {
     state = State.CLOSING;
     super.channelInactive(context);
+    memory.release();
   }
 
   @Override
   protected void decode(ChannelHandlerContext context, ByteBuf in, List<Object> out)
       throws Exception {
+    if (state == State.HEAD) {
+      receiveHead(in, out);
+    }
     switch (state) {
-      case HEAD -> decodeHead(context, in, out);
+      case ADMITTED -> decodeHead(context, in, out);
+      case DENIED -> reject(new HeadMemoryException(), in, out);
       case BODY -> decodeBody(context, in, out);
       case CLOSING -> in.skipBytes(in.readableBytes());
       default -> {}
     }
   }
 
+  private void receiveHead(ByteBuf in, List<Object> out) {
+    boolean isWhole = scanner.scan(in);
+    int maxBytes = flow.maxHeadBytes();
+    if (scanner.bytes() - TOLERATED_HEAD_BYTES > maxBytes) {
+      reject(tooLong(maxBytes), in, out);
+    } else if (isWhole) {
+      state = State.WAITING;
+      long bytes = HeadMemory.bytesFor(scanner.lines(), scanner.bytes());
+      memory.growWithin(
+          Math.max(0, bytes - memory.bytes()), MAX_WAIT_FOR_MEMORY, this::onMemoryDecided);
+    } else if (!memory.tryResize(Math.max(memory.bytes(), in.readableBytes()))) {
+      reject(new HeadMemoryException(), in, out);
+    }
+  }
+
+  private static TooLongHttpHeaderException tooLong(int maxBytes) {
+    return new TooLongHttpHeaderException("the head is longer than " + maxBytes + " bytes");
+  }
+
+  private void onMemoryDecided(boolean isAvailable) {
+    if (state == State.WAITING) {
+      state = isAvailable ? State.ADMITTED : State.DENIED;
+      resume();
+    }
+  }
+
+  /** Passes on a request with an error in place of the one that is rejected. */
+  private void reject(Exception cause, ByteBuf in, List<Object> out) {
+    HttpMessage rejected = createInvalidMessage();
+    rejected.setDecoderResult(DecoderResult.failure(cause));
+    in.skipBytes(in.readableBytes());
+    out.add(rejected);
+    state = State.CLOSING;
+  }
+
   private void decodeHead(ChannelHandlerContext context, ByteBuf in, List<Object> out)
       throws Exception {
+    scanner.reset();
     isResponseWritten = false;
     super.decode(context, in, out);
-    if (!out.isEmpty()) {
-      isLastRequest = out.get(0) instanceof HttpRequest head && !HttpUtil.isKeepAlive(head);
-      onDecoded(out);
+    if (out.isEmpty()) {
+      reject(new IllegalArgumentException("the head is malformed"), in, out);
+      return;
     }
+    isLastRequest = out.get(0) instanceof HttpRequest head && !HttpUtil.isKeepAlive(head);
+    onDecoded(out);
   }
 
   private void decodeBody(ChannelHandlerContext context, ByteBuf in, List<Object> out)
@@ -138,6 +212,8 @@
   }
 
   private void prepareForNext() {
+    memory.release();
+    memory = flow.memory().open();
     state = isLastRequest ? State.CLOSING : State.HEAD;
   }
 
--- a/amaranthstream/src/main/java/org/amaranthstream/ingress/StrictFraming.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/ingress/StrictFraming.java
@@ -6,6 +6,7 @@
 import io.vertx.core.http.HttpConnection;
 import io.vertx.core.http.HttpServerOptions;
 import io.vertx.core.net.impl.ConnectionBase;
+import org.amaranthstream.memory.Reservation;
 
 /**
  * Strict framing of HTTP requests: a server with it rejects requests that have both a {@code
@@ -45,4 +46,12 @@
         .setRecvByteBufAllocator(
             new AdaptiveRecvByteBufAllocator(MIN_READ_BYTES, INITIAL_READ_BYTES, MAX_READ_BYTES));
   }
+
+  /**
+   * Returns the memory of the current request on a connection with strict framing: its head is
+   * reserved. It is released once the response is written or the connection is closed.
+   */
+  public static Reservation memoryOf(HttpConnection connection) {
+    return RequestDecoder.memoryOf(((ConnectionBase) connection).channel());
+  }
 }
--- a/amaranthstream/src/test/java/org/amaranthstream/ingress/RequestDecoderTest.java
+++ b/amaranthstream/src/test/java/org/amaranthstream/ingress/RequestDecoderTest.java
@@ -7,27 +7,38 @@
 import io.netty.channel.embedded.EmbeddedChannel;
 import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpRequest;
+import io.netty.handler.codec.http.TooLongHttpHeaderException;
 import io.netty.util.ReferenceCountUtil;
 import io.vertx.core.http.HttpServerOptions;
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
+import org.amaranthstream.memory.MemoryBudget;
+import org.amaranthstream.memory.Reservation;
+import org.amaranthstream.time.VirtualTimerService;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
 
 class RequestDecoderTest {
+  private static final int CAPACITY = 1_000_000;
+  private static final int MAX_HEAD_BYTES = 4_096;
   private static final String GET = "GET /x HTTP/1.1\r\nHost: h\r\n\r\n";
   private static final String POST = "POST /x HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\n\r\n";
+  private static final String SHORT_LINE = "a:\r\n";
 
+  private final VirtualTimerService timers = VirtualTimerService.create();
+  private final MemoryBudget budget = MemoryBudget.of(timers, CAPACITY);
   private final RequestDecoder decoder =
       new RequestDecoder(
           new HttpServerOptions().setMaxHeaderSize(1 << 20).setMaxInitialLineLength(1 << 20),
-          RequestFlow.builder().build());
+          RequestFlow.builder().maxHeadBytes(() -> MAX_HEAD_BYTES).memory(budget).build());
   private final EmbeddedChannel channel = new EmbeddedChannel(decoder);
 
   @AfterEach
   void close() {
     channel.finishAndReleaseAll();
+    assertThat(budget.usedBytes()).isEqualTo(0);
   }
 
   private void send(String bytes) {
@@ -51,6 +62,12 @@
     return requests;
   }
 
+  private Throwable rejection() {
+    List<HttpRequest> requests = decoded();
+    assertThat(requests).hasSize(1);
+    return requests.get(0).decoderResult().cause();
+  }
+
   private boolean isReading() {
     return channel.config().isAutoRead();
   }
@@ -112,4 +129,93 @@
       assertThat(decoded()).hasSize(1);
     }
   }
+
+  @Nested
+  class Heads {
+    @Test
+    void areReservedUntilTheResponseIsWritten() {
+      send(GET);
+      assertThat(budget.usedBytes()).isEqualTo(HeadMemory.bytesFor(3, GET.length()));
+      assertThat(RequestDecoder.memoryOf(channel).bytes()).isEqualTo(budget.usedBytes());
+
+      respond();
+      assertThat(budget.usedBytes()).isEqualTo(0);
+    }
+
+    @Test
+    void ofTheMaximumLengthAreDecoded() {
+      String end = "\r\n";
+      String start = "GET /x HTTP/1.1\r\n";
+      int lines = (MAX_HEAD_BYTES - start.length() - end.length()) / SHORT_LINE.length();
+      send(start + SHORT_LINE.repeat(lines) + end);
+
+      List<HttpRequest> requests = decoded();
+      assertThat(requests.get(0).decoderResult().isSuccess()).isTrue();
+      assertThat(requests.get(0).headers().getAll("a")).hasSize(lines);
+    }
+
+    @Test
+    void withoutEndAreRejected() {
+      send("GET /x HTTP/1.1\r\n");
+      send(SHORT_LINE.repeat(MAX_HEAD_BYTES));
+
+      assertThat(rejection()).isInstanceOf(TooLongHttpHeaderException.class);
+    }
+
+    @Test
+    void behindEmptyLinesWithoutEndAreRejected() {
+      send("\r\n".repeat(MAX_HEAD_BYTES));
+
+      assertThat(rejection()).isInstanceOf(TooLongHttpHeaderException.class);
+    }
+
+    @Test
+    void thatAreRejectedEndTheConnection() {
+      send("GET /x HTTP/1.1\r\n" + SHORT_LINE.repeat(MAX_HEAD_BYTES));
+      send(GET);
+
+      assertThat(decoded()).hasSize(1);
+    }
+  }
+
+  @Nested
+  class HeadsWithoutMemory {
+    private final Reservation other = budget.open();
+
+    private void fill() {
+      other.forceGrow(CAPACITY);
+    }
+
+    @Test
+    void waitForIt() {
+      fill();
+      send(POST + "body");
+      assertThat(decoded()).isEmpty();
+
+      other.release();
+      channel.runPendingTasks();
+      assertThat(decoded()).hasSize(1);
+    }
+
+    @Test
+    void areRejectedAfterSecond() {
+      fill();
+      send(GET);
+      timers.advance(Duration.ofSeconds(1));
+      channel.runPendingTasks();
+
+      assertThat(rejection()).isInstanceOf(HeadMemoryException.class);
+      other.release();
+    }
+
+    @Test
+    void areForgottenIfTheConnectionIsClosed() {
+      fill();
+      send(GET);
+      channel.close();
+      other.release();
+
+      assertThat(budget.usedBytes()).isEqualTo(0);
+    }
+  }
 }
