Bound what a chunked body keeps besides its data

Trailers without end, and lines of chunk sizes with extensions, were decoded or kept up to 64 KiB a connection, a header object for each line, and counted nowhere: 100 clients with 60,000 bytes of short trailers end the process.

Their bytes between two parts of a body are reserved in the budget, at the price of a line for each byte, and bounded by the length of a head; beyond that the connection is closed. Its body is not whole, so it was never passed on.

--- a/amaranthstream/src/main/java/org/amaranthstream/ingress/RequestDecoder.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/ingress/RequestDecoder.java
@@ -3,6 +3,7 @@
 import static com.google.common.base.Preconditions.checkNotNull;
 
 import com.google.common.collect.Iterables;
+import com.google.common.flogger.FluentLogger;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
@@ -27,6 +28,7 @@
  * framing as described at {@link StrictFraming}. Used on the event loop of the connection.
  */
 final class RequestDecoder extends VertxHttpRequestDecoder {
+  private static final FluentLogger logger = FluentLogger.forEnclosingClass();
   private static final AttributeKey<RequestDecoder> KEY =
       AttributeKey.valueOf(RequestDecoder.class, "decoder");
 
@@ -44,6 +46,8 @@
   private @Nullable ChannelHandlerContext context;
   private State state = State.HEAD;
   private Reservation memory;
+  private Reservation framingMemory;
+  private int framingBytes;
   private boolean isLastRequest;
   private boolean isResponseWritten;
   private boolean isPaused;
@@ -70,6 +74,7 @@
     super(options);
     this.flow = flow;
     this.memory = flow.memory().open();
+    this.framingMemory = flow.memory().open();
   }
 
   /** Returns the memory of the current request on {@code channel}. */
@@ -115,6 +120,7 @@
     state = State.CLOSING;
     super.channelInactive(context);
     memory.release();
+    framingMemory.release();
   }
 
   @Override
@@ -182,13 +188,35 @@
 
   private void decodeBody(ChannelHandlerContext context, ByteBuf in, List<Object> out)
       throws Exception {
+    int before = in.readableBytes();
     super.decode(context, in, out);
-    if (!out.isEmpty()) {
+    if (out.isEmpty()) {
+      onFramingBytes(before - in.readableBytes(), in.readableBytes());
+    } else {
       onDecoded(out);
     }
   }
 
+  /**
+   * Accounts for the sizes of chunks, their extensions and the trailers.
+   *
+   * @param bytes the bytes that were decoded
+   * @param undecodedBytes the bytes of a line that is not whole
+   */
+  private void onFramingBytes(int bytes, int undecodedBytes) {
+    framingBytes += bytes;
+    int keptBytes = framingBytes + undecodedBytes;
+    boolean isTooLong = keptBytes - TOLERATED_HEAD_BYTES > flow.maxHeadBytes();
+    if (isTooLong || !framingMemory.tryGrow(bytes * HeadMemory.BYTES_PER_LINE)) {
+      logger.atInfo().log("event=body_framing_rejected bytes=%d", framingBytes);
+      state = State.CLOSING;
+      checkNotNull(context).close();
+    }
+  }
+
   private void onDecoded(List<Object> out) {
+    framingBytes = 0;
+    framingMemory.shrink(framingMemory.bytes());
     HttpObject last = (HttpObject) Iterables.getLast(out);
     if (last.decoderResult().isFailure()) {
       state = State.CLOSING;
--- a/amaranthstream/src/test/java/org/amaranthstream/ingress/RequestDecoderTest.java
+++ b/amaranthstream/src/test/java/org/amaranthstream/ingress/RequestDecoderTest.java
@@ -218,4 +218,51 @@
       assertThat(budget.usedBytes()).isEqualTo(0);
     }
   }
+
+  @Nested
+  class Chunks {
+    private static final String CHUNKED = "POST /x HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n";
+
+    @Test
+    void endTheRequest() {
+      send(CHUNKED + "2\r\nab\r\n0\r\nTrailer: t\r\n\r\n" + GET);
+      assertThat(decoded()).hasSize(1);
+
+      respond();
+      assertThat(decoded()).hasSize(1);
+    }
+
+    @Test
+    void withTrailersWithoutEndCloseTheConnection() {
+      send(CHUNKED + "0\r\n");
+      for (int i = 0; i < MAX_HEAD_BYTES && channel.isActive(); i++) {
+        send(SHORT_LINE.repeat(4));
+      }
+
+      assertThat(channel.isActive()).isFalse();
+    }
+
+    @Test
+    void withExtensionWithoutEndCloseTheConnection() {
+      send(CHUNKED + "1");
+      for (int i = 0; i < MAX_HEAD_BYTES && channel.isActive(); i++) {
+        send(";x".repeat(8));
+      }
+
+      assertThat(channel.isActive()).isFalse();
+    }
+
+    @Test
+    void keepNoBytesOfTheirFraming() {
+      send(CHUNKED);
+      for (int i = 0; i < 100_000; i++) {
+        send("1\r\n");
+        send("x");
+        send("\r\n");
+        decoded();
+      }
+
+      assertThat(channel.isActive()).isTrue();
+    }
+  }
 }
