Bound the number of callers' connections

Clients that connect and send nothing took all descriptors of the process; then it accepted nobody, and reached neither store nor servers.

A further connection displaces the one that has waited longest without a request, from which nothing was passed on; if all have requests, the new one is closed.

--- a/amaranthstream/src/main/java/org/amaranthstream/ingress/ConnectionPhaseTracker.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/ingress/ConnectionPhaseTracker.java
@@ -86,6 +86,11 @@
     phaseStartNanos = nowNanos;
   }
 
+  /** Returns true if no request has been received, so that nothing is lost with the connection. */
+  boolean isWithoutRequest() {
+    return phase == Phase.IDLE || phase == Phase.HEAD;
+  }
+
   /** Returns true if the current phase has exceeded its timeout in {@code limits}. */
   boolean isTimedOut(long nowNanos, RequestLimits limits) {
     long phaseNanos = nowNanos - phaseStartNanos;
--- a/amaranthstream/src/main/java/org/amaranthstream/ingress/OpenConnections.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/ingress/OpenConnections.java
@@ -1,5 +1,6 @@
 package org.amaranthstream.ingress;
 
+import static com.google.common.base.Preconditions.checkArgument;
 import static com.google.common.base.Preconditions.checkNotNull;
 
 import com.google.common.collect.ImmutableMap;
@@ -11,24 +12,26 @@
 import io.vertx.core.http.HttpConnection;
 import io.vertx.core.net.impl.ConnectionBase;
 import java.time.Duration;
-import java.util.HashMap;
+import java.util.LinkedHashMap;
 import java.util.Map;
 import java.util.Objects;
+import java.util.concurrent.TimeUnit;
 import java.util.function.Supplier;
 import org.amaranthstream.routing.RequestLimits;
 import org.amaranthstream.time.TimerService;
 
 /**
- * The open connections of a server's callers and their timeouts.
+ * The open connections of a server's callers: their number and their timeouts.
  *
  * <p>A connection is closed if it is idle for too long, if its caller sends a request too slowly,
  * or if its caller takes no byte of a response for too long. A connection whose caller waits for a
- * response has no timeout.
+ * response has no timeout. If there are too many connections, a new one displaces the one without a
+ * request that has waited longest; if all have a request, the new one is closed.
  *
  * <p>Changed limits also apply to open connections. Used on the event loop of the connections.
  *
  * <pre>{@code
- * OpenConnections connections = OpenConnections.create(timers, () -> limits);
+ * OpenConnections connections = OpenConnections.create(timers, () -> limits, maxConnections);
  * connections.start();
  * server.connectionHandler(connections::watch);
  * }</pre>
@@ -39,16 +42,23 @@
 
   private final TimerService timers;
   private final Supplier<RequestLimits> limits;
-  private final Map<HttpConnection, ConnectionPhaseTracker> trackers = new HashMap<>();
+  private final int maxConnections;
 
-  private OpenConnections(TimerService timers, Supplier<RequestLimits> limits) {
+  /** In the order in which the connections were opened or ended their last response. */
+  private final Map<HttpConnection, ConnectionPhaseTracker> trackers = new LinkedHashMap<>();
+
+  private OpenConnections(TimerService timers, Supplier<RequestLimits> limits, int maxConnections) {
     this.timers = timers;
     this.limits = limits;
+    this.maxConnections = maxConnections;
   }
 
   /** Returns connections whose timeouts are not enforced until {@link #start} is called. */
-  public static OpenConnections create(TimerService timers, Supplier<RequestLimits> limits) {
-    return new OpenConnections(checkNotNull(timers, "timers"), checkNotNull(limits, "limits"));
+  public static OpenConnections create(
+      TimerService timers, Supplier<RequestLimits> limits, int maxConnections) {
+    checkArgument(maxConnections > 0, "maxConnections is %s, expected > 0", maxConnections);
+    return new OpenConnections(
+        checkNotNull(timers, "timers"), checkNotNull(limits, "limits"), maxConnections);
   }
 
   /** Starts to enforce the timeouts. */
@@ -58,6 +68,11 @@
 
   /** Adds a connection that was just accepted. It is removed when it is closed. */
   public void watch(HttpConnection connection) {
+    if (trackers.size() >= maxConnections && !displaceOne()) {
+      logDisplaced(connection, "all connections have requests");
+      connection.close();
+      return;
+    }
     ConnectionPhaseTracker tracker = new ConnectionPhaseTracker(timers.nowNanos());
     trackers.put(connection, tracker);
     Channel channel = channelOf(connection);
@@ -69,6 +84,26 @@
     return ((ConnectionBase) connection).channel();
   }
 
+  /** Closes a connection in favour of a new one; returns false if each of them has a request. */
+  private boolean displaceOne() {
+    for (Map.Entry<HttpConnection, ConnectionPhaseTracker> entry : trackers.entrySet()) {
+      if (entry.getValue().isWithoutRequest()) {
+        HttpConnection connection = entry.getKey();
+        trackers.remove(connection);
+        logDisplaced(connection, "it waited longest without a request");
+        connection.close();
+        return true;
+      }
+    }
+    return false;
+  }
+
+  private void logDisplaced(HttpConnection connection, String reason) {
+    logger.atInfo().atMostEvery(1, TimeUnit.SECONDS).log(
+        "event=caller_connection_displaced caller=%s open=%d reason=\"%s\"",
+        connection.remoteAddress(), trackers.size(), reason);
+  }
+
   /** Records that the head of a request on {@code connection} is complete. */
   public void onHeadEnd(HttpConnection connection) {
     trackerOf(connection).onHeadEnd(timers.nowNanos());
@@ -81,7 +116,11 @@
 
   /** Records that the response on {@code connection} is complete. */
   public void onResponseEnd(HttpConnection connection) {
-    trackerOf(connection).onResponseEnd(timers.nowNanos());
+    ConnectionPhaseTracker tracker = trackers.remove(connection);
+    if (tracker != null) {
+      trackers.put(connection, tracker);
+      tracker.onResponseEnd(timers.nowNanos());
+    }
   }
 
   /** Records that {@code connection} has taken the whole response. */
--- a/amaranthstream/src/test/java/org/amaranthstream/ingress/ConnectionPhaseTrackerTest.java
+++ b/amaranthstream/src/test/java/org/amaranthstream/ingress/ConnectionPhaseTrackerTest.java
@@ -139,4 +139,26 @@
       assertThat(isTimedOutAt(6.1)).isTrue();
     }
   }
+
+  @Nested
+  class WithoutRequest {
+    @Test
+    void mayBeDisplaced() {
+      assertThat(tracker.isWithoutRequest()).isTrue();
+      tracker.onBytes(seconds(1));
+      assertThat(tracker.isWithoutRequest()).isTrue();
+    }
+
+    @Test
+    void keepsItsPlaceFromTheHeadToTheEndOfTheResponse() {
+      tracker.onHeadEnd(seconds(1));
+      assertThat(tracker.isWithoutRequest()).isFalse();
+      tracker.onBodyEnd(seconds(1));
+      assertThat(tracker.isWithoutRequest()).isFalse();
+      tracker.onResponseEnd(seconds(1));
+      assertThat(tracker.isWithoutRequest()).isFalse();
+      tracker.onResponseWritten(seconds(1));
+      assertThat(tracker.isWithoutRequest()).isTrue();
+    }
+  }
 }
