Reject requests whose bodies outlast the time for their response

A body could come a byte at a time for ever, and held the memory of its announced length: ten such clients kept all larger requests of others out with 503.

--- a/amaranthstream/src/main/java/org/amaranthstream/ingress/ConnectionPhaseTracker.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/ingress/ConnectionPhaseTracker.java
@@ -1,5 +1,6 @@
 package org.amaranthstream.ingress;
 
+import java.time.Duration;
 import org.amaranthstream.routing.RequestLimits;
 
 /**
@@ -11,12 +12,16 @@
   /** Stands for a connection that has taken all bytes. */
   static final long NOTHING_PENDING = 0;
 
+  private static final Duration UNLIMITED = Duration.ofNanos(Long.MAX_VALUE);
+
   private Phase phase = Phase.IDLE;
   private long phaseStartNanos;
   private long lastReadNanos;
   private long lastWriteNanos;
   private long pendingWrites;
   private boolean isWritten;
+  private Duration bodyTimeout = UNLIMITED;
+  private Runnable onBodyTimeout = () -> {};
 
   private enum Phase {
     /** No request is in progress. */
@@ -47,17 +52,38 @@
 
   /** Records that the head of a request is complete. */
   void onHeadEnd(long nowNanos) {
+    bodyTimeout = UNLIMITED;
     isWritten = false;
     enter(Phase.BODY, nowNanos);
   }
 
+  /**
+   * Sets the time for which the body of the current request may be received.
+   *
+   * @param task runs once if it takes longer
+   */
+  void setBodyTimeout(Duration timeout, Runnable task) {
+    bodyTimeout = timeout;
+    onBodyTimeout = task;
+  }
+
+  /** Runs the task of the body timeout if the body of the request takes too long. */
+  void checkBodyTimeout(long nowNanos) {
+    if (phase == Phase.BODY && nowNanos - phaseStartNanos >= bodyTimeout.toNanos()) {
+      bodyTimeout = UNLIMITED;
+      onBodyTimeout.run();
+    }
+  }
+
   /** Records that the body of the request is complete or will not be read any further. */
   void onBodyEnd(long nowNanos) {
+    onBodyTimeout = () -> {};
     enter(Phase.ANSWER, nowNanos);
   }
 
   /** Records that the response is complete. */
   void onResponseEnd(long nowNanos) {
+    onBodyTimeout = () -> {};
     enter(isWritten ? Phase.IDLE : Phase.WRITING, nowNanos);
   }
 
--- a/amaranthstream/src/main/java/org/amaranthstream/ingress/OpenConnections.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/ingress/OpenConnections.java
@@ -109,6 +109,15 @@
     trackerOf(connection).onHeadEnd(timers.nowNanos());
   }
 
+  /**
+   * Sets the time for which the body of the current request may be received.
+   *
+   * @param task runs once if it takes longer
+   */
+  public void setBodyTimeout(HttpConnection connection, Duration timeout, Runnable task) {
+    trackerOf(connection).setBodyTimeout(timeout, task);
+  }
+
   /** Records that the body of a request is complete or will not be read any further. */
   public void onBodyEnd(HttpConnection connection) {
     trackerOf(connection).onBodyEnd(timers.nowNanos());
@@ -140,6 +149,7 @@
         .forEach(
             (connection, tracker) -> {
               tracker.onPendingWrites(pendingWrites(channelOf(connection)), now);
+              tracker.checkBodyTimeout(now);
               if (tracker.isTimedOut(now, limits.get())) {
                 logger.atFine().log("event=caller_connection_timed_out phase=%s", tracker);
                 connection.close();
--- a/amaranthstream/src/test/java/org/amaranthstream/ingress/ConnectionPhaseTrackerTest.java
+++ b/amaranthstream/src/test/java/org/amaranthstream/ingress/ConnectionPhaseTrackerTest.java
@@ -140,6 +140,37 @@
     }
   }
 
+  @Nested
+  class SlowBody {
+    private int timeouts;
+
+    private void begin() {
+      tracker.onHeadEnd(seconds(1));
+      tracker.setBodyTimeout(Duration.ofSeconds(4), () -> timeouts++);
+    }
+
+    @Test
+    void isReportedOnceAfterItsTimeout() {
+      begin();
+      tracker.onBytes(seconds(4));
+      tracker.checkBodyTimeout(seconds(4.9));
+      assertThat(timeouts).isEqualTo(0);
+
+      tracker.checkBodyTimeout(seconds(5));
+      tracker.checkBodyTimeout(seconds(6));
+      assertThat(timeouts).isEqualTo(1);
+    }
+
+    @Test
+    void thatHasArrivedIsNotReported() {
+      begin();
+      tracker.onBodyEnd(seconds(4));
+      tracker.checkBodyTimeout(seconds(9));
+
+      assertThat(timeouts).isEqualTo(0);
+    }
+  }
+
   @Nested
   class WithoutRequest {
     @Test
