--- a/amaranthstream/src/main/java/org/amaranthstream/jobs/ItemSpec.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/jobs/ItemSpec.java
@@ -1,6 +1,7 @@
 package org.amaranthstream.jobs;
 
 import com.google.common.collect.ImmutableListMultimap;
+import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalLong;
 import org.amaranthstream.ids.GroupId;
@@ -27,4 +28,19 @@
     long tokens,
     OptionalLong expectedTokens,
     GroupId group,
-    Optional<RewardCall> rewardCall) {}
+    Optional<RewardCall> rewardCall) {
+  /** Bytes that an item takes on the heap besides its texts and bodies, with its progress. */
+  public static final int OVERHEAD_BYTES = 1_000;
+
+  /** Bytes that a header takes on the heap besides its characters. */
+  public static final int HEADER_OVERHEAD_BYTES = 250;
+
+  /** Returns the memory that the item takes. */
+  long memoryBytes() {
+    long bytes = OVERHEAD_BYTES + path.length() + body.length;
+    for (Map.Entry<String, String> header : headers.entries()) {
+      bytes += HEADER_OVERHEAD_BYTES + header.getKey().length() + header.getValue().length();
+    }
+    return bytes + rewardCall.map(call -> call.body().length).orElse(0);
+  }
+}
--- a/amaranthstream/src/main/java/org/amaranthstream/jobs/JobSpec.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/jobs/JobSpec.java
@@ -29,17 +29,9 @@
     int wantedGroups,
     ImmutableList<ItemSpec> items) {
 
-  /** Bytes that an item takes besides its bodies. */
-  private static final int ITEM_OVERHEAD_BYTES = 500;
-
   /** Returns the memory that the job takes. */
   long memoryBytes() {
-    long bytes = 0;
-    for (ItemSpec item : items) {
-      bytes += ITEM_OVERHEAD_BYTES + item.body().length;
-      bytes += item.rewardCall().map(call -> call.body().length).orElse(0);
-    }
-    return bytes;
+    return items.stream().mapToLong(ItemSpec::memoryBytes).sum();
   }
 
   /** Returns the job without its items. */
