--- a/amaranthstream/src/main/java/org/amaranthstream/logs/KeyValueFormatter.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/logs/KeyValueFormatter.java
@@ -1,5 +1,6 @@
 package org.amaranthstream.logs;
 
+import com.google.common.base.Ascii;
 import com.google.common.base.Throwables;
 import java.time.Instant;
 import java.time.format.DateTimeFormatter;
@@ -14,6 +15,8 @@
  * (itself key=value pairs) and, if there is a cause, its stack trace as one quoted value.
  */
 public final class KeyValueFormatter extends Formatter {
+  /** Bounds the memory of queued lines, some of which quote what clients send. */
+  private static final int MAX_TEXT_CHARS = 8_000;
 
   /** Creates a formatter. */
   public KeyValueFormatter() {}
@@ -49,7 +52,8 @@
     return logger == null ? "root" : logger.substring(logger.lastIndexOf('.') + 1);
   }
 
-  private static String oneLine(String message) {
+  private static String oneLine(String text) {
+    String message = Ascii.truncate(text, MAX_TEXT_CHARS, "...");
     return message.replace("\r", "\\r").replace("\n", "\\n");
   }
 
--- a/amaranthstream/src/main/java/org/amaranthstream/logs/QueuedLogHandler.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/logs/QueuedLogHandler.java
@@ -24,6 +24,8 @@
   private static final Duration MAX_FLUSH_WAIT = Duration.ofMillis(500);
   private static final Duration FLUSH_POLL_INTERVAL = Duration.ofMillis(1);
 
+  private static final int MAX_LINES_PER_WRITE = 256;
+
   private final ArrayBlockingQueue<String> queue;
   private final PrintStream out;
   private final LongAdder droppedLines = new LongAdder();
@@ -79,7 +81,7 @@
   private synchronized void write(String first) {
     List<String> lines = new ArrayList<>();
     lines.add(first);
-    queue.drainTo(lines);
+    queue.drainTo(lines, MAX_LINES_PER_WRITE);
     String text = String.join("", lines) + droppedNotice();
     byte[] bytes = text.getBytes(StandardCharsets.UTF_8);
     out.write(bytes, 0, bytes.length);
@@ -95,8 +97,7 @@
   /** Writes the queued lines, and waits a limited time for lines being written. */
   @Override
   public void flush() {
-    String first = queue.poll();
-    if (first != null) {
+    for (String first = queue.poll(); first != null; first = queue.poll()) {
       write(first);
     }
     long start = System.nanoTime();
