Enforce the limit on HTTP connections of serve

The setting limits.httpConnections was documented and read, and nothing used it: the number of connections was bounded by the descriptors only. A further connection is closed now. No test of serve opens so many; read and compiled only.

--- a/amaranthstream/src/main/java/org/amaranthstream/daemon/DaemonHttpServer.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/daemon/DaemonHttpServer.java
@@ -2,10 +2,13 @@
 
 import com.google.common.flogger.FluentLogger;
 import io.vertx.core.Handler;
+import io.vertx.core.http.HttpConnection;
 import io.vertx.core.http.HttpServer;
 import io.vertx.core.http.HttpServerOptions;
 import io.vertx.ext.web.Router;
 import io.vertx.ext.web.RoutingContext;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
 import org.amaranthstream.auth.TokenVerifier;
 import org.amaranthstream.ingress.CallHandler;
 import org.amaranthstream.ingress.DrainHandler;
@@ -19,6 +22,7 @@
 import org.amaranthstream.metrics.MetricsHandler;
 import org.amaranthstream.result.Result;
 import org.amaranthstream.result.ResultCode;
+import org.amaranthstream.settings.Limits;
 import org.amaranthstream.settings.Settings;
 
 /** The HTTP server of a daemon for callers, trainers, operators and health checks. */
@@ -30,18 +34,30 @@
 
   private final HttpServer server;
   private final DrainHandler drainHandler = DrainHandler.create();
+  private final AtomicInteger openConnections = new AtomicInteger();
   private volatile boolean ready = true;
 
   private DaemonHttpServer(Settings settings, DaemonComponents components) {
     HttpServerOptions options = options(settings);
     this.server = components.threads().vertx().createHttpServer(options);
-    int maxHeadBytes = settings.limits().headerBytes();
-    RequestFlow.Builder flow = RequestFlow.builder().maxHeadBytes(() -> maxHeadBytes);
     this.server.connectionHandler(
-        connection -> StrictFraming.apply(connection, options, flow.build()));
+        connection -> onConnected(connection, options, settings.limits()));
     this.server.requestHandler(newRouter(settings, components));
   }
 
+  private void onConnected(HttpConnection connection, HttpServerOptions options, Limits limits) {
+    if (openConnections.incrementAndGet() > limits.httpConnections()) {
+      logger.atWarning().atMostEvery(1, TimeUnit.SECONDS).log(
+          "event=connection_rejected open=%d", limits.httpConnections());
+      openConnections.decrementAndGet();
+      connection.close();
+      return;
+    }
+    connection.closeHandler(unused -> openConnections.decrementAndGet());
+    RequestFlow flow = RequestFlow.builder().maxHeadBytes(limits::headerBytes).build();
+    StrictFraming.apply(connection, options, flow);
+  }
+
   private static HttpServerOptions options(Settings settings) {
     return new HttpServerOptions()
         .setHost(settings.http().host())
