Read nothing more of a connection once reading is stopped

The decoder of the library reads once more by itself after a read that decoded nothing, even if reading is stopped. RequestDecoder continues with the bytes it has kept as if they were read, which decodes nothing while a body waits for memory, so 16 KiB more were read of each such connection, in no budget.

The decoder never reads by itself now.

--- a/amaranthstream/src/main/java/org/amaranthstream/ingress/RequestDecoder.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/ingress/RequestDecoder.java
@@ -104,15 +104,11 @@
     }
   }
 
-  /** The decoder of the library reads on by itself if nothing was decoded. */
+  /** The decoder of the library would read on, even if reading is stopped. */
   @Override
-  public void channelReadComplete(ChannelHandlerContext context) throws Exception {
-    if (isPaused) {
-      discardSomeReadBytes();
-      context.fireChannelReadComplete();
-    } else {
-      super.channelReadComplete(context);
-    }
+  public void channelReadComplete(ChannelHandlerContext context) {
+    discardSomeReadBytes();
+    context.fireChannelReadComplete();
   }
 
   @Override
