Decode ordinary heads even if the memory budget is used up

Since heads are reserved, a daemon whose budget is used up (owned jobs may exceed it) rejected every request with 503, also those that need no memory or would free it, such as the end of a job.

The first 16 KiB of what a head takes are not reserved. Their sum is bounded by the number of connections (16 MB for 1,000, of the two fifths of the heap that are outside of the budget), and an ordinary head takes no more.

--- a/amaranthstream/src/main/java/org/amaranthstream/ingress/ConnectionPhaseTracker.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/ingress/ConnectionPhaseTracker.java
@@ -126,7 +126,7 @@
       case HEAD -> phaseNanos > limits.headerTimeout().toNanos();
       case BODY -> Math.min(phaseNanos, nowNanos - lastReadNanos) > idleNanos;
       case ANSWER -> isStalled(nowNanos, idleNanos);
-      case WRITING -> phaseNanos > idleNanos && isStalledOrDone(nowNanos, idleNanos);
+      case WRITING -> isWritingTimedOut(nowNanos, phaseNanos, idleNanos);
     };
   }
 
@@ -134,8 +134,11 @@
     return pendingWrites != NOTHING_PENDING && nowNanos - lastWriteNanos > idleNanos;
   }
 
-  private boolean isStalledOrDone(long nowNanos, long idleNanos) {
-    return pendingWrites == NOTHING_PENDING || isStalled(nowNanos, idleNanos);
+  /** A connection that has taken all bytes is as good as idle. */
+  private boolean isWritingTimedOut(long nowNanos, long phaseNanos, long idleNanos) {
+    return pendingWrites == NOTHING_PENDING
+        ? phaseNanos > idleNanos
+        : isStalled(nowNanos, idleNanos);
   }
 
   @Override
--- a/amaranthstream/src/main/java/org/amaranthstream/ingress/HeadMemory.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/ingress/HeadMemory.java
@@ -14,10 +14,21 @@
   /** Copies of the characters: names and values, and the encoded heads to servers and peers. */
   static final long COPIES_OF_CHARACTERS = 4;
 
+  /**
+   * Bytes of each head that are not reserved: their sum is bounded by the number of connections. An
+   * ordinary head takes no more, and is decoded even if the budget is used up.
+   */
+  static final long UNRESERVED_BYTES = 16 * 1_024;
+
   private HeadMemory() {}
 
-  /** Returns the bytes to reserve for a head of {@code lines} lines and {@code bytes} bytes. */
+  /** Returns the bytes that a head of {@code lines} lines and {@code bytes} bytes takes. */
   static long bytesFor(int lines, int bytes) {
     return BYTES_PER_REQUEST + lines * BYTES_PER_LINE + bytes * COPIES_OF_CHARACTERS;
   }
+
+  /** Returns the bytes to reserve for what takes {@code bytes} bytes. */
+  static long reservationFor(long bytes) {
+    return Math.max(0, bytes - UNRESERVED_BYTES);
+  }
 }
--- a/amaranthstream/src/main/java/org/amaranthstream/ingress/RequestDecoder.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/ingress/RequestDecoder.java
@@ -20,6 +20,7 @@
 import io.vertx.core.http.impl.VertxHttpRequestDecoder;
 import java.time.Duration;
 import java.util.List;
+import java.util.concurrent.TimeUnit;
 import org.amaranthstream.memory.Reservation;
 import org.jspecify.annotations.Nullable;
 
@@ -46,7 +47,7 @@
   private @Nullable ChannelHandlerContext context;
   private State state = State.HEAD;
   private Reservation memory;
-  private Reservation framingMemory;
+  private final Reservation framingMemory;
   private int framingBytes;
   private boolean isLastRequest;
   private boolean isResponseWritten;
@@ -142,13 +143,17 @@
     } else if (isWhole) {
       state = State.WAITING;
       long bytes = HeadMemory.bytesFor(scanner.lines(), scanner.bytes());
-      memory.growWithin(
-          Math.max(0, bytes - memory.bytes()), MAX_WAIT_FOR_MEMORY, this::onMemoryDecided);
-    } else if (!memory.tryResize(Math.max(memory.bytes(), in.readableBytes()))) {
+      memory.growWithin(missing(bytes), MAX_WAIT_FOR_MEMORY, this::onMemoryDecided);
+    } else if (!memory.tryGrow(missing(in.readableBytes()))) {
       reject(new HeadMemoryException(), in, out);
     }
   }
 
+  /** Returns the bytes that are still to be reserved for a head that takes {@code bytes}. */
+  private long missing(long bytes) {
+    return Math.max(0, HeadMemory.reservationFor(bytes) - memory.bytes());
+  }
+
   private static TooLongHttpHeaderException tooLong(int maxBytes) {
     return new TooLongHttpHeaderException("the head is longer than " + maxBytes + " bytes");
   }
@@ -204,7 +209,8 @@
     int keptBytes = framingBytes + undecodedBytes;
     boolean isTooLong = keptBytes - TOLERATED_HEAD_BYTES > flow.maxHeadBytes();
     if (isTooLong || !framingMemory.tryGrow(bytes * HeadMemory.BYTES_PER_LINE)) {
-      logger.atInfo().log("event=body_framing_rejected bytes=%d", framingBytes);
+      logger.atInfo().atMostEvery(1, TimeUnit.SECONDS).log(
+          "event=body_framing_rejected bytes=%d", framingBytes);
       state = State.CLOSING;
       checkNotNull(context).close();
     }
--- a/amaranthstream/src/main/java/org/amaranthstream/ingress/RequestFlow.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/ingress/RequestFlow.java
@@ -8,8 +8,9 @@
 /**
  * What a caller's connection may make a server keep. A connection has one request at a time: the
  * next one is decoded once the response before it is written, and little is read ahead. A head is
- * decoded once it is whole, not too long, and its decoded form has room in a memory budget. Used on
- * the event loop of the connection.
+ * decoded once it is whole, not too long, and there is memory for its decoded form. An ordinary
+ * head always has it, and a head of very many lines has room in a memory budget. Used on the event
+ * loop of the connection.
  *
  * <pre>{@code
  * RequestFlow flow =
--- a/amaranthstream/src/main/java/org/amaranthstream/logs/LogQuota.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/logs/LogQuota.java
@@ -19,8 +19,6 @@
 public final class LogQuota {
   private static final FluentLogger logger = FluentLogger.forEnclosingClass();
   private static final long WINDOW_NANOS = Duration.ofSeconds(1).toNanos();
-
-  /** More than the requests that a daemon serves in a second. */
   private static final int LINES_PER_WINDOW = 200;
 
   private final TimerService timers;
