--- a/amaranthstream/src/main/java/org/amaranthstream/daemon/DaemonHttpServer.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/daemon/DaemonHttpServer.java
@@ -7,10 +7,9 @@
 import io.vertx.core.http.HttpServerOptions;
 import io.vertx.ext.web.Router;
 import io.vertx.ext.web.RoutingContext;
-import java.util.concurrent.TimeUnit;
-import java.util.concurrent.atomic.AtomicInteger;
 import org.amaranthstream.auth.TokenVerifier;
 import org.amaranthstream.ingress.CallHandler;
+import org.amaranthstream.ingress.ConnectionLimit;
 import org.amaranthstream.ingress.DrainHandler;
 import org.amaranthstream.ingress.IngressRoutes;
 import org.amaranthstream.ingress.PullHandler;
@@ -34,11 +33,12 @@
 
   private final HttpServer server;
   private final DrainHandler drainHandler = DrainHandler.create();
-  private final AtomicInteger openConnections = new AtomicInteger();
+  private final ConnectionLimit connectionLimit;
   private volatile boolean ready = true;
 
   private DaemonHttpServer(Settings settings, DaemonComponents components) {
     HttpServerOptions options = options(settings);
+    this.connectionLimit = ConnectionLimit.of(settings.limits().httpConnections());
     this.server = components.threads().vertx().createHttpServer(options);
     this.server.connectionHandler(
         connection -> onConnected(connection, options, settings.limits()));
@@ -46,16 +46,10 @@
   }
 
   private void onConnected(HttpConnection connection, HttpServerOptions options, Limits limits) {
-    if (openConnections.incrementAndGet() > limits.httpConnections()) {
-      logger.atWarning().atMostEvery(1, TimeUnit.SECONDS).log(
-          "event=connection_rejected open=%d", limits.httpConnections());
-      openConnections.decrementAndGet();
-      connection.close();
-      return;
+    if (connectionLimit.tryAdd(connection)) {
+      RequestFlow flow = RequestFlow.builder().maxHeadBytes(limits::headerBytes).build();
+      StrictFraming.apply(connection, options, flow);
     }
-    connection.closeHandler(unused -> openConnections.decrementAndGet());
-    RequestFlow flow = RequestFlow.builder().maxHeadBytes(limits::headerBytes).build();
-    StrictFraming.apply(connection, options, flow);
   }
 
   private static HttpServerOptions options(Settings settings) {
--- a/amaranthstream/src/main/java/org/amaranthstream/ingress/OpenConnections.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/ingress/OpenConnections.java
@@ -10,7 +10,6 @@
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelOutboundBuffer;
 import io.vertx.core.http.HttpConnection;
-import io.vertx.core.net.impl.ConnectionBase;
 import java.time.Duration;
 import java.util.LinkedHashMap;
 import java.util.Map;
@@ -75,15 +74,11 @@
     }
     ConnectionPhaseTracker tracker = new ConnectionPhaseTracker(timers.nowNanos());
     trackers.put(connection, tracker);
-    Channel channel = channelOf(connection);
+    Channel channel = Channels.of(connection);
     channel.pipeline().addFirst(new ByteObserver(tracker));
     channel.closeFuture().addListener(unused -> trackers.remove(connection));
   }
 
-  private static Channel channelOf(HttpConnection connection) {
-    return ((ConnectionBase) connection).channel();
-  }
-
   /** Closes a connection in favour of a new one; returns false if each of them has a request. */
   private boolean displaceOne() {
     for (Map.Entry<HttpConnection, ConnectionPhaseTracker> entry : trackers.entrySet()) {
@@ -148,7 +143,7 @@
     ImmutableMap.copyOf(trackers)
         .forEach(
             (connection, tracker) -> {
-              tracker.onPendingWrites(pendingWrites(channelOf(connection)), now);
+              tracker.onPendingWrites(pendingWrites(Channels.of(connection)), now);
               tracker.checkBodyTimeout(now);
               if (tracker.isTimedOut(now, limits.get())) {
                 logger.atFine().log("event=caller_connection_timed_out phase=%s", tracker);
--- a/amaranthstream/src/main/java/org/amaranthstream/ingress/StrictFraming.java
+++ b/amaranthstream/src/main/java/org/amaranthstream/ingress/StrictFraming.java
@@ -5,7 +5,6 @@
 import io.netty.channel.ChannelPipeline;
 import io.vertx.core.http.HttpConnection;
 import io.vertx.core.http.HttpServerOptions;
-import io.vertx.core.net.impl.ConnectionBase;
 import org.amaranthstream.memory.Reservation;
 
 /**
@@ -31,7 +30,7 @@
    * @param options the options of the server
    */
   public static void apply(HttpConnection connection, HttpServerOptions options, RequestFlow flow) {
-    Channel channel = ((ConnectionBase) connection).channel();
+    Channel channel = Channels.of(connection);
     ChannelPipeline pipeline = channel.pipeline();
     if (pipeline.get(DECODER) == null) {
       return;
@@ -52,6 +51,6 @@
    * reserved. It is released once the response is written or the connection is closed.
    */
   public static Reservation memoryOf(HttpConnection connection) {
-    return RequestDecoder.memoryOf(((ConnectionBase) connection).channel());
+    return RequestDecoder.memoryOf(Channels.of(connection));
   }
 }
