--- a/amaranthstream/src/test/java/org/amaranthstream/logs/KeyValueFormatterTest.java
+++ b/amaranthstream/src/test/java/org/amaranthstream/logs/KeyValueFormatterTest.java
@@ -25,6 +25,14 @@
       assertThat(line).endsWith("event=x reason=\"a\\nb\"\n");
     }
 
+    /** Guards against a queue of lines that quote what clients send. */
+    @Test
+    void cutsLongMessage() {
+      String line = formatter.format(event("event=x uri=" + "x".repeat(100_000)));
+      assertThat(line.length()).isLessThan(10_000);
+      assertThat(line).endsWith("...\n");
+    }
+
     @Test
     void writesCauseOnSameLine() {
       LogRecord event = event("event=x");
--- a/amaranthstream/src/test/java/org/amaranthstream/logs/QueuedLogHandlerTest.java
+++ b/amaranthstream/src/test/java/org/amaranthstream/logs/QueuedLogHandlerTest.java
@@ -51,6 +51,18 @@
     assertThat(written()).endsWith("event=e0\n");
   }
 
+  @Test
+  void flushWritesAllLinesOfLongQueue() {
+    QueuedLogHandler longQueue =
+        QueuedLogHandler.withoutThread(2_000, new PrintStream(bytes, true, UTF_8));
+    for (int i = 0; i < 2_000; i++) {
+      longQueue.publish(new LogRecord(Level.INFO, "event=e" + i));
+    }
+    longQueue.flush();
+
+    assertThat(bytes.toString(UTF_8).lines().count()).isEqualTo(2_000);
+  }
+
   @Test
   void flushWaitsForLinesBeingWritten() {
     for (int i = 0; i < 200; i++) {
