--- a/amaranthstream/src/test/java/org/amaranthstream/ingress/OpenConnectionsTest.java
+++ b/amaranthstream/src/test/java/org/amaranthstream/ingress/OpenConnectionsTest.java
@@ -7,6 +7,8 @@
 import io.vertx.core.http.HttpServerRequest;
 import java.io.IOException;
 import java.net.Socket;
+import java.util.concurrent.Semaphore;
+import java.util.concurrent.TimeUnit;
 import org.amaranthstream.routing.RequestLimits;
 import org.amaranthstream.time.VirtualTimerService;
 import org.junit.jupiter.api.AfterEach;
@@ -16,6 +18,9 @@
 class OpenConnectionsTest {
   private static final String UNANSWERED = "GET /unanswered HTTP/1.1\r\n\r\n";
 
+  /** The requests that have arrived and are not answered. */
+  private final Semaphore unanswered = new Semaphore(0);
+
   private final OpenConnections connections =
       OpenConnections.create(VirtualTimerService.create(), RequestLimits::defaults, 2);
   private final AcceptingServer server =
@@ -33,7 +38,9 @@
   private void onRequest(HttpServerRequest request) {
     connections.onHeadEnd(request.connection());
     request.response().endHandler(unused -> connections.onResponseEnd(request.connection()));
-    if (!request.path().equals("/unanswered")) {
+    if (request.path().equals("/unanswered")) {
+      unanswered.release();
+    } else {
       request.response().end("ok");
     }
   }
@@ -65,6 +72,7 @@
     Socket second = server.connect();
     assertThat(AcceptingServer.isServed(second)).isTrue();
     second.getOutputStream().write(UNANSWERED.getBytes());
+    assertThat(unanswered.tryAcquire(2, 10, TimeUnit.SECONDS)).isTrue();
 
     assertThat(AcceptingServer.isClosedByServer(server.connect())).isTrue();
   }
