Show that a second answer becomes part of a body without a length

review/15: two of six replicas answer 2% of their requests without a length and twice, as garble extra unframed does. Callers get 200 with the seal and both answers as the body.

--- a/review/standins-3/Http.java
+++ b/review/standins-3/Http.java
@@ -64,6 +64,8 @@
         copy(in, body, size);
         line(in);
       }
+    } else if ("close".equals(answer.headers.get("connection"))) {
+      body.write(in.readAllBytes());
     }
     answer.body = body.toByteArray();
     return answer;
